--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# The commands of the README. CI calls check and test.
+GO ?= go
+BIN := bin
+
+.PHONY: run test check build generate
+
+run: build
+	$(BIN)/rushramp-bench run examples/schriftverbund.yaml examples/chartservices.yaml --duration 5s
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test:
+	$(GO) test ./...
+
+check:
+	@test -z "$$(gofmt -l cmd pkg test tools)" || { echo "gofmt: run 'gofmt -w cmd pkg test tools' on:"; gofmt -l cmd pkg test tools; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) run ./tools/gendocs -check
+
+# Pages only; operators.proto is compiled with the pinned plugins by tools/genproto.
+generate:
+	$(GO) run ./tools/gendocs
--- /dev/null
+++ b/cmd/rushramp-bench/main.go
@@ -0,0 +1,9 @@
+// Command rushramp-bench: Load and experiments.
+package main
+
+import (
+	"github.com/rushramp/rushramp/pkg/bench"
+	"github.com/rushramp/rushramp/pkg/cli"
+)
+
+func main() { cli.Main(bench.NewCommand()) }
--- /dev/null
+++ b/cmd/rushramp-standin/main.go
@@ -0,0 +1,9 @@
+// Command rushramp-standin: Stand-ins for tests.
+package main
+
+import (
+	"github.com/rushramp/rushramp/pkg/cli"
+	"github.com/rushramp/rushramp/pkg/standin"
+)
+
+func main() { cli.Main(standin.NewCommand()) }
--- /dev/null
+++ b/cmd/rushrampd/main.go
@@ -0,0 +1,9 @@
+// Command rushrampd: The daemon beside each backend server.
+package main
+
+import (
+	"github.com/rushramp/rushramp/pkg/cli"
+	"github.com/rushramp/rushramp/pkg/daemon"
+)
+
+func main() { cli.Main(daemon.NewCommand()) }
--- /dev/null
+++ b/pkg/bench/command.go
@@ -0,0 +1,200 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+// ErrPromise is returned when a promise count is not 0.
+var ErrPromise = errors.New("a promise did not hold; see the counts above")
+
+// NewCommand makes the command line of rushramp-bench.
+func NewCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "rushramp-bench",
+		Short:         "Load and experiments: daemons and stand-ins run inside this process over loopback TCP",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(runCommand(), compareCommand())
+	return root
+}
+
+type flags struct {
+	duration time.Duration
+	policy   string
+	policies string
+	seed     uint64
+	seeds    int
+	json     string
+}
+
+func (self *flags) register(cmd *cobra.Command) {
+	cmd.Flags().DurationVar(&self.duration, "duration", 5*time.Second, "how long the load lasts")
+	cmd.Flags().Uint64Var(&self.seed, "seed", 1, "seed of the arrivals")
+	cmd.Flags().StringVar(&self.json, "json", "", "file for the report as JSON")
+}
+
+func runCommand() *cobra.Command {
+	f := &flags{}
+	cmd := &cobra.Command{
+		Use:   "run FILE [FILE...]",
+		Short: "Run deployments under their load and report",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return runAll(cmd.OutOrStdout(), args, f)
+		},
+	}
+	f.register(cmd)
+	cmd.Flags().StringVar(&f.policy, "policy", "", `policy of the daemons, or "oracle"; "+soft" or "-soft" at its end turns the soft first attempt on or off`)
+	return cmd
+}
+
+func runAll(out io.Writer, files []string, f *flags) error {
+	var reports []*Report
+	broken := 0
+	for _, file := range files {
+		d, err := LoadDeployment(file)
+		if err != nil {
+			return err
+		}
+		report, err := Run(d, Options{Duration: f.duration, Policy: f.policy, Seed: f.seed})
+		if err != nil {
+			return err
+		}
+		reports = append(reports, report)
+		broken += report.Broken()
+		printReport(out, report)
+	}
+	if err := writeJSON(f.json, reports); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return ErrPromise
+	}
+	return nil
+}
+
+// writeJSON writes one report as an object, several as a list.
+func writeJSON(path string, reports []*Report) error {
+	if path == "" {
+		return nil
+	}
+	var value any = reports
+	if len(reports) == 1 {
+		value = reports[0]
+	}
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	return errors.Wrap(os.WriteFile(path, append(data, '\n'), 0o644), "report")
+}
+
+func printReport(out io.Writer, r *Report) {
+	fmt.Fprintf(out, "%s: %d daemons, %d calls, seed %d\n", r.Deployment, r.Daemons, r.Calls, r.Seed)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "service\tcalls\tanswered\tnot run\tunknown\tp50 ms\tp99 ms\twait p50 ms\twait p99 ms\twait p99.9 ms\t")
+	for _, name := range sortedKeys(r.Services) {
+		printFigures(w, name, r.Services[name])
+	}
+	printFigures(w, "all", r.Figures)
+	_ = w.Flush()
+	fmt.Fprintf(out, "refusals %.3f, retries %.3f, hedges %.3f a call; added p99 %d us by the daemons' clocks, %d us from outside\n",
+		r.Refusals, r.Retries, r.Hedges, r.AddedP99, r.AddedOutsideP99)
+	fmt.Fprintf(out, "measuring %.0f bytes/s, %.1f messages/s a daemon; control %.2f%% of a core, %.1f MB a daemon\n",
+		r.MeasureBytes, r.MeasureMsgs, r.ControlCPU, r.RSS)
+	p := r.Promises
+	fmt.Fprintf(out, "promises broken: crossed %d, truncated %d, doubled %d, false not-run %d, wrong place %d, cut by drain %d, work after leaving %d, config reverts %d, budget overruns %d\n",
+		p.Crossed, p.Truncated, p.Doubled, p.FalseNotRun, p.WrongPlace, p.CutByDrain, p.WorkAfterLeaving, p.ConfigReverts, p.BudgetOverruns)
+	for _, kind := range sortedKeys(r.Outcomes) {
+		fmt.Fprintf(out, "  %s: %d\n", kind, r.Outcomes[kind])
+	}
+	fmt.Fprintln(out)
+}
+
+func printFigures(w io.Writer, name string, f Figures) {
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t\n", name, f.Calls, f.Answered, f.RefusedNotRun, f.OutcomeUnknown,
+		ms(f.P50), ms(f.P99), ms(f.WaitP50), ms(f.WaitP99), ms(f.WaitP999))
+}
+
+func ms(us int64) string { return fmt.Sprintf("%.2f", float64(us)/1000) }
+
+func sortedKeys[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func compareCommand() *cobra.Command {
+	f := &flags{}
+	cmd := &cobra.Command{
+		Use:   "compare FILE [FILE...]",
+		Short: "Run policies in turn on the same arrivals, and print each figure as a ratio to the oracle's",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return compareAll(cmd.OutOrStdout(), args, f)
+		},
+	}
+	f.register(cmd)
+	cmd.Flags().StringVar(&f.policies, "policies", "oracle,least_outstanding,expected_wait+soft", "policies, with commas between")
+	cmd.Flags().IntVar(&f.seeds, "seeds", 1, "how many seeds, from --seed on")
+	return cmd
+}
+
+func compareAll(out io.Writer, files []string, f *flags) error {
+	var reports []*Report
+	broken := 0
+	for _, file := range files {
+		d, err := LoadDeployment(file)
+		if err != nil {
+			return err
+		}
+		found, err := comparePolicies(out, d, f)
+		if err != nil {
+			return err
+		}
+		for _, r := range found {
+			broken += r.Broken()
+		}
+		reports = append(reports, found...)
+	}
+	if err := writeJSON(f.json, reports); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return ErrPromise
+	}
+	return nil
+}
+
+func comparePolicies(out io.Writer, d *Deployment, f *flags) ([]*Report, error) {
+	var reports []*Report
+	policies := strings.Split(f.policies, ",")
+	table := newRatioTable(policies)
+	for i := range f.seeds {
+		seed := f.seed + uint64(i)
+		for _, policy := range policies {
+			r, err := Run(d, Options{Duration: f.duration, Policy: policy, Seed: seed})
+			if err != nil {
+				return nil, err
+			}
+			reports = append(reports, r)
+			table.add(policy, r)
+		}
+	}
+	table.print(out, d.Name, f.seeds)
+	return reports, nil
+}
--- /dev/null
+++ b/pkg/bench/counters.go
@@ -0,0 +1,105 @@
+package bench
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// counters are totals over all daemons at one moment.
+type counters struct {
+	at           time.Time
+	retries      uint64
+	softRefusals uint64
+	hedges       uint64
+	measureBytes int64
+	measureMsgs  int64
+	overruns     int64
+	storeReads   int64
+	storeWrites  int64
+	addedP99     time.Duration
+}
+
+func (self *cluster) counters() counters {
+	out := counters{at: time.Now(), storeReads: self.store.Reads(), storeWrites: self.store.Writes()}
+	added := metrics.NewSet().NewHistogram("added")
+	for _, n := range self.nodes {
+		counts := n.daemon.Entry.Counts()
+		out.retries += counts.Retries
+		out.softRefusals += counts.SoftRefusals
+		out.hedges += counts.Hedges
+		budget := n.daemon.Measure.Report()
+		out.measureBytes += budget.Bytes
+		out.overruns += budget.Overruns
+		added.Merge(n.daemon.Entry.Added())
+	}
+	out.addedP99 = quantile(added, 0.99)
+	return out
+}
+
+// quantile reads a quantile off a metric's buckets, at their upper bounds.
+func quantile(h *metrics.Histogram, q float64) time.Duration {
+	type bucket struct {
+		upper float64
+		count uint64
+	}
+	var buckets []bucket
+	total := uint64(0)
+	h.VisitNonZeroBuckets(func(vmrange string, count uint64) {
+		_, upper, _ := strings.Cut(vmrange, "...")
+		// "+Inf" parses, too; what does not parse would be a change of the library.
+		bound, err := strconv.ParseFloat(upper, 64)
+		if err != nil {
+			return
+		}
+		buckets = append(buckets, bucket{bound, count})
+		total += count
+	})
+	seen := uint64(0)
+	for _, b := range buckets {
+		seen += b.count
+		if float64(seen) >= q*float64(total) {
+			return time.Duration(b.upper * float64(time.Second))
+		}
+	}
+	return 0
+}
+
+// processCPU is the processor time of this process so far.
+func processCPU() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// measureIdle returns the processor share of control per daemon, in percent of
+// a core, while no calls come.
+func measureIdle(c *cluster, window time.Duration) float64 {
+	began, used := time.Now(), processCPU()
+	time.Sleep(window)
+	share := (processCPU() - used).Seconds() / time.Since(began).Seconds()
+	return 100 * share / float64(len(c.nodes))
+}
+
+// residentMB is the resident memory of this process in MB.
+func residentMB() float64 {
+	text, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return float64(pages*int64(os.Getpagesize())) / (1 << 20)
+}
--- /dev/null
+++ b/pkg/bench/oracle.go
@@ -0,0 +1,50 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/choose"
+)
+
+// oracle reads each gate's true state at no cost: the bound that policies are
+// compared with. It sees queues, not speeds. It exists in the bench only.
+type oracle struct {
+	inFlight map[string]func() (calls int64, slots int)
+}
+
+func newOracle(c *cluster) choose.Policy {
+	self := &oracle{inFlight: map[string]func() (int64, int){}}
+	for _, n := range c.nodes {
+		if n.backend == nil {
+			continue
+		}
+		self.inFlight[n.vm.ID] = func() (int64, int) {
+			if n.daemon == nil {
+				return 0, 1
+			}
+			gate := n.daemon.Executor.Gate()
+			return gate.InFlight(), gate.Slots()
+		}
+	}
+	return self
+}
+
+// Choose implements choose.Policy.
+func (self *oracle) Choose(req *choose.Request, rnd choose.Random) choose.Pick {
+	best, least, nearest := choose.None, 0.0, time.Duration(0)
+	offset := rnd.IntN(max(len(req.Set), 1))
+	for n := range req.Set {
+		i := (n + offset) % len(req.Set)
+		if req.Tried.Has(i) {
+			continue
+		}
+		calls, slots := self.inFlight[req.Set[i].Route.VM]()
+		// Below its slots a gate has no wait, so only the distance counts.
+		wait := max(float64(calls+1-int64(slots))/float64(slots), 0)
+		distance := req.Set[i].Load.Distance()
+		if best == choose.None || wait < least || (wait == least && distance < nearest) {
+			best, least, nearest = i, wait, distance
+		}
+	}
+	return choose.Pick{Index: best}
+}
--- /dev/null
+++ b/pkg/bench/report.go
@@ -0,0 +1,200 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Figures are the measures of a run or of one service of it. Times are in
+// microseconds; a wait is a latency less the call's own nominal service time.
+type Figures struct {
+	Calls          int     `json:"calls"`
+	Answered       int     `json:"answered"`
+	RefusedNotRun  int     `json:"refused_not_run"`
+	OutcomeUnknown int     `json:"outcome_unknown"`
+	P50            int64   `json:"p50_us"`
+	P99            int64   `json:"p99_us"`
+	P999           int64   `json:"p999_us"`
+	WaitP50        int64   `json:"wait_p50_us"`
+	WaitP99        int64   `json:"wait_p99_us"`
+	WaitP999       int64   `json:"wait_p999_us"`
+	Refusals       float64 `json:"refusals_per_call"`
+	Retries        float64 `json:"retries_per_call"`
+	Hedges         float64 `json:"hedges_per_call"`
+	// AddedP99 is the time in daemons by their own clocks, AddedOutsideP99 the
+	// same seen from outside: the whole less the nominal run and the configured
+	// network. The latter holds the stand-ins' and the caller's own time too.
+	AddedP99        int64 `json:"added_p99_us"`
+	AddedOutsideP99 int64 `json:"added_outside_p99_us"`
+	// Failed counts answers of backend servers with status 500 or more.
+	Failed int `json:"failed"`
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Deployment string `json:"deployment"`
+	Policy     string `json:"policy"`
+	Seed       uint64 `json:"seed"`
+	Daemons    int    `json:"daemons"`
+	Figures
+	Promises
+	Measured
+	Services map[string]Figures `json:"services"`
+	// Outcomes counts rushramp's own answers by kind.
+	Outcomes map[string]int `json:"outcomes"`
+	// Spread is, by service, the most runs of one server over the mean.
+	Spread map[string]float64 `json:"max_over_mean"`
+	// Shares is the part of a service's runs that each server took.
+	Shares map[string]float64 `json:"shares"`
+	// StoreWrites and StoreReads are requests to the platform during the load.
+	StoreWrites int64 `json:"store_writes"`
+	StoreReads  int64 `json:"store_reads"`
+}
+
+// Measured is the cost of control and of measuring, per daemon.
+type Measured struct {
+	MeasureBytes float64 `json:"measure_bytes_per_s"`
+	MeasureMsgs  float64 `json:"measure_msgs_per_s"`
+	// ControlCPU is taken before the load begins, as a share of one core.
+	ControlCPU float64 `json:"control_cpu_percent"`
+	// RSS is the process's resident memory over its daemons: stand-ins and the
+	// load are in it.
+	RSS float64 `json:"rss_mb"`
+}
+
+// The range of the histograms, in microseconds.
+const (
+	lowestUS  = 1
+	highestUS = 60_000_000
+	digits    = 3
+)
+
+// tally gathers the figures of one group of calls.
+type tally struct {
+	figures Figures
+	whole   *hdrhistogram.Histogram
+	wait    *hdrhistogram.Histogram
+	added   *hdrhistogram.Histogram
+}
+
+func newTally() *tally {
+	fresh := func() *hdrhistogram.Histogram { return hdrhistogram.New(lowestUS, highestUS, digits) }
+	return &tally{whole: fresh(), wait: fresh(), added: fresh()}
+}
+
+func (self *tally) add(o *outcome, network time.Duration) {
+	f := &self.figures
+	f.Calls++
+	switch {
+	case o.answered():
+		f.Answered++
+	case o.err == nil && o.ran == "no":
+		f.RefusedNotRun++
+	default:
+		f.OutcomeUnknown++
+	}
+	if !o.answered() {
+		return
+	}
+	if o.status >= 500 {
+		f.Failed++
+	}
+	wait := max(o.whole-o.arrival.nominal, 0)
+	record(self.whole, o.whole)
+	record(self.wait, wait)
+	record(self.added, max(wait-network, 0))
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// The bounds of the histogram are the bench's own; a value beyond is the most.
+	_ = h.RecordValue(min(max(d.Microseconds(), lowestUS), highestUS))
+}
+
+func (self *tally) finish() Figures {
+	f := self.figures
+	f.P50, f.P99, f.P999 = self.whole.ValueAtQuantile(50), self.whole.ValueAtQuantile(99), self.whole.ValueAtQuantile(99.9)
+	f.WaitP50, f.WaitP99, f.WaitP999 = self.wait.ValueAtQuantile(50), self.wait.ValueAtQuantile(99), self.wait.ValueAtQuantile(99.9)
+	f.AddedOutsideP99 = self.added.ValueAtQuantile(99)
+	return f
+}
+
+func newReport(c *cluster, opts Options, arrivals []arrival, outcomes []outcome, before counters, idle float64) *Report {
+	all, byService := newTally(), map[string]*tally{}
+	out := &Report{
+		Deployment: c.deployment.Name, Policy: opts.Policy, Seed: opts.Seed, Daemons: len(c.nodes),
+		Services: map[string]Figures{}, Outcomes: map[string]int{}, Spread: map[string]float64{}, Shares: map[string]float64{},
+	}
+	for i := range outcomes {
+		o := &outcomes[i]
+		if byService[o.arrival.service.Name] == nil {
+			byService[o.arrival.service.Name] = newTally()
+		}
+		// Without knowing the way taken, the network is counted as none.
+		all.add(o, 0)
+		byService[o.arrival.service.Name].add(o, 0)
+		out.countOutcome(o)
+	}
+	out.Figures = all.finish()
+	for name, t := range byService {
+		out.Services[name] = t.finish()
+	}
+	after := c.counters()
+	out.fillCounters(before, after, len(arrivals))
+	out.AddedP99 = after.addedP99.Microseconds()
+	out.Promises = checkPromises(c, outcomes)
+	out.fillSpread(c)
+	out.ControlCPU = idle
+	out.RSS = residentMB() / float64(len(c.nodes))
+	return out
+}
+
+func (self *Report) countOutcome(o *outcome) {
+	switch {
+	case o.err != nil:
+		self.Outcomes["caller_error"]++
+	case o.kind != "":
+		self.Outcomes[o.kind]++
+	}
+}
+
+func (self *Report) fillCounters(before, after counters, calls int) {
+	n := float64(max(calls, 1))
+	soft := float64(after.softRefusals - before.softRefusals)
+	retries := float64(after.retries - before.retries)
+	self.Refusals = (soft + retries) / n
+	self.Retries = retries / n
+	self.Hedges = float64(after.hedges-before.hedges) / n
+	seconds := after.at.Sub(before.at).Seconds()
+	daemons := float64(self.Daemons)
+	self.MeasureBytes = float64(after.measureBytes-before.measureBytes) / seconds / daemons
+	// Load reports ride on answers; none has a message of its own.
+	self.MeasureMsgs = float64(after.measureMsgs-before.measureMsgs) / seconds / daemons
+	self.StoreReads = after.storeReads - before.storeReads
+	self.StoreWrites = after.storeWrites - before.storeWrites
+}
+
+func (self *Report) fillSpread(c *cluster) {
+	runs := map[string][]int{}
+	names := map[string][]string{}
+	for _, n := range c.nodes {
+		if n.backend != nil {
+			runs[n.vm.Service] = append(runs[n.vm.Service], len(n.backend.Ledger().Runs()))
+			names[n.vm.Service] = append(names[n.vm.Service], n.vm.ID)
+		}
+	}
+	for service, counts := range runs {
+		sum, most := 0, 0
+		for _, count := range counts {
+			sum += count
+			most = max(most, count)
+		}
+		if sum == 0 {
+			continue
+		}
+		self.Spread[service] = float64(most) * float64(len(counts)) / float64(sum)
+		for i, count := range counts {
+			self.Shares[names[service][i]] = float64(count) / float64(sum)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/bench/run.go
@@ -0,0 +1,282 @@
+package bench
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/callers"
+	"github.com/rushramp/rushramp/pkg/choose"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/standin/backend"
+)
+
+// Options are those of one run.
+type Options struct {
+	Duration time.Duration
+	// Policy is a name of choose.New, with "oracle" besides; a "+soft" or
+	// "-soft" at its end turns the soft first attempt on or off.
+	Policy string
+	Seed   uint64
+	// Change adapts the daemons' settings further.
+	Change func(*settings.Settings)
+}
+
+// outcome is how a call ended for its caller.
+type outcome struct {
+	arrival *arrival
+	entry   *node
+	began   time.Time
+	// whole is the time from the intended start to the end.
+	whole  time.Duration
+	status int
+	// kind and ran are rushramp's own headers; empty on an answer.
+	kind string
+	ran  string
+	err  error
+	// crossed and truncated tell of an answer that is not this call's whole one.
+	crossed   bool
+	truncated bool
+}
+
+// answered is true for a backend server's own whole answer.
+func (self *outcome) answered() bool { return self.err == nil && self.kind == "" }
+
+// settle is how long servers and links get to become quiet around a run.
+const settle = 300 * time.Millisecond
+
+// idleWindow is how long control work is measured before the load begins.
+const idleWindow = time.Second
+
+// Run runs a deployment under its load and reports.
+func Run(d *Deployment, opts Options) (*Report, error) {
+	clusterOpts, err := policyOptions(opts)
+	if err != nil {
+		return nil, err
+	}
+	c, err := startCluster(d, clusterOpts)
+	if err != nil {
+		return nil, err
+	}
+	defer c.stop()
+	if err := c.warm(); err != nil {
+		return nil, err
+	}
+	time.Sleep(settle)
+	idle := measureIdle(c, idleWindow)
+	arrivals := drawArrivals(d, opts.Duration, opts.Seed)
+	before := c.counters()
+	stopShape := startShape(c)
+	outcomes := c.load(arrivals)
+	stopShape()
+	time.Sleep(settle)
+	return newReport(c, opts, arrivals, outcomes, before, idle), nil
+}
+
+func policyOptions(opts Options) (clusterOptions, error) {
+	name, soft, err := splitPolicy(opts.Policy)
+	if err != nil {
+		return clusterOptions{}, err
+	}
+	out := clusterOptions{change: func(s *settings.Settings) {
+		if name != "" && name != oracleName {
+			s.Choosing.Policy = name
+		}
+		if soft != nil {
+			s.Choosing.SoftFirst = *soft
+		}
+		if opts.Change != nil {
+			opts.Change(s)
+		}
+	}}
+	if name == oracleName {
+		out.policy = newOracle
+	}
+	return out, nil
+}
+
+const oracleName = "oracle"
+
+// splitPolicy reads "name", "name+soft" or "name-soft".
+func splitPolicy(text string) (name string, soft *bool, err error) {
+	on, off := true, false
+	switch {
+	case text == "":
+		return "", nil, nil
+	case len(text) > 5 && text[len(text)-5:] == "+soft":
+		name, soft = text[:len(text)-5], &on
+	case len(text) > 5 && text[len(text)-5:] == "-soft":
+		name, soft = text[:len(text)-5], &off
+	case text == oracleName:
+		return text, &off, nil
+	default:
+		name = text
+	}
+	if name == oracleName {
+		return name, soft, nil
+	}
+	_, err = choose.New(name, choose.Options{})
+	return name, soft, errors.Wrap(err, "policy")
+}
+
+// caller sends calls over HTTP, as publishers' pages and pilots' apps do.
+type caller struct{ http *client.Client }
+
+func newCaller() (*caller, error) {
+	c, err := client.NewClient(
+		client.WithDialer(standard.NewDialer()),
+		client.WithMaxConnsPerHost(1<<16),
+		client.WithDialTimeout(time.Second),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "bench caller")
+	}
+	c.SetRetryIfFunc(func(*protocol.Request, *protocol.Response, error) bool { return false })
+	return &caller{http: c}, nil
+}
+
+const callerTimeout = 30 * time.Second
+
+func (self *caller) send(a *arrival, to *node, intended time.Time) outcome {
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	a.fill(req, to)
+	out := outcome{arrival: a, entry: to, began: intended}
+	out.err = self.http.Do(context.Background(), req, resp)
+	out.whole = time.Since(intended)
+	if out.err != nil {
+		return out
+	}
+	out.status = resp.StatusCode()
+	out.kind = string(resp.Header.Peek(callers.HeaderError))
+	out.ran = string(resp.Header.Peek(callers.HeaderRan))
+	if out.answered() && out.status == http.StatusOK {
+		out.check(resp.Body())
+	}
+	return out
+}
+
+func (self *arrival) fill(req *protocol.Request, to *node) {
+	k := &self.kind.Placement
+	method := k.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	path := k.Path
+	if path[len(path)-1] == '*' {
+		path = path[:len(path)-1] + self.id
+	}
+	req.SetMethod(method)
+	req.SetRequestURI("http://" + to.vm.Callers + path)
+	req.Header.Set(callers.HeaderService, self.service.Name)
+	req.Header.Set(backend.HeaderCallID, self.id)
+	req.Header.Set(backend.HeaderWork, strconv.FormatInt(self.nominal.Microseconds(), 10))
+	req.Header.Set(backend.HeaderAnswer, strconv.Itoa(self.kind.AnswerBytes))
+	if self.key != "" {
+		req.Header.Set(callers.HeaderKey, self.key)
+	}
+	if self.kind.Timeout > 0 {
+		req.Header.Set(callers.HeaderTimeout, strconv.FormatInt(self.kind.Timeout.Milliseconds(), 10))
+	}
+	if n := self.kind.RequestBytes; n > 0 {
+		req.SetBody(make([]byte, n))
+	}
+	req.SetOptions(config.WithRequestTimeout(callerTimeout))
+}
+
+// check compares the answer with what this call's answer must be.
+func (self *outcome) check(body []byte) {
+	a := self.arrival
+	want := backend.AnswerBody(a.id, a.kind.AnswerBytes, make([]byte, a.kind.RequestBytes))
+	if len(body) < len(want) {
+		self.truncated = true
+		return
+	}
+	self.crossed = string(body) != string(want)
+}
+
+// load sends the arrivals at their times, whether or not answers come.
+func (self *cluster) load(arrivals []arrival) []outcome {
+	sender, err := newCaller()
+	if err != nil {
+		return nil
+	}
+	outcomes := make([]outcome, len(arrivals))
+	var wait sync.WaitGroup
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	start := time.Now()
+	for i := range arrivals {
+		a := &arrivals[i]
+		intended := start.Add(a.at)
+		sleepUntil(intended)
+		entries := self.entriesFor(&a.kind.Placement)
+		to := entries[a.entry%uint64(len(entries))]
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			outcomes[i] = sender.send(a, to, intended)
+		}()
+	}
+	wait.Wait()
+	return outcomes
+}
+
+// sleepUntil is more exact than time.Sleep, at the cost of some of one core.
+func sleepUntil(at time.Time) {
+	const spin = 1500 * time.Microsecond
+	if left := time.Until(at); left > spin {
+		time.Sleep(left - spin)
+	}
+	for time.Now().Before(at) {
+		runtime.Gosched()
+	}
+}
+
+// warm sends one short call of each kind through each entry, so that links and
+// connections stand before the measurement.
+func (self *cluster) warm() error {
+	sender, err := newCaller()
+	if err != nil {
+		return err
+	}
+	for si := range self.deployment.Services {
+		s := &self.deployment.Services[si]
+		for ki := range s.Kinds {
+			self.warmKind(sender, s, &s.Kinds[ki])
+		}
+	}
+	return nil
+}
+
+// warmCalls is how many calls of a kind each entry sends before the load.
+const warmCalls = 4
+
+func (self *cluster) warmKind(sender *caller, s *Service, k *Kind) {
+	var wait sync.WaitGroup
+	for _, n := range self.entriesFor(&k.Placement) {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range warmCalls {
+				id := "warm-" + n.vm.ID + "-" + s.Name + "-" + k.Placement.Name + "-" + strconv.Itoa(i)
+				a := &arrival{id: id, service: s, kind: k, nominal: k.ServiceTime / 4}
+				if k.Placement.NeverRepeat {
+					a.key = id
+				}
+				sender.send(a, n, time.Now())
+			}
+		}()
+	}
+	wait.Wait()
+}
--- /dev/null
+++ b/pkg/choose/choose.go
@@ -0,0 +1,88 @@
+// Package choose picks the backend server that takes a call. A policy is a
+// pure decision: it reads the candidates' loads, with the clock and the random
+// source handed in. Source: docs/design/choosing.md.
+package choose
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+// Random is the random source of the decisions. *rand.Rand of math/rand/v2 has
+// this form, and so has Runtime, which is safe for concurrent use.
+type Random interface {
+	IntN(n int) int
+	Float64() float64
+}
+
+// Request is one decision's input.
+type Request struct {
+	// Now is the time of the decision in nanoseconds of a steady clock.
+	Now int64
+	// Set holds the candidates; it is not changed.
+	Set []tables.Candidate
+	// Tried has a bit for each index of Set that refused this call already.
+	Tried Tried
+}
+
+// Pick is a decision.
+type Pick struct {
+	// Index points into the set; negative: no candidate is left.
+	Index int
+	// MaxCost is the time at the chosen gate, wait and run, up to which this
+	// choice stays the best one known. A soft attempt carries it.
+	MaxCost time.Duration
+}
+
+// None is the pick when no candidate is left.
+const None = -1
+
+// Policy picks a candidate. Implementations are safe for concurrent use.
+type Policy interface {
+	Choose(req *Request, rnd Random) Pick
+}
+
+// maxTried is how many candidates a Tried can hold. Sets are subsets of some
+// 16; one that is larger is tried at its first 64 places only.
+const maxTried = 64
+
+// Tried marks candidates that refused a call.
+type Tried uint64
+
+// With returns the marks with one more.
+func (self Tried) With(index int) Tried {
+	if index >= maxTried {
+		return self
+	}
+	return self | 1<<uint(index)
+}
+
+// Has is true when the candidate refused already.
+func (self Tried) Has(index int) bool {
+	return index < maxTried && self&(1<<uint(index)) != 0
+}
+
+// pickUntried returns the n-th candidate that was not tried.
+func pickUntried(req *Request, n int) int {
+	for i := range req.Set {
+		if req.Tried.Has(i) {
+			continue
+		}
+		if n == 0 {
+			return i
+		}
+		n--
+	}
+	return None
+}
+
+func countUntried(req *Request) int {
+	count := 0
+	for i := range req.Set {
+		if !req.Tried.Has(i) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/choose/idlehints.go
@@ -0,0 +1,26 @@
+package choose
+
+// IdleHints sends a call to a candidate whose newest stamp showed an idle slot
+// that this entry has not used up since, the newest hint first. Without a hint
+// it falls back to the better of two by outstanding calls. It is the idea of
+// join-idle-queue over stamps.
+type IdleHints struct{ fallback LeastOutstanding }
+
+// Choose implements Policy.
+func (self *IdleHints) Choose(req *Request, rnd Random) Pick {
+	best, newest := None, int64(0)
+	for i := range req.Set {
+		if req.Tried.Has(i) {
+			continue
+		}
+		known := req.Set[i].Load.Known(req.Now)
+		idle := known.Limit - known.InFlight - known.SentSince
+		if idle > 0 && known.StampAt > newest {
+			best, newest = i, known.StampAt
+		}
+	}
+	if best == None {
+		return self.fallback.Choose(req, rnd)
+	}
+	return Pick{Index: best, MaxCost: unbounded}
+}
--- /dev/null
+++ b/pkg/common/common.go
@@ -0,0 +1,37 @@
+// Package common holds the dependencies that most parts of the daemon share.
+// They travel in one small struct that is embedded by those who need it.
+package common
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/measure"
+	"github.com/rushramp/rushramp/pkg/settings"
+)
+
+// Common is the shared dependencies.
+type Common struct {
+	Log      *events.Log
+	Settings *settings.Settings
+	Metrics  *metrics.Set
+	Measure  *measure.Budget
+	// start makes Now a steady clock: wall time may jump, this may not.
+	start time.Time
+}
+
+// NewCommon makes the shared dependencies of one daemon.
+func NewCommon(log *events.Log, s *settings.Settings) *Common {
+	set := metrics.NewSet()
+	return &Common{
+		Log: log, Settings: s, Metrics: set,
+		Measure: measure.NewBudget(s.Measurement, set),
+		start:   time.Now(),
+	}
+}
+
+// Now is the time since the daemon's start in nanoseconds, on a clock that
+// never jumps. It is never 0, which stands for "not yet" in the tables.
+func (self *Common) Now() int64 { return int64(time.Since(self.start)) + 1 }
--- /dev/null
+++ b/pkg/daemon/metrics.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/rushramp/rushramp/pkg/httpserver"
+)
+
+// startMetrics serves metrics, health and readiness.
+func startMetrics(self *Daemon) (stop func(), err error) {
+	self.gauges()
+	return httpserver.Start(self.Settings.Listen.Metrics, func(h *server.Hertz) {
+		h.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
+			var out bytes.Buffer
+			self.Metrics.WritePrometheus(&out)
+			metrics.WriteProcessMetrics(&out)
+			c.Data(http.StatusOK, "text/plain; version=0.0.4", out.Bytes())
+		})
+		h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
+		h.GET("/readyz", func(_ context.Context, c *app.RequestContext) { self.serveReady(c) })
+	})
+}
+
+func (self *Daemon) serveReady(c *app.RequestContext) {
+	switch {
+	case self.World.View.Leaving():
+		c.String(http.StatusServiceUnavailable, "leaving\n")
+	case !self.World.View.Ready():
+		c.String(http.StatusServiceUnavailable, "no placement or no list of members yet\n")
+	default:
+		c.String(http.StatusOK, "ready\n")
+	}
+}
+
+// gauges are values that are read when the metrics are.
+func (self *Daemon) gauges() {
+	self.Metrics.NewGauge("rushramp_placement_version", func() float64 {
+		if p := self.World.View.Placement(); p != nil {
+			return float64(p.Version)
+		}
+		return 0
+	})
+	self.Metrics.NewGauge("rushramp_placement_unsure", func() float64 { return asNumber(self.World.View.Unsure()) })
+	self.Metrics.NewGauge("rushramp_leaving", func() float64 { return asNumber(self.World.View.Leaving()) })
+	if self.Executor == nil {
+		return
+	}
+	self.Metrics.NewGauge("rushramp_gate_in_flight", func() float64 { return float64(self.Executor.Gate().InFlight()) })
+	self.Metrics.NewGauge("rushramp_gate_limit", func() float64 { return float64(self.Executor.Stamp().Limit) })
+}
+
+func asNumber(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/entry/stats.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/errkind"
+)
+
+// stats are the entry's metrics. Labels are bounded: services and kinds come
+// from the placement, error kinds from the closed list.
+type stats struct {
+	set          *metrics.Set
+	retries      *metrics.Counter
+	softRefusals *metrics.Counter
+	hedges       *metrics.Counter
+	added        *metrics.Histogram
+	byKind       sync.Map
+}
+
+// kindName is a key of byKind.
+type kindName struct{ service, kind string }
+
+// kindStats are the metrics of one kind of request.
+type kindStats struct {
+	seconds  *metrics.Histogram
+	outcomes []*metrics.Counter
+}
+
+func newStats(set *metrics.Set) *stats {
+	return &stats{
+		set:          set,
+		retries:      set.NewCounter("rushramp_entry_retries_total"),
+		softRefusals: set.NewCounter("rushramp_entry_soft_refusals_total"),
+		hedges:       set.NewCounter("rushramp_entry_hedges_total"),
+		added:        set.NewHistogram("rushramp_entry_added_seconds"),
+	}
+}
+
+// note records how a call ended. The time in daemons is the whole time less
+// that at the gate's queue, at the backend server, and on the network.
+func (self *stats) note(plan *Plan, result call.Result, now int64) {
+	took := time.Duration(now - plan.began)
+	outcome := errkind.None
+	if result.Refusal != nil {
+		outcome = result.Refusal.Kind
+	}
+	kind := self.kind(kindName{plan.Request.Service, plan.View.Kind.Name})
+	kind.outcomes[outcome].Inc()
+	kind.seconds.Update(took.Seconds())
+	if result.Answer != nil {
+		self.added.Update(max(took-result.Answer.Queued-result.Answer.Run-result.Network, 0).Seconds())
+	}
+}
+
+func (self *stats) kind(name kindName) *kindStats {
+	if k, ok := self.byKind.Load(name); ok {
+		return k.(*kindStats)
+	}
+	k, _ := self.byKind.LoadOrStore(name, self.newKind(name))
+	return k.(*kindStats)
+}
+
+func (self *stats) newKind(name kindName) *kindStats {
+	labels := fmt.Sprintf("service=%q,kind=%q", name.service, name.kind)
+	out := &kindStats{seconds: self.set.GetOrCreateHistogram("rushramp_call_seconds{" + labels + "}")}
+	for _, row := range errkind.Table() {
+		counter := self.set.GetOrCreateCounter(fmt.Sprintf("rushramp_calls_total{%s,outcome=%q}", labels, row.Name))
+		out.outcomes = append(out.outcomes, counter)
+	}
+	return out
+}
+
+// Counts are totals since the daemon's start.
+type Counts struct {
+	Retries, SoftRefusals, Hedges uint64
+}
+
+// Counts returns the entry's totals.
+func (self *Entry) Counts() Counts {
+	return Counts{Retries: self.stats.retries.Get(), SoftRefusals: self.stats.softRefusals.Get(), Hedges: self.stats.hedges.Get()}
+}
+
+// Added returns the metric of the time spent in daemons.
+func (self *Entry) Added() *metrics.Histogram { return self.stats.added }
--- /dev/null
+++ b/pkg/entry/try.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/choose"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/measure"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// try is one call's attempts. Source: docs/design/retries.md.
+type try struct {
+	owner  *Entry
+	ctx    context.Context
+	plan   *Plan
+	body   []byte
+	budget *budget
+	req    choose.Request
+	// claim is the generation of the key in which the next attempt may run.
+	claim wire.Claim
+	// left is how many attempts remain, a soft one not counted.
+	left int
+	// soft is true while the next attempt is refused at once by a gate that is
+	// busier than believed.
+	soft bool
+}
+
+func (self *try) run() call.Result {
+	last := call.Refused(errkind.NoBackendServer, "no backend server in %v can take the call", self.plan.View.Kind.DataCentres)
+	for self.left > 0 {
+		self.req.Now = self.owner.Now()
+		pick := self.owner.policy.Choose(&self.req, self.owner.random)
+		if pick.Index == choose.None {
+			return last
+		}
+		result := self.settle(self.attempt(&self.req.Set[pick.Index], self.maxCost(pick)))
+		if !self.again(pick.Index, result) {
+			self.budget.answered(result)
+			return result
+		}
+		last = result
+	}
+	return last
+}
+
+// again decides whether another attempt follows. Only what was not run is
+// tried again, whatever the kind of request.
+func (self *try) again(index int, result call.Result) bool {
+	if result.Refusal == nil {
+		return false
+	}
+	if result.Refusal.Kind == errkind.KeyMoved && result.Next.Generation > 0 {
+		self.claim = result.Next
+		self.left--
+		return self.left > 0
+	}
+	if !result.Refusal.RetryElsewhere() || self.plan.unkeyed() {
+		return false
+	}
+	if self.soft && result.Refusal.Kind == errkind.Overloaded {
+		// The gate was busier than believed. Its stamp has told us so, and it
+		// stays a candidate: the others may be worse.
+		self.soft = false
+		self.owner.stats.softRefusals.Inc()
+		return true
+	}
+	self.left--
+	self.req.Tried = self.req.Tried.With(index)
+	if self.left == 0 || !self.budget.take() {
+		return false
+	}
+	self.owner.stats.retries.Inc()
+	return true
+}
+
+func (self *try) maxCost(pick choose.Pick) time.Duration {
+	if !self.soft {
+		return 0
+	}
+	return max(pick.MaxCost, 1)
+}
+
+// settle turns "may have run" into what the key's row says, for a call whose
+// key is claimed and whose executor gave no word.
+func (self *try) settle(result call.Result) call.Result {
+	if result.Spoke || result.Refusal == nil || result.Refusal.Ran == errkind.RanNo || !self.plan.guarded() {
+		return result
+	}
+	return self.owner.sealer.Seal(self.frame(0, 0), self.body, result.Refusal)
+}
+
+// attempt sends the call to one candidate and waits for its end.
+func (self *try) attempt(to *tables.Candidate, cost time.Duration) call.Result {
+	now := self.owner.Now()
+	left := time.Duration(self.plan.deadline - now)
+	if left <= 0 {
+		return call.Refused(errkind.DeadlineBeforeRun, "the time ran out at the entry")
+	}
+	runner := to.Route.Runner()
+	if runner == nil {
+		return call.Refused(errkind.LinkUnavailable, "the link to %s is down", to.Route.VM)
+	}
+	done := make(chan call.Result, 1)
+	to.Load.Sent(now)
+	frame := self.frame(left, cost)
+	frame.WantStamp = self.wantStamp(to, now, cost)
+	cancel := runner.Execute(frame, self.body, func(r call.Result) { done <- r })
+	result := self.await(left, done, cancel)
+	now = self.owner.Now()
+	to.Load.Ended(now)
+	if result.Stamp.Seq > 0 {
+		to.Load.Report(now, result.Stamp)
+	}
+	to.Load.Answered(failed(result))
+	result.Network = to.Load.Distance()
+	return result
+}
+
+// await waits for the executor's word until a little after the deadline: the
+// executor knows whether the call ran, the entry does not.
+func (self *try) await(left time.Duration, done <-chan call.Result, cancel func()) call.Result {
+	bound := time.NewTimer(left + grace)
+	defer bound.Stop()
+	select {
+	case r := <-done:
+		return r
+	case <-bound.C:
+		cancel()
+		return call.Refused(errkind.DeadlineWhileRunning, "the executor did not answer in time")
+	case <-self.ctx.Done():
+		cancel()
+		return call.Result{Refusal: errkind.New(errkind.CallerGone, "the caller left").Maybe()}
+	}
+}
+
+// typicalStamp is the size that asking for a stamp is paid with in advance.
+const typicalStamp = 14
+
+// wantStamp asks for a stamp where it is worth its bytes: always with a soft
+// attempt, which may be refused because of what the stamp then says, or when
+// the newest one is old. A stamp of this daemon's own gate costs nothing.
+func (self *try) wantStamp(to *tables.Candidate, now int64, cost time.Duration) bool {
+	if to.Route.VM == self.owner.Settings.VM.ID {
+		return true
+	}
+	value := measure.Low
+	if at := to.Load.StampAt(); cost > 0 || at == 0 || now-at > int64(self.owner.Settings.Choosing.StampHalfLife) {
+		value = measure.High
+	}
+	return self.owner.Measure.Spend(now, typicalStamp, value)
+}
+
+func (self *try) frame(left, cost time.Duration) *wire.Call {
+	req := self.plan.Request
+	return &wire.Call{
+		Service:   req.Service,
+		Kind:      self.plan.View.Kind.Name,
+		Method:    req.Method,
+		URI:       req.URI,
+		Headers:   req.Headers,
+		Key:       req.Key,
+		Placement: self.plan.View.Kind.Version,
+		Claim:     self.claim,
+		Remaining: left,
+		MaxCost:   cost,
+	}
+}
--- /dev/null
+++ b/pkg/gate/gate.go
@@ -0,0 +1,181 @@
+// Package gate admits calls to the one backend server beside the daemon: it
+// runs, queues or refuses them. It decides only; its owner runs the jobs.
+// Times are nanoseconds of a steady clock, handed in by the owner.
+// Source: docs/design/gate.md.
+package gate
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// slowTolerance is how many times slower than usual the backend server may be
+// before the limit falls below the slots.
+const slowTolerance = 2
+
+// Options are the gate's settings.
+type Options struct {
+	Slots       int
+	QueueLength int
+	QueueTime   time.Duration
+	Order       Order
+	Adaptive    bool
+}
+
+// Gate is the gate of one backend server. It is safe for concurrent use.
+type Gate struct {
+	opts Options
+
+	mu       sync.Mutex
+	running  int
+	queue    *queue
+	estimate estimate
+	jobSeq   uint64
+
+	stampSeq atomic.Uint64
+	// inFlight repeats running plus queued for readers without the lock.
+	inFlight atomic.Int64
+}
+
+// New makes a gate.
+func New(opts Options) *Gate {
+	return &Gate{opts: opts, queue: newQueue(opts.Order)}
+}
+
+// Admit takes a job in. run is true when the owner must start it now; false
+// with no error means that it waits, and a later Finish hands it out.
+func (self *Gate) Admit(now int64, job *Job) (run bool, refusal *errkind.Error) {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	job.arrived = now
+	job.index = notQueued
+	self.jobSeq++
+	job.seq = self.jobSeq
+	service := self.estimate.service(now)
+	limit := self.limit(now)
+	free := self.running < limit && self.queue.len() == 0
+	if refusal := self.check(now, job, service, limit, free); refusal != nil {
+		return false, refusal
+	}
+	self.inFlight.Add(1)
+	if free {
+		self.begin(now, job)
+		return true, nil
+	}
+	self.queue.push(job)
+	return false, nil
+}
+
+func (self *Gate) check(now int64, job *Job, service time.Duration, limit int, free bool) *errkind.Error {
+	var wait time.Duration
+	if !free {
+		wait = service * time.Duration(self.queue.len()+1) / time.Duration(limit)
+	}
+	switch {
+	case job.Deadline <= now:
+		return errkind.New(errkind.DeadlineBeforeRun, "no time was left at the gate")
+	case job.MaxCost > 0 && wait+service > job.MaxCost:
+		return errkind.New(errkind.Overloaded, "the gate is busier than the entry believed")
+	case free:
+		return nil
+	case self.queue.len() >= self.opts.QueueLength:
+		return errkind.New(errkind.Overloaded, "the queue is full")
+	case wait > self.opts.QueueTime:
+		return errkind.New(errkind.Overloaded, "the expected wait of %v is over the bound", wait)
+	case now+int64(wait) >= job.Deadline:
+		return errkind.New(errkind.Overloaded, "the expected wait of %v is longer than the time left", wait)
+	}
+	return nil
+}
+
+func (self *Gate) begin(now int64, job *Job) {
+	self.running++
+	job.started = now
+	self.estimate.start(now)
+}
+
+// Finish notes that a job ended and returns the jobs that the owner must start
+// now. counts is false when the run says nothing of the service time, as when
+// it was cancelled or failed at once.
+func (self *Gate) Finish(now int64, job *Job, counts bool) []*Job {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	self.running--
+	self.inFlight.Add(-1)
+	self.estimate.end(now, job.started, counts)
+	return self.startWaiting(now)
+}
+
+// Tick starts waiting jobs when the limit rose since the last call.
+func (self *Gate) Tick(now int64) []*Job {
+	if self.inFlight.Load() == 0 {
+		return nil
+	}
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	return self.startWaiting(now)
+}
+
+func (self *Gate) startWaiting(now int64) []*Job {
+	var out []*Job
+	limit := self.limit(now)
+	for self.running < limit {
+		job := self.queue.pop(now, self.estimate.service(now))
+		if job == nil {
+			break
+		}
+		self.begin(now, job)
+		out = append(out, job)
+	}
+	return out
+}
+
+// Withdraw takes a waiting job out; false when it does not wait any more.
+func (self *Gate) Withdraw(job *Job) bool {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	if !self.queue.remove(job) {
+		return false
+	}
+	self.inFlight.Add(-1)
+	return true
+}
+
+// limit is how many calls run at once: the slots, or fewer while a neighbour
+// slows the backend server, so that less work is stuck behind it.
+func (self *Gate) limit(now int64) int {
+	if !self.opts.Adaptive {
+		return self.opts.Slots
+	}
+	slowness := self.estimate.slowness(now)
+	if slowness <= slowTolerance {
+		return self.opts.Slots
+	}
+	return max(1, int(float64(self.opts.Slots)*slowTolerance/slowness))
+}
+
+// Stamp reports the load now.
+func (self *Gate) Stamp(now int64) wire.Stamp {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	return wire.Stamp{
+		Seq:       self.stampSeq.Add(1),
+		Running:   uint32(self.running),
+		Queued:    uint32(self.queue.len()),
+		Limit:     uint32(self.limit(now)),
+		ServiceUS: uint32(min(self.estimate.service(now).Microseconds(), 1<<31)),
+	}
+}
+
+// InFlight counts the jobs at the gate, running and waiting.
+func (self *Gate) InFlight() int64 { return self.inFlight.Load() }
+
+// Slots returns the number of slots.
+func (self *Gate) Slots() int { return self.opts.Slots }
+
+// Queued returns how long a started job waited.
+func (self *Job) Queued() time.Duration { return time.Duration(self.started - self.arrived) }
--- /dev/null
+++ b/pkg/gate/gate_test.go
@@ -0,0 +1,186 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/placement"
+)
+
+const ms = int64(time.Millisecond)
+
+func job(class placement.Class, deadline int64) *Job { return &Job{Class: class, Deadline: deadline} }
+
+// warm runs one job of the given length, so that the gate knows its service time.
+func warm(g *Gate, service int64) int64 {
+	j := job(placement.Normal, 1000*ms)
+	g.Admit(1, j)
+	g.Finish(1+service, j, true)
+	return 1 + service
+}
+
+func TestOrders(t *testing.T) {
+	// Each waits behind one running call: a background call with much time, an
+	// urgent one with little, a normal one with less time than the background.
+	scenarios := []struct {
+		order Order
+		want  []string
+	}{
+		{FIFO, []string{"background", "urgent", "normal"}},
+		{EDF, []string{"urgent", "normal", "background"}},
+		{Priority, []string{"urgent", "normal", "background"}},
+		{Slack, []string{"background", "urgent", "normal"}},
+	}
+	for _, s := range scenarios {
+		t.Run(string(s.order), func(t *testing.T) {
+			g := New(Options{Slots: 1, QueueLength: 10, QueueTime: time.Second, Order: s.order})
+			now := warm(g, 5*ms)
+			running := job(placement.Normal, now+900*ms)
+			g.Admit(now, running)
+			names := map[*Job]string{}
+			for _, w := range []struct {
+				name  string
+				class placement.Class
+				left  int64
+			}{{"background", placement.Background, 800}, {"urgent", placement.Urgent, 100}, {"normal", placement.Normal, 200}} {
+				j := job(w.class, now+w.left*ms)
+				names[j] = w.name
+				run, refusal := g.Admit(now, j)
+				must.Nil(t, refusal)
+				must.False(t, run)
+			}
+			var got []string
+			for range s.want {
+				now += 5 * ms
+				next := g.Finish(now, running, true)
+				must.Len(t, 1, next)
+				running = next[0]
+				got = append(got, names[running])
+			}
+			test.Eq(t, s.want, got)
+		})
+	}
+}
+
+func TestSlackKeepsDeadlines(t *testing.T) {
+	g := New(Options{Slots: 1, QueueLength: 10, QueueTime: time.Second, Order: Slack})
+	now := warm(g, 5*ms)
+	running := job(placement.Normal, now+900*ms)
+	g.Admit(now, running)
+	pressed := job(placement.Urgent, now+12*ms)
+	g.Admit(now, job(placement.Background, now+800*ms))
+	g.Admit(now, pressed)
+	next := g.Finish(now+5*ms, running, true)
+	test.Eq(t, []*Job{pressed}, next)
+}
+
+func TestRefusals(t *testing.T) {
+	scenarios := []struct {
+		name string
+		job  Job
+		want errkind.Kind
+	}{
+		{"deadline passed", Job{Deadline: 1}, errkind.DeadlineBeforeRun},
+		{"wait longer than the time left", Job{Deadline: 8 * ms}, errkind.Overloaded},
+		{"busier than the entry believed", Job{Deadline: 900 * ms, MaxCost: 6 * time.Millisecond}, errkind.Overloaded},
+		{"fits", Job{Deadline: 900 * ms, MaxCost: 11 * time.Millisecond}, errkind.None},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			g := New(Options{Slots: 1, QueueLength: 10, QueueTime: time.Second, Order: FIFO})
+			now := warm(g, 5*ms)
+			g.Admit(now, job(placement.Normal, 900*ms))
+			_, refusal := g.Admit(now, &s.job)
+			if s.want == errkind.None {
+				test.Nil(t, refusal)
+				return
+			}
+			must.NotNil(t, refusal)
+			test.Eq(t, s.want, refusal.Kind)
+			test.Eq(t, errkind.RanNo, refusal.Ran)
+		})
+	}
+}
+
+func TestSlownessShowsBeforeAnyRunEnds(t *testing.T) {
+	g := New(Options{Slots: 12, QueueLength: 10, QueueTime: time.Second, Order: FIFO, Adaptive: true})
+	now := warm(g, 5*ms)
+	for range 6 {
+		g.Admit(now, job(placement.Normal, 1000*ms))
+	}
+	before := g.Stamp(now)
+	after := g.Stamp(now + 50*ms)
+	test.Eq(t, uint32(12), before.Limit)
+	test.Eq(t, uint32(50_000), after.ServiceUS)
+	test.Eq(t, uint32(2), after.Limit)
+	test.Greater(t, before.Seq, after.Seq)
+}
+
+func TestGateNeverRunsMoreThanItsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 6).Draw(t, "slots")
+		order := rapid.SampledFrom([]Order{FIFO, EDF, Priority, Slack}).Draw(t, "order")
+		g := New(Options{
+			Slots: slots, QueueLength: rapid.IntRange(0, 5).Draw(t, "queue"),
+			QueueTime: time.Second, Order: order, Adaptive: rapid.Bool().Draw(t, "adaptive"),
+		})
+		now := int64(1)
+		var running, waiting []*Job
+		start := func(jobs []*Job) {
+			for _, j := range jobs {
+				running = append(running, j)
+				waiting = remove(waiting, j)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += rapid.Int64Range(0, 20*ms).Draw(t, "step")
+			switch {
+			case rapid.Bool().Draw(t, "arrive"):
+				j := job(placement.Class(rapid.IntRange(0, 2).Draw(t, "class")), now+rapid.Int64Range(1, 100*ms).Draw(t, "left"))
+				run, refusal := g.Admit(now, j)
+				if refusal == nil && run {
+					running = append(running, j)
+				} else if refusal == nil {
+					waiting = append(waiting, j)
+				}
+			case len(running) > 0:
+				j := running[0]
+				running = running[1:]
+				start(g.Finish(now, j, rapid.Bool().Draw(t, "counts")))
+			case len(waiting) > 0:
+				must.True(t, g.Withdraw(waiting[0]))
+				must.False(t, g.Withdraw(waiting[0]))
+				waiting = waiting[1:]
+			}
+			must.LessEq(t, slots, len(running))
+			must.Eq(t, int64(len(running)+len(waiting)), g.InFlight())
+		}
+	})
+}
+
+func remove(jobs []*Job, gone *Job) []*Job {
+	out := jobs[:0:0]
+	for _, j := range jobs {
+		if j != gone {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+func BenchmarkAdmitFinish(b *testing.B) {
+	g := New(Options{Slots: 12, QueueLength: 200, QueueTime: time.Second, Order: FIFO, Adaptive: true})
+	now := warm(g, 5*ms)
+	j := job(placement.Normal, 1<<62)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += 1000
+		g.Admit(now, j)
+		g.Finish(now+500, j, true)
+	}
+}
--- /dev/null
+++ b/pkg/link/client.go
@@ -0,0 +1,249 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// path is where daemons accept links.
+const path = "/link"
+
+// Dial opens a TCP connection; tests and the bench put delays in its way.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// DialOptions say how a link is opened.
+type DialOptions struct {
+	Dial Dial
+	// TLS is nil for plain text.
+	TLS *tls.Config
+	// Heartbeat is the time without traffic after which a heartbeat is due.
+	Heartbeat time.Duration
+}
+
+// Client is the entry's side of a link: it sends calls and waits for answers.
+type Client struct {
+	*Peer
+	control Control
+	maxBody int
+	nextID  atomic.Uint64
+
+	mu      sync.Mutex
+	pending map[uint64]*pending
+	late    atomic.Int64
+}
+
+// pending is a call that has not ended.
+type pending struct {
+	done     func(call.Result)
+	answer   *wire.Answer
+	assembly *wire.Assembly
+}
+
+// DialClient opens a link to the daemon at address and greets it.
+func DialClient(ctx context.Context, c *common.Common, control Control, address string, opts DialOptions) (*Client, error) {
+	dialer := websocket.Dialer{NetDialContext: opts.Dial, TLSClientConfig: opts.TLS, HandshakeTimeout: writeTime}
+	scheme := "ws://"
+	if opts.TLS != nil {
+		scheme = "wss://"
+	}
+	ws, resp, err := dialer.DialContext(ctx, scheme+address+path, http.Header{})
+	if err != nil {
+		return nil, errors.Wrapf(err, "link to %s", address)
+	}
+	_ = resp.Body.Close()
+	codec, err := wire.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	self := &Client{
+		Peer:    &Peer{Conn: newConn(ws, codec, opts.Heartbeat), Outgoing: true},
+		control: control,
+		maxBody: c.Settings.Limits.MaxBodyBytes,
+		pending: map[uint64]*pending{},
+	}
+	if opener, ok := control.(Opener); ok {
+		opener.Opened(self)
+	}
+	if err := self.Send(control.Hello()); err != nil {
+		return nil, err
+	}
+	return self, nil
+}
+
+// Opener is a Control that wants to know its client before the first frame.
+type Opener interface{ Opened(*Client) }
+
+// Run serves the link until it ends. The first frame must be the greeting.
+func (self *Client) Run() {
+	greeted := false
+	err := self.readLoop(func(frame wire.Frame) error {
+		if greeted {
+			return self.receive(frame)
+		}
+		hello, ok := frame.(*wire.Hello)
+		if !ok {
+			return &BadFrameError{Cause: errors.New("the first frame is no greeting")}
+		}
+		greeted = true
+		self.Hello = *hello
+		self.ping()
+		self.control.Up(self.Peer)
+		self.control.News(self.Peer, &hello.State)
+		return nil
+	})
+	self.failAll()
+	self.control.Down(self.Peer, err)
+}
+
+// Execute implements call.Runner.
+func (self *Client) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
+	id := self.nextID.Add(1)
+	sent := *c
+	sent.ID = id
+	var chunks []*wire.Chunk
+	sent.Body, chunks = wire.Split(id, body)
+	if !self.expect(id, done) {
+		done(call.Refused(errkind.LinkUnavailable, "the link is closed"))
+		return func() {}
+	}
+	frames := make([]wire.Frame, 0, 1+len(chunks))
+	frames = append(frames, &sent)
+	for _, chunk := range chunks {
+		frames = append(frames, chunk)
+	}
+	if err := self.Send(frames...); err != nil {
+		// Nothing of the call was written, so this is a "no".
+		self.finish(id, call.Refused(errkind.LinkUnavailable, "the link closed before the call was sent"))
+	}
+	return func() { _ = self.Send(&wire.Cancel{ID: id}) }
+}
+
+// expect notes a call before it is sent; false when the link has ended.
+func (self *Client) expect(id uint64, done func(call.Result)) bool {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	if self.pending == nil {
+		return false
+	}
+	self.pending[id] = &pending{done: done}
+	return true
+}
+
+func (self *Client) receive(frame wire.Frame) error {
+	switch f := frame.(type) {
+	case *wire.Answer:
+		return self.receiveAnswer(f)
+	case *wire.Chunk:
+		return self.receiveChunk(f)
+	case *wire.Refusal:
+		refusal := &errkind.Error{Kind: errkind.Parse(f.Kind), Ran: errkind.Ran(f.Ran), Detail: f.Detail}
+		self.finish(f.ID, call.Result{Refusal: refusal, Spoke: true, Stamp: f.Stamp, Next: f.Next})
+		return nil
+	}
+	if self.Peer.control(self.control, frame) {
+		return nil
+	}
+	return &BadFrameError{Cause: errors.Errorf("frame %d from an executor", frame.Type())}
+}
+
+func (self *Client) receiveAnswer(f *wire.Answer) error {
+	assembly, err := wire.NewAssembly(f.Body, self.maxBody)
+	if err != nil {
+		self.finish(f.ID, cut(err, f.Stamp))
+		return nil
+	}
+	waiting := self.find(f.ID)
+	if waiting == nil {
+		return nil
+	}
+	if waiting.answer != nil {
+		return &BadFrameError{Cause: errors.New("two answers to one call")}
+	}
+	waiting.answer, waiting.assembly = f, assembly
+	self.finishIfComplete(f.ID, waiting)
+	return nil
+}
+
+func (self *Client) receiveChunk(f *wire.Chunk) error {
+	waiting := self.find(f.ID)
+	if waiting == nil {
+		return nil
+	}
+	if waiting.assembly == nil {
+		return &BadFrameError{Cause: errors.New("a chunk before its answer")}
+	}
+	if err := waiting.assembly.Add(f); err != nil {
+		self.finish(f.ID, cut(err, waiting.answer.Stamp))
+		return nil
+	}
+	self.finishIfComplete(f.ID, waiting)
+	return nil
+}
+
+func cut(cause error, stamp wire.Stamp) call.Result {
+	return call.Result{Refusal: errkind.New(errkind.AnswerCut, "%v", cause), Spoke: true, Stamp: stamp}
+}
+
+func (self *Client) finishIfComplete(id uint64, waiting *pending) {
+	if !waiting.assembly.Complete() {
+		return
+	}
+	f := waiting.answer
+	body, err := waiting.assembly.Body()
+	if err != nil {
+		self.finish(id, cut(err, f.Stamp))
+		return
+	}
+	answer := &call.Answer{Status: f.Status, Headers: f.Headers, Body: body, Queued: f.Queued, Run: f.Run}
+	self.finish(id, call.Result{Answer: answer, Spoke: true, Stamp: f.Stamp})
+}
+
+// find returns a pending call, or counts a late frame.
+func (self *Client) find(id uint64) *pending {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	waiting := self.pending[id]
+	if waiting == nil {
+		self.late.Add(1)
+	}
+	return waiting
+}
+
+func (self *Client) finish(id uint64, result call.Result) {
+	self.mu.Lock()
+	waiting := self.pending[id]
+	delete(self.pending, id)
+	self.mu.Unlock()
+	if waiting == nil {
+		self.late.Add(1)
+		return
+	}
+	waiting.done(result)
+}
+
+// failAll ends all calls when the link ends: they may have run.
+func (self *Client) failAll() {
+	self.mu.Lock()
+	calls := self.pending
+	self.pending = nil
+	self.mu.Unlock()
+	for _, waiting := range calls {
+		waiting.done(call.Refused(errkind.LinkLost, "the link to the executor ended"))
+	}
+}
+
+// Late counts frames for calls that had ended.
+func (self *Client) Late() int64 { return self.late.Load() }
--- /dev/null
+++ b/pkg/link/peer.go
@@ -0,0 +1,46 @@
+package link
+
+import (
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// Control receives what links carry besides calls. Its methods must not block.
+type Control interface {
+	// Hello returns what this daemon says first on a link.
+	Hello() *wire.Hello
+	// State returns the heartbeat's content.
+	State() *wire.State
+	// Up tells of a new link, Down of its end.
+	Up(peer *Peer)
+	Down(peer *Peer, cause error)
+	// News takes a peer's state.
+	News(peer *Peer, state *wire.State)
+	// Pull answers a peer that is behind with its placement.
+	Pull(peer *Peer, pull *wire.Pull)
+	// Update takes a placement that was pulled.
+	Update(peer *Peer, update *wire.Update)
+}
+
+// Peer is the daemon at the other end of a link.
+type Peer struct {
+	*Conn
+	// Hello is what the peer said of itself.
+	Hello wire.Hello
+	// Outgoing is true on the side that dialled.
+	Outgoing bool
+}
+
+// control handles the frames that both sides know. handled is false for others.
+func (self *Peer) control(c Control, frame wire.Frame) (handled bool) {
+	switch f := frame.(type) {
+	case *wire.State:
+		c.News(self, f)
+	case *wire.Pull:
+		c.Pull(self, f)
+	case *wire.Update:
+		c.Update(self, f)
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/measure/budget.go
@@ -0,0 +1,127 @@
+// Package measure keeps the cost of measuring load within its agreed budget.
+// All load reports of a daemon, those it asks for and those it gives, are paid
+// from one bucket. Source: docs/design/measuring.md; brief, first promise.
+package measure
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rushramp/rushramp/pkg/settings"
+)
+
+// burstShare is the part of a second's budget that may be spent at once. The
+// rest flows in over the second, so that no second's window, wherever it
+// begins, holds more than the agreed amount: burst + refill = 1.
+const burstShare = 0.1
+
+// scarceShare: below this share of the burst only reports of high value are paid.
+const scarceShare = 0.5
+
+// Value says how much a report is worth to its receiver.
+type Value uint8
+
+const (
+	// Low is a report that says nearly what is known already.
+	Low Value = iota
+	// High is a report that changes the choice, or the first one.
+	High
+)
+
+// Budget is one daemon's budget. It is safe for concurrent use.
+type Budget struct {
+	agreed float64
+
+	mu     sync.Mutex
+	tokens float64
+	// at is the time up to which tokens have flowed in, in nanoseconds.
+	at     int64
+	window window
+
+	spent   *metrics.Counter
+	reports *metrics.Counter
+	unpaid  *metrics.Counter
+}
+
+// window counts what each second took, to show that the budget was kept by
+// another way than the bucket that keeps it.
+type window struct {
+	second  int64
+	bytes   float64
+	overrun int64
+}
+
+// NewBudget makes the budget in the settings.
+func NewBudget(s settings.Measurement, set *metrics.Set) *Budget {
+	self := &Budget{
+		agreed:  float64(s.BytesPerSecond),
+		tokens:  float64(s.BytesPerSecond) * burstShare,
+		spent:   set.NewCounter("rushramp_measure_bytes_total"),
+		reports: set.NewCounter("rushramp_measure_reports_total"),
+		unpaid:  set.NewCounter("rushramp_measure_unpaid_total"),
+	}
+	set.NewGauge("rushramp_measure_bytes_agreed", func() float64 { return self.agreed })
+	return self
+}
+
+// Spend pays for a report of size bytes; false when there is no budget left
+// for it, and it must not be sent. now is in nanoseconds of a steady clock.
+func (self *Budget) Spend(now int64, size int, value Value) bool {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	self.refill(now)
+	keep := 0.0
+	if value == Low {
+		keep = self.agreed * burstShare * scarceShare
+	}
+	if self.tokens-float64(size) < keep {
+		self.unpaid.Inc()
+		return false
+	}
+	self.tokens -= float64(size)
+	self.note(now, float64(size))
+	return true
+}
+
+func (self *Budget) refill(now int64) {
+	elapsed := time.Duration(max(now-self.at, 0)).Seconds()
+	self.at = max(self.at, now)
+	self.tokens = min(self.tokens+elapsed*self.agreed*(1-burstShare), self.agreed*burstShare)
+}
+
+func (self *Budget) note(now int64, size float64) {
+	self.spent.Add(int(size))
+	self.reports.Inc()
+	second := now / int64(time.Second)
+	if second != self.window.second {
+		self.window.second, self.window.bytes = second, 0
+	}
+	was := self.window.bytes
+	self.window.bytes += size
+	if was <= self.agreed && self.window.bytes > self.agreed {
+		self.window.overrun++
+	}
+}
+
+// Report is what a budget has paid for so far.
+type Report struct {
+	Bytes   int64
+	Reports int64
+	// Unpaid counts reports that were left out.
+	Unpaid int64
+	// Overruns counts seconds that took more than the agreed amount.
+	Overruns int64
+	Agreed   float64
+}
+
+// Report returns what was paid so far.
+func (self *Budget) Report() Report {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	return Report{
+		Bytes: int64(self.spent.Get()), Reports: int64(self.reports.Get()), Unpaid: int64(self.unpaid.Get()),
+		Overruns: self.window.overrun, Agreed: self.agreed,
+	}
+}
--- /dev/null
+++ b/pkg/operatorcli/command.go
@@ -0,0 +1,128 @@
+// Package operatorcli is the operators' command line, rushramp.
+package operatorcli
+
+import (
+	"context"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"github.com/rushramp/rushramp/pkg/certs"
+	api "github.com/rushramp/rushramp/pkg/operatorsapi"
+	"github.com/rushramp/rushramp/pkg/settings"
+)
+
+// The exit codes besides 0 and 1. docs/operators/commands.md lists them.
+const (
+	exitConflict    = 2
+	exitUnknown     = 3
+	exitUnreachable = 4
+	exitNotAllowed  = 5
+)
+
+// options are the flags of all commands.
+type options struct {
+	daemon  string
+	timeout time.Duration
+	output  string
+	tls     settings.TLS
+}
+
+// NewCommand makes the command line of rushramp.
+func NewCommand() *cobra.Command {
+	o := &options{}
+	root := &cobra.Command{
+		Use:           "rushramp",
+		Short:         "Operate rushramp: placements, drains, status",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if o.output != "text" && o.output != "json" {
+				return errors.Errorf("%q is not an output. Give --output text or --output json.", o.output)
+			}
+			return nil
+		},
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&o.daemon, "daemon", envOr("RUSHRAMP_DAEMON", "127.0.0.1:7402"), "operators' address of a daemon (or RUSHRAMP_DAEMON)")
+	flags.DurationVar(&o.timeout, "timeout", 10*time.Second, "longest wait for the daemon")
+	flags.StringVar(&o.output, "output", "text", "text or json")
+	flags.StringVar(&o.tls.Cert, "cert", "", "certificate file of the operator")
+	flags.StringVar(&o.tls.Key, "key", "", "private key file of the operator")
+	flags.StringVar(&o.tls.CA, "ca", "", "file of the authorities' certificates")
+	root.AddCommand(placementCommand(o), statusCommand(o), explainCommand(o), drainCommand(o), settingsCommand())
+	return root
+}
+
+func envOr(name, fallback string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return fallback
+}
+
+// defaultAuthor is the name of the person at the keyboard.
+func defaultAuthor() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return ""
+}
+
+// call dials the daemon and runs one call, with errors as sentences.
+func (self *options) call(do func(ctx context.Context, client api.OperatorsClient) error) error {
+	reloader, err := certs.NewReloader(self.tls)
+	if err != nil {
+		return err
+	}
+	creds := insecure.NewCredentials()
+	if conf := reloader.Client(); conf != nil {
+		creds = credentials.NewTLS(conf)
+	}
+	conn, err := grpc.NewClient(self.daemon, grpc.WithTransportCredentials(creds))
+	if err != nil {
+		return errors.Errorf("%s is no address of a daemon: %v. Name one with --daemon.", self.daemon, err)
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithTimeout(context.Background(), self.timeout)
+	defer cancel()
+	return self.explain(do(ctx, api.NewOperatorsClient(conn)))
+}
+
+// callError is an error of a daemon, as a sentence, with its exit code.
+type callError struct {
+	text string
+	code int
+}
+
+// Error implements error.
+func (self *callError) Error() string { return self.text }
+
+// ExitCode implements cli's coder.
+func (self *callError) ExitCode() int { return self.code }
+
+func (self *options) explain(err error) error {
+	s, ok := status.FromError(err)
+	if err == nil || !ok {
+		return err
+	}
+	switch s.Code() {
+	case codes.FailedPrecondition:
+		return &callError{text: s.Message(), code: exitConflict}
+	case codes.Unknown, codes.DeadlineExceeded:
+		return &callError{text: s.Message(), code: exitUnknown}
+	case codes.PermissionDenied:
+		return &callError{text: s.Message(), code: exitNotAllowed}
+	case codes.Unavailable:
+		return &callError{text: self.daemon + " could not do this: " + s.Message() + ". Check --daemon, or ask another daemon.", code: exitUnreachable}
+	}
+	return &callError{text: s.Message(), code: 1}
+}
--- /dev/null
+++ b/pkg/operatorcli/status.go
@@ -0,0 +1,208 @@
+package operatorcli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	api "github.com/rushramp/rushramp/pkg/operatorsapi"
+	"github.com/rushramp/rushramp/pkg/settings"
+)
+
+func printJSON(out io.Writer, msg proto.Message) error {
+	text, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitUnpopulated: true}.Marshal(msg)
+	if err != nil {
+		return errors.Wrap(err, "output")
+	}
+	_, err = fmt.Fprintln(out, string(text))
+	return err
+}
+
+// place is how far a version has come in one data centre.
+type place struct {
+	dataCentre string
+	inForce    int
+	behind     []string
+	// unheard are members that this daemon has no link with.
+	unheard int
+}
+
+// String is the line for operators.
+func (self place) String() string {
+	switch {
+	case len(self.behind) > 0:
+		return fmt.Sprintf("  %s: not yet in force at %v", self.dataCentre, self.behind)
+	case self.inForce == 0:
+		return fmt.Sprintf("  %s: not known; this daemon hears of nobody there", self.dataCentre)
+	case self.unheard > 0:
+		return fmt.Sprintf("  %s: in force at all %d daemons heard of; %d others have no link with this one", self.dataCentre, self.inForce, self.unheard)
+	}
+	return fmt.Sprintf("  %s: in force at all %d daemons", self.dataCentre, self.inForce)
+}
+
+func placesOf(in *api.StatusResponse, version uint64) []place {
+	by := map[string]*place{}
+	for _, m := range in.GetMembers() {
+		p := by[m.GetDataCentre()]
+		if p == nil {
+			p = &place{dataCentre: m.GetDataCentre()}
+			by[m.GetDataCentre()] = p
+		}
+		switch {
+		case !m.GetLinked() || m.GetLeaving():
+			p.unheard++
+		case m.GetPlacement() >= version:
+			p.inForce++
+		default:
+			p.behind = append(p.behind, m.GetVm())
+		}
+	}
+	out := make([]place, 0, len(by))
+	for _, p := range by {
+		out = append(out, *p)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].dataCentre < out[j].dataCentre })
+	return out
+}
+
+func allInForce(places []place) bool {
+	for _, p := range places {
+		if len(p.behind) > 0 || p.inForce == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func statusCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show what a daemon knows of itself and of the others",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return o.call(func(ctx context.Context, client api.OperatorsClient) error {
+				answer, err := client.Status(ctx, &api.StatusRequest{})
+				if err != nil {
+					return err
+				}
+				if o.output == "json" {
+					return printJSON(cmd.OutOrStdout(), answer)
+				}
+				printStatus(cmd.OutOrStdout(), answer)
+				return nil
+			})
+		},
+	}
+}
+
+func printStatus(out io.Writer, s *api.StatusResponse) {
+	fmt.Fprintf(out, "%s in %s: %s, placement version %d\n", s.GetVm(), s.GetDataCentre(), condition(s), s.GetPlacement())
+	if s.GetSlots() > 0 {
+		fmt.Fprintf(out, "gate of %s: %d running, %d queued, limit %d of %d slots\n", s.GetService(), s.GetRunning(), s.GetQueued(), s.GetLimit(), s.GetSlots())
+	}
+	if s.GetStoreAgeMs() >= 0 {
+		fmt.Fprintf(out, "newest word of the store: %v ago\n", time.Duration(s.GetStoreAgeMs())*time.Millisecond)
+	} else {
+		fmt.Fprintln(out, "no word of the store yet")
+	}
+	fmt.Fprintf(out, "measuring: %.0f of %.0f bytes/s\n", s.GetMeasureBytesPerS(), s.GetMeasureBytesAgreed())
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "vm\tdata centre\tservice\tstate\tplacement")
+	for _, m := range s.GetMembers() {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", m.GetVm(), m.GetDataCentre(), m.GetService(), memberState(m), versionOr(m.GetPlacement()))
+	}
+	_ = w.Flush()
+}
+
+func condition(s *api.StatusResponse) string {
+	switch {
+	case s.GetLeaving():
+		return "leaving"
+	case !s.GetReady():
+		return "not ready"
+	case s.GetUnsure():
+		return "cut off: its placement may be out of date"
+	}
+	return "takes calls"
+}
+
+func memberState(m *api.Member) string {
+	switch {
+	case m.GetLeaving():
+		return "leaving"
+	case m.GetLinked():
+		return "linked"
+	}
+	return "listed"
+}
+
+func versionOr(version uint64) string {
+	if version == 0 {
+		return "-"
+	}
+	return fmt.Sprint(version)
+}
+
+func explainCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain SERVICE METHOD PATH",
+		Short: "Say why a call would go where",
+		Args:  cobra.ExactArgs(3),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return o.call(func(ctx context.Context, client api.OperatorsClient) error {
+				answer, err := client.Explain(ctx, &api.ExplainRequest{Service: args[0], Method: args[1], Path: args[2]})
+				if err != nil {
+					return err
+				}
+				if o.output == "json" {
+					return printJSON(cmd.OutOrStdout(), answer)
+				}
+				printExplain(cmd.OutOrStdout(), answer)
+				return nil
+			})
+		},
+	}
+}
+
+func printExplain(out io.Writer, e *api.ExplainResponse) {
+	if e.GetKind() != "" {
+		fmt.Fprintf(out, "kind %s, allowed in %v\n", e.GetKind(), e.GetDataCentres())
+	}
+	fmt.Fprintln(out, e.GetVerdict())
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "vm\tdata centre\treason\tat gate\tours\trun ms\texpected ms")
+	for _, c := range e.GetCandidates() {
+		expected := "-"
+		if c.GetExpectedUs() >= 0 {
+			expected = fmt.Sprintf("%.2f", float64(c.GetExpectedUs())/1000)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%.2f\t%s\n", c.GetVm(), c.GetDataCentre(), c.GetReason(),
+			c.GetInFlight(), c.GetOutstanding(), float64(c.GetServiceTimeUs())/1000, expected)
+	}
+	_ = w.Flush()
+}
+
+func settingsCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "settings", Short: "Work with a daemon's settings"}
+	cmd.AddCommand(&cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a settings file without starting anything",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := settings.Load(args[0]); err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s is right\n", args[0])
+			return nil
+		},
+	})
+	return cmd
+}
--- /dev/null
+++ b/pkg/operators/server.go
@@ -0,0 +1,262 @@
+// Package operators serves the operators' calls, which are generated from
+// api/operators/operators.proto.
+package operators
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"github.com/rushramp/rushramp/pkg/choose"
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/executor"
+	api "github.com/rushramp/rushramp/pkg/operatorsapi"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+// progressEvery is the time between two reports of a drain.
+const progressEvery = 100 * time.Millisecond
+
+// Server serves the operators' calls of one daemon.
+type Server struct {
+	api.UnimplementedOperatorsServer
+	*common.Common
+	World    *tables.World
+	Store    *placement.Store
+	Policy   choose.Policy
+	Executor *executor.Executor
+	// Leave begins the drain; InFlight counts calls that have not ended.
+	Leave    func()
+	InFlight func() int64
+}
+
+// Start opens the listener in the settings and serves until stop is called.
+func Start(self *Server, conf *tls.Config) (stop func(), err error) {
+	listener, err := net.Listen("tcp", self.Settings.Listen.Operators)
+	if err != nil {
+		return nil, errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", self.Settings.Listen.Operators, err)
+	}
+	creds := insecure.NewCredentials()
+	if conf != nil {
+		creds = credentials.NewTLS(conf)
+	}
+	server := grpc.NewServer(grpc.Creds(creds))
+	api.RegisterOperatorsServer(server, self)
+	go func() { _ = server.Serve(listener) }()
+	return server.Stop, nil
+}
+
+func (self *Server) current() (*placement.Document, error) {
+	if p := self.World.View.Placement(); p != nil {
+		return p.Document, nil
+	}
+	return nil, status.Error(codes.Unavailable, "this daemon has no placement yet; try again shortly or ask another daemon")
+}
+
+// GetPlacement implements the call of the schema.
+func (self *Server) GetPlacement(context.Context, *api.GetPlacementRequest) (*api.GetPlacementResponse, error) {
+	doc, err := self.current()
+	if err != nil {
+		return nil, err
+	}
+	hash, err := doc.Hash()
+	if err != nil {
+		return nil, err
+	}
+	return &api.GetPlacementResponse{Version: doc.Version, Hash: hash, Services: DocumentToAPI(doc)}, nil
+}
+
+// ApplyPlacement implements the call of the schema.
+func (self *Server) ApplyPlacement(ctx context.Context, in *api.ApplyPlacementRequest) (*api.ApplyPlacementResponse, error) {
+	changes, err := ChangesFromAPI(in.GetChanges())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	base, err := self.base(ctx, in.GetBaseVersion())
+	if err != nil {
+		return nil, err
+	}
+	return self.commit(ctx, placement.Propose{
+		Base: base, ChangeID: in.GetChangeId(), Author: in.GetAuthor(), Changes: changes, At: time.Now(),
+	})
+}
+
+// Rollback implements the call of the schema.
+func (self *Server) Rollback(ctx context.Context, in *api.RollbackRequest) (*api.ApplyPlacementResponse, error) {
+	base, err := self.base(ctx, in.GetBaseVersion())
+	if err != nil {
+		return nil, err
+	}
+	to, err := self.Store.Version(ctx, in.GetToVersion())
+	if err != nil {
+		return nil, status.Errorf(codes.NotFound, "%v; look at `rushramp placement history` for the versions there are", err)
+	}
+	return self.commit(ctx, placement.Propose{
+		Base: base, ChangeID: in.GetChangeId(), Author: in.GetAuthor(),
+		Changes: placement.Diff(base, to), RollbackOf: in.GetToVersion(), At: time.Now(),
+	})
+}
+
+// base returns the document that an operator read, which may be older or newer
+// than what is in force here.
+func (self *Server) base(ctx context.Context, version uint64) (*placement.Document, error) {
+	doc, err := self.current()
+	if err == nil && doc.Version == version {
+		return doc, nil
+	}
+	doc, err = self.Store.Version(ctx, version)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, status.Errorf(codes.NotFound, "there is no version %d to base a change on; read the placement again", version)
+	}
+	if err != nil {
+		return nil, status.Errorf(codes.Unavailable, "the platform's store did not answer: %v. Nothing was changed; try again.", err)
+	}
+	return doc, nil
+}
+
+func (self *Server) commit(ctx context.Context, p placement.Propose) (*api.ApplyPlacementResponse, error) {
+	author, err := self.author(ctx, p.Author)
+	if err != nil {
+		return nil, err
+	}
+	p.Author = author
+	if err := self.mayChange(author, p.Changes); err != nil {
+		return nil, err
+	}
+	if p.ChangeID == "" {
+		return nil, status.Error(codes.InvalidArgument, "a change needs a change id, so that a lost answer can be resolved")
+	}
+	doc, err := self.Store.Commit(ctx, p)
+	if err != nil {
+		return nil, explain(err)
+	}
+	if err := self.force(p, doc); err != nil {
+		return nil, err
+	}
+	self.Log.Event(events.PlacementChanged, events.F("version", doc.Version), events.F("author", author), events.F("changes", len(p.Changes)))
+	return &api.ApplyPlacementResponse{Version: doc.Version}, nil
+}
+
+// force puts an accepted version in force here, which passes it on.
+func (self *Server) force(p placement.Propose, doc *placement.Document) error {
+	hash, err := doc.Hash()
+	if err != nil {
+		return err
+	}
+	v := tables.Version{Document: doc, Hash: hash, FromStore: true}
+	if doc.Version == p.Base.Version+1 {
+		v.Entries = []placement.LogEntry{{
+			Version: doc.Version, ChangeID: p.ChangeID, Author: p.Author, At: p.At,
+			Changes: p.Changes, Hash: hash, RollbackOf: p.RollbackOf,
+		}}
+	}
+	self.World.Inbox.Post(true, func(m *tables.Mail) { m.Documents = append(m.Documents, v) })
+	return nil
+}
+
+func explain(err error) error {
+	var conflict *placement.ConflictError
+	var unknown *placement.UnknownOutcomeError
+	switch {
+	case errors.As(err, &conflict):
+		return status.Error(codes.FailedPrecondition, err.Error())
+	case errors.As(err, &unknown):
+		return status.Error(codes.Unknown, err.Error())
+	}
+	return status.Errorf(codes.Unavailable, "nothing was changed: %v", err)
+}
+
+// author is the name in the operator's certificate; without TLS, on loopback,
+// the name that the tool sends.
+func (self *Server) author(ctx context.Context, claimed string) (string, error) {
+	p, ok := peer.FromContext(ctx)
+	if ok {
+		if info, isTLS := p.AuthInfo.(credentials.TLSInfo); isTLS && len(info.State.PeerCertificates) > 0 {
+			return info.State.PeerCertificates[0].Subject.CommonName, nil
+		}
+	}
+	if claimed == "" {
+		return "", status.Error(codes.InvalidArgument, "a change needs an author; name one with --author")
+	}
+	return claimed, nil
+}
+
+func (self *Server) mayChange(author string, changes []placement.Change) error {
+	if len(self.Settings.Operators) == 0 {
+		return nil
+	}
+	for _, c := range changes {
+		if !self.hasRight(author, c.Service) {
+			return status.Errorf(codes.PermissionDenied, "%s may not change the placement of %s; ask an operator who may, or add the right under operators in the settings", author, c.Service)
+		}
+	}
+	return nil
+}
+
+func (self *Server) hasRight(author, service string) bool {
+	for _, o := range self.Settings.Operators {
+		if o.Name != author {
+			continue
+		}
+		for _, s := range o.Services {
+			if s == "*" || s == service {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// History implements the call of the schema.
+func (self *Server) History(ctx context.Context, in *api.HistoryRequest) (*api.HistoryResponse, error) {
+	const most = 1000
+	limit := int(in.GetLimit())
+	if limit == 0 || limit > most {
+		limit = most
+	}
+	entries, err := self.Store.History(ctx, in.GetAfterVersion(), limit)
+	if err != nil {
+		return nil, status.Errorf(codes.Unavailable, "the platform's store did not answer: %v", err)
+	}
+	out := &api.HistoryResponse{}
+	for _, e := range entries {
+		out.Entries = append(out.Entries, &api.HistoryEntry{
+			Version: e.Version, ChangeId: e.ChangeID, Author: e.Author, AtUnixMs: e.At.UnixMilli(),
+			Changes: ChangesToAPI(e.Changes), RollbackOf: e.RollbackOf,
+		})
+	}
+	return out, nil
+}
+
+// Drain implements the call of the schema.
+func (self *Server) Drain(_ *api.DrainRequest, stream grpc.ServerStreamingServer[api.DrainProgress]) error {
+	self.Leave()
+	ticker := time.NewTicker(progressEvery)
+	defer ticker.Stop()
+	for {
+		inFlight := self.InFlight()
+		if err := stream.Send(&api.DrainProgress{CallsInFlight: inFlight, Done: inFlight == 0}); err != nil {
+			return err
+		}
+		if inFlight == 0 {
+			return nil
+		}
+		select {
+		case <-stream.Context().Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/pkg/operators/status.go
@@ -0,0 +1,155 @@
+package operators
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/rushramp/rushramp/pkg/choose"
+	"github.com/rushramp/rushramp/pkg/link"
+	api "github.com/rushramp/rushramp/pkg/operatorsapi"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/systems"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+// Status implements the call of the schema.
+func (self *Server) Status(ctx context.Context, _ *api.StatusRequest) (*api.StatusResponse, error) {
+	out := &api.StatusResponse{
+		Vm: self.Settings.VM.ID, DataCentre: self.Settings.VM.DataCentre, Service: self.Settings.BackendServer.Service,
+		Ready: self.World.View.Ready(), Leaving: self.World.View.Leaving(), Unsure: self.World.View.Unsure(),
+		StoreAgeMs: -1,
+	}
+	budget := self.Measure.Report()
+	out.MeasureBytesAgreed = budget.Agreed
+	out.MeasureBytesPerS = float64(budget.Bytes) / (float64(self.Now()) / float64(time.Second))
+	if self.Executor != nil {
+		stamp := self.Executor.Stamp()
+		out.Running, out.Queued, out.Limit = stamp.Running, stamp.Queued, stamp.Limit
+		out.Slots = uint32(self.Executor.Gate().Slots())
+	}
+	asked := self.World.Inbox.Ask(ctx.Done(), func(w *tables.World) { self.fillStatus(w, out) })
+	if !asked {
+		return nil, status.Error(codes.DeadlineExceeded, "the daemon did not answer in time")
+	}
+	return out, nil
+}
+
+func (self *Server) fillStatus(w *tables.World, out *api.StatusResponse) {
+	out.Placement = w.Version()
+	if age, ok := w.StoreAge(self.Now()); ok {
+		out.StoreAgeMs = age.Milliseconds()
+	}
+	told := map[string]uint64{w.VM: w.Version()}
+	w.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
+		told[peer.Hello.VM] = max(told[peer.Hello.VM], row.Placement)
+	})
+	w.Members.Rows(func(row int) {
+		vm := w.Members.VM[row]
+		_, linked := told[vm.ID]
+		out.Members = append(out.Members, &api.Member{
+			Vm: vm.ID, DataCentre: vm.DataCentre, Service: vm.Service,
+			Leaving: w.Members.Leaving[row], Linked: linked, Placement: told[vm.ID],
+		})
+	})
+	sort.Slice(out.Members, func(i, j int) bool { return out.Members[i].Vm < out.Members[j].Vm })
+}
+
+// coster is a policy that can say what it expects of a candidate.
+type coster interface {
+	Cost(req *choose.Request, i int) time.Duration
+}
+
+// Explain implements the call of the schema.
+func (self *Server) Explain(ctx context.Context, in *api.ExplainRequest) (*api.ExplainResponse, error) {
+	current := self.World.View.Placement()
+	if current == nil {
+		return nil, status.Error(codes.Unavailable, "this daemon has no placement yet")
+	}
+	service := current.Service(in.GetService())
+	if service == nil {
+		return &api.ExplainResponse{Verdict: "unknown_service: the placement does not name this service, so calls are refused as not run"}, nil
+	}
+	kind := service.Match(in.GetMethod(), in.GetPath())
+	if kind == nil {
+		return &api.ExplainResponse{Verdict: "unknown_request_kind: no kind of the service matches this method and path, so calls are refused as not run"}, nil
+	}
+	out := &api.ExplainResponse{Kind: kind.Name, DataCentres: kind.DataCentres}
+	if !self.World.Inbox.Ask(ctx.Done(), func(w *tables.World) { self.fillExplain(w, kind, out) }) {
+		return nil, status.Error(codes.DeadlineExceeded, "the daemon did not answer in time")
+	}
+	return out, nil
+}
+
+func (self *Server) fillExplain(w *tables.World, kind *placement.CompiledKind, out *api.ExplainResponse) {
+	inSubset := map[string]bool{}
+	req := &choose.Request{Now: self.Now()}
+	for _, route := range systems.Subset(w, self.Settings.Choosing.Subset, kind) {
+		inSubset[route.VM] = true
+		if route.Runner() != nil {
+			req.Set = append(req.Set, tables.Candidate{Route: route, Load: route.Load})
+		}
+	}
+	costs := self.costs(req)
+	w.Members.Service(kind.Service, func(row int) {
+		vm := w.Members.VM[row]
+		c := &api.Candidate{Vm: vm.ID, DataCentre: vm.DataCentre, ExpectedUs: -1}
+		c.Reason = reason(w, row, kind, inSubset[vm.ID])
+		c.Eligible = c.Reason == eligible
+		known := w.Members.Route[row].Load.Known(req.Now)
+		c.InFlight, c.Outstanding, c.ServiceTimeUs = known.InFlight, known.Outstanding, known.Service.Microseconds()
+		if cost, ok := costs[vm.ID]; ok {
+			c.ExpectedUs = cost
+		}
+		out.Candidates = append(out.Candidates, c)
+	})
+	sort.Slice(out.Candidates, func(i, j int) bool { return out.Candidates[i].Vm < out.Candidates[j].Vm })
+	out.Verdict = verdict(out.Candidates, kind)
+}
+
+func (self *Server) costs(req *choose.Request) map[string]int64 {
+	out := map[string]int64{}
+	policy, ok := self.Policy.(coster)
+	if !ok {
+		return out
+	}
+	for i, c := range req.Set {
+		out[c.Route.VM] = policy.Cost(req, i).Microseconds()
+	}
+	return out
+}
+
+const eligible = "a candidate"
+
+func reason(w *tables.World, row int, kind *placement.CompiledKind, inSubset bool) string {
+	switch {
+	case !kind.Allows(w.Members.VM[row].DataCentre):
+		return "the placement does not allow its data centre"
+	case w.Members.Leaving[row]:
+		return "it is leaving"
+	case !inSubset:
+		return "it is outside the subset of this entry (choosing.subset)"
+	case w.Members.Route[row].Runner() == nil:
+		return "there is no link to it yet"
+	}
+	return eligible
+}
+
+func verdict(candidates []*api.Candidate, kind *placement.CompiledKind) string {
+	count := 0
+	for _, c := range candidates {
+		if c.Eligible {
+			count++
+		}
+	}
+	switch {
+	case count > 0 && kind.NeverRepeat:
+		return "calls go to the candidate with the least expected time, and run at most once per Idempotency-Key"
+	case count > 0:
+		return "calls go to the candidate with the least expected time"
+	}
+	return "no_backend_server: no member is a candidate now, so calls are refused as not run"
+}
--- /dev/null
+++ b/pkg/placement/change.go
@@ -0,0 +1,184 @@
+package placement
+
+import (
+	"reflect"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Op is what a change does.
+type Op uint8
+
+// The operations.
+const (
+	// PutKind adds a kind or replaces the one of the same name.
+	PutKind Op = iota + 1
+	// RemoveKind removes a kind; the service goes with its last kind.
+	RemoveKind
+)
+
+// Change is one typed change of an operator.
+type Change struct {
+	Op      Op     `cbor:"1,keyasint"`
+	Service string `cbor:"2,keyasint"`
+	Kind    Kind   `cbor:"3,keyasint"`
+}
+
+// Apply returns the next version with the changes made.
+func Apply(doc *Document, changes []Change) (*Document, error) {
+	if len(changes) == 0 {
+		return nil, errors.New("there is nothing to change")
+	}
+	out := doc.Clone()
+	out.Version++
+	for _, c := range changes {
+		if err := out.apply(c); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func (self *Document) apply(c Change) error {
+	if c.Service == "" || c.Kind.Name == "" {
+		return errors.New("a change needs the name of a service and of a kind")
+	}
+	at := self.indexOf(c.Service)
+	switch c.Op {
+	case PutKind:
+		return self.putKind(at, c)
+	case RemoveKind:
+		return self.removeKind(at, c)
+	}
+	return errors.Errorf("unknown operation %d in a change", c.Op)
+}
+
+func (self *Document) indexOf(service string) int {
+	for i, s := range self.Services {
+		if s.Name == service {
+			return i
+		}
+	}
+	return -1
+}
+
+func (self *Document) putKind(at int, c Change) error {
+	if err := checkKind(c.Kind); err != nil {
+		return errors.Wrapf(err, "service %s, kind %s", c.Service, c.Kind.Name)
+	}
+	if at < 0 {
+		self.Services = append(self.Services, Service{Name: c.Service, Kinds: []Kind{c.Kind}})
+		return nil
+	}
+	kinds := without(self.Services[at].Kinds, c.Kind.Name)
+	self.Services[at].Kinds = append(kinds, c.Kind)
+	return nil
+}
+
+func (self *Document) removeKind(at int, c Change) error {
+	if at < 0 {
+		return errors.Errorf("service %s is not placed, so its kind %s cannot be removed", c.Service, c.Kind.Name)
+	}
+	kinds := without(self.Services[at].Kinds, c.Kind.Name)
+	if len(kinds) == len(self.Services[at].Kinds) {
+		return errors.Errorf("service %s has no kind %s", c.Service, c.Kind.Name)
+	}
+	if len(kinds) == 0 {
+		self.Services = append(self.Services[:at:at], self.Services[at+1:]...)
+		return nil
+	}
+	self.Services[at].Kinds = kinds
+	return nil
+}
+
+func without(kinds []Kind, name string) []Kind {
+	out := make([]Kind, 0, len(kinds)+1)
+	for _, k := range kinds {
+		if k.Name != name {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+func checkKind(k Kind) error {
+	switch {
+	case !strings.HasPrefix(k.Path, "/"):
+		return errors.New("the path must begin with /")
+	case len(k.DataCentres) == 0:
+		return errors.New("name at least one data centre")
+	case k.NeverRepeat && k.HedgeSafe:
+		return errors.New("a kind that may never be repeated cannot be safe to hedge")
+	case k.Timeout < 0:
+		return errors.New("the timeout must not be negative")
+	}
+	return nil
+}
+
+// Diff returns the changes that lead from one document to another.
+func Diff(from, to *Document) []Change {
+	var out []Change
+	for _, s := range to.Services {
+		old, _ := from.Service(s.Name)
+		for _, k := range s.Kinds {
+			if !hasEqual(old.Kinds, k) {
+				out = append(out, Change{Op: PutKind, Service: s.Name, Kind: k})
+			}
+		}
+	}
+	for _, s := range from.Services {
+		now, _ := to.Service(s.Name)
+		for _, k := range s.Kinds {
+			if !hasName(now.Kinds, k.Name) {
+				out = append(out, Change{Op: RemoveKind, Service: s.Name, Kind: Kind{Name: k.Name}})
+			}
+		}
+	}
+	return out
+}
+
+func hasEqual(kinds []Kind, k Kind) bool {
+	for _, other := range kinds {
+		if reflect.DeepEqual(other, k) {
+			return true
+		}
+	}
+	return false
+}
+
+func hasName(kinds []Kind, name string) bool {
+	for _, other := range kinds {
+		if other.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Replay makes the changes of entries on base, and refuses the outcome when it
+// does not have the wanted hash.
+func Replay(base *Document, entries []LogEntry, want string) (*Document, error) {
+	if base == nil {
+		return nil, errors.New("there is no version to make the changes on")
+	}
+	doc := base
+	for _, e := range entries {
+		if e.Version != doc.Version+1 {
+			return nil, errors.Errorf("change %d does not follow version %d", e.Version, doc.Version)
+		}
+		next, err := Apply(doc, e.Changes)
+		if err != nil {
+			return nil, err
+		}
+		doc = next
+	}
+	got, err := doc.Hash()
+	if err != nil {
+		return nil, err
+	}
+	if got != want {
+		return nil, errors.Errorf("version %d does not match its hash after its changes", doc.Version)
+	}
+	return doc, nil
+}
--- /dev/null
+++ b/pkg/placement/compiled.go
@@ -0,0 +1,102 @@
+package placement
+
+import (
+	"sort"
+	"strings"
+)
+
+// Compiled is a version made ready for the hot path. It never changes.
+type Compiled struct {
+	Version uint64
+	// Document is what was compiled.
+	Document *Document
+	services map[string]*CompiledService
+}
+
+// CompiledService is one service, its kinds with the most specific first.
+type CompiledService struct {
+	Name  string
+	Kinds []*CompiledKind
+}
+
+// CompiledKind is one kind with its set of data centres.
+type CompiledKind struct {
+	Kind
+	// Service is the name of the service, Version that of the placement.
+	Service string
+	Version uint64
+	prefix  string
+	isWhole bool
+	allowed map[string]struct{}
+}
+
+// Compile makes a version ready for the hot path.
+func Compile(doc *Document) *Compiled {
+	out := &Compiled{Version: doc.Version, Document: doc, services: make(map[string]*CompiledService, len(doc.Services))}
+	for _, s := range doc.Services {
+		out.services[s.Name] = compileService(doc.Version, s)
+	}
+	return out
+}
+
+func compileService(version uint64, s Service) *CompiledService {
+	out := &CompiledService{Name: s.Name}
+	for _, k := range s.Kinds {
+		out.Kinds = append(out.Kinds, compileKind(version, s.Name, k))
+	}
+	sort.SliceStable(out.Kinds, func(i, j int) bool { return moreSpecific(out.Kinds[i], out.Kinds[j]) })
+	return out
+}
+
+func compileKind(version uint64, service string, k Kind) *CompiledKind {
+	prefix, isPrefix := strings.CutSuffix(k.Path, "*")
+	out := &CompiledKind{Kind: k, Service: service, Version: version, prefix: prefix, isWhole: !isPrefix, allowed: map[string]struct{}{}}
+	for _, dc := range k.DataCentres {
+		out.allowed[dc] = struct{}{}
+	}
+	return out
+}
+
+// moreSpecific puts whole paths before prefixes, long ones before short ones,
+// and a named method before any method.
+func moreSpecific(a, b *CompiledKind) bool {
+	if a.isWhole != b.isWhole {
+		return a.isWhole
+	}
+	if len(a.prefix) != len(b.prefix) {
+		return len(a.prefix) > len(b.prefix)
+	}
+	return a.Method != "" && b.Method == ""
+}
+
+// Service returns the compiled service, or nil.
+func (self *Compiled) Service(name string) *CompiledService { return self.services[name] }
+
+// Services returns how many services are placed.
+func (self *Compiled) Services() int { return len(self.services) }
+
+// Match returns the most specific kind for a method and path, or nil.
+func (self *CompiledService) Match(method, path string) *CompiledKind {
+	for _, k := range self.Kinds {
+		if k.matches(method, path) {
+			return k
+		}
+	}
+	return nil
+}
+
+func (self *CompiledKind) matches(method, path string) bool {
+	if self.Method != "" && self.Method != method {
+		return false
+	}
+	if self.isWhole {
+		return path == self.prefix
+	}
+	return strings.HasPrefix(path, self.prefix)
+}
+
+// Allows is true when calls of this kind may be handled in the data centre.
+func (self *CompiledKind) Allows(dataCentre string) bool {
+	_, ok := self.allowed[dataCentre]
+	return ok
+}
--- /dev/null
+++ b/pkg/placement/store.go
@@ -0,0 +1,270 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/platform"
+)
+
+// The rows and objects in the platform's store.
+const (
+	headKey        = "placement/head"
+	logPrefix      = "placement/log/"
+	changePrefix   = "placement/change/"
+	snapshotPrefix = "placement/snapshot/"
+)
+
+// Head is the row that says which version is in force.
+type Head struct {
+	Version  uint64 `cbor:"1,keyasint"`
+	ChangeID string `cbor:"2,keyasint"`
+	Hash     string `cbor:"3,keyasint"`
+	Author   string `cbor:"4,keyasint"`
+}
+
+// LogEntry is one accepted change in the history.
+type LogEntry struct {
+	Version  uint64    `cbor:"1,keyasint"`
+	ChangeID string    `cbor:"2,keyasint"`
+	Author   string    `cbor:"3,keyasint"`
+	At       time.Time `cbor:"4,keyasint"`
+	Changes  []Change  `cbor:"5,keyasint"`
+	Hash     string    `cbor:"6,keyasint"`
+	// RollbackOf is the version whose content this one restores, or 0.
+	RollbackOf uint64 `cbor:"7,keyasint,omitempty"`
+}
+
+// ConflictError is returned to an operator whose change was based on a version
+// that is no longer in force.
+type ConflictError struct{ Winner Head }
+
+// Error implements error.
+func (self *ConflictError) Error() string {
+	return fmt.Sprintf("version %d by %s is already in force; read it, look at what changed, and apply your change on top of it",
+		self.Winner.Version, self.Winner.Author)
+}
+
+// UnknownOutcomeError is returned when the store answered neither the write
+// nor the read-back. The same change id may be sent again.
+type UnknownOutcomeError struct {
+	ChangeID string
+	Cause    error
+}
+
+// Error implements error.
+func (self *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("the platform's store did not say whether change %s was accepted (%v); send the same change again with this change id", self.ChangeID, self.Cause)
+}
+
+// Store reads and writes versions in the platform.
+type Store struct {
+	table   platform.Table
+	objects platform.Objects
+}
+
+// NewStore makes a Store.
+func NewStore(table platform.Table, objects platform.Objects) *Store {
+	return &Store{table: table, objects: objects}
+}
+
+// Head reads the head; version 0 when nothing was ever applied.
+func (self *Store) Head(ctx context.Context) (Head, error) {
+	head, _, err := self.head(ctx)
+	return head, err
+}
+
+func (self *Store) head(ctx context.Context) (Head, uint64, error) {
+	row, err := self.table.Get(ctx, headKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, err
+	}
+	var head Head
+	err = cbor.Unmarshal(row.Value, &head)
+	return head, row.Version, errors.Wrap(err, "placement head")
+}
+
+// Snapshot reads the whole document of a head.
+func (self *Store) Snapshot(ctx context.Context, head Head) (*Document, error) {
+	if head.Version == 0 {
+		return &Document{}, nil
+	}
+	data, err := self.objects.Object(ctx, snapshotName(head.Version, head.Hash))
+	if err != nil {
+		return nil, errors.Wrapf(err, "snapshot of placement version %d", head.Version)
+	}
+	return Decode(data, head.Hash)
+}
+
+// Version reads the whole document of an accepted version.
+func (self *Store) Version(ctx context.Context, version uint64) (*Document, error) {
+	if version == 0 {
+		return &Document{}, nil
+	}
+	entry, err := self.Entry(ctx, version)
+	if err != nil {
+		return nil, errors.Wrapf(err, "placement version %d", version)
+	}
+	return self.Snapshot(ctx, Head{Version: version, Hash: entry.Hash})
+}
+
+// Propose is one operator's change, ready to be written.
+type Propose struct {
+	Base       *Document
+	ChangeID   string
+	Author     string
+	Changes    []Change
+	RollbackOf uint64
+	At         time.Time
+}
+
+// Commit writes a change as the next version. It returns the new document,
+// a ConflictError, an UnknownOutcomeError, or the store's error when nothing
+// was written.
+func (self *Store) Commit(ctx context.Context, p Propose) (*Document, error) {
+	next, err := Apply(p.Base, p.Changes)
+	if err != nil {
+		return nil, err
+	}
+	hash, err := next.Hash()
+	if err != nil {
+		return nil, err
+	}
+	head, rowVersion, err := self.head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if head.ChangeID == p.ChangeID {
+		return self.Snapshot(ctx, head)
+	}
+	if head.Version != p.Base.Version {
+		return self.ownOrConflict(ctx, p.ChangeID, head)
+	}
+	if err := self.putSnapshot(ctx, next, hash); err != nil {
+		return nil, err
+	}
+	err = self.table.Transact(ctx, p.writes(next.Version, rowVersion, hash))
+	if err == nil {
+		return next, nil
+	}
+	return self.resolve(ctx, p, next, hash, err)
+}
+
+func (self *Store) putSnapshot(ctx context.Context, doc *Document, hash string) error {
+	data, err := doc.Encode()
+	if err != nil {
+		return err
+	}
+	return self.objects.PutObject(ctx, snapshotName(doc.Version, hash), data)
+}
+
+// ownOrConflict tells a change that was accepted earlier, whose answer was
+// lost, from one that lost the race.
+func (self *Store) ownOrConflict(ctx context.Context, changeID string, head Head) (*Document, error) {
+	entry, err := self.entryOf(ctx, changeID)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, &ConflictError{Winner: head}
+	}
+	if err != nil {
+		return nil, &UnknownOutcomeError{ChangeID: changeID, Cause: err}
+	}
+	return self.Snapshot(ctx, Head{Version: entry.Version, Hash: entry.Hash})
+}
+
+// resolve reads the change id back after the transaction's answer was an error.
+func (self *Store) resolve(ctx context.Context, p Propose, next *Document, hash string, cause error) (*Document, error) {
+	_, err := self.entryOf(ctx, p.ChangeID)
+	if err == nil {
+		return next, nil
+	}
+	if !errors.Is(err, platform.ErrNotFound) {
+		return nil, &UnknownOutcomeError{ChangeID: p.ChangeID, Cause: cause}
+	}
+	head, _, err := self.head(ctx)
+	if err != nil {
+		return nil, &UnknownOutcomeError{ChangeID: p.ChangeID, Cause: cause}
+	}
+	if head.Version >= next.Version && head.Hash != hash {
+		return nil, &ConflictError{Winner: head}
+	}
+	// The write may still be on its way in the store, so "not accepted" would
+	// be a guess.
+	return nil, &UnknownOutcomeError{ChangeID: p.ChangeID, Cause: cause}
+}
+
+func (self *Store) entryOf(ctx context.Context, changeID string) (LogEntry, error) {
+	row, err := self.table.Get(ctx, changePrefix+changeID)
+	if err != nil {
+		return LogEntry{}, err
+	}
+	return decodeEntry(row)
+}
+
+// Entry reads the history's entry of a version.
+func (self *Store) Entry(ctx context.Context, version uint64) (LogEntry, error) {
+	row, err := self.table.Get(ctx, logKey(version))
+	if err != nil {
+		return LogEntry{}, err
+	}
+	return decodeEntry(row)
+}
+
+// History reads up to limit entries with versions above after, oldest first.
+func (self *Store) History(ctx context.Context, after uint64, limit int) ([]LogEntry, error) {
+	rows, err := self.table.Scan(ctx, logPrefix, logKey(after), limit)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]LogEntry, 0, len(rows))
+	for _, row := range rows {
+		entry, err := decodeEntry(row)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, entry)
+	}
+	return out, nil
+}
+
+func (self Propose) writes(version, headRow uint64, hash string) []platform.Write {
+	head := Head{Version: version, ChangeID: self.ChangeID, Hash: hash, Author: self.Author}
+	entry := LogEntry{
+		Version: version, ChangeID: self.ChangeID, Author: self.Author, At: self.At,
+		Changes: self.Changes, Hash: hash, RollbackOf: self.RollbackOf,
+	}
+	entryData := mustEncode(entry)
+	return []platform.Write{
+		{Key: headKey, IfVersion: headRow, Value: mustEncode(head)},
+		{Key: logKey(version), Value: entryData},
+		{Key: changePrefix + self.ChangeID, Value: entryData},
+	}
+}
+
+// mustEncode encodes a struct of this file. Their fields are all plain values,
+// for which the encoder has no error to give.
+func mustEncode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func decodeEntry(row platform.Row) (LogEntry, error) {
+	var entry LogEntry
+	err := cbor.Unmarshal(row.Value, &entry)
+	return entry, errors.Wrap(err, "placement history")
+}
+
+func logKey(version uint64) string { return fmt.Sprintf("%s%016d", logPrefix, version) }
+
+func snapshotName(version uint64, hash string) string {
+	return fmt.Sprintf("%s%016d-%s", snapshotPrefix, version, hash)
+}
--- /dev/null
+++ b/pkg/platform/http.go
@@ -0,0 +1,126 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/client"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+)
+
+// HTTP is the platform reached over HTTP with CBOR bodies.
+type HTTP struct {
+	address string
+	timeout time.Duration
+	client  *client.Client
+}
+
+var _ Platform = (*HTTP)(nil)
+
+// NewHTTP makes an adapter for the platform at address (IP number and port).
+// timeout bounds one request; a shorter deadline of the context goes first.
+func NewHTTP(address string, timeout time.Duration) (*HTTP, error) {
+	c, err := client.NewClient(client.WithDialTimeout(timeout), client.WithDialer(standard.NewDialer()))
+	if err != nil {
+		return nil, errors.Wrap(err, "platform client")
+	}
+	// A second try of the library could hide that the first took effect.
+	c.SetRetryIfFunc(func(*protocol.Request, *protocol.Response, error) bool { return false })
+	return &HTTP{address: address, timeout: timeout, client: c}, nil
+}
+
+// Get implements Table.
+func (self *HTTP) Get(ctx context.Context, key string) (Row, error) {
+	var out Response
+	if err := self.post(ctx, PathGet, GetRequest{Key: key}, &out); err != nil {
+		return Row{}, err
+	}
+	if len(out.Rows) != 1 {
+		return Row{}, errors.Errorf("platform gave %d rows for one key", len(out.Rows))
+	}
+	return out.Rows[0], nil
+}
+
+// Scan implements Table.
+func (self *HTTP) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	var out Response
+	err := self.post(ctx, PathScan, ScanRequest{Prefix: prefix, After: after, Limit: limit}, &out)
+	return out.Rows, err
+}
+
+// Batch implements Table.
+func (self *HTTP) Batch(ctx context.Context, writes []Write) ([]Result, error) {
+	var out Response
+	if err := self.post(ctx, PathBatch, WriteRequest{Writes: writes}, &out); err != nil {
+		return nil, err
+	}
+	if len(out.Results) != len(writes) {
+		return nil, errors.Errorf("platform gave %d results for %d writes", len(out.Results), len(writes))
+	}
+	return out.Results, nil
+}
+
+// Transact implements Table.
+func (self *HTTP) Transact(ctx context.Context, writes []Write) error {
+	return self.post(ctx, PathTransact, WriteRequest{Writes: writes}, &Response{})
+}
+
+// PutObject implements Objects.
+func (self *HTTP) PutObject(ctx context.Context, name string, data []byte) error {
+	return self.post(ctx, PathPut, ObjectRequest{Name: name, Data: data}, &Response{})
+}
+
+// Object implements Objects.
+func (self *HTTP) Object(ctx context.Context, name string) ([]byte, error) {
+	var out Response
+	err := self.post(ctx, PathObject, ObjectRequest{Name: name}, &out)
+	return out.Data, err
+}
+
+// VMs implements VMs.
+func (self *HTTP) VMs(ctx context.Context) ([]VM, error) {
+	var out Response
+	err := self.post(ctx, PathVMs, GetRequest{}, &out)
+	return out.VMs, err
+}
+
+func (self *HTTP) post(ctx context.Context, path string, in any, out *Response) error {
+	body, err := Encode(in)
+	if err != nil {
+		return err
+	}
+	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
+	defer protocol.ReleaseRequest(req)
+	defer protocol.ReleaseResponse(resp)
+	req.SetMethod(http.MethodPost)
+	req.SetRequestURI("http://" + self.address + path)
+	req.SetBody(body)
+	timeout := self.timeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = min(timeout, time.Until(deadline))
+	}
+	if timeout <= 0 {
+		return context.DeadlineExceeded
+	}
+	req.SetOptions(config.WithRequestTimeout(timeout))
+	if err := self.client.Do(ctx, req, resp); err != nil {
+		return errors.Wrapf(err, "platform %s", path)
+	}
+	return readAnswer(path, resp, out)
+}
+
+func readAnswer(path string, resp *protocol.Response, out *Response) error {
+	switch resp.StatusCode() {
+	case http.StatusOK:
+		return Decode(resp.Body(), out)
+	case http.StatusNotFound:
+		return ErrNotFound
+	case http.StatusConflict:
+		return ErrConflict
+	}
+	return errors.Errorf("platform %s: status %d", path, resp.StatusCode())
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,239 @@
+// Package settings holds the daemon's settings: one commented struct, its
+// defaults, and the checks. docs/SETTINGS.md is generated from this file.
+package settings
+
+import (
+	"time"
+)
+
+// Settings is everything that one rushrampd reads at its start. Durations are
+// written as in "10ms" or "2s".
+type Settings struct {
+	// The identity of the VM that this daemon runs on.
+	VM VM `yaml:"vm"`
+	// The addresses that this daemon listens on.
+	Listen Listen `yaml:"listen"`
+	// The backend server that this daemon guards. Without an address the daemon
+	// is an entry only.
+	BackendServer BackendServer `yaml:"backend_server"`
+	// The platform's table service, object store and VM list.
+	Platform Platform `yaml:"platform"`
+	// How a backend server is chosen.
+	Choosing Choosing `yaml:"choosing"`
+	// The gate in front of the backend server.
+	Gate Gate `yaml:"gate"`
+	// Retries and hedges.
+	Retries Retries `yaml:"retries"`
+	// Calls that may never be repeated.
+	Once Once `yaml:"once"`
+	// How the placement is kept up to date.
+	Placement Placement `yaml:"placement"`
+	// The budget for measuring load.
+	Measurement Measurement `yaml:"measurement"`
+	// Bounds on what callers may send.
+	Limits Limits `yaml:"limits"`
+	// How the daemon leaves.
+	Drain Drain `yaml:"drain"`
+	// Certificates for daemons and operators.
+	TLS TLS `yaml:"tls"`
+	// Who may change which placements.
+	Operators []Operator `yaml:"operators" validate:"dive"`
+	// The log.
+	Log Log `yaml:"log"`
+	// Time between two runs of the systems.
+	Tick time.Duration `yaml:"tick" validate:"min=1ms,max=1s"`
+}
+
+// VM names the VM and where it stands.
+type VM struct {
+	// Name of the VM, as the platform's list of VMs gives it.
+	ID string `yaml:"id" validate:"required"`
+	// Region that the data centre belongs to.
+	Region string `yaml:"region"`
+	// Data centre that this VM stands in.
+	DataCentre string `yaml:"data_centre" validate:"required"`
+}
+
+// Listen holds the addresses of the listeners, each an IP number and a port.
+type Listen struct {
+	// Callers' HTTP requests.
+	Callers string `yaml:"callers" validate:"required,ip_port"`
+	// Links from other daemons.
+	Links string `yaml:"links" validate:"required,ip_port"`
+	// Operators' gRPC calls.
+	Operators string `yaml:"operators" validate:"required,ip_port"`
+	// Metrics, health and readiness over HTTP.
+	Metrics string `yaml:"metrics" validate:"required,ip_port"`
+}
+
+// BackendServer describes the backend server beside this daemon.
+type BackendServer struct {
+	// Service that the backend server runs.
+	Service string `yaml:"service" validate:"required_with=Address"`
+	// Address of the backend server; empty for a daemon that is an entry only.
+	Address string `yaml:"address" validate:"omitempty,ip_port"`
+	// Number of calls that the backend server runs at once.
+	Slots int `yaml:"slots" validate:"min=1,max=10000"`
+	// Largest number of connections that the daemon opens to it.
+	Connections int `yaml:"connections" validate:"min=1,max=10000"`
+	// Time to open a connection before the backend server counts as unreachable.
+	DialTimeout time.Duration `yaml:"dial_timeout" validate:"min=1ms"`
+	// Path that takes cancellations, with the call's id appended; empty when the backend server takes none.
+	CancelPath string `yaml:"cancel_path"`
+}
+
+// Platform says how the platform is reached.
+type Platform struct {
+	// Address of the platform's HTTP service.
+	Address string `yaml:"address" validate:"required,ip_port"`
+	// Longest wait for one answer of the platform.
+	Timeout time.Duration `yaml:"timeout" validate:"min=1ms"`
+	// Time between two reads of the list of VMs.
+	VMListEvery time.Duration `yaml:"vm_list_every" validate:"min=10ms"`
+}
+
+// Choosing holds the settings of the policy that picks a backend server.
+type Choosing struct {
+	// Name of the policy.
+	Policy string `yaml:"policy" validate:"oneof=random round_robin least_outstanding hot_cold expected_wait idle_hints"`
+	// Whether the first attempt is refused at once by a gate that is busier than the entry believed.
+	SoftFirst bool `yaml:"soft_first"`
+	// Number of backend servers that one entry works with in a large service.
+	Subset int `yaml:"subset" validate:"min=2,max=1000"`
+	// Age at which a load report has lost most of its weight.
+	StampHalfLife time.Duration `yaml:"stamp_half_life" validate:"min=1ms"`
+}
+
+// Gate holds the settings of the gate in front of the backend server.
+type Gate struct {
+	// Largest number of calls that wait at the gate.
+	QueueLength int `yaml:"queue_length" validate:"min=0,max=100000"`
+	// Longest expected wait that the gate accepts.
+	QueueTime time.Duration `yaml:"queue_time" validate:"min=0"`
+	// Order in which waiting calls start.
+	Order string `yaml:"order" validate:"oneof=fifo edf priority slack"`
+	// Whether the limit falls below the slots while a noisy neighbour slows the backend server.
+	Adaptive bool `yaml:"adaptive"`
+}
+
+// Retries holds the settings of retries and hedges.
+type Retries struct {
+	// Most attempts of one call, the first included.
+	Attempts int `yaml:"attempts" validate:"min=1,max=10"`
+	// Retries allowed per answered call, over the whole service.
+	Budget float64 `yaml:"budget" validate:"min=0,max=1"`
+	// Retries that a service may use before any call was answered.
+	BudgetFloor int `yaml:"budget_floor" validate:"min=0"`
+	// Hedges allowed per answered call of the kinds marked safe.
+	HedgeBudget float64 `yaml:"hedge_budget" validate:"min=0,max=1"`
+	// Quantile of the answer times after which a hedge is sent.
+	HedgeQuantile float64 `yaml:"hedge_quantile" validate:"min=0.5,max=0.9999"`
+	// Time that a call has when neither the caller nor the placement names one.
+	DefaultTimeout time.Duration `yaml:"default_timeout" validate:"min=1ms"`
+}
+
+// Once holds the settings of calls that may never be repeated.
+type Once struct {
+	// Longest wait for the table service at a claim; a shorter deadline of the call goes first.
+	Timeout time.Duration `yaml:"timeout" validate:"min=1ms"`
+	// Time for which an Idempotency-Key is remembered. A caller may not retry a key after it.
+	KeepFor time.Duration `yaml:"keep_for" validate:"min=1m"`
+	// Largest answer that is kept for a repeat, in bytes.
+	StoredAnswerBytes int `yaml:"stored_answer_bytes" validate:"min=0"`
+}
+
+// Placement holds the settings of how placement versions are followed.
+type Placement struct {
+	// Time between two reads of the head by a head reader.
+	HeadEvery time.Duration `yaml:"head_every" validate:"min=10ms"`
+	// Number of head readers per data centre.
+	HeadReaders int `yaml:"head_readers" validate:"min=1,max=10"`
+	// Time without news of the store or of other data centres after which strict kinds are refused.
+	UnsureAfter time.Duration `yaml:"unsure_after" validate:"min=100ms"`
+	// What a caller outside the allowed data centres receives.
+	Misplaced string `yaml:"misplaced" validate:"oneof=redirect refuse"`
+}
+
+// Measurement is the budget of this daemon for measuring load.
+type Measurement struct {
+	// Bytes a second that load reports may take, those on answers included.
+	BytesPerSecond int `yaml:"bytes_per_second" validate:"min=0"`
+	// Messages a second that carry nothing but load reports.
+	MessagesPerSecond int `yaml:"messages_per_second" validate:"min=0"`
+	// Slot time a second that probing may take at the backend server. Zero: a probe never takes a slot.
+	SlotTimePerSecond time.Duration `yaml:"slot_time_per_second" validate:"min=0"`
+}
+
+// Limits bounds what one caller may send.
+type Limits struct {
+	// Largest body of a request or an answer, in bytes.
+	MaxBodyBytes int `yaml:"max_body_bytes" validate:"min=1024"`
+	// Largest head of a request, in bytes.
+	MaxHeaderBytes int `yaml:"max_header_bytes" validate:"min=1024"`
+	// Calls in flight from one caller address.
+	CallsPerCaller int `yaml:"calls_per_caller" validate:"min=1"`
+	// Links accepted from other daemons.
+	Links int `yaml:"links" validate:"min=1"`
+}
+
+// Drain says how the daemon leaves.
+type Drain struct {
+	// Longest time that calls in flight have to end.
+	Bound time.Duration `yaml:"bound" validate:"min=0"`
+	// Time that the daemon keeps refusing with "leaving" before it closes its listeners.
+	Linger time.Duration `yaml:"linger" validate:"min=0"`
+}
+
+// TLS names the certificate files. They are read again when they change.
+type TLS struct {
+	// Certificate of this daemon, PEM.
+	Cert string `yaml:"cert" validate:"omitempty,file,required_with=Key CA"`
+	// Private key of this daemon, PEM.
+	Key string `yaml:"key" validate:"omitempty,file,required_with=Cert CA"`
+	// Authorities that sign the certificates of daemons and operators, PEM.
+	CA string `yaml:"ca" validate:"omitempty,file,required_with=Cert Key"`
+	// Set to true to run without TLS on addresses other than loopback.
+	PlainTextOnTheNetwork bool `yaml:"plain_text_on_the_network"`
+}
+
+// Operator gives one operator rights. The list is empty when any operator who
+// reaches the listener may change anything.
+type Operator struct {
+	// Name in the operator's certificate, or the name that the command line sends on loopback.
+	Name string `yaml:"name" validate:"required"`
+	// Services whose placement the operator may change; "*" stands for all.
+	Services []string `yaml:"services" validate:"required,min=1"`
+}
+
+// Log holds the settings of the log.
+type Log struct {
+	// Least severe level that is written.
+	Level string `yaml:"level" validate:"oneof=debug info warn error"`
+}
+
+// Default returns the settings that hold where a file says nothing.
+func Default() Settings {
+	return Settings{
+		BackendServer: BackendServer{Slots: 12, Connections: 200, DialTimeout: 500 * time.Millisecond},
+		Platform:      Platform{Timeout: 2 * time.Second, VMListEvery: time.Second},
+		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, StampHalfLife: 20 * time.Millisecond},
+		Gate:          Gate{QueueLength: 200, QueueTime: time.Second, Order: "fifo", Adaptive: true},
+		Retries: Retries{
+			Attempts: 3, Budget: 0.2, BudgetFloor: 10,
+			HedgeBudget: 0.02, HedgeQuantile: 0.99, DefaultTimeout: 5 * time.Second,
+		},
+		Once: Once{Timeout: 500 * time.Millisecond, KeepFor: 48 * time.Hour, StoredAnswerBytes: 4096},
+		Placement: Placement{
+			HeadEvery: time.Second, HeadReaders: 2,
+			UnsureAfter: 15 * time.Second, Misplaced: "redirect",
+		},
+		Measurement: Measurement{BytesPerSecond: 15000, MessagesPerSecond: 50},
+		Limits: Limits{
+			MaxBodyBytes: 8 << 20, MaxHeaderBytes: 16 << 10,
+			CallsPerCaller: 1000, Links: 2000,
+		},
+		Drain: Drain{Bound: 30 * time.Second, Linger: 500 * time.Millisecond},
+		Log:   Log{Level: "info"},
+		Tick:  10 * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/pkg/standin/command.go
@@ -0,0 +1,100 @@
+// Package standin holds the command line of the stand-ins, which run as
+// processes in the integration tests.
+package standin
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/standin/backend"
+	"github.com/rushramp/rushramp/pkg/standin/store"
+)
+
+// NewCommand makes the command line of rushramp-standin.
+func NewCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "rushramp-standin",
+		Short:         "Stand-ins for the platform and for backend servers, for tests",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(platformCommand(), backendCommand())
+	return root
+}
+
+// vmFile is the file of the platform's first list of VMs.
+type vmFile struct {
+	VMs []platform.VM `yaml:"vms"`
+}
+
+func platformCommand() *cobra.Command {
+	var address, vms string
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "A table service, an object store and a list of VMs",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			s := store.New()
+			if err := loadVMs(s, vms); err != nil {
+				return err
+			}
+			return untilSignal(func() (func(), error) { return store.Serve(s, address) })
+		},
+	}
+	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:7405", "address to listen on")
+	cmd.Flags().StringVar(&vms, "vms", "", "YAML file with the list of VMs")
+	return cmd
+}
+
+func loadVMs(s *store.Store, path string) error {
+	if path == "" {
+		return nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return errors.Wrap(err, "list of VMs")
+	}
+	var file vmFile
+	if err := settings.Strict(text, &file); err != nil {
+		return errors.Wrapf(err, "%s", path)
+	}
+	s.SetVMs(file.VMs)
+	return nil
+}
+
+func backendCommand() *cobra.Command {
+	var address string
+	var opts backend.Options
+	cmd := &cobra.Command{
+		Use:   "backend",
+		Short: "A backend server with slots, faults and a ledger of what it ran",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return untilSignal(func() (func(), error) { return backend.Serve(backend.New(opts), address) })
+		},
+	}
+	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:7404", "address to listen on")
+	cmd.Flags().IntVar(&opts.Slots, "slots", 12, "calls that run at once")
+	cmd.Flags().DurationVar(&opts.ColdFor, "cold-for", 0, "time after the start at cold speed")
+	cmd.Flags().Float64Var(&opts.ColdSpeed, "cold-speed", 0.1, "speed while cold")
+	return cmd
+}
+
+func untilSignal(start func() (func(), error)) error {
+	stop, err := start()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/pkg/systems/gatetick.go
@@ -0,0 +1,13 @@
+package systems
+
+import "github.com/rushramp/rushramp/pkg/tables"
+
+// gateTick lets waiting calls start when the gate's limit rose by itself.
+type gateTick struct{ *Env }
+
+// Tick implements System.
+func (self *gateTick) Tick(_ int64, _ *tables.Mail) {
+	if self.Executor != nil {
+		self.Executor.Tick()
+	}
+}
--- /dev/null
+++ b/pkg/systems/systems.go
@@ -0,0 +1,103 @@
+// Package systems holds the systems that run over the tables each tick, one
+// file a system. A system reads and writes tables only; what it starts outside
+// (a dial, a read of the store) ends in the inbox. Source: docs/DESIGN.md,
+// "Tables and systems".
+package systems
+
+import (
+	"context"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/executor"
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+// System is one system. now is in nanoseconds of the daemon's steady clock.
+type System interface {
+	Tick(now int64, mail *tables.Mail)
+}
+
+// Env is what systems share besides the tables.
+type Env struct {
+	*common.Common
+	World    *tables.World
+	Platform platform.Platform
+	Store    *placement.Store
+	// Executor is nil on a daemon that is an entry only.
+	Executor *executor.Executor
+	Control  *Control
+	Dial     link.DialOptions
+	// Background ends when the daemon does.
+	Background context.Context
+	// Leave begins the drain; it returns at once.
+	Leave func()
+}
+
+// order is the one list of systems, in the order in which they run: what came
+// from outside first, what is published last.
+func order(env *Env) []System {
+	return []System{
+		&vmListReader{Env: env},
+		&headReader{Env: env},
+		&members{Env: env},
+		&news{Env: env},
+		&placements{Env: env},
+		&links{Env: env},
+		&doubt{Env: env},
+		&heartbeats{Env: env},
+		&gateTick{Env: env},
+		&publish{Env: env},
+		&queries{Env: env},
+	}
+}
+
+// Scheduler runs the systems.
+type Scheduler struct {
+	env     *Env
+	systems []System
+}
+
+// NewScheduler makes the scheduler of one daemon.
+func NewScheduler(env *Env) *Scheduler {
+	return &Scheduler{env: env, systems: order(env)}
+}
+
+// Run ticks until ctx ends.
+func (self *Scheduler) Run(ctx context.Context) {
+	ticker := time.NewTicker(self.env.Settings.Tick)
+	defer ticker.Stop()
+	for {
+		self.Tick()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-self.env.World.Inbox.Wake():
+		}
+	}
+}
+
+// Tick runs each system once.
+func (self *Scheduler) Tick() {
+	mail := self.env.World.Inbox.Take()
+	now := self.env.Now()
+	for _, s := range self.systems {
+		s.Tick(now, &mail)
+	}
+}
+
+// due is a small timer for systems that act less often than each tick.
+type due struct{ next int64 }
+
+// at is true once per interval.
+func (self *due) at(now int64, every time.Duration) bool {
+	if now < self.next {
+		return false
+	}
+	self.next = now + int64(every)
+	return true
+}
--- /dev/null
+++ b/pkg/tables/inbox.go
@@ -0,0 +1,135 @@
+package tables
+
+import (
+	"sync"
+
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// Inbox takes what happened outside the tick: links, news of peers, answers of
+// the platform. Systems take it over at their next run.
+type Inbox struct {
+	mu   sync.Mutex
+	mail Mail
+	wake chan struct{}
+}
+
+// Mail is what an Inbox held.
+type Mail struct {
+	// VMs is the newest list of the platform; nil when none came.
+	VMs []platform.VM
+	// Links are links that came up or ended.
+	Links []LinkEvent
+	// News are states of peers, oldest first.
+	News []PeerNews
+	// Pulls are requests of peers for the placement.
+	Pulls []PeerPull
+	// Updates are placements that peers sent.
+	Updates []PeerUpdate
+	// Documents are versions that were read from the store.
+	Documents []Version
+	// StoreReadAt is when the head was last read by this daemon; 0: not since.
+	StoreReadAt int64
+	// Head is the newest head read; Version 0 when there was none.
+	Head placement.Head
+	// HeadKnown is true when the store answered, even if it was empty.
+	HeadKnown bool
+	// Wanted are services that a call asked for and that have no view yet.
+	Wanted []string
+	// Queries are questions about the tables, asked by operators.
+	Queries []func(*World)
+	// Leave is true when this daemon was told to leave.
+	Leave bool
+}
+
+// LinkEvent is the beginning or end of a link. Client is set for links that
+// this daemon opened as an entry.
+type LinkEvent struct {
+	Peer   *link.Peer
+	Client *link.Client
+	// Route is the route that the link was opened for.
+	Route *Route
+	Up    bool
+	Cause error
+}
+
+// PeerNews is a state that a peer sent, and when it came.
+type PeerNews struct {
+	Peer  *link.Peer
+	State *wire.State
+	At    int64
+}
+
+// PeerPull is a request of a peer for the placement.
+type PeerPull struct {
+	Peer *link.Peer
+	Have uint64
+}
+
+// PeerUpdate is a placement that a peer sent.
+type PeerUpdate struct {
+	Peer   *link.Peer
+	Update *wire.Update
+}
+
+// Version is a placement document with its digest, and the changes that led
+// to it where they are known.
+type Version struct {
+	Document *placement.Document
+	Hash     string
+	Entries  []placement.LogEntry
+	// FromStore is true for a version that the store gave, false for a peer's.
+	FromStore bool
+	// Peer is set for a peer's.
+	Peer *link.Peer
+}
+
+// NewInbox makes an empty inbox.
+func NewInbox() *Inbox { return &Inbox{wake: make(chan struct{}, 1)} }
+
+// Wake is readable when something came that should not wait for the next tick.
+func (self *Inbox) Wake() <-chan struct{} { return self.wake }
+
+// Post changes the mail. urgent wakes the systems at once.
+func (self *Inbox) Post(urgent bool, change func(*Mail)) {
+	self.mu.Lock()
+	change(&self.mail)
+	self.mu.Unlock()
+	if !urgent {
+		return
+	}
+	select {
+	case self.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Ask runs a question between two ticks and waits for it; false when the
+// systems did not come to it before the channel closed.
+func (self *Inbox) Ask(done <-chan struct{}, query func(*World)) bool {
+	answered := make(chan struct{})
+	self.Post(true, func(m *Mail) {
+		m.Queries = append(m.Queries, func(w *World) {
+			query(w)
+			close(answered)
+		})
+	})
+	select {
+	case <-answered:
+		return true
+	case <-done:
+		return false
+	}
+}
+
+// Take returns the mail and empties the inbox.
+func (self *Inbox) Take() Mail {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	out := self.mail
+	self.mail = Mail{}
+	return out
+}
--- /dev/null
+++ b/pkg/tables/load.go
@@ -0,0 +1,146 @@
+// Package tables holds the entities that the systems work on: members (VMs and
+// their backend servers), data centres, placements, and what is known of each
+// backend server's load. Source: docs/DESIGN.md, "Tables and systems".
+package tables
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// failureShift sets the weight of one answer in the failure share: 1/8.
+const failureShift = 3
+
+// failureOne is the fixed-point form of a failure share of 1.
+const failureOne = 1 << 16
+
+// Load is what this entry knows of one backend server's load. The hot path
+// updates it with atomics and waits for no tick. It is one struct a row rather
+// than a column a field: choosing reads all fields of a few rows, so a row in
+// one cache line costs one miss.
+type Load struct {
+	stampSeq    atomic.Uint64
+	stampAt     atomic.Int64
+	inFlight    atomic.Int64
+	limit       atomic.Int64
+	service     atomic.Int64
+	outstanding atomic.Int64
+	sentSince   atomic.Int64
+	quietFrom   atomic.Int64
+	failures    atomic.Int64
+	distance    atomic.Int64
+}
+
+// NewLoad makes the row of a backend server that has not been heard of.
+func NewLoad(slots int) *Load {
+	self := &Load{}
+	self.limit.Store(int64(max(slots, 1)))
+	return self
+}
+
+// Sent notes a call on its way to the backend server. now is in nanoseconds.
+func (self *Load) Sent(now int64) {
+	if self.outstanding.Add(1) == 1 {
+		self.quietFrom.Store(now)
+	}
+	self.sentSince.Add(1)
+}
+
+// Ended notes that a call is no longer outstanding, whatever came of it.
+func (self *Load) Ended(now int64) {
+	self.outstanding.Add(-1)
+	self.quietFrom.Store(now)
+}
+
+// Answered notes how a call that the backend server answered ended.
+func (self *Load) Answered(failed bool) {
+	old := self.failures.Load()
+	target := int64(0)
+	if failed {
+		target = failureOne
+	}
+	// A lost update of two racing answers costs an eighth of one answer.
+	self.failures.Store(old + (target-old)>>failureShift)
+}
+
+// Report takes a stamp over, unless a newer one is known.
+func (self *Load) Report(now int64, stamp wire.Stamp) {
+	for {
+		seen := self.stampSeq.Load()
+		if stamp.Seq <= seen {
+			return
+		}
+		if self.stampSeq.CompareAndSwap(seen, stamp.Seq) {
+			break
+		}
+	}
+	self.inFlight.Store(int64(stamp.Running) + int64(stamp.Queued))
+	self.limit.Store(max(int64(stamp.Limit), 1))
+	self.service.Store(int64(stamp.ServiceUS) * int64(time.Microsecond))
+	self.stampAt.Store(now)
+	self.sentSince.Store(0)
+}
+
+// Reset forgets what was known, for a new incarnation at the same address.
+func (self *Load) Reset(slots int) {
+	self.stampSeq.Store(0)
+	self.stampAt.Store(0)
+	self.inFlight.Store(0)
+	self.service.Store(0)
+	self.sentSince.Store(0)
+	self.failures.Store(0)
+	self.limit.Store(int64(max(slots, 1)))
+}
+
+// Known is a consistent enough reading of a Load: each field by itself is
+// right, and two fields may be some nanoseconds apart.
+type Known struct {
+	// StampAt is when the stamp was received; 0: never.
+	StampAt int64
+	// InFlight counts calls at the gate in the stamp, running and queued.
+	InFlight int64
+	// Limit is how many calls the gate runs at once.
+	Limit int64
+	// Service is the estimated time of one run; 0: not known.
+	Service time.Duration
+	// Outstanding counts this entry's own calls without an answer.
+	Outstanding int64
+	// SentSince counts this entry's own calls sent after the stamp arrived.
+	SentSince int64
+	// QuietFor is how long calls have been outstanding without any answer.
+	QuietFor time.Duration
+	// FailureShare is the weighted share of recent answers that were failures.
+	FailureShare float64
+}
+
+// Known reads the row at time now.
+func (self *Load) Known(now int64) Known {
+	out := Known{
+		StampAt:      self.stampAt.Load(),
+		InFlight:     self.inFlight.Load(),
+		Limit:        self.limit.Load(),
+		Service:      time.Duration(self.service.Load()),
+		Outstanding:  self.outstanding.Load(),
+		SentSince:    self.sentSince.Load(),
+		FailureShare: float64(self.failures.Load()) / failureOne,
+	}
+	if out.Outstanding > 0 {
+		out.QuietFor = time.Duration(max(now-self.quietFrom.Load(), 0))
+	}
+	return out
+}
+
+// Outstanding counts this entry's own calls without an answer.
+func (self *Load) Outstanding() int64 { return self.outstanding.Load() }
+
+// StampAt is when the newest stamp was received; 0: never.
+func (self *Load) StampAt() int64 { return self.stampAt.Load() }
+
+// SetDistance notes the time of a round trip to the daemon.
+func (self *Load) SetDistance(d time.Duration) { self.distance.Store(int64(d)) }
+
+// Distance is the time of a round trip to the daemon; 0 for this daemon itself
+// and while it is not known.
+func (self *Load) Distance() time.Duration { return time.Duration(self.distance.Load()) }
--- /dev/null
+++ b/pkg/tables/peers.go
@@ -0,0 +1,43 @@
+package tables
+
+import "github.com/rushramp/rushramp/pkg/link"
+
+// Peers is the table of daemons that this one has links with, in either
+// direction, one row a link.
+type Peers struct {
+	rows map[*link.Peer]*PeerRow
+}
+
+// PeerRow is what a peer said last.
+type PeerRow struct {
+	Placement uint64
+	Leaving   bool
+	// PulledAt is when this daemon last asked the peer for its placement.
+	PulledAt int64
+}
+
+// NewPeers makes an empty table.
+func NewPeers() *Peers { return &Peers{rows: map[*link.Peer]*PeerRow{}} }
+
+// Put returns the row of a link, a new one for a new link.
+func (self *Peers) Put(peer *link.Peer) *PeerRow {
+	row := self.rows[peer]
+	if row == nil {
+		row = &PeerRow{}
+		self.rows[peer] = row
+	}
+	return row
+}
+
+// Remove takes a link out.
+func (self *Peers) Remove(peer *link.Peer) { delete(self.rows, peer) }
+
+// Rows calls do for each link.
+func (self *Peers) Rows(do func(peer *link.Peer, row *PeerRow)) {
+	for peer, row := range self.rows {
+		do(peer, row)
+	}
+}
+
+// Len counts the links.
+func (self *Peers) Len() int { return len(self.rows) }
--- /dev/null
+++ b/pkg/tables/view.go
@@ -0,0 +1,102 @@
+package tables
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/rushramp/rushramp/pkg/placement"
+)
+
+// Candidate is a backend server that the placement allows for a kind.
+type Candidate struct {
+	Route *Route
+	// Load repeats Route.Load, one step nearer for the scan.
+	Load *Load
+}
+
+// KindView is what the hot path needs to choose for one kind of request. It
+// never changes; a tick that changed something publishes another one.
+type KindView struct {
+	Kind *placement.CompiledKind
+	// Ready are the candidates with a link.
+	Ready []Candidate
+	// Unlinked are candidates that have no link yet.
+	Unlinked []*Route
+	// Redirect are callers' addresses of daemons in allowed data centres.
+	Redirect []string
+}
+
+// ServiceView holds the kinds of one service.
+type ServiceView struct {
+	Service *placement.CompiledService
+	kinds   map[*placement.CompiledKind]*KindView
+}
+
+// NewServiceView makes the view of one service.
+func NewServiceView(service *placement.CompiledService, kinds []*KindView) *ServiceView {
+	self := &ServiceView{Service: service, kinds: make(map[*placement.CompiledKind]*KindView, len(kinds))}
+	for _, k := range kinds {
+		self.kinds[k.Kind] = k
+	}
+	return self
+}
+
+// Match returns the view of the kind that fits, or nil.
+func (self *ServiceView) Match(method, path string) *KindView {
+	kind := self.Service.Match(method, path)
+	if kind == nil {
+		return nil
+	}
+	return self.kinds[kind]
+}
+
+// View is what the hot path reads. Each service is published by itself, so
+// that a change costs no more than the service it concerns.
+type View struct {
+	placement atomic.Pointer[placement.Compiled]
+	services  sync.Map
+	unsure    atomic.Bool
+	leaving   atomic.Bool
+	ready     atomic.Bool
+}
+
+// Placement returns the version in force, or nil.
+func (self *View) Placement() *placement.Compiled { return self.placement.Load() }
+
+// SetPlacement publishes a version.
+func (self *View) SetPlacement(c *placement.Compiled) { self.placement.Store(c) }
+
+// Service returns the view of a service, or nil.
+func (self *View) Service(name string) *ServiceView {
+	if v, ok := self.services.Load(name); ok {
+		return v.(*ServiceView)
+	}
+	return nil
+}
+
+// SetService publishes a service; nil takes it away.
+func (self *View) SetService(name string, v *ServiceView) {
+	if v == nil {
+		self.services.Delete(name)
+		return
+	}
+	self.services.Store(name, v)
+}
+
+// Unsure is true while nobody can tell whether the placement is in force.
+func (self *View) Unsure() bool { return self.unsure.Load() }
+
+// SetUnsure publishes whether the placement may be out of date.
+func (self *View) SetUnsure(unsure bool) { self.unsure.Store(unsure) }
+
+// Leaving is true when this daemon takes no new calls.
+func (self *View) Leaving() bool { return self.leaving.Load() }
+
+// SetLeaving makes this daemon take no new calls. There is no way back.
+func (self *View) SetLeaving() { self.leaving.Store(true) }
+
+// Ready is true when the daemon takes calls.
+func (self *View) Ready() bool { return self.ready.Load() }
+
+// SetReady publishes that the daemon takes calls.
+func (self *View) SetReady() { self.ready.Store(true) }
--- /dev/null
+++ b/pkg/tables/world.go
@@ -0,0 +1,74 @@
+package tables
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/placement"
+)
+
+// World is all tables of one daemon. Only the goroutine that ticks touches it,
+// but for View, Inbox and the atomics of Load and Route.
+type World struct {
+	// VM and DataCentre are this daemon's own.
+	VM         string
+	DataCentre string
+	Members    *Members
+	Peers      *Peers
+	// Placement is the version in force, or nil. Hash is its digest.
+	Placement *placement.Document
+	Hash      string
+	// Log holds the newest accepted changes, oldest first, for peers that are
+	// a few versions behind.
+	Log []placement.LogEntry
+	// Wanted are the services that calls of this entry asked for.
+	Wanted map[string]struct{}
+	// StoreSeen is when the newest word of the store that this daemon knows of
+	// was read, on its own clock; 0: never.
+	StoreSeen int64
+	// Heard says when something that was said in a data centre was last heard
+	// of here, directly or through others.
+	Heard map[string]int64
+	// Dirty are the services whose view must be published again.
+	Dirty map[string]struct{}
+	View  *View
+	Inbox *Inbox
+}
+
+// NewWorld makes empty tables.
+func NewWorld(vm, dataCentre string) *World {
+	return &World{
+		VM:         vm,
+		DataCentre: dataCentre,
+		Members:    NewMembers(),
+		Peers:      NewPeers(),
+		Wanted:     map[string]struct{}{},
+		Heard:      map[string]int64{},
+		Dirty:      map[string]struct{}{},
+		View:       &View{},
+		Inbox:      NewInbox(),
+	}
+}
+
+// Touch marks the view of a service as out of date.
+func (self *World) Touch(service string) { self.Dirty[service] = struct{}{} }
+
+// Version returns the placement version in force; 0: none.
+func (self *World) Version() uint64 {
+	if self.Placement == nil {
+		return 0
+	}
+	return self.Placement.Version
+}
+
+// StoreAge is how old the newest word of the store is; ok is false when there
+// never was one.
+func (self *World) StoreAge(now int64) (age time.Duration, ok bool) {
+	if self.StoreSeen == 0 {
+		return 0, false
+	}
+	return time.Duration(now - self.StoreSeen), true
+}
+
+// LogLength is how many accepted changes are kept for peers that are behind.
+// A peer further back gets the whole document.
+const LogLength = 64
--- /dev/null
+++ b/pkg/wire/body.go
@@ -0,0 +1,59 @@
+package wire
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// ErrBodyCut is returned for a body that does not come to its size and hash.
+var ErrBodyCut = errors.New("the body does not match its length or hash")
+
+// Split makes the Body that goes with the first frame and the chunks that
+// follow it. The parts share memory with data.
+func Split(id uint64, data []byte) (Body, []*Chunk) {
+	body := Body{Size: uint64(len(data)), Hash: xxhash.Sum64(data), First: data[:min(len(data), ChunkSize)]}
+	var chunks []*Chunk
+	for at := ChunkSize; at < len(data); at += ChunkSize {
+		end := min(at+ChunkSize, len(data))
+		chunks = append(chunks, &Chunk{ID: id, Seq: uint32(len(chunks)), Data: data[at:end]})
+	}
+	return body, chunks
+}
+
+// Assembly puts a body together again. It never looks whole before all parts
+// are there, in order, with the stated length and hash.
+type Assembly struct {
+	want Body
+	data []byte
+	next uint32
+}
+
+// NewAssembly begins with the first frame's Body. maxSize bounds the whole.
+func NewAssembly(first Body, maxSize int) (*Assembly, error) {
+	if first.Size > uint64(maxSize) || uint64(len(first.First)) > first.Size {
+		return nil, errors.Errorf("a body of %d bytes is over the bound of %d", first.Size, maxSize)
+	}
+	return &Assembly{want: first, data: first.First}, nil
+}
+
+// Add takes the next chunk.
+func (self *Assembly) Add(chunk *Chunk) error {
+	inOrder := chunk.Seq == self.next
+	if !inOrder || uint64(len(self.data)+len(chunk.Data)) > self.want.Size {
+		return ErrBodyCut
+	}
+	self.next++
+	self.data = append(self.data, chunk.Data...)
+	return nil
+}
+
+// Complete is true when all bytes are there.
+func (self *Assembly) Complete() bool { return uint64(len(self.data)) == self.want.Size }
+
+// Body returns the whole body, or ErrBodyCut.
+func (self *Assembly) Body() ([]byte, error) {
+	if !self.Complete() || xxhash.Sum64(self.data) != self.want.Hash {
+		return nil, ErrBodyCut
+	}
+	return self.data, nil
+}
--- /dev/null
+++ b/pkg/wire/codec.go
@@ -0,0 +1,121 @@
+package wire
+
+import (
+	"bytes"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Bounds on what a peer may send in one frame. Larger bodies go in chunks.
+const (
+	// MaxMessage is the largest WebSocket message that is read, in bytes.
+	MaxMessage = 4 << 20
+	// ChunkSize is how many bytes of a body one frame carries.
+	ChunkSize       = 32 << 10
+	maxArrayLen     = 1 << 16
+	maxNestedLevels = 8
+)
+
+// Frame is any of the frames of this package.
+type Frame interface {
+	// Type returns the byte that stands before the frame.
+	Type() Type
+}
+
+// Type implements Frame.
+func (*Hello) Type() Type { return TypeHello }
+
+// Type implements Frame.
+func (*Call) Type() Type { return TypeCall }
+
+// Type implements Frame.
+func (*Chunk) Type() Type { return TypeChunk }
+
+// Type implements Frame.
+func (*Answer) Type() Type { return TypeAnswer }
+
+// Type implements Frame.
+func (*Refusal) Type() Type { return TypeRefusal }
+
+// Type implements Frame.
+func (*Cancel) Type() Type { return TypeCancel }
+
+// Type implements Frame.
+func (*State) Type() Type { return TypeState }
+
+// Type implements Frame.
+func (*Pull) Type() Type { return TypePull }
+
+// Type implements Frame.
+func (*Update) Type() Type { return TypeUpdate }
+
+// Codec encodes and decodes frames. It is safe for concurrent use.
+type Codec struct {
+	enc cbor.UserBufferEncMode
+	dec cbor.DecMode
+}
+
+// NewCodec makes a Codec with the bounds of this package.
+func NewCodec() (*Codec, error) {
+	enc, err := cbor.EncOptions{}.UserBufferEncMode()
+	if err != nil {
+		return nil, errors.Wrap(err, "frame encoder")
+	}
+	dec, err := cbor.DecOptions{
+		MaxArrayElements: maxArrayLen,
+		MaxNestedLevels:  maxNestedLevels,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		return nil, errors.Wrap(err, "frame decoder")
+	}
+	return &Codec{enc: enc, dec: dec}, nil
+}
+
+// Append writes one frame to buf.
+func (self *Codec) Append(buf *bytes.Buffer, frame Frame) error {
+	buf.WriteByte(byte(frame.Type()))
+	return errors.Wrapf(self.enc.MarshalToBuffer(frame, buf), "encode frame %d", frame.Type())
+}
+
+// Next reads the first frame of data and returns it with the rest.
+func (self *Codec) Next(data []byte) (Frame, []byte, error) {
+	if len(data) == 0 {
+		return nil, nil, errors.New("empty frame")
+	}
+	frame, err := newFrame(Type(data[0]))
+	if err != nil {
+		return nil, nil, err
+	}
+	rest, err := self.dec.UnmarshalFirst(data[1:], frame)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "decode frame %d", data[0])
+	}
+	return frame, rest, nil
+}
+
+func newFrame(t Type) (Frame, error) {
+	switch t {
+	case TypeHello:
+		return &Hello{}, nil
+	case TypeCall:
+		return &Call{}, nil
+	case TypeChunk:
+		return &Chunk{}, nil
+	case TypeAnswer:
+		return &Answer{}, nil
+	case TypeRefusal:
+		return &Refusal{}, nil
+	case TypeCancel:
+		return &Cancel{}, nil
+	case TypeState:
+		return &State{}, nil
+	case TypePull:
+		return &Pull{}, nil
+	case TypeUpdate:
+		return &Update{}, nil
+	}
+	return nil, errors.Errorf("unknown frame type %d", t)
+}
--- /dev/null
+++ b/pkg/wire/codec_test.go
@@ -0,0 +1,125 @@
+package wire
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+func sampleCall(bodySize int) (*Call, []*Chunk) {
+	body, chunks := Split(7, bytes.Repeat([]byte("ab"), bodySize/2))
+	return &Call{
+		ID: 7, Service: "glyphserve", Kind: "subset", Method: "GET", URI: "/subset/a?x=1",
+		Headers:   []Header{{Name: "Accept", Value: "font/woff2"}, {Name: "User-Agent", Value: "reader"}},
+		Placement: 3, Remaining: time.Second, MaxCost: 1, Body: body,
+	}, chunks
+}
+
+func TestFramesOfOneMessageComeBackInOrder(t *testing.T) {
+	codec, err := NewCodec()
+	must.NoError(t, err)
+	call, chunks := sampleCall(3 * ChunkSize)
+	must.Len(t, 2, chunks)
+	var buf bytes.Buffer
+	sent := []Frame{call, chunks[0], &Cancel{ID: 9}, chunks[1], &State{Placement: 4, Leaving: true}}
+	for _, f := range sent {
+		must.NoError(t, codec.Append(&buf, f))
+	}
+	rest := buf.Bytes()
+	for _, want := range sent {
+		var got Frame
+		got, rest, err = codec.Next(rest)
+		must.NoError(t, err)
+		test.Eq(t, want, got)
+	}
+	test.SliceEmpty(t, rest)
+}
+
+func TestStampSize(t *testing.T) {
+	codec, err := NewCodec()
+	must.NoError(t, err)
+	for _, n := range []uint64{0, 23, 24, 255, 256, 65535, 65536, 1<<32 - 1, 1 << 40} {
+		stamp := Stamp{Seq: n, Running: 12, Queued: 300, Limit: 12, ServiceUS: 70_000}
+		var with, without bytes.Buffer
+		must.NoError(t, codec.Append(&with, &Refusal{Stamp: stamp}))
+		must.NoError(t, codec.Append(&without, &Refusal{}))
+		empty := Stamp{}
+		test.Eq(t, with.Len()-without.Len(), stamp.Size()-empty.Size())
+	}
+}
+
+func TestAssembly(t *testing.T) {
+	call, chunks := sampleCall(3 * ChunkSize)
+	damaged := *chunks[1]
+	damaged.Data = append([]byte("x"), damaged.Data[1:]...)
+	scenarios := []struct {
+		name   string
+		chunks []*Chunk
+		whole  bool
+	}{
+		{"in order", chunks, true},
+		{"last chunk missing", chunks[:1], false},
+		{"out of order", []*Chunk{chunks[1], chunks[0]}, false},
+		{"twice the same", []*Chunk{chunks[0], chunks[0]}, false},
+		{"damaged", []*Chunk{chunks[0], &damaged}, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			assembly, err := NewAssembly(call.Body, 1<<20)
+			must.NoError(t, err)
+			for _, c := range s.chunks {
+				err = assembly.Add(c)
+				if err != nil {
+					break
+				}
+			}
+			_, bodyErr := assembly.Body()
+			test.Eq(t, s.whole, err == nil && bodyErr == nil)
+		})
+	}
+	_, err := NewAssembly(call.Body, 100)
+	test.Error(t, err, test.Sprint("a body over the bound"))
+}
+
+func FuzzNext(f *testing.F) {
+	codec, err := NewCodec()
+	must.NoError(f, err)
+	call, _ := sampleCall(64)
+	for _, frame := range []Frame{call, &Answer{ID: 1, Status: 200}, &Refusal{ID: 2}, &Hello{VM: "a"}, &Update{Version: 1}} {
+		var buf bytes.Buffer
+		must.NoError(f, codec.Append(&buf, frame))
+		f.Add(buf.Bytes())
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		frame, rest, err := codec.Next(data)
+		if err != nil {
+			return
+		}
+		must.Less(t, len(data), len(rest))
+		var buf bytes.Buffer
+		must.NoError(t, codec.Append(&buf, frame))
+		again, _, err := codec.Next(buf.Bytes())
+		must.NoError(t, err)
+		must.Eq(t, frame, again)
+	})
+}
+
+func BenchmarkFrameEncodeDecode(b *testing.B) {
+	codec, err := NewCodec()
+	must.NoError(b, err)
+	call, _ := sampleCall(512)
+	var buf bytes.Buffer
+	b.ReportAllocs()
+	for b.Loop() {
+		buf.Reset()
+		if err := codec.Append(&buf, call); err != nil {
+			b.Fatal(err)
+		}
+		if _, _, err := codec.Next(buf.Bytes()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/wire/frames.go
@@ -0,0 +1,201 @@
+// Package wire holds the frames that daemons exchange over a link. A WebSocket
+// message is a CBOR sequence (RFC 8742): for each frame its type, which is one
+// byte, and the frame as a CBOR array. Source: docs/design/links.md.
+package wire
+
+import "time"
+
+// Type says which frame follows. Values stay below 24, so that the byte is a
+// whole CBOR item.
+type Type uint8
+
+// The types of frames.
+const (
+	TypeHello Type = iota + 1
+	TypeCall
+	TypeChunk
+	TypeAnswer
+	TypeRefusal
+	TypeCancel
+	TypeState
+	TypePull
+	TypeUpdate
+)
+
+// Header is one HTTP header field.
+type Header struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+// Stamp is a gate's report of its load. It rides on answers and refusals.
+type Stamp struct {
+	_ struct{} `cbor:",toarray"`
+	// Seq grows with each stamp of one incarnation, so that a late stamp never
+	// replaces a newer one.
+	Seq uint64
+	// Running and Queued count calls at the gate when the stamp was made.
+	Running uint32
+	Queued  uint32
+	// Limit is how many calls the gate runs at once now.
+	Limit uint32
+	// ServiceUS is the estimated time of one run, in microseconds.
+	ServiceUS uint32
+}
+
+// Size is how many bytes the stamp takes in a frame.
+func (self *Stamp) Size() int {
+	const arrayHead = 1
+	return arrayHead + uintSize(self.Seq) + uintSize(uint64(self.Running)) + uintSize(uint64(self.Queued)) +
+		uintSize(uint64(self.Limit)) + uintSize(uint64(self.ServiceUS))
+}
+
+// uintSize is the length of an unsigned integer in CBOR (RFC 8949, section 3).
+func uintSize(n uint64) int {
+	switch {
+	case n < 24:
+		return 1
+	case n < 1<<8:
+		return 2
+	case n < 1<<16:
+		return 3
+	case n < 1<<32:
+		return 5
+	}
+	return 9
+}
+
+// Hello is the first frame in each direction.
+type Hello struct {
+	_           struct{} `cbor:",toarray"`
+	VM          string
+	Incarnation uint64
+	DataCentre  string
+	State       State
+}
+
+// State is the heartbeat, and news that cannot wait.
+type State struct {
+	_ struct{} `cbor:",toarray"`
+	// Placement is the version that the sender has in force.
+	Placement uint64
+	// Leaving is true when the sender takes no new calls.
+	Leaving bool
+	// StoreAgeMS is how long ago the newest word of the store that the sender
+	// knows of was read, by itself or by others, in milliseconds.
+	StoreAgeMS uint64
+	// Heard says how long ago the sender heard of each data centre.
+	Heard []Heard
+}
+
+// Heard is how long ago something said in a data centre was heard of.
+type Heard struct {
+	_          struct{} `cbor:",toarray"`
+	DataCentre string
+	AgeMS      uint64
+}
+
+// StoreNever stands in StoreAgeMS when no word of the store is known.
+const StoreNever = 1 << 40
+
+// Call carries a call from its entry to the executor.
+type Call struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint64
+	Service string
+	// Kind is the name of the kind that the entry matched. The executor matches
+	// by itself and refuses when the two differ.
+	Kind      string
+	Method    string
+	URI       string
+	Headers   []Header
+	Key       string
+	Placement uint64
+	// Remaining is the time left, as a duration: clocks of VMs differ.
+	Remaining time.Duration
+	// Claim says in which generation of its key a never-repeat call may run.
+	Claim Claim
+	// WantStamp asks for a stamp with the answer; its bytes are paid for.
+	WantStamp bool
+	// MaxCost is the longest expected time at the gate, wait and run, for which this
+	// attempt is worth queueing; a longer one is refused at once. Zero: no bound.
+	MaxCost time.Duration
+	Body    Body
+}
+
+// Claim is a place in the history of an Idempotency-Key. The executor may run
+// the call only if it writes the claim over exactly this version of the row.
+type Claim struct {
+	_ struct{} `cbor:",toarray"`
+	// Version is the version of the key's row; 0: there is none.
+	Version uint64
+	// Generation counts the runs that a key was allowed to begin.
+	Generation uint32
+}
+
+// Body is the first part of a body, and what the whole must come to. Longer
+// bodies go on in Chunk frames.
+type Body struct {
+	_     struct{} `cbor:",toarray"`
+	Size  uint64
+	Hash  uint64
+	First []byte
+}
+
+// Chunk is a further part of a body.
+type Chunk struct {
+	_    struct{} `cbor:",toarray"`
+	ID   uint64
+	Seq  uint32
+	Data []byte
+}
+
+// Answer carries the backend server's answer back.
+type Answer struct {
+	_       struct{} `cbor:",toarray"`
+	ID      uint64
+	Status  int
+	Headers []Header
+	// Queued and Run are the time at the gate and at the backend server.
+	Queued time.Duration
+	Run    time.Duration
+	Stamp  Stamp
+	Body   Body
+}
+
+// Refusal says that the executor did not produce an answer.
+type Refusal struct {
+	_      struct{} `cbor:",toarray"`
+	ID     uint64
+	Kind   uint8
+	Ran    uint8
+	Detail string
+	Stamp  Stamp
+	// Next is the claim that the entry may try instead, with KeyMoved.
+	Next Claim
+}
+
+// Cancel says that nobody waits for the call any more.
+type Cancel struct {
+	_  struct{} `cbor:",toarray"`
+	ID uint64
+}
+
+// Pull asks a peer for placement versions above Have.
+type Pull struct {
+	_    struct{} `cbor:",toarray"`
+	Have uint64
+}
+
+// Update carries a placement: the whole document, or the changes that lead
+// from version From to Version.
+type Update struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	Hash    string
+	// From is the version that Entries build on; 0 with Document set.
+	From     uint64
+	Entries  [][]byte
+	Document []byte
+}
--- /dev/null
+++ b/test/commands_test.go
@@ -0,0 +1,315 @@
+package test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/rushramp/rushramp/pkg/loopback"
+	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/standin/backend"
+	"github.com/rushramp/rushramp/pkg/standin/store"
+)
+
+func need(ts *testscript.TestScript, neg bool, args []string, least int, usage string) {
+	if neg || len(args) < least {
+		ts.Fatalf("usage: %s", usage)
+	}
+}
+
+// cmdPlatform starts the platform's stand-in.
+func cmdPlatform(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 0, "platform")
+	w := worldOf(ts)
+	w.platform = addresses.Next().Address(loopback.PortPlatform)
+	w.start(ts, "rushramp-standin", "platform", "--listen", w.platform)
+	await(ts, "the platform", func() bool { _, status := get("http://" + w.platform + "/control/counts"); return status == 200 })
+}
+
+const workerSettings = `
+vm: {id: %s, region: test, data_centre: %s}
+listen: {callers: %q, links: %q, operators: %q, metrics: %q}
+backend_server: {service: %s, address: %q, slots: 4, cancel_path: /standin/cancel/}
+platform: {address: %q, vm_list_every: 100ms, timeout: 500ms}
+placement: {head_every: 200ms, unsure_after: 3s}
+once: {timeout: 300ms}
+%s
+`
+
+// cmdWorker starts a daemon and its backend server. A settings file may follow.
+func cmdWorker(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 3, "worker NAME SERVICE DATA_CENTRE [SETTINGS_FILE]")
+	w := worldOf(ts)
+	n := w.workers[args[0]]
+	if n == nil {
+		n = &worker{address: addresses.Next()}
+		w.workers[args[0]] = n
+	}
+	a := n.address
+	n.vm = platform.VM{
+		ID: args[0], Region: "test", DataCentre: args[2], Service: args[1], State: platform.VMLive,
+		Links: a.Address(loopback.PortLinks), Callers: a.Address(loopback.PortCallers), Slots: 4,
+	}
+	extra := ""
+	if len(args) > 3 {
+		extra = ts.ReadFile(args[3])
+	}
+	text := fmt.Sprintf(workerSettings, args[0], args[2], n.vm.Callers, n.vm.Links, a.Address(loopback.PortOperators),
+		a.Address(loopback.PortMetrics), args[1], a.Address(loopback.PortBackend), w.platform, extra)
+	file := ts.MkAbs(args[0] + ".yaml")
+	ts.Check(os.WriteFile(file, []byte(text), 0o644))
+	if n.backend == nil || n.backend.ended() {
+		n.backend = w.start(ts, "rushramp-standin", "backend", "--listen", a.Address(loopback.PortBackend), "--slots", "4")
+	}
+	w.publishVMs(ts)
+	n.daemon = w.start(ts, "rushrampd", "--settings", file)
+	await(ts, "daemon "+args[0], func() bool {
+		_, status := get("http://" + a.Address(loopback.PortMetrics) + "/healthz")
+		return status == 200
+	})
+}
+
+// cmdPlace applies a placement file through a worker, when it can.
+func cmdPlace(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "place WORKER FILE")
+	w := worldOf(ts)
+	n := w.worker(ts, args[0])
+	await(ts, args[0]+" to be ready", func() bool {
+		_, status := get("http://" + n.address.Address(loopback.PortMetrics) + "/readyz")
+		return status == 200
+	})
+	ts.Check(ts.Exec("rushramp", "--daemon", n.address.Address(loopback.PortOperators), "placement", "apply", args[1], "--author", "scenario"))
+	// A daemon whose list of VMs lags does not know of all others yet.
+	for name, other := range w.workers {
+		await(ts, "the placement at "+name, func() bool { return other.metric("rushramp_placement_version") > 0 })
+	}
+}
+
+// metric reads one of a daemon's metrics; 0 when it has none of this name.
+func (self *worker) metric(name string) float64 {
+	text, _ := get("http://" + self.address.Address(loopback.PortMetrics) + "/metrics")
+	for _, line := range strings.Split(text, "\n") {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			n, _ := strconv.ParseFloat(value, 64)
+			return n
+		}
+	}
+	return 0
+}
+
+// cmdUse makes a worker's daemon the one that rushramp talks to.
+func cmdUse(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "use WORKER")
+	ts.Setenv("RUSHRAMP_DAEMON", worldOf(ts).worker(ts, args[0]).address.Address(loopback.PortOperators))
+}
+
+// callArgs are the words of a call.
+type callArgs struct {
+	to              *worker
+	method, service string
+	path, id, body  string
+	headers         map[string]string
+}
+
+func parseCall(ts *testscript.TestScript, w *world, args []string) callArgs {
+	out := callArgs{to: w.worker(ts, args[0]), method: args[1], service: args[2], path: args[3], headers: map[string]string{}}
+	out.id = strings.TrimPrefix(args[3], "/")
+	for _, word := range args[4:] {
+		name, value, _ := strings.Cut(word, "=")
+		switch name {
+		case "id":
+			out.id = value
+		case "body":
+			out.body = value
+		case "work":
+			d, err := time.ParseDuration(value)
+			ts.Check(err)
+			out.headers[backend.HeaderWork] = strconv.FormatInt(d.Microseconds(), 10)
+		case "answer":
+			out.headers[backend.HeaderAnswer] = value
+		case "key":
+			out.headers["Idempotency-Key"] = value
+		case "timeout":
+			d, err := time.ParseDuration(value)
+			ts.Check(err)
+			out.headers["Rushramp-Timeout"] = strconv.FormatInt(d.Milliseconds(), 10)
+		default:
+			out.headers[name] = value
+		}
+	}
+	return out
+}
+
+// cmdCall sends a call and keeps its answer for expect.
+func cmdCall(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 4, "call WORKER METHOD SERVICE PATH [id= body= work= answer= key= timeout= HEADER=]")
+	w := worldOf(ts)
+	c := parseCall(ts, w, args)
+	w.last = w.send(c.to, c.method, c.service, c.path, c.id, c.headers, c.body)
+}
+
+// cmdExpect compares the last answer, or what the ledgers say.
+func cmdExpect(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, false, args, 2, "[!] expect status|error|ran|header|body|runs|load ...")
+	holds, got := expectation(ts, worldOf(ts), args)
+	if holds == neg {
+		ts.Fatalf("expect %v: got %s", args, got)
+	}
+}
+
+// cmdEventually waits until an expectation holds; "eventually call ..." sends
+// the call again each time.
+func cmdEventually(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "eventually EXPECTATION [-- call ...]")
+	w := worldOf(ts)
+	var again []string
+	for i, word := range args {
+		if word == "--" {
+			again = args[i+2:]
+			args = args[:i]
+			break
+		}
+	}
+	await(ts, strings.Join(args, " "), func() bool {
+		if again != nil {
+			c := parseCall(ts, w, again)
+			w.last = w.send(c.to, c.method, c.service, c.path, c.id, c.headers, c.body)
+		}
+		holds, _ := expectation(ts, w, args)
+		return holds
+	})
+}
+
+func expectation(ts *testscript.TestScript, w *world, args []string) (holds bool, got string) {
+	switch args[0] {
+	case "status":
+		got = fmt.Sprint(w.last.status, " ", w.last.err, " ", w.last.header, " ", w.last.body)
+		return strconv.Itoa(w.last.status) == args[1], got
+	case "error":
+		got = w.last.header.Get("Rushramp-Error")
+		return got == args[1], fmt.Sprint(got, " ", w.last.body, w.last.err)
+	case "ran":
+		got = w.last.header.Get("Rushramp-Ran")
+		return got == args[1], got
+	case "header":
+		got = w.last.header.Get(args[1])
+		return strings.Contains(got, args[2]), got
+	case "body":
+		return strings.Contains(w.last.body, args[1]), w.last.body
+	case "runs":
+		n := w.runs(args[1], args[2])
+		return strconv.Itoa(n) == args[3], strconv.Itoa(n)
+	case "ended":
+		return w.worker(ts, args[1]).daemon.ended(), "still running"
+	case "load":
+		return expectLoad(ts, w, args[1:])
+	}
+	ts.Fatalf("there is no expectation %q", args[0])
+	return false, ""
+}
+
+func expectLoad(ts *testscript.TestScript, w *world, args []string) (bool, string) {
+	l := w.loads[args[0]]
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := map[string]int{"answered": l.answered, "refused": l.refused, "unknown": l.unknown}
+	want, err := strconv.Atoi(args[3])
+	ts.Check(err)
+	got := counts[args[1]]
+	text := fmt.Sprintf("%+v", counts)
+	switch args[2] {
+	case "=":
+		return got == want, text
+	case ">":
+		return got > want, text
+	}
+	ts.Fatalf("compare with = or >")
+	return false, ""
+}
+
+// cmdFault changes how a stand-in misbehaves.
+func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "fault platform|WORKER [name=value ...]")
+	w := worldOf(ts)
+	words := map[string]string{}
+	for _, word := range args[1:] {
+		name, value, _ := strings.Cut(word, "=")
+		words[name] = value
+	}
+	if args[0] == "platform" {
+		lose, _ := strconv.ParseFloat(words["lose"], 64)
+		delay, _ := time.ParseDuration(words["delay"])
+		lag, _ := time.ParseDuration(words["lag"])
+		post(ts, "http://"+w.platform+"/control/faults", store.Faults{Down: words["down"] == "true", Delay: delay, LoseAnswers: lose, VMLag: lag})
+		return
+	}
+	n := w.worker(ts, args[0])
+	if state, ok := words["state"]; ok {
+		n.vm.State = platform.VMState(state)
+		w.publishVMs(ts)
+		return
+	}
+	speed, _ := strconv.ParseFloat(words["speed"], 64)
+	post(ts, "http://"+n.address.Address(loopback.PortBackend)+"/standin/faults", backend.Faults{
+		Speed: speed, FailFast: words["fail"] == "true", CutAnswers: words["cut"] == "true",
+	})
+}
+
+var signals = map[string]syscall.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+
+// cmdSignal sends a signal to a worker's daemon, or its backend server.
+func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "signal WORKER TERM|KILL|STOP|CONT [backend]")
+	n := worldOf(ts).worker(ts, args[0])
+	p := n.daemon
+	if len(args) > 2 && args[2] == "backend" {
+		p = n.backend
+	}
+	p.signal(signals[args[1]])
+	if args[1] == "KILL" {
+		<-p.done
+	}
+}
+
+// cmdLoad sends calls at a steady rate in the background, or ends that.
+func cmdLoad(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "load NAME stop | load NAME PER_SECOND WORKER METHOD SERVICE PATH_PREFIX [words]")
+	w := worldOf(ts)
+	if args[1] == "stop" {
+		w.loads[args[0]].end()
+		return
+	}
+	rate, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	c := parseCall(ts, w, args[2:])
+	l := &load{stop: make(chan struct{})}
+	w.loads[args[0]] = l
+	l.wait.Add(1)
+	go func() {
+		defer l.wait.Done()
+		ticker := time.NewTicker(time.Second / time.Duration(rate))
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-l.stop:
+				return
+			case <-ticker.C:
+			}
+			l.wait.Add(1)
+			go func() {
+				defer l.wait.Done()
+				id := fmt.Sprintf("%s-%d", args[0], i)
+				headers := map[string]string{}
+				for name, value := range c.headers {
+					headers[name] = strings.ReplaceAll(value, "#", strconv.Itoa(i))
+				}
+				l.note(w.send(c.to, c.method, c.service, c.path, id, headers, c.body))
+			}()
+		}
+	}()
+}
--- /dev/null
+++ b/test/scenarios_test.go
@@ -0,0 +1,43 @@
+// Package test runs the scripted scenarios in scenarios/ with real processes:
+// daemons, the platform's stand-in and backend servers' stand-ins. The words
+// of the scenario language are listed in docs/dev/testing.md.
+package test
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/rushramp/rushramp/pkg/cli"
+	"github.com/rushramp/rushramp/pkg/daemon"
+	"github.com/rushramp/rushramp/pkg/operatorcli"
+	"github.com/rushramp/rushramp/pkg/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"rushrampd":        func() { cli.Main(daemon.NewCommand()) },
+		"rushramp":         func() { cli.Main(operatorcli.NewCommand()) },
+		"rushramp-standin": func() { cli.Main(standin.NewCommand()) },
+	})
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:                 "scenarios",
+		RequireExplicitExec: true,
+		Setup:               setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"platform":   cmdPlatform,
+			"worker":     cmdWorker,
+			"place":      cmdPlace,
+			"use":        cmdUse,
+			"call":       cmdCall,
+			"expect":     cmdExpect,
+			"fault":      cmdFault,
+			"signal":     cmdSignal,
+			"eventually": cmdEventually,
+			"load":       cmdLoad,
+		},
+	})
+}
