Links: ids reach the peer in the order in which they were drawn

Cause: a call's id was drawn and its frame queued in two steps. Two calls could change places, the executor took the lower id for one used before, closed the link, and every call on it ended as 'maybe'. Change: id and frame go under one lock. Also: the bench wakes its stand-ins by a clock of its own, stops its nodes at once, and knows the policy 'direct', past the daemons, as a floor for noise.

--- a/pkg/bench/cluster.go
+++ b/pkg/bench/cluster.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/rushramp/rushramp/pkg/bench/precise"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/daemon"
 	"github.com/rushramp/rushramp/pkg/loopback"
@@ -29,6 +31,7 @@
 
 // cluster is an embedded deployment.
 type cluster struct {
+	clock      *precise.Clock
 	deployment *Deployment
 	store      *store.Store
 	nodes      []*node
@@ -51,6 +54,7 @@
 // ready.
 func startCluster(d *Deployment, opts clusterOptions) (*cluster, error) {
 	self := &cluster{
+		clock:      precise.NewClock(),
 		deployment: d, store: store.New(), dataCentreOf: map[string]string{},
 		change: opts.change, policy: opts.policy,
 	}
@@ -119,7 +123,7 @@
 	if service == "" {
 		return nil
 	}
-	n.backend = backend.New(backend.Options{Slots: self.deployment.Slots})
+	n.backend = backend.New(backend.Options{Slots: self.deployment.Slots, After: self.clock.After})
 	stop, err := backend.Serve(n.backend, address.Address(loopback.PortBackend))
 	n.stopBackend = stop
 	return err
@@ -157,7 +161,7 @@
 func (self *cluster) startDaemon(n *node) error {
 	opts := daemon.Options{
 		Platform: self.store,
-		Dial: delayedDial(func(address string) time.Duration {
+		Dial: delayedDial(self.clock, func(address string) time.Duration {
 			if self.dataCentreOf[address] == n.vm.DataCentre {
 				return 0
 			}
@@ -199,14 +203,26 @@
 	return errors.Errorf("waited %v in vain for %s", bound, what)
 }
 
+// stop ends all nodes at once: each waits a little for its listeners.
 func (self *cluster) stop() {
+	var wait sync.WaitGroup
 	for _, n := range self.nodes {
-		if n.daemon != nil {
-			n.daemon.Stop()
-		}
-		if n.stopBackend != nil {
-			n.stopBackend()
-		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			n.stop()
+		}()
+	}
+	wait.Wait()
+	self.clock.Stop()
+}
+
+func (self *node) stop() {
+	if self.daemon != nil {
+		self.daemon.Stop()
+	}
+	if self.stopBackend != nil {
+		self.stopBackend()
 	}
 }
 
--- a/pkg/bench/command.go
+++ b/pkg/bench/command.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
+	"runtime/pprof"
 	"sort"
 	"strings"
 	"text/tabwriter"
@@ -36,12 +38,37 @@
 	seed     uint64
 	seeds    int
 	json     string
+	profile  string
 }
 
 func (self *flags) register(cmd *cobra.Command) {
 	cmd.Flags().DurationVar(&self.duration, "duration", 5*time.Second, "how long the load lasts")
 	cmd.Flags().Uint64Var(&self.seed, "seed", 1, "seed of the arrivals")
 	cmd.Flags().StringVar(&self.json, "json", "", "file for the report as JSON")
+	cmd.Flags().StringVar(&self.profile, "profile", "", "file for a processor profile of the whole command")
+}
+
+// benchGC is the bench's GOGC.
+const benchGC = 400
+
+// profiled runs the command, with a processor profile when one is wanted.
+func (self *flags) profiled(do func() error) error {
+	// The stand-ins and the load make garbage that a daemon does not; its
+	// collection would be counted as the daemons' time.
+	debug.SetGCPercent(benchGC)
+	if self.profile == "" {
+		return do()
+	}
+	file, err := os.Create(self.profile)
+	if err != nil {
+		return errors.Wrap(err, "profile")
+	}
+	defer func() { _ = file.Close() }()
+	if err := pprof.StartCPUProfile(file); err != nil {
+		return errors.Wrap(err, "profile")
+	}
+	defer pprof.StopCPUProfile()
+	return do()
 }
 
 func runCommand() *cobra.Command {
@@ -51,7 +78,7 @@
 		Short: "Run deployments under their load and report",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return runAll(cmd.OutOrStdout(), args, f)
+			return f.profiled(func() error { return runAll(cmd.OutOrStdout(), args, f) })
 		},
 	}
 	f.register(cmd)
@@ -145,7 +172,7 @@
 		Short: "Run policies in turn on the same arrivals, and print each figure as a ratio to the oracle's",
 		Args:  cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return compareAll(cmd.OutOrStdout(), args, f)
+			return f.profiled(func() error { return compareAll(cmd.OutOrStdout(), args, f) })
 		},
 	}
 	f.register(cmd)
--- a/pkg/bench/delay.go
+++ b/pkg/bench/delay.go
@@ -6,12 +6,13 @@
 	"sync"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/bench/precise"
 	"github.com/rushramp/rushramp/pkg/link"
 )
 
 // delayedDial returns a dial function whose connections hold back each byte
 // for the one-way latency in both directions, in order.
-func delayedDial(latency func(address string) time.Duration) link.Dial {
+func delayedDial(clock *precise.Clock, latency func(address string) time.Duration) link.Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		var dialer net.Dialer
 		conn, err := dialer.DialContext(ctx, network, address)
@@ -19,7 +20,7 @@
 			return nil, err
 		}
 		if d := latency(address); d > 0 {
-			return newDelayed(conn, d), nil
+			return newDelayed(clock, conn, d), nil
 		}
 		return conn, nil
 	}
@@ -43,6 +44,7 @@
 
 // delayLine hands parcels on in order when they are due.
 type delayLine struct {
+	clock   *precise.Clock
 	latency time.Duration
 	queue   chan parcel
 	done    chan struct{}
@@ -51,8 +53,8 @@
 
 const delayQueue = 4096
 
-func newDelayLine(latency time.Duration) *delayLine {
-	return &delayLine{latency: latency, queue: make(chan parcel, delayQueue), done: make(chan struct{})}
+func newDelayLine(clock *precise.Clock, latency time.Duration) *delayLine {
+	return &delayLine{clock: clock, latency: latency, queue: make(chan parcel, delayQueue), done: make(chan struct{})}
 }
 
 func (self *delayLine) put(data []byte) error {
@@ -71,15 +73,15 @@
 func (self *delayLine) next() ([]byte, bool) {
 	select {
 	case p := <-self.queue:
-		time.Sleep(time.Until(p.due))
+		self.clock.SleepUntil(p.due)
 		return p.data, true
 	case <-self.done:
 		return nil, false
 	}
 }
 
-func newDelayed(conn net.Conn, latency time.Duration) *delayed {
-	self := &delayed{Conn: conn, out: newDelayLine(latency), in: newDelayLine(latency)}
+func newDelayed(clock *precise.Clock, conn net.Conn, latency time.Duration) *delayed {
+	self := &delayed{Conn: conn, out: newDelayLine(clock, latency), in: newDelayLine(clock, latency)}
 	go self.pumpOut()
 	go self.pumpIn()
 	return self
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"runtime"
 	"strconv"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 
 	"github.com/rushramp/rushramp/pkg/callers"
 	"github.com/rushramp/rushramp/pkg/choose"
+	"github.com/rushramp/rushramp/pkg/loopback"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/standin/backend"
 )
@@ -25,6 +25,7 @@
 	Duration time.Duration
 	// Policy is a name of choose.New, with "oracle" besides; a "+soft" or
 	// "-soft" at its end turns the soft first attempt on or off.
+	// "direct" sends calls straight to random backend servers, past the daemons.
 	Policy string
 	Seed   uint64
 	// Change adapts the daemons' settings further.
@@ -76,7 +77,7 @@
 	arrivals := drawArrivals(d, opts.Duration, opts.Seed)
 	before := c.counters()
 	stopShape := startShape(c)
-	outcomes := c.load(arrivals)
+	outcomes := c.load(arrivals, opts.Policy == directName)
 	stopShape()
 	time.Sleep(settle)
 	return newReport(c, opts, arrivals, outcomes, before, idle), nil
@@ -104,13 +105,17 @@
 	return out, nil
 }
 
-const oracleName = "oracle"
+// The names of what exists in the bench only.
+const (
+	oracleName = "oracle"
+	directName = "direct"
+)
 
 // splitPolicy reads "name", "name+soft" or "name-soft".
 func splitPolicy(text string) (name string, soft *bool, err error) {
 	on, off := true, false
 	switch {
-	case text == "":
+	case text == "" || text == directName:
 		return "", nil, nil
 	case len(text) > 5 && text[len(text)-5:] == "+soft":
 		name, soft = text[:len(text)-5], &on
@@ -146,11 +151,11 @@
 
 const callerTimeout = 30 * time.Second
 
-func (self *caller) send(a *arrival, to *node, intended time.Time) outcome {
+func (self *caller) send(a *arrival, to *node, address string, intended time.Time) outcome {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
-	a.fill(req, to)
+	a.fill(req, address)
 	out := outcome{arrival: a, entry: to, began: intended}
 	out.err = self.http.Do(context.Background(), req, resp)
 	out.whole = time.Since(intended)
@@ -166,7 +171,7 @@
 	return out
 }
 
-func (self *arrival) fill(req *protocol.Request, to *node) {
+func (self *arrival) fill(req *protocol.Request, address string) {
 	k := &self.kind.Placement
 	method := k.Method
 	if method == "" {
@@ -177,7 +182,7 @@
 		path = path[:len(path)-1] + self.id
 	}
 	req.SetMethod(method)
-	req.SetRequestURI("http://" + to.vm.Callers + path)
+	req.SetRequestURI("http://" + address + path)
 	req.Header.Set(callers.HeaderService, self.service.Name)
 	req.Header.Set(backend.HeaderCallID, self.id)
 	req.Header.Set(backend.HeaderWork, strconv.FormatInt(self.nominal.Microseconds(), 10))
@@ -206,41 +211,43 @@
 }
 
 // load sends the arrivals at their times, whether or not answers come.
-func (self *cluster) load(arrivals []arrival) []outcome {
+func (self *cluster) load(arrivals []arrival, direct bool) []outcome {
 	sender, err := newCaller()
 	if err != nil {
 		return nil
 	}
 	outcomes := make([]outcome, len(arrivals))
 	var wait sync.WaitGroup
-	runtime.LockOSThread()
-	defer runtime.UnlockOSThread()
 	start := time.Now()
 	for i := range arrivals {
 		a := &arrivals[i]
 		intended := start.Add(a.at)
-		sleepUntil(intended)
+		self.clock.SleepUntil(intended)
 		entries := self.entriesFor(&a.kind.Placement)
 		to := entries[a.entry%uint64(len(entries))]
+		address := to.vm.Callers
+		if direct {
+			address = self.anyBackend(a)
+		}
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			outcomes[i] = sender.send(a, to, intended)
+			outcomes[i] = sender.send(a, to, address, intended)
 		}()
 	}
 	wait.Wait()
 	return outcomes
 }
 
-// sleepUntil is more exact than time.Sleep, at the cost of some of one core.
-func sleepUntil(at time.Time) {
-	const spin = 1500 * time.Microsecond
-	if left := time.Until(at); left > spin {
-		time.Sleep(left - spin)
-	}
-	for time.Now().Before(at) {
-		runtime.Gosched()
+// anyBackend is a random backend server that may handle the call.
+func (self *cluster) anyBackend(a *arrival) string {
+	var out []*node
+	for _, n := range self.entriesFor(&a.kind.Placement) {
+		if n.vm.Service == a.service.Name {
+			out = append(out, n)
+		}
 	}
+	return out[a.entry%uint64(len(out))].address.Address(loopback.PortBackend)
 }
 
 // warm sends one short call of each kind through each entry, so that links and
@@ -274,7 +281,7 @@
 				if k.Placement.NeverRepeat {
 					a.key = id
 				}
-				sender.send(a, n, time.Now())
+				sender.send(a, n, n.vm.Callers, time.Now())
 			}
 		}()
 	}
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -38,9 +38,10 @@
 	*Peer
 	control Control
 	maxBody int
-	nextID  atomic.Uint64
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// lastID is the id of the newest call.
+	lastID  uint64
 	pending map[uint64]*pending
 	late    atomic.Int64
 }
@@ -110,36 +111,43 @@
 
 // Execute implements call.Runner.
 func (self *Client) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
-	id := self.nextID.Add(1)
 	sent := *c
-	sent.ID = id
 	var chunks []*wire.Chunk
-	sent.Body, chunks = wire.Split(id, body)
-	if !self.expect(id, done) {
-		done(call.Refused(errkind.LinkUnavailable, "the link is closed"))
+	sent.Body, chunks = wire.Split(body)
+	if refusal := self.begin(&sent, chunks, done); refusal != nil {
+		done(*refusal)
 		return func() {}
 	}
+	return func() { _ = self.Send(&wire.Cancel{ID: sent.ID}) }
+}
+
+// begin notes and sends a call. Ids must reach the peer in rising order, which
+// proves to it that none is used twice; so the id is drawn and the frame queued
+// under one lock. A refusal here is a "no": nothing of the call was written.
+func (self *Client) begin(sent *wire.Call, chunks []*wire.Chunk, done func(call.Result)) *call.Result {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	if self.pending == nil {
+		return refused("the link is closed")
+	}
+	self.lastID++
+	sent.ID = self.lastID
 	frames := make([]wire.Frame, 0, 1+len(chunks))
-	frames = append(frames, &sent)
+	frames = append(frames, sent)
 	for _, chunk := range chunks {
+		chunk.ID = sent.ID
 		frames = append(frames, chunk)
 	}
 	if err := self.Send(frames...); err != nil {
-		// Nothing of the call was written, so this is a "no".
-		self.finish(id, call.Refused(errkind.LinkUnavailable, "the link closed before the call was sent"))
+		return refused("the link closed before the call was sent")
 	}
-	return func() { _ = self.Send(&wire.Cancel{ID: id}) }
+	self.pending[sent.ID] = &pending{done: done}
+	return nil
 }
 
-// expect notes a call before it is sent; false when the link has ended.
-func (self *Client) expect(id uint64, done func(call.Result)) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if self.pending == nil {
-		return false
-	}
-	self.pending[id] = &pending{done: done}
-	return true
+func refused(why string) *call.Result {
+	out := call.Refused(errkind.LinkUnavailable, "%s", why)
+	return &out
 }
 
 func (self *Client) receive(frame wire.Frame) error {
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -28,6 +28,7 @@
 	heartbeat time.Duration
 	upgrader  websocket.Upgrader
 	http      *http.Server
+	address   string
 
 	mu    sync.Mutex
 	peers map[*Peer]struct{}
@@ -35,7 +36,7 @@
 
 // Listen accepts links on listener until Close.
 func Listen(c *common.Common, control Control, runner call.Runner, listener net.Listener, conf *tls.Config, heartbeat time.Duration) *Server {
-	self := &Server{Common: c, control: control, runner: runner, heartbeat: heartbeat, peers: map[*Peer]struct{}{}}
+	self := &Server{Common: c, control: control, runner: runner, heartbeat: heartbeat, peers: map[*Peer]struct{}{}, address: listener.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, self.accept)
 	self.http = &http.Server{Handler: mux, ReadHeaderTimeout: headTime, TLSConfig: conf}
@@ -268,14 +269,15 @@
 		return
 	}
 	a := result.Answer
-	body, chunks := wire.Split(id, a.Body)
+	body, chunks := wire.Split(a.Body)
 	frames := make([]wire.Frame, 0, 1+len(chunks))
 	frames = append(frames, &wire.Answer{
 		ID: id, Status: a.Status, Headers: a.Headers,
 		Queued: a.Queued, Run: a.Run, Stamp: result.Stamp, Body: body,
 	})
-	for _, c := range chunks {
-		frames = append(frames, c)
+	for _, chunk := range chunks {
+		chunk.ID = id
+		frames = append(frames, chunk)
 	}
 	// A link that closed has told the entry already that the call is a "maybe".
 	_ = self.Send(frames...)
--- a/pkg/standin/backend/backend.go
+++ b/pkg/standin/backend/backend.go
@@ -33,6 +33,9 @@
 	// ColdFor is how long the stand-in runs at ColdSpeed after its start.
 	ColdFor   time.Duration
 	ColdSpeed float64
+	// After wakes a call when its time has passed; nil takes the runtime's
+	// timers, which are late by up to a millisecond.
+	After func(time.Duration) <-chan struct{}
 }
 
 // Backend is the stand-in. It is safe for concurrent use.
@@ -59,6 +62,9 @@
 
 // New makes a stand-in.
 func New(opts Options) *Backend {
+	if opts.After == nil {
+		opts.After = after
+	}
 	self := &Backend{
 		opts:    opts,
 		started: time.Now(),
@@ -127,7 +133,7 @@
 		if until > 0 {
 			wait = min(wait, until)
 		}
-		if !pause(ctx, wait, changed) {
+		if !self.pause(ctx, wait, changed) {
 			return false
 		}
 		left -= float64(time.Since(began)) * speed
@@ -136,19 +142,24 @@
 }
 
 // pause waits for a time, or until the speed changes; false when ctx ended.
-func pause(ctx context.Context, wait time.Duration, changed <-chan struct{}) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
+func (self *Backend) pause(ctx context.Context, wait time.Duration, changed <-chan struct{}) bool {
 	select {
 	case <-ctx.Done():
 		return false
 	case <-changed:
 		return true
-	case <-timer.C:
+	case <-self.opts.After(wait):
 		return true
 	}
 }
 
+// after is Options.After with the runtime's timers.
+func after(wait time.Duration) <-chan struct{} {
+	done := make(chan struct{})
+	time.AfterFunc(wait, func() { close(done) })
+	return done
+}
+
 // enter takes a slot; false when none is free.
 func (self *Backend) enter() bool {
 	if self.running.Add(1) > int64(self.opts.Slots) {
--- a/pkg/wire/body.go
+++ b/pkg/wire/body.go
@@ -9,13 +9,13 @@
 var ErrBodyCut = errors.New("the body does not match its length or hash")
 
 // Split makes the Body that goes with the first frame and the chunks that
-// follow it. The parts share memory with data.
-func Split(id uint64, data []byte) (Body, []*Chunk) {
+// follow it, which still need their call's id. The parts share memory with data.
+func Split(data []byte) (Body, []*Chunk) {
 	body := Body{Size: uint64(len(data)), Hash: xxhash.Sum64(data), First: data[:min(len(data), ChunkSize)]}
 	var chunks []*Chunk
 	for at := ChunkSize; at < len(data); at += ChunkSize {
 		end := min(at+ChunkSize, len(data))
-		chunks = append(chunks, &Chunk{ID: id, Seq: uint32(len(chunks)), Data: data[at:end]})
+		chunks = append(chunks, &Chunk{Seq: uint32(len(chunks)), Data: data[at:end]})
 	}
 	return body, chunks
 }
--- a/pkg/wire/codec_test.go
+++ b/pkg/wire/codec_test.go
@@ -10,7 +10,7 @@
 )
 
 func sampleCall(bodySize int) (*Call, []*Chunk) {
-	body, chunks := Split(7, bytes.Repeat([]byte("ab"), bodySize/2))
+	body, chunks := Split(bytes.Repeat([]byte("ab"), bodySize/2))
 	return &Call{
 		ID: 7, Service: "glyphserve", Kind: "subset", Method: "GET", URI: "/subset/a?x=1",
 		Headers:   []Header{{Name: "Accept", Value: "font/woff2"}, {Name: "User-Agent", Value: "reader"}},
