--- a/pkg/bench/cluster.go
+++ b/pkg/bench/cluster.go
@@ -230,6 +230,9 @@
 func (self *cluster) entriesFor(k *placement.Kind) []*node {
 	var out []*node
 	for _, n := range self.nodes {
+		if self.deployment.EnterAtEntries && n.backend != nil {
+			continue
+		}
 		for _, dc := range k.DataCentres {
 			if n.vm.DataCentre == dc {
 				out = append(out, n)
--- a/pkg/bench/command.go
+++ b/pkg/bench/command.go
@@ -27,7 +27,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), compareCommand())
+	root.AddCommand(runCommand(), compareCommand(), slopesCommand())
 	return root
 }
 
--- a/pkg/bench/deployment.go
+++ b/pkg/bench/deployment.go
@@ -24,8 +24,11 @@
 	Slots       int `yaml:"slots" validate:"min=1"`
 	Connections int `yaml:"connections" validate:"min=1"`
 	// ExtraEntries are daemons without a backend server, spread over the data centres.
-	ExtraEntries int       `yaml:"extra_entries"`
-	Services     []Service `yaml:"services" validate:"required,dive"`
+	ExtraEntries int `yaml:"extra_entries"`
+	// EnterAtEntries makes all calls enter at those daemons, so that each
+	// crosses a link.
+	EnterAtEntries bool      `yaml:"enter_at_entries"`
+	Services       []Service `yaml:"services" validate:"required,dive"`
 	// Shape is how load and servers change during the run.
 	Shape Shape `yaml:"shape"`
 }
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -242,8 +242,8 @@
 // anyBackend is a random backend server that may handle the call.
 func (self *cluster) anyBackend(a *arrival) string {
 	var out []*node
-	for _, n := range self.entriesFor(&a.kind.Placement) {
-		if n.vm.Service == a.service.Name {
+	for _, n := range self.nodes {
+		if n.vm.Service == a.service.Name && allowedIn(a.kind, n.vm.DataCentre) {
 			out = append(out, n)
 		}
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -48,6 +48,7 @@
 	store     *placement.Store
 	policy    choose.Policy
 	control   *systems.Control
+	operators *operators.Server
 	// endWork ends what runs in the background, after the drain.
 	endWork context.CancelFunc
 	stops   []func()
@@ -104,6 +105,7 @@
 		Leave: self.Leave,
 	}
 	self.scheduler = systems.NewScheduler(self.env)
+	self.operators = self.newOperators()
 	return self, nil
 }
 
@@ -137,7 +139,7 @@
 	self.stops = append(self.stops, links.Close)
 	starts := []func() (func(), error){
 		func() (func(), error) { return startMetrics(self) },
-		func() (func(), error) { return operators.Start(self.operatorsServer(), self.certs.Server()) },
+		func() (func(), error) { return operators.Start(self.operators, self.certs.Server()) },
 		func() (func(), error) { return callers.Start(self.Common, self.Entry) },
 	}
 	for _, start := range starts {
@@ -158,7 +160,7 @@
 	return self.Executor
 }
 
-func (self *Daemon) operatorsServer() *operators.Server {
+func (self *Daemon) newOperators() *operators.Server {
 	return &operators.Server{
 		Common: self.Common, World: self.World, Store: self.store,
 		Policy: self.policy, Executor: self.Executor,
--- a/pkg/operators/server.go
+++ b/pkg/operators/server.go
@@ -93,6 +93,16 @@
 	})
 }
 
+// Apply makes changes on top of the placement in force here.
+func (self *Server) Apply(ctx context.Context, changeID, author string, changes []placement.Change) (uint64, error) {
+	base, err := self.current()
+	if err != nil {
+		return 0, err
+	}
+	out, err := self.commit(ctx, placement.Propose{Base: base, ChangeID: changeID, Author: author, Changes: changes, At: time.Now()})
+	return out.GetVersion(), err
+}
+
 // Rollback implements the call of the schema.
 func (self *Server) Rollback(ctx context.Context, in *api.RollbackRequest) (*api.ApplyPlacementResponse, error) {
 	base, err := self.base(ctx, in.GetBaseVersion())
