--- a/pkg/bench/cluster.go
+++ b/pkg/bench/cluster.go
@@ -152,6 +152,10 @@
 	s.BackendServer.Slots = self.deployment.Slots
 	s.BackendServer.Connections = self.deployment.Connections
 	s.Limits.CallsPerCaller = 1 << 20
+	scale := time.Duration(self.deployment.TimeScale)
+	s.Choosing.StampHalfLife *= scale
+	s.Gate.QueueTime *= scale
+	s.Retries.DefaultTimeout *= scale
 	if self.change != nil {
 		self.change(&s)
 	}
--- a/pkg/bench/deployment.go
+++ b/pkg/bench/deployment.go
@@ -31,6 +31,9 @@
 	Services       []Service `yaml:"services" validate:"required,dive"`
 	// Shape is how load and servers change during the run.
 	Shape Shape `yaml:"shape"`
+	// TimeScale stretches all times and thins the load: what is measured is the
+	// same but for the scale, and stands further above the machine's own noise.
+	TimeScale int `yaml:"time_scale" validate:"min=0,max=100"`
 }
 
 // Service is one service of a deployment.
@@ -108,9 +111,46 @@
 	if err := settings.Strict(text, out); err != nil {
 		return nil, errors.Wrapf(err, "%s", path)
 	}
+	out.stretch()
 	return out, nil
 }
 
+// stretch applies TimeScale.
+func (self *Deployment) stretch() {
+	if self.TimeScale <= 1 {
+		self.TimeScale = 1
+		return
+	}
+	times := []*time.Duration{&self.OneWayLatency}
+	for si := range self.Services {
+		for ki := range self.Services[si].Kinds {
+			k := &self.Services[si].Kinds[ki]
+			k.Rate /= float64(self.TimeScale)
+			times = append(times, &k.ServiceTime, &k.Timeout, &k.Placement.Timeout)
+		}
+	}
+	for _, t := range append(times, self.Shape.times()...) {
+		*t *= time.Duration(self.TimeScale)
+	}
+}
+
+// times are all times of the shape.
+func (self *Shape) times() []*time.Duration {
+	var out []*time.Duration
+	if self.Slow != nil {
+		out = append(out, &self.Slow.For, &self.Slow.Every)
+	}
+	if self.Burst != nil {
+		out = append(out, &self.Burst.Over, &self.Burst.Every)
+	}
+	for _, t := range []*Trouble{self.FailFast, self.Cold} {
+		if t != nil {
+			out = append(out, &t.At, &t.For)
+		}
+	}
+	return out
+}
+
 // Document returns the placement of the deployment as version 1.
 func (self *Deployment) Document() *placement.Document {
 	out := &placement.Document{Version: 1}
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/goccy/go-yaml"
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/callers"
@@ -24,10 +27,13 @@
 type Options struct {
 	Duration time.Duration
 	// Policy is a name of choose.New, with "oracle" besides; a "+soft" or
-	// "-soft" at its end turns the soft first attempt on or off.
+	// "-soft" at its end turns the soft first attempt on or off, and
+	// ":section.field=value;..." changes settings.
 	// "direct" sends calls straight to random backend servers, past the daemons.
 	Policy string
 	Seed   uint64
+	// SkipIdle leaves out the second before the load that measures control.
+	SkipIdle bool
 	// Change adapts the daemons' settings further.
 	Change func(*settings.Settings)
 }
@@ -73,7 +79,10 @@
 		return nil, err
 	}
 	time.Sleep(settle)
-	idle := measureIdle(c, idleWindow)
+	idle := 0.0
+	if !opts.SkipIdle {
+		idle = measureIdle(c, idleWindow)
+	}
 	arrivals := drawArrivals(d, opts.Duration, opts.Seed)
 	before := c.counters()
 	stopShape := startShape(c)
@@ -84,10 +93,14 @@
 }
 
 func policyOptions(opts Options) (clusterOptions, error) {
-	name, soft, err := splitPolicy(opts.Policy)
+	text, overlays, _ := strings.Cut(opts.Policy, ":")
+	name, soft, err := splitPolicy(text)
 	if err != nil {
 		return clusterOptions{}, err
 	}
+	if err := overlay(overlays, &settings.Settings{}); err != nil {
+		return clusterOptions{}, err
+	}
 	out := clusterOptions{change: func(s *settings.Settings) {
 		if name != "" && name != oracleName {
 			s.Choosing.Policy = name
@@ -95,6 +108,8 @@
 		if soft != nil {
 			s.Choosing.SoftFirst = *soft
 		}
+		// The words were tried above.
+		_ = overlay(overlays, s)
 		if opts.Change != nil {
 			opts.Change(s)
 		}
@@ -105,6 +120,22 @@
 	return out, nil
 }
 
+// overlay applies "section.field=value" words, with semicolons between.
+func overlay(words string, s *settings.Settings) error {
+	for _, word := range strings.FieldsFunc(words, func(r rune) bool { return r == ';' }) {
+		path, value, ok := strings.Cut(word, "=")
+		section, field, dotted := strings.Cut(path, ".")
+		if !ok || !dotted {
+			return errors.Errorf("%q is no setting; write section.field=value", word)
+		}
+		text := fmt.Sprintf("%s: {%s: %s}", section, field, value)
+		if err := yaml.UnmarshalWithOptions([]byte(text), s, yaml.Strict()); err != nil {
+			return errors.Wrapf(err, "setting %q", word)
+		}
+	}
+	return nil
+}
+
 // The names of what exists in the bench only.
 const (
 	oracleName = "oracle"
