Gate: service time from censored runs; impatient calls are sent back

The gate saw a slow-down only when running calls were on average three times too old, and a call that had queued there stayed. Change: the gate's current service time is busy slot time over ended runs, both forgotten over twelve runs, unended runs included; below 1.7 times the usual it counts as usual. Calls that wait behind a server that has slowed, while their sender knows a better one, go back as not run. An old count of calls loses weight within a run, an old service time by the half-life; the prior is the fastest candidate's service time, not the mean. Ruled out: a jump of the estimate over a long gap (300 ms for 5 ms of service, found by the test) by integrating the gap exactly.

--- a/pkg/bench/oracle.go
+++ b/pkg/bench/oracle.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"math"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/choose"
@@ -46,5 +47,5 @@
 			best, least, nearest = i, wait, distance
 		}
 	}
-	return choose.Pick{Index: best}
+	return choose.Pick{Index: best, MaxCost: math.MaxInt64}
 }
--- a/pkg/choose/expected.go
+++ b/pkg/choose/expected.go
@@ -28,11 +28,13 @@
 // its age towards what the candidates have on average, so that old news
 // neither attracts nor repels. Source: docs/design/choosing.md.
 type ExpectedWait struct {
-	// HalfLife is the age at which a stamp has half its weight.
+	// HalfLife is the age at which what a stamp says of the service time has
+	// half its weight.
 	HalfLife time.Duration
 }
 
-// prior is the average over the candidates, which an old stamp tends to.
+// prior is what an old stamp tends to: the mean use of the candidates, and the
+// service time of the fastest.
 type prior struct {
 	use     float64
 	service float64
@@ -90,14 +92,20 @@
 			continue
 		}
 		out.use += float64(k.InFlight) / float64(k.Limit)
-		out.service += float64(k.Service)
+		// The fastest, not the mean: an old stamp of a server that was slow
+		// must not make the others look slow.
+		if s := float64(k.Service); s > 0 && (out.service == 0 || s < out.service) {
+			out.service = s
+		}
 		known++
 	}
 	if known == 0 {
 		return prior{service: float64(defaultService)}
 	}
 	out.use /= known
-	out.service = max(out.service/known, float64(time.Microsecond))
+	if out.service == 0 {
+		out.service = float64(defaultService)
+	}
 	return out
 }
 
@@ -105,10 +113,15 @@
 func (self *ExpectedWait) cost(req *Request, i int, average prior) float64 {
 	candidate := &req.Set[i]
 	known := candidate.Load.Known(req.Now)
-	weight := self.weight(req.Now, known.StampAt)
+	age := float64(max(req.Now-known.StampAt, 0))
+	// The calls at a gate change within a run: the count of a gate with free
+	// slots is correlated with itself as exp(-age/service).
+	weight := math.Exp(-age / average.service)
 	limit := float64(known.Limit)
 	inFlight := weight*float64(known.InFlight) + (1-weight)*average.use*limit
 	inFlight = max(inFlight+float64(known.SentSince), float64(known.Outstanding))
+	// How fast a server is changes more seldom than its count of calls.
+	weight = math.Exp2(-age / float64(self.HalfLife))
 	service := weight*float64(known.Service) + (1-weight)*average.service
 	if quiet := float64(known.QuietFor); quiet > quietFactor*service {
 		service = quiet
@@ -120,15 +133,6 @@
 	return cost
 }
 
-func (self *ExpectedWait) weight(now, stampAt int64) float64 {
-	if stampAt == 0 {
-		return 0
-	}
-	age := float64(max(now-stampAt, 0))
-	half := float64(self.HalfLife)
-	return half / (half + age)
-}
-
 // wait is the expected wait behind inFlight calls at a gate that runs limit of
 // them at once. Below the limit a little remains, growing with the fourth
 // power of the use: the count is uncertain, and the emptier gate is safer.
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -77,11 +77,20 @@
 	return true
 }
 
+// hardFactor is how many times the next best candidate's cost an attempt after
+// the soft one accepts.
+const hardFactor = 3
+
+// maxCost is the bound that goes with an attempt: tight on the soft one, loose
+// on the next, none on the last, which may queue.
 func (self *try) maxCost(pick choose.Pick) time.Duration {
-	if !self.soft {
-		return 0
+	switch {
+	case self.soft:
+		return max(pick.MaxCost, 1)
+	case self.left > 1 && pick.MaxCost < self.owner.Settings.Retries.DefaultTimeout:
+		return max(hardFactor*pick.MaxCost, 1)
 	}
-	return max(pick.MaxCost, 1)
+	return 0
 }
 
 // settle turns "may have run" into what the key's row says, for a call whose
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -94,8 +94,15 @@
 // Stamp reports the load now.
 func (self *Executor) Stamp() wire.Stamp { return self.gate.Stamp(self.Now()) }
 
-// Tick lets waiting calls start when the gate's limit rose.
-func (self *Executor) Tick() { self.startAll(self.gate.Tick(self.Now())) }
+// Tick lets waiting calls start when the gate's limit rose, and sends those back
+// that wait behind a server that has slowed.
+func (self *Executor) Tick() {
+	start, sendBack := self.gate.Tick(self.Now())
+	self.startAll(start)
+	for _, job := range sendBack {
+		job.SendBack()
+	}
+}
 
 // run is one call on its way through the executor.
 type run struct {
@@ -127,7 +134,7 @@
 		return func() {}
 	}
 	r.kind = kind
-	r.job = gate.Job{Class: kind.Class, Deadline: r.deadline, MaxCost: c.MaxCost, Start: r.start}
+	r.job = gate.Job{Class: kind.Class, Deadline: r.deadline, MaxCost: c.MaxCost, Start: r.start, SendBack: r.sendBack}
 	admitted, refusal := self.gate.Admit(now, &r.job)
 	switch {
 	case refusal != nil:
@@ -256,6 +263,14 @@
 	self.Log.Event(events.BackendUp, events.F("address", self.Settings.BackendServer.Address))
 }
 
+// sendBack refuses a call that the gate took out of its queue.
+func (self *run) sendBack() {
+	if self.expiry != nil {
+		self.expiry.Stop()
+	}
+	self.refuse(errkind.New(errkind.Overloaded, "the backend server has slowed since the call came"))
+}
+
 func (self *run) refuse(refusal *errkind.Error) { self.end(call.Result{Refusal: refusal}) }
 
 func (self *run) end(result call.Result) {
--- a/pkg/gate/estimate.go
+++ b/pkg/gate/estimate.go
@@ -1,89 +1,100 @@
 package gate
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// fastWeight is the weight of one run in the current service time.
-	fastWeight = 1.0 / 8
-	// baseWeight is the weight of one run in the usual service time.
-	baseWeight = 1.0 / 512
-	// ageFactor: running calls that are on average this many times older than
-	// the current service time show that the backend server has slowed.
-	ageFactor = 3
-	// idleDecay is how many usual service times without a finished run halve
-	// the difference between the current and the usual service time.
-	idleDecay = 8
+	// memory is how many runs' worth of busy time the current service time
+	// looks back on. Fewer follow a slow-down faster and are noisier.
+	memory = 12
+	// usualWeight is the weight of one run in the usual service time.
+	usualWeight = 1.0 / 512
+	// notable is the ratio to the usual service time below which a difference
+	// may be chance: a mean of twelve exponential times is off by a half once
+	// in some twenty cases.
+	notable = 1.7
+	// idleHalfLife is how many usual service times without a running call halve
+	// what is remembered: an old slowness is no reason to stay away.
+	idleHalfLife = 4
 )
 
 // estimate follows the service time of the backend server: what runs take now,
-// and what they usually take.
+// and what they usually take. The current one is the busy time of all slots
+// over the runs that ended in it, both forgotten at the same pace. Runs that
+// have not ended count in the busy time, so a slow-down shows before any slowed
+// run ends (the maximum-likelihood estimate of a mean from censored times).
 type estimate struct {
-	current float64
-	usual   float64
-	// lastAt is when the last run ended.
-	lastAt int64
-	// startSum is the sum of the start times of running calls, relative to
-	// the first start, so that it stays small.
-	startSum int64
-	origin   int64
-	running  int
+	usual float64
+	// busy is remembered busy time in nanoseconds, ended the runs in it.
+	busy  float64
+	ended float64
+	// at is the time up to which busy is counted.
+	at      int64
+	running int
 }
 
-func (self *estimate) start(now int64) {
-	if self.origin == 0 {
-		self.origin = now
+// advance counts the busy time up to now, and forgets.
+func (self *estimate) advance(now int64) {
+	elapsed := float64(max(now-self.at, 0))
+	self.at = max(self.at, now)
+	if self.usual == 0 || elapsed == 0 {
+		return
 	}
-	self.startSum += now - self.origin
+	if self.running == 0 {
+		self.forget(math.Exp2(-elapsed / (idleHalfLife * self.usual)))
+		return
+	}
+	// What is forgotten is replaced by what is gained, so that memory stays
+	// filled with the newest busy time.
+	full := memory * self.usual
+	keep := math.Exp(-elapsed * float64(self.running) / full)
+	self.busy = self.busy*keep + full*(1-keep)
+	self.ended *= keep
+}
+
+// forget moves the current service time towards the usual one.
+func (self *estimate) forget(keep float64) {
+	self.busy = self.busy*keep + (1-keep)*memory*self.usual
+	self.ended = self.ended*keep + (1-keep)*memory
+}
+
+func (self *estimate) start(now int64) {
+	self.advance(now)
 	self.running++
 }
 
 func (self *estimate) end(now, started int64, counts bool) {
-	self.startSum -= started - self.origin
+	self.advance(now)
 	self.running--
 	if !counts {
 		return
 	}
 	run := float64(now - started)
 	if self.usual == 0 {
-		self.current, self.usual = run, run
+		self.usual, self.busy, self.ended = run, run*memory, memory
+		return
 	}
-	self.current = self.decayed(now)
-	self.current += (run - self.current) * fastWeight
-	self.usual += (run - self.usual) * baseWeight
-	self.lastAt = now
+	self.ended++
+	self.usual += (run - self.usual) * usualWeight
 }
 
-// decayed is the current service time, moved towards the usual one while no
-// run ended: an old slowness is no reason to stay away.
-func (self *estimate) decayed(now int64) float64 {
-	if self.usual == 0 || now <= self.lastAt {
-		return self.current
+// slowness is how many times longer than usual a run takes now, 1 when the
+// difference may be chance.
+func (self *estimate) slowness(now int64) float64 {
+	self.advance(now)
+	if self.usual == 0 {
+		return 1
+	}
+	ratio := self.busy / max(self.ended, 1) / self.usual
+	if ratio < notable {
+		return 1
 	}
-	half := idleDecay * self.usual
-	weight := half / (half + float64(now-self.lastAt))
-	return weight*self.current + (1-weight)*self.usual
+	return ratio
 }
 
 // service is the expected time of a run that starts now.
 func (self *estimate) service(now int64) time.Duration {
-	current := self.decayed(now)
-	if age := self.meanAge(now); self.running > 1 && age > ageFactor*current {
-		current = age
-	}
-	return time.Duration(current)
-}
-
-func (self *estimate) meanAge(now int64) float64 {
-	if self.running == 0 {
-		return 0
-	}
-	return float64(now-self.origin) - float64(self.startSum)/float64(self.running)
-}
-
-// slowness is how many times longer than usual a run takes now.
-func (self *estimate) slowness(now int64) float64 {
-	if self.usual == 0 {
-		return 1
-	}
-	return float64(self.service(now)) / self.usual
+	return time.Duration(self.usual * self.slowness(now))
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -13,6 +13,11 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
+// patience is by how much the expected time of a waiting call may exceed what
+// its sender accepts before it is sent back: it was not run, and another
+// server may take it.
+const patience = 1.5
+
 // slowTolerance is how many times slower than usual the backend server may be
 // before the limit falls below the slots.
 const slowTolerance = 2
@@ -110,14 +115,30 @@
 	return self.startWaiting(now)
 }
 
-// Tick starts waiting jobs when the limit rose since the last call.
-func (self *Gate) Tick(now int64) []*Job {
+// Tick starts waiting jobs when the limit rose since the last call, and takes
+// out those that wait behind a server that has slowed since they came, while
+// their sender knows of a better one. The owner refuses them as not run.
+func (self *Gate) Tick(now int64) (start, sendBack []*Job) {
 	if self.inFlight.Load() == 0 {
-		return nil
+		return nil, nil
 	}
 	self.mu.Lock()
 	defer self.mu.Unlock()
-	return self.startWaiting(now)
+	start = self.startWaiting(now)
+	if self.estimate.slowness(now) > slowTolerance {
+		sendBack = self.takeImpatient(now)
+	}
+	return start, sendBack
+}
+
+func (self *Gate) takeImpatient(now int64) []*Job {
+	service := self.estimate.service(now)
+	wait := service * time.Duration(self.queue.len()) / time.Duration(self.limit(now))
+	out := self.queue.takeIf(func(j *Job) bool {
+		return j.MaxCost > 0 && float64(wait+service) > patience*float64(j.MaxCost)
+	})
+	self.inFlight.Add(-int64(len(out)))
+	return out
 }
 
 func (self *Gate) startWaiting(now int64) []*Job {
@@ -174,6 +195,13 @@
 // InFlight counts the jobs at the gate, running and waiting.
 func (self *Gate) InFlight() int64 { return self.inFlight.Load() }
 
+// Slowed is true while the backend server is notably slower than usual.
+func (self *Gate) Slowed(now int64) bool {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	return self.estimate.slowness(now) > slowTolerance
+}
+
 // Slots returns the number of slots.
 func (self *Gate) Slots() int { return self.opts.Slots }
 
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -30,8 +30,10 @@
 	// MaxCost is the longest expected time at this gate, wait and run, that
 	// the sender accepts. Zero or less: no bound.
 	MaxCost time.Duration
-	// Start runs the job. The gate's owner calls it without the gate's lock.
-	Start func()
+	// Start runs the job, SendBack refuses one that waited. The gate's owner
+	// calls them without the gate's lock.
+	Start    func()
+	SendBack func()
 
 	arrived int64
 	started int64
@@ -140,6 +142,22 @@
 	return true
 }
 
+// takeIf takes out all jobs that a condition holds for.
+func (self *queue) takeIf(cond func(*Job) bool) []*Job {
+	var out []*Job
+	for _, h := range []*jobHeap{&self.main, &self.background} {
+		for _, job := range h.jobs {
+			if cond(job) {
+				out = append(out, job)
+			}
+		}
+	}
+	for _, job := range out {
+		self.remove(job)
+	}
+	return out
+}
+
 // pop takes the job that starts next, or nil. service is the expected time of
 // one run.
 func (self *queue) pop(now int64, service time.Duration) *Job {
