Hedges of kinds marked safe, within a budget

Cause: under servers that slow in turn, what remained at p99 were calls that ran already when their server slowed: no choice can help those. Change: a second copy of a call after the 99th centile of its kind's answer times (a frugal streaming estimate), or after two service times when stamps that came since tell that its server has slowed; paid from a bucket that answers fill; never for never-repeat kinds; the loser is cancelled; a hedge never queues.

--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -11,21 +11,18 @@
 // tokenUnit is the fixed-point form of one retry.
 const tokenUnit = 1 << 20
 
-// budget is the retry budget of one service at this entry: answers earn a
-// share of a retry each, retries spend it. When a service fails as a whole
+// budget holds the retries and hedges of one service at this entry: answers earn a
+// share of one each, retries and hedges spend it. When a service fails as a whole
 // nothing is earned, so retries cannot multiply its load.
 type budget struct {
-	tokens atomic.Int64
-	earn   int64
-	most   int64
+	retries bucket
+	hedges  bucket
 }
 
 func newBudget(s settings.Retries) *budget {
-	self := &budget{
-		earn: int64(s.Budget * tokenUnit),
-		most: int64(s.BudgetFloor) * tokenUnit,
-	}
-	self.tokens.Store(self.most)
+	self := &budget{}
+	self.retries.init(s.Budget, s.BudgetFloor)
+	self.hedges.init(s.HedgeBudget, s.BudgetFloor)
 	return self
 }
 
@@ -34,13 +31,36 @@
 	if r.Answer == nil || r.Answer.Status >= 500 {
 		return
 	}
+	self.retries.add()
+	self.hedges.add()
+}
+
+// take spends one retry; false when none is left.
+func (self *budget) take() bool { return self.retries.take() }
+
+// takeHedge spends one hedge; false when none is left.
+func (self *budget) takeHedge() bool { return self.hedges.take() }
+
+// bucket holds tokens in fixed point.
+type bucket struct {
+	tokens atomic.Int64
+	earn   int64
+	most   int64
+}
+
+func (self *bucket) init(share float64, floor int) {
+	self.earn = int64(share * tokenUnit)
+	self.most = int64(floor) * tokenUnit
+	self.tokens.Store(self.most)
+}
+
+func (self *bucket) add() {
 	if self.tokens.Load() < self.most {
 		self.tokens.Add(self.earn)
 	}
 }
 
-// take spends one retry; false when none is left.
-func (self *budget) take() bool {
+func (self *bucket) take() bool {
 	for {
 		have := self.tokens.Load()
 		if have < tokenUnit {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -56,7 +56,7 @@
 		random:  choose.Runtime{},
 		sealer:  sealer,
 		budgets: newBudgets(c.Settings.Retries),
-		stats:   newStats(c.Metrics),
+		stats:   newStats(c.Metrics, c.Settings.Retries.HedgeQuantile),
 	}
 }
 
--- a/pkg/entry/stats.go
+++ b/pkg/entry/stats.go
@@ -15,6 +15,7 @@
 // from the placement, error kinds from the closed list.
 type stats struct {
 	set          *metrics.Set
+	quantile     float64
 	retries      *metrics.Counter
 	softRefusals *metrics.Counter
 	hedges       *metrics.Counter
@@ -29,11 +30,14 @@
 type kindStats struct {
 	seconds  *metrics.Histogram
 	outcomes []*metrics.Counter
+	// quantile is the answer time after which a call of the kind is slow.
+	quantile *quantile
 }
 
-func newStats(set *metrics.Set) *stats {
+func newStats(set *metrics.Set, hedgeQuantile float64) *stats {
 	return &stats{
 		set:          set,
+		quantile:     hedgeQuantile,
 		retries:      set.NewCounter("rushramp_entry_retries_total"),
 		softRefusals: set.NewCounter("rushramp_entry_soft_refusals_total"),
 		hedges:       set.NewCounter("rushramp_entry_hedges_total"),
@@ -49,14 +53,19 @@
 	if result.Refusal != nil {
 		outcome = result.Refusal.Kind
 	}
-	kind := self.kind(kindName{plan.Request.Service, plan.View.Kind.Name})
+	kind := self.kindOf(plan)
 	kind.outcomes[outcome].Inc()
 	kind.seconds.Update(took.Seconds())
 	if result.Answer != nil {
+		kind.quantile.note(took)
 		self.added.Update(max(took-result.Answer.Queued-result.Answer.Run-result.Network, 0).Seconds())
 	}
 }
 
+func (self *stats) kindOf(plan *Plan) *kindStats {
+	return self.kind(kindName{plan.Request.Service, plan.View.Kind.Name})
+}
+
 func (self *stats) kind(name kindName) *kindStats {
 	if k, ok := self.byKind.Load(name); ok {
 		return k.(*kindStats)
@@ -67,7 +76,7 @@
 
 func (self *stats) newKind(name kindName) *kindStats {
 	labels := fmt.Sprintf("service=%q,kind=%q", name.service, name.kind)
-	out := &kindStats{seconds: self.set.GetOrCreateHistogram("rushramp_call_seconds{" + labels + "}")}
+	out := &kindStats{quantile: newQuantile(self.quantile), seconds: self.set.GetOrCreateHistogram("rushramp_call_seconds{" + labels + "}")}
 	for _, row := range errkind.Table() {
 		counter := self.set.GetOrCreateCounter(fmt.Sprintf("rushramp_calls_total{%s,outcome=%q}", labels, row.Name))
 		out.outcomes = append(out.outcomes, counter)
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -37,7 +37,7 @@
 		if pick.Index == choose.None {
 			return last
 		}
-		result := self.settle(self.attempt(&self.req.Set[pick.Index], self.maxCost(pick)))
+		result := self.settle(self.attempt(pick.Index, self.maxCost(pick)))
 		if !self.again(pick.Index, result) {
 			self.budget.answered(result)
 			return result
@@ -102,47 +102,89 @@
 	return self.owner.sealer.Seal(self.frame(0, 0), self.body, result.Refusal)
 }
 
-// attempt sends the call to one candidate and waits for its end.
-func (self *try) attempt(to *tables.Candidate, cost time.Duration) call.Result {
+// flight is one attempt that has not ended.
+type flight struct {
+	to     *tables.Candidate
+	index  int
+	sentAt int64
+	cancel func()
+}
+
+// landed is how a flight ended.
+type landed struct {
+	flight *flight
+	result call.Result
+}
+
+// attempt sends the call to one candidate and waits for its end, or for that
+// of a hedge that was sent after it.
+func (self *try) attempt(index int, cost time.Duration) call.Result {
+	// Room for the hedge, too, so that the slower of the two blocks nobody.
+	ends := make(chan landed, 2)
+	first, refusal := self.launch(index, cost, ends)
+	if refusal != nil {
+		return call.Result{Refusal: refusal}
+	}
+	return self.await(first, ends)
+}
+
+// launch sends the call to a candidate. ends receives its end.
+func (self *try) launch(index int, cost time.Duration, ends chan<- landed) (*flight, *errkind.Error) {
+	to := &self.req.Set[index]
 	now := self.owner.Now()
 	left := time.Duration(self.plan.deadline - now)
 	if left <= 0 {
-		return call.Refused(errkind.DeadlineBeforeRun, "the time ran out at the entry")
+		return nil, errkind.New(errkind.DeadlineBeforeRun, "the time ran out at the entry")
 	}
 	runner := to.Route.Runner()
 	if runner == nil {
-		return call.Refused(errkind.LinkUnavailable, "the link to %s is down", to.Route.VM)
+		return nil, errkind.New(errkind.LinkUnavailable, "the link to %s is down", to.Route.VM)
 	}
-	done := make(chan call.Result, 1)
+	f := &flight{to: to, index: index, sentAt: now}
 	to.Load.Sent(now)
 	frame := self.frame(left, cost)
 	frame.WantStamp = self.wantStamp(to, now, cost)
-	cancel := runner.Execute(frame, self.body, func(r call.Result) { done <- r })
-	result := self.await(left, done, cancel)
-	now = self.owner.Now()
-	to.Load.Ended(now)
+	f.cancel = runner.Execute(frame, self.body, func(r call.Result) { ends <- landed{flight: f, result: self.land(f, r)} })
+	return f, nil
+}
+
+// land takes over what the end of a flight tells of its backend server, also
+// when nobody waits for it any more.
+func (self *try) land(f *flight, result call.Result) call.Result {
+	now := self.owner.Now()
+	f.to.Load.Ended(now)
 	if result.Stamp.Seq > 0 {
-		to.Load.Report(now, result.Stamp)
+		f.to.Load.Report(now, result.Stamp)
 	}
-	to.Load.Answered(failed(result))
-	result.Network = to.Load.Distance()
+	f.to.Load.Answered(failed(result))
+	result.Network = f.to.Load.Distance()
 	return result
 }
 
 // await waits for the executor's word until a little after the deadline: the
 // executor knows whether the call ran, the entry does not.
-func (self *try) await(left time.Duration, done <-chan call.Result, cancel func()) call.Result {
-	bound := time.NewTimer(left + grace)
+func (self *try) await(first *flight, ends chan landed) call.Result {
+	bound := time.NewTimer(time.Duration(self.plan.deadline-self.owner.Now()) + grace)
 	defer bound.Stop()
-	select {
-	case r := <-done:
-		return r
-	case <-bound.C:
-		cancel()
-		return call.Refused(errkind.DeadlineWhileRunning, "the executor did not answer in time")
-	case <-self.ctx.Done():
-		cancel()
-		return call.Result{Refusal: errkind.New(errkind.CallerGone, "the caller left").Maybe()}
+	hedge := self.newHedge(first, ends)
+	defer hedge.stop()
+	for {
+		select {
+		case end := <-ends:
+			if hedge.wins(end) {
+				return end.result
+			}
+		case <-hedge.due():
+			hedge.consider()
+		case <-bound.C:
+			first.cancel()
+			hedge.cancel()
+			return call.Refused(errkind.DeadlineWhileRunning, "the executor did not answer in time")
+		case <-self.ctx.Done():
+			first.cancel()
+			hedge.cancel()
+			return call.Result{Refusal: errkind.New(errkind.CallerGone, "the caller left").Maybe()}
+		}
 	}
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -220,7 +220,7 @@
 		Gate:          Gate{QueueLength: 200, QueueTime: time.Second, Order: "fifo", Adaptive: true},
 		Retries: Retries{
 			Attempts: 3, Budget: 0.2, BudgetFloor: 10,
-			HedgeBudget: 0.02, HedgeQuantile: 0.99, DefaultTimeout: 5 * time.Second,
+			HedgeBudget: 0.05, HedgeQuantile: 0.99, DefaultTimeout: 5 * time.Second,
 		},
 		Once: Once{Timeout: 500 * time.Millisecond, KeepFor: 48 * time.Hour, StoredAnswerBytes: 4096},
 		Placement: Placement{
