--- a/pkg/bench/arrivals.go
+++ b/pkg/bench/arrivals.go
@@ -19,6 +19,16 @@
 	entry   uint64
 	nominal time.Duration
 	key     string
+	// attempt counts the times that the caller has sent the call before.
+	attempt int
+}
+
+// ledgerID names one attempt in the ledgers of backend servers.
+func (self *arrival) ledgerID() string {
+	if self.attempt == 0 {
+		return self.id
+	}
+	return fmt.Sprintf("%s.%d", self.id, self.attempt)
 }
 
 // drawArrivals draws the calls of a run.
--- a/pkg/bench/command.go
+++ b/pkg/bench/command.go
@@ -27,7 +27,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(runCommand(), compareCommand(), slopesCommand())
+	root.AddCommand(runCommand(), compareCommand(), faultsCommand(), slopesCommand())
 	return root
 }
 
@@ -140,15 +140,18 @@
 		r.Refusals, r.Retries, r.Hedges, r.AddedP99, r.AddedOutsideP99)
 	fmt.Fprintf(out, "measuring %.0f bytes/s, %.1f messages/s a daemon; control %.2f%% of a core, %.1f MB a daemon\n",
 		r.MeasureBytes, r.MeasureMsgs, r.ControlCPU, r.RSS)
-	p := r.Promises
-	fmt.Fprintf(out, "promises broken: crossed %d, truncated %d, doubled %d, false not-run %d, wrong place %d, cut by drain %d, work after leaving %d, config reverts %d, budget overruns %d\n",
-		p.Crossed, p.Truncated, p.Doubled, p.FalseNotRun, p.WrongPlace, p.CutByDrain, p.WorkAfterLeaving, p.ConfigReverts, p.BudgetOverruns)
+	printPromises(out, &r.Promises)
 	for _, kind := range sortedKeys(r.Outcomes) {
 		fmt.Fprintf(out, "  %s: %d\n", kind, r.Outcomes[kind])
 	}
 	fmt.Fprintln(out)
 }
 
+func printPromises(out io.Writer, p *Promises) {
+	fmt.Fprintf(out, "promises broken: crossed %d, truncated %d, doubled %d, false not-run %d, wrong place %d, cut by drain %d, work after leaving %d, config reverts %d, budget overruns %d\n",
+		p.Crossed, p.Truncated, p.Doubled, p.FalseNotRun, p.WrongPlace, p.CutByDrain, p.WorkAfterLeaving, p.ConfigReverts, p.BudgetOverruns)
+}
+
 func printFigures(w io.Writer, name string, f Figures) {
 	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t\n", name, f.Calls, f.Answered, f.RefusedNotRun, f.OutcomeUnknown,
 		ms(f.P50), ms(f.P99), ms(f.WaitP50), ms(f.WaitP99), ms(f.WaitP999))
--- /dev/null
+++ b/pkg/bench/faults.go
@@ -0,0 +1,259 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/rushramp/rushramp/pkg/daemon"
+	"github.com/rushramp/rushramp/pkg/settings"
+)
+
+// The times of a drill's phases.
+const (
+	faultLeast = 300 * time.Millisecond
+	faultMost  = 1200 * time.Millisecond
+	phaseGap   = 400 * time.Millisecond
+	// drillPairs and drillTwice are how many phases have two faults at once,
+	// and the same fault twice.
+	drillPairs = 10
+	drillTwice = 4
+)
+
+// drill runs a deployment under load while faults come, each alone, in pairs,
+// and twice, in an order that the seed gives.
+type drill struct {
+	cluster *cluster
+	sender  *caller
+
+	mu        sync.Mutex
+	busy      map[*node]bool
+	promises  Promises
+	outcomes  []outcome
+	seen      map[string]int
+	races     int
+	racesLost int
+	failure   error
+}
+
+// DrillReport is the outcome of a drill.
+type DrillReport struct {
+	Deployment  string         `json:"deployment"`
+	Seed        uint64         `json:"seed"`
+	Calls       int            `json:"calls"`
+	NeverRepeat int            `json:"never_repeat_calls"`
+	Answered    int            `json:"answered"`
+	NotRun      int            `json:"refused_not_run"`
+	Unknown     int            `json:"outcome_unknown"`
+	Faults      map[string]int `json:"faults"`
+	Races       int            `json:"races"`
+	RacesLost   int            `json:"races_lost"`
+	Kinds       map[string]int `json:"outcomes"`
+	Promises
+}
+
+func (self *drill) note(change func(*Promises)) {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	change(&self.promises)
+}
+
+func (self *drill) fail(err error) {
+	self.mu.Lock()
+	defer self.mu.Unlock()
+	if self.failure == nil {
+		self.failure = err
+	}
+}
+
+// phases are the faults of each phase.
+func phases(rnd *rand.Rand) [][]fault {
+	kinds := faultKinds()
+	var out [][]fault
+	for _, k := range kinds {
+		out = append(out, []fault{k})
+	}
+	for range drillPairs {
+		out = append(out, []fault{kinds[rnd.IntN(len(kinds))], kinds[rnd.IntN(len(kinds))]})
+	}
+	for range drillTwice {
+		k := kinds[rnd.IntN(len(kinds))]
+		out = append(out, []fault{k, k})
+	}
+	rnd.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// RunDrill runs one drill.
+func RunDrill(d *Deployment, seed uint64) (*DrillReport, error) {
+	c, err := startCluster(d, clusterOptions{faulty: true, change: func(s *settings.Settings) {
+		s.Drain.Bound = 5 * time.Second
+		s.Platform.VMListEvery = 200 * time.Millisecond
+	}})
+	if err != nil {
+		return nil, err
+	}
+	defer c.stop()
+	sender, err := newCaller()
+	if err != nil {
+		return nil, err
+	}
+	self := &drill{cluster: c, sender: sender, busy: map[*node]bool{}, seen: map[string]int{}}
+	rnd := rand.New(rand.NewPCG(seed, 2))
+	stopLoad := self.startLoad(seed)
+	stopWatch := self.watchVersions()
+	for _, faults := range phases(rnd) {
+		self.phase(faults, rnd)
+	}
+	stopLoad()
+	stopWatch()
+	if self.failure != nil {
+		return nil, self.failure
+	}
+	return self.report(seed), nil
+}
+
+// phase brings faults about, each at its own time and for its own time.
+func (self *drill) phase(faults []fault, rnd *rand.Rand) {
+	var wait sync.WaitGroup
+	for _, f := range faults {
+		self.seen[f.name]++
+		own := rand.New(rand.NewPCG(rnd.Uint64(), rnd.Uint64()))
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			time.Sleep(time.Duration(own.Int64N(int64(faultLeast))))
+			end := f.begin(self, own)
+			time.Sleep(faultLeast + time.Duration(own.Int64N(int64(faultMost-faultLeast))))
+			end()
+		}()
+	}
+	wait.Wait()
+	time.Sleep(phaseGap)
+}
+
+// watchVersions looks at each daemon's placement version all the time.
+func (self *drill) watchVersions() (stop func()) {
+	done := make(chan struct{})
+	var wait sync.WaitGroup
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		highest := map[*daemon.Daemon]uint64{}
+		for pause(time.Millisecond, done) {
+			for _, n := range self.cluster.nodes {
+				d := n.current()
+				p := d.World.View.Placement()
+				if p == nil {
+					continue
+				}
+				if p.Version < highest[d] {
+					self.note(func(p *Promises) { p.ConfigReverts++ })
+				}
+				highest[d] = p.Version
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		wait.Wait()
+	}
+}
+
+func (self *drill) report(seed uint64) *DrillReport {
+	out := &DrillReport{
+		Deployment: self.cluster.deployment.Name, Seed: seed, Faults: self.seen,
+		Races: self.races, RacesLost: self.racesLost, Kinds: map[string]int{}, Promises: self.promises,
+	}
+	found := checkPromises(self.cluster, self.outcomes)
+	// Where a call may be handled changes while operators race, so the place of
+	// each run is checked against the widest placement of its kind.
+	out.Crossed, out.Truncated, out.Doubled = found.Crossed, found.Truncated, found.Doubled
+	out.FalseNotRun, out.WrongPlace, out.BudgetOverruns = found.FalseNotRun, found.WrongPlace, found.BudgetOverruns
+	for i := range self.outcomes {
+		o := &self.outcomes[i]
+		out.Calls++
+		if o.arrival.key != "" {
+			out.NeverRepeat++
+		}
+		switch {
+		case o.answered():
+			out.Answered++
+		case o.err == nil && o.ran == "no":
+			out.NotRun++
+		default:
+			out.Unknown++
+		}
+		if !o.answered() {
+			out.Kinds[nameOf(o)]++
+		}
+	}
+	return out
+}
+
+func nameOf(o *outcome) string {
+	if o.err != nil {
+		return "caller_error"
+	}
+	return o.kind
+}
+
+func faultsCommand() *cobra.Command {
+	f := &flags{}
+	cmd := &cobra.Command{
+		Use:   "faults FILE [FILE...]",
+		Short: "Run deployments under load with the brief's failures, each alone, in pairs, and twice",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return f.profiled(func() error { return drillAll(cmd.OutOrStdout(), args, f) })
+		},
+	}
+	f.register(cmd)
+	cmd.Flags().IntVar(&f.seeds, "seeds", 1, "how many seeds, from --seed on")
+	return cmd
+}
+
+func drillAll(out io.Writer, files []string, f *flags) error {
+	broken, never := 0, 0
+	for _, file := range files {
+		d, err := LoadDeployment(file)
+		if err != nil {
+			return err
+		}
+		for i := range f.seeds {
+			r, err := RunDrill(d, f.seed+uint64(i))
+			if err != nil {
+				return errors.Wrapf(err, "%s, seed %d", file, f.seed+uint64(i))
+			}
+			printDrill(out, r)
+			broken += r.Broken()
+			never += r.NeverRepeat
+		}
+	}
+	fmt.Fprintf(out, "%d never-repeat calls in all, %d promises broken\n", never, broken)
+	if broken > 0 {
+		return ErrPromise
+	}
+	return nil
+}
+
+func printDrill(out io.Writer, r *DrillReport) {
+	fmt.Fprintf(out, "%s, seed %d: %d calls (%d never-repeat), %d answered, %d not run, %d unknown; %d races, %d lost\n",
+		r.Deployment, r.Seed, r.Calls, r.NeverRepeat, r.Answered, r.NotRun, r.Unknown, r.Races, r.RacesLost)
+	printPromises(out, &r.Promises)
+	fmt.Fprintf(out, "  faults: %s\n  outcomes: %s\n", counts(r.Faults), counts(r.Kinds))
+}
+
+func counts(m map[string]int) string {
+	var out []string
+	for _, k := range sortedKeys(m) {
+		out = append(out, fmt.Sprintf("%s %d", k, m[k]))
+	}
+	return strings.Join(out, ", ")
+}
--- /dev/null
+++ b/pkg/burn/command.go
@@ -0,0 +1,151 @@
+package burn
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+type options struct {
+	objectives string
+	samples    string
+	watch      time.Duration
+	times      int
+	json       bool
+	html       string
+}
+
+// NewCommand makes the command line of rushramp-burn.
+func NewCommand() *cobra.Command {
+	o := &options{}
+	cmd := &cobra.Command{
+		Use:           "rushramp-burn",
+		Short:         "Report how fast services burn their error budgets",
+		Long:          "Report how fast services burn their error budgets.\nVMs keep nothing, so this tool keeps its samples in a file where it runs: run it\nagain and again, or with --watch, for windows longer than one run.",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(cmd *cobra.Command, _ []string) error { return o.run(cmd.OutOrStdout()) },
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&o.objectives, "objectives", "objectives.yaml", "file with the daemons and the objectives")
+	flags.StringVar(&o.samples, "samples", "burn-samples.jsonl", "file in which this tool keeps its samples")
+	flags.DurationVar(&o.watch, "watch", 0, "take a sample each time this has passed; 0: one sample")
+	flags.IntVar(&o.times, "times", 2, "how many samples --watch takes")
+	flags.BoolVar(&o.json, "json", false, "print the report as JSON")
+	flags.StringVar(&o.html, "html", "", "write the report with plots to this file")
+	return cmd
+}
+
+func (self *options) run(out io.Writer) error {
+	objectives, err := LoadObjectives(self.objectives)
+	if err != nil {
+		return err
+	}
+	samples, err := LoadSamples(self.samples)
+	if err != nil {
+		return err
+	}
+	samples, err = self.take(objectives, samples)
+	if err != nil {
+		return err
+	}
+	report := Make(objectives.Objectives, samples)
+	if self.html != "" {
+		if err := writeHTML(self.html, &report); err != nil {
+			return err
+		}
+	}
+	if self.json {
+		enc := json.NewEncoder(out)
+		enc.SetIndent("", "  ")
+		return errors.Wrap(enc.Encode(report), "report")
+	}
+	self.print(out, &report)
+	return nil
+}
+
+func (self *options) take(objectives *Objectives, samples []Sample) ([]Sample, error) {
+	count := 1
+	if self.watch > 0 {
+		count = self.times
+	}
+	for i := range count {
+		if i > 0 {
+			time.Sleep(self.watch)
+		}
+		now := time.Now()
+		s := Read(objectives.Daemons, now)
+		if len(s.Missing) == len(objectives.Daemons) {
+			return nil, errors.New("no daemon answered. Check the addresses under daemons; they are those of listen.metrics.")
+		}
+		samples = append(samples, s)
+		if err := SaveSamples(self.samples, samples, now); err != nil {
+			return nil, err
+		}
+	}
+	return samples, nil
+}
+
+func (self *options) print(out io.Writer, r *Report) {
+	fmt.Fprintf(out, "%s, %d samples kept in %s\n", r.At.UTC().Format(time.RFC3339), r.Samples, self.samples)
+	for _, m := range r.Missing {
+		fmt.Fprintf(out, "%s did not answer; its calls are missing\n", m)
+	}
+	if r.Samples < 2 {
+		fmt.Fprintln(out, "A burn rate needs two samples: run this again, or use --watch.")
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "objective\twithin\tshare\tcalls\tbad\t5m\t30m\t1h\t6h\tbudget left\talarm")
+	for _, l := range r.Lines {
+		longest := l.Burns[len(l.Burns)-1]
+		fmt.Fprintf(w, "%s/%s\t%v\t%g\t%.0f\t%.0f\t", l.Objective.Service, l.Objective.Kind, l.Objective.Within, l.Objective.Share, longest.Calls, longest.Bad)
+		for _, b := range l.Burns {
+			fmt.Fprintf(w, "%.2f\t", b.Rate)
+		}
+		fmt.Fprintf(w, "%.0f%%\t%s\n", 100*l.BudgetLeft, l.Alarm)
+	}
+	_ = w.Flush()
+	for _, l := range r.Lines {
+		printParts(out, &l)
+	}
+}
+
+// mostParts is how many places of each sort are printed.
+const mostParts = 3
+
+func printParts(out io.Writer, l *Line) {
+	if l.Burns[len(l.Burns)-1].Bad == 0 {
+		return
+	}
+	fmt.Fprintf(out, "%s/%s burns at:\n", l.Objective.Service, l.Objective.Kind)
+	for _, group := range []struct {
+		name  string
+		parts []Part
+	}{{"data centre", l.DataCentres}, {"backend server", l.Servers}, {"outcome", l.Outcomes}} {
+		for i, p := range group.parts {
+			if i == mostParts || p.Bad == 0 {
+				break
+			}
+			fmt.Fprintf(out, "  %s %s: %.0f of %.0f calls bad, %.0f%% of all bad\n", group.name, p.Name, p.Bad, p.Calls, 100*p.Share)
+		}
+	}
+}
+
+func writeHTML(path string, r *Report) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.Wrap(err, "HTML report")
+	}
+	if err := page.Execute(file, viewOf(r)); err != nil {
+		_ = file.Close()
+		return errors.Wrap(err, "HTML report")
+	}
+	return errors.Wrap(file.Close(), "HTML report")
+}
--- /dev/null
+++ b/pkg/burn/html.go
@@ -0,0 +1,117 @@
+package burn
+
+import (
+	"bytes"
+	_ "embed"
+	"fmt"
+	"html/template"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+//go:embed report.html
+var pageText string
+
+var page = template.Must(template.New("report").Parse(pageText))
+
+// view is what the page shows.
+type view struct {
+	At      string
+	Samples int
+	Missing []string
+	Lines   []lineView
+}
+
+type lineView struct {
+	Line
+	Name  string
+	State string
+	// Plot is an SVG that this package drew.
+	Plot   template.HTML
+	Groups []groupView
+}
+
+type groupView struct {
+	Name  string
+	Parts []Part
+}
+
+// Percent is a share for people.
+func (self Part) Percent() string { return fmt.Sprintf("%.0f%%", 100*self.Share) }
+
+// Percent is the budget left, for people.
+func (self lineView) Percent() float64 { return 100 * self.BudgetLeft }
+
+func viewOf(r *Report) view {
+	out := view{At: r.At.UTC().Format(time.RFC1123), Samples: r.Samples, Missing: r.Missing}
+	for _, l := range r.Lines {
+		out.Lines = append(out.Lines, lineView{
+			Line: l, Name: l.Objective.Service + " / " + l.Objective.Kind, State: stateOf(&l), Plot: plotOf(&l),
+			Groups: []groupView{{"Data centre", l.DataCentres}, {"Backend server", l.Servers}, {"Outcome", l.Outcomes}},
+		})
+	}
+	return out
+}
+
+// stateOf is the colour class of an objective.
+func stateOf(l *Line) string {
+	switch {
+	case l.Alarm != "":
+		return "alarm"
+	case l.BudgetLeft < 0:
+		return "over"
+	}
+	return "good"
+}
+
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 5 * vg.Centimeter
+)
+
+// plotOf draws the share of bad calls over time, with the objective's line.
+func plotOf(l *Line) template.HTML {
+	if len(l.Points) < 2 {
+		return ""
+	}
+	p := plot.New()
+	p.Y.Label.Text = "bad calls, %"
+	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04:05"}
+	var bad, allowed plotter.XYs
+	for _, point := range l.Points {
+		x := float64(point.At.Unix())
+		bad = append(bad, plotter.XY{X: x, Y: 100 * point.Bad})
+		allowed = append(allowed, plotter.XY{X: x, Y: 100 * (1 - l.Objective.Share)})
+	}
+	badLine, err := plotter.NewLine(bad)
+	if err != nil {
+		return ""
+	}
+	allowedLine, err := plotter.NewLine(allowed)
+	if err != nil {
+		return ""
+	}
+	badLine.Width = vg.Points(2)
+	allowedLine.Dashes = []vg.Length{vg.Points(4), vg.Points(4)}
+	p.Add(badLine, allowedLine)
+	p.Legend.Add("bad", badLine)
+	p.Legend.Add("allowed", allowedLine)
+	p.Legend.Top = true
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return ""
+	}
+	// An XML declaration has no place inside a page.
+	svg := out.Bytes()
+	if at := bytes.Index(svg, []byte("<svg")); at > 0 {
+		svg = svg[at:]
+	}
+	return template.HTML(svg)
+}
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -28,6 +28,9 @@
 	Spoke bool
 	// Stamp is the gate's load; Seq 0: none came with this result.
 	Stamp wire.Stamp
+	// Server and DataCentre say which backend server this end is about.
+	Server     string
+	DataCentre string
 	// Network is the shortest round trip that was measured on the way taken.
 	Network time.Duration
 	// Next is the claim to try instead when the refusal is KeyMoved.
--- /dev/null
+++ b/pkg/choose/choose_test.go
@@ -0,0 +1,190 @@
+package choose
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+const (
+	ms    = int64(time.Millisecond)
+	slots = 12
+)
+
+func policies() map[string]Policy {
+	out := map[string]Policy{}
+	for _, name := range []string{"random", "round_robin", "least_outstanding", "hot_cold", "expected_wait", "idle_hints"} {
+		// The names are those of New; the test of the settings has the list.
+		out[name], _ = New(name, Options{HalfLife: 20 * time.Millisecond})
+	}
+	return out
+}
+
+func expected() *ExpectedWait { return &ExpectedWait{HalfLife: 20 * time.Millisecond} }
+
+// set makes candidates whose stamps came at a time and told of calls in flight.
+func set(at int64, inFlight ...uint32) []tables.Candidate {
+	var out []tables.Candidate
+	for _, n := range inFlight {
+		load := tables.NewLoad(slots)
+		load.Report(at, wire.Stamp{Seq: 1, Running: n, Limit: slots, ServiceUS: 5000})
+		out = append(out, tables.Candidate{Load: load})
+	}
+	return out
+}
+
+// picks counts how often each candidate is picked.
+func picks(p Policy, req *Request, n int) []int {
+	rnd := rand.New(rand.NewPCG(1, 2))
+	out := make([]int, len(req.Set))
+	for range n {
+		out[p.Choose(req, rnd).Index]++
+	}
+	return out
+}
+
+func TestPoliciesPickOnlyWhatIsLeft(t *testing.T) {
+	for name, p := range policies() {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				loads := rapid.SliceOfN(rapid.Uint32Range(0, 40), 0, 20).Draw(t, "loads")
+				req := &Request{Now: 100 * ms, Set: set(rapid.Int64Range(1, 100*ms).Draw(t, "at"), loads...)}
+				left := 0
+				for i := range loads {
+					if rapid.Bool().Draw(t, "tried") {
+						req.Tried = req.Tried.With(i)
+					} else {
+						left++
+					}
+				}
+				pick := p.Choose(req, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)))
+				if left == 0 {
+					must.Eq(t, None, pick.Index)
+					return
+				}
+				must.Between(t, 0, pick.Index, len(loads)-1)
+				must.False(t, req.Tried.Has(pick.Index))
+			})
+		})
+	}
+}
+
+func TestTheSameSeedPicksTheSame(t *testing.T) {
+	for name, p := range policies() {
+		if name == "round_robin" {
+			continue
+		}
+		req := &Request{Now: 10 * ms, Set: set(5*ms, 3, 9, 4, 12, 0)}
+		test.Eq(t, picks(p, req, 500), picks(p, req, 500), test.Sprint(name))
+	}
+}
+
+func TestExpectedWaitDecisions(t *testing.T) {
+	scenarios := []struct {
+		name   string
+		change func(req *Request)
+		// most is the share of picks that candidate 0 may have at the most.
+		most float64
+		// least is the share that it must have.
+		least float64
+	}{
+		{"the emptiest is taken", func(req *Request) { req.Set = set(99*ms, 2, 14, 14, 14) }, 1, 1},
+		{"a full one is left", func(req *Request) { req.Set = set(99*ms, 14, 2, 2, 2) }, 0, 0},
+		{"old news of an empty server does not attract", func(req *Request) {
+			fresh := set(99*ms, 8, 8, 8)
+			req.Set = append(set(-900*ms, 0), fresh...)
+		}, 0.5, 0},
+		{"a server that fails fast loses its share", func(req *Request) {
+			req.Set = set(99*ms, 0, 6, 6, 6)
+			for range 10 {
+				req.Set[0].Load.Answered(true)
+			}
+		}, 0.01, 0},
+		{"it gets its share back when it answers well", func(req *Request) {
+			req.Set = set(99*ms, 0, 13, 13, 13)
+			for range 10 {
+				req.Set[0].Load.Answered(true)
+			}
+			for range 40 {
+				req.Set[0].Load.Answered(false)
+			}
+		}, 1, 0.9},
+		{"one that reports no load and answers nothing is left", func(req *Request) {
+			req.Set = set(10*ms, 0, 10, 10, 10)
+			for range 4 {
+				req.Set[0].Load.Sent(11 * ms)
+			}
+		}, 0, 0},
+		{"a far server is taken only when the near are full", func(req *Request) {
+			req.Set = set(99*ms, 4, 4, 4, 4)
+			req.Set[0].Load.SetDistance(2 * time.Millisecond)
+		}, 0.01, 0},
+		{"and then it is", func(req *Request) {
+			req.Set = set(99*ms, 4, 30, 30, 30)
+			req.Set[0].Load.SetDistance(2 * time.Millisecond)
+		}, 1, 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			req := &Request{Now: 100 * ms}
+			s.change(req)
+			const n = 400
+			share := float64(picks(expected(), req, n)[0]) / n
+			test.Between(t, s.least, share, s.most)
+		})
+	}
+}
+
+// TestManyEntriesWithTheSameNewsDoNotRunToOneServer is the herd: each of 40
+// entries holds the same stamps of 30 servers that are all but equally loaded.
+func TestManyEntriesWithTheSameNewsDoNotRunToOneServer(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(7, 7))
+	got := make([]int, 30)
+	for range 40 {
+		loads := make([]uint32, 30)
+		for i := range loads {
+			loads[i] = 8 + uint32(i%2)
+		}
+		got[expected().Choose(&Request{Now: 100 * ms, Set: set(99*ms, loads...)}, rnd).Index]++
+	}
+	for i, n := range got {
+		test.LessEq(t, 8, n, test.Sprintf("server %d", i))
+	}
+}
+
+func TestMaxCostIsThatOfTheNextBest(t *testing.T) {
+	p := expected()
+	req := &Request{Now: 100 * ms, Set: set(100*ms, 0, 24)}
+	pick := p.Choose(req, rand.New(rand.NewPCG(1, 1)))
+	test.Eq(t, 0, pick.Index)
+	// The other: a run, and 13 ahead of it at 12 slots, and a quarter for both
+	// being near; use above 1 adds its own part.
+	test.Between(t, 11*time.Millisecond, pick.MaxCost, 20*time.Millisecond)
+	alone := p.Choose(&Request{Now: 100 * ms, Set: set(100*ms, 0)}, rand.New(rand.NewPCG(1, 1)))
+	test.Eq(t, unbounded, alone.MaxCost)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{3, 16, 30, 300} {
+		b.Run(fmt.Sprintf("expected_wait/%d", n), func(b *testing.B) {
+			loads := make([]uint32, n)
+			for i := range loads {
+				loads[i] = uint32(i % slots)
+			}
+			p := expected()
+			req := &Request{Now: 100 * ms, Set: set(99*ms, loads...)}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Choose(req, Runtime{})
+			}
+		})
+	}
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,7 +55,8 @@
 	stops   []func()
 	leave   sync.Once
 	left    chan struct{}
-	cut     int64
+	cut     atomic.Int64
+	stopped sync.Once
 }
 
 // New makes a daemon from its settings. It opens no listener yet.
@@ -80,6 +82,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if opts.Dial == nil {
+		opts.Dial = dialFrom(s.Listen.Links)
+	}
 	c := common.NewCommon(opts.Log, s)
 	background, endWork := context.WithCancel(context.Background())
 	self := &Daemon{
@@ -109,6 +114,18 @@
 	return self, nil
 }
 
+// dialFrom dials from the IP number that the daemon listens on, so that others
+// see which VM a link comes from.
+func dialFrom(listen string) link.Dial {
+	dialer := &net.Dialer{}
+	if host, _, err := net.SplitHostPort(listen); err == nil {
+		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+			dialer.LocalAddr = &net.TCPAddr{IP: ip}
+		}
+	}
+	return dialer.DialContext
+}
+
 func (self *Daemon) newExecutor(claims *once.Claims) error {
 	if self.Settings.BackendServer.Address == "" {
 		return nil
@@ -202,20 +219,25 @@
 	for time.Since(began) < self.Settings.Drain.Linger || (self.InFlight() > 0 && time.Since(began) < bound) {
 		time.Sleep(drainPoll)
 	}
-	self.cut = self.InFlight()
+	self.cut.Store(self.InFlight())
 }
 
+// Cut counts the calls that were in flight when the drain's bound passed.
+func (self *Daemon) Cut() int64 { return self.cut.Load() }
+
 // Left is closed when the drain has ended.
 func (self *Daemon) Left() <-chan struct{} { return self.left }
 
 // Stop ends the daemon: at once, unless it drained before.
-func (self *Daemon) Stop() {
+func (self *Daemon) Stop() { self.stopped.Do(self.stop) }
+
+func (self *Daemon) stop() {
 	self.endWork()
 	self.stopAll()
 	if self.Executor != nil {
 		self.Executor.Close()
 	}
-	self.Log.Event(events.DaemonStopped, events.F("cut", self.cut))
+	self.Log.Event(events.DaemonStopped, events.F("cut", self.Cut()))
 }
 
 func (self *Daemon) stopAll() {
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -48,6 +48,7 @@
 	})
 	self.Metrics.NewGauge("rushramp_members", func() float64 { return float64(self.World.View.Members()) })
 	self.Metrics.NewGauge("rushramp_placement_unsure", func() float64 { return asNumber(self.World.View.Unsure()) })
+	self.Metrics.NewGauge("rushramp_store_stale", func() float64 { return asNumber(self.World.View.StoreStale()) })
 	self.Metrics.NewGauge("rushramp_leaving", func() float64 { return asNumber(self.World.View.Leaving()) })
 	if self.Executor == nil {
 		return
--- a/pkg/entry/stats.go
+++ b/pkg/entry/stats.go
@@ -21,11 +21,16 @@
 	hedges       *metrics.Counter
 	added        *metrics.Histogram
 	byKind       sync.Map
+	served       sync.Map
 }
 
 // kindName is a key of byKind.
 type kindName struct{ service, kind string }
 
+// servedName is a key of served. Servers are those of this entry's subsets, so
+// there are some tens of them.
+type servedName struct{ service, kind, dataCentre, server, outcome string }
+
 // kindStats are the metrics of one kind of request.
 type kindStats struct {
 	seconds  *metrics.Histogram
@@ -56,12 +61,31 @@
 	kind := self.kindOf(plan)
 	kind.outcomes[outcome].Inc()
 	kind.seconds.Update(took.Seconds())
+	self.servedBy(plan, result, outcome).Update(took.Seconds())
 	if result.Answer != nil {
 		kind.quantile.note(took)
 		self.added.Update(max(took-result.Answer.Queued-result.Answer.Run-result.Network, 0).Seconds())
 	}
 }
 
+// servedBy is the metric that rushramp-burn reads.
+func (self *stats) servedBy(plan *Plan, result call.Result, outcome errkind.Kind) *metrics.Histogram {
+	name := servedName{plan.Request.Service, plan.View.Kind.Name, result.DataCentre, result.Server, "answered"}
+	switch {
+	case outcome != errkind.None:
+		name.outcome = outcome.String()
+	case result.Answer.Status >= 500:
+		name.outcome = "backend_error"
+	}
+	if h, ok := self.served.Load(name); ok {
+		return h.(*metrics.Histogram)
+	}
+	h := self.set.GetOrCreateHistogram(fmt.Sprintf("rushramp_served_seconds{service=%q,kind=%q,data_centre=%q,server=%q,outcome=%q}",
+		name.service, name.kind, name.dataCentre, name.server, name.outcome))
+	self.served.Store(name, h)
+	return h
+}
+
 func (self *stats) kindOf(plan *Plan) *kindStats {
 	return self.kind(kindName{plan.Request.Service, plan.View.Kind.Name})
 }
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -158,6 +158,7 @@
 	}
 	f.to.Load.Answered(failed(result))
 	result.Network = f.to.Load.Distance()
+	result.Server, result.DataCentre = f.to.Route.VM, f.to.Route.DataCentre
 	return result
 }
 
--- /dev/null
+++ b/pkg/once/once_test.go
@@ -0,0 +1,365 @@
+package once
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/executor"
+	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/standin/store"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// mode is what becomes of a request to the table.
+type mode int
+
+const (
+	works mode = iota
+	// loses applies a write and loses its answer.
+	loses
+	// delays answers with an error now and applies the write later, or never.
+	delays
+	// fails has no effect.
+	fails
+)
+
+var errTable = errors.New("no answer")
+
+// flaky is a table whose next requests go as the modes say.
+type flaky struct {
+	*store.Store
+	next []mode
+	late [][]platform.Write
+}
+
+func (self *flaky) take() mode {
+	if len(self.next) == 0 {
+		return works
+	}
+	m := self.next[0]
+	self.next = self.next[1:]
+	return m
+}
+
+func (self *flaky) Batch(ctx context.Context, writes []platform.Write) ([]platform.Result, error) {
+	switch self.take() {
+	case loses:
+		_, _ = self.Store.Batch(ctx, writes)
+		return nil, errTable
+	case delays:
+		self.late = append(self.late, writes)
+		return nil, errTable
+	case fails:
+		return nil, errTable
+	}
+	return self.Store.Batch(ctx, writes)
+}
+
+func (self *flaky) Get(ctx context.Context, key string) (platform.Row, error) {
+	if self.take() != works {
+		return platform.Row{}, errTable
+	}
+	return self.Store.Get(ctx, key)
+}
+
+func newClaims(ctx context.Context, table platform.Table, vm string) *Claims {
+	s := settings.Default()
+	s.VM.ID = vm
+	return NewClaims(ctx, common.NewCommon(events.Discard(), &s), table)
+}
+
+// request is one request of a caller.
+type request struct {
+	id   int
+	call *wire.Call
+	// told is what the caller was told; empty while it waits.
+	told string
+	runs int
+}
+
+// script is a history drawn beforehand: rapid cannot draw inside the bubble
+// whose clock lets background work go on.
+type script struct {
+	numbers []int
+	at      int
+}
+
+// choose returns a number from 0 to n-1, and 0 after the end.
+func (self *script) choose(n int) int {
+	if self.over() {
+		return 0
+	}
+	self.at++
+	return self.numbers[self.at-1] % n
+}
+
+func (self *script) over() bool { return self.at >= len(self.numbers) }
+
+// history plays callers, entries, executors and the store against the real
+// protocol code. Executors are paused at any place: a call in transit arrives,
+// and a permit is used, any number of steps later.
+type history struct {
+	*script
+	table     *flaky
+	executors []*Claims
+	requests  []*request
+	transit   []*request
+	permits   []held
+	keyRuns   map[string]int
+}
+
+type held struct {
+	request *request
+	permit  executor.Permit
+}
+
+func (self *history) body(r *request) []byte { return []byte("body of " + r.call.Key) }
+
+func (self *history) newRequest() {
+	r := &request{id: len(self.requests)}
+	r.call = &wire.Call{
+		Service: "lizenz", Method: "POST", URI: "/activate",
+		Key: []string{"a", "b"}[self.choose(2)], Claim: wire.Claim{Generation: 1},
+	}
+	self.requests = append(self.requests, r)
+	self.transit = append(self.transit, r)
+}
+
+func (self *history) modes() {
+	self.table.next = nil
+	for range self.choose(4) {
+		self.table.next = append(self.table.next, mode(self.choose(4)))
+	}
+}
+
+// deliver lets an executor claim for a call in transit.
+func (self *history) deliver() {
+	if len(self.transit) == 0 {
+		return
+	}
+	i := self.choose(len(self.transit))
+	r := self.transit[i]
+	self.transit = append(self.transit[:i], self.transit[i+1:]...)
+	self.modes()
+	by := self.executors[self.choose(len(self.executors))]
+	permit, result := by.Claim(r.call, self.body(r), time.Now().Add(time.Second))
+	switch {
+	case permit != nil:
+		self.permits = append(self.permits, held{r, permit})
+	case result.Answer != nil:
+		r.tell("answered")
+	case result.Refusal.Kind == errkind.KeyMoved && r.told == "":
+		// The entry still waits, and tries in the next generation.
+		moved := *r.call
+		moved.Claim = result.Next
+		r.call = &moved
+		self.transit = append(self.transit, r)
+	case result.Refusal.Kind != errkind.KeyMoved:
+		r.tell(result.Refusal.Ran.String())
+	}
+}
+
+func (self *request) tell(what string) {
+	if self.told == "" {
+		self.told = what
+	}
+}
+
+// use runs a call whose permit an executor holds, or finds that it is too late.
+func (self *history) use() {
+	if len(self.permits) == 0 {
+		return
+	}
+	i := self.choose(len(self.permits))
+	h := self.permits[i]
+	self.permits = append(self.permits[:i], self.permits[i+1:]...)
+	self.modes()
+	if self.choose(4) == 0 {
+		h.permit.Finish(nil, errkind.RanNo)
+		h.request.tell("no")
+		return
+	}
+	h.request.runs++
+	self.keyRuns[h.request.call.Key]++
+	if self.choose(2) == 0 {
+		h.permit.Finish(&call.Answer{Status: 200, Body: []byte("done")}, errkind.RanMaybe)
+		h.request.tell("answered")
+	}
+}
+
+// giveUp lets the entry of a silent executor seal the key.
+func (self *history) giveUp() {
+	var open []*request
+	for _, r := range self.requests {
+		if r.told == "" {
+			open = append(open, r)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	r := open[self.choose(len(open))]
+	self.modes()
+	result := self.executors[0].Seal(r.call, self.body(r), errkind.New(errkind.LinkLost, "silent"))
+	switch {
+	case result.Answer != nil:
+		r.tell("answered")
+	case result.Refusal.Kind == errkind.KeyMoved:
+		r.tell("no")
+	default:
+		r.tell(result.Refusal.Ran.String())
+	}
+}
+
+// arrive applies a write that was on its way.
+func (self *history) arrive() {
+	if len(self.table.late) == 0 {
+		return
+	}
+	i := self.choose(len(self.table.late))
+	// The stand-in itself has no faults set, so it cannot fail.
+	_, _ = self.table.Store.Batch(context.Background(), self.table.late[i])
+	self.table.late = append(self.table.late[:i], self.table.late[i+1:]...)
+}
+
+// broken says which promise does not hold.
+func (self *history) broken() string {
+	for key, runs := range self.keyRuns {
+		if runs > 1 {
+			return fmt.Sprintf("key %s ran %d times", key, runs)
+		}
+	}
+	for _, r := range self.requests {
+		if r.told == "no" && r.runs > 0 {
+			return fmt.Sprintf("request %d was told no and ran", r.id)
+		}
+	}
+	return ""
+}
+
+func (self *history) play() string {
+	steps := []func(){
+		self.newRequest, self.deliver, self.use, self.giveUp, self.arrive, self.deliver, self.use,
+		func() { time.Sleep(time.Second) },
+	}
+	for !self.over() {
+		steps[self.choose(len(steps))]()
+		synctest.Wait()
+		if broken := self.broken(); broken != "" {
+			return broken
+		}
+	}
+	return ""
+}
+
+// TestAtMostOnce plays histories. Voiding goes on in the background, on the
+// bubble's clock.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		numbers := rapid.SliceOfN(rapid.IntRange(0, 1<<10), 60, 400).Draw(r, "script")
+		broken := ""
+		synctest.Test(t, func(*testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			table := &flaky{Store: store.New()}
+			h := &history{script: &script{numbers: numbers}, table: table, keyRuns: map[string]int{}}
+			for i := range 2 {
+				h.executors = append(h.executors, newClaims(ctx, table, fmt.Sprintf("vm-%d", i)))
+			}
+			broken = h.play()
+			cancel()
+			synctest.Wait()
+		})
+		must.Eq(r, "", broken)
+	})
+}
+
+func keyed(body string) (*wire.Call, []byte) {
+	return &wire.Call{Service: "lizenz", Method: "POST", URI: "/a", Key: "k", Claim: wire.Claim{Generation: 1}}, []byte(body)
+}
+
+func soon() time.Time { return time.Now().Add(time.Second) }
+
+func TestARepeatGetsTheFirstAnswer(t *testing.T) {
+	c := newClaims(context.Background(), store.New(), "vm")
+	request, body := keyed("x")
+	permit, _ := c.Claim(request, body, soon())
+	must.NotNil(t, permit)
+	_, during := c.Claim(request, body, soon())
+	test.Eq(t, errkind.KeyInProgress, during.Refusal.Kind)
+	test.Eq(t, errkind.RanMaybe, during.Refusal.Ran)
+
+	permit.Finish(&call.Answer{Status: 201, Body: []byte("licence 7")}, errkind.RanMaybe)
+	var after call.Result
+	for after.Answer == nil {
+		_, after = c.Claim(request, body, soon())
+	}
+	test.Eq(t, "licence 7", string(after.Answer.Body))
+
+	other, otherBody := keyed("y")
+	_, reused := c.Claim(other, otherBody, soon())
+	test.Eq(t, errkind.KeyReused, reused.Refusal.Kind)
+}
+
+func TestStoreDownIsRefusedAtOnceAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		s.SetFaults(store.Faults{Down: true})
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newClaims(ctx, s, "vm")
+		request, body := keyed("x")
+		_, first := c.Claim(request, body, soon())
+		test.Eq(t, errkind.StoreUnavailable, first.Refusal.Kind)
+		test.Eq(t, errkind.RanNo, first.Refusal.Ran)
+
+		// While it is known to be down, nobody waits for it, and it is spared.
+		before := s.Writes()
+		for range 100 {
+			_, next := c.Claim(request, body, soon())
+			test.Eq(t, errkind.StoreUnavailable, next.Refusal.Kind)
+		}
+		test.Eq(t, before, s.Writes())
+
+		s.SetFaults(store.Faults{})
+		time.Sleep(2 * time.Second)
+		cancel()
+		synctest.Wait()
+		request.Key = "other"
+		permit, _ := c.Claim(request, body, soon())
+		test.NotNil(t, permit)
+	})
+}
+
+func TestClaimsThatMeetGoInOneWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		s.SetFaults(store.Faults{Delay: 10 * time.Millisecond})
+		c := newClaims(context.Background(), s, "vm")
+		done := make(chan bool)
+		const calls = 50
+		for i := range calls {
+			go func() {
+				request, body := keyed("x")
+				request.Key = fmt.Sprint(i)
+				permit, _ := c.Claim(request, body, soon())
+				done <- permit != nil
+			}()
+		}
+		for range calls {
+			test.True(t, <-done)
+		}
+		test.LessEq(t, 3, s.Writes())
+	})
+}
--- a/pkg/once/permit.go
+++ b/pkg/once/permit.go
@@ -1,8 +1,11 @@
 package once
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
@@ -50,8 +53,7 @@
 	if err != nil {
 		return
 	}
-	write := platform.Write{Key: self.key, IfVersion: self.version, Value: value}
-	for !self.voidOnce(&write) {
+	for !self.voidOnce(value) {
 		select {
 		case <-self.claims.background.Done():
 			return
@@ -60,25 +62,40 @@
 	}
 }
 
-// voidOnce is true when the claim is settled.
-func (self *permit) voidOnce(write *platform.Write) bool {
-	out := self.claims.writer.do(*write, time.Now().Add(self.claims.writer.timeout))
-	switch {
-	case out.err != nil:
-		return false
-	case out.result.Won:
-		self.claims.Log.Event(events.ClaimVoided)
-		return true
-	case out.result.Row.Version == self.version-1:
-		// The claim has not arrived. Sealing in its place keeps it out: the
-		// claim's own condition cannot hold any more.
-		write.IfVersion = self.version - 1
-		return false
+// voidOnce is true when the claim is settled. It looks before it writes: a row
+// of the version that this claim would have may be another executor's claim,
+// which must stay.
+func (self *permit) voidOnce(value []byte) bool {
+	version, settled, err := self.look()
+	if settled || err != nil {
+		return settled
 	}
-	found, err := Decode(out.result.Row)
-	if err == nil && found.Nonce == self.row.Nonce && found.State == Claimed {
-		write.IfVersion = out.result.Row.Version
+	write := platform.Write{Key: self.key, IfVersion: version, Value: value}
+	out := self.claims.writer.do(write, time.Now().Add(self.claims.writer.timeout))
+	if out.err != nil || !out.result.Won {
 		return false
 	}
+	self.claims.Log.Event(events.ClaimVoided)
 	return true
 }
+
+// look returns the version of the row that a seal must replace: that of the own
+// claim, or the one before it when the claim has not arrived. In the latter
+// case the seal keeps it out: the claim's own condition cannot hold any more.
+func (self *permit) look() (version uint64, settled bool, err error) {
+	ctx, cancel := context.WithTimeout(self.claims.background, self.claims.writer.timeout)
+	defer cancel()
+	stored, err := self.claims.table.Get(ctx, self.key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return 0, false, err
+	}
+	if stored.Version < self.version {
+		return stored.Version, false, nil
+	}
+	found, err := Decode(stored)
+	if err != nil {
+		return 0, false, err
+	}
+	mine := found.Nonce == self.row.Nonce && found.State == Claimed
+	return stored.Version, !mine, nil
+}
--- a/pkg/systems/doubt.go
+++ b/pkg/systems/doubt.go
@@ -24,7 +24,10 @@
 	if !self.due.at(now, doubtEvery) {
 		return
 	}
-	unsure := self.World.Placement != nil && self.unsure(now)
+	age, ok := self.World.StoreAge(now)
+	stale := !ok || age > self.Settings.Placement.UnsureAfter
+	self.World.View.SetStoreStale(stale)
+	unsure := self.World.Placement != nil && stale && self.someoneSilent(now)
 	if unsure == self.World.View.Unsure() {
 		return
 	}
@@ -34,11 +37,9 @@
 	}
 }
 
-func (self *doubt) unsure(now int64) bool {
+// someoneSilent is true when another data centre was not heard of lately.
+func (self *doubt) someoneSilent(now int64) bool {
 	bound := self.Settings.Placement.UnsureAfter
-	if age, ok := self.World.StoreAge(now); ok && age < bound {
-		return false
-	}
 	silent := false
 	self.World.Members.Rows(func(row int) {
 		dc := self.World.Members.Row[row].DataCentre
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -59,6 +59,7 @@
 	leaving   atomic.Bool
 	ready     atomic.Bool
 	members   atomic.Int64
+	stale     atomic.Bool
 }
 
 // Placement returns the version in force, or nil.
@@ -107,3 +108,9 @@
 
 // SetMembers publishes how many VMs are known.
 func (self *View) SetMembers(n int) { self.members.Store(int64(n)) }
+
+// StoreStale is true while the newest word of the store is over its bound.
+func (self *View) StoreStale() bool { return self.stale.Load() }
+
+// SetStoreStale publishes whether it is.
+func (self *View) SetStoreStale(stale bool) { self.stale.Store(stale) }
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -37,6 +37,8 @@
 			"fault":      cmdFault,
 			"signal":     cmdSignal,
 			"eventually": cmdEventually,
+			"network":    cmdNetwork,
+			"certs":      cmdCerts,
 			"restart":    cmdRestart,
 			"unlist":     cmdUnlist,
 			"load":       cmdLoad,
--- a/test/world_test.go
+++ b/test/world_test.go
@@ -20,6 +20,7 @@
 	"github.com/rushramp/rushramp/pkg/loopback"
 	"github.com/rushramp/rushramp/pkg/platform"
 	"github.com/rushramp/rushramp/pkg/standin/backend"
+	"github.com/rushramp/rushramp/test/faultproxy"
 )
 
 // addresses are shared by all scenarios of this process, which run at once.
@@ -40,6 +41,8 @@
 	last     *answer
 	loads    map[string]*load
 	unlisted []string
+	// authority signs certificates; nil without TLS.
+	authority *authority
 }
 
 // worker is a daemon with a backend server's stand-in beside it.
@@ -48,6 +51,8 @@
 	address loopback.VM
 	daemon  *process
 	backend *process
+	// proxy stands before the daemon's listener for links.
+	proxy *faultproxy.Proxy
 }
 
 // answer is what a call got.
@@ -122,6 +127,9 @@
 	for _, l := range self.loads {
 		l.end()
 	}
+	for _, n := range self.workers {
+		n.proxy.Close()
+	}
 	for _, p := range self.procs {
 		if !p.ended() {
 			p.signal(syscall.SIGCONT)
