--- a/pkg/once/once_test.go
+++ b/pkg/once/once_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -23,58 +22,6 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
-// mode is what becomes of a request to the table.
-type mode int
-
-const (
-	works mode = iota
-	// loses applies a write and loses its answer.
-	loses
-	// delays answers with an error now and applies the write later, or never.
-	delays
-	// fails has no effect.
-	fails
-)
-
-var errTable = errors.New("no answer")
-
-// flaky is a table whose next requests go as the modes say.
-type flaky struct {
-	*store.Store
-	next []mode
-	late [][]platform.Write
-}
-
-func (self *flaky) take() mode {
-	if len(self.next) == 0 {
-		return works
-	}
-	m := self.next[0]
-	self.next = self.next[1:]
-	return m
-}
-
-func (self *flaky) Batch(ctx context.Context, writes []platform.Write) ([]platform.Result, error) {
-	switch self.take() {
-	case loses:
-		_, _ = self.Store.Batch(ctx, writes)
-		return nil, errTable
-	case delays:
-		self.late = append(self.late, writes)
-		return nil, errTable
-	case fails:
-		return nil, errTable
-	}
-	return self.Store.Batch(ctx, writes)
-}
-
-func (self *flaky) Get(ctx context.Context, key string) (platform.Row, error) {
-	if self.take() != works {
-		return platform.Row{}, errTable
-	}
-	return self.Store.Get(ctx, key)
-}
-
 func newClaims(ctx context.Context, table platform.Table, vm string) *Claims {
 	s := settings.Default()
 	s.VM.ID = vm
@@ -113,7 +60,7 @@
 // and a permit is used, any number of steps later.
 type history struct {
 	*script
-	table     *flaky
+	table     *store.Flaky
 	executors []*Claims
 	requests  []*request
 	transit   []*request
@@ -139,9 +86,9 @@
 }
 
 func (self *history) modes() {
-	self.table.next = nil
+	self.table.Next = nil
 	for range self.choose(4) {
-		self.table.next = append(self.table.next, mode(self.choose(4)))
+		self.table.Next = append(self.table.Next, store.Mode(self.choose(int(store.ModeCount))))
 	}
 }
 
@@ -226,13 +173,9 @@
 
 // arrive applies a write that was on its way.
 func (self *history) arrive() {
-	if len(self.table.late) == 0 {
-		return
+	if len(self.table.Late) > 0 {
+		self.table.Arrive(self.choose(len(self.table.Late)))
 	}
-	i := self.choose(len(self.table.late))
-	// The stand-in itself has no faults set, so it cannot fail.
-	_, _ = self.table.Store.Batch(context.Background(), self.table.late[i])
-	self.table.late = append(self.table.late[:i], self.table.late[i+1:]...)
 }
 
 // broken says which promise does not hold.
@@ -273,7 +216,7 @@
 		broken := ""
 		synctest.Test(t, func(*testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
-			table := &flaky{Store: store.New()}
+			table := &store.Flaky{Store: store.New()}
 			h := &history{script: &script{numbers: numbers}, table: table, keyRuns: map[string]int{}}
 			for i := range 2 {
 				h.executors = append(h.executors, newClaims(ctx, table, fmt.Sprintf("vm-%d", i)))
@@ -313,6 +256,33 @@
 	test.Eq(t, errkind.KeyReused, reused.Refusal.Kind)
 }
 
+func TestALostAnswerIsReadBack(t *testing.T) {
+	scenarios := []struct {
+		name  string
+		modes []store.Mode
+		runs  bool
+	}{
+		{"the write took effect", []store.Mode{store.Loses}, true},
+		{"it had no effect", []store.Mode{store.Fails}, false},
+		{"it is still on its way", []store.Mode{store.Delays}, false},
+		{"and the read-back fails, too", []store.Mode{store.Loses, store.Fails}, false},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			c := newClaims(ctx, &store.Flaky{Store: store.New(), Next: s.modes}, "vm")
+			request, body := keyed("x")
+			permit, result := c.Claim(request, body, soon())
+			test.Eq(t, s.runs, permit != nil)
+			if !s.runs {
+				test.Eq(t, errkind.StoreUnavailable, result.Refusal.Kind)
+				test.Eq(t, errkind.RanNo, result.Refusal.Ran)
+			}
+		})
+	}
+}
+
 func TestStoreDownIsRefusedAtOnceAsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := store.New()
--- a/pkg/operators/server.go
+++ b/pkg/operators/server.go
@@ -179,13 +179,16 @@
 func explain(err error) error {
 	var conflict *placement.ConflictError
 	var unknown *placement.UnknownOutcomeError
+	var notSent *placement.NotSentError
 	switch {
+	case errors.As(err, &notSent):
+		return status.Error(codes.Unavailable, err.Error())
 	case errors.As(err, &conflict):
 		return status.Error(codes.FailedPrecondition, err.Error())
 	case errors.As(err, &unknown):
 		return status.Error(codes.Unknown, err.Error())
 	}
-	return status.Errorf(codes.Unavailable, "nothing was changed: %v", err)
+	return status.Error(codes.InvalidArgument, err.Error())
 }
 
 // author is the name in the operator's certificate; without TLS, on loopback,
--- a/pkg/placement/store.go
+++ b/pkg/placement/store.go
@@ -61,6 +61,15 @@
 	return fmt.Sprintf("the platform's store did not say whether change %s was accepted (%v); send the same change again with this change id", self.ChangeID, self.Cause)
 }
 
+// NotSentError is returned when this attempt failed before anything was
+// written. An earlier attempt with the same change id may have been accepted.
+type NotSentError struct{ Cause error }
+
+// Error implements error.
+func (self *NotSentError) Error() string {
+	return fmt.Sprintf("this attempt changed nothing (%v); try again. If the same change id was sent before, its outcome is still open", self.Cause)
+}
+
 // Store reads and writes versions in the platform.
 type Store struct {
 	table   platform.Table
@@ -125,9 +134,9 @@
 	At         time.Time
 }
 
-// Commit writes a change as the next version. It returns the new document,
-// a ConflictError, an UnknownOutcomeError, or the store's error when nothing
-// was written.
+// Commit writes a change as the next version. It returns the new document, a
+// ConflictError, an UnknownOutcomeError, a NotSentError, or an error of the
+// change itself.
 func (self *Store) Commit(ctx context.Context, p Propose) (*Document, error) {
 	next, err := Apply(p.Base, p.Changes)
 	if err != nil {
@@ -139,7 +148,7 @@
 	}
 	head, rowVersion, err := self.head(ctx)
 	if err != nil {
-		return nil, err
+		return nil, &NotSentError{Cause: err}
 	}
 	if head.ChangeID == p.ChangeID {
 		return self.Snapshot(ctx, head)
@@ -148,7 +157,7 @@
 		return self.ownOrConflict(ctx, p.ChangeID, head)
 	}
 	if err := self.putSnapshot(ctx, next, hash); err != nil {
-		return nil, err
+		return nil, &NotSentError{Cause: err}
 	}
 	err = self.table.Transact(ctx, p.writes(next.Version, rowVersion, hash))
 	if err == nil {
--- /dev/null
+++ b/pkg/systems/placements_test.go
@@ -0,0 +1,143 @@
+package systems
+
+import (
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+func testEnv() *Env {
+	s := settings.Default()
+	s.VM = settings.VM{ID: "vm", DataCentre: "here"}
+	c := common.NewCommon(events.Discard(), &s)
+	w := tables.NewWorld("vm", "here")
+	return &Env{Common: c, World: w, Control: NewControl(c, w, 1)}
+}
+
+func version(n uint64) *placement.Document {
+	return &placement.Document{Version: n, Services: []placement.Service{{
+		Name: "s", Kinds: []placement.Kind{{Name: "k", Path: "/*", DataCentres: []string{"here"}}},
+	}}}
+}
+
+// update is what a peer in a data centre sends.
+func update(t must.T, dataCentre string, n uint64) tables.PeerUpdate {
+	doc := version(n)
+	data, err := doc.Encode()
+	must.NoError(t, err)
+	hash, err := doc.Hash()
+	must.NoError(t, err)
+	return tables.PeerUpdate{
+		Peer:   &link.Peer{Hello: wire.Hello{VM: "peer", DataCentre: dataCentre}},
+		Update: &wire.Update{Version: n, Hash: hash, Document: data},
+	}
+}
+
+// TestAVersionIsNeverLowered gives versions from the store and from peers, in
+// any order, old ones again and again.
+func TestAVersionIsNeverLowered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		env := testEnv()
+		system := &placements{Env: env}
+		highest := uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			n := rapid.Uint64Range(1, 9).Draw(t, "version")
+			mail := &tables.Mail{}
+			if rapid.Bool().Draw(t, "from the store") {
+				mail.Documents = []tables.Version{{Document: version(n), FromStore: true}}
+			} else {
+				mail.Updates = []tables.PeerUpdate{update(t, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "peer's data centre"), n)}
+			}
+			system.Tick(1, mail)
+			must.GreaterEq(t, highest, env.World.Version())
+			highest = env.World.Version()
+			if highest > 0 {
+				must.Eq(t, highest, env.World.View.Placement().Version)
+			}
+		}
+	})
+}
+
+func TestAVersionThatDoesNotMatchItsHashIsRefused(t *testing.T) {
+	env := testEnv()
+	system := &placements{Env: env}
+	system.Tick(1, &tables.Mail{Documents: []tables.Version{{Document: version(1), FromStore: true}}})
+	bad := update(t, "a", 2)
+	bad.Update.Hash = "0000"
+	system.Tick(2, &tables.Mail{Updates: []tables.PeerUpdate{bad}})
+	test.Eq(t, 1, env.World.Version())
+}
+
+func TestANewDaemonTrustsPeersInTwoDataCentres(t *testing.T) {
+	env := testEnv()
+	for _, dc := range []string{"here", "a", "b"} {
+		env.World.Members.Merge(1, nil, wire.Member{VM: "vm-" + dc, Started: 1, DataCentre: dc})
+	}
+	system := &placements{Env: env}
+	system.Tick(1, &tables.Mail{Updates: []tables.PeerUpdate{update(t, "a", 4)}})
+	test.Nil(t, env.World.Placement)
+	system.Tick(2, &tables.Mail{Updates: []tables.PeerUpdate{update(t, "a", 5)}})
+	test.Nil(t, env.World.Placement)
+	system.Tick(3, &tables.Mail{Updates: []tables.PeerUpdate{update(t, "b", 4)}})
+	test.Eq(t, 5, env.World.Version())
+}
+
+func TestSubsetIsStableAndEven(t *testing.T) {
+	const workers, entries, size = 30, 1000, 16
+	kind := placement.Compile(version(1)).Service("s").Match("GET", "/")
+	counts := map[string]int{}
+	for e := range entries {
+		w := tables.NewWorld("entry-"+string(rune(e)), "here")
+		for i := range workers {
+			w.Members.Merge(1, nil, wire.Member{VM: "worker-" + string(rune('A'+i)), Started: 1, DataCentre: "here", Service: "s"})
+		}
+		before := Subset(w, size, kind)
+		must.Len(t, size, before)
+		for _, route := range before {
+			counts[route.VM]++
+		}
+		// One that is not in the subset leaves: nobody else moves.
+		for _, route := range w.Members.Route {
+			if !contains(before, route) {
+				said := wire.Member{VM: route.VM, Started: 1, State: wire.MemberGone, DataCentre: "here", Service: "s"}
+				w.Members.Merge(2, nil, said)
+				break
+			}
+		}
+		must.Eq(t, names(before), names(Subset(w, size, kind)))
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	overMean := float64(most) * workers / (entries * size)
+	t.Logf("most over mean: %.3f", overMean)
+	test.Less(t, 1.15, overMean)
+}
+
+func contains(routes []*tables.Route, wanted *tables.Route) bool {
+	for _, r := range routes {
+		if r == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func names(routes []*tables.Route) []string {
+	var out []string
+	for _, r := range routes {
+		out = append(out, r.VM)
+	}
+	return out
+}
