--- a/pkg/bench/faultkinds.go
+++ b/pkg/bench/faultkinds.go
@@ -65,7 +65,7 @@
 	return out[rnd.IntN(len(out))]
 }
 
-// stopped takes a running daemon for a fault; nil when another fault has it.
+// take takes a running daemon for a fault; false when another fault has it.
 func (self *drill) take(n *node) bool {
 	self.mu.Lock()
 	defer self.mu.Unlock()
@@ -202,13 +202,14 @@
 	return func() {
 		<-done
 		<-done
+		// Long enough that a run in a place that is not allowed any more counts.
+		time.Sleep(inForceBound + time.Second)
 		self.apply(self.cluster.nodes[0], fmt.Sprintf("restore-%d", rnd.Uint64()), s.Name, k)
 	}
 }
 
-// apply changes a kind through a daemon, and notes where the kind may be
-// handled from now on. A change that was refused or unknown is noted, too, as
-// possible: it only widens what is allowed.
+// apply changes a kind through a daemon. What was accepted is read from the
+// store's history in the end, whatever the operator was told.
 func (self *drill) apply(n *node, id, service string, k placement.Kind) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
--- a/pkg/bench/faults.go
+++ b/pkg/bench/faults.go
@@ -116,7 +116,7 @@
 	if self.failure != nil {
 		return nil, self.failure
 	}
-	return self.report(seed), nil
+	return self.report(seed)
 }
 
 // phase brings faults about, each at its own time and for its own time.
@@ -166,14 +166,15 @@
 	}
 }
 
-func (self *drill) report(seed uint64) *DrillReport {
+func (self *drill) report(seed uint64) (*DrillReport, error) {
 	out := &DrillReport{
 		Deployment: self.cluster.deployment.Name, Seed: seed, Faults: self.seen,
 		Races: self.races, RacesLost: self.racesLost, Kinds: map[string]int{}, Promises: self.promises,
 	}
-	found := checkPromises(self.cluster, self.outcomes)
-	// Where a call may be handled changes while operators race, so the place of
-	// each run is checked against the widest placement of its kind.
+	found, err := checkPromises(self.cluster, self.outcomes)
+	if err != nil {
+		return nil, err
+	}
 	out.Crossed, out.Truncated, out.Doubled = found.Crossed, found.Truncated, found.Doubled
 	out.FalseNotRun, out.WrongPlace, out.BudgetOverruns = found.FalseNotRun, found.WrongPlace, found.BudgetOverruns
 	for i := range self.outcomes {
@@ -194,7 +195,7 @@
 			out.Kinds[nameOf(o)]++
 		}
 	}
-	return out
+	return out, nil
 }
 
 func nameOf(o *outcome) string {
--- a/pkg/bench/promises.go
+++ b/pkg/bench/promises.go
@@ -1,5 +1,14 @@
 package bench
 
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/placement"
+)
+
 // Promises are counts that must be 0. They come from the stand-ins' ledgers
 // and from what callers received, not from the daemons' word.
 type Promises struct {
@@ -31,16 +40,80 @@
 
 // ran is what all ledgers say of a call.
 type ran struct {
-	times  int
-	places []string
+	times int
+	runs  []runAt
+}
+
+// runAt is where and when a call began to run.
+type runAt struct {
+	dataCentre string
+	at         time.Time
+}
+
+// inForceBound is how long after its acceptance a placement version may not
+// yet be in force somewhere.
+const inForceBound = 2500 * time.Millisecond
+
+// rules are the placements that were in force, from the store's history.
+type rules struct{ versions []ruleVersion }
+
+// ruleVersion is a version and the time in which it may have been followed.
+type ruleVersion struct {
+	compiled    *placement.Compiled
+	from, until time.Time
+}
+
+func (self *cluster) rules() (*rules, error) {
+	entries, err := placement.NewStore(self.store, self.store).History(context.Background(), 0, 1<<20)
+	if err != nil {
+		return nil, errors.Wrap(err, "history of placements")
+	}
+	out := &rules{}
+	doc := &placement.Document{}
+	for i, e := range entries {
+		doc, err = placement.Replay(doc, []placement.LogEntry{e}, e.Hash)
+		if err != nil {
+			return nil, err
+		}
+		v := ruleVersion{compiled: placement.Compile(doc), from: e.At, until: e.At.Add(1000 * time.Hour)}
+		if i+1 < len(entries) {
+			v.until = entries[i+1].At.Add(inForceBound)
+		}
+		out.versions = append(out.versions, v)
+	}
+	return out, nil
 }
 
-func checkPromises(c *cluster, outcomes []outcome) Promises {
+// allow is true when a version that may have been followed at the time of a
+// run lets the kind be handled there.
+func (self *rules) allow(a *arrival, r runAt) bool {
+	for _, v := range self.versions {
+		if r.at.Before(v.from) || r.at.After(v.until) {
+			continue
+		}
+		service := v.compiled.Service(a.service.Name)
+		if service == nil {
+			continue
+		}
+		for _, k := range service.Kinds {
+			if k.Name == a.kind.Placement.Name && k.Allows(r.dataCentre) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func checkPromises(c *cluster, outcomes []outcome) (Promises, error) {
 	var out Promises
 	calls, keys := c.ledgers()
+	rules, err := c.rules()
+	if err != nil {
+		return out, err
+	}
 	for i := range outcomes {
 		o := &outcomes[i]
-		out.checkCall(o, calls[o.arrival.ledgerID()])
+		out.checkCall(rules, o, calls[o.arrival.ledgerID()])
 	}
 	for _, times := range keys {
 		if times > 1 {
@@ -50,10 +123,10 @@
 	for _, n := range c.nodes {
 		out.BudgetOverruns += int(n.current().Measure.Report().Overruns)
 	}
-	return out
+	return out, nil
 }
 
-func (self *Promises) checkCall(o *outcome, r ran) {
+func (self *Promises) checkCall(rules *rules, o *outcome, r ran) {
 	if o.crossed {
 		self.Crossed++
 	}
@@ -63,8 +136,8 @@
 	if o.err == nil && o.ran == "no" && r.times > 0 {
 		self.FalseNotRun++
 	}
-	for _, place := range r.places {
-		if !allowedIn(o.arrival.kind, place) {
+	for _, run := range r.runs {
+		if !rules.allow(o.arrival, run) {
 			self.WrongPlace++
 		}
 	}
@@ -90,7 +163,7 @@
 		for id, run := range n.backend.Ledger().Runs() {
 			r := calls[id]
 			r.times += run.Times
-			r.places = append(r.places, n.vm.DataCentre)
+			r.runs = append(r.runs, runAt{n.vm.DataCentre, run.At})
 			calls[id] = r
 			if run.Key != "" {
 				keys[run.Key] += run.Times
--- a/pkg/bench/report.go
+++ b/pkg/bench/report.go
@@ -119,7 +119,7 @@
 	return f
 }
 
-func newReport(c *cluster, opts Options, arrivals []arrival, outcomes []outcome, before counters, idle float64) *Report {
+func newReport(c *cluster, opts Options, arrivals []arrival, outcomes []outcome, before counters, idle float64) (*Report, error) {
 	all, byService := newTally(), map[string]*tally{}
 	out := &Report{
 		Deployment: c.deployment.Name, Policy: opts.Policy, Seed: opts.Seed, Daemons: len(c.nodes),
@@ -142,11 +142,15 @@
 	after := c.counters()
 	out.fillCounters(before, after, len(arrivals))
 	out.AddedP99 = after.addedP99.Microseconds()
-	out.Promises = checkPromises(c, outcomes)
+	promises, err := checkPromises(c, outcomes)
+	if err != nil {
+		return nil, err
+	}
+	out.Promises = promises
 	out.fillSpread(c)
 	out.ControlCPU = idle
 	out.RSS = residentMB() / float64(len(c.nodes))
-	return out
+	return out, nil
 }
 
 func (self *Report) countOutcome(o *outcome) {
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -89,7 +89,7 @@
 	outcomes := c.load(arrivals, opts.Policy == directName)
 	stopShape()
 	time.Sleep(settle)
-	return newReport(c, opts, arrivals, outcomes, before, idle), nil
+	return newReport(c, opts, arrivals, outcomes, before, idle)
 }
 
 func policyOptions(opts Options) (clusterOptions, error) {
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -37,7 +37,12 @@
 		if pick.Index == choose.None {
 			return last
 		}
-		result := self.settle(self.attempt(pick.Index, self.maxCost(pick)))
+		result := self.attempt(pick.Index, self.maxCost(pick))
+		if !result.Spoke {
+			// A server that is silent is not asked again.
+			self.req.Tried = self.req.Tried.With(pick.Index)
+		}
+		result = self.settle(result)
 		if !self.again(pick.Index, result) {
 			self.budget.answered(result)
 			return result
@@ -61,10 +66,12 @@
 	if !result.Refusal.RetryElsewhere() || self.plan.unkeyed() {
 		return false
 	}
-	if self.soft && result.Refusal.Kind == errkind.Overloaded {
-		// The gate was busier than believed. Its stamp has told us so, and it
-		// stays a candidate: the others may be worse.
-		self.soft = false
+	soft := self.soft
+	self.soft = false
+	if soft && result.Refusal.Kind == errkind.GateBusier {
+		// Its stamp has told us how busy, and it stays a candidate: the others
+		// may be worse. A gate that is full for everybody says so in another
+		// way, and is a retry like any other.
 		self.owner.stats.softRefusals.Inc()
 		return true
 	}
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -26,6 +26,7 @@
 	NoBackendServer
 	Overloaded
 	OverloadedBelow
+	GateBusier
 	Leaving
 	DeadlineBeforeRun
 	CallerLimit
@@ -98,6 +99,7 @@
 	NoBackendServer:      {Name: "no_backend_server", Status: 503, RetryAfterMS: 500, Advice: "No backend server in the allowed data centres can take the call; try again later or ask the operators."},
 	Overloaded:           {Name: "overloaded", Status: 503, Elsewhere: true, Overload: true, RetryAfterMS: 200, Advice: "The backend servers of this service are full; come back after the stated time."},
 	OverloadedBelow:      {Name: "overloaded_below", Status: 503, Overload: true, RetryAfterMS: 200, Advice: "A service that this one calls is full; do not retry at once, come back after the stated time."},
+	GateBusier:           {Name: "gate_busier", Status: 503, Elsewhere: true, Overload: true, RetryAfterMS: 200, Advice: "The chosen backend server was busier than the entry believed; come back after the stated time."},
 	Leaving:              {Name: "leaving", Status: 503, Elsewhere: true, RetryAfterMS: 50, Advice: "This daemon is leaving; use another one."},
 	DeadlineBeforeRun:    {Name: "deadline_before_run", Status: 504, Advice: "The time ran out before the call could start; allow more time or send it when load is lower."},
 	CallerLimit:          {Name: "caller_limit", Status: 429, RetryAfterMS: 200, Advice: "Too many calls in flight from this address; wait for some to end."},
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -84,7 +84,7 @@
 	case job.Deadline <= now:
 		return errkind.New(errkind.DeadlineBeforeRun, "no time was left at the gate")
 	case job.MaxCost > 0 && wait+service > job.MaxCost:
-		return errkind.New(errkind.Overloaded, "the gate is busier than the entry believed")
+		return errkind.New(errkind.GateBusier, "its expected time is over the bound that came with the call")
 	case free:
 		return nil
 	case self.queue.len() >= self.opts.QueueLength:
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -87,7 +87,7 @@
 	}{
 		{"deadline passed", Job{Deadline: 1}, errkind.DeadlineBeforeRun},
 		{"wait longer than the time left", Job{Deadline: 8 * ms}, errkind.Overloaded},
-		{"busier than the entry believed", Job{Deadline: 900 * ms, MaxCost: 6 * time.Millisecond}, errkind.Overloaded},
+		{"busier than the entry believed", Job{Deadline: 900 * ms, MaxCost: 6 * time.Millisecond}, errkind.GateBusier},
 		{"fits", Job{Deadline: 900 * ms, MaxCost: 11 * time.Millisecond}, errkind.None},
 	}
 	for _, s := range scenarios {
