Gate: slowness is told from chance; old claim rows are swept

Change: memory 16, threshold and tolerance 2.2 (three standard deviations); a slow-down of ten is noted 6 ms later instead of 3.

--- a/pkg/bench/command.go
+++ b/pkg/bench/command.go
@@ -134,6 +134,11 @@
 	for _, name := range sortedKeys(r.Services) {
 		printFigures(w, name, r.Services[name])
 	}
+	if len(r.Kinds) > len(r.Services) {
+		for _, name := range sortedKeys(r.Kinds) {
+			printFigures(w, name, r.Kinds[name])
+		}
+	}
 	printFigures(w, "all", r.Figures)
 	_ = w.Flush()
 	fmt.Fprintf(out, "refusals %.3f, retries %.3f, hedges %.3f a call; added p99 %d us by the daemons' clocks, %d us from outside\n",
--- a/pkg/bench/report.go
+++ b/pkg/bench/report.go
@@ -41,6 +41,8 @@
 	Promises
 	Measured
 	Services map[string]Figures `json:"services"`
+	// Kinds are the figures by "service/kind".
+	Kinds map[string]Figures `json:"kinds"`
 	// Outcomes counts rushramp's own answers by kind.
 	Outcomes map[string]int `json:"outcomes"`
 	// Spread is, by service, the most runs of one server over the mean.
@@ -120,25 +122,22 @@
 }
 
 func newReport(c *cluster, opts Options, arrivals []arrival, outcomes []outcome, before counters, idle float64) (*Report, error) {
-	all, byService := newTally(), map[string]*tally{}
+	all, byService, byKind := newTally(), map[string]*tally{}, map[string]*tally{}
 	out := &Report{
 		Deployment: c.deployment.Name, Policy: opts.Policy, Seed: opts.Seed, Daemons: len(c.nodes),
-		Services: map[string]Figures{}, Outcomes: map[string]int{}, Spread: map[string]float64{}, Shares: map[string]float64{},
+		Services: map[string]Figures{}, Kinds: map[string]Figures{}, Outcomes: map[string]int{}, Spread: map[string]float64{}, Shares: map[string]float64{},
 	}
 	for i := range outcomes {
 		o := &outcomes[i]
-		if byService[o.arrival.service.Name] == nil {
-			byService[o.arrival.service.Name] = newTally()
-		}
 		// Without knowing the way taken, the network is counted as none.
 		all.add(o, 0)
-		byService[o.arrival.service.Name].add(o, 0)
+		tallyOf(byService, o.arrival.service.Name).add(o, 0)
+		tallyOf(byKind, o.arrival.service.Name+"/"+o.arrival.kind.Placement.Name).add(o, 0)
 		out.countOutcome(o)
 	}
 	out.Figures = all.finish()
-	for name, t := range byService {
-		out.Services[name] = t.finish()
-	}
+	finishAll(byService, out.Services)
+	finishAll(byKind, out.Kinds)
 	after := c.counters()
 	out.fillCounters(before, after, len(arrivals))
 	out.AddedP99 = after.addedP99.Microseconds()
@@ -153,6 +152,19 @@
 	return out, nil
 }
 
+func tallyOf(by map[string]*tally, name string) *tally {
+	if by[name] == nil {
+		by[name] = newTally()
+	}
+	return by[name]
+}
+
+func finishAll(from map[string]*tally, to map[string]Figures) {
+	for name, t := range from {
+		to[name] = t.finish()
+	}
+}
+
 func (self *Report) countOutcome(o *outcome) {
 	switch {
 	case o.err != nil:
--- a/pkg/bench/slopes.go
+++ b/pkg/bench/slopes.go
@@ -74,10 +74,10 @@
 func slopesCommand() *cobra.Command {
 	f := &flags{}
 	cmd := &cobra.Command{
-		Use:       "slopes daemons|members|services|changes",
+		Use:       "slopes daemons|members|services|changes|calls|claims",
 		Short:     "Measure how the cost of control grows, for docs/CAPACITY.md",
 		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
-		ValidArgs: []string{"daemons", "members", "services", "changes"},
+		ValidArgs: []string{"daemons", "members", "services", "changes", "calls", "claims"},
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return f.profiled(func() error { return runSlopes(cmd.OutOrStdout(), args[0]) })
 		},
@@ -92,6 +92,8 @@
 		"members":  slopesOfMembers,
 		"services": slopesOfServices,
 		"changes":  slopesOfChanges,
+		"calls":    slopesOfCalls,
+		"claims":   slopesOfClaims,
 	}
 	slopes, err := measures[what]()
 	if err != nil {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -107,6 +107,7 @@
 		Common: c, World: self.World, Platform: opts.Platform, Store: self.store,
 		Executor: self.Executor, Control: self.control, Background: background,
 		Dial:  link.DialOptions{Dial: opts.Dial, TLS: reloader.Client(), Heartbeat: systems.Heartbeat},
+		Sweep: claims.Sweep,
 		Leave: self.Leave,
 	}
 	self.scheduler = systems.NewScheduler(self.env)
--- a/pkg/gate/estimate.go
+++ b/pkg/gate/estimate.go
@@ -8,13 +8,13 @@
 const (
 	// memory is how many runs' worth of busy time the current service time
 	// looks back on. Fewer follow a slow-down faster and are noisier.
-	memory = 12
+	memory = 16
 	// usualWeight is the weight of one run in the usual service time.
 	usualWeight = 1.0 / 512
 	// notable is the ratio to the usual service time below which a difference
-	// may be chance: a mean of twelve exponential times is off by a half once
-	// in some twenty cases.
-	notable = 1.7
+	// may be chance. The count of ended runs has a standard deviation of
+	// sqrt(memory/2), so this is three of them: once in some thousand looks.
+	notable = 2.2
 	// idleHalfLife is how many usual service times without a running call halve
 	// what is remembered: an old slowness is no reason to stay away.
 	idleHalfLife = 4
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -20,7 +20,7 @@
 
 // slowTolerance is how many times slower than usual the backend server may be
 // before the limit falls below the slots.
-const slowTolerance = 2
+const slowTolerance = 2.2
 
 // Options are the gate's settings.
 type Options struct {
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -89,22 +89,11 @@
 
 // Run serves the link until it ends. The first frame must be the greeting.
 func (self *Client) Run() {
-	greeted := false
-	err := self.readLoop(func(frame wire.Frame) error {
-		if greeted {
-			return self.receive(frame)
-		}
-		hello, ok := frame.(*wire.Hello)
-		if !ok {
-			return &BadFrameError{Cause: errors.New("the first frame is no greeting")}
-		}
-		greeted = true
-		self.Hello = *hello
+	_, err := self.serve(func() {
 		self.ping()
 		self.control.Up(self.Peer)
-		self.control.News(self.Peer, &hello.State)
-		return nil
-	})
+		self.control.News(self.Peer, &self.Hello.State)
+	}, self.receive)
 	self.failAll()
 	self.control.Down(self.Peer, err)
 }
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"github.com/pkg/errors"
+
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -34,6 +36,25 @@
 	Outgoing bool
 }
 
+// serve reads frames until the link ends, and returns why. The first must be
+// the greeting; up is called with it, receive with each later one.
+func (self *Peer) serve(up func(), receive func(wire.Frame) error) (greeted bool, cause error) {
+	cause = self.readLoop(func(frame wire.Frame) error {
+		if greeted {
+			return receive(frame)
+		}
+		hello, ok := frame.(*wire.Hello)
+		if !ok {
+			return &BadFrameError{Cause: errors.New("the first frame is no greeting")}
+		}
+		greeted = true
+		self.Hello = *hello
+		up()
+		return nil
+	})
+	return greeted, cause
+}
+
 // control handles the frames that both sides know. handled is false for others.
 func (self *Peer) control(c Control, frame wire.Frame) (handled bool) {
 	switch f := frame.(type) {
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -120,20 +120,7 @@
 	if err := self.Send(self.server.control.Hello()); err != nil {
 		return
 	}
-	greeted := false
-	err := self.readLoop(func(frame wire.Frame) error {
-		if greeted {
-			return self.receive(frame)
-		}
-		hello, ok := frame.(*wire.Hello)
-		if !ok {
-			return &BadFrameError{Cause: errors.New("the first frame is no greeting")}
-		}
-		greeted = true
-		self.Hello = *hello
-		self.up()
-		return nil
-	})
+	greeted, err := self.serve(self.up, self.receive)
 	self.cancelAll()
 	var bad *BadFrameError
 	if errors.As(err, &bad) {
--- a/pkg/once/batch.go
+++ b/pkg/once/batch.go
@@ -30,13 +30,19 @@
 	*common.Common
 	table   platform.Table
 	timeout time.Duration
+	// outage logs when the table does not answer.
+	outage *events.Outage
 
 	mu      sync.Mutex
 	waiting []*pendingWrite
 	busy    bool
-	// downSince is when the store last failed; zero while it answers.
-	downUntil time.Time
+	// down is true after a failure; until downUntil nothing is sent.
 	down      bool
+	downUntil time.Time
+}
+
+func newWriter(c *common.Common, table platform.Table, timeout time.Duration) *writer {
+	return &writer{Common: c, table: table, timeout: timeout, outage: events.NewOutage(c.Log, "table service")}
 }
 
 type pendingWrite struct {
@@ -148,17 +154,11 @@
 }
 
 func (self *writer) note(err error) {
+	self.outage.Note(err)
 	self.mu.Lock()
-	was := self.down
+	defer self.mu.Unlock()
 	self.down = err != nil
 	if err != nil {
 		self.downUntil = time.Now().Add(probeEvery)
 	}
-	self.mu.Unlock()
-	switch {
-	case err != nil && !was:
-		self.Log.Event(events.PlatformDown, events.F("what", "table service"), events.F("cause", err))
-	case err == nil && was:
-		self.Log.Event(events.PlatformUp, events.F("what", "table service"))
-	}
 }
--- a/pkg/once/claims.go
+++ b/pkg/once/claims.go
@@ -41,7 +41,7 @@
 	return &Claims{
 		Common:     c,
 		table:      table,
-		writer:     &writer{Common: c, table: table, timeout: s.Once.Timeout},
+		writer:     newWriter(c, table, s.Once.Timeout),
 		executor:   s.VM.ID,
 		ttl:        s.Once.KeepFor,
 		most:       s.Once.StoredAnswerBytes,
--- a/pkg/once/once_test.go
+++ b/pkg/once/once_test.go
@@ -333,3 +333,30 @@
 		test.LessEq(t, 3, s.Writes())
 	})
 }
+
+func TestSweepDeletesOnlyWhatIsSettledAndOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New()
+		c := newClaims(context.Background(), s, "vm")
+		put := func(key string, state State, age time.Duration) {
+			value, err := encode(Row{Generation: 1, State: state, At: time.Now().Add(-age)})
+			must.NoError(t, err)
+			_, err = s.Batch(context.Background(), []platform.Write{{Key: RowPrefix + key, Value: value}})
+			must.NoError(t, err)
+		}
+		old := 5 * c.ttl
+		// Sweeps begin anywhere; keys that sort last are behind each beginning.
+		put("zz-finished", Finished, old)
+		put("zz-sealed", Sealed, old)
+		put("zz-claimed", Claimed, old)
+		put("zz-young", Finished, c.ttl)
+		deleted, err := c.Sweep(context.Background())
+		must.NoError(t, err)
+		test.Eq(t, 2, deleted)
+		left, err := s.Scan(context.Background(), RowPrefix, "", 10)
+		must.NoError(t, err)
+		must.Len(t, 2, left)
+		test.Eq(t, RowPrefix+"zz-claimed", left[0].Key)
+		test.Eq(t, RowPrefix+"zz-young", left[1].Key)
+	})
+}
--- /dev/null
+++ b/pkg/once/sweep.go
@@ -0,0 +1,51 @@
+package once
+
+import (
+	"context"
+	"encoding/hex"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/platform"
+)
+
+const (
+	// sweepRows is how many rows one sweep looks at.
+	sweepRows = 100
+	// sweepMargin is how many times the time of KeepFor a row is kept, so that
+	// clocks of VMs may differ by as much.
+	sweepMargin = 2
+)
+
+// Sweep deletes settled rows that are long past their time, from a random place
+// on, and returns how many. A claimed row is never deleted: nobody knows its
+// outcome. A deleted row lets a claim for version 0 win again; an executor that
+// was paused with such a claim for longer than the rows are kept finds after
+// the claim that its call's time is long over, and runs nothing.
+func (self *Claims) Sweep(ctx context.Context) (deleted int, err error) {
+	var start [8]byte
+	for i := range start {
+		start[i] = byte(rand.IntN(256))
+	}
+	rows, err := self.table.Scan(ctx, RowPrefix, RowPrefix+hex.EncodeToString(start[:]), sweepRows)
+	if err != nil {
+		return 0, err
+	}
+	var writes []platform.Write
+	for _, stored := range rows {
+		row, decodeErr := Decode(stored)
+		if decodeErr == nil && row.State != Claimed && time.Since(row.At) > sweepMargin*self.ttl {
+			writes = append(writes, platform.Write{Key: stored.Key, IfVersion: stored.Version, Delete: true})
+		}
+	}
+	if len(writes) == 0 {
+		return 0, nil
+	}
+	results, err := self.table.Batch(ctx, writes)
+	for _, r := range results {
+		if r.Won {
+			deleted++
+		}
+	}
+	return deleted, err
+}
--- a/pkg/systems/head.go
+++ b/pkg/systems/head.go
@@ -6,7 +6,6 @@
 
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/placement"
-	"github.com/rushramp/rushramp/pkg/platform"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
@@ -17,7 +16,8 @@
 	*Env
 	due  due
 	busy atomic.Bool
-	down atomic.Bool
+	// outage logs when the head cannot be read.
+	outage *events.Outage
 }
 
 // Tick implements System.
@@ -38,7 +38,7 @@
 	ctx, cancel := context.WithTimeout(self.Background, self.Settings.Platform.Timeout)
 	defer cancel()
 	head, err := self.Store.Head(ctx)
-	self.note(err)
+	self.outage.Note(err)
 	if err != nil {
 		return
 	}
@@ -79,15 +79,3 @@
 	}
 	return tables.Version{Document: doc, Hash: head.Hash, Entries: entries, FromStore: true}, true
 }
-
-func (self *headReader) note(err error) {
-	down := err != nil && err != platform.ErrNotFound
-	if self.down.Swap(down) == down {
-		return
-	}
-	if down {
-		self.Log.Event(events.PlatformDown, events.F("what", "placement head"), events.F("cause", err))
-		return
-	}
-	self.Log.Event(events.PlatformUp, events.F("what", "placement head"))
-}
--- /dev/null
+++ b/pkg/systems/sweeper.go
@@ -0,0 +1,40 @@
+package systems
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+// sweepEvery is the time between two sweeps of a reader. At two readers a data
+// centre and 18 data centres, 120 rows a second are looked at in all.
+const sweepEvery = 30 * time.Second
+
+// sweeper lets the data centre's readers delete rows of never-repeat calls that
+// are long past their time, so that the table does not grow without bound.
+type sweeper struct {
+	*Env
+	due  due
+	busy atomic.Bool
+}
+
+// Tick implements System.
+func (self *sweeper) Tick(now int64, _ *tables.Mail) {
+	if self.Sweep == nil || !self.due.at(now, sweepEvery) || !self.isReader() {
+		return
+	}
+	if self.busy.CompareAndSwap(false, true) {
+		go self.sweep()
+	}
+}
+
+func (self *sweeper) sweep() {
+	defer self.busy.Store(false)
+	ctx, cancel := context.WithTimeout(self.Background, self.Settings.Platform.Timeout)
+	defer cancel()
+	// A sweep that fails is made up for by the next ones.
+	deleted, _ := self.Sweep(ctx)
+	self.Metrics.GetOrCreateCounter("rushramp_once_swept_total").Add(deleted)
+}
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/executor"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
@@ -33,6 +34,8 @@
 	Dial     link.DialOptions
 	// Background ends when the daemon does.
 	Background context.Context
+	// Sweep deletes old rows of never-repeat calls; nil: it is not done.
+	Sweep func(ctx context.Context) (deleted int, err error)
 	// Leave begins the drain; it returns at once.
 	Leave func()
 }
@@ -41,8 +44,8 @@
 // from outside first, what is published last.
 func order(env *Env) []System {
 	return []System{
-		&vmListReader{Env: env},
-		&headReader{Env: env},
+		&vmListReader{Env: env, outage: events.NewOutage(env.Log, "list of VMs")},
+		&headReader{Env: env, outage: events.NewOutage(env.Log, "placement head")},
 		&members{Env: env},
 		&news{Env: env},
 		&compare{Env: env},
@@ -52,6 +55,7 @@
 		&doubt{Env: env},
 		&heartbeats{Env: env},
 		&gateTick{Env: env},
+		&sweeper{Env: env},
 		&publish{Env: env},
 		&queries{Env: env},
 	}
--- a/pkg/systems/vmlist.go
+++ b/pkg/systems/vmlist.go
@@ -14,7 +14,8 @@
 	*Env
 	due  due
 	busy atomic.Bool
-	down atomic.Bool
+	// outage logs when the list does not come.
+	outage *events.Outage
 	// began is true once a whole list was read.
 	began atomic.Bool
 	// reads counts this reader's reads.
@@ -70,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(self.Background, self.Settings.Platform.Timeout)
 	defer cancel()
 	vms, err := self.Platform.VMs(ctx, part)
-	self.note(err)
+	self.outage.Note(err)
 	if err != nil {
 		return
 	}
@@ -78,14 +79,3 @@
 	list := &tables.VMList{DataCentre: part, VMs: vms}
 	self.World.Inbox.Post(false, func(m *tables.Mail) { m.List = list })
 }
-
-func (self *vmListReader) note(err error) {
-	if down := err != nil; self.down.Swap(down) == down {
-		return
-	}
-	if err != nil {
-		self.Log.Event(events.PlatformDown, events.F("what", "list of VMs"), events.F("cause", err))
-		return
-	}
-	self.Log.Event(events.PlatformUp, events.F("what", "list of VMs"))
-}
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -1,7 +1,11 @@
 package test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"strconv"
@@ -242,6 +246,34 @@
 	w.last = w.send(c.to, c.method, c.service, c.path, c.id, c.headers, c.body)
 }
 
+// cmdRaw sends bytes as they stand in a file, with $PAD for as many letters as
+// asked, and ends its side of the connection: input that no client sends.
+func cmdRaw(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, "raw WORKER FILE [PAD]")
+	w := worldOf(ts)
+	text := strings.ReplaceAll(ts.ReadFile(args[1]), "\n", "\r\n")
+	if len(args) > 2 {
+		n, err := strconv.Atoi(args[2])
+		ts.Check(err)
+		text = strings.ReplaceAll(text, "$PAD", strings.Repeat("x", n))
+	}
+	conn, err := net.Dial("tcp", w.worker(ts, args[0]).vm.Callers)
+	ts.Check(err)
+	defer func() { _ = conn.Close() }()
+	ts.Check(conn.SetDeadline(time.Now().Add(patience)))
+	_, err = conn.Write([]byte(text))
+	ts.Check(err)
+	ts.Check(conn.(*net.TCPConn).CloseWrite())
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		w.last = &answer{err: err, header: http.Header{}}
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	w.last = &answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
 // cmdExpect compares the last answer, or what the ledgers say.
 func cmdExpect(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, false, args, 2, "[!] expect status|error|ran|header|body|runs|load ...")
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -37,6 +37,7 @@
 			"fault":      cmdFault,
 			"signal":     cmdSignal,
 			"eventually": cmdEventually,
+			"raw":        cmdRaw,
 			"network":    cmdNetwork,
 			"certs":      cmdCerts,
 			"restart":    cmdRestart,
