--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -246,6 +246,17 @@
 	w.last = w.send(c.to, c.method, c.service, c.path, c.id, c.headers, c.body)
 }
 
+// cmdObjectives writes objectives.yaml with workers' metrics addresses.
+func cmdObjectives(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, "objectives WORKER...")
+	w := worldOf(ts)
+	text := "objectives:\n  - {service: glyphserve, kind: subset, within: 5s, share: 0.99}\ndaemons:\n"
+	for _, name := range args {
+		text += fmt.Sprintf("  - %q\n", w.worker(ts, name).address.Address(loopback.PortMetrics))
+	}
+	ts.Check(os.WriteFile(ts.MkAbs("objectives.yaml"), []byte(text), 0o644))
+}
+
 // cmdRaw sends bytes as they stand in a file, with $PAD for as many letters as
 // asked, and ends its side of the connection: input that no client sends.
 func cmdRaw(ts *testscript.TestScript, neg bool, args []string) {
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/rushramp/rushramp/pkg/burn"
 	"github.com/rushramp/rushramp/pkg/cli"
 	"github.com/rushramp/rushramp/pkg/daemon"
 	"github.com/rushramp/rushramp/pkg/operatorcli"
@@ -18,6 +19,7 @@
 	testscript.Main(m, map[string]func(){
 		"rushrampd":        func() { cli.Main(daemon.NewCommand()) },
 		"rushramp":         func() { cli.Main(operatorcli.NewCommand()) },
+		"rushramp-burn":    func() { cli.Main(burn.NewCommand()) },
 		"rushramp-standin": func() { cli.Main(standin.NewCommand()) },
 	})
 }
@@ -38,6 +40,7 @@
 			"signal":     cmdSignal,
 			"eventually": cmdEventually,
 			"raw":        cmdRaw,
+			"objectives": cmdObjectives,
 			"network":    cmdNetwork,
 			"certs":      cmdCerts,
 			"restart":    cmdRestart,
