--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -217,7 +217,7 @@
 		BackendServer: BackendServer{Slots: 12, Connections: 200, DialTimeout: 500 * time.Millisecond},
 		Platform:      Platform{Timeout: 2 * time.Second, VMListEvery: time.Second},
 		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, StampHalfLife: 20 * time.Millisecond},
-		Gate:          Gate{QueueLength: 200, QueueTime: time.Second, Order: "fifo", Adaptive: true},
+		Gate:          Gate{QueueLength: 200, QueueTime: time.Second, Order: "edf", Adaptive: true},
 		Retries: Retries{
 			Attempts: 3, Budget: 0.2, BudgetFloor: 10,
 			HedgeBudget: 0.05, HedgeQuantile: 0.99, DefaultTimeout: 5 * time.Second,
