Races found by the race detector; the drill's own false alarm

Found: (1) a call's expiry timer was set while the call could already start: read and write without order (three reports); it is an atomic now, and a timer that is set late fires in vain. Drills list wrong answers from now on. Conclusion: mended.

--- a/pkg/bench/faults.go
+++ b/pkg/bench/faults.go
@@ -55,6 +55,8 @@
 	Races       int            `json:"races"`
 	RacesLost   int            `json:"races_lost"`
 	Kinds       map[string]int `json:"outcomes"`
+	// Wrong describes answers that were crossed or truncated.
+	Wrong []string `json:"wrong"`
 	Promises
 }
 
@@ -194,6 +196,9 @@
 		if !o.answered() {
 			out.Kinds[nameOf(o)]++
 		}
+		if o.detail != "" {
+			out.Wrong = append(out.Wrong, o.detail)
+		}
 	}
 	return out, nil
 }
@@ -248,6 +253,9 @@
 	fmt.Fprintf(out, "%s, seed %d: %d calls (%d never-repeat), %d answered, %d not run, %d unknown; %d races, %d lost\n",
 		r.Deployment, r.Seed, r.Calls, r.NeverRepeat, r.Answered, r.NotRun, r.Unknown, r.Races, r.RacesLost)
 	printPromises(out, &r.Promises)
+	for _, wrong := range r.Wrong {
+		fmt.Fprintf(out, "  wrong answer: %s\n", wrong)
+	}
 	fmt.Fprintf(out, "  faults: %s\n  outcomes: %s\n", counts(r.Faults), counts(r.Kinds))
 }
 
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -53,6 +53,8 @@
 	// crossed and truncated tell of an answer that is not this call's whole one.
 	crossed   bool
 	truncated bool
+	// detail says what was wrong with the answer.
+	detail string
 }
 
 // answered is true for a backend server's own whole answer.
@@ -239,11 +241,13 @@
 		earlier.attempt = attempt
 		want := backend.AnswerBody(earlier.ledgerID(), a.kind.AnswerBytes, make([]byte, a.kind.RequestBytes))
 		if string(body) == string(want) {
+			self.truncated = false
 			return
 		}
 		self.truncated = len(body) < len(want)
 	}
 	self.crossed = !self.truncated
+	self.detail = fmt.Sprintf("%s attempt %d through %s: %d bytes, begin %.60q", a.id, a.attempt, self.entry.vm.ID, len(body), body)
 }
 
 // load sends the arrivals at their times, whether or not answers come.
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -114,9 +114,11 @@
 	deadline int64
 	job      gate.Job
 	done     func(call.Result)
-	expiry   *time.Timer
-	handed   atomic.Bool
-	ended    atomic.Bool
+	// expiry withdraws a call that waits too long. A call may start before it
+	// is set; then it fires in vain.
+	expiry atomic.Pointer[time.Timer]
+	handed atomic.Bool
+	ended  atomic.Bool
 }
 
 // Execute implements call.Runner.
@@ -142,7 +144,7 @@
 	case admitted:
 		self.start(&r.job)
 	default:
-		r.expiry = time.AfterFunc(c.Remaining, func() { r.withdraw(errkind.DeadlineBeforeRun) })
+		r.expiry.Store(time.AfterFunc(c.Remaining, func() { r.withdraw(errkind.DeadlineBeforeRun) }))
 	}
 	return r.cancel
 }
@@ -196,9 +198,7 @@
 
 // start runs the call, and hands the slot on to the job that waits next.
 func (self *run) start() {
-	if self.expiry != nil {
-		self.expiry.Stop()
-	}
+	self.stopExpiry()
 	result, counts := self.handOver()
 	next := self.owner.gate.Finish(self.owner.Now(), &self.job, counts)
 	self.owner.startAll(next)
@@ -263,11 +263,15 @@
 	self.Log.Event(events.BackendUp, events.F("address", self.Settings.BackendServer.Address))
 }
 
+func (self *run) stopExpiry() {
+	if t := self.expiry.Load(); t != nil {
+		t.Stop()
+	}
+}
+
 // sendBack refuses a call that the gate took out of its queue.
 func (self *run) sendBack() {
-	if self.expiry != nil {
-		self.expiry.Stop()
-	}
+	self.stopExpiry()
 	self.refuse(errkind.New(errkind.Overloaded, "the backend server has slowed since the call came"))
 }
 
