--- a/pkg/bench/command.go
+++ b/pkg/bench/command.go
@@ -87,6 +87,19 @@
 }
 
 func runAll(out io.Writer, files []string, f *flags) error {
+	return f.each(files, func(d *Deployment) ([]*Report, error) {
+		report, err := Run(d, Options{Duration: f.duration, Policy: f.policy, Seed: f.seed})
+		if err != nil {
+			return nil, err
+		}
+		printReport(out, report)
+		return []*Report{report}, nil
+	})
+}
+
+// each runs experiment files one after the other, writes their reports, and
+// fails when a promise did not hold.
+func (self *flags) each(files []string, run func(*Deployment) ([]*Report, error)) error {
 	var reports []*Report
 	broken := 0
 	for _, file := range files {
@@ -94,15 +107,16 @@
 		if err != nil {
 			return err
 		}
-		report, err := Run(d, Options{Duration: f.duration, Policy: f.policy, Seed: f.seed})
+		found, err := run(d)
 		if err != nil {
 			return err
 		}
-		reports = append(reports, report)
-		broken += report.Broken()
-		printReport(out, report)
+		for _, r := range found {
+			broken += r.Broken()
+		}
+		reports = append(reports, found...)
 	}
-	if err := writeJSON(f.json, reports); err != nil {
+	if err := writeJSON(self.json, reports); err != nil {
 		return err
 	}
 	if broken > 0 {
@@ -190,29 +204,7 @@
 }
 
 func compareAll(out io.Writer, files []string, f *flags) error {
-	var reports []*Report
-	broken := 0
-	for _, file := range files {
-		d, err := LoadDeployment(file)
-		if err != nil {
-			return err
-		}
-		found, err := comparePolicies(out, d, f)
-		if err != nil {
-			return err
-		}
-		for _, r := range found {
-			broken += r.Broken()
-		}
-		reports = append(reports, found...)
-	}
-	if err := writeJSON(f.json, reports); err != nil {
-		return err
-	}
-	if broken > 0 {
-		return ErrPromise
-	}
-	return nil
+	return f.each(files, func(d *Deployment) ([]*Report, error) { return comparePolicies(out, d, f) })
 }
 
 func comparePolicies(out io.Writer, d *Deployment, f *flags) ([]*Report, error) {
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -1,11 +1,7 @@
 package test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"strconv"
@@ -201,51 +197,6 @@
 	ts.Setenv("RUSHRAMP_DAEMON", worldOf(ts).worker(ts, args[0]).address.Address(loopback.PortOperators))
 }
 
-// callArgs are the words of a call.
-type callArgs struct {
-	to              *worker
-	method, service string
-	path, id, body  string
-	headers         map[string]string
-}
-
-func parseCall(ts *testscript.TestScript, w *world, args []string) callArgs {
-	out := callArgs{to: w.worker(ts, args[0]), method: args[1], service: args[2], path: args[3], headers: map[string]string{}}
-	out.id = strings.TrimPrefix(args[3], "/")
-	for _, word := range args[4:] {
-		name, value, _ := strings.Cut(word, "=")
-		switch name {
-		case "id":
-			out.id = value
-		case "body":
-			out.body = value
-		case "work":
-			d, err := time.ParseDuration(value)
-			ts.Check(err)
-			out.headers[backend.HeaderWork] = strconv.FormatInt(d.Microseconds(), 10)
-		case "answer":
-			out.headers[backend.HeaderAnswer] = value
-		case "key":
-			out.headers["Idempotency-Key"] = value
-		case "timeout":
-			d, err := time.ParseDuration(value)
-			ts.Check(err)
-			out.headers["Rushramp-Timeout"] = strconv.FormatInt(d.Milliseconds(), 10)
-		default:
-			out.headers[name] = value
-		}
-	}
-	return out
-}
-
-// cmdCall sends a call and keeps its answer for expect.
-func cmdCall(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 4, "call WORKER METHOD SERVICE PATH [id= body= work= answer= key= timeout= HEADER=]")
-	w := worldOf(ts)
-	c := parseCall(ts, w, args)
-	w.last = w.send(c.to, c.method, c.service, c.path, c.id, c.headers, c.body)
-}
-
 // cmdObjectives writes objectives.yaml with workers' metrics addresses.
 func cmdObjectives(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 1, "objectives WORKER...")
@@ -257,119 +208,6 @@
 	ts.Check(os.WriteFile(ts.MkAbs("objectives.yaml"), []byte(text), 0o644))
 }
 
-// cmdRaw sends bytes as they stand in a file, with $PAD for as many letters as
-// asked, and ends its side of the connection: input that no client sends.
-func cmdRaw(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 2, "raw WORKER FILE [PAD]")
-	w := worldOf(ts)
-	text := strings.ReplaceAll(ts.ReadFile(args[1]), "\n", "\r\n")
-	if len(args) > 2 {
-		n, err := strconv.Atoi(args[2])
-		ts.Check(err)
-		text = strings.ReplaceAll(text, "$PAD", strings.Repeat("x", n))
-	}
-	conn, err := net.Dial("tcp", w.worker(ts, args[0]).vm.Callers)
-	ts.Check(err)
-	defer func() { _ = conn.Close() }()
-	ts.Check(conn.SetDeadline(time.Now().Add(patience)))
-	_, err = conn.Write([]byte(text))
-	ts.Check(err)
-	ts.Check(conn.(*net.TCPConn).CloseWrite())
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		w.last = &answer{err: err, header: http.Header{}}
-		return
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	w.last = &answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
-}
-
-// cmdExpect compares the last answer, or what the ledgers say.
-func cmdExpect(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, false, args, 2, "[!] expect status|error|ran|header|body|runs|load ...")
-	holds, got := expectation(ts, worldOf(ts), args)
-	if holds == neg {
-		ts.Fatalf("expect %v: got %s", args, got)
-	}
-}
-
-// cmdEventually waits until an expectation holds; "eventually call ..." sends
-// the call again each time.
-func cmdEventually(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 2, "eventually EXPECTATION [-- call ...]")
-	w := worldOf(ts)
-	var again []string
-	for i, word := range args {
-		if word == "--" {
-			again = args[i+2:]
-			args = args[:i]
-			break
-		}
-	}
-	await(ts, strings.Join(args, " "), func() bool {
-		if again != nil {
-			c := parseCall(ts, w, again)
-			w.last = w.send(c.to, c.method, c.service, c.path, c.id, c.headers, c.body)
-		}
-		holds, _ := expectation(ts, w, args)
-		return holds
-	})
-}
-
-func expectation(ts *testscript.TestScript, w *world, args []string) (holds bool, got string) {
-	switch args[0] {
-	case "status":
-		got = fmt.Sprint(w.last.status, " ", w.last.err, " ", w.last.header, " ", w.last.body)
-		return strconv.Itoa(w.last.status) == args[1], got
-	case "error":
-		got = w.last.header.Get("Rushramp-Error")
-		return got == args[1], fmt.Sprint(got, " ", w.last.body, w.last.err)
-	case "ran":
-		got = w.last.header.Get("Rushramp-Ran")
-		return got == args[1], got
-	case "header":
-		got = w.last.header.Get(args[1])
-		return strings.Contains(got, args[2]), got
-	case "body":
-		return strings.Contains(w.last.body, args[1]), w.last.body
-	case "runs":
-		n := w.runs(args[1], args[2])
-		return strconv.Itoa(n) == args[3], strconv.Itoa(n)
-	case "ended":
-		return w.worker(ts, args[1]).daemon.ended(), "still running"
-	case "member":
-		got = w.memberState(ts, args[1], args[2])
-		return got == args[3], got
-	case "metric":
-		got = strconv.FormatFloat(w.worker(ts, args[1]).metric(args[2]), 'g', -1, 64)
-		return got == args[3], got
-	case "load":
-		return expectLoad(ts, w, args[1:])
-	}
-	ts.Fatalf("there is no expectation %q", args[0])
-	return false, ""
-}
-
-func expectLoad(ts *testscript.TestScript, w *world, args []string) (bool, string) {
-	l := w.loads[args[0]]
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	counts := map[string]int{"answered": l.answered, "refused": l.refused, "unknown": l.unknown}
-	want, err := strconv.Atoi(args[3])
-	ts.Check(err)
-	got := counts[args[1]]
-	text := fmt.Sprintf("%+v", counts)
-	switch args[2] {
-	case "=":
-		return got == want, text
-	case ">":
-		return got > want, text
-	}
-	ts.Fatalf("compare with = or >")
-	return false, ""
-}
-
 // cmdFault changes how a stand-in misbehaves.
 func cmdFault(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 1, "fault platform|WORKER [name=value ...]")
@@ -413,41 +251,3 @@
 		<-p.done
 	}
 }
-
-// cmdLoad sends calls at a steady rate in the background, or ends that.
-func cmdLoad(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 2, "load NAME stop | load NAME PER_SECOND WORKER METHOD SERVICE PATH_PREFIX [words]")
-	w := worldOf(ts)
-	if args[1] == "stop" {
-		w.loads[args[0]].end()
-		return
-	}
-	rate, err := strconv.Atoi(args[1])
-	ts.Check(err)
-	c := parseCall(ts, w, args[2:])
-	l := &load{stop: make(chan struct{})}
-	w.loads[args[0]] = l
-	l.wait.Add(1)
-	go func() {
-		defer l.wait.Done()
-		ticker := time.NewTicker(time.Second / time.Duration(rate))
-		defer ticker.Stop()
-		for i := 0; ; i++ {
-			select {
-			case <-l.stop:
-				return
-			case <-ticker.C:
-			}
-			l.wait.Add(1)
-			go func() {
-				defer l.wait.Done()
-				id := fmt.Sprintf("%s-%d", args[0], i)
-				headers := map[string]string{}
-				for name, value := range c.headers {
-					headers[name] = strings.ReplaceAll(value, "#", strconv.Itoa(i))
-				}
-				l.note(w.send(c.to, c.method, c.service, c.path, id, headers, c.body))
-			}()
-		}
-	}()
-}
