--- a/test/calls_test.go
+++ b/test/calls_test.go
@@ -77,7 +77,8 @@
 	ts.Check(conn.SetDeadline(time.Now().Add(patience)))
 	_, err = conn.Write([]byte(text))
 	ts.Check(err)
-	ts.Check(conn.(*net.TCPConn).CloseWrite())
+	// A server that has answered and closed already is no failure.
+	_ = conn.(*net.TCPConn).CloseWrite()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		w.last = &answer{err: err, header: http.Header{}}
