Scenarios: a stopped process is one whose threads have all stopped

SIGSTOP takes a moment, and the call could reach a daemon that still ran and claimed its key: 'maybe' was the truth then. Change: the word 'signal NAME STOP' waits until the system says that every thread is stopped. What is expected is the same. Conclusion: mended in the scenario language.

--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -247,7 +247,11 @@
 		p = n.backend
 	}
 	p.signal(signals[args[1]])
-	if args[1] == "KILL" {
+	switch args[1] {
+	case "KILL":
 		<-p.done
+	case "STOP":
+		// The signal takes a moment; until then the process goes on.
+		await(ts, args[0]+" to be stopped", p.stopped)
 	}
 }
--- a/test/world_test.go
+++ b/test/world_test.go
@@ -114,6 +114,22 @@
 
 func (self *process) signal(s syscall.Signal) { _ = self.cmd.Process.Signal(s) }
 
+// stopped is true when the system says that all threads are stopped.
+func (self *process) stopped() bool {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", self.cmd.Process.Pid))
+	for _, task := range tasks {
+		text, err := os.ReadFile(task)
+		if err != nil {
+			continue
+		}
+		_, state, _ := strings.Cut(string(text), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(tasks) > 0
+}
+
 func (self *process) ended() bool {
 	select {
 	case <-self.done:
