Settings: two that did nothing are gone

Cause: read once more: measurement.messages_per_second and slot_time_per_second were in the settings and their page, and no code looked at them. Conclusion: a setting that is there does something.

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -158,10 +158,6 @@
 type Measurement struct {
 	// Bytes a second that load reports may take, those on answers included.
 	BytesPerSecond int `yaml:"bytes_per_second" validate:"min=0"`
-	// Messages a second that carry nothing but load reports.
-	MessagesPerSecond int `yaml:"messages_per_second" validate:"min=0"`
-	// Slot time a second that probing may take at the backend server. Zero: a probe never takes a slot.
-	SlotTimePerSecond time.Duration `yaml:"slot_time_per_second" validate:"min=0"`
 }
 
 // Limits bounds what one caller may send.
@@ -227,7 +223,7 @@
 			HeadEvery: time.Second, HeadReaders: 2,
 			UnsureAfter: 15 * time.Second, Misplaced: "redirect",
 		},
-		Measurement: Measurement{BytesPerSecond: 15000, MessagesPerSecond: 50},
+		Measurement: Measurement{BytesPerSecond: 15000},
 		Limits: Limits{
 			MaxBodyBytes: 8 << 20, MaxHeaderBytes: 16 << 10,
 			CallsPerCaller: 1000, Links: 2000,
