--- a/pkg/bench/arrivals.go
+++ b/pkg/bench/arrivals.go
@@ -24,11 +24,11 @@
 }
 
 // ledgerID names one attempt in the ledgers of backend servers.
-func (self *arrival) ledgerID() string {
-	if self.attempt == 0 {
-		return self.id
+func (a *arrival) ledgerID() string {
+	if a.attempt == 0 {
+		return a.id
 	}
-	return fmt.Sprintf("%s.%d", self.id, self.attempt)
+	return fmt.Sprintf("%s.%d", a.id, a.attempt)
 }
 
 // drawArrivals draws the calls of a run.
@@ -105,11 +105,11 @@
 	return time.Duration(min(factor, longest) * float64(k.ServiceTime))
 }
 
-func (self *Deployment) service(name string) *Service {
-	for i := range self.Services {
-		if self.Services[i].Name == name {
-			return &self.Services[i]
+func (d *Deployment) service(name string) *Service {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i]
 		}
 	}
-	return &self.Services[0]
+	return &d.Services[0]
 }
--- a/pkg/bench/cluster.go
+++ b/pkg/bench/cluster.go
@@ -13,15 +13,15 @@
 	"github.com/rushramp/rushramp/pkg/daemon"
 	"github.com/rushramp/rushramp/pkg/loopback"
 	"github.com/rushramp/rushramp/pkg/placement"
-	"github.com/rushramp/rushramp/pkg/platform"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/standin/backend"
-	"github.com/rushramp/rushramp/pkg/standin/store"
+	"github.com/rushramp/rushramp/pkg/standin/fakestore"
+	"github.com/rushramp/rushramp/pkg/store"
 )
 
 // node is one VM of an embedded deployment.
 type node struct {
-	vm      platform.VM
+	vm      store.VM
 	address loopback.VM
 	// daemon changes when a fault restarts it; current reads it.
 	mu     sync.Mutex
@@ -38,7 +38,7 @@
 	clock      *precise.Clock
 	deployment *Deployment
 	network    *network
-	store      *store.Store
+	store      *fakestore.Store
 	nodes      []*node
 	addresses  loopback.Allocator
 	// ends finds the VM behind a links address.
@@ -62,35 +62,35 @@
 // startCluster starts the stand-ins and the daemons, and waits until all are
 // ready.
 func startCluster(d *Deployment, opts clusterOptions) (*cluster, error) {
-	self := &cluster{
+	c := &cluster{
 		clock:      precise.NewClock(),
-		deployment: d, store: store.New(), ends: map[string]end{}, network: newNetwork(),
+		deployment: d, store: fakestore.New(), ends: map[string]end{}, network: newNetwork(),
 		change: opts.change, policy: opts.policy, faulty: opts.faulty,
 	}
-	if err := self.applyPlacement(); err != nil {
+	if err := c.applyPlacement(); err != nil {
 		return nil, err
 	}
-	if err := self.plan(); err != nil {
-		self.stop()
+	if err := c.plan(); err != nil {
+		c.stop()
 		return nil, err
 	}
-	self.publishVMs()
-	for _, n := range self.nodes {
-		if err := self.startDaemon(n); err != nil {
-			self.stop()
+	c.publishVMs()
+	for _, n := range c.nodes {
+		if err := c.startDaemon(n); err != nil {
+			c.stop()
 			return nil, err
 		}
 	}
-	if err := self.waitReady(); err != nil {
-		self.stop()
+	if err := c.waitReady(); err != nil {
+		c.stop()
 		return nil, err
 	}
-	return self, nil
+	return c, nil
 }
 
-func (self *cluster) applyPlacement() error {
-	doc := self.deployment.Document()
-	_, err := placement.NewStore(self.store, self.store).Commit(context.Background(), placement.Propose{
+func (c *cluster) applyPlacement() error {
+	doc := c.deployment.Document()
+	_, err := placement.NewStore(c.store, c.store).Commit(context.Background(), placement.Propose{
 		Base: &placement.Document{}, ChangeID: "first", Author: "bench",
 		Changes: placement.Diff(&placement.Document{}, doc), At: time.Now(),
 	})
@@ -98,55 +98,55 @@
 }
 
 // plan lays out the VMs: workers of each service over its data centres in turn.
-func (self *cluster) plan() error {
-	for i := range self.deployment.Services {
-		s := &self.deployment.Services[i]
+func (c *cluster) plan() error {
+	for i := range c.deployment.Services {
+		s := &c.deployment.Services[i]
 		where := s.DataCentres
 		if len(where) == 0 {
-			where = self.deployment.DataCentres
+			where = c.deployment.DataCentres
 		}
 		for w := range s.Workers {
-			if err := self.addNode(fmt.Sprintf("%s-%d", s.Name, w+1), s.Name, where[w%len(where)]); err != nil {
+			if err := c.addNode(fmt.Sprintf("%s-%d", s.Name, w+1), s.Name, where[w%len(where)]); err != nil {
 				return err
 			}
 		}
 	}
-	for i := range self.deployment.ExtraEntries {
-		dc := self.deployment.DataCentres[i%len(self.deployment.DataCentres)]
-		if err := self.addNode(fmt.Sprintf("entry-%d", i+1), "", dc); err != nil {
+	for i := range c.deployment.ExtraEntries {
+		dc := c.deployment.DataCentres[i%len(c.deployment.DataCentres)]
+		if err := c.addNode(fmt.Sprintf("entry-%d", i+1), "", dc); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (self *cluster) addNode(id, service, dataCentre string) error {
-	address := self.addresses.Next()
-	n := &node{address: address, vm: platform.VM{
-		ID: id, Region: "bench", DataCentre: dataCentre, Service: service, State: platform.VMLive,
+func (c *cluster) addNode(id, service, dataCentre string) error {
+	address := c.addresses.Next()
+	n := &node{address: address, vm: store.VM{
+		ID: id, Region: "bench", DataCentre: dataCentre, Service: service, State: store.VMLive,
 		Links: address.Address(loopback.PortLinks), Callers: address.Address(loopback.PortCallers),
-		Slots: self.deployment.Slots, Started: 1,
+		Slots: c.deployment.Slots, Started: 1,
 	}}
-	self.ends[n.vm.Links] = end{vm: id, dataCentre: dataCentre}
-	self.nodes = append(self.nodes, n)
+	c.ends[n.vm.Links] = end{vm: id, dataCentre: dataCentre}
+	c.nodes = append(c.nodes, n)
 	if service == "" {
 		return nil
 	}
-	n.backend = backend.New(backend.Options{Slots: self.deployment.Slots, After: self.clock.After})
+	n.backend = backend.New(backend.Options{Slots: c.deployment.Slots, After: c.clock.After})
 	stop, err := backend.Serve(n.backend, address.Address(loopback.PortBackend))
 	n.stopBackend = stop
 	return err
 }
 
-func (self *cluster) publishVMs() {
-	var vms []platform.VM
-	for _, n := range self.nodes {
+func (c *cluster) publishVMs() {
+	var vms []store.VM
+	for _, n := range c.nodes {
 		vms = append(vms, n.vm)
 	}
-	self.store.SetVMs(vms)
+	c.store.SetVMs(vms)
 }
 
-func (self *cluster) settingsOf(n *node) *settings.Settings {
+func (c *cluster) settingsOf(n *node) *settings.Settings {
 	s := settings.Default()
 	s.VM = settings.VM{ID: n.vm.ID, Region: n.vm.Region, DataCentre: n.vm.DataCentre}
 	s.Listen = settings.Listen{
@@ -158,25 +158,25 @@
 		s.BackendServer.Address = n.address.Address(loopback.PortBackend)
 		s.BackendServer.CancelPath = backend.PathCancel
 	}
-	s.BackendServer.Slots = self.deployment.Slots
-	s.BackendServer.Connections = self.deployment.Connections
+	s.BackendServer.Slots = c.deployment.Slots
+	s.BackendServer.Connections = c.deployment.Connections
 	s.Limits.CallsPerCaller = 1 << 20
-	scale := time.Duration(self.deployment.TimeScale)
+	scale := time.Duration(c.deployment.TimeScale)
 	s.Choosing.StampHalfLife *= scale
 	s.Gate.QueueTime *= scale
 	s.Retries.DefaultTimeout *= scale
-	if self.change != nil {
-		self.change(&s)
+	if c.change != nil {
+		c.change(&s)
 	}
 	return &s
 }
 
-func (self *cluster) startDaemon(n *node) error {
-	opts := daemon.Options{Platform: self.store, Dial: self.dialer(end{vm: n.vm.ID, dataCentre: n.vm.DataCentre})}
-	if self.policy != nil {
-		opts.Policy = self.policy(self)
+func (c *cluster) startDaemon(n *node) error {
+	opts := daemon.Options{Platform: c.store, Dial: c.dialer(end{vm: n.vm.ID, dataCentre: n.vm.DataCentre})}
+	if c.policy != nil {
+		opts.Policy = c.policy(c)
 	}
-	d, err := daemon.New(self.settingsOf(n), opts)
+	d, err := daemon.New(c.settingsOf(n), opts)
 	if err != nil {
 		return err
 	}
@@ -187,21 +187,21 @@
 }
 
 // current is the daemon that runs on the node now, or ran last.
-func (self *node) current() *daemon.Daemon {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	return self.daemon
+func (n *node) current() *daemon.Daemon {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.daemon
 }
 
-func (self *cluster) endOf(address string) end { return self.ends[address] }
+func (c *cluster) endOf(address string) end { return c.ends[address] }
 
 const readyBound = 30 * time.Second
 
-func (self *cluster) waitReady() error {
+func (c *cluster) waitReady() error {
 	return waitFor(readyBound, "all daemons to be ready", func() bool {
-		for _, n := range self.nodes {
+		for _, n := range c.nodes {
 			view := n.daemon.World.View
-			if !view.Ready() || view.Placement() == nil || view.Placement().Version == 0 || view.Members() < len(self.nodes) {
+			if !view.Ready() || view.Placement() == nil || view.Placement().Version == 0 || view.Members() < len(c.nodes) {
 				return false
 			}
 		}
@@ -220,9 +220,9 @@
 }
 
 // stop ends all nodes at once: each waits a little for its listeners.
-func (self *cluster) stop() {
+func (c *cluster) stop() {
 	var wait sync.WaitGroup
-	for _, n := range self.nodes {
+	for _, n := range c.nodes {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
@@ -230,23 +230,23 @@
 		}()
 	}
 	wait.Wait()
-	self.clock.Stop()
+	c.clock.Stop()
 }
 
-func (self *node) stop() {
-	if d := self.current(); d != nil {
+func (n *node) stop() {
+	if d := n.current(); d != nil {
 		d.Stop()
 	}
-	if self.stopBackend != nil {
-		self.stopBackend()
+	if n.stopBackend != nil {
+		n.stopBackend()
 	}
 }
 
 // entriesFor returns the nodes where callers from outside may enter with a kind.
-func (self *cluster) entriesFor(k *placement.Kind) []*node {
+func (c *cluster) entriesFor(k *placement.Kind) []*node {
 	var out []*node
-	for _, n := range self.nodes {
-		if self.deployment.EnterAtEntries && n.backend != nil {
+	for _, n := range c.nodes {
+		if c.deployment.EnterAtEntries && n.backend != nil {
 			continue
 		}
 		for _, dc := range k.DataCentres {
--- a/pkg/bench/command.go
+++ b/pkg/bench/command.go
@@ -41,25 +41,25 @@
 	profile  string
 }
 
-func (self *flags) register(cmd *cobra.Command) {
-	cmd.Flags().DurationVar(&self.duration, "duration", 5*time.Second, "how long the load lasts")
-	cmd.Flags().Uint64Var(&self.seed, "seed", 1, "seed of the arrivals")
-	cmd.Flags().StringVar(&self.json, "json", "", "file for the report as JSON")
-	cmd.Flags().StringVar(&self.profile, "profile", "", "file for a processor profile of the whole command")
+func (f *flags) register(cmd *cobra.Command) {
+	cmd.Flags().DurationVar(&f.duration, "duration", 5*time.Second, "how long the load lasts")
+	cmd.Flags().Uint64Var(&f.seed, "seed", 1, "seed of the arrivals")
+	cmd.Flags().StringVar(&f.json, "json", "", "file for the report as JSON")
+	cmd.Flags().StringVar(&f.profile, "profile", "", "file for a processor profile of the whole command")
 }
 
 // benchGC is the bench's GOGC.
 const benchGC = 400
 
 // profiled runs the command, with a processor profile when one is wanted.
-func (self *flags) profiled(do func() error) error {
+func (f *flags) profiled(do func() error) error {
 	// The stand-ins and the load make garbage that a daemon does not; its
 	// collection would be counted as the daemons' time.
 	debug.SetGCPercent(benchGC)
-	if self.profile == "" {
+	if f.profile == "" {
 		return do()
 	}
-	file, err := os.Create(self.profile)
+	file, err := os.Create(f.profile)
 	if err != nil {
 		return errors.Wrap(err, "profile")
 	}
@@ -99,7 +99,7 @@
 
 // each runs experiment files one after the other, writes their reports, and
 // fails when a promise did not hold.
-func (self *flags) each(files []string, run func(*Deployment) ([]*Report, error)) error {
+func (f *flags) each(files []string, run func(*Deployment) ([]*Report, error)) error {
 	var reports []*Report
 	broken := 0
 	for _, file := range files {
@@ -116,7 +116,7 @@
 		}
 		reports = append(reports, found...)
 	}
-	if err := writeJSON(self.json, reports); err != nil {
+	if err := writeJSON(f.json, reports); err != nil {
 		return err
 	}
 	if broken > 0 {
--- a/pkg/bench/counters.go
+++ b/pkg/bench/counters.go
@@ -24,10 +24,10 @@
 	addedP99     time.Duration
 }
 
-func (self *cluster) counters() counters {
-	out := counters{at: time.Now(), storeReads: self.store.Reads(), storeWrites: self.store.Writes()}
+func (c *cluster) counters() counters {
+	out := counters{at: time.Now(), storeReads: c.store.Reads(), storeWrites: c.store.Writes()}
 	added := metrics.NewSet().NewHistogram("added")
-	for _, n := range self.nodes {
+	for _, n := range c.nodes {
 		counts := n.daemon.Entry.Counts()
 		out.retries += counts.Retries
 		out.softRefusals += counts.SoftRefusals
--- a/pkg/bench/delay.go
+++ b/pkg/bench/delay.go
@@ -15,23 +15,23 @@
 // dialer returns the dial function of a VM. Its connections hold back each byte
 // for the one-way latency in both directions, in order, and meet the faults of
 // the network. Without latency and faults it is an ordinary dial.
-func (self *cluster) dialer(from end) link.Dial {
+func (c *cluster) dialer(from end) link.Dial {
 	return func(ctx context.Context, proto, address string) (net.Conn, error) {
 		var dialer net.Dialer
 		conn, err := dialer.DialContext(ctx, proto, address)
 		if err != nil {
 			return nil, err
 		}
-		to := self.endOf(address)
-		latency := self.deployment.OneWayLatency
+		to := c.endOf(address)
+		latency := c.deployment.OneWayLatency
 		if to.dataCentre == from.dataCentre {
 			latency = 0
 		}
-		if latency == 0 && !self.faulty {
+		if latency == 0 && !c.faulty {
 			return conn, nil
 		}
-		out := newDelayed(self.clock, self.network, conn, latency, route{from, to})
-		if !self.network.enter(out, route{from, to}) {
+		out := newDelayed(c.clock, c.network, conn, latency, route{from, to})
+		if !c.network.enter(out, route{from, to}) {
 			_ = out.Close()
 			return nil, errParted
 		}
@@ -73,39 +73,39 @@
 
 const delayQueue = 4096
 
-func (self *delayLine) put(data []byte) error {
-	p := parcel{data: append([]byte(nil), data...), due: time.Now().Add(self.latency)}
+func (d *delayLine) put(data []byte) error {
+	p := parcel{data: append([]byte(nil), data...), due: time.Now().Add(d.latency)}
 	select {
-	case self.queue <- p:
+	case d.queue <- p:
 		return nil
-	case <-self.done:
+	case <-d.done:
 		return net.ErrClosed
 	}
 }
 
-func (self *delayLine) close() { self.once.Do(func() { close(self.done) }) }
+func (d *delayLine) close() { d.once.Do(func() { close(d.done) }) }
 
 // next returns the next parcel's data when it is due; false when closed.
-func (self *delayLine) next() ([]byte, bool) {
+func (d *delayLine) next() ([]byte, bool) {
 	select {
-	case p := <-self.queue:
-		self.clock.SleepUntil(p.due)
-		return p.data, self.waitForDelivery()
-	case <-self.done:
+	case p := <-d.queue:
+		d.clock.SleepUntil(p.due)
+		return p.data, d.waitForDelivery()
+	case <-d.done:
 		return nil, false
 	}
 }
 
 // waitForDelivery waits while the direction is held; false when closed.
-func (self *delayLine) waitForDelivery() bool {
+func (d *delayLine) waitForDelivery() bool {
 	for {
-		held := self.network.holding(self.from, self.to)
+		held := d.network.holding(d.from, d.to)
 		if held == nil {
 			return true
 		}
 		select {
 		case <-held:
-		case <-self.done:
+		case <-d.done:
 			return false
 		}
 	}
@@ -121,70 +121,70 @@
 	return &delayed{Conn: conn, network: n, out: line(r.from, r.to), in: line(r.to, r.from)}
 }
 
-func (self *delayed) start() {
-	go self.pumpOut()
-	go self.pumpIn()
+func (d *delayed) start() {
+	go d.pumpOut()
+	go d.pumpIn()
 }
 
-func (self *delayed) pumpOut() {
+func (d *delayed) pumpOut() {
 	for {
-		data, ok := self.out.next()
+		data, ok := d.out.next()
 		if !ok {
 			return
 		}
-		if _, err := self.Conn.Write(data); err != nil {
-			_ = self.Close()
+		if _, err := d.Conn.Write(data); err != nil {
+			_ = d.Close()
 			return
 		}
 	}
 }
 
-func (self *delayed) pumpIn() {
+func (d *delayed) pumpIn() {
 	buf := make([]byte, 64<<10)
 	for {
-		n, err := self.Conn.Read(buf)
-		if n > 0 && self.in.put(buf[:n]) != nil {
+		n, err := d.Conn.Read(buf)
+		if n > 0 && d.in.put(buf[:n]) != nil {
 			return
 		}
 		if err != nil {
-			_ = self.Close()
+			_ = d.Close()
 			return
 		}
 	}
 }
 
 // Write implements net.Conn.
-func (self *delayed) Write(data []byte) (int, error) {
-	if err := self.out.put(data); err != nil {
+func (d *delayed) Write(data []byte) (int, error) {
+	if err := d.out.put(data); err != nil {
 		return 0, err
 	}
 	return len(data), nil
 }
 
 // Read implements net.Conn.
-func (self *delayed) Read(p []byte) (int, error) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if len(self.rest) == 0 {
-		data, ok := self.in.next()
+func (d *delayed) Read(p []byte) (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.rest) == 0 {
+		data, ok := d.in.next()
 		if !ok {
 			return 0, net.ErrClosed
 		}
-		self.rest = data
+		d.rest = data
 	}
-	n := copy(p, self.rest)
-	self.rest = self.rest[n:]
+	n := copy(p, d.rest)
+	d.rest = d.rest[n:]
 	return n, nil
 }
 
 // SetReadDeadline implements net.Conn. The pump reads on; a peer that is
 // silent ends the link when its connection ends.
-func (self *delayed) SetReadDeadline(time.Time) error { return nil }
+func (d *delayed) SetReadDeadline(time.Time) error { return nil }
 
 // Close implements net.Conn.
-func (self *delayed) Close() error {
-	self.out.close()
-	self.in.close()
-	self.network.leave(self)
-	return self.Conn.Close()
+func (d *delayed) Close() error {
+	d.out.close()
+	d.in.close()
+	d.network.leave(d)
+	return d.Conn.Close()
 }
--- a/pkg/bench/deployment.go
+++ b/pkg/bench/deployment.go
@@ -116,34 +116,34 @@
 }
 
 // stretch applies TimeScale.
-func (self *Deployment) stretch() {
-	if self.TimeScale <= 1 {
-		self.TimeScale = 1
+func (d *Deployment) stretch() {
+	if d.TimeScale <= 1 {
+		d.TimeScale = 1
 		return
 	}
-	times := []*time.Duration{&self.OneWayLatency}
-	for si := range self.Services {
-		for ki := range self.Services[si].Kinds {
-			k := &self.Services[si].Kinds[ki]
-			k.Rate /= float64(self.TimeScale)
+	times := []*time.Duration{&d.OneWayLatency}
+	for si := range d.Services {
+		for ki := range d.Services[si].Kinds {
+			k := &d.Services[si].Kinds[ki]
+			k.Rate /= float64(d.TimeScale)
 			times = append(times, &k.ServiceTime, &k.Timeout, &k.Placement.Timeout)
 		}
 	}
-	for _, t := range append(times, self.Shape.times()...) {
-		*t *= time.Duration(self.TimeScale)
+	for _, t := range append(times, d.Shape.times()...) {
+		*t *= time.Duration(d.TimeScale)
 	}
 }
 
 // times are all times of the shape.
-func (self *Shape) times() []*time.Duration {
+func (s *Shape) times() []*time.Duration {
 	var out []*time.Duration
-	if self.Slow != nil {
-		out = append(out, &self.Slow.For, &self.Slow.Every)
+	if s.Slow != nil {
+		out = append(out, &s.Slow.For, &s.Slow.Every)
 	}
-	if self.Burst != nil {
-		out = append(out, &self.Burst.Over, &self.Burst.Every)
+	if s.Burst != nil {
+		out = append(out, &s.Burst.Over, &s.Burst.Every)
 	}
-	for _, t := range []*Trouble{self.FailFast, self.Cold} {
+	for _, t := range []*Trouble{s.FailFast, s.Cold} {
 		if t != nil {
 			out = append(out, &t.At, &t.For)
 		}
@@ -152,9 +152,9 @@
 }
 
 // Document returns the placement of the deployment as version 1.
-func (self *Deployment) Document() *placement.Document {
+func (d *Deployment) Document() *placement.Document {
 	out := &placement.Document{Version: 1}
-	for _, s := range self.Services {
+	for _, s := range d.Services {
 		service := placement.Service{Name: s.Name}
 		for _, k := range s.Kinds {
 			service.Kinds = append(service.Kinds, k.Placement)
@@ -165,9 +165,9 @@
 }
 
 // callsPerSecond is the rate of a kind.
-func (self *Deployment) callsPerSecond(s *Service, k *Kind) float64 {
+func (d *Deployment) callsPerSecond(s *Service, k *Kind) float64 {
 	if k.Rate > 0 {
 		return k.Rate
 	}
-	return k.Use * float64(s.Workers*self.Slots) / k.ServiceTime.Seconds()
+	return k.Use * float64(s.Workers*d.Slots) / k.ServiceTime.Seconds()
 }
--- a/pkg/bench/drillload.go
+++ b/pkg/bench/drillload.go
@@ -23,16 +23,16 @@
 )
 
 // startLoad sends calls until stop is called.
-func (self *drill) startLoad(seed uint64) (stop func()) {
+func (dr *drill) startLoad(seed uint64) (stop func()) {
 	done := make(chan struct{})
 	var wait sync.WaitGroup
-	for si := range self.cluster.deployment.Services {
-		s := &self.cluster.deployment.Services[si]
+	for si := range dr.cluster.deployment.Services {
+		s := &dr.cluster.deployment.Services[si]
 		for ki := range s.Kinds {
 			wait.Add(1)
 			go func() {
 				defer wait.Done()
-				self.loadKind(s, &s.Kinds[ki], rand.New(rand.NewPCG(seed, uint64(100*si+ki))), done)
+				dr.loadKind(s, &s.Kinds[ki], rand.New(rand.NewPCG(seed, uint64(100*si+ki))), done)
 			}()
 		}
 	}
@@ -42,8 +42,8 @@
 	}
 }
 
-func (self *drill) loadKind(s *Service, k *Kind, rnd *rand.Rand, done <-chan struct{}) {
-	rate := self.cluster.deployment.callsPerSecond(s, k) * drillRate
+func (dr *drill) loadKind(s *Service, k *Kind, rnd *rand.Rand, done <-chan struct{}) {
+	rate := dr.cluster.deployment.callsPerSecond(s, k) * drillRate
 	if k.Placement.NeverRepeat {
 		rate *= neverRepeatRate / drillRate
 	}
@@ -63,7 +63,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			self.sendUntilAnswered(a)
+			dr.sendUntilAnswered(a)
 		}()
 	}
 }
@@ -71,14 +71,14 @@
 // sendUntilAnswered sends a call, and a never-repeat one again with its key
 // when there was no answer, through another daemon. Each attempt has an id of
 // its own in the ledgers, and the same key, path and body.
-func (self *drill) sendUntilAnswered(a arrival) {
+func (dr *drill) sendUntilAnswered(a arrival) {
 	for attempt := range 1 + callerRetries {
 		this := a
 		this.attempt = attempt
-		entries := self.cluster.entriesFor(&a.kind.Placement)
+		entries := dr.cluster.entriesFor(&a.kind.Placement)
 		to := entries[(a.entry+uint64(attempt))%uint64(len(entries))]
-		o := self.sender.send(&this, to, to.vm.Callers, time.Now())
-		self.keep(o)
+		o := dr.sender.send(&this, to, to.vm.Callers, time.Now())
+		dr.keep(o)
 		if o.answered() || a.key == "" {
 			return
 		}
@@ -86,8 +86,8 @@
 	}
 }
 
-func (self *drill) keep(o outcome) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.outcomes = append(self.outcomes, o)
+func (dr *drill) keep(o outcome) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	dr.outcomes = append(dr.outcomes, o)
 }
--- a/pkg/bench/faults.go
+++ b/pkg/bench/faults.go
@@ -60,17 +60,17 @@
 	Promises
 }
 
-func (self *drill) note(change func(*Promises)) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	change(&self.promises)
+func (dr *drill) note(change func(*Promises)) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	change(&dr.promises)
 }
 
-func (self *drill) fail(err error) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if self.failure == nil {
-		self.failure = err
+func (dr *drill) fail(err error) {
+	dr.mu.Lock()
+	defer dr.mu.Unlock()
+	if dr.failure == nil {
+		dr.failure = err
 	}
 }
 
@@ -106,32 +106,32 @@
 	if err != nil {
 		return nil, err
 	}
-	self := &drill{cluster: c, sender: sender, busy: map[*node]bool{}, seen: map[string]int{}}
+	dr := &drill{cluster: c, sender: sender, busy: map[*node]bool{}, seen: map[string]int{}}
 	rnd := rand.New(rand.NewPCG(seed, 2))
-	stopLoad := self.startLoad(seed)
-	stopWatch := self.watchVersions()
+	stopLoad := dr.startLoad(seed)
+	stopWatch := dr.watchVersions()
 	for _, faults := range phases(rnd) {
-		self.phase(faults, rnd)
+		dr.phase(faults, rnd)
 	}
 	stopLoad()
 	stopWatch()
-	if self.failure != nil {
-		return nil, self.failure
+	if dr.failure != nil {
+		return nil, dr.failure
 	}
-	return self.report(seed)
+	return dr.report(seed)
 }
 
 // phase brings faults about, each at its own time and for its own time.
-func (self *drill) phase(faults []fault, rnd *rand.Rand) {
+func (dr *drill) phase(faults []fault, rnd *rand.Rand) {
 	var wait sync.WaitGroup
 	for _, f := range faults {
-		self.seen[f.name]++
+		dr.seen[f.name]++
 		own := rand.New(rand.NewPCG(rnd.Uint64(), rnd.Uint64()))
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
 			time.Sleep(time.Duration(own.Int64N(int64(faultLeast))))
-			end := f.begin(self, own)
+			end := f.begin(dr, own)
 			time.Sleep(faultLeast + time.Duration(own.Int64N(int64(faultMost-faultLeast))))
 			end()
 		}()
@@ -141,7 +141,7 @@
 }
 
 // watchVersions looks at each daemon's placement version all the time.
-func (self *drill) watchVersions() (stop func()) {
+func (dr *drill) watchVersions() (stop func()) {
 	done := make(chan struct{})
 	var wait sync.WaitGroup
 	wait.Add(1)
@@ -149,14 +149,14 @@
 		defer wait.Done()
 		highest := map[*daemon.Daemon]uint64{}
 		for pause(time.Millisecond, done) {
-			for _, n := range self.cluster.nodes {
+			for _, n := range dr.cluster.nodes {
 				d := n.current()
 				p := d.World.View.Placement()
 				if p == nil {
 					continue
 				}
 				if p.Version < highest[d] {
-					self.note(func(p *Promises) { p.ConfigReverts++ })
+					dr.note(func(p *Promises) { p.ConfigReverts++ })
 				}
 				highest[d] = p.Version
 			}
@@ -168,19 +168,19 @@
 	}
 }
 
-func (self *drill) report(seed uint64) (*DrillReport, error) {
+func (dr *drill) report(seed uint64) (*DrillReport, error) {
 	out := &DrillReport{
-		Deployment: self.cluster.deployment.Name, Seed: seed, Faults: self.seen,
-		Races: self.races, RacesLost: self.racesLost, Kinds: map[string]int{}, Promises: self.promises,
+		Deployment: dr.cluster.deployment.Name, Seed: seed, Faults: dr.seen,
+		Races: dr.races, RacesLost: dr.racesLost, Kinds: map[string]int{}, Promises: dr.promises,
 	}
-	found, err := checkPromises(self.cluster, self.outcomes)
+	found, err := checkPromises(dr.cluster, dr.outcomes)
 	if err != nil {
 		return nil, err
 	}
 	out.Crossed, out.Truncated, out.Doubled = found.Crossed, found.Truncated, found.Doubled
 	out.FalseNotRun, out.WrongPlace, out.BudgetOverruns = found.FalseNotRun, found.WrongPlace, found.BudgetOverruns
-	for i := range self.outcomes {
-		o := &self.outcomes[i]
+	for i := range dr.outcomes {
+		o := &dr.outcomes[i]
 		out.Calls++
 		if o.arrival.key != "" {
 			out.NeverRepeat++
--- a/pkg/bench/network.go
+++ b/pkg/bench/network.go
@@ -39,30 +39,30 @@
 
 // hold stops delivery in one direction: a one-way cut that nobody is told of.
 // An empty end stands for everybody.
-func (self *network) hold(from, to string) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if self.held[way{from, to}] == nil {
-		self.held[way{from, to}] = make(chan struct{})
+func (n *network) hold(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.held[way{from, to}] == nil {
+		n.held[way{from, to}] = make(chan struct{})
 	}
 }
 
-func (self *network) release(from, to string) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if ch := self.held[way{from, to}]; ch != nil {
+func (n *network) release(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ch := n.held[way{from, to}]; ch != nil {
 		close(ch)
-		delete(self.held, way{from, to})
+		delete(n.held, way{from, to})
 	}
 }
 
 // holding returns a channel to wait for while a direction is held; nil when it
 // is not.
-func (self *network) holding(from, to end) <-chan struct{} {
-	self.mu.Lock()
-	defer self.mu.Unlock()
+func (n *network) holding(from, to end) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	for _, w := range ways(from, to) {
-		if ch := self.held[w]; ch != nil {
+		if ch := n.held[w]; ch != nil {
 			return ch
 		}
 	}
@@ -70,32 +70,32 @@
 }
 
 // part breaks all connections between two ends and lets none be opened.
-func (self *network) part(a, b string) {
-	self.mu.Lock()
-	self.cut[way{a, b}], self.cut[way{b, a}] = struct{}{}, struct{}{}
+func (n *network) part(a, b string) {
+	n.mu.Lock()
+	n.cut[way{a, b}], n.cut[way{b, a}] = struct{}{}, struct{}{}
 	var broken []net.Conn
-	for conn, r := range self.conns {
-		if self.isCut(r.from, r.to) {
+	for conn, r := range n.conns {
+		if n.isCut(r.from, r.to) {
 			broken = append(broken, conn)
 		}
 	}
-	self.mu.Unlock()
+	n.mu.Unlock()
 	for _, conn := range broken {
 		_ = conn.Close()
 	}
 }
 
-func (self *network) join(a, b string) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	delete(self.cut, way{a, b})
-	delete(self.cut, way{b, a})
+func (n *network) join(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, way{a, b})
+	delete(n.cut, way{b, a})
 }
 
 // isCut expects the lock to be held.
-func (self *network) isCut(from, to end) bool {
+func (n *network) isCut(from, to end) bool {
 	for _, w := range ways(from, to) {
-		if _, ok := self.cut[w]; ok {
+		if _, ok := n.cut[w]; ok {
 			return true
 		}
 	}
@@ -103,18 +103,18 @@
 }
 
 // enter notes a connection; false when its ends are parted.
-func (self *network) enter(conn *delayed, r route) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if self.isCut(r.from, r.to) {
+func (n *network) enter(conn *delayed, r route) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.isCut(r.from, r.to) {
 		return false
 	}
-	self.conns[conn] = r
+	n.conns[conn] = r
 	return true
 }
 
-func (self *network) leave(conn *delayed) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	delete(self.conns, conn)
+func (n *network) leave(conn *delayed) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, conn)
 }
--- a/pkg/bench/oracle.go
+++ b/pkg/bench/oracle.go
@@ -14,12 +14,12 @@
 }
 
 func newOracle(c *cluster) choose.Policy {
-	self := &oracle{inFlight: map[string]func() (int64, int){}}
+	o := &oracle{inFlight: map[string]func() (int64, int){}}
 	for _, n := range c.nodes {
 		if n.backend == nil {
 			continue
 		}
-		self.inFlight[n.vm.ID] = func() (int64, int) {
+		o.inFlight[n.vm.ID] = func() (int64, int) {
 			if n.daemon == nil {
 				return 0, 1
 			}
@@ -27,11 +27,11 @@
 			return gate.InFlight(), gate.Slots()
 		}
 	}
-	return self
+	return o
 }
 
 // Choose implements choose.Policy.
-func (self *oracle) Choose(req *choose.Request, rnd choose.Random) choose.Pick {
+func (o *oracle) Choose(req *choose.Request, rnd choose.Random) choose.Pick {
 	best, least, nearest := choose.None, 0.0, time.Duration(0)
 	offset := rnd.IntN(max(len(req.Set), 1))
 	for n := range req.Set {
@@ -39,7 +39,7 @@
 		if req.Tried.Has(i) {
 			continue
 		}
-		calls, slots := self.inFlight[req.Set[i].Route.VM]()
+		calls, slots := o.inFlight[req.Set[i].Route.VM]()
 		// Below its slots a gate has no wait, so only the distance counts.
 		wait := max(float64(calls+1-int64(slots))/float64(slots), 0)
 		distance := req.Set[i].Load.Distance()
--- a/pkg/bench/precise/clock.go
+++ b/pkg/bench/precise/clock.go
@@ -35,38 +35,38 @@
 
 // NewClock starts a clock. Stop ends it.
 func NewClock() *Clock {
-	self := &Clock{start: time.Now()}
-	self.next.Store(math.MaxInt64)
-	go self.run()
-	return self
+	c := &Clock{start: time.Now()}
+	c.next.Store(math.MaxInt64)
+	go c.run()
+	return c
 }
 
 // Stop ends the clock. Nobody may wait any more.
-func (self *Clock) Stop() { self.stopped.Store(true) }
+func (c *Clock) Stop() { c.stopped.Store(true) }
 
 // After returns a channel that is closed when the time has passed.
-func (self *Clock) After(d time.Duration) <-chan struct{} {
+func (c *Clock) After(d time.Duration) <-chan struct{} {
 	w := waiter{at: time.Now().Add(d), done: make(chan struct{})}
 	if d <= 0 {
 		close(w.done)
 		return w.done
 	}
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	heap.Push(&self.waiters, w)
-	self.noteNext()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	heap.Push(&c.waiters, w)
+	c.noteNext()
 	return w.done
 }
 
 // SleepUntil returns at a time.
-func (self *Clock) SleepUntil(at time.Time) { <-self.After(time.Until(at)) }
+func (c *Clock) SleepUntil(at time.Time) { <-c.After(time.Until(at)) }
 
-func (self *Clock) run() {
-	for !self.stopped.Load() {
-		left := time.Duration(self.next.Load()) - time.Since(self.start)
+func (c *Clock) run() {
+	for !c.stopped.Load() {
+		left := time.Duration(c.next.Load()) - time.Since(c.start)
 		switch {
 		case left <= 0:
-			self.wake()
+			c.wake()
 		case left > spinBelow:
 			time.Sleep(nap)
 		default:
@@ -76,23 +76,23 @@
 }
 
 // wake closes what is due.
-func (self *Clock) wake() {
-	self.mu.Lock()
-	defer self.mu.Unlock()
+func (c *Clock) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	now := time.Now()
-	for len(self.waiters) > 0 && !self.waiters[0].at.After(now) {
-		close(heap.Pop(&self.waiters).(waiter).done)
+	for len(c.waiters) > 0 && !c.waiters[0].at.After(now) {
+		close(heap.Pop(&c.waiters).(waiter).done)
 	}
-	self.noteNext()
+	c.noteNext()
 }
 
 // noteNext expects the lock to be held.
-func (self *Clock) noteNext() {
-	if len(self.waiters) == 0 {
-		self.next.Store(math.MaxInt64)
+func (c *Clock) noteNext() {
+	if len(c.waiters) == 0 {
+		c.next.Store(math.MaxInt64)
 		return
 	}
-	self.next.Store(int64(self.waiters[0].at.Sub(self.start)))
+	c.next.Store(int64(c.waiters[0].at.Sub(c.start)))
 }
 
 type waiter struct {
@@ -103,13 +103,13 @@
 // waiters implements heap.Interface, nearest first.
 type waiters []waiter
 
-func (self waiters) Len() int           { return len(self) }
-func (self waiters) Less(i, j int) bool { return self[i].at.Before(self[j].at) }
-func (self waiters) Swap(i, j int)      { self[i], self[j] = self[j], self[i] }
-func (self *waiters) Push(x any)        { *self = append(*self, x.(waiter)) }
-func (self *waiters) Pop() any {
-	last := len(*self) - 1
-	w := (*self)[last]
-	*self = (*self)[:last]
+func (wa waiters) Len() int           { return len(wa) }
+func (wa waiters) Less(i, j int) bool { return wa[i].at.Before(wa[j].at) }
+func (wa waiters) Swap(i, j int)      { wa[i], wa[j] = wa[j], wa[i] }
+func (wa *waiters) Push(x any)        { *wa = append(*wa, x.(waiter)) }
+func (wa *waiters) Pop() any {
+	last := len(*wa) - 1
+	w := (*wa)[last]
+	*wa = (*wa)[:last]
 	return w
 }
--- a/pkg/bench/promises.go
+++ b/pkg/bench/promises.go
@@ -33,9 +33,9 @@
 }
 
 // Broken counts the promises that did not hold.
-func (self *Promises) Broken() int {
-	return self.Crossed + self.Truncated + self.Doubled + self.FalseNotRun + self.WrongPlace +
-		self.CutByDrain + self.WorkAfterLeaving + self.ConfigReverts + self.BudgetOverruns
+func (p *Promises) Broken() int {
+	return p.Crossed + p.Truncated + p.Doubled + p.FalseNotRun + p.WrongPlace +
+		p.CutByDrain + p.WorkAfterLeaving + p.ConfigReverts + p.BudgetOverruns
 }
 
 // ran is what all ledgers say of a call.
@@ -63,8 +63,8 @@
 	from, until time.Time
 }
 
-func (self *cluster) rules() (*rules, error) {
-	entries, err := placement.NewStore(self.store, self.store).History(context.Background(), 0, 1<<20)
+func (c *cluster) rules() (*rules, error) {
+	entries, err := placement.NewStore(c.store, c.store).History(context.Background(), 0, 1<<20)
 	if err != nil {
 		return nil, errors.Wrap(err, "history of placements")
 	}
@@ -86,8 +86,8 @@
 
 // allow is true when a version that may have been followed at the time of a
 // run lets the kind be handled there.
-func (self *rules) allow(a *arrival, r runAt) bool {
-	for _, v := range self.versions {
+func (ru *rules) allow(a *arrival, r runAt) bool {
+	for _, v := range ru.versions {
 		if r.at.Before(v.from) || r.at.After(v.until) {
 			continue
 		}
@@ -126,19 +126,19 @@
 	return out, nil
 }
 
-func (self *Promises) checkCall(rules *rules, o *outcome, r ran) {
+func (p *Promises) checkCall(rules *rules, o *outcome, r ran) {
 	if o.crossed {
-		self.Crossed++
+		p.Crossed++
 	}
 	if o.truncated {
-		self.Truncated++
+		p.Truncated++
 	}
 	if o.err == nil && o.ran == "no" && r.times > 0 {
-		self.FalseNotRun++
+		p.FalseNotRun++
 	}
 	for _, run := range r.runs {
 		if !rules.allow(o.arrival, run) {
-			self.WrongPlace++
+			p.WrongPlace++
 		}
 	}
 }
@@ -154,9 +154,9 @@
 
 // ledgers puts the records of all backend servers together: by call, and how
 // often each Idempotency-Key ran.
-func (self *cluster) ledgers() (calls map[string]ran, keys map[string]int) {
+func (c *cluster) ledgers() (calls map[string]ran, keys map[string]int) {
 	calls, keys = map[string]ran{}, map[string]int{}
-	for _, n := range self.nodes {
+	for _, n := range c.nodes {
 		if n.backend == nil {
 			continue
 		}
--- a/pkg/bench/ratios.go
+++ b/pkg/bench/ratios.go
@@ -19,14 +19,14 @@
 	return &ratioTable{policies: policies, reports: map[string][]*Report{}}
 }
 
-func (self *ratioTable) add(policy string, r *Report) {
-	self.reports[policy] = append(self.reports[policy], r)
+func (rt *ratioTable) add(policy string, r *Report) {
+	rt.reports[policy] = append(rt.reports[policy], r)
 }
 
 // median is that of a figure over the seeds of a policy.
-func (self *ratioTable) median(policy string, figure func(*Report) float64) float64 {
+func (rt *ratioTable) median(policy string, figure func(*Report) float64) float64 {
 	var values []float64
-	for _, r := range self.reports[policy] {
+	for _, r := range rt.reports[policy] {
 		values = append(values, figure(r))
 	}
 	sort.Float64s(values)
@@ -38,29 +38,29 @@
 
 // medianRatio is the median over the seeds of a policy's figure over the first
 // policy's of the same seed.
-func (self *ratioTable) medianRatio(policy string, figure func(*Report) float64) float64 {
+func (rt *ratioTable) medianRatio(policy string, figure func(*Report) float64) float64 {
 	var values []float64
-	base := self.reports[self.policies[0]]
-	for i, r := range self.reports[policy] {
+	base := rt.reports[rt.policies[0]]
+	for i, r := range rt.reports[policy] {
 		values = append(values, figure(r)/max(figure(base[i]), 1))
 	}
 	sort.Float64s(values)
 	return values[len(values)/2]
 }
 
-func (self *ratioTable) print(out io.Writer, name string, seeds int) {
-	fmt.Fprintf(out, "%s, median of %d seeds; ratios to %s of the same seed\n", name, seeds, self.policies[0])
+func (rt *ratioTable) print(out io.Writer, name string, seeds int) {
+	fmt.Fprintf(out, "%s, median of %d seeds; ratios to %s of the same seed\n", name, seeds, rt.policies[0])
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "policy\twait p50 ms\twait p99 ms\twait p99.9 ms\tp99 ratio\tp99.9 ratio\trefusals\tretries\thedges\tnot run\tfailed\tbytes/s\tbroken\t")
-	for _, policy := range self.policies {
-		at := func(figure func(*Report) float64) float64 { return self.median(policy, figure) }
+	for _, policy := range rt.policies {
+		at := func(figure func(*Report) float64) float64 { return rt.median(policy, figure) }
 		broken := 0
-		for _, r := range self.reports[policy] {
+		for _, r := range rt.reports[policy] {
 			broken += r.Broken()
 		}
 		fmt.Fprintf(w, "%s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%d\t\n", policy,
 			at(waitP50)/1000, at(waitP99)/1000, at(waitP999)/1000,
-			self.medianRatio(policy, waitP99), self.medianRatio(policy, waitP999),
+			rt.medianRatio(policy, waitP99), rt.medianRatio(policy, waitP999),
 			at(func(r *Report) float64 { return r.Refusals }), at(func(r *Report) float64 { return r.Retries }),
 			at(func(r *Report) float64 { return r.Hedges }), at(func(r *Report) float64 { return float64(r.RefusedNotRun) }),
 			at(func(r *Report) float64 { return float64(r.Failed) }),
--- a/pkg/bench/report.go
+++ b/pkg/bench/report.go
@@ -85,8 +85,8 @@
 	return &tally{whole: fresh(), wait: fresh(), added: fresh()}
 }
 
-func (self *tally) add(o *outcome, network time.Duration) {
-	f := &self.figures
+func (t *tally) add(o *outcome, network time.Duration) {
+	f := &t.figures
 	f.Calls++
 	switch {
 	case o.answered():
@@ -103,9 +103,9 @@
 		f.Failed++
 	}
 	wait := max(o.whole-o.arrival.nominal, 0)
-	record(self.whole, o.whole)
-	record(self.wait, wait)
-	record(self.added, max(wait-network, 0))
+	record(t.whole, o.whole)
+	record(t.wait, wait)
+	record(t.added, max(wait-network, 0))
 }
 
 func record(h *hdrhistogram.Histogram, d time.Duration) {
@@ -113,11 +113,11 @@
 	_ = h.RecordValue(min(max(d.Microseconds(), lowestUS), highestUS))
 }
 
-func (self *tally) finish() Figures {
-	f := self.figures
-	f.P50, f.P99, f.P999 = self.whole.ValueAtQuantile(50), self.whole.ValueAtQuantile(99), self.whole.ValueAtQuantile(99.9)
-	f.WaitP50, f.WaitP99, f.WaitP999 = self.wait.ValueAtQuantile(50), self.wait.ValueAtQuantile(99), self.wait.ValueAtQuantile(99.9)
-	f.AddedOutsideP99 = self.added.ValueAtQuantile(99)
+func (t *tally) finish() Figures {
+	f := t.figures
+	f.P50, f.P99, f.P999 = t.whole.ValueAtQuantile(50), t.whole.ValueAtQuantile(99), t.whole.ValueAtQuantile(99.9)
+	f.WaitP50, f.WaitP99, f.WaitP999 = t.wait.ValueAtQuantile(50), t.wait.ValueAtQuantile(99), t.wait.ValueAtQuantile(99.9)
+	f.AddedOutsideP99 = t.added.ValueAtQuantile(99)
 	return f
 }
 
@@ -165,32 +165,32 @@
 	}
 }
 
-func (self *Report) countOutcome(o *outcome) {
+func (r *Report) countOutcome(o *outcome) {
 	switch {
 	case o.err != nil:
-		self.Outcomes["caller_error"]++
+		r.Outcomes["caller_error"]++
 	case o.kind != "":
-		self.Outcomes[o.kind]++
+		r.Outcomes[o.kind]++
 	}
 }
 
-func (self *Report) fillCounters(before, after counters, calls int) {
+func (r *Report) fillCounters(before, after counters, calls int) {
 	n := float64(max(calls, 1))
 	soft := float64(after.softRefusals - before.softRefusals)
 	retries := float64(after.retries - before.retries)
-	self.Refusals = (soft + retries) / n
-	self.Retries = retries / n
-	self.Hedges = float64(after.hedges-before.hedges) / n
+	r.Refusals = (soft + retries) / n
+	r.Retries = retries / n
+	r.Hedges = float64(after.hedges-before.hedges) / n
 	seconds := after.at.Sub(before.at).Seconds()
-	daemons := float64(self.Daemons)
-	self.MeasureBytes = float64(after.measureBytes-before.measureBytes) / seconds / daemons
+	daemons := float64(r.Daemons)
+	r.MeasureBytes = float64(after.measureBytes-before.measureBytes) / seconds / daemons
 	// Load reports ride on answers; none has a message of its own.
-	self.MeasureMsgs = float64(after.measureMsgs-before.measureMsgs) / seconds / daemons
-	self.StoreReads = after.storeReads - before.storeReads
-	self.StoreWrites = after.storeWrites - before.storeWrites
+	r.MeasureMsgs = float64(after.measureMsgs-before.measureMsgs) / seconds / daemons
+	r.StoreReads = after.storeReads - before.storeReads
+	r.StoreWrites = after.storeWrites - before.storeWrites
 }
 
-func (self *Report) fillSpread(c *cluster) {
+func (r *Report) fillSpread(c *cluster) {
 	runs := map[string][]int{}
 	names := map[string][]string{}
 	for _, n := range c.nodes {
@@ -208,9 +208,9 @@
 		if sum == 0 {
 			continue
 		}
-		self.Spread[service] = float64(most) * float64(len(counts)) / float64(sum)
+		r.Spread[service] = float64(most) * float64(len(counts)) / float64(sum)
 		for i, count := range counts {
-			self.Shares[names[service][i]] = float64(count) / float64(sum)
+			r.Shares[names[service][i]] = float64(count) / float64(sum)
 		}
 	}
 }
--- a/pkg/bench/run.go
+++ b/pkg/bench/run.go
@@ -58,7 +58,7 @@
 }
 
 // answered is true for a backend server's own whole answer.
-func (self *outcome) answered() bool { return self.err == nil && self.kind == "" }
+func (o *outcome) answered() bool { return o.err == nil && o.kind == "" }
 
 // settle is how long servers and links get to become quiet around a run.
 const settle = 300 * time.Millisecond
@@ -184,13 +184,13 @@
 
 const callerTimeout = 30 * time.Second
 
-func (self *caller) send(a *arrival, to *node, address string, intended time.Time) outcome {
+func (c *caller) send(a *arrival, to *node, address string, intended time.Time) outcome {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	a.fill(req, address)
 	out := outcome{arrival: a, entry: to, began: intended}
-	out.err = self.http.Do(context.Background(), req, resp)
+	out.err = c.http.Do(context.Background(), req, resp)
 	out.whole = time.Since(intended)
 	if out.err != nil {
 		return out
@@ -204,54 +204,54 @@
 	return out
 }
 
-func (self *arrival) fill(req *protocol.Request, address string) {
-	k := &self.kind.Placement
+func (a *arrival) fill(req *protocol.Request, address string) {
+	k := &a.kind.Placement
 	method := k.Method
 	if method == "" {
 		method = http.MethodGet
 	}
 	path := k.Path
 	if path[len(path)-1] == '*' {
-		path = path[:len(path)-1] + self.id
+		path = path[:len(path)-1] + a.id
 	}
 	req.SetMethod(method)
 	req.SetRequestURI("http://" + address + path)
-	req.Header.Set(callers.HeaderService, self.service.Name)
-	req.Header.Set(backend.HeaderCallID, self.ledgerID())
-	req.Header.Set(backend.HeaderWork, strconv.FormatInt(self.nominal.Microseconds(), 10))
-	req.Header.Set(backend.HeaderAnswer, strconv.Itoa(self.kind.AnswerBytes))
-	if self.key != "" {
-		req.Header.Set(callers.HeaderKey, self.key)
+	req.Header.Set(callers.HeaderService, a.service.Name)
+	req.Header.Set(backend.HeaderCallID, a.ledgerID())
+	req.Header.Set(backend.HeaderWork, strconv.FormatInt(a.nominal.Microseconds(), 10))
+	req.Header.Set(backend.HeaderAnswer, strconv.Itoa(a.kind.AnswerBytes))
+	if a.key != "" {
+		req.Header.Set(callers.HeaderKey, a.key)
 	}
-	if self.kind.Timeout > 0 {
-		req.Header.Set(callers.HeaderTimeout, strconv.FormatInt(self.kind.Timeout.Milliseconds(), 10))
+	if a.kind.Timeout > 0 {
+		req.Header.Set(callers.HeaderTimeout, strconv.FormatInt(a.kind.Timeout.Milliseconds(), 10))
 	}
-	if n := self.kind.RequestBytes; n > 0 {
+	if n := a.kind.RequestBytes; n > 0 {
 		req.SetBody(make([]byte, n))
 	}
 	req.SetOptions(config.WithRequestTimeout(callerTimeout))
 }
 
 // check compares the answer with what this call's answer must be.
-func (self *outcome) check(body []byte) {
-	a := self.arrival
+func (o *outcome) check(body []byte) {
+	a := o.arrival
 	// A never-repeat call may get the answer of an earlier attempt of its own.
 	for attempt := a.attempt; attempt >= 0; attempt-- {
 		earlier := *a
 		earlier.attempt = attempt
 		want := backend.AnswerBody(earlier.ledgerID(), a.kind.AnswerBytes, make([]byte, a.kind.RequestBytes))
 		if string(body) == string(want) {
-			self.truncated = false
+			o.truncated = false
 			return
 		}
-		self.truncated = len(body) < len(want)
+		o.truncated = len(body) < len(want)
 	}
-	self.crossed = !self.truncated
-	self.detail = fmt.Sprintf("%s attempt %d through %s: %d bytes, begin %.60q", a.id, a.attempt, self.entry.vm.ID, len(body), body)
+	o.crossed = !o.truncated
+	o.detail = fmt.Sprintf("%s attempt %d through %s: %d bytes, begin %.60q", a.id, a.attempt, o.entry.vm.ID, len(body), body)
 }
 
 // load sends the arrivals at their times, whether or not answers come.
-func (self *cluster) load(arrivals []arrival, direct bool) []outcome {
+func (c *cluster) load(arrivals []arrival, direct bool) []outcome {
 	sender, err := newCaller()
 	if err != nil {
 		return nil
@@ -262,12 +262,12 @@
 	for i := range arrivals {
 		a := &arrivals[i]
 		intended := start.Add(a.at)
-		self.clock.SleepUntil(intended)
-		entries := self.entriesFor(&a.kind.Placement)
+		c.clock.SleepUntil(intended)
+		entries := c.entriesFor(&a.kind.Placement)
 		to := entries[a.entry%uint64(len(entries))]
 		address := to.vm.Callers
 		if direct {
-			address = self.anyBackend(a)
+			address = c.anyBackend(a)
 		}
 		wait.Add(1)
 		go func() {
@@ -280,9 +280,9 @@
 }
 
 // anyBackend is a random backend server that may handle the call.
-func (self *cluster) anyBackend(a *arrival) string {
+func (c *cluster) anyBackend(a *arrival) string {
 	var out []*node
-	for _, n := range self.nodes {
+	for _, n := range c.nodes {
 		if n.vm.Service == a.service.Name && allowedIn(a.kind, n.vm.DataCentre) {
 			out = append(out, n)
 		}
@@ -292,15 +292,15 @@
 
 // warm sends one short call of each kind through each entry, so that links and
 // connections stand before the measurement.
-func (self *cluster) warm() error {
+func (c *cluster) warm() error {
 	sender, err := newCaller()
 	if err != nil {
 		return err
 	}
-	for si := range self.deployment.Services {
-		s := &self.deployment.Services[si]
+	for si := range c.deployment.Services {
+		s := &c.deployment.Services[si]
 		for ki := range s.Kinds {
-			self.warmKind(sender, s, &s.Kinds[ki])
+			c.warmKind(sender, s, &s.Kinds[ki])
 		}
 	}
 	return nil
@@ -309,9 +309,9 @@
 // warmCalls is how many calls of a kind each entry sends before the load.
 const warmCalls = 4
 
-func (self *cluster) warmKind(sender *caller, s *Service, k *Kind) {
+func (c *cluster) warmKind(sender *caller, s *Service, k *Kind) {
 	var wait sync.WaitGroup
-	for _, n := range self.entriesFor(&k.Placement) {
+	for _, n := range c.entriesFor(&k.Placement) {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
--- a/pkg/bench/shape.go
+++ b/pkg/bench/shape.go
@@ -44,9 +44,9 @@
 	}
 }
 
-func (self *cluster) backends(service string) []*backend.Backend {
+func (c *cluster) backends(service string) []*backend.Backend {
 	var out []*backend.Backend
-	for _, n := range self.nodes {
+	for _, n := range c.nodes {
 		if n.backend != nil && (service == "" || n.vm.Service == service) {
 			out = append(out, n.backend)
 		}
--- a/pkg/bench/slopes.go
+++ b/pkg/bench/slopes.go
@@ -14,7 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/rushramp/rushramp/pkg/placement"
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 )
 
 // slope is a figure against a size, with a straight line through its points.
@@ -27,25 +27,25 @@
 	values []float64
 }
 
-func (self *slope) add(size, value float64) {
-	self.sizes = append(self.sizes, size)
-	self.values = append(self.values, value)
+func (s *slope) add(size, value float64) {
+	s.sizes = append(s.sizes, size)
+	s.values = append(s.values, value)
 }
 
 // fit is the line of least squares, and the largest distance of a point from
 // it as a share of the largest value: what noise there is shows there.
-func (self *slope) fit() (base, per, off float64) {
-	n := float64(len(self.sizes))
+func (s *slope) fit() (base, per, off float64) {
+	n := float64(len(s.sizes))
 	var sx, sy, sxx, sxy, most float64
-	for i, x := range self.sizes {
-		y := self.values[i]
+	for i, x := range s.sizes {
+		y := s.values[i]
 		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
 		most = math.Max(most, math.Abs(y))
 	}
 	per = (n*sxy - sx*sy) / (n*sxx - sx*sx)
 	base = (sy - per*sx) / n
-	for i, x := range self.sizes {
-		off = math.Max(off, math.Abs(self.values[i]-base-per*x))
+	for i, x := range s.sizes {
+		off = math.Max(off, math.Abs(s.values[i]-base-per*x))
 	}
 	if most > 0 {
 		off /= most
@@ -53,13 +53,13 @@
 	return base, per, off
 }
 
-func (self *slope) print(w io.Writer) {
-	base, per, off := self.fit()
+func (s *slope) print(w io.Writer) {
+	base, per, off := s.fit()
 	points := ""
-	for i, x := range self.sizes {
-		points += fmt.Sprintf("%g:%.4g ", x, self.values[i])
+	for i, x := range s.sizes {
+		points += fmt.Sprintf("%g:%.4g ", x, s.values[i])
 	}
-	fmt.Fprintf(w, "%s\t%s\t%s\t%.4g\t%.4g per %s\t%.0f%%\t\n", self.name, self.unit, points, base, per, self.per, 100*off)
+	fmt.Fprintf(w, "%s\t%s\t%s\t%.4g\t%.4g per %s\t%.0f%%\t\n", s.name, s.unit, points, base, per, s.per, 100*off)
 }
 
 func printSlopes(out io.Writer, slopes []*slope) {
@@ -157,9 +157,9 @@
 // traffic sums what all daemons have sent over links.
 type traffic struct{ bytes, messages, links int64 }
 
-func (self *cluster) traffic() traffic {
+func (c *cluster) traffic() traffic {
 	var out traffic
-	for _, n := range self.nodes {
+	for _, n := range c.nodes {
 		t := n.daemon.Traffic()
 		out.bytes += t.BytesOut + t.BytesIn
 		out.messages += t.MessagesOut + t.MessagesIn
@@ -232,26 +232,26 @@
 }
 
 // listStrangers adds VMs that do not exist to the platform's list.
-func (self *cluster) listStrangers(count int) {
-	var vms []platform.VM
-	for _, n := range self.nodes {
+func (c *cluster) listStrangers(count int) {
+	var vms []store.VM
+	for _, n := range c.nodes {
 		vms = append(vms, n.vm)
 	}
 	for i := range count {
-		dc := self.deployment.DataCentres[i%len(self.deployment.DataCentres)]
-		vms = append(vms, platform.VM{
-			ID: fmt.Sprintf("stranger-%05d", i), Region: "bench", DataCentre: dc, State: platform.VMLive,
+		dc := c.deployment.DataCentres[i%len(c.deployment.DataCentres)]
+		vms = append(vms, store.VM{
+			ID: fmt.Sprintf("stranger-%05d", i), Region: "bench", DataCentre: dc, State: store.VMLive,
 			Service: fmt.Sprintf("service-%03d", i%690), Slots: 12,
 			Links: fmt.Sprintf("127.0.0.1:%d", 1+i%1000), Callers: fmt.Sprintf("127.0.0.1:%d", 1+i%1000),
 		})
 	}
-	self.store.SetVMs(vms)
+	c.store.SetVMs(vms)
 }
 
 // membersKnown is the fewest members that a daemon knows of.
-func (self *cluster) membersKnown() int {
+func (c *cluster) membersKnown() int {
 	least := math.MaxInt
-	for _, n := range self.nodes {
+	for _, n := range c.nodes {
 		least = min(least, n.daemon.Members())
 	}
 	return least
@@ -326,38 +326,38 @@
 
 // changeTimes makes changes through daemons in turn and waits for each to be
 // in force everywhere. Times are in milliseconds, sorted.
-func (self *cluster) changeTimes(count int, quiet control) ([]float64, changeCost, error) {
+func (c *cluster) changeTimes(count int, quiet control) ([]float64, changeCost, error) {
 	var times []float64
-	before, writes, began := self.traffic(), self.store.Writes(), time.Now()
+	before, writes, began := c.traffic(), c.store.Writes(), time.Now()
 	for i := range count {
-		took, err := self.change1(self.nodes[i*7%len(self.nodes)], i)
+		took, err := c.change1(c.nodes[i*7%len(c.nodes)], i)
 		if err != nil {
 			return nil, changeCost{}, err
 		}
 		times = append(times, float64(took.Microseconds())/1000)
 	}
-	after, seconds := self.traffic(), time.Since(began).Seconds()
-	n := float64(len(self.nodes))
+	after, seconds := c.traffic(), time.Since(began).Seconds()
+	n := float64(len(c.nodes))
 	cost := changeCost{
 		bytes:  (float64(after.bytes-before.bytes)/n - quiet.bytes*seconds) / float64(count),
-		writes: float64(self.store.Writes()-writes) / float64(count),
+		writes: float64(c.store.Writes()-writes) / float64(count),
 	}
 	sort.Float64s(times)
 	return times, cost, nil
 }
 
 // change1 applies one change at a daemon.
-func (self *cluster) change1(at *node, i int) (time.Duration, error) {
-	kind := bareKinds(self.deployment.DataCentres)[0].Placement
+func (c *cluster) change1(at *node, i int) (time.Duration, error) {
+	kind := bareKinds(c.deployment.DataCentres)[0].Placement
 	kind.Timeout = time.Duration(i+1) * time.Second
 	began := time.Now()
 	version, err := at.daemon.Apply(context.Background(), fmt.Sprintf("change-%d", i), "bench",
-		[]placement.Change{{Op: placement.PutKind, Service: self.deployment.Services[0].Name, Kind: kind}})
+		[]placement.Change{{Op: placement.PutKind, Service: c.deployment.Services[0].Name, Kind: kind}})
 	if err != nil {
 		return 0, errors.Wrap(err, "change")
 	}
 	err = waitFor(readyBound, "a change to be in force", func() bool {
-		for _, n := range self.nodes {
+		for _, n := range c.nodes {
 			if n.daemon.World.View.Placement().Version < version {
 				return false
 			}
--- a/pkg/burn/command.go
+++ b/pkg/burn/command.go
@@ -43,42 +43,42 @@
 	return cmd
 }
 
-func (self *options) run(out io.Writer) error {
-	objectives, err := LoadObjectives(self.objectives)
+func (o *options) run(out io.Writer) error {
+	objectives, err := LoadObjectives(o.objectives)
 	if err != nil {
 		return err
 	}
-	samples, err := LoadSamples(self.samples)
+	samples, err := LoadSamples(o.samples)
 	if err != nil {
 		return err
 	}
-	samples, err = self.take(objectives, samples)
+	samples, err = o.take(objectives, samples)
 	if err != nil {
 		return err
 	}
 	report := Make(objectives.Objectives, samples)
-	if self.html != "" {
-		if err := writeHTML(self.html, &report); err != nil {
+	if o.html != "" {
+		if err := writeHTML(o.html, &report); err != nil {
 			return err
 		}
 	}
-	if self.json {
+	if o.json {
 		enc := json.NewEncoder(out)
 		enc.SetIndent("", "  ")
 		return errors.Wrap(enc.Encode(report), "report")
 	}
-	self.print(out, &report)
+	o.print(out, &report)
 	return nil
 }
 
-func (self *options) take(objectives *Objectives, samples []Sample) ([]Sample, error) {
+func (o *options) take(objectives *Objectives, samples []Sample) ([]Sample, error) {
 	count := 1
-	if self.watch > 0 {
-		count = self.times
+	if o.watch > 0 {
+		count = o.times
 	}
 	for i := range count {
 		if i > 0 {
-			time.Sleep(self.watch)
+			time.Sleep(o.watch)
 		}
 		now := time.Now()
 		s := Read(objectives.Daemons, now)
@@ -86,15 +86,15 @@
 			return nil, errors.New("no daemon answered. Check the addresses under daemons; they are those of listen.metrics.")
 		}
 		samples = append(samples, s)
-		if err := SaveSamples(self.samples, samples, now); err != nil {
+		if err := SaveSamples(o.samples, samples, now); err != nil {
 			return nil, err
 		}
 	}
 	return samples, nil
 }
 
-func (self *options) print(out io.Writer, r *Report) {
-	fmt.Fprintf(out, "%s, %d samples kept in %s\n", r.At.UTC().Format(time.RFC3339), r.Samples, self.samples)
+func (o *options) print(out io.Writer, r *Report) {
+	fmt.Fprintf(out, "%s, %d samples kept in %s\n", r.At.UTC().Format(time.RFC3339), r.Samples, o.samples)
 	for _, m := range r.Missing {
 		fmt.Fprintf(out, "%s did not answer; its calls are missing\n", m)
 	}
--- a/pkg/burn/html.go
+++ b/pkg/burn/html.go
@@ -42,10 +42,10 @@
 }
 
 // Percent is a share for people.
-func (self Part) Percent() string { return fmt.Sprintf("%.0f%%", 100*self.Share) }
+func (p Part) Percent() string { return fmt.Sprintf("%.0f%%", 100*p.Share) }
 
 // Percent is the budget left, for people.
-func (self lineView) Percent() float64 { return 100 * self.BudgetLeft }
+func (l lineView) Percent() float64 { return 100 * l.BudgetLeft }
 
 func viewOf(r *Report) view {
 	out := view{At: r.At.UTC().Format(time.RFC1123), Samples: r.Samples, Missing: r.Missing}
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -160,8 +160,8 @@
 	return out
 }
 
-func (self *Objective) covers(c *Count) bool {
-	return c.Service == self.Service && c.Kind == self.Kind
+func (o *Objective) covers(c *Count) bool {
+	return c.Service == o.Service && c.Kind == o.Kind
 }
 
 func judge(o Objective, counts []Count) (calls, bad float64) {
--- a/pkg/burn/sample.go
+++ b/pkg/burn/sample.go
@@ -28,8 +28,8 @@
 	Buckets map[string]float64 `json:"buckets"`
 }
 
-func (self *Count) key() string {
-	return strings.Join([]string{self.Service, self.Kind, self.DataCentre, self.Server, self.Outcome}, "\x00")
+func (c *Count) key() string {
+	return strings.Join([]string{c.Service, c.Kind, c.DataCentre, c.Server, c.Outcome}, "\x00")
 }
 
 // Sample is all counts of all daemons that were read at one moment.
@@ -143,21 +143,21 @@
 }
 
 // total sums a count's buckets; within sums those whose bound is at most a time.
-func (self *Count) total() float64 { return self.upTo(math.Inf(1)) }
+func (c *Count) total() float64 { return c.upTo(math.Inf(1)) }
 
-func (self *Count) within(d time.Duration) float64 {
-	if self.Outcome != answered {
+func (c *Count) within(d time.Duration) float64 {
+	if c.Outcome != answered {
 		return 0
 	}
 	// A bucket that the time falls into counts as within when its upper bound
 	// is no more than a tenth above it: buckets are some tenth wide.
 	const bucketWidth = 1.1
-	return self.upTo(d.Seconds() * bucketWidth)
+	return c.upTo(d.Seconds() * bucketWidth)
 }
 
-func (self *Count) upTo(seconds float64) float64 {
+func (c *Count) upTo(seconds float64) float64 {
 	sum := 0.0
-	for bound, n := range self.Buckets {
+	for bound, n := range c.Buckets {
 		upper, err := strconv.ParseFloat(bound, 64)
 		if err == nil && upper <= seconds {
 			sum += n
--- a/pkg/callers/inflight.go
+++ b/pkg/callers/inflight.go
@@ -12,21 +12,21 @@
 func newInFlight(most int) *inFlight { return &inFlight{most: most, by: map[string]int{}} }
 
 // enter counts one more; false when the caller has as many as allowed.
-func (self *inFlight) enter(caller string) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if self.by[caller] >= self.most {
+func (i *inFlight) enter(caller string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.by[caller] >= i.most {
 		return false
 	}
-	self.by[caller]++
+	i.by[caller]++
 	return true
 }
 
-func (self *inFlight) leave(caller string) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.by[caller]--
-	if self.by[caller] == 0 {
-		delete(self.by, caller)
+func (i *inFlight) leave(caller string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.by[caller]--
+	if i.by[caller] == 0 {
+		delete(i.by, caller)
 	}
 }
--- a/pkg/callers/server.go
+++ b/pkg/callers/server.go
@@ -51,8 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
-	self := &Server{Common: c, entry: e, limits: newInFlight(c.Settings.Limits.CallsPerCaller), ownIP: host}
-	return httpserver.Start(c.Settings.Listen.Callers, self.routes,
+	s := &Server{Common: c, entry: e, limits: newInFlight(c.Settings.Limits.CallsPerCaller), ownIP: host}
+	return httpserver.Start(c.Settings.Listen.Callers, s.routes,
 		server.WithStreamBody(true),
 		server.WithSenseClientDisconnection(true),
 		server.WithMaxRequestBodySize(c.Settings.Limits.MaxBodyBytes),
@@ -62,39 +62,39 @@
 	)
 }
 
-func (self *Server) routes(h *server.Hertz) {
-	h.NoRoute(self.serve)
-	h.NoMethod(self.serve)
+func (s *Server) routes(h *server.Hertz) {
+	h.NoRoute(s.serve)
+	h.NoMethod(s.serve)
 }
 
 // serve is the way of one call: plan, body, run, answer.
-func (self *Server) serve(ctx context.Context, c *app.RequestContext) {
+func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
 	caller := hostOf(c.RemoteAddr())
-	if !self.limits.enter(caller) {
-		self.refuse(c, errkind.New(errkind.CallerLimit, "%s has too many calls in flight", caller))
+	if !s.limits.enter(caller) {
+		s.refuse(c, errkind.New(errkind.CallerLimit, "%s has too many calls in flight", caller))
 		return
 	}
-	defer self.limits.leave(caller)
-	req, refusal := self.request(c, caller)
+	defer s.limits.leave(caller)
+	req, refusal := s.request(c, caller)
 	if refusal != nil {
-		self.refuseUnread(c, refusal)
+		s.refuseUnread(c, refusal)
 		return
 	}
-	plan, misplaced, refusal := self.entry.Plan(ctx, req)
+	plan, misplaced, refusal := s.entry.Plan(ctx, req)
 	if refusal != nil {
-		self.refuseUnread(c, refusal)
+		s.refuseUnread(c, refusal)
 		return
 	}
 	if misplaced != nil {
-		self.redirect(c, misplaced)
+		s.redirect(c, misplaced)
 		return
 	}
-	body, refusal := self.body(c)
+	body, refusal := s.body(c)
 	if refusal != nil {
-		self.refuseUnread(c, refusal)
+		s.refuseUnread(c, refusal)
 		return
 	}
-	self.answer(c, self.entry.Run(ctx, plan, body))
+	s.answer(c, s.entry.Run(ctx, plan, body))
 }
 
 func hostOf(addr net.Addr) string {
@@ -105,13 +105,13 @@
 	return host
 }
 
-func (self *Server) request(c *app.RequestContext, caller string) (*entry.Request, *errkind.Error) {
+func (s *Server) request(c *app.RequestContext, caller string) (*entry.Request, *errkind.Error) {
 	out := &entry.Request{
 		Service: string(c.Request.Header.Peek(HeaderService)),
 		Method:  string(c.Method()),
 		URI:     string(c.Request.RequestURI()),
 		Key:     string(c.Request.Header.Peek(HeaderKey)),
-		Outside: caller != self.ownIP,
+		Outside: caller != s.ownIP,
 	}
 	if out.Service == "" {
 		out.Service, out.URI = serviceInPath(out.URI)
@@ -155,9 +155,9 @@
 
 // body reads the whole body within its bound. A body that is shorter than its
 // stated length is refused: it is not what the caller meant to send.
-func (self *Server) body(c *app.RequestContext) ([]byte, *errkind.Error) {
+func (s *Server) body(c *app.RequestContext) ([]byte, *errkind.Error) {
 	stated := c.Request.Header.ContentLength()
-	bound := self.Settings.Limits.MaxBodyBytes
+	bound := s.Settings.Limits.MaxBodyBytes
 	if stated > bound {
 		return nil, errkind.New(errkind.BodyTooLarge, "the body has %d bytes, %d are allowed", stated, bound)
 	}
@@ -176,9 +176,9 @@
 	return data, nil
 }
 
-func (self *Server) answer(c *app.RequestContext, result call.Result) {
+func (s *Server) answer(c *app.RequestContext, result call.Result) {
 	if result.Refusal != nil {
-		self.refuse(c, result.Refusal)
+		s.refuse(c, result.Refusal)
 		return
 	}
 	c.SetStatusCode(result.Answer.Status)
@@ -188,14 +188,14 @@
 
 // refuseUnread refuses a call whose body was not read. The connection is
 // closed, so that the body does not enter after all.
-func (self *Server) refuseUnread(c *app.RequestContext, refusal *errkind.Error) {
+func (s *Server) refuseUnread(c *app.RequestContext, refusal *errkind.Error) {
 	if c.Request.Header.ContentLength() != 0 {
 		c.SetConnectionClose()
 	}
-	self.refuse(c, refusal)
+	s.refuse(c, refusal)
 }
 
-func (self *Server) refuse(c *app.RequestContext, refusal *errkind.Error) {
+func (s *Server) refuse(c *app.RequestContext, refusal *errkind.Error) {
 	row := refusal.Kind.Row()
 	c.Response.Header.Set(HeaderError, row.Name)
 	c.Response.Header.Set(HeaderRan, refusal.Ran.String())
@@ -208,11 +208,11 @@
 
 // redirect sends a caller from outside to a daemon in an allowed data centre,
 // before its body was read, or names such daemons.
-func (self *Server) redirect(c *app.RequestContext, misplaced *entry.Misplaced) {
+func (s *Server) redirect(c *app.RequestContext, misplaced *entry.Misplaced) {
 	uri := string(c.Request.RequestURI())
 	addresses := misplaced.Addresses
-	self.refuseUnread(c, misplaced.Refusal)
-	if self.Settings.Placement.Misplaced == "refuse" || len(addresses) == 0 {
+	s.refuseUnread(c, misplaced.Refusal)
+	if s.Settings.Placement.Misplaced == "refuse" || len(addresses) == 0 {
 		return
 	}
 	c.SetStatusCode(http.StatusTemporaryRedirect)
--- a/pkg/certs/certs.go
+++ b/pkg/certs/certs.go
@@ -33,33 +33,33 @@
 	if files.Cert == "" {
 		return nil, nil
 	}
-	self := &Reloader{files: files}
-	if err := self.read(); err != nil {
+	r := &Reloader{files: files}
+	if err := r.read(); err != nil {
 		return nil, err
 	}
-	return self, nil
+	return r, nil
 }
 
-func (self *Reloader) read() error {
-	cert, err := tls.LoadX509KeyPair(self.files.Cert, self.files.Key)
+func (r *Reloader) read() error {
+	cert, err := tls.LoadX509KeyPair(r.files.Cert, r.files.Key)
 	if err != nil {
-		return errors.Errorf("cannot use the certificate %s with the key %s: %v. Name a matching pair under tls.", self.files.Cert, self.files.Key, err)
+		return errors.Errorf("cannot use the certificate %s with the key %s: %v. Name a matching pair under tls.", r.files.Cert, r.files.Key, err)
 	}
-	ca, err := os.ReadFile(self.files.CA)
+	ca, err := os.ReadFile(r.files.CA)
 	if err != nil {
 		return errors.Errorf("cannot read tls.ca: %v. Name the file of the authorities' certificates.", err)
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(ca) {
-		return errors.Errorf("%s holds no certificate. Name a PEM file under tls.ca.", self.files.CA)
+		return errors.Errorf("%s holds no certificate. Name a PEM file under tls.ca.", r.files.CA)
 	}
-	self.cert, self.pool, self.changed = &cert, pool, self.newest()
+	r.cert, r.pool, r.changed = &cert, pool, r.newest()
 	return nil
 }
 
-func (self *Reloader) newest() time.Time {
+func (r *Reloader) newest() time.Time {
 	var newest time.Time
-	for _, name := range []string{self.files.Cert, self.files.Key, self.files.CA} {
+	for _, name := range []string{r.files.Cert, r.files.Key, r.files.CA} {
 		if info, err := os.Stat(name); err == nil && info.ModTime().After(newest) {
 			newest = info.ModTime()
 		}
@@ -69,29 +69,29 @@
 
 // current returns the newest usable files. Files that are half replaced keep
 // the old ones in use until the next look.
-func (self *Reloader) current() (*tls.Certificate, *x509.CertPool) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if now := time.Now(); now.Sub(self.checked) >= checkEvery {
-		self.checked = now
-		if !self.newest().Equal(self.changed) {
+func (r *Reloader) current() (*tls.Certificate, *x509.CertPool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now := time.Now(); now.Sub(r.checked) >= checkEvery {
+		r.checked = now
+		if !r.newest().Equal(r.changed) {
 			// A pair that does not match yet is no reason to stop serving.
-			_ = self.read()
+			_ = r.read()
 		}
 	}
-	return self.cert, self.pool
+	return r.cert, r.pool
 }
 
 // Server returns the configuration of a listener that accepts only peers with
 // a certificate of the authorities. A nil Reloader gives nil: plain text.
-func (self *Reloader) Server() *tls.Config {
-	if self == nil {
+func (r *Reloader) Server() *tls.Config {
+	if r == nil {
 		return nil
 	}
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
-			cert, pool := self.current()
+			cert, pool := r.current()
 			return &tls.Config{
 				MinVersion:   tls.VersionTLS13,
 				Certificates: []tls.Certificate{*cert},
@@ -106,16 +106,16 @@
 // Client returns the configuration for dialling; nil for plain text. The
 // server's certificate must be of the authorities; its name is not compared,
 // since daemons are dialled by IP number and any of them may be replaced.
-func (self *Reloader) Client() *tls.Config {
-	if self == nil {
+func (r *Reloader) Client() *tls.Config {
+	if r == nil {
 		return nil
 	}
 	return &tls.Config{
 		MinVersion:            tls.VersionTLS13,
 		InsecureSkipVerify:    true,
-		VerifyPeerCertificate: self.verify,
+		VerifyPeerCertificate: r.verify,
 		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
-			cert, _ := self.current()
+			cert, _ := r.current()
 			return cert, nil
 		},
 	}
@@ -123,7 +123,7 @@
 
 // verify checks the chain to the authorities, which InsecureSkipVerify left out
 // together with the comparison of names.
-func (self *Reloader) verify(raw [][]byte, _ [][]*x509.Certificate) error {
+func (r *Reloader) verify(raw [][]byte, _ [][]*x509.Certificate) error {
 	if len(raw) == 0 {
 		return errors.New("the peer showed no certificate")
 	}
@@ -139,7 +139,7 @@
 		}
 		between.AddCert(cert)
 	}
-	_, pool := self.current()
+	_, pool := r.current()
 	_, err = leaf.Verify(x509.VerifyOptions{Roots: pool, Intermediates: between, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}})
 	return errors.Wrap(err, "the peer's certificate is not of the authorities in tls.ca")
 }
--- a/pkg/choose/choose.go
+++ b/pkg/choose/choose.go
@@ -51,16 +51,16 @@
 type Tried uint64
 
 // With returns the marks with one more.
-func (self Tried) With(index int) Tried {
+func (t Tried) With(index int) Tried {
 	if index >= maxTried {
-		return self
+		return t
 	}
-	return self | 1<<uint(index)
+	return t | 1<<uint(index)
 }
 
 // Has is true when the candidate refused already.
-func (self Tried) Has(index int) bool {
-	return index < maxTried && self&(1<<uint(index)) != 0
+func (t Tried) Has(index int) bool {
+	return index < maxTried && t&(1<<uint(index)) != 0
 }
 
 // pickUntried returns the n-th candidate that was not tried.
--- a/pkg/choose/expected.go
+++ b/pkg/choose/expected.go
@@ -58,7 +58,7 @@
 }
 
 // Choose implements Policy.
-func (self *ExpectedWait) Choose(req *Request, rnd Random) Pick {
+func (e *ExpectedWait) Choose(req *Request, rnd Random) Pick {
 	var seen look
 	seen.read(req, rnd)
 	if seen.count == 0 {
@@ -70,7 +70,7 @@
 	best, bestCost, bestRank := None, 0.0, math.Inf(1)
 	second := math.Inf(1)
 	for n := range seen.count {
-		cost := self.cost(req.Now, &seen, n, average)
+		cost := e.cost(req.Now, &seen, n, average)
 		rank := cost + tieShare*average.service*tieOf(ties, n)
 		if rank < bestRank {
 			second = min(second, bestCost)
@@ -94,7 +94,7 @@
 }
 
 // read looks at the untried candidates, from a random place on.
-func (self *look) read(req *Request, rnd Random) {
+func (l *look) read(req *Request, rnd Random) {
 	if len(req.Set) == 0 {
 		return
 	}
@@ -106,31 +106,31 @@
 		if req.Tried.Has(i) {
 			continue
 		}
-		self.add(req, i)
-		if self.count == scanMost {
+		l.add(req, i)
+		if l.count == scanMost {
 			return
 		}
 	}
 }
 
-func (self *look) add(req *Request, i int) {
-	known := &self.known[self.count]
+func (l *look) add(req *Request, i int) {
+	known := &l.known[l.count]
 	req.Set[i].Load.Read(req.Now, known)
-	self.perLimit[self.count] = 1 / float64(known.Limit)
-	self.index[self.count] = i
-	self.count++
+	l.perLimit[l.count] = 1 / float64(known.Limit)
+	l.index[l.count] = i
+	l.count++
 }
 
-func (self *look) prior() prior {
+func (l *look) prior() prior {
 	var out prior
 	heard := 0.0
 	fastest := time.Duration(0)
-	for n := range self.count {
-		k := &self.known[n]
+	for n := range l.count {
+		k := &l.known[n]
 		if k.StampAt == 0 {
 			continue
 		}
-		out.use += float64(k.InFlight) * self.perLimit[n]
+		out.use += float64(k.InFlight) * l.perLimit[n]
 		// The fastest, not the mean: an old stamp of a server that was slow
 		// must not make the others look slow.
 		if k.Service > 0 && (fastest == 0 || k.Service < fastest) {
@@ -151,13 +151,13 @@
 
 // Cost is the expected time of a call at candidate i, for operators who ask
 // why a call goes where.
-func (self *ExpectedWait) Cost(req *Request, i int) time.Duration {
+func (e *ExpectedWait) Cost(req *Request, i int) time.Duration {
 	var all look
 	all.add(req, i)
 	for n := range min(len(req.Set), scanMost-1) {
 		all.add(req, n)
 	}
-	return time.Duration(self.cost(req.Now, &all, 0, all.prior()))
+	return time.Duration(e.cost(req.Now, &all, 0, all.prior()))
 }
 
 // maxCost is what the next best candidate would cost, less the way to the
@@ -170,7 +170,7 @@
 }
 
 // cost is the expected time of a call at a candidate, in nanoseconds.
-func (self *ExpectedWait) cost(now int64, seen *look, n int, average prior) float64 {
+func (e *ExpectedWait) cost(now int64, seen *look, n int, average prior) float64 {
 	known := &seen.known[n]
 	age := float64(max(now-known.StampAt, 0))
 	limit := float64(known.Limit)
@@ -182,7 +182,7 @@
 		inFlight += decay(age*average.perService) * (float64(known.InFlight) - inFlight)
 		// How fast a server is changes more seldom than its count of calls.
 		if known.Service != time.Duration(average.service) {
-			service += decay(math.Ln2*age/float64(self.HalfLife)) * (float64(known.Service) - service)
+			service += decay(math.Ln2*age/float64(e.HalfLife)) * (float64(known.Service) - service)
 		}
 	}
 	inFlight = max(inFlight+float64(known.SentSince), float64(known.Outstanding))
--- a/pkg/choose/hotcold.go
+++ b/pkg/choose/hotcold.go
@@ -49,15 +49,15 @@
 	}
 }
 
-func (self hotColdView) betterThan(other hotColdView, threshold float64) bool {
-	hot, otherHot := self.inFlight > threshold, other.inFlight > threshold
+func (h hotColdView) betterThan(other hotColdView, threshold float64) bool {
+	hot, otherHot := h.inFlight > threshold, other.inFlight > threshold
 	switch {
 	case hot && otherHot:
-		return self.inFlight < other.inFlight
+		return h.inFlight < other.inFlight
 	case hot != otherHot:
 		return otherHot
 	}
-	return self.latency < other.latency
+	return h.latency < other.latency
 }
 
 // hotThreshold estimates the quantile as a point between the least and the
--- a/pkg/choose/idlehints.go
+++ b/pkg/choose/idlehints.go
@@ -7,7 +7,7 @@
 type IdleHints struct{ fallback LeastOutstanding }
 
 // Choose implements Policy.
-func (self *IdleHints) Choose(req *Request, rnd Random) Pick {
+func (ih *IdleHints) Choose(req *Request, rnd Random) Pick {
 	best, newest := None, int64(0)
 	for i := range req.Set {
 		if req.Tried.Has(i) {
@@ -20,7 +20,7 @@
 		}
 	}
 	if best == None {
-		return self.fallback.Choose(req, rnd)
+		return ih.fallback.Choose(req, rnd)
 	}
 	return Pick{Index: best, MaxCost: unbounded}
 }
--- a/pkg/choose/simple.go
+++ b/pkg/choose/simple.go
@@ -25,12 +25,12 @@
 type RoundRobin struct{ next atomic.Uint64 }
 
 // Choose implements Policy.
-func (self *RoundRobin) Choose(req *Request, _ Random) Pick {
+func (r *RoundRobin) Choose(req *Request, _ Random) Pick {
 	n := countUntried(req)
 	if n == 0 {
 		return Pick{Index: None}
 	}
-	turn := self.next.Add(1) % uint64(n)
+	turn := r.next.Add(1) % uint64(n)
 	return Pick{Index: pickUntried(req, int(turn)), MaxCost: unbounded}
 }
 
--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -34,4 +34,4 @@
 
 // Now is the time since the daemon's start in nanoseconds, on a clock that
 // never jumps. It is never 0, which stands for "not yet" in the tables.
-func (self *Common) Now() int64 { return int64(time.Since(self.start)) + 1 }
+func (c *Common) Now() int64 { return int64(time.Since(c.start)) + 1 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -22,15 +22,15 @@
 	"github.com/rushramp/rushramp/pkg/once"
 	"github.com/rushramp/rushramp/pkg/operators"
 	"github.com/rushramp/rushramp/pkg/placement"
-	"github.com/rushramp/rushramp/pkg/platform"
 	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/systems"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
 // Options replace parts in tests and in the bench. Each may be nil.
 type Options struct {
-	Platform platform.Platform
+	Platform store.Platform
 	Policy   choose.Policy
 	Dial     link.Dial
 	Log      *events.Log
@@ -62,7 +62,7 @@
 // New makes a daemon from its settings. It opens no listener yet.
 func New(s *settings.Settings, opts Options) (*Daemon, error) {
 	if opts.Platform == nil {
-		http, err := platform.NewHTTP(s.Platform.Address, s.Platform.Timeout)
+		http, err := store.NewHTTP(s.Platform.Address, s.Platform.Timeout)
 		if err != nil {
 			return nil, err
 		}
@@ -87,7 +87,7 @@
 	}
 	c := common.NewCommon(opts.Log, s)
 	background, endWork := context.WithCancel(context.Background())
-	self := &Daemon{
+	d := &Daemon{
 		Common:  c,
 		World:   tables.NewWorld(s.VM.ID, s.VM.DataCentre),
 		certs:   reloader,
@@ -97,22 +97,22 @@
 		left:    make(chan struct{}),
 	}
 	claims := once.NewClaims(background, c, opts.Platform)
-	if err := self.newExecutor(claims); err != nil {
+	if err := d.newExecutor(claims); err != nil {
 		endWork()
 		return nil, err
 	}
-	self.Entry = entry.NewEntry(c, self.World, opts.Policy, claims)
-	self.control = systems.NewControl(c, self.World, uint64(time.Now().UnixNano()))
-	self.env = &systems.Env{
-		Common: c, World: self.World, Platform: opts.Platform, Store: self.store,
-		Executor: self.Executor, Control: self.control, Background: background,
+	d.Entry = entry.NewEntry(c, d.World, opts.Policy, claims)
+	d.control = systems.NewControl(c, d.World, uint64(time.Now().UnixNano()))
+	d.env = &systems.Env{
+		Common: c, World: d.World, Platform: opts.Platform, Store: d.store,
+		Executor: d.Executor, Control: d.control, Background: background,
 		Dial:  link.DialOptions{Dial: opts.Dial, TLS: reloader.Client(), Heartbeat: systems.Heartbeat},
 		Sweep: claims.Sweep,
-		Leave: self.Leave,
+		Leave: d.Leave,
 	}
-	self.scheduler = systems.NewScheduler(self.env)
-	self.operators = self.newOperators()
-	return self, nil
+	d.scheduler = systems.NewScheduler(d.env)
+	d.operators = d.newOperators()
+	return d, nil
 }
 
 // dialFrom dials from the IP number that the daemon listens on, so that others
@@ -127,123 +127,123 @@
 	return dialer.DialContext
 }
 
-func (self *Daemon) newExecutor(claims *once.Claims) error {
-	if self.Settings.BackendServer.Address == "" {
+func (d *Daemon) newExecutor(claims *once.Claims) error {
+	if d.Settings.BackendServer.Address == "" {
 		return nil
 	}
 	var err error
-	self.Executor, err = executor.NewExecutor(self.Common, claims, self.World.View.Placement)
+	d.Executor, err = executor.NewExecutor(d.Common, claims, d.World.View.Placement)
 	return err
 }
 
 // Start opens the listeners and starts the systems.
-func (self *Daemon) Start() error {
-	if err := self.listen(); err != nil {
-		self.Log.Event(events.ListenerFailed, events.F("cause", err))
-		self.stopAll()
+func (d *Daemon) Start() error {
+	if err := d.listen(); err != nil {
+		d.Log.Event(events.ListenerFailed, events.F("cause", err))
+		d.stopAll()
 		return err
 	}
-	go self.scheduler.Run(self.env.Background)
-	self.Log.Event(events.DaemonStarted, events.F("data_centre", self.Settings.VM.DataCentre), events.F("service", self.Settings.BackendServer.Service))
+	go d.scheduler.Run(d.env.Background)
+	d.Log.Event(events.DaemonStarted, events.F("data_centre", d.Settings.VM.DataCentre), events.F("service", d.Settings.BackendServer.Service))
 	return nil
 }
 
-func (self *Daemon) listen() error {
-	listener, err := net.Listen("tcp", self.Settings.Listen.Links)
+func (d *Daemon) listen() error {
+	listener, err := net.Listen("tcp", d.Settings.Listen.Links)
 	if err != nil {
-		return errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", self.Settings.Listen.Links, err)
+		return errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", d.Settings.Listen.Links, err)
 	}
-	links := link.Listen(self.Common, self.control, self.runner(), listener, self.certs.Server(), systems.Heartbeat)
-	self.stops = append(self.stops, links.Close)
+	links := link.Listen(d.Common, d.control, d.runner(), listener, d.certs.Server(), systems.Heartbeat)
+	d.stops = append(d.stops, links.Close)
 	starts := []func() (func(), error){
-		func() (func(), error) { return startMetrics(self) },
-		func() (func(), error) { return operators.Start(self.operators, self.certs.Server()) },
-		func() (func(), error) { return callers.Start(self.Common, self.Entry) },
+		func() (func(), error) { return startMetrics(d) },
+		func() (func(), error) { return operators.Start(d.operators, d.certs.Server()) },
+		func() (func(), error) { return callers.Start(d.Common, d.Entry) },
 	}
 	for _, start := range starts {
 		stop, err := start()
 		if err != nil {
 			return err
 		}
-		self.stops = append(self.stops, stop)
+		d.stops = append(d.stops, stop)
 	}
 	return nil
 }
 
 // runner is who runs calls from links; a nil interface on an entry only.
-func (self *Daemon) runner() call.Runner {
-	if self.Executor == nil {
+func (d *Daemon) runner() call.Runner {
+	if d.Executor == nil {
 		return nil
 	}
-	return self.Executor
+	return d.Executor
 }
 
-func (self *Daemon) newOperators() *operators.Server {
+func (d *Daemon) newOperators() *operators.Server {
 	return &operators.Server{
-		Common: self.Common, World: self.World, Store: self.store,
-		Policy: self.policy, Executor: self.Executor,
-		Leave: self.Leave, InFlight: self.InFlight,
+		Common: d.Common, World: d.World, Store: d.store,
+		Policy: d.policy, Executor: d.Executor,
+		Leave: d.Leave, InFlight: d.InFlight,
 	}
 }
 
 // InFlight counts the calls that have not ended, entry side and executor side.
-func (self *Daemon) InFlight() int64 {
-	out := self.Entry.InFlight()
-	if self.Executor != nil {
-		out += self.Executor.InFlight()
+func (d *Daemon) InFlight() int64 {
+	out := d.Entry.InFlight()
+	if d.Executor != nil {
+		out += d.Executor.InFlight()
 	}
 	return out
 }
 
 // Leave begins the drain; it returns at once. SIGTERM, an operator's drain and
 // the platform's leaving mark all come here. Source: docs/design/members.md.
-func (self *Daemon) Leave() {
-	self.leave.Do(func() {
-		self.Log.Event(events.DaemonDraining, events.F("calls_in_flight", self.InFlight()))
-		self.World.View.SetLeaving()
-		if self.Executor != nil {
-			self.Executor.Leave()
+func (d *Daemon) Leave() {
+	d.leave.Do(func() {
+		d.Log.Event(events.DaemonDraining, events.F("calls_in_flight", d.InFlight()))
+		d.World.View.SetLeaving()
+		if d.Executor != nil {
+			d.Executor.Leave()
 		}
-		self.World.Inbox.Post(true, func(*tables.Mail) {})
-		go self.drain()
+		d.World.Inbox.Post(true, func(*tables.Mail) {})
+		go d.drain()
 	})
 }
 
 const drainPoll = 5 * time.Millisecond
 
-func (self *Daemon) drain() {
-	defer close(self.left)
+func (d *Daemon) drain() {
+	defer close(d.left)
 	began := time.Now()
-	bound := self.Settings.Drain.Bound
+	bound := d.Settings.Drain.Bound
 	// Others learn at once over their links; those without one learn it from
 	// the refusals of this linger.
-	for time.Since(began) < self.Settings.Drain.Linger || (self.InFlight() > 0 && time.Since(began) < bound) {
+	for time.Since(began) < d.Settings.Drain.Linger || (d.InFlight() > 0 && time.Since(began) < bound) {
 		time.Sleep(drainPoll)
 	}
-	self.cut.Store(self.InFlight())
+	d.cut.Store(d.InFlight())
 }
 
 // Cut counts the calls that were in flight when the drain's bound passed.
-func (self *Daemon) Cut() int64 { return self.cut.Load() }
+func (d *Daemon) Cut() int64 { return d.cut.Load() }
 
 // Left is closed when the drain has ended.
-func (self *Daemon) Left() <-chan struct{} { return self.left }
+func (d *Daemon) Left() <-chan struct{} { return d.left }
 
 // Stop ends the daemon: at once, unless it drained before.
-func (self *Daemon) Stop() { self.stopped.Do(self.stop) }
+func (d *Daemon) Stop() { d.stopped.Do(d.stop) }
 
-func (self *Daemon) stop() {
-	self.endWork()
-	self.stopAll()
-	if self.Executor != nil {
-		self.Executor.Close()
+func (d *Daemon) stop() {
+	d.endWork()
+	d.stopAll()
+	if d.Executor != nil {
+		d.Executor.Close()
 	}
-	self.Log.Event(events.DaemonStopped, events.F("cut", self.Cut()))
+	d.Log.Event(events.DaemonStopped, events.F("cut", d.Cut()))
 }
 
-func (self *Daemon) stopAll() {
-	for i := len(self.stops) - 1; i >= 0; i-- {
-		self.stops[i]()
+func (d *Daemon) stopAll() {
+	for i := len(d.stops) - 1; i >= 0; i-- {
+		d.stops[i]()
 	}
-	self.stops = nil
+	d.stops = nil
 }
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -13,25 +13,25 @@
 )
 
 // startMetrics serves metrics, health and readiness.
-func startMetrics(self *Daemon) (stop func(), err error) {
-	self.gauges()
-	return httpserver.Start(self.Settings.Listen.Metrics, func(h *server.Hertz) {
+func startMetrics(d *Daemon) (stop func(), err error) {
+	d.gauges()
+	return httpserver.Start(d.Settings.Listen.Metrics, func(h *server.Hertz) {
 		h.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
 			var out bytes.Buffer
-			self.Metrics.WritePrometheus(&out)
+			d.Metrics.WritePrometheus(&out)
 			metrics.WriteProcessMetrics(&out)
 			c.Data(http.StatusOK, "text/plain; version=0.0.4", out.Bytes())
 		})
 		h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
-		h.GET("/readyz", func(_ context.Context, c *app.RequestContext) { self.serveReady(c) })
+		h.GET("/readyz", func(_ context.Context, c *app.RequestContext) { d.serveReady(c) })
 	})
 }
 
-func (self *Daemon) serveReady(c *app.RequestContext) {
+func (d *Daemon) serveReady(c *app.RequestContext) {
 	switch {
-	case self.World.View.Leaving():
+	case d.World.View.Leaving():
 		c.String(http.StatusServiceUnavailable, "leaving\n")
-	case !self.World.View.Ready():
+	case !d.World.View.Ready():
 		c.String(http.StatusServiceUnavailable, "no placement or no list of members yet\n")
 	default:
 		c.String(http.StatusOK, "ready\n")
@@ -39,22 +39,22 @@
 }
 
 // gauges are values that are read when the metrics are.
-func (self *Daemon) gauges() {
-	self.Metrics.NewGauge("rushramp_placement_version", func() float64 {
-		if p := self.World.View.Placement(); p != nil {
+func (d *Daemon) gauges() {
+	d.Metrics.NewGauge("rushramp_placement_version", func() float64 {
+		if p := d.World.View.Placement(); p != nil {
 			return float64(p.Version)
 		}
 		return 0
 	})
-	self.Metrics.NewGauge("rushramp_members", func() float64 { return float64(self.World.View.Members()) })
-	self.Metrics.NewGauge("rushramp_placement_unsure", func() float64 { return asNumber(self.World.View.Unsure()) })
-	self.Metrics.NewGauge("rushramp_store_stale", func() float64 { return asNumber(self.World.View.StoreStale()) })
-	self.Metrics.NewGauge("rushramp_leaving", func() float64 { return asNumber(self.World.View.Leaving()) })
-	if self.Executor == nil {
+	d.Metrics.NewGauge("rushramp_members", func() float64 { return float64(d.World.View.Members()) })
+	d.Metrics.NewGauge("rushramp_placement_unsure", func() float64 { return asNumber(d.World.View.Unsure()) })
+	d.Metrics.NewGauge("rushramp_store_stale", func() float64 { return asNumber(d.World.View.StoreStale()) })
+	d.Metrics.NewGauge("rushramp_leaving", func() float64 { return asNumber(d.World.View.Leaving()) })
+	if d.Executor == nil {
 		return
 	}
-	self.Metrics.NewGauge("rushramp_gate_in_flight", func() float64 { return float64(self.Executor.Gate().InFlight()) })
-	self.Metrics.NewGauge("rushramp_gate_limit", func() float64 { return float64(self.Executor.Stamp().Limit) })
+	d.Metrics.NewGauge("rushramp_gate_in_flight", func() float64 { return float64(d.Executor.Gate().InFlight()) })
+	d.Metrics.NewGauge("rushramp_gate_limit", func() float64 { return float64(d.Executor.Stamp().Limit) })
 }
 
 func asNumber(b bool) float64 {
--- a/pkg/entry/budget.go
+++ b/pkg/entry/budget.go
@@ -20,26 +20,26 @@
 }
 
 func newBudget(s settings.Retries) *budget {
-	self := &budget{}
-	self.retries.init(s.Budget, s.BudgetFloor)
-	self.hedges.init(s.HedgeBudget, s.BudgetFloor)
-	return self
+	b := &budget{}
+	b.retries.init(s.Budget, s.BudgetFloor)
+	b.hedges.init(s.HedgeBudget, s.BudgetFloor)
+	return b
 }
 
 // answered earns for a call that the backend server answered.
-func (self *budget) answered(r call.Result) {
+func (b *budget) answered(r call.Result) {
 	if r.Answer == nil || r.Answer.Status >= 500 {
 		return
 	}
-	self.retries.add()
-	self.hedges.add()
+	b.retries.add()
+	b.hedges.add()
 }
 
 // take spends one retry; false when none is left.
-func (self *budget) take() bool { return self.retries.take() }
+func (b *budget) take() bool { return b.retries.take() }
 
 // takeHedge spends one hedge; false when none is left.
-func (self *budget) takeHedge() bool { return self.hedges.take() }
+func (b *budget) takeHedge() bool { return b.hedges.take() }
 
 // bucket holds tokens in fixed point.
 type bucket struct {
@@ -48,25 +48,25 @@
 	most   int64
 }
 
-func (self *bucket) init(share float64, floor int) {
-	self.earn = int64(share * tokenUnit)
-	self.most = int64(floor) * tokenUnit
-	self.tokens.Store(self.most)
+func (b *bucket) init(share float64, floor int) {
+	b.earn = int64(share * tokenUnit)
+	b.most = int64(floor) * tokenUnit
+	b.tokens.Store(b.most)
 }
 
-func (self *bucket) add() {
-	if self.tokens.Load() < self.most {
-		self.tokens.Add(self.earn)
+func (b *bucket) add() {
+	if b.tokens.Load() < b.most {
+		b.tokens.Add(b.earn)
 	}
 }
 
-func (self *bucket) take() bool {
+func (b *bucket) take() bool {
 	for {
-		have := self.tokens.Load()
+		have := b.tokens.Load()
 		if have < tokenUnit {
 			return false
 		}
-		if self.tokens.CompareAndSwap(have, have-tokenUnit) {
+		if b.tokens.CompareAndSwap(have, have-tokenUnit) {
 			return true
 		}
 	}
@@ -80,10 +80,10 @@
 
 func newBudgets(s settings.Retries) *budgets { return &budgets{settings: s} }
 
-func (self *budgets) of(service string) *budget {
-	if b, ok := self.byName.Load(service); ok {
+func (bu *budgets) of(service string) *budget {
+	if b, ok := bu.byName.Load(service); ok {
 		return b.(*budget)
 	}
-	b, _ := self.byName.LoadOrStore(service, newBudget(self.settings))
+	b, _ := bu.byName.LoadOrStore(service, newBudget(bu.settings))
 	return b.(*budget)
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -62,15 +62,15 @@
 
 // Plan finds the kind of a request and checks that it may enter here. It runs
 // before the body is read.
-func (self *Entry) Plan(ctx context.Context, req *Request) (*Plan, *Misplaced, *errkind.Error) {
-	began := self.Now()
-	if self.view.Leaving() {
+func (e *Entry) Plan(ctx context.Context, req *Request) (*Plan, *Misplaced, *errkind.Error) {
+	began := e.Now()
+	if e.view.Leaving() {
 		return nil, nil, errkind.New(errkind.Leaving, "this daemon is leaving")
 	}
-	if !self.view.Ready() {
+	if !e.view.Ready() {
 		return nil, nil, errkind.New(errkind.PlacementUnknown, "this daemon has no placement or no list of members yet")
 	}
-	service, refusal := self.service(ctx, req.Service)
+	service, refusal := e.service(ctx, req.Service)
 	if refusal != nil {
 		return nil, nil, refusal
 	}
@@ -79,18 +79,18 @@
 		return nil, nil, errkind.New(errkind.UnknownRequestKind, "service %s places no kind for %s and this path", req.Service, req.Method)
 	}
 	plan := &Plan{Request: req, View: kind, began: began}
-	plan.deadline = began + int64(self.timeout(req, kind.Kind))
-	misplaced, refusal := self.checkKind(req, kind)
+	plan.deadline = began + int64(e.timeout(req, kind.Kind))
+	misplaced, refusal := e.checkKind(req, kind)
 	return plan, misplaced, refusal
 }
 
-func (self *Entry) checkKind(req *Request, kind *tables.KindView) (*Misplaced, *errkind.Error) {
+func (e *Entry) checkKind(req *Request, kind *tables.KindView) (*Misplaced, *errkind.Error) {
 	switch {
-	case kind.Kind.Strict && self.view.Unsure():
+	case kind.Kind.Strict && e.view.Unsure():
 		return nil, errkind.New(errkind.PlacementUnsure, "version %d may have been replaced", kind.Kind.Version)
 	case kind.Kind.NeverRepeat && kind.Kind.Key == placement.KeyRequired && req.Key == "":
 		return nil, errkind.New(errkind.KeyMissing, "kind %s may never be repeated", kind.Kind.Name)
-	case req.Outside && !kind.Kind.Allows(self.Settings.VM.DataCentre):
+	case req.Outside && !kind.Kind.Allows(e.Settings.VM.DataCentre):
 		return &Misplaced{
 			Refusal:   errkind.New(errkind.WrongPlace, "kind %s may be handled in %v", kind.Kind.Name, kind.Kind.DataCentres),
 			Addresses: kind.Redirect,
@@ -99,29 +99,29 @@
 	return nil, nil
 }
 
-func (self *Entry) timeout(req *Request, kind *placement.CompiledKind) time.Duration {
+func (e *Entry) timeout(req *Request, kind *placement.CompiledKind) time.Duration {
 	switch {
 	case req.Timeout > 0:
 		return req.Timeout
 	case kind.Timeout > 0:
 		return kind.Timeout
 	}
-	return self.Settings.Retries.DefaultTimeout
+	return e.Settings.Retries.DefaultTimeout
 }
 
 // service returns the view of a service. The first call for a service waits
 // until the systems have built it.
-func (self *Entry) service(ctx context.Context, name string) (*tables.ServiceView, *errkind.Error) {
-	if v := self.view.Service(name); v != nil {
+func (e *Entry) service(ctx context.Context, name string) (*tables.ServiceView, *errkind.Error) {
+	if v := e.view.Service(name); v != nil {
 		return v, nil
 	}
-	if p := self.view.Placement(); p == nil || p.Service(name) == nil {
+	if p := e.view.Placement(); p == nil || p.Service(name) == nil {
 		return nil, errkind.New(errkind.UnknownService, "service %q is not placed", name)
 	}
-	self.inbox.Post(true, func(m *tables.Mail) { m.Wanted = append(m.Wanted, name) })
+	e.inbox.Post(true, func(m *tables.Mail) { m.Wanted = append(m.Wanted, name) })
 	var found *tables.ServiceView
 	waitUntil(ctx, func() bool {
-		found = self.view.Service(name)
+		found = e.view.Service(name)
 		return found != nil
 	})
 	if found == nil {
@@ -148,30 +148,30 @@
 }
 
 // InFlight counts calls that have not ended.
-func (self *Entry) InFlight() int64 { return self.inFlight.Load() }
+func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
 // Run takes a planned call with its whole body to an end. ctx ends when the
 // caller leaves.
-func (self *Entry) Run(ctx context.Context, plan *Plan, body []byte) call.Result {
-	self.inFlight.Add(1)
-	defer self.inFlight.Add(-1)
-	result := self.attempts(ctx, plan, body)
-	self.stats.note(plan, result, self.Now())
+func (e *Entry) Run(ctx context.Context, plan *Plan, body []byte) call.Result {
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	result := e.attempts(ctx, plan, body)
+	e.stats.note(plan, result, e.Now())
 	return result
 }
 
-func (self *Entry) attempts(ctx context.Context, plan *Plan, body []byte) call.Result {
-	set, refusal := self.candidates(ctx, plan)
+func (e *Entry) attempts(ctx context.Context, plan *Plan, body []byte) call.Result {
+	set, refusal := e.candidates(ctx, plan)
 	if refusal != nil {
 		return call.Result{Refusal: refusal}
 	}
 	t := &try{
-		owner: self, ctx: ctx, plan: plan, body: body,
-		budget: self.budgets.of(plan.Request.Service),
+		owner: e, ctx: ctx, plan: plan, body: body,
+		budget: e.budgets.of(plan.Request.Service),
 		req:    choose.Request{Set: set},
 		claim:  wire.Claim{Generation: 1},
-		left:   self.Settings.Retries.Attempts,
-		soft:   self.Settings.Choosing.SoftFirst && len(set) > 1,
+		left:   e.Settings.Retries.Attempts,
+		soft:   e.Settings.Choosing.SoftFirst && len(set) > 1,
 	}
 	if plan.unkeyed() {
 		t.left, t.soft = 1, false
@@ -180,7 +180,7 @@
 }
 
 // candidates returns the linked candidates, and waits for the first link.
-func (self *Entry) candidates(ctx context.Context, plan *Plan) ([]tables.Candidate, *errkind.Error) {
+func (e *Entry) candidates(ctx context.Context, plan *Plan) ([]tables.Candidate, *errkind.Error) {
 	if len(plan.View.Ready) > 0 {
 		return plan.View.Ready, nil
 	}
@@ -189,14 +189,14 @@
 	}
 	kind := plan.View.Kind
 	waitUntil(ctx, func() bool {
-		service := self.view.Service(kind.Service)
+		service := e.view.Service(kind.Service)
 		if service == nil {
 			return false
 		}
 		if v := service.Match(plan.Request.Method, executor.PathOf(plan.Request.URI)); v != nil {
 			plan.View = v
 		}
-		return len(plan.View.Ready) > 0 || self.Now() >= plan.deadline
+		return len(plan.View.Ready) > 0 || e.Now() >= plan.deadline
 	})
 	if len(plan.View.Ready) == 0 {
 		return nil, errkind.New(errkind.LinkUnavailable, "no daemon of service %s could be reached", kind.Service)
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -29,12 +29,12 @@
 	cancelled int
 }
 
-func (self *server) Execute(_ *wire.Call, _ []byte, done func(call.Result)) func() {
-	self.calls++
-	result := self.result
+func (s *server) Execute(_ *wire.Call, _ []byte, done func(call.Result)) func() {
+	s.calls++
+	result := s.result
 	result.Spoke = result.Refusal == nil || result.Refusal.Kind != errkind.LinkLost
-	time.AfterFunc(self.after, func() { done(result) })
-	return func() { self.cancelled++ }
+	time.AfterFunc(s.after, func() { done(result) })
+	return func() { s.cancelled++ }
 }
 
 func answers(after time.Duration) *server {
@@ -61,9 +61,9 @@
 	calls  int
 }
 
-func (self *sealer) Seal(*wire.Call, []byte, *errkind.Error) call.Result {
-	self.calls++
-	return self.result
+func (s *sealer) Seal(*wire.Call, []byte, *errkind.Error) call.Result {
+	s.calls++
+	return s.result
 }
 
 // newEntry makes an entry with one service "s" and a kind, over servers.
@@ -211,11 +211,11 @@
 // and answers 503 when that was refused, as applications do.
 type level struct{ next *Entry }
 
-func (self *level) Execute(_ *wire.Call, _ []byte, done func(call.Result)) func() {
-	plan, _, refusal := self.next.Plan(context.Background(), &Request{Service: "s", Method: "GET", URI: "/a"})
+func (l *level) Execute(_ *wire.Call, _ []byte, done func(call.Result)) func() {
+	plan, _, refusal := l.next.Plan(context.Background(), &Request{Service: "s", Method: "GET", URI: "/a"})
 	status := 503
 	if refusal == nil {
-		if r := self.next.Run(context.Background(), plan, nil); r.Answer != nil {
+		if r := l.next.Run(context.Background(), plan, nil); r.Answer != nil {
 			status = r.Answer.Status
 		}
 	}
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -29,23 +29,23 @@
 }
 
 func newQuantile(share float64) *quantile {
-	self := &quantile{share: share}
-	self.value.Store(int64(firstHedgeAfter))
-	return self
+	q := &quantile{share: share}
+	q.value.Store(int64(firstHedgeAfter))
+	return q
 }
 
 // note takes one answer time in. A lost update of two that race does no harm.
-func (self *quantile) note(took time.Duration) {
-	value := float64(self.value.Load())
+func (q *quantile) note(took time.Duration) {
+	value := float64(q.value.Load())
 	if float64(took) > value {
-		value *= 1 + quantileStep*self.share
+		value *= 1 + quantileStep*q.share
 	} else {
-		value *= 1 - quantileStep*(1-self.share)
+		value *= 1 - quantileStep*(1-q.share)
 	}
-	self.value.Store(int64(math.Max(value, float64(time.Millisecond))))
+	q.value.Store(int64(math.Max(value, float64(time.Millisecond))))
 }
 
-func (self *quantile) get() time.Duration { return time.Duration(self.value.Load()) }
+func (q *quantile) get() time.Duration { return time.Duration(q.value.Load()) }
 
 // hedge is the second copy of a slow call, of a kind that is marked safe for
 // it. Source: docs/design/retries.md.
@@ -63,13 +63,13 @@
 
 // newHedge plans the hedge of a flight. Its timer never fires for a kind that
 // is not safe.
-func (self *try) newHedge(first *flight, ends chan landed) *hedge {
-	out := &hedge{try: self, first: first, ends: ends, open: 1}
-	kind := self.plan.View.Kind
-	if !kind.HedgeSafe || kind.NeverRepeat || len(self.req.Set) < 2 {
+func (t *try) newHedge(first *flight, ends chan landed) *hedge {
+	out := &hedge{try: t, first: first, ends: ends, open: 1}
+	kind := t.plan.View.Kind
+	if !kind.HedgeSafe || kind.NeverRepeat || len(t.req.Set) < 2 {
 		return out
 	}
-	out.after = self.owner.stats.kindOf(self.plan).quantile.get()
+	out.after = t.owner.stats.kindOf(t.plan).quantile.get()
 	early := earlyLook * first.to.Load.Known(first.sentAt).Service
 	if early <= 0 {
 		early = out.after
@@ -79,43 +79,43 @@
 }
 
 // due fires when the call is to be looked at.
-func (self *hedge) due() <-chan time.Time {
-	if self.timer == nil {
+func (h *hedge) due() <-chan time.Time {
+	if h.timer == nil {
 		return nil
 	}
-	return self.timer.C
+	return h.timer.C
 }
 
-func (self *hedge) stop() {
-	if self.timer != nil {
-		self.timer.Stop()
+func (h *hedge) stop() {
+	if h.timer != nil {
+		h.timer.Stop()
 	}
 }
 
 // consider sends the second copy when the call is slower than most, or when
 // its server is known to have slowed since; else it looks again later.
-func (self *hedge) consider() {
-	now := self.try.owner.Now()
-	age := time.Duration(now - self.first.sentAt)
-	if age < self.after && !self.slowed(now) {
-		self.timer.Reset(min(self.after-age, max(age/2, time.Millisecond)))
+func (h *hedge) consider() {
+	now := h.try.owner.Now()
+	age := time.Duration(now - h.first.sentAt)
+	if age < h.after && !h.slowed(now) {
+		h.timer.Reset(min(h.after-age, max(age/2, time.Millisecond)))
 		return
 	}
-	if !self.try.budget.takeHedge() {
+	if !h.try.budget.takeHedge() {
 		return
 	}
-	self.send(now)
+	h.send(now)
 }
 
 // slowed is true when stamps that came since tell that the first flight's
 // server is much slower than another candidate.
-func (self *hedge) slowed(now int64) bool {
-	mine := self.first.to.Load.Known(now)
-	if mine.StampAt < self.first.sentAt || mine.Service == 0 {
+func (h *hedge) slowed(now int64) bool {
+	mine := h.first.to.Load.Known(now)
+	if mine.StampAt < h.first.sentAt || mine.Service == 0 {
 		return false
 	}
-	for i := range self.try.req.Set {
-		other := self.try.req.Set[i].Load.Known(now)
+	for i := range h.try.req.Set {
+		other := h.try.req.Set[i].Load.Known(now)
 		if other.Service > 0 && slowHint*other.Service < mine.Service {
 			return true
 		}
@@ -123,44 +123,44 @@
 	return false
 }
 
-func (self *hedge) send(now int64) {
-	req := self.try.req
+func (h *hedge) send(now int64) {
+	req := h.try.req
 	req.Now = now
-	req.Tried = req.Tried.With(self.first.index)
-	pick := self.try.owner.policy.Choose(&req, self.try.owner.random)
+	req.Tried = req.Tried.With(h.first.index)
+	pick := h.try.owner.policy.Choose(&req, h.try.owner.random)
 	if pick.Index == choose.None {
 		return
 	}
 	// A hedge never queues: it must not be one more call for a full server.
-	second, refusal := self.try.launch(pick.Index, max(pick.MaxCost, 1), self.ends)
+	second, refusal := h.try.launch(pick.Index, max(pick.MaxCost, 1), h.ends)
 	if refusal != nil {
 		return
 	}
-	self.second = second
-	self.open++
-	self.try.owner.stats.hedges.Inc()
+	h.second = second
+	h.open++
+	h.try.owner.stats.hedges.Inc()
 }
 
 // wins decides whether an end settles the call, and cancels the other flight.
 // A refusal of one of two flights settles nothing: the other may still answer.
-func (self *hedge) wins(end landed) bool {
-	self.open--
-	if end.result.Refusal != nil && self.open > 0 {
+func (h *hedge) wins(end landed) bool {
+	h.open--
+	if end.result.Refusal != nil && h.open > 0 {
 		return false
 	}
-	if self.second == nil || self.open == 0 {
+	if h.second == nil || h.open == 0 {
 		return true
 	}
-	other := self.first
-	if end.flight == self.first {
-		other = self.second
+	other := h.first
+	if end.flight == h.first {
+		other = h.second
 	}
 	other.cancel()
 	return true
 }
 
-func (self *hedge) cancel() {
-	if self.second != nil {
-		self.second.cancel()
+func (h *hedge) cancel() {
+	if h.second != nil {
+		h.second.cancel()
 	}
 }
--- a/pkg/entry/request.go
+++ b/pkg/entry/request.go
@@ -42,8 +42,8 @@
 }
 
 // guarded is true for a call whose key is claimed before it runs.
-func (self *Plan) guarded() bool { return self.View.Kind.NeverRepeat && self.Request.Key != "" }
+func (p *Plan) guarded() bool { return p.View.Kind.NeverRepeat && p.Request.Key != "" }
 
 // unkeyed is true for a never-repeat call that the placement lets in without a
 // key: it is sent to one executor once, and never again by us.
-func (self *Plan) unkeyed() bool { return self.View.Kind.NeverRepeat && self.Request.Key == "" }
+func (p *Plan) unkeyed() bool { return p.View.Kind.NeverRepeat && p.Request.Key == "" }
--- a/pkg/entry/stats.go
+++ b/pkg/entry/stats.go
@@ -52,24 +52,24 @@
 
 // note records how a call ended. The time in daemons is the whole time less
 // that at the gate's queue, at the backend server, and on the network.
-func (self *stats) note(plan *Plan, result call.Result, now int64) {
+func (s *stats) note(plan *Plan, result call.Result, now int64) {
 	took := time.Duration(now - plan.began)
 	outcome := errkind.None
 	if result.Refusal != nil {
 		outcome = result.Refusal.Kind
 	}
-	kind := self.kindOf(plan)
+	kind := s.kindOf(plan)
 	kind.outcomes[outcome].Inc()
 	kind.seconds.Update(took.Seconds())
-	self.servedBy(plan, result, outcome).Update(took.Seconds())
+	s.servedBy(plan, result, outcome).Update(took.Seconds())
 	if result.Answer != nil {
 		kind.quantile.note(took)
-		self.added.Update(max(took-result.Answer.Queued-result.Answer.Run-result.Network, 0).Seconds())
+		s.added.Update(max(took-result.Answer.Queued-result.Answer.Run-result.Network, 0).Seconds())
 	}
 }
 
 // servedBy is the metric that rushramp-burn reads.
-func (self *stats) servedBy(plan *Plan, result call.Result, outcome errkind.Kind) *metrics.Histogram {
+func (s *stats) servedBy(plan *Plan, result call.Result, outcome errkind.Kind) *metrics.Histogram {
 	name := servedName{plan.Request.Service, plan.View.Kind.Name, result.DataCentre, result.Server, "answered"}
 	switch {
 	case outcome != errkind.None:
@@ -77,32 +77,32 @@
 	case result.Answer.Status >= 500:
 		name.outcome = "backend_error"
 	}
-	if h, ok := self.served.Load(name); ok {
+	if h, ok := s.served.Load(name); ok {
 		return h.(*metrics.Histogram)
 	}
-	h := self.set.GetOrCreateHistogram(fmt.Sprintf("rushramp_served_seconds{service=%q,kind=%q,data_centre=%q,server=%q,outcome=%q}",
+	h := s.set.GetOrCreateHistogram(fmt.Sprintf("rushramp_served_seconds{service=%q,kind=%q,data_centre=%q,server=%q,outcome=%q}",
 		name.service, name.kind, name.dataCentre, name.server, name.outcome))
-	self.served.Store(name, h)
+	s.served.Store(name, h)
 	return h
 }
 
-func (self *stats) kindOf(plan *Plan) *kindStats {
-	return self.kind(kindName{plan.Request.Service, plan.View.Kind.Name})
+func (s *stats) kindOf(plan *Plan) *kindStats {
+	return s.kind(kindName{plan.Request.Service, plan.View.Kind.Name})
 }
 
-func (self *stats) kind(name kindName) *kindStats {
-	if k, ok := self.byKind.Load(name); ok {
+func (s *stats) kind(name kindName) *kindStats {
+	if k, ok := s.byKind.Load(name); ok {
 		return k.(*kindStats)
 	}
-	k, _ := self.byKind.LoadOrStore(name, self.newKind(name))
+	k, _ := s.byKind.LoadOrStore(name, s.newKind(name))
 	return k.(*kindStats)
 }
 
-func (self *stats) newKind(name kindName) *kindStats {
+func (s *stats) newKind(name kindName) *kindStats {
 	labels := fmt.Sprintf("service=%q,kind=%q", name.service, name.kind)
-	out := &kindStats{quantile: newQuantile(self.quantile), seconds: self.set.GetOrCreateHistogram("rushramp_call_seconds{" + labels + "}")}
+	out := &kindStats{quantile: newQuantile(s.quantile), seconds: s.set.GetOrCreateHistogram("rushramp_call_seconds{" + labels + "}")}
 	for _, row := range errkind.Table() {
-		counter := self.set.GetOrCreateCounter(fmt.Sprintf("rushramp_calls_total{%s,outcome=%q}", labels, row.Name))
+		counter := s.set.GetOrCreateCounter(fmt.Sprintf("rushramp_calls_total{%s,outcome=%q}", labels, row.Name))
 		out.outcomes = append(out.outcomes, counter)
 	}
 	return out
@@ -114,9 +114,9 @@
 }
 
 // Counts returns the entry's totals.
-func (self *Entry) Counts() Counts {
-	return Counts{Retries: self.stats.retries.Get(), SoftRefusals: self.stats.softRefusals.Get(), Hedges: self.stats.hedges.Get()}
+func (e *Entry) Counts() Counts {
+	return Counts{Retries: e.stats.retries.Get(), SoftRefusals: e.stats.softRefusals.Get(), Hedges: e.stats.hedges.Get()}
 }
 
 // Added returns the metric of the time spent in daemons.
-func (self *Entry) Added() *metrics.Histogram { return self.stats.added }
+func (e *Entry) Added() *metrics.Histogram { return e.stats.added }
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -29,22 +29,22 @@
 	soft bool
 }
 
-func (self *try) run() call.Result {
-	last := call.Refused(errkind.NoBackendServer, "no backend server in %v can take the call", self.plan.View.Kind.DataCentres)
-	for self.left > 0 {
-		self.req.Now = self.owner.Now()
-		pick := self.owner.policy.Choose(&self.req, self.owner.random)
+func (t *try) run() call.Result {
+	last := call.Refused(errkind.NoBackendServer, "no backend server in %v can take the call", t.plan.View.Kind.DataCentres)
+	for t.left > 0 {
+		t.req.Now = t.owner.Now()
+		pick := t.owner.policy.Choose(&t.req, t.owner.random)
 		if pick.Index == choose.None {
 			return last
 		}
-		result := self.attempt(pick.Index, self.maxCost(pick))
+		result := t.attempt(pick.Index, t.maxCost(pick))
 		if !result.Spoke {
 			// A server that is silent is not asked again.
-			self.req.Tried = self.req.Tried.With(pick.Index)
+			t.req.Tried = t.req.Tried.With(pick.Index)
 		}
-		result = self.settle(result)
-		if !self.again(pick.Index, result) {
-			self.budget.answered(result)
+		result = t.settle(result)
+		if !t.again(pick.Index, result) {
+			t.budget.answered(result)
 			return result
 		}
 		last = result
@@ -54,33 +54,33 @@
 
 // again decides whether another attempt follows. Only what was not run is
 // tried again, whatever the kind of request.
-func (self *try) again(index int, result call.Result) bool {
+func (t *try) again(index int, result call.Result) bool {
 	if result.Refusal == nil {
 		return false
 	}
 	if result.Refusal.Kind == errkind.KeyMoved && result.Next.Generation > 0 {
-		self.claim = result.Next
-		self.left--
-		return self.left > 0
+		t.claim = result.Next
+		t.left--
+		return t.left > 0
 	}
-	if !result.Refusal.RetryElsewhere() || self.plan.unkeyed() {
+	if !result.Refusal.RetryElsewhere() || t.plan.unkeyed() {
 		return false
 	}
-	soft := self.soft
-	self.soft = false
+	soft := t.soft
+	t.soft = false
 	if soft && result.Refusal.Kind == errkind.GateBusier {
 		// Its stamp has told us how busy, and it stays a candidate: the others
 		// may be worse. A gate that is full for everybody says so in another
 		// way, and is a retry like any other.
-		self.owner.stats.softRefusals.Inc()
+		t.owner.stats.softRefusals.Inc()
 		return true
 	}
-	self.left--
-	self.req.Tried = self.req.Tried.With(index)
-	if self.left == 0 || !self.budget.take() {
+	t.left--
+	t.req.Tried = t.req.Tried.With(index)
+	if t.left == 0 || !t.budget.take() {
 		return false
 	}
-	self.owner.stats.retries.Inc()
+	t.owner.stats.retries.Inc()
 	return true
 }
 
@@ -90,11 +90,11 @@
 
 // maxCost is the bound that goes with an attempt: tight on the soft one, loose
 // on the next, none on the last, which may queue.
-func (self *try) maxCost(pick choose.Pick) time.Duration {
+func (t *try) maxCost(pick choose.Pick) time.Duration {
 	switch {
-	case self.soft:
+	case t.soft:
 		return max(pick.MaxCost, 1)
-	case self.left > 1 && pick.MaxCost < self.owner.Settings.Retries.DefaultTimeout:
+	case t.left > 1 && pick.MaxCost < t.owner.Settings.Retries.DefaultTimeout:
 		return max(hardFactor*pick.MaxCost, 1)
 	}
 	return 0
@@ -102,11 +102,11 @@
 
 // settle turns "may have run" into what the key's row says, for a call whose
 // key is claimed and whose executor gave no word.
-func (self *try) settle(result call.Result) call.Result {
-	if result.Spoke || result.Refusal == nil || result.Refusal.Ran == errkind.RanNo || !self.plan.guarded() {
+func (t *try) settle(result call.Result) call.Result {
+	if result.Spoke || result.Refusal == nil || result.Refusal.Ran == errkind.RanNo || !t.plan.guarded() {
 		return result
 	}
-	return self.owner.sealer.Seal(self.frame(0, 0), self.body, result.Refusal)
+	return t.owner.sealer.Seal(t.frame(0, 0), t.body, result.Refusal)
 }
 
 // flight is one attempt that has not ended.
@@ -125,21 +125,21 @@
 
 // attempt sends the call to one candidate and waits for its end, or for that
 // of a hedge that was sent after it.
-func (self *try) attempt(index int, cost time.Duration) call.Result {
+func (t *try) attempt(index int, cost time.Duration) call.Result {
 	// Room for the hedge, too, so that the slower of the two blocks nobody.
 	ends := make(chan landed, 2)
-	first, refusal := self.launch(index, cost, ends)
+	first, refusal := t.launch(index, cost, ends)
 	if refusal != nil {
 		return call.Result{Refusal: refusal}
 	}
-	return self.await(first, ends)
+	return t.await(first, ends)
 }
 
 // launch sends the call to a candidate. ends receives its end.
-func (self *try) launch(index int, cost time.Duration, ends chan<- landed) (*flight, *errkind.Error) {
-	to := &self.req.Set[index]
-	now := self.owner.Now()
-	left := time.Duration(self.plan.deadline - now)
+func (t *try) launch(index int, cost time.Duration, ends chan<- landed) (*flight, *errkind.Error) {
+	to := &t.req.Set[index]
+	now := t.owner.Now()
+	left := time.Duration(t.plan.deadline - now)
 	if left <= 0 {
 		return nil, errkind.New(errkind.DeadlineBeforeRun, "the time ran out at the entry")
 	}
@@ -149,16 +149,16 @@
 	}
 	f := &flight{to: to, index: index, sentAt: now}
 	to.Load.Sent(now)
-	frame := self.frame(left, cost)
-	frame.WantStamp = self.wantStamp(to, now, cost)
-	f.cancel = runner.Execute(frame, self.body, func(r call.Result) { ends <- landed{flight: f, result: self.land(f, r)} })
+	frame := t.frame(left, cost)
+	frame.WantStamp = t.wantStamp(to, now, cost)
+	f.cancel = runner.Execute(frame, t.body, func(r call.Result) { ends <- landed{flight: f, result: t.land(f, r)} })
 	return f, nil
 }
 
 // land takes over what the end of a flight tells of its backend server, also
 // when nobody waits for it any more.
-func (self *try) land(f *flight, result call.Result) call.Result {
-	now := self.owner.Now()
+func (t *try) land(f *flight, result call.Result) call.Result {
+	now := t.owner.Now()
 	f.to.Load.Ended(now)
 	if result.Stamp.Seq > 0 {
 		f.to.Load.Report(now, result.Stamp)
@@ -171,10 +171,10 @@
 
 // await waits for the executor's word until a little after the deadline: the
 // executor knows whether the call ran, the entry does not.
-func (self *try) await(first *flight, ends chan landed) call.Result {
-	bound := time.NewTimer(time.Duration(self.plan.deadline-self.owner.Now()) + grace)
+func (t *try) await(first *flight, ends chan landed) call.Result {
+	bound := time.NewTimer(time.Duration(t.plan.deadline-t.owner.Now()) + grace)
 	defer bound.Stop()
-	hedge := self.newHedge(first, ends)
+	hedge := t.newHedge(first, ends)
 	defer hedge.stop()
 	for {
 		select {
@@ -188,7 +188,7 @@
 			first.cancel()
 			hedge.cancel()
 			return call.Refused(errkind.DeadlineWhileRunning, "the executor did not answer in time")
-		case <-self.ctx.Done():
+		case <-t.ctx.Done():
 			first.cancel()
 			hedge.cancel()
 			return call.Result{Refusal: errkind.New(errkind.CallerGone, "the caller left").Maybe()}
@@ -202,28 +202,28 @@
 // wantStamp asks for a stamp where it is worth its bytes: always with a soft
 // attempt, which may be refused because of what the stamp then says, or when
 // the newest one is old. A stamp of this daemon's own gate costs nothing.
-func (self *try) wantStamp(to *tables.Candidate, now int64, cost time.Duration) bool {
-	if to.Route.VM == self.owner.Settings.VM.ID {
+func (t *try) wantStamp(to *tables.Candidate, now int64, cost time.Duration) bool {
+	if to.Route.VM == t.owner.Settings.VM.ID {
 		return true
 	}
 	value := measure.Low
-	if at := to.Load.StampAt(); cost > 0 || at == 0 || now-at > int64(self.owner.Settings.Choosing.StampHalfLife) {
+	if at := to.Load.StampAt(); cost > 0 || at == 0 || now-at > int64(t.owner.Settings.Choosing.StampHalfLife) {
 		value = measure.High
 	}
-	return self.owner.Measure.Spend(now, typicalStamp, value)
+	return t.owner.Measure.Spend(now, typicalStamp, value)
 }
 
-func (self *try) frame(left, cost time.Duration) *wire.Call {
-	req := self.plan.Request
+func (t *try) frame(left, cost time.Duration) *wire.Call {
+	req := t.plan.Request
 	return &wire.Call{
 		Service:   req.Service,
-		Kind:      self.plan.View.Kind.Name,
+		Kind:      t.plan.View.Kind.Name,
 		Method:    req.Method,
 		URI:       req.URI,
 		Headers:   req.Headers,
 		Key:       req.Key,
-		Placement: self.plan.View.Kind.Version,
-		Claim:     self.claim,
+		Placement: t.plan.View.Kind.Version,
+		Claim:     t.claim,
 		Remaining: left,
 		MaxCost:   cost,
 	}
--- a/pkg/errkind/error.go
+++ b/pkg/errkind/error.go
@@ -20,20 +20,20 @@
 }
 
 // Maybe returns a copy that says the call may have run.
-func (self *Error) Maybe() *Error {
-	out := *self
+func (e *Error) Maybe() *Error {
+	out := *e
 	out.Ran = RanMaybe
 	return &out
 }
 
 // Error implements error.
-func (self *Error) Error() string {
-	return fmt.Sprintf("%s: %s (ran: %s)", self.Kind, self.Detail, self.Ran)
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s: %s (ran: %s)", e.Kind, e.Detail, e.Ran)
 }
 
 // RetryElsewhere is true when the entry may hand the call to another executor.
-func (self *Error) RetryElsewhere() bool {
-	return self.Ran == RanNo && self.Kind.Row().Elsewhere
+func (e *Error) RetryElsewhere() bool {
+	return e.Ran == RanNo && e.Kind.Row().Elsewhere
 }
 
 // From finds the Error in a chain. An error from elsewhere becomes Internal,
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -54,8 +54,8 @@
 )
 
 // String returns the word that the Rushramp-Ran header carries.
-func (self Ran) String() string {
-	if self == RanNo {
+func (r Ran) String() string {
+	if r == RanNo {
 		return "no"
 	}
 	return "maybe"
@@ -132,9 +132,9 @@
 }
 
 // Row returns what the table says of the kind.
-func (self Kind) Row() Row {
-	return table[Parse(uint8(self))]
+func (k Kind) Row() Row {
+	return table[Parse(uint8(k))]
 }
 
 // String returns the stable word of the kind.
-func (self Kind) String() string { return self.Row().Name }
+func (k Kind) String() string { return k.Row().Name }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -16,7 +16,7 @@
 var levelNames = [...]string{"debug", "info", "warn", "error"}
 
 // String returns the level's word in log lines and settings.
-func (self Level) String() string { return levelNames[self] }
+func (l Level) String() string { return levelNames[l] }
 
 // ID is the number of an event. Numbers are never given twice.
 type ID int
--- a/pkg/events/log.go
+++ b/pkg/events/log.go
@@ -48,14 +48,14 @@
 	for _, f := range base {
 		out = log.With(out, f.Key, f.Value)
 	}
-	self := &Log{out: out, min: min, events: map[ID]*limitedEntry{}}
+	l := &Log{out: out, min: min, events: map[ID]*limitedEntry{}}
 	for _, entry := range Catalogue() {
-		self.events[entry.ID] = &limitedEntry{
+		l.events[entry.ID] = &limitedEntry{
 			entry:   entry,
 			limiter: rate.NewLimiter(repeatsPerSecond, repeatBurst),
 		}
 	}
-	return self
+	return l
 }
 
 // Discard returns a Log that writes nothing.
@@ -63,23 +63,23 @@
 
 // Event writes one line for the event. An event without a catalogue entry is
 // a fault of the code; the catalogue test finds it, and here it is written raw.
-func (self *Log) Event(id ID, fields ...Field) {
-	limited, ok := self.events[id]
+func (l *Log) Event(id ID, fields ...Field) {
+	limited, ok := l.events[id]
 	if !ok {
-		self.write(Entry{ID: id, Level: Error, Text: "event without catalogue entry"}, 0, fields)
+		l.write(Entry{ID: id, Level: Error, Text: "event without catalogue entry"}, 0, fields)
 		return
 	}
-	if limited.entry.Level < self.min {
+	if limited.entry.Level < l.min {
 		return
 	}
 	if !limited.limiter.AllowN(time.Now(), 1) {
 		limited.suppressed.Add(1)
 		return
 	}
-	self.write(limited.entry, limited.suppressed.Swap(0), fields)
+	l.write(limited.entry, limited.suppressed.Swap(0), fields)
 }
 
-func (self *Log) write(entry Entry, suppressed int64, fields []Field) {
+func (l *Log) write(entry Entry, suppressed int64, fields []Field) {
 	line := make([]any, 0, 8+2*len(fields))
 	line = append(line, "level", entry.Level.String(), "event", int(entry.ID), "msg", entry.Text)
 	if suppressed > 0 {
@@ -88,10 +88,10 @@
 	for _, f := range fields {
 		line = append(line, f.Key, f.Value)
 	}
-	self.mu.Lock()
-	defer self.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	// Nothing sensible can be done when the log itself cannot be written.
-	_ = self.out.Log(line...)
+	_ = l.out.Log(line...)
 }
 
 // ParseLevel turns a settings word into a Level; ok is false for other words.
--- a/pkg/events/outage.go
+++ b/pkg/events/outage.go
@@ -13,14 +13,14 @@
 func NewOutage(log *Log, what string) *Outage { return &Outage{log: log, what: what} }
 
 // Note takes the outcome of one request; nil when it was answered.
-func (self *Outage) Note(err error) {
+func (o *Outage) Note(err error) {
 	down := err != nil
-	if self.down.Swap(down) == down {
+	if o.down.Swap(down) == down {
 		return
 	}
 	if down {
-		self.log.Event(PlatformDown, F("what", self.what), F("cause", err))
+		o.log.Event(PlatformDown, F("what", o.what), F("cause", err))
 		return
 	}
-	self.log.Event(PlatformUp, F("what", self.what))
+	o.log.Event(PlatformUp, F("what", o.what))
 }
--- a/pkg/executor/backend.go
+++ b/pkg/executor/backend.go
@@ -88,8 +88,8 @@
 type markingDialer struct{ network.Dialer }
 
 // DialConnection implements network.Dialer.
-func (self *markingDialer) DialConnection(n, address string, timeout time.Duration, conf *tls.Config) (network.Conn, error) {
-	conn, err := self.Dialer.DialConnection(n, address, timeout, conf)
+func (m *markingDialer) DialConnection(n, address string, timeout time.Duration, conf *tls.Config) (network.Conn, error) {
+	conn, err := m.Dialer.DialConnection(n, address, timeout, conf)
 	if err != nil {
 		return nil, errors.Wrap(errDial, err.Error())
 	}
@@ -97,8 +97,8 @@
 }
 
 // DialTimeout implements network.Dialer.
-func (self *markingDialer) DialTimeout(n, address string, timeout time.Duration, conf *tls.Config) (net.Conn, error) {
-	conn, err := self.Dialer.DialTimeout(n, address, timeout, conf)
+func (m *markingDialer) DialTimeout(n, address string, timeout time.Duration, conf *tls.Config) (net.Conn, error) {
+	conn, err := m.Dialer.DialTimeout(n, address, timeout, conf)
 	if err != nil {
 		return nil, errors.Wrap(errDial, err.Error())
 	}
@@ -106,12 +106,12 @@
 }
 
 // run hands the call over and waits for the whole answer.
-func (self *backend) run(c *wire.Call, id string, body []byte, timeout time.Duration, once bool) (*call.Answer, *errkind.Error) {
+func (b *backend) run(c *wire.Call, id string, body []byte, timeout time.Duration, once bool) (*call.Answer, *errkind.Error) {
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetMethod(c.Method)
-	req.SetRequestURI("http://" + self.settings.Address + c.URI)
+	req.SetRequestURI("http://" + b.settings.Address + c.URI)
 	for _, h := range c.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
@@ -119,9 +119,9 @@
 	req.Header.Set(HeaderTimeout, strconv.FormatInt(max(timeout.Milliseconds(), 1), 10))
 	req.SetBody(body)
 	req.SetOptions(config.WithRequestTimeout(timeout))
-	sender := self.client
+	sender := b.client
 	if once {
-		sender = self.once
+		sender = b.once
 	}
 	if err := sender.Do(context.Background(), req, resp); err != nil {
 		return nil, explain(err)
@@ -150,16 +150,16 @@
 }
 
 // cancel tells the backend server that nobody waits for the call any more.
-func (self *backend) cancel(id string) {
-	if self.settings.CancelPath == "" {
+func (b *backend) cancel(id string) {
+	if b.settings.CancelPath == "" {
 		return
 	}
 	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetMethod("POST")
-	req.SetRequestURI("http://" + self.settings.Address + self.settings.CancelPath + id)
+	req.SetRequestURI("http://" + b.settings.Address + b.settings.CancelPath + id)
 	req.SetOptions(config.WithRequestTimeout(cancelTimeout))
 	// The cancellation is a courtesy; the call's own answer settles it.
-	_ = self.client.Do(context.Background(), req, resp)
+	_ = b.client.Do(context.Background(), req, resp)
 }
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "executor pool")
 	}
-	self := &Executor{
+	e := &Executor{
 		Common:    c,
 		backend:   b,
 		pool:      pool,
@@ -76,29 +76,29 @@
 			Adaptive:    s.Gate.Adaptive,
 		}),
 	}
-	return self, nil
+	return e, nil
 }
 
 // Gate returns the gate, for stamps and for the bench.
-func (self *Executor) Gate() *gate.Gate { return self.gate }
+func (e *Executor) Gate() *gate.Gate { return e.gate }
 
 // Leave makes the executor refuse new calls from now on.
-func (self *Executor) Leave() { self.leaving.Store(true) }
+func (e *Executor) Leave() { e.leaving.Store(true) }
 
 // InFlight counts calls that were taken in and have not ended.
-func (self *Executor) InFlight() int64 { return self.inFlight.Load() }
+func (e *Executor) InFlight() int64 { return e.inFlight.Load() }
 
 // Close frees the pool.
-func (self *Executor) Close() { self.pool.Release() }
+func (e *Executor) Close() { e.pool.Release() }
 
 // Stamp reports the load now.
-func (self *Executor) Stamp() wire.Stamp { return self.gate.Stamp(self.Now()) }
+func (e *Executor) Stamp() wire.Stamp { return e.gate.Stamp(e.Now()) }
 
 // Tick lets waiting calls start when the gate's limit rose, and sends those back
 // that wait behind a server that has slowed.
-func (self *Executor) Tick() {
-	start, sendBack := self.gate.Tick(self.Now())
-	self.startAll(start)
+func (e *Executor) Tick() {
+	start, sendBack := e.gate.Tick(e.Now())
+	e.startAll(start)
 	for _, job := range sendBack {
 		job.SendBack()
 	}
@@ -122,27 +122,27 @@
 }
 
 // Execute implements call.Runner.
-func (self *Executor) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
-	self.inFlight.Add(1)
-	now := self.Now()
+func (e *Executor) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
+	e.inFlight.Add(1)
+	now := e.Now()
 	r := &run{
-		owner: self, call: c, body: body, done: done,
-		id:       fmt.Sprintf("%s-%d", self.Settings.VM.ID, self.callSeq.Add(1)),
+		owner: e, call: c, body: body, done: done,
+		id:       fmt.Sprintf("%s-%d", e.Settings.VM.ID, e.callSeq.Add(1)),
 		deadline: now + int64(c.Remaining),
 	}
-	kind, refusal := self.check(c)
+	kind, refusal := e.check(c)
 	if refusal != nil {
 		r.refuse(refusal)
 		return func() {}
 	}
 	r.kind = kind
 	r.job = gate.Job{Class: kind.Class, Deadline: r.deadline, MaxCost: c.MaxCost, Start: r.start, SendBack: r.sendBack}
-	admitted, refusal := self.gate.Admit(now, &r.job)
+	admitted, refusal := e.gate.Admit(now, &r.job)
 	switch {
 	case refusal != nil:
 		r.refuse(refusal)
 	case admitted:
-		self.start(&r.job)
+		e.start(&r.job)
 	default:
 		r.expiry.Store(time.AfterFunc(c.Remaining, func() { r.withdraw(errkind.DeadlineBeforeRun) }))
 	}
@@ -150,25 +150,25 @@
 }
 
 // check refuses what this executor must not take, whatever the entry believed.
-func (self *Executor) check(c *wire.Call) (*placement.CompiledKind, *errkind.Error) {
-	if self.leaving.Load() {
+func (e *Executor) check(c *wire.Call) (*placement.CompiledKind, *errkind.Error) {
+	if e.leaving.Load() {
 		return nil, errkind.New(errkind.Leaving, "the executor is leaving")
 	}
-	current := self.placement()
+	current := e.placement()
 	if current == nil {
 		return nil, errkind.New(errkind.PlacementUnknown, "the executor has no placement yet")
 	}
 	var kind *placement.CompiledKind
-	if service := current.Service(c.Service); service != nil && c.Service == self.Settings.BackendServer.Service {
+	if service := current.Service(c.Service); service != nil && c.Service == e.Settings.BackendServer.Service {
 		kind = service.Match(c.Method, PathOf(c.URI))
 	}
-	if kind != nil && kind.Name == c.Kind && kind.Allows(self.Settings.VM.DataCentre) {
+	if kind != nil && kind.Name == c.Kind && kind.Allows(e.Settings.VM.DataCentre) {
 		return kind, nil
 	}
 	if current.Version != c.Placement {
 		return nil, errkind.New(errkind.PlacementStale, "the entry has version %d and the executor %d", c.Placement, current.Version)
 	}
-	return nil, errkind.New(errkind.WrongPlace, "%s may not handle this kind", self.Settings.VM.DataCentre)
+	return nil, errkind.New(errkind.WrongPlace, "%s may not handle this kind", e.Settings.VM.DataCentre)
 }
 
 // PathOf returns the path of a URI, without its query.
@@ -181,51 +181,51 @@
 	return uri
 }
 
-func (self *Executor) startAll(jobs []*gate.Job) {
+func (e *Executor) startAll(jobs []*gate.Job) {
 	for _, job := range jobs {
-		self.start(job)
+		e.start(job)
 	}
 }
 
-func (self *Executor) start(job *gate.Job) {
+func (e *Executor) start(job *gate.Job) {
 	// The gate starts no more than a job a slot, and a worker whose job just
 	// ended may still be on its way back: the pool has room for both. It must
 	// not block here, since a worker calls this, too.
-	if err := self.pool.Submit(job.Start); err != nil {
+	if err := e.pool.Submit(job.Start); err != nil {
 		go job.Start()
 	}
 }
 
 // start runs the call, and hands the slot on to the job that waits next.
-func (self *run) start() {
-	self.stopExpiry()
-	result, counts := self.handOver()
-	next := self.owner.gate.Finish(self.owner.Now(), &self.job, counts)
-	self.owner.startAll(next)
-	self.end(result)
+func (r *run) start() {
+	r.stopExpiry()
+	result, counts := r.handOver()
+	next := r.owner.gate.Finish(r.owner.Now(), &r.job, counts)
+	r.owner.startAll(next)
+	r.end(result)
 }
 
 // handOver runs the call at the backend server. counts says whether the run
 // tells of the service time.
-func (self *run) handOver() (result call.Result, counts bool) {
-	left := time.Duration(self.deadline - self.owner.Now())
-	if left <= 0 || self.ended.Load() {
+func (r *run) handOver() (result call.Result, counts bool) {
+	left := time.Duration(r.deadline - r.owner.Now())
+	if left <= 0 || r.ended.Load() {
 		// The process may have been paused since the gate said yes.
 		return call.Result{Refusal: errkind.New(errkind.DeadlineBeforeRun, "the time ran out before hand-over")}, false
 	}
-	if !self.kind.NeverRepeat || self.call.Key == "" {
-		return self.runBackend(left)
+	if !r.kind.NeverRepeat || r.call.Key == "" {
+		return r.runBackend(left)
 	}
-	permit, instead := self.owner.claims.Claim(self.call, self.body, time.Now().Add(left))
+	permit, instead := r.owner.claims.Claim(r.call, r.body, time.Now().Add(left))
 	if permit == nil {
 		return instead, false
 	}
-	left = time.Duration(self.deadline - self.owner.Now())
+	left = time.Duration(r.deadline - r.owner.Now())
 	if left <= 0 {
 		permit.Finish(nil, errkind.RanNo)
 		return call.Result{Refusal: errkind.New(errkind.DeadlineBeforeRun, "the time ran out before hand-over")}, false
 	}
-	result, counts = self.runBackend(left)
+	result, counts = r.runBackend(left)
 	permit.Finish(result.Answer, ranOf(result))
 	return result, counts
 }
@@ -237,69 +237,69 @@
 	return errkind.RanMaybe
 }
 
-func (self *run) runBackend(left time.Duration) (call.Result, bool) {
-	self.handed.Store(true)
-	began := self.owner.Now()
-	answer, refusal := self.owner.backend.run(self.call, self.id, self.body, left, self.kind.NeverRepeat)
-	self.owner.noteBackend(refusal)
+func (r *run) runBackend(left time.Duration) (call.Result, bool) {
+	r.handed.Store(true)
+	began := r.owner.Now()
+	answer, refusal := r.owner.backend.run(r.call, r.id, r.body, left, r.kind.NeverRepeat)
+	r.owner.noteBackend(refusal)
 	if refusal != nil {
 		return call.Result{Refusal: refusal}, false
 	}
-	answer.Queued = self.job.Queued()
-	answer.Run = time.Duration(self.owner.Now() - began)
+	answer.Queued = r.job.Queued()
+	answer.Run = time.Duration(r.owner.Now() - began)
 	return call.Result{Answer: answer}, answer.Status < 500
 }
 
 // noteBackend logs when the backend server stops or starts accepting.
-func (self *Executor) noteBackend(refusal *errkind.Error) {
+func (e *Executor) noteBackend(refusal *errkind.Error) {
 	down := refusal != nil && refusal.Kind == errkind.BackendUnreachable
-	if self.down.Load() == down || !self.down.CompareAndSwap(!down, down) {
+	if e.down.Load() == down || !e.down.CompareAndSwap(!down, down) {
 		return
 	}
 	if down {
-		self.Log.Event(events.BackendDown, events.F("address", self.Settings.BackendServer.Address))
+		e.Log.Event(events.BackendDown, events.F("address", e.Settings.BackendServer.Address))
 		return
 	}
-	self.Log.Event(events.BackendUp, events.F("address", self.Settings.BackendServer.Address))
+	e.Log.Event(events.BackendUp, events.F("address", e.Settings.BackendServer.Address))
 }
 
-func (self *run) stopExpiry() {
-	if t := self.expiry.Load(); t != nil {
+func (r *run) stopExpiry() {
+	if t := r.expiry.Load(); t != nil {
 		t.Stop()
 	}
 }
 
 // sendBack refuses a call that the gate took out of its queue.
-func (self *run) sendBack() {
-	self.stopExpiry()
-	self.refuse(errkind.New(errkind.Overloaded, "the backend server has slowed since the call came"))
+func (r *run) sendBack() {
+	r.stopExpiry()
+	r.refuse(errkind.New(errkind.Overloaded, "the backend server has slowed since the call came"))
 }
 
-func (self *run) refuse(refusal *errkind.Error) { self.end(call.Result{Refusal: refusal}) }
+func (r *run) refuse(refusal *errkind.Error) { r.end(call.Result{Refusal: refusal}) }
 
-func (self *run) end(result call.Result) {
-	if !self.ended.CompareAndSwap(false, true) {
+func (r *run) end(result call.Result) {
+	if !r.ended.CompareAndSwap(false, true) {
 		return
 	}
-	result.Stamp = self.owner.Stamp()
+	result.Stamp = r.owner.Stamp()
 	result.Spoke = true
-	self.done(result)
-	self.owner.inFlight.Add(-1)
+	r.done(result)
+	r.owner.inFlight.Add(-1)
 }
 
-func (self *run) withdraw(kind errkind.Kind) bool {
-	if !self.owner.gate.Withdraw(&self.job) {
+func (r *run) withdraw(kind errkind.Kind) bool {
+	if !r.owner.gate.Withdraw(&r.job) {
 		return false
 	}
-	self.refuse(errkind.New(kind, "the call waited at the gate"))
+	r.refuse(errkind.New(kind, "the call waited at the gate"))
 	return true
 }
 
-func (self *run) cancel() {
-	if self.ended.Load() || self.withdraw(errkind.CallerGone) {
+func (r *run) cancel() {
+	if r.ended.Load() || r.withdraw(errkind.CallerGone) {
 		return
 	}
-	if self.handed.Load() {
-		self.owner.backend.cancel(self.id)
+	if r.handed.Load() {
+		r.owner.backend.cancel(r.id)
 	}
 }
--- a/pkg/executor/executor_test.go
+++ b/pkg/executor/executor_test.go
@@ -26,13 +26,13 @@
 	finished []errkind.Ran
 }
 
-func (self *slowClaims) Claim(*wire.Call, []byte, time.Time) (Permit, call.Result) {
-	time.Sleep(self.pause)
-	return self, call.Result{}
+func (s *slowClaims) Claim(*wire.Call, []byte, time.Time) (Permit, call.Result) {
+	time.Sleep(s.pause)
+	return s, call.Result{}
 }
 
-func (self *slowClaims) Finish(_ *call.Answer, ran errkind.Ran) {
-	self.finished = append(self.finished, ran)
+func (s *slowClaims) Finish(_ *call.Answer, ran errkind.Ran) {
+	s.finished = append(s.finished, ran)
 }
 
 // start makes an executor in data centre "here" with a backend server.
--- a/pkg/gate/estimate.go
+++ b/pkg/gate/estimate.go
@@ -36,58 +36,58 @@
 }
 
 // advance counts the busy time up to now, and forgets.
-func (self *estimate) advance(now int64) {
-	elapsed := float64(max(now-self.at, 0))
-	self.at = max(self.at, now)
-	if self.usual == 0 || elapsed == 0 {
+func (e *estimate) advance(now int64) {
+	elapsed := float64(max(now-e.at, 0))
+	e.at = max(e.at, now)
+	if e.usual == 0 || elapsed == 0 {
 		return
 	}
-	if self.running == 0 {
-		self.forget(math.Exp2(-elapsed / (idleHalfLife * self.usual)))
+	if e.running == 0 {
+		e.forget(math.Exp2(-elapsed / (idleHalfLife * e.usual)))
 		return
 	}
 	// What is forgotten is replaced by what is gained, so that memory stays
 	// filled with the newest busy time.
-	full := memory * self.usual
-	keep := math.Exp(-elapsed * float64(self.running) / full)
-	self.busy = self.busy*keep + full*(1-keep)
-	self.ended *= keep
+	full := memory * e.usual
+	keep := math.Exp(-elapsed * float64(e.running) / full)
+	e.busy = e.busy*keep + full*(1-keep)
+	e.ended *= keep
 }
 
 // forget moves the current service time towards the usual one.
-func (self *estimate) forget(keep float64) {
-	self.busy = self.busy*keep + (1-keep)*memory*self.usual
-	self.ended = self.ended*keep + (1-keep)*memory
+func (e *estimate) forget(keep float64) {
+	e.busy = e.busy*keep + (1-keep)*memory*e.usual
+	e.ended = e.ended*keep + (1-keep)*memory
 }
 
-func (self *estimate) start(now int64) {
-	self.advance(now)
-	self.running++
+func (e *estimate) start(now int64) {
+	e.advance(now)
+	e.running++
 }
 
-func (self *estimate) end(now, started int64, counts bool) {
-	self.advance(now)
-	self.running--
+func (e *estimate) end(now, started int64, counts bool) {
+	e.advance(now)
+	e.running--
 	if !counts {
 		return
 	}
 	run := float64(now - started)
-	if self.usual == 0 {
-		self.usual, self.busy, self.ended = run, run*memory, memory
+	if e.usual == 0 {
+		e.usual, e.busy, e.ended = run, run*memory, memory
 		return
 	}
-	self.ended++
-	self.usual += (run - self.usual) * usualWeight
+	e.ended++
+	e.usual += (run - e.usual) * usualWeight
 }
 
 // slowness is how many times longer than usual a run takes now, 1 when the
 // difference may be chance.
-func (self *estimate) slowness(now int64) float64 {
-	self.advance(now)
-	if self.usual == 0 {
+func (e *estimate) slowness(now int64) float64 {
+	e.advance(now)
+	if e.usual == 0 {
 		return 1
 	}
-	ratio := self.busy / max(self.ended, 1) / self.usual
+	ratio := e.busy / max(e.ended, 1) / e.usual
 	if ratio < notable {
 		return 1
 	}
@@ -95,6 +95,6 @@
 }
 
 // service is the expected time of a run that starts now.
-func (self *estimate) service(now int64) time.Duration {
-	return time.Duration(self.usual * self.slowness(now))
+func (e *estimate) service(now int64) time.Duration {
+	return time.Duration(e.usual * e.slowness(now))
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -53,32 +53,32 @@
 
 // Admit takes a job in. run is true when the owner must start it now; false
 // with no error means that it waits, and a later Finish hands it out.
-func (self *Gate) Admit(now int64, job *Job) (run bool, refusal *errkind.Error) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
+func (g *Gate) Admit(now int64, job *Job) (run bool, refusal *errkind.Error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	job.arrived = now
 	job.index = notQueued
-	self.jobSeq++
-	job.seq = self.jobSeq
-	service := self.estimate.service(now)
-	limit := self.limit(now)
-	free := self.running < limit && self.queue.len() == 0
-	if refusal := self.check(now, job, service, limit, free); refusal != nil {
+	g.jobSeq++
+	job.seq = g.jobSeq
+	service := g.estimate.service(now)
+	limit := g.limit(now)
+	free := g.running < limit && g.queue.len() == 0
+	if refusal := g.check(now, job, service, limit, free); refusal != nil {
 		return false, refusal
 	}
-	self.inFlight.Add(1)
+	g.inFlight.Add(1)
 	if free {
-		self.begin(now, job)
+		g.begin(now, job)
 		return true, nil
 	}
-	self.queue.push(job)
+	g.queue.push(job)
 	return false, nil
 }
 
-func (self *Gate) check(now int64, job *Job, service time.Duration, limit int, free bool) *errkind.Error {
+func (g *Gate) check(now int64, job *Job, service time.Duration, limit int, free bool) *errkind.Error {
 	var wait time.Duration
 	if !free {
-		wait = service * time.Duration(self.queue.len()+1) / time.Duration(limit)
+		wait = service * time.Duration(g.queue.len()+1) / time.Duration(limit)
 	}
 	switch {
 	case job.Deadline <= now:
@@ -87,9 +87,9 @@
 		return errkind.New(errkind.GateBusier, "its expected time is over the bound that came with the call")
 	case free:
 		return nil
-	case self.queue.len() >= self.opts.QueueLength:
+	case g.queue.len() >= g.opts.QueueLength:
 		return errkind.New(errkind.Overloaded, "the queue is full")
-	case wait > self.opts.QueueTime:
+	case wait > g.opts.QueueTime:
 		return errkind.New(errkind.Overloaded, "the expected wait of %v is over the bound", wait)
 	case now+int64(wait) >= job.Deadline:
 		return errkind.New(errkind.Overloaded, "the expected wait of %v is longer than the time left", wait)
@@ -97,113 +97,113 @@
 	return nil
 }
 
-func (self *Gate) begin(now int64, job *Job) {
-	self.running++
+func (g *Gate) begin(now int64, job *Job) {
+	g.running++
 	job.started = now
-	self.estimate.start(now)
+	g.estimate.start(now)
 }
 
 // Finish notes that a job ended and returns the jobs that the owner must start
 // now. counts is false when the run says nothing of the service time, as when
 // it was cancelled or failed at once.
-func (self *Gate) Finish(now int64, job *Job, counts bool) []*Job {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.running--
-	self.inFlight.Add(-1)
-	self.estimate.end(now, job.started, counts)
-	return self.startWaiting(now)
+func (g *Gate) Finish(now int64, job *Job, counts bool) []*Job {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.running--
+	g.inFlight.Add(-1)
+	g.estimate.end(now, job.started, counts)
+	return g.startWaiting(now)
 }
 
 // Tick starts waiting jobs when the limit rose since the last call, and takes
 // out those that wait behind a server that has slowed since they came, while
 // their sender knows of a better one. The owner refuses them as not run.
-func (self *Gate) Tick(now int64) (start, sendBack []*Job) {
-	if self.inFlight.Load() == 0 {
+func (g *Gate) Tick(now int64) (start, sendBack []*Job) {
+	if g.inFlight.Load() == 0 {
 		return nil, nil
 	}
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	start = self.startWaiting(now)
-	if self.estimate.slowness(now) > slowTolerance {
-		sendBack = self.takeImpatient(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	start = g.startWaiting(now)
+	if g.estimate.slowness(now) > slowTolerance {
+		sendBack = g.takeImpatient(now)
 	}
 	return start, sendBack
 }
 
-func (self *Gate) takeImpatient(now int64) []*Job {
-	service := self.estimate.service(now)
-	wait := service * time.Duration(self.queue.len()) / time.Duration(self.limit(now))
-	out := self.queue.takeIf(func(j *Job) bool {
+func (g *Gate) takeImpatient(now int64) []*Job {
+	service := g.estimate.service(now)
+	wait := service * time.Duration(g.queue.len()) / time.Duration(g.limit(now))
+	out := g.queue.takeIf(func(j *Job) bool {
 		return j.MaxCost > 0 && float64(wait+service) > patience*float64(j.MaxCost)
 	})
-	self.inFlight.Add(-int64(len(out)))
+	g.inFlight.Add(-int64(len(out)))
 	return out
 }
 
-func (self *Gate) startWaiting(now int64) []*Job {
+func (g *Gate) startWaiting(now int64) []*Job {
 	var out []*Job
-	limit := self.limit(now)
-	for self.running < limit {
-		job := self.queue.pop(now, self.estimate.service(now))
+	limit := g.limit(now)
+	for g.running < limit {
+		job := g.queue.pop(now, g.estimate.service(now))
 		if job == nil {
 			break
 		}
-		self.begin(now, job)
+		g.begin(now, job)
 		out = append(out, job)
 	}
 	return out
 }
 
 // Withdraw takes a waiting job out; false when it does not wait any more.
-func (self *Gate) Withdraw(job *Job) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if !self.queue.remove(job) {
+func (g *Gate) Withdraw(job *Job) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.queue.remove(job) {
 		return false
 	}
-	self.inFlight.Add(-1)
+	g.inFlight.Add(-1)
 	return true
 }
 
 // limit is how many calls run at once: the slots, or fewer while a neighbour
 // slows the backend server, so that less work is stuck behind it.
-func (self *Gate) limit(now int64) int {
-	if !self.opts.Adaptive {
-		return self.opts.Slots
+func (g *Gate) limit(now int64) int {
+	if !g.opts.Adaptive {
+		return g.opts.Slots
 	}
-	slowness := self.estimate.slowness(now)
+	slowness := g.estimate.slowness(now)
 	if slowness <= slowTolerance {
-		return self.opts.Slots
+		return g.opts.Slots
 	}
-	return max(1, int(float64(self.opts.Slots)*slowTolerance/slowness))
+	return max(1, int(float64(g.opts.Slots)*slowTolerance/slowness))
 }
 
 // Stamp reports the load now.
-func (self *Gate) Stamp(now int64) wire.Stamp {
-	self.mu.Lock()
-	defer self.mu.Unlock()
+func (g *Gate) Stamp(now int64) wire.Stamp {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return wire.Stamp{
-		Seq:       self.stampSeq.Add(1),
-		Running:   uint32(self.running),
-		Queued:    uint32(self.queue.len()),
-		Limit:     uint32(self.limit(now)),
-		ServiceUS: uint32(min(self.estimate.service(now).Microseconds(), 1<<31)),
+		Seq:       g.stampSeq.Add(1),
+		Running:   uint32(g.running),
+		Queued:    uint32(g.queue.len()),
+		Limit:     uint32(g.limit(now)),
+		ServiceUS: uint32(min(g.estimate.service(now).Microseconds(), 1<<31)),
 	}
 }
 
 // InFlight counts the jobs at the gate, running and waiting.
-func (self *Gate) InFlight() int64 { return self.inFlight.Load() }
+func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
 
 // Slowed is true while the backend server is notably slower than usual.
-func (self *Gate) Slowed(now int64) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	return self.estimate.slowness(now) > slowTolerance
+func (g *Gate) Slowed(now int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.estimate.slowness(now) > slowTolerance
 }
 
 // Slots returns the number of slots.
-func (self *Gate) Slots() int { return self.opts.Slots }
+func (g *Gate) Slots() int { return g.opts.Slots }
 
 // Queued returns how long a started job waited.
-func (self *Job) Queued() time.Duration { return time.Duration(self.started - self.arrived) }
+func (j *Job) Queued() time.Duration { return time.Duration(j.started - j.arrived) }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -53,25 +53,25 @@
 	less lessFunc
 }
 
-func (self *jobHeap) Len() int           { return len(self.jobs) }
-func (self *jobHeap) Less(i, j int) bool { return self.less(self.jobs[i], self.jobs[j]) }
-func (self *jobHeap) Swap(i, j int) {
-	self.jobs[i], self.jobs[j] = self.jobs[j], self.jobs[i]
-	self.jobs[i].index = i
-	self.jobs[j].index = j
+func (jh *jobHeap) Len() int           { return len(jh.jobs) }
+func (jh *jobHeap) Less(i, j int) bool { return jh.less(jh.jobs[i], jh.jobs[j]) }
+func (jh *jobHeap) Swap(i, j int) {
+	jh.jobs[i], jh.jobs[j] = jh.jobs[j], jh.jobs[i]
+	jh.jobs[i].index = i
+	jh.jobs[j].index = j
 }
 
-func (self *jobHeap) Push(x any) {
+func (jh *jobHeap) Push(x any) {
 	job := x.(*Job)
-	job.index = len(self.jobs)
-	self.jobs = append(self.jobs, job)
+	job.index = len(jh.jobs)
+	jh.jobs = append(jh.jobs, job)
 }
 
-func (self *jobHeap) Pop() any {
-	last := len(self.jobs) - 1
-	job := self.jobs[last]
-	self.jobs[last] = nil
-	self.jobs = self.jobs[:last]
+func (jh *jobHeap) Pop() any {
+	last := len(jh.jobs) - 1
+	job := jh.jobs[last]
+	jh.jobs[last] = nil
+	jh.jobs = jh.jobs[:last]
 	job.index = notQueued
 	return job
 }
@@ -84,10 +84,10 @@
 }
 
 func newQueue(order Order) *queue {
-	self := &queue{order: order}
-	self.main.less = lessOf(order)
-	self.background.less = earlierArrival
-	return self
+	q := &queue{order: order}
+	q.main.less = lessOf(order)
+	q.background.less = earlierArrival
+	return q
 }
 
 func lessOf(order Order) lessFunc {
@@ -123,29 +123,29 @@
 	return 1
 }
 
-func (self *queue) len() int { return self.main.Len() + self.background.Len() }
+func (q *queue) len() int { return q.main.Len() + q.background.Len() }
 
-func (self *queue) heapOf(job *Job) *jobHeap {
-	if self.order == Slack && job.Class == placement.Background {
-		return &self.background
+func (q *queue) heapOf(job *Job) *jobHeap {
+	if q.order == Slack && job.Class == placement.Background {
+		return &q.background
 	}
-	return &self.main
+	return &q.main
 }
 
-func (self *queue) push(job *Job) { heap.Push(self.heapOf(job), job) }
+func (q *queue) push(job *Job) { heap.Push(q.heapOf(job), job) }
 
-func (self *queue) remove(job *Job) bool {
+func (q *queue) remove(job *Job) bool {
 	if job.index == notQueued {
 		return false
 	}
-	heap.Remove(self.heapOf(job), job.index)
+	heap.Remove(q.heapOf(job), job.index)
 	return true
 }
 
 // takeIf takes out all jobs that a condition holds for.
-func (self *queue) takeIf(cond func(*Job) bool) []*Job {
+func (q *queue) takeIf(cond func(*Job) bool) []*Job {
 	var out []*Job
-	for _, h := range []*jobHeap{&self.main, &self.background} {
+	for _, h := range []*jobHeap{&q.main, &q.background} {
 		for _, job := range h.jobs {
 			if cond(job) {
 				out = append(out, job)
@@ -153,19 +153,19 @@
 		}
 	}
 	for _, job := range out {
-		self.remove(job)
+		q.remove(job)
 	}
 	return out
 }
 
 // pop takes the job that starts next, or nil. service is the expected time of
 // one run.
-func (self *queue) pop(now int64, service time.Duration) *Job {
-	if self.background.Len() > 0 && (self.main.Len() == 0 || self.hasSlack(now, service)) {
-		return heap.Pop(&self.background).(*Job)
+func (q *queue) pop(now int64, service time.Duration) *Job {
+	if q.background.Len() > 0 && (q.main.Len() == 0 || q.hasSlack(now, service)) {
+		return heap.Pop(&q.background).(*Job)
 	}
-	if self.main.Len() > 0 {
-		return heap.Pop(&self.main).(*Job)
+	if q.main.Len() > 0 {
+		return heap.Pop(&q.main).(*Job)
 	}
 	return nil
 }
@@ -173,7 +173,7 @@
 // hasSlack is true when the most pressing job would still end in time if one
 // run went before it: runs are not preempted, so it may wait one run, and then
 // needs its own.
-func (self *queue) hasSlack(now int64, service time.Duration) bool {
+func (q *queue) hasSlack(now int64, service time.Duration) bool {
 	const runs = 2
-	return self.main.jobs[0].Deadline-now > runs*int64(service)
+	return q.main.jobs[0].Deadline-now > runs*int64(service)
 }
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -69,68 +69,68 @@
 	if err != nil {
 		return nil, err
 	}
-	self := &Client{
+	cl := &Client{
 		Peer:    &Peer{Conn: newConn(ws, codec, opts.Heartbeat), Outgoing: true},
 		control: control,
 		maxBody: c.Settings.Limits.MaxBodyBytes,
 		pending: map[uint64]*pending{},
 	}
 	if opener, ok := control.(Opener); ok {
-		opener.Opened(self)
+		opener.Opened(cl)
 	}
-	if err := self.Send(control.Hello()); err != nil {
+	if err := cl.Send(control.Hello()); err != nil {
 		return nil, err
 	}
-	return self, nil
+	return cl, nil
 }
 
 // Opener is a Control that wants to know its client before the first frame.
 type Opener interface{ Opened(*Client) }
 
 // Run serves the link until it ends. The first frame must be the greeting.
-func (self *Client) Run() {
-	_, err := self.serve(func() {
-		self.ping()
-		self.control.Up(self.Peer)
-		self.control.News(self.Peer, &self.Hello.State)
-	}, self.receive)
-	self.failAll()
-	self.control.Down(self.Peer, err)
+func (cl *Client) Run() {
+	_, err := cl.serve(func() {
+		cl.ping()
+		cl.control.Up(cl.Peer)
+		cl.control.News(cl.Peer, &cl.Hello.State)
+	}, cl.receive)
+	cl.failAll()
+	cl.control.Down(cl.Peer, err)
 }
 
 // Execute implements call.Runner.
-func (self *Client) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
+func (cl *Client) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
 	sent := *c
 	var chunks []*wire.Chunk
 	sent.Body, chunks = wire.Split(body)
-	if refusal := self.begin(&sent, chunks, done); refusal != nil {
+	if refusal := cl.begin(&sent, chunks, done); refusal != nil {
 		done(*refusal)
 		return func() {}
 	}
-	return func() { _ = self.Send(&wire.Cancel{ID: sent.ID}) }
+	return func() { _ = cl.Send(&wire.Cancel{ID: sent.ID}) }
 }
 
 // begin notes and sends a call. Ids must reach the peer in rising order, which
 // proves to it that none is used twice; so the id is drawn and the frame queued
 // under one lock. A refusal here is a "no": nothing of the call was written.
-func (self *Client) begin(sent *wire.Call, chunks []*wire.Chunk, done func(call.Result)) *call.Result {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if self.pending == nil {
+func (cl *Client) begin(sent *wire.Call, chunks []*wire.Chunk, done func(call.Result)) *call.Result {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	if cl.pending == nil {
 		return refused("the link is closed")
 	}
-	self.lastID++
-	sent.ID = self.lastID
+	cl.lastID++
+	sent.ID = cl.lastID
 	frames := make([]wire.Frame, 0, 1+len(chunks))
 	frames = append(frames, sent)
 	for _, chunk := range chunks {
 		chunk.ID = sent.ID
 		frames = append(frames, chunk)
 	}
-	if err := self.Send(frames...); err != nil {
+	if err := cl.Send(frames...); err != nil {
 		return refused("the link closed before the call was sent")
 	}
-	self.pending[sent.ID] = &pending{done: done}
+	cl.pending[sent.ID] = &pending{done: done}
 	return nil
 }
 
@@ -139,30 +139,30 @@
 	return &out
 }
 
-func (self *Client) receive(frame wire.Frame) error {
+func (cl *Client) receive(frame wire.Frame) error {
 	switch f := frame.(type) {
 	case *wire.Answer:
-		return self.receiveAnswer(f)
+		return cl.receiveAnswer(f)
 	case *wire.Chunk:
-		return self.receiveChunk(f)
+		return cl.receiveChunk(f)
 	case *wire.Refusal:
 		refusal := &errkind.Error{Kind: errkind.Parse(f.Kind), Ran: errkind.Ran(f.Ran), Detail: f.Detail}
-		self.finish(f.ID, call.Result{Refusal: refusal, Spoke: true, Stamp: f.Stamp, Next: f.Next})
+		cl.finish(f.ID, call.Result{Refusal: refusal, Spoke: true, Stamp: f.Stamp, Next: f.Next})
 		return nil
 	}
-	if self.Peer.control(self.control, frame) {
+	if cl.Peer.control(cl.control, frame) {
 		return nil
 	}
 	return &BadFrameError{Cause: errors.Errorf("frame %d from an executor", frame.Type())}
 }
 
-func (self *Client) receiveAnswer(f *wire.Answer) error {
-	assembly, err := wire.NewAssembly(f.Body, self.maxBody)
+func (cl *Client) receiveAnswer(f *wire.Answer) error {
+	assembly, err := wire.NewAssembly(f.Body, cl.maxBody)
 	if err != nil {
-		self.finish(f.ID, cut(err, f.Stamp))
+		cl.finish(f.ID, cut(err, f.Stamp))
 		return nil
 	}
-	waiting := self.find(f.ID)
+	waiting := cl.find(f.ID)
 	if waiting == nil {
 		return nil
 	}
@@ -170,12 +170,12 @@
 		return &BadFrameError{Cause: errors.New("two answers to one call")}
 	}
 	waiting.answer, waiting.assembly = f, assembly
-	self.finishIfComplete(f.ID, waiting)
+	cl.finishIfComplete(f.ID, waiting)
 	return nil
 }
 
-func (self *Client) receiveChunk(f *wire.Chunk) error {
-	waiting := self.find(f.ID)
+func (cl *Client) receiveChunk(f *wire.Chunk) error {
+	waiting := cl.find(f.ID)
 	if waiting == nil {
 		return nil
 	}
@@ -183,10 +183,10 @@
 		return &BadFrameError{Cause: errors.New("a chunk before its answer")}
 	}
 	if err := waiting.assembly.Add(f); err != nil {
-		self.finish(f.ID, cut(err, waiting.answer.Stamp))
+		cl.finish(f.ID, cut(err, waiting.answer.Stamp))
 		return nil
 	}
-	self.finishIfComplete(f.ID, waiting)
+	cl.finishIfComplete(f.ID, waiting)
 	return nil
 }
 
@@ -194,53 +194,53 @@
 	return call.Result{Refusal: errkind.New(errkind.AnswerCut, "%v", cause), Spoke: true, Stamp: stamp}
 }
 
-func (self *Client) finishIfComplete(id uint64, waiting *pending) {
+func (cl *Client) finishIfComplete(id uint64, waiting *pending) {
 	if !waiting.assembly.Complete() {
 		return
 	}
 	f := waiting.answer
 	body, err := waiting.assembly.Body()
 	if err != nil {
-		self.finish(id, cut(err, f.Stamp))
+		cl.finish(id, cut(err, f.Stamp))
 		return
 	}
 	answer := &call.Answer{Status: f.Status, Headers: f.Headers, Body: body, Queued: f.Queued, Run: f.Run}
-	self.finish(id, call.Result{Answer: answer, Spoke: true, Stamp: f.Stamp})
+	cl.finish(id, call.Result{Answer: answer, Spoke: true, Stamp: f.Stamp})
 }
 
 // find returns a pending call, or counts a late frame.
-func (self *Client) find(id uint64) *pending {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	waiting := self.pending[id]
+func (cl *Client) find(id uint64) *pending {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	waiting := cl.pending[id]
 	if waiting == nil {
-		self.late.Add(1)
+		cl.late.Add(1)
 	}
 	return waiting
 }
 
-func (self *Client) finish(id uint64, result call.Result) {
-	self.mu.Lock()
-	waiting := self.pending[id]
-	delete(self.pending, id)
-	self.mu.Unlock()
+func (cl *Client) finish(id uint64, result call.Result) {
+	cl.mu.Lock()
+	waiting := cl.pending[id]
+	delete(cl.pending, id)
+	cl.mu.Unlock()
 	if waiting == nil {
-		self.late.Add(1)
+		cl.late.Add(1)
 		return
 	}
 	waiting.done(result)
 }
 
 // failAll ends all calls when the link ends: they may have run.
-func (self *Client) failAll() {
-	self.mu.Lock()
-	calls := self.pending
-	self.pending = nil
-	self.mu.Unlock()
+func (cl *Client) failAll() {
+	cl.mu.Lock()
+	calls := cl.pending
+	cl.pending = nil
+	cl.mu.Unlock()
 	for _, waiting := range calls {
 		waiting.done(call.Refused(errkind.LinkLost, "the link to the executor ended"))
 	}
 }
 
 // Late counts frames for calls that had ended.
-func (self *Client) Late() int64 { return self.late.Load() }
+func (cl *Client) Late() int64 { return cl.late.Load() }
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -54,132 +54,132 @@
 // newConn starts the writer. idle is the time without traffic after which a
 // heartbeat is due; the peer counts as gone after three of them.
 func newConn(ws *websocket.Conn, codec *wire.Codec, idle time.Duration) *Conn {
-	self := &Conn{ws: ws, codec: codec, idle: idle, start: time.Now(), lastSent: time.Now()}
-	self.wake = sync.NewCond(&self.mu)
+	c := &Conn{ws: ws, codec: codec, idle: idle, start: time.Now(), lastSent: time.Now()}
+	c.wake = sync.NewCond(&c.mu)
 	ws.SetReadLimit(wire.MaxMessage)
-	ws.SetPongHandler(self.pong)
-	go self.writeLoop()
-	return self
+	ws.SetPongHandler(c.pong)
+	go c.writeLoop()
+	return c
 }
 
 // ping measures the round trip. The time travels in the ping and comes back.
-func (self *Conn) ping() {
+func (c *Conn) ping() {
 	var sent [8]byte
-	binary.BigEndian.PutUint64(sent[:], uint64(time.Since(self.start)))
+	binary.BigEndian.PutUint64(sent[:], uint64(time.Since(c.start)))
 	// A ping that cannot be sent leaves the distance unknown, which is 0.
-	_ = self.ws.WriteControl(websocket.PingMessage, sent[:], time.Now().Add(writeTime))
+	_ = c.ws.WriteControl(websocket.PingMessage, sent[:], time.Now().Add(writeTime))
 }
 
-func (self *Conn) pong(data string) error {
+func (c *Conn) pong(data string) error {
 	if len(data) != 8 {
 		return nil
 	}
 	sent := time.Duration(binary.BigEndian.Uint64([]byte(data)))
-	took := int64(time.Since(self.start) - sent)
-	if old := self.roundTrip.Load(); old == 0 || took < old {
-		self.roundTrip.Store(took)
+	took := int64(time.Since(c.start) - sent)
+	if old := c.roundTrip.Load(); old == 0 || took < old {
+		c.roundTrip.Store(took)
 	}
 	return nil
 }
 
 // RoundTrip is the measured time to the peer and back; 0 when not known yet.
-func (self *Conn) RoundTrip() time.Duration { return time.Duration(self.roundTrip.Load()) }
+func (c *Conn) RoundTrip() time.Duration { return time.Duration(c.roundTrip.Load()) }
 
 // Send queues frames, in order. It returns ErrClosed when the link is closed;
 // otherwise the frames may or may not reach the peer.
-func (self *Conn) Send(frames ...wire.Frame) error {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if self.closed {
+func (c *Conn) Send(frames ...wire.Frame) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
 		return ErrClosed
 	}
-	if len(self.frames)+len(self.chunks) > queueBound {
-		self.closeLocked()
+	if len(c.frames)+len(c.chunks) > queueBound {
+		c.closeLocked()
 		return ErrClosed
 	}
 	for _, frame := range frames {
 		if frame.Type() == wire.TypeChunk {
-			self.chunks = append(self.chunks, frame)
+			c.chunks = append(c.chunks, frame)
 		} else {
-			self.frames = append(self.frames, frame)
+			c.frames = append(c.frames, frame)
 		}
 	}
-	self.wake.Signal()
+	c.wake.Signal()
 	return nil
 }
 
 // Close closes the link. Frames that wait are dropped.
-func (self *Conn) Close() {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.closeLocked()
+func (c *Conn) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closeLocked()
 }
 
-func (self *Conn) closeLocked() {
-	if self.closed {
+func (c *Conn) closeLocked() {
+	if c.closed {
 		return
 	}
-	self.closed = true
-	self.frames, self.chunks = nil, nil
-	self.wake.Broadcast()
-	_ = self.ws.Close()
+	c.closed = true
+	c.frames, c.chunks = nil, nil
+	c.wake.Broadcast()
+	_ = c.ws.Close()
 }
 
 // HeartbeatDue is true when nothing was sent for the idle time.
-func (self *Conn) HeartbeatDue(now time.Time) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	return now.Sub(self.lastSent) >= self.idle
+func (c *Conn) HeartbeatDue(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.lastSent) >= c.idle
 }
 
 // nextBatch waits for frames: all small ones, and one chunk, so that a large
 // body never holds up more than one chunk's time.
-func (self *Conn) nextBatch(batch []wire.Frame) []wire.Frame {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	for len(self.frames) == 0 && len(self.chunks) == 0 && !self.closed {
-		self.wake.Wait()
+func (c *Conn) nextBatch(batch []wire.Frame) []wire.Frame {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.frames) == 0 && len(c.chunks) == 0 && !c.closed {
+		c.wake.Wait()
 	}
-	if self.closed {
+	if c.closed {
 		return nil
 	}
-	batch = append(batch, self.frames...)
-	clear(self.frames)
-	self.frames = self.frames[:0]
-	if len(self.chunks) > 0 {
-		batch = append(batch, self.chunks[0])
-		self.chunks[0] = nil
-		self.chunks = self.chunks[1:]
+	batch = append(batch, c.frames...)
+	clear(c.frames)
+	c.frames = c.frames[:0]
+	if len(c.chunks) > 0 {
+		batch = append(batch, c.chunks[0])
+		c.chunks[0] = nil
+		c.chunks = c.chunks[1:]
 	}
-	self.lastSent = time.Now()
+	c.lastSent = time.Now()
 	return batch
 }
 
-func (self *Conn) writeLoop() {
-	defer self.Close()
+func (c *Conn) writeLoop() {
+	defer c.Close()
 	var buf bytes.Buffer
 	var batch []wire.Frame
 	for {
-		batch = self.nextBatch(batch[:0])
+		batch = c.nextBatch(batch[:0])
 		if batch == nil {
 			return
 		}
-		if err := self.writeBatch(&buf, batch); err != nil {
+		if err := c.writeBatch(&buf, batch); err != nil {
 			return
 		}
 	}
 }
 
-func (self *Conn) writeBatch(buf *bytes.Buffer, batch []wire.Frame) error {
+func (c *Conn) writeBatch(buf *bytes.Buffer, batch []wire.Frame) error {
 	buf.Reset()
 	for i, frame := range batch {
-		if err := self.codec.Append(buf, frame); err != nil {
+		if err := c.codec.Append(buf, frame); err != nil {
 			return err
 		}
 		if buf.Len() < batchBytes && i < len(batch)-1 {
 			continue
 		}
-		if err := self.writeMessage(buf); err != nil {
+		if err := c.writeMessage(buf); err != nil {
 			return err
 		}
 		buf.Reset()
@@ -187,30 +187,30 @@
 	return nil
 }
 
-func (self *Conn) writeMessage(buf *bytes.Buffer) error {
-	if err := self.ws.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+func (c *Conn) writeMessage(buf *bytes.Buffer) error {
+	if err := c.ws.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
 		return err
 	}
-	self.written.add(buf.Len())
-	return self.ws.WriteMessage(websocket.BinaryMessage, buf.Bytes())
+	c.written.add(buf.Len())
+	return c.ws.WriteMessage(websocket.BinaryMessage, buf.Bytes())
 }
 
 // missedHeartbeats is how many idle times without a frame end a link.
 const missedHeartbeats = 3
 
 // readLoop hands each frame to receive until the link ends, and returns why.
-func (self *Conn) readLoop(receive func(wire.Frame) error) error {
-	defer self.Close()
+func (c *Conn) readLoop(receive func(wire.Frame) error) error {
+	defer c.Close()
 	for {
-		if err := self.ws.SetReadDeadline(time.Now().Add(missedHeartbeats * self.idle)); err != nil {
+		if err := c.ws.SetReadDeadline(time.Now().Add(missedHeartbeats * c.idle)); err != nil {
 			return err
 		}
-		_, data, err := self.ws.ReadMessage()
+		_, data, err := c.ws.ReadMessage()
 		if err != nil {
 			return err
 		}
-		self.read.add(len(data))
-		if err := self.readMessage(data, receive); err != nil {
+		c.read.add(len(data))
+		if err := c.readMessage(data, receive); err != nil {
 			return err
 		}
 	}
@@ -220,11 +220,11 @@
 type BadFrameError struct{ Cause error }
 
 // Error implements error.
-func (self *BadFrameError) Error() string { return "bad frame: " + self.Cause.Error() }
+func (b *BadFrameError) Error() string { return "bad frame: " + b.Cause.Error() }
 
-func (self *Conn) readMessage(data []byte, receive func(wire.Frame) error) error {
+func (c *Conn) readMessage(data []byte, receive func(wire.Frame) error) error {
 	for len(data) > 0 {
-		frame, rest, err := self.codec.Next(data)
+		frame, rest, err := c.codec.Next(data)
 		if err != nil {
 			return &BadFrameError{Cause: err}
 		}
--- a/pkg/link/counter.go
+++ b/pkg/link/counter.go
@@ -8,9 +8,9 @@
 	bytes    atomic.Int64
 }
 
-func (self *counter) add(size int) {
-	self.messages.Add(1)
-	self.bytes.Add(int64(size))
+func (c *counter) add(size int) {
+	c.messages.Add(1)
+	c.bytes.Add(int64(size))
 }
 
 // Traffic is what one link has carried.
@@ -19,9 +19,9 @@
 }
 
 // Traffic returns what the link has carried so far.
-func (self *Conn) Traffic() Traffic {
+func (c *Conn) Traffic() Traffic {
 	return Traffic{
-		MessagesOut: self.written.messages.Load(), BytesOut: self.written.bytes.Load(),
-		MessagesIn: self.read.messages.Load(), BytesIn: self.read.bytes.Load(),
+		MessagesOut: c.written.messages.Load(), BytesOut: c.written.bytes.Load(),
+		MessagesIn: c.read.messages.Load(), BytesIn: c.read.bytes.Load(),
 	}
 }
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -27,21 +27,21 @@
 // quietControl is a control that takes no notice.
 type quietControl struct{ up chan *Peer }
 
-func (self *quietControl) Hello() *wire.Hello                 { return &wire.Hello{VM: "test", DataCentre: "here"} }
-func (self *quietControl) State() *wire.State                 { return &wire.State{} }
-func (self *quietControl) Up(peer *Peer)                      { self.up <- peer }
-func (self *quietControl) Down(*Peer, error)                  {}
-func (self *quietControl) News(*Peer, *wire.State)            {}
-func (self *quietControl) Pull(*Peer, *wire.Pull)             {}
-func (self *quietControl) Members(*Peer, *wire.Members)       {}
-func (self *quietControl) MembersAsk(*Peer, *wire.MembersAsk) {}
-func (self *quietControl) Update(*Peer, *wire.Update)         {}
+func (q *quietControl) Hello() *wire.Hello                 { return &wire.Hello{VM: "test", DataCentre: "here"} }
+func (q *quietControl) State() *wire.State                 { return &wire.State{} }
+func (q *quietControl) Up(peer *Peer)                      { q.up <- peer }
+func (q *quietControl) Down(*Peer, error)                  {}
+func (q *quietControl) News(*Peer, *wire.State)            {}
+func (q *quietControl) Pull(*Peer, *wire.Pull)             {}
+func (q *quietControl) Members(*Peer, *wire.Members)       {}
+func (q *quietControl) MembersAsk(*Peer, *wire.MembersAsk) {}
+func (q *quietControl) Update(*Peer, *wire.Update)         {}
 
 // runnerFunc makes a function a runner.
 type runnerFunc func(c *wire.Call, body []byte, done func(call.Result)) func()
 
-func (self runnerFunc) Execute(c *wire.Call, body []byte, done func(call.Result)) func() {
-	return self(c, body, done)
+func (r runnerFunc) Execute(c *wire.Call, body []byte, done func(call.Result)) func() {
+	return r(c, body, done)
 }
 
 func echo(c *wire.Call, body []byte, done func(call.Result)) func() {
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -38,8 +38,8 @@
 
 // serve reads frames until the link ends, and returns why. The first must be
 // the greeting; up is called with it, receive with each later one.
-func (self *Peer) serve(up func(), receive func(wire.Frame) error) (greeted bool, cause error) {
-	cause = self.readLoop(func(frame wire.Frame) error {
+func (p *Peer) serve(up func(), receive func(wire.Frame) error) (greeted bool, cause error) {
+	cause = p.readLoop(func(frame wire.Frame) error {
 		if greeted {
 			return receive(frame)
 		}
@@ -48,7 +48,7 @@
 			return &BadFrameError{Cause: errors.New("the first frame is no greeting")}
 		}
 		greeted = true
-		self.Hello = *hello
+		p.Hello = *hello
 		up()
 		return nil
 	})
@@ -56,18 +56,18 @@
 }
 
 // control handles the frames that both sides know. handled is false for others.
-func (self *Peer) control(c Control, frame wire.Frame) (handled bool) {
+func (p *Peer) control(c Control, frame wire.Frame) (handled bool) {
 	switch f := frame.(type) {
 	case *wire.State:
-		c.News(self, f)
+		c.News(p, f)
 	case *wire.Pull:
-		c.Pull(self, f)
+		c.Pull(p, f)
 	case *wire.Update:
-		c.Update(self, f)
+		c.Update(p, f)
 	case *wire.Members:
-		c.Members(self, f)
+		c.Members(p, f)
 	case *wire.MembersAsk:
-		c.MembersAsk(self, f)
+		c.MembersAsk(p, f)
 	default:
 		return false
 	}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -36,50 +36,50 @@
 
 // Listen accepts links on listener until Close.
 func Listen(c *common.Common, control Control, runner call.Runner, listener net.Listener, conf *tls.Config, heartbeat time.Duration) *Server {
-	self := &Server{Common: c, control: control, runner: runner, heartbeat: heartbeat, peers: map[*Peer]struct{}{}, address: listener.Addr().String()}
+	s := &Server{Common: c, control: control, runner: runner, heartbeat: heartbeat, peers: map[*Peer]struct{}{}, address: listener.Addr().String()}
 	mux := http.NewServeMux()
-	mux.HandleFunc(path, self.accept)
-	self.http = &http.Server{Handler: mux, ReadHeaderTimeout: headTime, TLSConfig: conf}
+	mux.HandleFunc(path, s.accept)
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headTime, TLSConfig: conf}
 	go func() {
 		if conf != nil {
-			_ = self.http.ServeTLS(listener, "", "")
+			_ = s.http.ServeTLS(listener, "", "")
 			return
 		}
-		_ = self.http.Serve(listener)
+		_ = s.http.Serve(listener)
 	}()
-	return self
+	return s
 }
 
 // Close closes the listener and all accepted links.
-func (self *Server) Close() {
-	_ = self.http.Close()
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	for peer := range self.peers {
+func (s *Server) Close() {
+	_ = s.http.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for peer := range s.peers {
 		peer.Close()
 	}
 }
 
 // Peers returns the daemons that opened a link to this one.
-func (self *Server) Peers() []*Peer {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	out := make([]*Peer, 0, len(self.peers))
-	for peer := range self.peers {
+func (s *Server) Peers() []*Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]*Peer, 0, len(s.peers))
+	for peer := range s.peers {
 		out = append(out, peer)
 	}
 	return out
 }
 
-func (self *Server) accept(w http.ResponseWriter, r *http.Request) {
-	self.mu.Lock()
-	full := len(self.peers) >= self.Settings.Limits.Links
-	self.mu.Unlock()
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	full := len(s.peers) >= s.Settings.Limits.Links
+	s.mu.Unlock()
 	if full {
 		http.Error(w, "this daemon has as many links as limits.links allows", http.StatusServiceUnavailable)
 		return
 	}
-	ws, err := self.upgrader.Upgrade(w, r, nil)
+	ws, err := s.upgrader.Upgrade(w, r, nil)
 	if err != nil {
 		return
 	}
@@ -89,8 +89,8 @@
 		return
 	}
 	session := &session{
-		server: self,
-		Peer:   &Peer{Conn: newConn(ws, codec, self.heartbeat)},
+		server: s,
+		Peer:   &Peer{Conn: newConn(ws, codec, s.heartbeat)},
 		calls:  map[uint64]*incoming{},
 	}
 	session.run()
@@ -116,119 +116,119 @@
 	gone     bool
 }
 
-func (self *session) run() {
-	if err := self.Send(self.server.control.Hello()); err != nil {
+func (s *session) run() {
+	if err := s.Send(s.server.control.Hello()); err != nil {
 		return
 	}
-	greeted, err := self.serve(self.up, self.receive)
-	self.cancelAll()
+	greeted, err := s.serve(s.up, s.receive)
+	s.cancelAll()
 	var bad *BadFrameError
 	if errors.As(err, &bad) {
-		self.server.Log.Event(events.LinkBadFrame, events.F("peer", self.Hello.VM), events.F("cause", err))
+		s.server.Log.Event(events.LinkBadFrame, events.F("peer", s.Hello.VM), events.F("cause", err))
 	}
 	if greeted {
-		self.down(err)
+		s.down(err)
 	}
 }
 
-func (self *session) up() {
-	self.server.mu.Lock()
-	self.server.peers[self.Peer] = struct{}{}
-	self.server.mu.Unlock()
-	self.server.control.Up(self.Peer)
-	self.server.control.News(self.Peer, &self.Hello.State)
+func (s *session) up() {
+	s.server.mu.Lock()
+	s.server.peers[s.Peer] = struct{}{}
+	s.server.mu.Unlock()
+	s.server.control.Up(s.Peer)
+	s.server.control.News(s.Peer, &s.Hello.State)
 }
 
-func (self *session) down(cause error) {
-	self.server.mu.Lock()
-	delete(self.server.peers, self.Peer)
-	self.server.mu.Unlock()
-	self.server.control.Down(self.Peer, cause)
+func (s *session) down(cause error) {
+	s.server.mu.Lock()
+	delete(s.server.peers, s.Peer)
+	s.server.mu.Unlock()
+	s.server.control.Down(s.Peer, cause)
 }
 
-func (self *session) receive(frame wire.Frame) error {
+func (s *session) receive(frame wire.Frame) error {
 	switch f := frame.(type) {
 	case *wire.Call:
-		return self.receiveCall(f)
+		return s.receiveCall(f)
 	case *wire.Chunk:
-		return self.receiveChunk(f)
+		return s.receiveChunk(f)
 	case *wire.Cancel:
-		self.receiveCancel(f.ID)
+		s.receiveCancel(f.ID)
 		return nil
 	}
-	if self.Peer.control(self.server.control, frame) {
+	if s.Peer.control(s.server.control, frame) {
 		return nil
 	}
 	return &BadFrameError{Cause: errors.Errorf("frame %d from an entry", frame.Type())}
 }
 
-func (self *session) receiveCall(f *wire.Call) error {
-	if f.ID <= self.lastID {
+func (s *session) receiveCall(f *wire.Call) error {
+	if f.ID <= s.lastID {
 		return &BadFrameError{Cause: errors.Errorf("call id %d was used before", f.ID)}
 	}
-	self.lastID = f.ID
-	assembly, err := wire.NewAssembly(f.Body, self.server.Settings.Limits.MaxBodyBytes)
+	s.lastID = f.ID
+	assembly, err := wire.NewAssembly(f.Body, s.server.Settings.Limits.MaxBodyBytes)
 	if err != nil {
-		self.refuse(f.ID, call.Refused(errkind.BodyTooLarge, "%v", err))
+		s.refuse(f.ID, call.Refused(errkind.BodyTooLarge, "%v", err))
 		return nil
 	}
 	in := &incoming{call: f, assembly: assembly}
-	self.mu.Lock()
-	self.calls[f.ID] = in
-	self.mu.Unlock()
-	self.startIfComplete(in)
+	s.mu.Lock()
+	s.calls[f.ID] = in
+	s.mu.Unlock()
+	s.startIfComplete(in)
 	return nil
 }
 
-func (self *session) receiveChunk(f *wire.Chunk) error {
-	self.mu.Lock()
-	in := self.calls[f.ID]
-	self.mu.Unlock()
+func (s *session) receiveChunk(f *wire.Chunk) error {
+	s.mu.Lock()
+	in := s.calls[f.ID]
+	s.mu.Unlock()
 	if in == nil || in.gone {
 		return nil
 	}
 	if err := in.assembly.Add(f); err != nil {
-		self.drop(f.ID)
-		self.refuse(f.ID, call.Refused(errkind.BodyCut, "%v", err))
+		s.drop(f.ID)
+		s.refuse(f.ID, call.Refused(errkind.BodyCut, "%v", err))
 		return nil
 	}
-	self.startIfComplete(in)
+	s.startIfComplete(in)
 	return nil
 }
 
-func (self *session) startIfComplete(in *incoming) {
+func (s *session) startIfComplete(in *incoming) {
 	if !in.assembly.Complete() {
 		return
 	}
 	id := in.call.ID
 	body, err := in.assembly.Body()
 	if err != nil {
-		self.drop(id)
-		self.refuse(id, call.Refused(errkind.BodyCut, "%v", err))
+		s.drop(id)
+		s.refuse(id, call.Refused(errkind.BodyCut, "%v", err))
 		return
 	}
-	if self.server.runner == nil {
-		self.drop(id)
-		self.refuse(id, call.Refused(errkind.NoBackendServer, "this daemon guards no backend server"))
+	if s.server.runner == nil {
+		s.drop(id)
+		s.refuse(id, call.Refused(errkind.NoBackendServer, "this daemon guards no backend server"))
 		return
 	}
-	cancel := self.server.runner.Execute(in.call, body, func(result call.Result) {
-		self.drop(id)
-		result.Stamp = self.stamps.pay(self.server.Common, in.call.WantStamp, result.Stamp)
-		self.answer(id, result)
+	cancel := s.server.runner.Execute(in.call, body, func(result call.Result) {
+		s.drop(id)
+		result.Stamp = s.stamps.pay(s.server.Common, in.call.WantStamp, result.Stamp)
+		s.answer(id, result)
 	})
-	self.mu.Lock()
+	s.mu.Lock()
 	in.cancel = cancel
 	gone := in.gone
-	self.mu.Unlock()
+	s.mu.Unlock()
 	if gone {
 		cancel()
 	}
 }
 
-func (self *session) receiveCancel(id uint64) {
-	self.mu.Lock()
-	in := self.calls[id]
+func (s *session) receiveCancel(id uint64) {
+	s.mu.Lock()
+	in := s.calls[id]
 	var cancel func()
 	if in != nil {
 		in.gone = true
@@ -236,23 +236,23 @@
 	}
 	if in != nil && cancel == nil {
 		// The body is not complete: calls are started by this same goroutine.
-		delete(self.calls, id)
+		delete(s.calls, id)
 	}
-	self.mu.Unlock()
+	s.mu.Unlock()
 	if cancel != nil {
 		cancel()
 	}
 }
 
-func (self *session) drop(id uint64) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	delete(self.calls, id)
+func (s *session) drop(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, id)
 }
 
-func (self *session) answer(id uint64, result call.Result) {
+func (s *session) answer(id uint64, result call.Result) {
 	if result.Refusal != nil {
-		self.refuse(id, result)
+		s.refuse(id, result)
 		return
 	}
 	a := result.Answer
@@ -267,27 +267,27 @@
 		frames = append(frames, chunk)
 	}
 	// A link that closed has told the entry already that the call is a "maybe".
-	_ = self.Send(frames...)
+	_ = s.Send(frames...)
 }
 
-func (self *session) refuse(id uint64, result call.Result) {
-	_ = self.Send(&wire.Refusal{
+func (s *session) refuse(id uint64, result call.Result) {
+	_ = s.Send(&wire.Refusal{
 		ID: id, Kind: uint8(result.Refusal.Kind), Ran: uint8(result.Refusal.Ran),
 		Detail: result.Refusal.Detail, Stamp: result.Stamp, Next: result.Next,
 	})
 }
 
 // cancelAll frees what calls of a broken link hold.
-func (self *session) cancelAll() {
-	self.mu.Lock()
+func (s *session) cancelAll() {
+	s.mu.Lock()
 	var cancels []func()
-	for _, in := range self.calls {
+	for _, in := range s.calls {
 		in.gone = true
 		if in.cancel != nil {
 			cancels = append(cancels, in.cancel)
 		}
 	}
-	self.mu.Unlock()
+	s.mu.Unlock()
 	for _, cancel := range cancels {
 		cancel()
 	}
--- a/pkg/link/stamps.go
+++ b/pkg/link/stamps.go
@@ -16,16 +16,16 @@
 }
 
 // pay returns the stamp when it is wanted and paid for, or an empty one.
-func (self *stampFilter) pay(c *common.Common, wanted bool, stamp wire.Stamp) wire.Stamp {
+func (s *stampFilter) pay(c *common.Common, wanted bool, stamp wire.Stamp) wire.Stamp {
 	if !wanted {
 		return wire.Stamp{}
 	}
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if !c.Measure.Spend(c.Now(), stamp.Size(), worth(self.last, stamp)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.Measure.Spend(c.Now(), stamp.Size(), worth(s.last, stamp)) {
 		return wire.Stamp{}
 	}
-	self.last = stamp
+	s.last = stamp
 	return stamp
 }
 
--- a/pkg/loopback/loopback.go
+++ b/pkg/loopback/loopback.go
@@ -35,8 +35,8 @@
 }
 
 // Next returns the addresses of a further VM.
-func (self *Allocator) Next() VM {
-	n := int(self.next.Add(1) - 1)
+func (a *Allocator) Next() VM {
+	n := int(a.next.Add(1) - 1)
 	pid := os.Getpid()
 	return VM{
 		ip:   fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+n%hostsPerPort),
@@ -45,7 +45,7 @@
 }
 
 // Address returns the address of one of the ports.
-func (self VM) Address(port int) string { return fmt.Sprintf("%s:%d", self.ip, port+self.base) }
+func (v VM) Address(port int) string { return fmt.Sprintf("%s:%d", v.ip, port+v.base) }
 
 // IP returns the IP number.
-func (self VM) IP() string { return self.ip }
+func (v VM) IP() string { return v.ip }
--- a/pkg/measure/budget.go
+++ b/pkg/measure/budget.go
@@ -55,53 +55,53 @@
 
 // NewBudget makes the budget in the settings.
 func NewBudget(s settings.Measurement, set *metrics.Set) *Budget {
-	self := &Budget{
+	b := &Budget{
 		agreed:  float64(s.BytesPerSecond),
 		tokens:  float64(s.BytesPerSecond) * burstShare,
 		spent:   set.NewCounter("rushramp_measure_bytes_total"),
 		reports: set.NewCounter("rushramp_measure_reports_total"),
 		unpaid:  set.NewCounter("rushramp_measure_unpaid_total"),
 	}
-	set.NewGauge("rushramp_measure_bytes_agreed", func() float64 { return self.agreed })
-	return self
+	set.NewGauge("rushramp_measure_bytes_agreed", func() float64 { return b.agreed })
+	return b
 }
 
 // Spend pays for a report of size bytes; false when there is no budget left
 // for it, and it must not be sent. now is in nanoseconds of a steady clock.
-func (self *Budget) Spend(now int64, size int, value Value) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.refill(now)
+func (b *Budget) Spend(now int64, size int, value Value) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
 	keep := 0.0
 	if value == Low {
-		keep = self.agreed * burstShare * scarceShare
+		keep = b.agreed * burstShare * scarceShare
 	}
-	if self.tokens-float64(size) < keep {
-		self.unpaid.Inc()
+	if b.tokens-float64(size) < keep {
+		b.unpaid.Inc()
 		return false
 	}
-	self.tokens -= float64(size)
-	self.note(now, float64(size))
+	b.tokens -= float64(size)
+	b.note(now, float64(size))
 	return true
 }
 
-func (self *Budget) refill(now int64) {
-	elapsed := time.Duration(max(now-self.at, 0)).Seconds()
-	self.at = max(self.at, now)
-	self.tokens = min(self.tokens+elapsed*self.agreed*(1-burstShare), self.agreed*burstShare)
+func (b *Budget) refill(now int64) {
+	elapsed := time.Duration(max(now-b.at, 0)).Seconds()
+	b.at = max(b.at, now)
+	b.tokens = min(b.tokens+elapsed*b.agreed*(1-burstShare), b.agreed*burstShare)
 }
 
-func (self *Budget) note(now int64, size float64) {
-	self.spent.Add(int(size))
-	self.reports.Inc()
+func (b *Budget) note(now int64, size float64) {
+	b.spent.Add(int(size))
+	b.reports.Inc()
 	second := now / int64(time.Second)
-	if second != self.window.second {
-		self.window.second, self.window.bytes = second, 0
+	if second != b.window.second {
+		b.window.second, b.window.bytes = second, 0
 	}
-	was := self.window.bytes
-	self.window.bytes += size
-	if was <= self.agreed && self.window.bytes > self.agreed {
-		self.window.overrun++
+	was := b.window.bytes
+	b.window.bytes += size
+	if was <= b.agreed && b.window.bytes > b.agreed {
+		b.window.overrun++
 	}
 }
 
@@ -117,11 +117,11 @@
 }
 
 // Report returns what was paid so far.
-func (self *Budget) Report() Report {
-	self.mu.Lock()
-	defer self.mu.Unlock()
+func (b *Budget) Report() Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return Report{
-		Bytes: int64(self.spent.Get()), Reports: int64(self.reports.Get()), Unpaid: int64(self.unpaid.Get()),
-		Overruns: self.window.overrun, Agreed: self.agreed,
+		Bytes: int64(b.spent.Get()), Reports: int64(b.reports.Get()), Unpaid: int64(b.unpaid.Get()),
+		Overruns: b.window.overrun, Agreed: b.agreed,
 	}
 }
--- a/pkg/once/batch.go
+++ b/pkg/once/batch.go
@@ -9,7 +9,7 @@
 
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/events"
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 )
 
 const (
@@ -28,7 +28,7 @@
 // requests and an idle one waits for nobody.
 type writer struct {
 	*common.Common
-	table   platform.Table
+	table   store.Table
 	timeout time.Duration
 	// outage logs when the table does not answer.
 	outage *events.Outage
@@ -41,35 +41,35 @@
 	downUntil time.Time
 }
 
-func newWriter(c *common.Common, table platform.Table, timeout time.Duration) *writer {
+func newWriter(c *common.Common, table store.Table, timeout time.Duration) *writer {
 	return &writer{Common: c, table: table, timeout: timeout, outage: events.NewOutage(c.Log, "table service")}
 }
 
 type pendingWrite struct {
-	write platform.Write
+	write store.Write
 	done  chan writeResult
 }
 
 // writeResult is how a write ended. sent is false when it surely had no effect.
 type writeResult struct {
-	result platform.Result
+	result store.Result
 	sent   bool
 	err    error
 }
 
 // do sends one write and waits for its result, at most until the deadline.
-func (self *writer) do(write platform.Write, deadline time.Time) writeResult {
+func (w *writer) do(write store.Write, deadline time.Time) writeResult {
 	p := &pendingWrite{write: write, done: make(chan writeResult, 1)}
-	if !self.enqueue(p) {
+	if !w.enqueue(p) {
 		return writeResult{err: errStoreDown}
 	}
-	bound := time.NewTimer(min(time.Until(deadline), self.timeout))
+	bound := time.NewTimer(min(time.Until(deadline), w.timeout))
 	defer bound.Stop()
 	select {
 	case r := <-p.done:
 		return r
 	case <-bound.C:
-		if self.withdraw(p) {
+		if w.withdraw(p) {
 			return writeResult{err: context.DeadlineExceeded}
 		}
 		return writeResult{sent: true, err: context.DeadlineExceeded}
@@ -77,73 +77,73 @@
 }
 
 // post sends one write that nobody waits for.
-func (self *writer) post(write platform.Write, done func(writeResult)) {
+func (w *writer) post(write store.Write, done func(writeResult)) {
 	p := &pendingWrite{write: write, done: make(chan writeResult, 1)}
-	if !self.enqueue(p) {
+	if !w.enqueue(p) {
 		done(writeResult{err: errStoreDown})
 		return
 	}
 	go func() { done(<-p.done) }()
 }
 
-func (self *writer) enqueue(p *pendingWrite) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if self.down && time.Now().Before(self.downUntil) {
+func (w *writer) enqueue(p *pendingWrite) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.down && time.Now().Before(w.downUntil) {
 		return false
 	}
-	if self.down {
+	if w.down {
 		// This write is the probe; others are refused until it has ended.
-		self.downUntil = time.Now().Add(self.timeout)
+		w.downUntil = time.Now().Add(w.timeout)
 	}
-	self.waiting = append(self.waiting, p)
-	if !self.busy {
-		self.busy = true
-		go self.run()
+	w.waiting = append(w.waiting, p)
+	if !w.busy {
+		w.busy = true
+		go w.run()
 	}
 	return true
 }
 
-func (self *writer) withdraw(p *pendingWrite) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	for i, other := range self.waiting {
+func (w *writer) withdraw(p *pendingWrite) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, other := range w.waiting {
 		if other == p {
-			self.waiting = append(self.waiting[:i], self.waiting[i+1:]...)
+			w.waiting = append(w.waiting[:i], w.waiting[i+1:]...)
 			return true
 		}
 	}
 	return false
 }
 
-func (self *writer) take() []*pendingWrite {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	n := min(len(self.waiting), batchMost)
+func (w *writer) take() []*pendingWrite {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := min(len(w.waiting), batchMost)
 	if n == 0 {
-		self.busy = false
+		w.busy = false
 		return nil
 	}
-	batch := self.waiting[:n:n]
-	self.waiting = append([]*pendingWrite(nil), self.waiting[n:]...)
+	batch := w.waiting[:n:n]
+	w.waiting = append([]*pendingWrite(nil), w.waiting[n:]...)
 	return batch
 }
 
-func (self *writer) run() {
-	for batch := self.take(); batch != nil; batch = self.take() {
-		self.send(batch)
+func (w *writer) run() {
+	for batch := w.take(); batch != nil; batch = w.take() {
+		w.send(batch)
 	}
 }
 
-func (self *writer) send(batch []*pendingWrite) {
-	writes := make([]platform.Write, len(batch))
+func (w *writer) send(batch []*pendingWrite) {
+	writes := make([]store.Write, len(batch))
 	for i, p := range batch {
 		writes[i] = p.write
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), self.timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), w.timeout)
 	defer cancel()
-	results, err := self.table.Batch(ctx, writes)
-	self.note(err)
+	results, err := w.table.Batch(ctx, writes)
+	w.note(err)
 	for i, p := range batch {
 		out := writeResult{sent: true, err: err}
 		if err == nil {
@@ -153,12 +153,12 @@
 	}
 }
 
-func (self *writer) note(err error) {
-	self.outage.Note(err)
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.down = err != nil
+func (w *writer) note(err error) {
+	w.outage.Note(err)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down = err != nil
 	if err != nil {
-		self.downUntil = time.Now().Add(probeEvery)
+		w.downUntil = time.Now().Add(probeEvery)
 	}
 }
--- a/pkg/once/claims.go
+++ b/pkg/once/claims.go
@@ -11,7 +11,7 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/executor"
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -23,7 +23,7 @@
 // sealing as an entry. It is safe for concurrent use.
 type Claims struct {
 	*common.Common
-	table    platform.Table
+	table    store.Table
 	writer   *writer
 	executor string
 	ttl      time.Duration
@@ -36,7 +36,7 @@
 
 // NewClaims makes the claims of one daemon. Work that nobody waits for stops
 // when background ends.
-func NewClaims(background context.Context, c *common.Common, table platform.Table) *Claims {
+func NewClaims(background context.Context, c *common.Common, table store.Table) *Claims {
 	s := c.Settings
 	return &Claims{
 		Common:     c,
@@ -50,34 +50,34 @@
 }
 
 // Claim implements executor.Claims.
-func (self *Claims) Claim(c *wire.Call, body []byte, deadline time.Time) (executor.Permit, call.Result) {
+func (cl *Claims) Claim(c *wire.Call, body []byte, deadline time.Time) (executor.Permit, call.Result) {
 	row := Row{
-		Generation: c.Claim.Generation, State: Claimed, Executor: self.executor,
+		Generation: c.Claim.Generation, State: Claimed, Executor: cl.executor,
 		Nonce: uuid.NewString(), Request: digest(c, body), At: time.Now(), Service: c.Service,
 	}
 	value, err := encode(row)
 	if err != nil {
 		return nil, call.Refused(errkind.Internal, "%v", err)
 	}
-	write := platform.Write{Key: RowKey(c.Service, c.Key), IfVersion: c.Claim.Version, Value: value}
-	permit := &permit{claims: self, row: row, key: write.Key, version: write.IfVersion + 1}
-	out := self.writer.do(write, deadline)
+	write := store.Write{Key: RowKey(c.Service, c.Key), IfVersion: c.Claim.Version, Value: value}
+	permit := &permit{claims: cl, row: row, key: write.Key, version: write.IfVersion + 1}
+	out := cl.writer.do(write, deadline)
 	switch {
 	case out.err == nil && out.result.Won:
 		return permit, call.Result{}
 	case out.err == nil:
-		return nil, self.lost(out.result.Row, row)
+		return nil, cl.lost(out.result.Row, row)
 	case !out.sent:
 		return nil, call.Refused(errkind.StoreUnavailable, "the claim could not be written: %v", out.err)
 	}
-	return self.readBack(permit, deadline, out.err)
+	return cl.readBack(permit, deadline, out.err)
 }
 
 // readBack settles a claim whose answer was lost: the own nonce means won.
-func (self *Claims) readBack(p *permit, deadline time.Time, cause error) (executor.Permit, call.Result) {
-	ctx, cancel := context.WithDeadline(self.background, earlier(deadline, time.Now().Add(self.writer.timeout)))
+func (cl *Claims) readBack(p *permit, deadline time.Time, cause error) (executor.Permit, call.Result) {
+	ctx, cancel := context.WithDeadline(cl.background, earlier(deadline, time.Now().Add(cl.writer.timeout)))
 	defer cancel()
-	stored, err := self.table.Get(ctx, p.key)
+	stored, err := cl.table.Get(ctx, p.key)
 	if err == nil {
 		found, decodeErr := Decode(stored)
 		if decodeErr == nil && found.Nonce == p.row.Nonce {
@@ -85,12 +85,12 @@
 			return p, call.Result{}
 		}
 		if decodeErr == nil && stored.Version > p.version-1 {
-			return nil, self.lost(stored, p.row)
+			return nil, cl.lost(stored, p.row)
 		}
 	}
 	// The write may still take effect. It must not stay a claim for ever, so
 	// this executor, which knows that it ran nothing, voids it when it can.
-	self.Log.Event(events.ClaimUnknown, events.F("cause", cause))
+	cl.Log.Event(events.ClaimUnknown, events.F("cause", cause))
 	go p.voidLater()
 	return nil, call.Refused(errkind.StoreUnavailable, "whether the claim was written is not known, so the call was not run")
 }
@@ -103,7 +103,7 @@
 }
 
 // lost says what a row that another writer wrote means for this call.
-func (self *Claims) lost(stored platform.Row, own Row) call.Result {
+func (cl *Claims) lost(stored store.Row, own Row) call.Result {
 	found, err := Decode(stored)
 	if err != nil {
 		return call.Refused(errkind.StoreUnavailable, "the key's row cannot be read: %v", err)
@@ -111,12 +111,12 @@
 	if stored.Version == 0 {
 		return moved(0, 1)
 	}
-	return self.meaning(stored.Version, found, own.Request)
+	return cl.meaning(stored.Version, found, own.Request)
 }
 
 // meaning says what a key's row means for a call with a request digest.
-func (self *Claims) meaning(version uint64, found Row, request string) call.Result {
-	expired := found.State != Claimed && time.Since(found.At) > self.ttl
+func (cl *Claims) meaning(version uint64, found Row, request string) call.Result {
+	expired := found.State != Claimed && time.Since(found.At) > cl.ttl
 	switch {
 	case found.State == Sealed || expired:
 		return moved(version, found.Generation+1)
@@ -127,7 +127,7 @@
 	case found.State == Finished:
 		return call.Refused(errkind.KeyInProgress, "the call ran and ended; its answer was too large to keep")
 	}
-	self.Log.Event(events.ClaimLost, events.F("holder", found.Executor))
+	cl.Log.Event(events.ClaimLost, events.F("holder", found.Executor))
 	return call.Refused(errkind.KeyInProgress, "the call was started by %s", found.Executor)
 }
 
@@ -141,14 +141,14 @@
 // When it wins, the call was not run and cannot be, and the result is a KeyMoved
 // with the next claim. When it loses, the result says what is known. reason is
 // the refusal to give when the store does not say.
-func (self *Claims) Seal(c *wire.Call, body []byte, reason *errkind.Error) call.Result {
+func (cl *Claims) Seal(c *wire.Call, body []byte, reason *errkind.Error) call.Result {
 	request := digest(c, body)
 	value, err := encode(Row{Generation: c.Claim.Generation, State: Sealed, Request: request, At: time.Now(), Service: c.Service})
 	if err != nil {
 		return call.Result{Refusal: reason}
 	}
-	write := platform.Write{Key: RowKey(c.Service, c.Key), IfVersion: c.Claim.Version, Value: value}
-	out := self.writer.do(write, time.Now().Add(self.writer.timeout))
+	write := store.Write{Key: RowKey(c.Service, c.Key), IfVersion: c.Claim.Version, Value: value}
+	out := cl.writer.do(write, time.Now().Add(cl.writer.timeout))
 	if out.err != nil {
 		// A seal that took effect unseen does no harm: "maybe" stays true.
 		return call.Result{Refusal: reason}
@@ -160,5 +160,5 @@
 	if err != nil || out.result.Row.Version == 0 {
 		return call.Result{Refusal: reason}
 	}
-	return self.meaning(out.result.Row.Version, found, request)
+	return cl.meaning(out.result.Row.Version, found, request)
 }
