--- a/pkg/once/once_test.go
+++ b/pkg/once/once_test.go
@@ -16,13 +16,13 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/executor"
-	"github.com/rushramp/rushramp/pkg/platform"
 	"github.com/rushramp/rushramp/pkg/settings"
-	"github.com/rushramp/rushramp/pkg/standin/store"
+	"github.com/rushramp/rushramp/pkg/standin/fakestore"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
-func newClaims(ctx context.Context, table platform.Table, vm string) *Claims {
+func newClaims(ctx context.Context, table store.Table, vm string) *Claims {
 	s := settings.Default()
 	s.VM.ID = vm
 	return NewClaims(ctx, common.NewCommon(events.Discard(), &s), table)
@@ -45,22 +45,22 @@
 }
 
 // choose returns a number from 0 to n-1, and 0 after the end.
-func (self *script) choose(n int) int {
-	if self.over() {
+func (s *script) choose(n int) int {
+	if s.over() {
 		return 0
 	}
-	self.at++
-	return self.numbers[self.at-1] % n
+	s.at++
+	return s.numbers[s.at-1] % n
 }
 
-func (self *script) over() bool { return self.at >= len(self.numbers) }
+func (s *script) over() bool { return s.at >= len(s.numbers) }
 
 // history plays callers, entries, executors and the store against the real
 // protocol code. Executors are paused at any place: a call in transit arrives,
 // and a permit is used, any number of steps later.
 type history struct {
 	*script
-	table     *store.Flaky
+	table     *fakestore.Flaky
 	executors []*Claims
 	requests  []*request
 	transit   []*request
@@ -73,40 +73,40 @@
 	permit  executor.Permit
 }
 
-func (self *history) body(r *request) []byte { return []byte("body of " + r.call.Key) }
+func (hi *history) body(r *request) []byte { return []byte("body of " + r.call.Key) }
 
-func (self *history) newRequest() {
-	r := &request{id: len(self.requests)}
+func (hi *history) newRequest() {
+	r := &request{id: len(hi.requests)}
 	r.call = &wire.Call{
 		Service: "lizenz", Method: "POST", URI: "/activate",
-		Key: []string{"a", "b"}[self.choose(2)], Claim: wire.Claim{Generation: 1},
+		Key: []string{"a", "b"}[hi.choose(2)], Claim: wire.Claim{Generation: 1},
 	}
-	self.requests = append(self.requests, r)
-	self.transit = append(self.transit, r)
+	hi.requests = append(hi.requests, r)
+	hi.transit = append(hi.transit, r)
 }
 
-func (self *history) modes() {
-	var modes []store.Mode
-	for range self.choose(4) {
-		modes = append(modes, store.Mode(self.choose(int(store.ModeCount))))
+func (hi *history) modes() {
+	var modes []fakestore.Mode
+	for range hi.choose(4) {
+		modes = append(modes, fakestore.Mode(hi.choose(int(fakestore.ModeCount))))
 	}
-	self.table.SetNext(modes)
+	hi.table.SetNext(modes)
 }
 
 // deliver lets an executor claim for a call in transit.
-func (self *history) deliver() {
-	if len(self.transit) == 0 {
+func (hi *history) deliver() {
+	if len(hi.transit) == 0 {
 		return
 	}
-	i := self.choose(len(self.transit))
-	r := self.transit[i]
-	self.transit = append(self.transit[:i], self.transit[i+1:]...)
-	self.modes()
-	by := self.executors[self.choose(len(self.executors))]
-	permit, result := by.Claim(r.call, self.body(r), time.Now().Add(time.Second))
+	i := hi.choose(len(hi.transit))
+	r := hi.transit[i]
+	hi.transit = append(hi.transit[:i], hi.transit[i+1:]...)
+	hi.modes()
+	by := hi.executors[hi.choose(len(hi.executors))]
+	permit, result := by.Claim(r.call, hi.body(r), time.Now().Add(time.Second))
 	switch {
 	case permit != nil:
-		self.permits = append(self.permits, held{r, permit})
+		hi.permits = append(hi.permits, held{r, permit})
 	case result.Answer != nil:
 		r.tell("answered")
 	case result.Refusal.Kind == errkind.KeyMoved && r.told == "":
@@ -114,44 +114,44 @@
 		moved := *r.call
 		moved.Claim = result.Next
 		r.call = &moved
-		self.transit = append(self.transit, r)
+		hi.transit = append(hi.transit, r)
 	case result.Refusal.Kind != errkind.KeyMoved:
 		r.tell(result.Refusal.Ran.String())
 	}
 }
 
-func (self *request) tell(what string) {
-	if self.told == "" {
-		self.told = what
+func (r *request) tell(what string) {
+	if r.told == "" {
+		r.told = what
 	}
 }
 
 // use runs a call whose permit an executor holds, or finds that it is too late.
-func (self *history) use() {
-	if len(self.permits) == 0 {
+func (hi *history) use() {
+	if len(hi.permits) == 0 {
 		return
 	}
-	i := self.choose(len(self.permits))
-	h := self.permits[i]
-	self.permits = append(self.permits[:i], self.permits[i+1:]...)
-	self.modes()
-	if self.choose(4) == 0 {
+	i := hi.choose(len(hi.permits))
+	h := hi.permits[i]
+	hi.permits = append(hi.permits[:i], hi.permits[i+1:]...)
+	hi.modes()
+	if hi.choose(4) == 0 {
 		h.permit.Finish(nil, errkind.RanNo)
 		h.request.tell("no")
 		return
 	}
 	h.request.runs++
-	self.keyRuns[h.request.call.Key]++
-	if self.choose(2) == 0 {
+	hi.keyRuns[h.request.call.Key]++
+	if hi.choose(2) == 0 {
 		h.permit.Finish(&call.Answer{Status: 200, Body: []byte("done")}, errkind.RanMaybe)
 		h.request.tell("answered")
 	}
 }
 
 // giveUp lets the entry of a silent executor seal the key.
-func (self *history) giveUp() {
+func (hi *history) giveUp() {
 	var open []*request
-	for _, r := range self.requests {
+	for _, r := range hi.requests {
 		if r.told == "" {
 			open = append(open, r)
 		}
@@ -159,9 +159,9 @@
 	if len(open) == 0 {
 		return
 	}
-	r := open[self.choose(len(open))]
-	self.modes()
-	result := self.executors[0].Seal(r.call, self.body(r), errkind.New(errkind.LinkLost, "silent"))
+	r := open[hi.choose(len(open))]
+	hi.modes()
+	result := hi.executors[0].Seal(r.call, hi.body(r), errkind.New(errkind.LinkLost, "silent"))
 	switch {
 	case result.Answer != nil:
 		r.tell("answered")
@@ -173,20 +173,20 @@
 }
 
 // arrive applies a write that was on its way.
-func (self *history) arrive() {
-	if late := self.table.Late(); late > 0 {
-		self.table.Arrive(self.choose(late))
+func (hi *history) arrive() {
+	if late := hi.table.Late(); late > 0 {
+		hi.table.Arrive(hi.choose(late))
 	}
 }
 
 // broken says which promise does not hold.
-func (self *history) broken() string {
-	for key, runs := range self.keyRuns {
+func (hi *history) broken() string {
+	for key, runs := range hi.keyRuns {
 		if runs > 1 {
 			return fmt.Sprintf("key %s ran %d times", key, runs)
 		}
 	}
-	for _, r := range self.requests {
+	for _, r := range hi.requests {
 		if r.told == "no" && r.runs > 0 {
 			return fmt.Sprintf("request %d was told no and ran", r.id)
 		}
@@ -194,15 +194,15 @@
 	return ""
 }
 
-func (self *history) play() string {
+func (hi *history) play() string {
 	steps := []func(){
-		self.newRequest, self.deliver, self.use, self.giveUp, self.arrive, self.deliver, self.use,
+		hi.newRequest, hi.deliver, hi.use, hi.giveUp, hi.arrive, hi.deliver, hi.use,
 		func() { time.Sleep(time.Second) },
 	}
-	for !self.over() {
-		steps[self.choose(len(steps))]()
+	for !hi.over() {
+		steps[hi.choose(len(steps))]()
 		synctest.Wait()
-		if broken := self.broken(); broken != "" {
+		if broken := hi.broken(); broken != "" {
 			return broken
 		}
 	}
@@ -217,7 +217,7 @@
 		broken := ""
 		synctest.Test(t, func(*testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
-			table := store.NewFlaky()
+			table := fakestore.NewFlaky()
 			h := &history{script: &script{numbers: numbers}, table: table, keyRuns: map[string]int{}}
 			for i := range 2 {
 				h.executors = append(h.executors, newClaims(ctx, table, fmt.Sprintf("vm-%d", i)))
@@ -237,7 +237,7 @@
 func soon() time.Time { return time.Now().Add(time.Second) }
 
 func TestARepeatGetsTheFirstAnswer(t *testing.T) {
-	c := newClaims(context.Background(), store.New(), "vm")
+	c := newClaims(context.Background(), fakestore.New(), "vm")
 	request, body := keyed("x")
 	permit, _ := c.Claim(request, body, soon())
 	must.NotNil(t, permit)
@@ -260,19 +260,19 @@
 func TestALostAnswerIsReadBack(t *testing.T) {
 	scenarios := []struct {
 		name  string
-		modes []store.Mode
+		modes []fakestore.Mode
 		runs  bool
 	}{
-		{"the write took effect", []store.Mode{store.Loses}, true},
-		{"it had no effect", []store.Mode{store.Fails}, false},
-		{"it is still on its way", []store.Mode{store.Delays}, false},
-		{"and the read-back fails, too", []store.Mode{store.Loses, store.Fails}, false},
+		{"the write took effect", []fakestore.Mode{fakestore.Loses}, true},
+		{"it had no effect", []fakestore.Mode{fakestore.Fails}, false},
+		{"it is still on its way", []fakestore.Mode{fakestore.Delays}, false},
+		{"and the read-back fails, too", []fakestore.Mode{fakestore.Loses, fakestore.Fails}, false},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			c := newClaims(ctx, store.NewFlaky(s.modes...), "vm")
+			c := newClaims(ctx, fakestore.NewFlaky(s.modes...), "vm")
 			request, body := keyed("x")
 			permit, result := c.Claim(request, body, soon())
 			test.Eq(t, s.runs, permit != nil)
@@ -286,8 +286,8 @@
 
 func TestStoreDownIsRefusedAtOnceAsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := store.New()
-		s.SetFaults(store.Faults{Down: true})
+		s := fakestore.New()
+		s.SetFaults(fakestore.Faults{Down: true})
 		ctx, cancel := context.WithCancel(context.Background())
 		c := newClaims(ctx, s, "vm")
 		request, body := keyed("x")
@@ -303,7 +303,7 @@
 		}
 		test.Eq(t, before, s.Writes())
 
-		s.SetFaults(store.Faults{})
+		s.SetFaults(fakestore.Faults{})
 		time.Sleep(2 * time.Second)
 		cancel()
 		synctest.Wait()
@@ -315,8 +315,8 @@
 
 func TestClaimsThatMeetGoInOneWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := store.New()
-		s.SetFaults(store.Faults{Delay: 10 * time.Millisecond})
+		s := fakestore.New()
+		s.SetFaults(fakestore.Faults{Delay: 10 * time.Millisecond})
 		c := newClaims(context.Background(), s, "vm")
 		done := make(chan bool)
 		const calls = 50
@@ -337,12 +337,12 @@
 
 func TestSweepDeletesOnlyWhatIsSettledAndOld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := store.New()
+		s := fakestore.New()
 		c := newClaims(context.Background(), s, "vm")
 		put := func(key string, state State, age time.Duration) {
 			value, err := encode(Row{Generation: 1, State: state, At: time.Now().Add(-age)})
 			must.NoError(t, err)
-			_, err = s.Batch(context.Background(), []platform.Write{{Key: RowPrefix + key, Value: value}})
+			_, err = s.Batch(context.Background(), []store.Write{{Key: RowPrefix + key, Value: value}})
 			must.NoError(t, err)
 		}
 		old := 5 * c.ttl
--- a/pkg/once/row.go
+++ b/pkg/once/row.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/call"
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -37,9 +37,9 @@
 var stateWords = [...]string{"", "claimed", "finished", "sealed"}
 
 // String returns the state's word for operators.
-func (self State) String() string {
-	if int(self) < len(stateWords) {
-		return stateWords[self]
+func (s State) String() string {
+	if int(s) < len(stateWords) {
+		return stateWords[s]
 	}
 	return "unknown"
 }
@@ -70,8 +70,8 @@
 	Body    []byte        `cbor:"3,keyasint"`
 }
 
-func (self *StoredAnswer) answer() *call.Answer {
-	return &call.Answer{Status: self.Status, Headers: self.Headers, Body: self.Body}
+func (s *StoredAnswer) answer() *call.Answer {
+	return &call.Answer{Status: s.Status, Headers: s.Headers, Body: s.Body}
 }
 
 // RowKey returns the key of the row for a service's Idempotency-Key. The key
@@ -94,7 +94,7 @@
 }
 
 // Decode reads a claim row.
-func Decode(row platform.Row) (Row, error) {
+func Decode(row store.Row) (Row, error) {
 	var out Row
 	err := cbor.Unmarshal(row.Value, &out)
 	return out, errors.Wrap(err, "decode claim")
--- a/pkg/once/sweep.go
+++ b/pkg/once/sweep.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 )
 
 const (
@@ -22,26 +22,26 @@
 // outcome. A deleted row lets a claim for version 0 win again; an executor that
 // was paused with such a claim for longer than the rows are kept finds after
 // the claim that its call's time is long over, and runs nothing.
-func (self *Claims) Sweep(ctx context.Context) (deleted int, err error) {
+func (cl *Claims) Sweep(ctx context.Context) (deleted int, err error) {
 	var start [8]byte
 	for i := range start {
 		start[i] = byte(rand.IntN(256))
 	}
-	rows, err := self.table.Scan(ctx, RowPrefix, RowPrefix+hex.EncodeToString(start[:]), sweepRows)
+	rows, err := cl.table.Scan(ctx, RowPrefix, RowPrefix+hex.EncodeToString(start[:]), sweepRows)
 	if err != nil {
 		return 0, err
 	}
-	var writes []platform.Write
+	var writes []store.Write
 	for _, stored := range rows {
 		row, decodeErr := Decode(stored)
-		if decodeErr == nil && row.State != Claimed && time.Since(row.At) > sweepMargin*self.ttl {
-			writes = append(writes, platform.Write{Key: stored.Key, IfVersion: stored.Version, Delete: true})
+		if decodeErr == nil && row.State != Claimed && time.Since(row.At) > sweepMargin*cl.ttl {
+			writes = append(writes, store.Write{Key: stored.Key, IfVersion: stored.Version, Delete: true})
 		}
 	}
 	if len(writes) == 0 {
 		return 0, nil
 	}
-	results, err := self.table.Batch(ctx, writes)
+	results, err := cl.table.Batch(ctx, writes)
 	for _, r := range results {
 		if r.Won {
 			deleted++
--- a/pkg/operatorcli/command.go
+++ b/pkg/operatorcli/command.go
@@ -78,8 +78,8 @@
 }
 
 // call dials the daemon and runs one call, with errors as sentences.
-func (self *options) call(do func(ctx context.Context, client api.OperatorsClient) error) error {
-	reloader, err := certs.NewReloader(self.tls)
+func (o *options) call(do func(ctx context.Context, client api.OperatorsClient) error) error {
+	reloader, err := certs.NewReloader(o.tls)
 	if err != nil {
 		return err
 	}
@@ -87,14 +87,14 @@
 	if conf := reloader.Client(); conf != nil {
 		creds = credentials.NewTLS(conf)
 	}
-	conn, err := grpc.NewClient(self.daemon, grpc.WithTransportCredentials(creds))
+	conn, err := grpc.NewClient(o.daemon, grpc.WithTransportCredentials(creds))
 	if err != nil {
-		return errors.Errorf("%s is no address of a daemon: %v. Name one with --daemon.", self.daemon, err)
+		return errors.Errorf("%s is no address of a daemon: %v. Name one with --daemon.", o.daemon, err)
 	}
 	defer func() { _ = conn.Close() }()
-	ctx, cancel := context.WithTimeout(context.Background(), self.timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), o.timeout)
 	defer cancel()
-	return self.explain(do(ctx, api.NewOperatorsClient(conn)))
+	return o.explain(do(ctx, api.NewOperatorsClient(conn)))
 }
 
 // callError is an error of a daemon, as a sentence, with its exit code.
@@ -104,12 +104,12 @@
 }
 
 // Error implements error.
-func (self *callError) Error() string { return self.text }
+func (c *callError) Error() string { return c.text }
 
 // ExitCode implements cli's coder.
-func (self *callError) ExitCode() int { return self.code }
+func (c *callError) ExitCode() int { return c.code }
 
-func (self *options) explain(err error) error {
+func (o *options) explain(err error) error {
 	s, ok := status.FromError(err)
 	if err == nil || !ok {
 		return err
@@ -122,7 +122,7 @@
 	case codes.PermissionDenied:
 		return &callError{text: s.Message(), code: exitNotAllowed}
 	case codes.Unavailable:
-		return &callError{text: self.daemon + " could not do this: " + s.Message() + ". Check --daemon, or ask another daemon.", code: exitUnreachable}
+		return &callError{text: o.daemon + " could not do this: " + s.Message() + ". Check --daemon, or ask another daemon.", code: exitUnreachable}
 	}
 	return &callError{text: s.Message(), code: 1}
 }
--- a/pkg/operatorcli/placement.go
+++ b/pkg/operatorcli/placement.go
@@ -41,8 +41,8 @@
 	}
 }
 
-func (self *options) printDocument(out io.Writer, in *api.GetPlacementResponse) error {
-	if self.output == "json" {
+func (o *options) printDocument(out io.Writer, in *api.GetPlacementResponse) error {
+	if o.output == "json" {
 		return printJSON(out, in)
 	}
 	doc, err := operators.DocumentFromAPI(in)
@@ -107,8 +107,8 @@
 	}
 }
 
-func (self *options) printChanges(out io.Writer, changes []placement.Change) error {
-	if self.output == "json" {
+func (o *options) printChanges(out io.Writer, changes []placement.Change) error {
+	if o.output == "json" {
 		return printJSON(out, &api.ApplyPlacementRequest{Changes: operators.ChangesToAPI(changes)})
 	}
 	if len(changes) == 0 {
@@ -206,7 +206,7 @@
 
 // follow waits until the version is in force in each data centre that this
 // daemon hears of, and says plainly where it is not yet.
-func (self *options) follow(ctx context.Context, out io.Writer, client api.OperatorsClient, version uint64) error {
+func (o *options) follow(ctx context.Context, out io.Writer, client api.OperatorsClient, version uint64) error {
 	began := time.Now()
 	var places []place
 	for {
@@ -220,7 +220,7 @@
 		}
 		time.Sleep(followEvery)
 	}
-	if self.output == "json" {
+	if o.output == "json" {
 		return printJSON(out, &api.ApplyPlacementResponse{Version: version})
 	}
 	fmt.Fprintf(out, "version %d accepted\n", version)
@@ -250,8 +250,8 @@
 	return cmd
 }
 
-func (self *options) printHistory(out io.Writer, in *api.HistoryResponse) error {
-	if self.output == "json" {
+func (o *options) printHistory(out io.Writer, in *api.HistoryResponse) error {
+	if o.output == "json" {
 		return printJSON(out, in)
 	}
 	for _, e := range in.GetEntries() {
--- a/pkg/operatorcli/status.go
+++ b/pkg/operatorcli/status.go
@@ -36,16 +36,16 @@
 }
 
 // String is the line for operators.
-func (self place) String() string {
+func (p place) String() string {
 	switch {
-	case len(self.behind) > 0:
-		return fmt.Sprintf("  %s: not yet in force at %v", self.dataCentre, self.behind)
-	case self.inForce == 0:
-		return fmt.Sprintf("  %s: not known; this daemon hears of nobody there", self.dataCentre)
-	case self.unheard > 0:
-		return fmt.Sprintf("  %s: in force at all %d daemons heard of; %d others have no link with this one", self.dataCentre, self.inForce, self.unheard)
+	case len(p.behind) > 0:
+		return fmt.Sprintf("  %s: not yet in force at %v", p.dataCentre, p.behind)
+	case p.inForce == 0:
+		return fmt.Sprintf("  %s: not known; this daemon hears of nobody there", p.dataCentre)
+	case p.unheard > 0:
+		return fmt.Sprintf("  %s: in force at all %d daemons heard of; %d others have no link with this one", p.dataCentre, p.inForce, p.unheard)
 	}
-	return fmt.Sprintf("  %s: in force at all %d daemons", self.dataCentre, self.inForce)
+	return fmt.Sprintf("  %s: in force at all %d daemons", p.dataCentre, p.inForce)
 }
 
 func placesOf(in *api.StatusResponse, version uint64) []place {
--- a/pkg/operators/server.go
+++ b/pkg/operators/server.go
@@ -22,7 +22,7 @@
 	"github.com/rushramp/rushramp/pkg/executor"
 	api "github.com/rushramp/rushramp/pkg/operatorsapi"
 	"github.com/rushramp/rushramp/pkg/placement"
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
@@ -43,31 +43,31 @@
 }
 
 // Start opens the listener in the settings and serves until stop is called.
-func Start(self *Server, conf *tls.Config) (stop func(), err error) {
-	listener, err := net.Listen("tcp", self.Settings.Listen.Operators)
+func Start(s *Server, conf *tls.Config) (stop func(), err error) {
+	listener, err := net.Listen("tcp", s.Settings.Listen.Operators)
 	if err != nil {
-		return nil, errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", self.Settings.Listen.Operators, err)
+		return nil, errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", s.Settings.Listen.Operators, err)
 	}
 	creds := insecure.NewCredentials()
 	if conf != nil {
 		creds = credentials.NewTLS(conf)
 	}
 	server := grpc.NewServer(grpc.Creds(creds))
-	api.RegisterOperatorsServer(server, self)
+	api.RegisterOperatorsServer(server, s)
 	go func() { _ = server.Serve(listener) }()
 	return server.Stop, nil
 }
 
-func (self *Server) current() (*placement.Document, error) {
-	if p := self.World.View.Placement(); p != nil {
+func (se *Server) current() (*placement.Document, error) {
+	if p := se.World.View.Placement(); p != nil {
 		return p.Document, nil
 	}
 	return nil, status.Error(codes.Unavailable, "this daemon has no placement yet; try again shortly or ask another daemon")
 }
 
 // GetPlacement implements the call of the schema.
-func (self *Server) GetPlacement(context.Context, *api.GetPlacementRequest) (*api.GetPlacementResponse, error) {
-	doc, err := self.current()
+func (se *Server) GetPlacement(context.Context, *api.GetPlacementRequest) (*api.GetPlacementResponse, error) {
+	doc, err := se.current()
 	if err != nil {
 		return nil, err
 	}
@@ -79,41 +79,41 @@
 }
 
 // ApplyPlacement implements the call of the schema.
-func (self *Server) ApplyPlacement(ctx context.Context, in *api.ApplyPlacementRequest) (*api.ApplyPlacementResponse, error) {
+func (se *Server) ApplyPlacement(ctx context.Context, in *api.ApplyPlacementRequest) (*api.ApplyPlacementResponse, error) {
 	changes, err := ChangesFromAPI(in.GetChanges())
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	base, err := self.base(ctx, in.GetBaseVersion())
+	base, err := se.base(ctx, in.GetBaseVersion())
 	if err != nil {
 		return nil, err
 	}
-	return self.commit(ctx, placement.Propose{
+	return se.commit(ctx, placement.Propose{
 		Base: base, ChangeID: in.GetChangeId(), Author: in.GetAuthor(), Changes: changes, At: time.Now(),
 	})
 }
 
 // Apply makes changes on top of the placement in force here.
-func (self *Server) Apply(ctx context.Context, changeID, author string, changes []placement.Change) (uint64, error) {
-	base, err := self.current()
+func (se *Server) Apply(ctx context.Context, changeID, author string, changes []placement.Change) (uint64, error) {
+	base, err := se.current()
 	if err != nil {
 		return 0, err
 	}
-	out, err := self.commit(ctx, placement.Propose{Base: base, ChangeID: changeID, Author: author, Changes: changes, At: time.Now()})
+	out, err := se.commit(ctx, placement.Propose{Base: base, ChangeID: changeID, Author: author, Changes: changes, At: time.Now()})
 	return out.GetVersion(), err
 }
 
 // Rollback implements the call of the schema.
-func (self *Server) Rollback(ctx context.Context, in *api.RollbackRequest) (*api.ApplyPlacementResponse, error) {
-	base, err := self.base(ctx, in.GetBaseVersion())
+func (se *Server) Rollback(ctx context.Context, in *api.RollbackRequest) (*api.ApplyPlacementResponse, error) {
+	base, err := se.base(ctx, in.GetBaseVersion())
 	if err != nil {
 		return nil, err
 	}
-	to, err := self.Store.Version(ctx, in.GetToVersion())
+	to, err := se.Store.Version(ctx, in.GetToVersion())
 	if err != nil {
 		return nil, status.Errorf(codes.NotFound, "%v; look at `rushramp placement history` for the versions there are", err)
 	}
-	return self.commit(ctx, placement.Propose{
+	return se.commit(ctx, placement.Propose{
 		Base: base, ChangeID: in.GetChangeId(), Author: in.GetAuthor(),
 		Changes: placement.Diff(base, to), RollbackOf: in.GetToVersion(), At: time.Now(),
 	})
@@ -121,13 +121,13 @@
 
 // base returns the document that an operator read, which may be older or newer
 // than what is in force here.
-func (self *Server) base(ctx context.Context, version uint64) (*placement.Document, error) {
-	doc, err := self.current()
+func (se *Server) base(ctx context.Context, version uint64) (*placement.Document, error) {
+	doc, err := se.current()
 	if err == nil && doc.Version == version {
 		return doc, nil
 	}
-	doc, err = self.Store.Version(ctx, version)
-	if errors.Is(err, platform.ErrNotFound) {
+	doc, err = se.Store.Version(ctx, version)
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, status.Errorf(codes.NotFound, "there is no version %d to base a change on; read the placement again", version)
 	}
 	if err != nil {
@@ -136,31 +136,31 @@
 	return doc, nil
 }
 
-func (self *Server) commit(ctx context.Context, p placement.Propose) (*api.ApplyPlacementResponse, error) {
-	author, err := self.author(ctx, p.Author)
+func (se *Server) commit(ctx context.Context, p placement.Propose) (*api.ApplyPlacementResponse, error) {
+	author, err := se.author(ctx, p.Author)
 	if err != nil {
 		return nil, err
 	}
 	p.Author = author
-	if err := self.mayChange(author, p.Changes); err != nil {
+	if err := se.mayChange(author, p.Changes); err != nil {
 		return nil, err
 	}
 	if p.ChangeID == "" {
 		return nil, status.Error(codes.InvalidArgument, "a change needs a change id, so that a lost answer can be resolved")
 	}
-	doc, err := self.Store.Commit(ctx, p)
+	doc, err := se.Store.Commit(ctx, p)
 	if err != nil {
 		return nil, explain(err)
 	}
-	if err := self.force(p, doc); err != nil {
+	if err := se.force(p, doc); err != nil {
 		return nil, err
 	}
-	self.Log.Event(events.PlacementChanged, events.F("version", doc.Version), events.F("author", author), events.F("changes", len(p.Changes)))
+	se.Log.Event(events.PlacementChanged, events.F("version", doc.Version), events.F("author", author), events.F("changes", len(p.Changes)))
 	return &api.ApplyPlacementResponse{Version: doc.Version}, nil
 }
 
 // force puts an accepted version in force here, which passes it on.
-func (self *Server) force(p placement.Propose, doc *placement.Document) error {
+func (se *Server) force(p placement.Propose, doc *placement.Document) error {
 	hash, err := doc.Hash()
 	if err != nil {
 		return err
@@ -172,7 +172,7 @@
 			Changes: p.Changes, Hash: hash, RollbackOf: p.RollbackOf,
 		}}
 	}
-	self.World.Inbox.Post(true, func(m *tables.Mail) { m.Documents = append(m.Documents, v) })
+	se.World.Inbox.Post(true, func(m *tables.Mail) { m.Documents = append(m.Documents, v) })
 	return nil
 }
 
@@ -193,7 +193,7 @@
 
 // author is the name in the operator's certificate; without TLS, on loopback,
 // the name that the tool sends.
-func (self *Server) author(ctx context.Context, claimed string) (string, error) {
+func (se *Server) author(ctx context.Context, claimed string) (string, error) {
 	p, ok := peer.FromContext(ctx)
 	if ok {
 		if info, isTLS := p.AuthInfo.(credentials.TLSInfo); isTLS && len(info.State.PeerCertificates) > 0 {
@@ -206,20 +206,20 @@
 	return claimed, nil
 }
 
-func (self *Server) mayChange(author string, changes []placement.Change) error {
-	if len(self.Settings.Operators) == 0 {
+func (se *Server) mayChange(author string, changes []placement.Change) error {
+	if len(se.Settings.Operators) == 0 {
 		return nil
 	}
 	for _, c := range changes {
-		if !self.hasRight(author, c.Service) {
+		if !se.hasRight(author, c.Service) {
 			return status.Errorf(codes.PermissionDenied, "%s may not change the placement of %s; ask an operator who may, or add the right under operators in the settings", author, c.Service)
 		}
 	}
 	return nil
 }
 
-func (self *Server) hasRight(author, service string) bool {
-	for _, o := range self.Settings.Operators {
+func (se *Server) hasRight(author, service string) bool {
+	for _, o := range se.Settings.Operators {
 		if o.Name != author {
 			continue
 		}
@@ -233,13 +233,13 @@
 }
 
 // History implements the call of the schema.
-func (self *Server) History(ctx context.Context, in *api.HistoryRequest) (*api.HistoryResponse, error) {
+func (se *Server) History(ctx context.Context, in *api.HistoryRequest) (*api.HistoryResponse, error) {
 	const most = 1000
 	limit := int(in.GetLimit())
 	if limit == 0 || limit > most {
 		limit = most
 	}
-	entries, err := self.Store.History(ctx, in.GetAfterVersion(), limit)
+	entries, err := se.Store.History(ctx, in.GetAfterVersion(), limit)
 	if err != nil {
 		return nil, status.Errorf(codes.Unavailable, "the platform's store did not answer: %v", err)
 	}
@@ -254,12 +254,12 @@
 }
 
 // Drain implements the call of the schema.
-func (self *Server) Drain(_ *api.DrainRequest, stream grpc.ServerStreamingServer[api.DrainProgress]) error {
-	self.Leave()
+func (se *Server) Drain(_ *api.DrainRequest, stream grpc.ServerStreamingServer[api.DrainProgress]) error {
+	se.Leave()
 	ticker := time.NewTicker(progressEvery)
 	defer ticker.Stop()
 	for {
-		inFlight := self.InFlight()
+		inFlight := se.InFlight()
 		if err := stream.Send(&api.DrainProgress{CallsInFlight: inFlight, Done: inFlight == 0}); err != nil {
 			return err
 		}
--- a/pkg/operators/status.go
+++ b/pkg/operators/status.go
@@ -17,30 +17,30 @@
 )
 
 // Status implements the call of the schema.
-func (self *Server) Status(ctx context.Context, _ *api.StatusRequest) (*api.StatusResponse, error) {
+func (se *Server) Status(ctx context.Context, _ *api.StatusRequest) (*api.StatusResponse, error) {
 	out := &api.StatusResponse{
-		Vm: self.Settings.VM.ID, DataCentre: self.Settings.VM.DataCentre, Service: self.Settings.BackendServer.Service,
-		Ready: self.World.View.Ready(), Leaving: self.World.View.Leaving(), Unsure: self.World.View.Unsure(),
+		Vm: se.Settings.VM.ID, DataCentre: se.Settings.VM.DataCentre, Service: se.Settings.BackendServer.Service,
+		Ready: se.World.View.Ready(), Leaving: se.World.View.Leaving(), Unsure: se.World.View.Unsure(),
 		StoreAgeMs: -1,
 	}
-	budget := self.Measure.Report()
+	budget := se.Measure.Report()
 	out.MeasureBytesAgreed = budget.Agreed
-	out.MeasureBytesPerS = float64(budget.Bytes) / (float64(self.Now()) / float64(time.Second))
-	if self.Executor != nil {
-		stamp := self.Executor.Stamp()
+	out.MeasureBytesPerS = float64(budget.Bytes) / (float64(se.Now()) / float64(time.Second))
+	if se.Executor != nil {
+		stamp := se.Executor.Stamp()
 		out.Running, out.Queued, out.Limit = stamp.Running, stamp.Queued, stamp.Limit
-		out.Slots = uint32(self.Executor.Gate().Slots())
+		out.Slots = uint32(se.Executor.Gate().Slots())
 	}
-	asked := self.World.Inbox.Ask(ctx.Done(), func(w *tables.World) { self.fillStatus(w, out) })
+	asked := se.World.Inbox.Ask(ctx.Done(), func(w *tables.World) { se.fillStatus(w, out) })
 	if !asked {
 		return nil, status.Error(codes.DeadlineExceeded, "the daemon did not answer in time")
 	}
 	return out, nil
 }
 
-func (self *Server) fillStatus(w *tables.World, out *api.StatusResponse) {
+func (se *Server) fillStatus(w *tables.World, out *api.StatusResponse) {
 	out.Placement = w.Version()
-	if age, ok := w.StoreAge(self.Now()); ok {
+	if age, ok := w.StoreAge(se.Now()); ok {
 		out.StoreAgeMs = age.Milliseconds()
 	}
 	told := map[string]uint64{w.VM: w.Version()}
@@ -64,8 +64,8 @@
 }
 
 // Explain implements the call of the schema.
-func (self *Server) Explain(ctx context.Context, in *api.ExplainRequest) (*api.ExplainResponse, error) {
-	current := self.World.View.Placement()
+func (se *Server) Explain(ctx context.Context, in *api.ExplainRequest) (*api.ExplainResponse, error) {
+	current := se.World.View.Placement()
 	if current == nil {
 		return nil, status.Error(codes.Unavailable, "this daemon has no placement yet")
 	}
@@ -78,22 +78,22 @@
 		return &api.ExplainResponse{Verdict: "unknown_request_kind: no kind of the service matches this method and path, so calls are refused as not run"}, nil
 	}
 	out := &api.ExplainResponse{Kind: kind.Name, DataCentres: kind.DataCentres}
-	if !self.World.Inbox.Ask(ctx.Done(), func(w *tables.World) { self.fillExplain(w, kind, out) }) {
+	if !se.World.Inbox.Ask(ctx.Done(), func(w *tables.World) { se.fillExplain(w, kind, out) }) {
 		return nil, status.Error(codes.DeadlineExceeded, "the daemon did not answer in time")
 	}
 	return out, nil
 }
 
-func (self *Server) fillExplain(w *tables.World, kind *placement.CompiledKind, out *api.ExplainResponse) {
+func (se *Server) fillExplain(w *tables.World, kind *placement.CompiledKind, out *api.ExplainResponse) {
 	inSubset := map[string]bool{}
-	req := &choose.Request{Now: self.Now()}
-	for _, route := range systems.Subset(w, self.Settings.Choosing.Subset, kind) {
+	req := &choose.Request{Now: se.Now()}
+	for _, route := range systems.Subset(w, se.Settings.Choosing.Subset, kind) {
 		inSubset[route.VM] = true
 		if route.Runner() != nil {
 			req.Set = append(req.Set, tables.Candidate{Route: route, Load: route.Load})
 		}
 	}
-	costs := self.costs(req)
+	costs := se.costs(req)
 	w.Members.Service(kind.Service, func(row int) {
 		vm := &w.Members.Row[row]
 		c := &api.Candidate{Vm: vm.VM, DataCentre: vm.DataCentre, ExpectedUs: -1}
@@ -110,9 +110,9 @@
 	out.Verdict = verdict(out.Candidates, kind)
 }
 
-func (self *Server) costs(req *choose.Request) map[string]int64 {
+func (se *Server) costs(req *choose.Request) map[string]int64 {
 	out := map[string]int64{}
-	policy, ok := self.Policy.(coster)
+	policy, ok := se.Policy.(coster)
 	if !ok {
 		return out
 	}
--- a/pkg/placement/change.go
+++ b/pkg/placement/change.go
@@ -40,22 +40,22 @@
 	return out, nil
 }
 
-func (self *Document) apply(c Change) error {
+func (d *Document) apply(c Change) error {
 	if c.Service == "" || c.Kind.Name == "" {
 		return errors.New("a change needs the name of a service and of a kind")
 	}
-	at := self.indexOf(c.Service)
+	at := d.indexOf(c.Service)
 	switch c.Op {
 	case PutKind:
-		return self.putKind(at, c)
+		return d.putKind(at, c)
 	case RemoveKind:
-		return self.removeKind(at, c)
+		return d.removeKind(at, c)
 	}
 	return errors.Errorf("unknown operation %d in a change", c.Op)
 }
 
-func (self *Document) indexOf(service string) int {
-	for i, s := range self.Services {
+func (d *Document) indexOf(service string) int {
+	for i, s := range d.Services {
 		if s.Name == service {
 			return i
 		}
@@ -63,32 +63,32 @@
 	return -1
 }
 
-func (self *Document) putKind(at int, c Change) error {
+func (d *Document) putKind(at int, c Change) error {
 	if err := checkKind(c.Kind); err != nil {
 		return errors.Wrapf(err, "service %s, kind %s", c.Service, c.Kind.Name)
 	}
 	if at < 0 {
-		self.Services = append(self.Services, Service{Name: c.Service, Kinds: []Kind{c.Kind}})
+		d.Services = append(d.Services, Service{Name: c.Service, Kinds: []Kind{c.Kind}})
 		return nil
 	}
-	kinds := without(self.Services[at].Kinds, c.Kind.Name)
-	self.Services[at].Kinds = append(kinds, c.Kind)
+	kinds := without(d.Services[at].Kinds, c.Kind.Name)
+	d.Services[at].Kinds = append(kinds, c.Kind)
 	return nil
 }
 
-func (self *Document) removeKind(at int, c Change) error {
+func (d *Document) removeKind(at int, c Change) error {
 	if at < 0 {
 		return errors.Errorf("service %s is not placed, so its kind %s cannot be removed", c.Service, c.Kind.Name)
 	}
-	kinds := without(self.Services[at].Kinds, c.Kind.Name)
-	if len(kinds) == len(self.Services[at].Kinds) {
+	kinds := without(d.Services[at].Kinds, c.Kind.Name)
+	if len(kinds) == len(d.Services[at].Kinds) {
 		return errors.Errorf("service %s has no kind %s", c.Service, c.Kind.Name)
 	}
 	if len(kinds) == 0 {
-		self.Services = append(self.Services[:at:at], self.Services[at+1:]...)
+		d.Services = append(d.Services[:at:at], d.Services[at+1:]...)
 		return nil
 	}
-	self.Services[at].Kinds = kinds
+	d.Services[at].Kinds = kinds
 	return nil
 }
 
--- a/pkg/placement/compiled.go
+++ b/pkg/placement/compiled.go
@@ -70,14 +70,14 @@
 }
 
 // Service returns the compiled service, or nil.
-func (self *Compiled) Service(name string) *CompiledService { return self.services[name] }
+func (c *Compiled) Service(name string) *CompiledService { return c.services[name] }
 
 // Services returns how many services are placed.
-func (self *Compiled) Services() int { return len(self.services) }
+func (c *Compiled) Services() int { return len(c.services) }
 
 // Match returns the most specific kind for a method and path, or nil.
-func (self *CompiledService) Match(method, path string) *CompiledKind {
-	for _, k := range self.Kinds {
+func (c *CompiledService) Match(method, path string) *CompiledKind {
+	for _, k := range c.Kinds {
 		if k.matches(method, path) {
 			return k
 		}
@@ -85,18 +85,18 @@
 	return nil
 }
 
-func (self *CompiledKind) matches(method, path string) bool {
-	if self.Method != "" && self.Method != method {
+func (c *CompiledKind) matches(method, path string) bool {
+	if c.Method != "" && c.Method != method {
 		return false
 	}
-	if self.isWhole {
-		return path == self.prefix
+	if c.isWhole {
+		return path == c.prefix
 	}
-	return strings.HasPrefix(path, self.prefix)
+	return strings.HasPrefix(path, c.prefix)
 }
 
 // Allows is true when calls of this kind may be handled in the data centre.
-func (self *CompiledKind) Allows(dataCentre string) bool {
-	_, ok := self.allowed[dataCentre]
+func (c *CompiledKind) Allows(dataCentre string) bool {
+	_, ok := c.allowed[dataCentre]
 	return ok
 }
--- a/pkg/placement/document.go
+++ b/pkg/placement/document.go
@@ -72,8 +72,8 @@
 
 // Hash returns a digest of the content. Two documents with the same services
 // and version have the same hash, whatever the order of services.
-func (self *Document) Hash() (string, error) {
-	data, err := self.Encode()
+func (d *Document) Hash() (string, error) {
+	data, err := d.Encode()
 	if err != nil {
 		return "", err
 	}
@@ -83,12 +83,12 @@
 
 // Encode writes the document in canonical CBOR, with services in the order of
 // their names.
-func (self *Document) Encode() ([]byte, error) {
+func (d *Document) Encode() ([]byte, error) {
 	mode, err := cbor.CanonicalEncOptions().EncMode()
 	if err != nil {
 		return nil, errors.Wrap(err, "placement encoder")
 	}
-	sorted := self.Clone()
+	sorted := d.Clone()
 	sort.Slice(sorted.Services, func(i, j int) bool { return sorted.Services[i].Name < sorted.Services[j].Name })
 	data, err := mode.Marshal(sorted)
 	return data, errors.Wrap(err, "encode placement")
@@ -112,13 +112,13 @@
 
 // Clone returns a copy that shares no slice with the original's list of
 // services. Kinds are never changed in place, so they may be shared.
-func (self *Document) Clone() *Document {
-	return &Document{Version: self.Version, Services: append([]Service(nil), self.Services...)}
+func (d *Document) Clone() *Document {
+	return &Document{Version: d.Version, Services: append([]Service(nil), d.Services...)}
 }
 
 // Service returns the rules of one service.
-func (self *Document) Service(name string) (Service, bool) {
-	for _, s := range self.Services {
+func (d *Document) Service(name string) (Service, bool) {
+	for _, s := range d.Services {
 		if s.Name == name {
 			return s, true
 		}
--- a/pkg/placement/store.go
+++ b/pkg/placement/store.go
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 )
 
 // The rows and objects in the platform's store.
@@ -44,9 +44,9 @@
 type ConflictError struct{ Winner Head }
 
 // Error implements error.
-func (self *ConflictError) Error() string {
+func (c *ConflictError) Error() string {
 	return fmt.Sprintf("version %d by %s is already in force; read it, look at what changed, and apply your change on top of it",
-		self.Winner.Version, self.Winner.Author)
+		c.Winner.Version, c.Winner.Author)
 }
 
 // UnknownOutcomeError is returned when the store answered neither the write
@@ -57,8 +57,8 @@
 }
 
 // Error implements error.
-func (self *UnknownOutcomeError) Error() string {
-	return fmt.Sprintf("the platform's store did not say whether change %s was accepted (%v); send the same change again with this change id", self.ChangeID, self.Cause)
+func (u *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("the platform's store did not say whether change %s was accepted (%v); send the same change again with this change id", u.ChangeID, u.Cause)
 }
 
 // NotSentError is returned when this attempt failed before anything was
@@ -66,30 +66,30 @@
 type NotSentError struct{ Cause error }
 
 // Error implements error.
-func (self *NotSentError) Error() string {
-	return fmt.Sprintf("this attempt changed nothing (%v); try again. If the same change id was sent before, its outcome is still open", self.Cause)
+func (n *NotSentError) Error() string {
+	return fmt.Sprintf("this attempt changed nothing (%v); try again. If the same change id was sent before, its outcome is still open", n.Cause)
 }
 
 // Store reads and writes versions in the platform.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 }
 
 // NewStore makes a Store.
-func NewStore(table platform.Table, objects platform.Objects) *Store {
+func NewStore(table store.Table, objects store.Objects) *Store {
 	return &Store{table: table, objects: objects}
 }
 
 // Head reads the head; version 0 when nothing was ever applied.
-func (self *Store) Head(ctx context.Context) (Head, error) {
-	head, _, err := self.head(ctx)
+func (s *Store) Head(ctx context.Context) (Head, error) {
+	head, _, err := s.head(ctx)
 	return head, err
 }
 
-func (self *Store) head(ctx context.Context) (Head, uint64, error) {
-	row, err := self.table.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+func (s *Store) head(ctx context.Context) (Head, uint64, error) {
+	row, err := s.table.Get(ctx, headKey)
+	if errors.Is(err, store.ErrNotFound) {
 		return Head{}, 0, nil
 	}
 	if err != nil {
@@ -101,11 +101,11 @@
 }
 
 // Snapshot reads the whole document of a head.
-func (self *Store) Snapshot(ctx context.Context, head Head) (*Document, error) {
+func (s *Store) Snapshot(ctx context.Context, head Head) (*Document, error) {
 	if head.Version == 0 {
 		return &Document{}, nil
 	}
-	data, err := self.objects.Object(ctx, snapshotName(head.Version, head.Hash))
+	data, err := s.objects.Object(ctx, snapshotName(head.Version, head.Hash))
 	if err != nil {
 		return nil, errors.Wrapf(err, "snapshot of placement version %d", head.Version)
 	}
@@ -113,15 +113,15 @@
 }
 
 // Version reads the whole document of an accepted version.
-func (self *Store) Version(ctx context.Context, version uint64) (*Document, error) {
+func (s *Store) Version(ctx context.Context, version uint64) (*Document, error) {
 	if version == 0 {
 		return &Document{}, nil
 	}
-	entry, err := self.Entry(ctx, version)
+	entry, err := s.Entry(ctx, version)
 	if err != nil {
 		return nil, errors.Wrapf(err, "placement version %d", version)
 	}
-	return self.Snapshot(ctx, Head{Version: version, Hash: entry.Hash})
+	return s.Snapshot(ctx, Head{Version: version, Hash: entry.Hash})
 }
 
 // Propose is one operator's change, ready to be written.
@@ -137,7 +137,7 @@
 // Commit writes a change as the next version. It returns the new document, a
 // ConflictError, an UnknownOutcomeError, a NotSentError, or an error of the
 // change itself.
-func (self *Store) Commit(ctx context.Context, p Propose) (*Document, error) {
+func (s *Store) Commit(ctx context.Context, p Propose) (*Document, error) {
 	next, err := Apply(p.Base, p.Changes)
 	if err != nil {
 		return nil, err
@@ -146,57 +146,57 @@
 	if err != nil {
 		return nil, err
 	}
-	head, rowVersion, err := self.head(ctx)
+	head, rowVersion, err := s.head(ctx)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
 	if head.ChangeID == p.ChangeID {
-		return self.Snapshot(ctx, head)
+		return s.Snapshot(ctx, head)
 	}
 	if head.Version != p.Base.Version {
-		return self.ownOrConflict(ctx, p.ChangeID, head)
+		return s.ownOrConflict(ctx, p.ChangeID, head)
 	}
-	if err := self.putSnapshot(ctx, next, hash); err != nil {
+	if err := s.putSnapshot(ctx, next, hash); err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
-	err = self.table.Transact(ctx, p.writes(next.Version, rowVersion, hash))
+	err = s.table.Transact(ctx, p.writes(next.Version, rowVersion, hash))
 	if err == nil {
 		return next, nil
 	}
-	return self.resolve(ctx, p, next, hash, err)
+	return s.resolve(ctx, p, next, hash, err)
 }
 
-func (self *Store) putSnapshot(ctx context.Context, doc *Document, hash string) error {
+func (s *Store) putSnapshot(ctx context.Context, doc *Document, hash string) error {
 	data, err := doc.Encode()
 	if err != nil {
 		return err
 	}
-	return self.objects.PutObject(ctx, snapshotName(doc.Version, hash), data)
+	return s.objects.PutObject(ctx, snapshotName(doc.Version, hash), data)
 }
 
 // ownOrConflict tells a change that was accepted earlier, whose answer was
 // lost, from one that lost the race.
-func (self *Store) ownOrConflict(ctx context.Context, changeID string, head Head) (*Document, error) {
-	entry, err := self.entryOf(ctx, changeID)
-	if errors.Is(err, platform.ErrNotFound) {
+func (s *Store) ownOrConflict(ctx context.Context, changeID string, head Head) (*Document, error) {
+	entry, err := s.entryOf(ctx, changeID)
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, &ConflictError{Winner: head}
 	}
 	if err != nil {
 		return nil, &UnknownOutcomeError{ChangeID: changeID, Cause: err}
 	}
-	return self.Snapshot(ctx, Head{Version: entry.Version, Hash: entry.Hash})
+	return s.Snapshot(ctx, Head{Version: entry.Version, Hash: entry.Hash})
 }
 
 // resolve reads the change id back after the transaction's answer was an error.
-func (self *Store) resolve(ctx context.Context, p Propose, next *Document, hash string, cause error) (*Document, error) {
-	_, err := self.entryOf(ctx, p.ChangeID)
+func (s *Store) resolve(ctx context.Context, p Propose, next *Document, hash string, cause error) (*Document, error) {
+	_, err := s.entryOf(ctx, p.ChangeID)
 	if err == nil {
 		return next, nil
 	}
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, store.ErrNotFound) {
 		return nil, &UnknownOutcomeError{ChangeID: p.ChangeID, Cause: cause}
 	}
-	head, _, err := self.head(ctx)
+	head, _, err := s.head(ctx)
 	if err != nil {
 		return nil, &UnknownOutcomeError{ChangeID: p.ChangeID, Cause: cause}
 	}
@@ -208,8 +208,8 @@
 	return nil, &UnknownOutcomeError{ChangeID: p.ChangeID, Cause: cause}
 }
 
-func (self *Store) entryOf(ctx context.Context, changeID string) (LogEntry, error) {
-	row, err := self.table.Get(ctx, changePrefix+changeID)
+func (s *Store) entryOf(ctx context.Context, changeID string) (LogEntry, error) {
+	row, err := s.table.Get(ctx, changePrefix+changeID)
 	if err != nil {
 		return LogEntry{}, err
 	}
@@ -217,8 +217,8 @@
 }
 
 // Entry reads the history's entry of a version.
-func (self *Store) Entry(ctx context.Context, version uint64) (LogEntry, error) {
-	row, err := self.table.Get(ctx, logKey(version))
+func (s *Store) Entry(ctx context.Context, version uint64) (LogEntry, error) {
+	row, err := s.table.Get(ctx, logKey(version))
 	if err != nil {
 		return LogEntry{}, err
 	}
@@ -226,8 +226,8 @@
 }
 
 // History reads up to limit entries with versions above after, oldest first.
-func (self *Store) History(ctx context.Context, after uint64, limit int) ([]LogEntry, error) {
-	rows, err := self.table.Scan(ctx, logPrefix, logKey(after), limit)
+func (s *Store) History(ctx context.Context, after uint64, limit int) ([]LogEntry, error) {
+	rows, err := s.table.Scan(ctx, logPrefix, logKey(after), limit)
 	if err != nil {
 		return nil, err
 	}
@@ -242,17 +242,17 @@
 	return out, nil
 }
 
-func (self Propose) writes(version, headRow uint64, hash string) []platform.Write {
-	head := Head{Version: version, ChangeID: self.ChangeID, Hash: hash, Author: self.Author}
+func (p Propose) writes(version, headRow uint64, hash string) []store.Write {
+	head := Head{Version: version, ChangeID: p.ChangeID, Hash: hash, Author: p.Author}
 	entry := LogEntry{
-		Version: version, ChangeID: self.ChangeID, Author: self.Author, At: self.At,
-		Changes: self.Changes, Hash: hash, RollbackOf: self.RollbackOf,
+		Version: version, ChangeID: p.ChangeID, Author: p.Author, At: p.At,
+		Changes: p.Changes, Hash: hash, RollbackOf: p.RollbackOf,
 	}
 	entryData := mustEncode(entry)
-	return []platform.Write{
+	return []store.Write{
 		{Key: headKey, IfVersion: headRow, Value: mustEncode(head)},
 		{Key: logKey(version), Value: entryData},
-		{Key: changePrefix + self.ChangeID, Value: entryData},
+		{Key: changePrefix + p.ChangeID, Value: entryData},
 	}
 }
 
@@ -266,7 +266,7 @@
 	return data
 }
 
-func decodeEntry(row platform.Row) (LogEntry, error) {
+func decodeEntry(row store.Row) (LogEntry, error) {
 	var entry LogEntry
 	err := cbor.Unmarshal(row.Value, &entry)
 	return entry, errors.Wrap(err, "placement history")
--- a/pkg/placement/store_test.go
+++ b/pkg/placement/store_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/rushramp/rushramp/pkg/standin/store"
+	"github.com/rushramp/rushramp/pkg/standin/fakestore"
 )
 
 func kind(name string, dataCentres ...string) Kind {
@@ -31,13 +31,13 @@
 // "unknown" sends the same change id again.
 func TestOperatorsAndAFlakyStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		table := store.NewFlaky()
+		table := fakestore.NewFlaky()
 		s := NewStore(table, table)
 		docs := []*Document{{}}
 		var attempts []*attempt
 		for i := range rapid.IntRange(5, 40).Draw(t, "steps") {
-			table.SetNext(rapid.SliceOfN(rapid.Map(rapid.IntRange(0, int(store.ModeCount)-1),
-				func(n int) store.Mode { return store.Mode(n) }), 0, 4).Draw(t, "modes"))
+			table.SetNext(rapid.SliceOfN(rapid.Map(rapid.IntRange(0, int(fakestore.ModeCount)-1),
+				func(n int) fakestore.Mode { return fakestore.Mode(n) }), 0, 4).Draw(t, "modes"))
 			a := nextAttempt(t, attempts, docs, i)
 			if a.told == "" {
 				attempts = append(attempts, a)
@@ -120,7 +120,7 @@
 }
 
 func TestARaceNamesTheWinner(t *testing.T) {
-	s := store.New()
+	s := fakestore.New()
 	placements := NewStore(s, s)
 	propose := func(author string) Propose {
 		return Propose{Base: &Document{}, ChangeID: author, Author: author, Changes: []Change{put("s", kind(author, "a"))}}
--- a/pkg/placement/words.go
+++ b/pkg/placement/words.go
@@ -7,28 +7,28 @@
 var keyRuleWords = []string{"required", "optional"}
 
 // String returns the class's word in YAML and in the operators' calls.
-func (self Class) String() string { return wordOf(classWords, int(self)) }
+func (c Class) String() string { return wordOf(classWords, int(c)) }
 
 // String returns the rule's word in YAML and in the operators' calls.
-func (self KeyRule) String() string { return wordOf(keyRuleWords, int(self)) }
+func (k KeyRule) String() string { return wordOf(keyRuleWords, int(k)) }
 
 // MarshalText implements encoding.TextMarshaler for YAML.
-func (self Class) MarshalText() ([]byte, error) { return []byte(self.String()), nil }
+func (c Class) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
 
 // UnmarshalText implements encoding.TextUnmarshaler for YAML.
-func (self *Class) UnmarshalText(text []byte) error {
+func (c *Class) UnmarshalText(text []byte) error {
 	i, err := indexOf(classWords, string(text))
-	*self = Class(i)
+	*c = Class(i)
 	return err
 }
 
 // MarshalText implements encoding.TextMarshaler for YAML.
-func (self KeyRule) MarshalText() ([]byte, error) { return []byte(self.String()), nil }
+func (k KeyRule) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
 // UnmarshalText implements encoding.TextUnmarshaler for YAML.
-func (self *KeyRule) UnmarshalText(text []byte) error {
+func (k *KeyRule) UnmarshalText(text []byte) error {
 	i, err := indexOf(keyRuleWords, string(text))
-	*self = KeyRule(i)
+	*k = KeyRule(i)
 	return err
 }
 
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -63,15 +63,15 @@
 }
 
 // Struct implements yaml.StructValidator.
-func (self explainer) Struct(v any) error {
-	err := self.check.Struct(v)
+func (e explainer) Struct(v any) error {
+	err := e.check.Struct(v)
 	var fields validator.ValidationErrors
 	if !errors.As(err, &fields) {
 		return err
 	}
 	out := make(fieldErrors, 0, len(fields))
 	for _, field := range fields {
-		out = append(out, fieldError{field, self.root})
+		out = append(out, fieldError{field, e.root})
 	}
 	return out
 }
@@ -79,9 +79,9 @@
 type fieldErrors []fieldError
 
 // Error implements error with one line a field.
-func (self fieldErrors) Error() string {
-	lines := make([]string, 0, len(self))
-	for _, field := range self {
+func (f fieldErrors) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, field := range f {
 		lines = append(lines, field.Error())
 	}
 	return strings.Join(lines, "\n")
@@ -94,12 +94,12 @@
 }
 
 // Error implements error.
-func (self fieldError) Error() string {
-	section, path, _ := strings.Cut(self.Namespace(), ".")
-	if section != self.root {
+func (f fieldError) Error() string {
+	section, path, _ := strings.Cut(f.Namespace(), ".")
+	if section != f.root {
 		path = snakeCase(section) + "." + path
 	}
-	return fmt.Sprintf("%s: %v is not allowed. %s", path, self.Value(), allowed(self.Tag(), self.Param()))
+	return fmt.Sprintf("%s: %v is not allowed. %s", path, f.Value(), allowed(f.Tag(), f.Param()))
 }
 
 func allowed(tag, param string) string {
@@ -135,11 +135,11 @@
 // checkPlainText refuses listeners for daemons and operators that are open to
 // the network without TLS, unless the settings say so in plain words.
 // Source: docs/design/keeping-others-out.md.
-func (self *Settings) checkPlainText() error {
-	if self.TLS.Cert != "" || self.TLS.PlainTextOnTheNetwork {
+func (s *Settings) checkPlainText() error {
+	if s.TLS.Cert != "" || s.TLS.PlainTextOnTheNetwork {
 		return nil
 	}
-	for name, address := range map[string]string{"listen.links": self.Listen.Links, "listen.operators": self.Listen.Operators} {
+	for name, address := range map[string]string{"listen.links": s.Listen.Links, "listen.operators": s.Listen.Operators} {
 		host, _, err := net.SplitHostPort(address)
 		if err != nil {
 			return errors.Wrap(err, name)
--- a/pkg/standin/backend/backend.go
+++ b/pkg/standin/backend/backend.go
@@ -65,75 +65,75 @@
 	if opts.After == nil {
 		opts.After = after
 	}
-	self := &Backend{
+	b := &Backend{
 		opts:    opts,
 		started: time.Now(),
 		ledger:  newLedger(),
 		changed: make(chan struct{}),
 		cancels: map[string]context.CancelFunc{},
 	}
-	return self
+	return b
 }
 
 // Ledger returns the record of what really ran.
-func (self *Backend) Ledger() *Ledger { return self.ledger }
+func (b *Backend) Ledger() *Ledger { return b.ledger }
 
 // Shed counts calls that came while all slots were taken.
-func (self *Backend) Shed() int64 { return self.shed.Load() }
+func (b *Backend) Shed() int64 { return b.shed.Load() }
 
 // Running counts the calls that run now.
-func (self *Backend) Running() int64 { return self.running.Load() }
+func (b *Backend) Running() int64 { return b.running.Load() }
 
 // SetFaults replaces the faults in force. Running work changes its speed at
 // once.
-func (self *Backend) SetFaults(f Faults) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.faults = f
-	close(self.changed)
-	self.changed = make(chan struct{})
+func (b *Backend) SetFaults(f Faults) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults = f
+	close(b.changed)
+	b.changed = make(chan struct{})
 }
 
 // SetSpeed changes only the speed.
-func (self *Backend) SetSpeed(speed float64) {
-	f := self.CurrentFaults()
+func (b *Backend) SetSpeed(speed float64) {
+	f := b.CurrentFaults()
 	f.Speed = speed
-	self.SetFaults(f)
+	b.SetFaults(f)
 }
 
 // CurrentFaults returns the faults in force.
-func (self *Backend) CurrentFaults() Faults {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	return self.faults
+func (b *Backend) CurrentFaults() Faults {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.faults
 }
 
 // pace returns the speed now, and when it must be looked at again.
-func (self *Backend) pace(now time.Time) (speed float64, changed <-chan struct{}, until time.Duration) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	speed = self.faults.Speed
+func (b *Backend) pace(now time.Time) (speed float64, changed <-chan struct{}, until time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	speed = b.faults.Speed
 	if speed <= 0 {
 		speed = 1
 	}
-	if cold := self.opts.ColdFor - now.Sub(self.started); cold > 0 && self.opts.ColdSpeed > 0 {
-		return speed * self.opts.ColdSpeed, self.changed, cold
+	if cold := b.opts.ColdFor - now.Sub(b.started); cold > 0 && b.opts.ColdSpeed > 0 {
+		return speed * b.opts.ColdSpeed, b.changed, cold
 	}
-	return speed, self.changed, 0
+	return speed, b.changed, 0
 }
 
 // work proceeds through the nominal time at the speed of each moment. It
 // returns false when ctx ended first.
-func (self *Backend) work(ctx context.Context, nominal time.Duration) bool {
+func (b *Backend) work(ctx context.Context, nominal time.Duration) bool {
 	left := float64(nominal)
 	for left > 0 {
 		began := time.Now()
-		speed, changed, until := self.pace(began)
+		speed, changed, until := b.pace(began)
 		wait := time.Duration(left / speed)
 		if until > 0 {
 			wait = min(wait, until)
 		}
-		if !self.pause(ctx, wait, changed) {
+		if !b.pause(ctx, wait, changed) {
 			return false
 		}
 		left -= float64(time.Since(began)) * speed
@@ -142,13 +142,13 @@
 }
 
 // pause waits for a time, or until the speed changes; false when ctx ended.
-func (self *Backend) pause(ctx context.Context, wait time.Duration, changed <-chan struct{}) bool {
+func (b *Backend) pause(ctx context.Context, wait time.Duration, changed <-chan struct{}) bool {
 	select {
 	case <-ctx.Done():
 		return false
 	case <-changed:
 		return true
-	case <-self.opts.After(wait):
+	case <-b.opts.After(wait):
 		return true
 	}
 }
@@ -161,35 +161,35 @@
 }
 
 // enter takes a slot; false when none is free.
-func (self *Backend) enter() bool {
-	if self.running.Add(1) > int64(self.opts.Slots) {
-		self.running.Add(-1)
-		self.shed.Add(1)
+func (b *Backend) enter() bool {
+	if b.running.Add(1) > int64(b.opts.Slots) {
+		b.running.Add(-1)
+		b.shed.Add(1)
 		return false
 	}
 	return true
 }
 
-func (self *Backend) leave() { self.running.Add(-1) }
+func (b *Backend) leave() { b.running.Add(-1) }
 
 // register makes a call cancellable by the id that its executor gave it.
-func (self *Backend) register(id string, cancel context.CancelFunc) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.cancels[id] = cancel
+func (b *Backend) register(id string, cancel context.CancelFunc) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.cancels[id] = cancel
 }
 
-func (self *Backend) unregister(id string) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	delete(self.cancels, id)
+func (b *Backend) unregister(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.cancels, id)
 }
 
 // Cancel ends a running call; false when it does not run.
-func (self *Backend) Cancel(id string) bool {
-	self.mu.Lock()
-	cancel, ok := self.cancels[id]
-	self.mu.Unlock()
+func (b *Backend) Cancel(id string) bool {
+	b.mu.Lock()
+	cancel, ok := b.cancels[id]
+	b.mu.Unlock()
 	if ok {
 		cancel()
 	}
@@ -197,19 +197,19 @@
 }
 
 // reportedLoad is what the load page says.
-func (self *Backend) reportedLoad(now time.Time) int64 {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.loads = append(self.loads, loadSample{at: now, running: self.running.Load()})
-	if self.faults.ReportZero {
+func (b *Backend) reportedLoad(now time.Time) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.loads = append(b.loads, loadSample{at: now, running: b.running.Load()})
+	if b.faults.ReportZero {
 		return 0
 	}
-	seen := now.Add(-self.faults.ReportLag)
-	at := len(self.loads) - 1
-	for at > 0 && self.loads[at].at.After(seen) {
+	seen := now.Add(-b.faults.ReportLag)
+	at := len(b.loads) - 1
+	for at > 0 && b.loads[at].at.After(seen) {
 		at--
 	}
-	reported := self.loads[at].running
-	self.loads = self.loads[at:]
+	reported := b.loads[at].running
+	b.loads = b.loads[at:]
 	return reported
 }
--- a/pkg/standin/backend/ledger.go
+++ b/pkg/standin/backend/ledger.go
@@ -24,31 +24,31 @@
 
 func newLedger() *Ledger { return &Ledger{runs: map[string]Run{}} }
 
-func (self *Ledger) note(call, key string, now time.Time) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	run := self.runs[call]
+func (l *Ledger) note(call, key string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run := l.runs[call]
 	run.Times++
 	run.Key = key
 	run.At = now
-	self.runs[call] = run
-	self.last = now
+	l.runs[call] = run
+	l.last = now
 }
 
 // Runs returns a copy of the record, by call id.
-func (self *Ledger) Runs() map[string]Run {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	out := make(map[string]Run, len(self.runs))
-	for id, run := range self.runs {
+func (l *Ledger) Runs() map[string]Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]Run, len(l.runs))
+	for id, run := range l.runs {
 		out[id] = run
 	}
 	return out
 }
 
 // Last returns when the newest call began.
-func (self *Ledger) Last() time.Time {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	return self.last
+func (l *Ledger) Last() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last
 }
--- a/pkg/standin/backend/server.go
+++ b/pkg/standin/backend/server.go
@@ -38,49 +38,49 @@
 const statusCancelled = 499
 
 // Serve serves the stand-in on address until stop is called.
-func Serve(self *Backend, address string) (stop func(), err error) {
+func Serve(b *Backend, address string) (stop func(), err error) {
 	return httpserver.Start(address, func(h *server.Hertz) {
 		h.POST(PathCancel+":id", func(_ context.Context, c *app.RequestContext) {
-			self.Cancel(c.Param("id"))
+			b.Cancel(c.Param("id"))
 			c.SetStatusCode(http.StatusNoContent)
 		})
-		h.POST(pathFaults, self.serveFaults)
-		h.GET(pathLedger, func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, self.ledger.Runs()) })
+		h.POST(pathFaults, b.serveFaults)
+		h.GET(pathLedger, func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, b.ledger.Runs()) })
 		h.GET(pathLoad, func(_ context.Context, c *app.RequestContext) {
-			c.String(http.StatusOK, "%d\n", self.reportedLoad(time.Now()))
+			c.String(http.StatusOK, "%d\n", b.reportedLoad(time.Now()))
 		})
 		h.GET(pathHealth, func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
-		h.NoRoute(self.serveCall)
-		h.NoMethod(self.serveCall)
+		h.NoRoute(b.serveCall)
+		h.NoMethod(b.serveCall)
 	}, server.WithMaxRequestBodySize(maxBodySize))
 }
 
-func (self *Backend) serveFaults(_ context.Context, c *app.RequestContext) {
+func (b *Backend) serveFaults(_ context.Context, c *app.RequestContext) {
 	var f Faults
 	if err := json.Unmarshal(c.Request.Body(), &f); err != nil {
 		c.String(http.StatusBadRequest, err.Error())
 		return
 	}
-	self.SetFaults(f)
+	b.SetFaults(f)
 	c.String(http.StatusOK, "done\n")
 }
 
-func (self *Backend) serveCall(ctx context.Context, c *app.RequestContext) {
-	faults := self.CurrentFaults()
+func (b *Backend) serveCall(ctx context.Context, c *app.RequestContext) {
+	faults := b.CurrentFaults()
 	if faults.FailFast {
 		c.String(http.StatusInternalServerError, "failing fast\n")
 		return
 	}
-	if !self.enter() {
+	if !b.enter() {
 		c.String(http.StatusServiceUnavailable, "all slots are taken\n")
 		return
 	}
-	defer self.leave()
+	defer b.leave()
 	id := string(c.Request.Header.Peek(HeaderCallID))
-	self.ledger.note(id, string(c.Request.Header.Peek("Idempotency-Key")), time.Now())
-	ctx, cancel := self.context(ctx, c)
+	b.ledger.note(id, string(c.Request.Header.Peek("Idempotency-Key")), time.Now())
+	ctx, cancel := b.context(ctx, c)
 	defer cancel()
-	if !self.work(ctx, time.Duration(number(c, HeaderWork))*time.Microsecond) {
+	if !b.work(ctx, time.Duration(number(c, HeaderWork))*time.Microsecond) {
 		c.SetStatusCode(statusCancelled)
 		return
 	}
@@ -94,7 +94,7 @@
 }
 
 // context ends at the deadline that the executor gave, or at a cancellation.
-func (self *Backend) context(ctx context.Context, c *app.RequestContext) (context.Context, context.CancelFunc) {
+func (b *Backend) context(ctx context.Context, c *app.RequestContext) (context.Context, context.CancelFunc) {
 	out, cancel := context.WithCancel(ctx)
 	if ms := number(c, "Rushramp-Timeout"); ms > 0 {
 		out, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
@@ -103,9 +103,9 @@
 	if id == "" {
 		return out, cancel
 	}
-	self.register(id, cancel)
+	b.register(id, cancel)
 	return out, func() {
-		self.unregister(id)
+		b.unregister(id)
 		cancel()
 	}
 }
--- a/pkg/standin/command.go
+++ b/pkg/standin/command.go
@@ -11,10 +11,10 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
-	"github.com/rushramp/rushramp/pkg/platform"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/standin/backend"
-	"github.com/rushramp/rushramp/pkg/standin/store"
+	"github.com/rushramp/rushramp/pkg/standin/fakestore"
+	"github.com/rushramp/rushramp/pkg/store"
 )
 
 // NewCommand makes the command line of rushramp-standin.
@@ -31,7 +31,7 @@
 
 // vmFile is the file of the platform's first list of VMs.
 type vmFile struct {
-	VMs []platform.VM `yaml:"vms"`
+	VMs []store.VM `yaml:"vms"`
 }
 
 func platformCommand() *cobra.Command {
@@ -41,11 +41,11 @@
 		Short: "A table service, an object store and a list of VMs",
 		Args:  cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			s := store.New()
+			s := fakestore.New()
 			if err := loadVMs(s, vms); err != nil {
 				return err
 			}
-			return untilSignal(func() (func(), error) { return store.Serve(s, address) })
+			return untilSignal(func() (func(), error) { return fakestore.Serve(s, address) })
 		},
 	}
 	cmd.Flags().StringVar(&address, "listen", "127.0.0.1:7405", "address to listen on")
@@ -53,7 +53,7 @@
 	return cmd
 }
 
-func loadVMs(s *store.Store, path string) error {
+func loadVMs(s *fakestore.Store, path string) error {
 	if path == "" {
 		return nil
 	}
--- a/pkg/platform/http.go
+++ b/pkg/store/http.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -34,9 +34,9 @@
 }
 
 // Get implements Table.
-func (self *HTTP) Get(ctx context.Context, key string) (Row, error) {
+func (h *HTTP) Get(ctx context.Context, key string) (Row, error) {
 	var out Response
-	if err := self.post(ctx, PathGet, GetRequest{Key: key}, &out); err != nil {
+	if err := h.post(ctx, PathGet, GetRequest{Key: key}, &out); err != nil {
 		return Row{}, err
 	}
 	if len(out.Rows) != 1 {
@@ -46,16 +46,16 @@
 }
 
 // Scan implements Table.
-func (self *HTTP) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+func (h *HTTP) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
 	var out Response
-	err := self.post(ctx, PathScan, ScanRequest{Prefix: prefix, After: after, Limit: limit}, &out)
+	err := h.post(ctx, PathScan, ScanRequest{Prefix: prefix, After: after, Limit: limit}, &out)
 	return out.Rows, err
 }
 
 // Batch implements Table.
-func (self *HTTP) Batch(ctx context.Context, writes []Write) ([]Result, error) {
+func (h *HTTP) Batch(ctx context.Context, writes []Write) ([]Result, error) {
 	var out Response
-	if err := self.post(ctx, PathBatch, WriteRequest{Writes: writes}, &out); err != nil {
+	if err := h.post(ctx, PathBatch, WriteRequest{Writes: writes}, &out); err != nil {
 		return nil, err
 	}
 	if len(out.Results) != len(writes) {
@@ -65,30 +65,30 @@
 }
 
 // Transact implements Table.
-func (self *HTTP) Transact(ctx context.Context, writes []Write) error {
-	return self.post(ctx, PathTransact, WriteRequest{Writes: writes}, &Response{})
+func (h *HTTP) Transact(ctx context.Context, writes []Write) error {
+	return h.post(ctx, PathTransact, WriteRequest{Writes: writes}, &Response{})
 }
 
 // PutObject implements Objects.
-func (self *HTTP) PutObject(ctx context.Context, name string, data []byte) error {
-	return self.post(ctx, PathPut, ObjectRequest{Name: name, Data: data}, &Response{})
+func (h *HTTP) PutObject(ctx context.Context, name string, data []byte) error {
+	return h.post(ctx, PathPut, ObjectRequest{Name: name, Data: data}, &Response{})
 }
 
 // Object implements Objects.
-func (self *HTTP) Object(ctx context.Context, name string) ([]byte, error) {
+func (h *HTTP) Object(ctx context.Context, name string) ([]byte, error) {
 	var out Response
-	err := self.post(ctx, PathObject, ObjectRequest{Name: name}, &out)
+	err := h.post(ctx, PathObject, ObjectRequest{Name: name}, &out)
 	return out.Data, err
 }
 
 // VMs implements VMs.
-func (self *HTTP) VMs(ctx context.Context, dataCentre string) ([]VM, error) {
+func (h *HTTP) VMs(ctx context.Context, dataCentre string) ([]VM, error) {
 	var out Response
-	err := self.post(ctx, PathVMs, VMsRequest{DataCentre: dataCentre}, &out)
+	err := h.post(ctx, PathVMs, VMsRequest{DataCentre: dataCentre}, &out)
 	return out.VMs, err
 }
 
-func (self *HTTP) post(ctx context.Context, path string, in any, out *Response) error {
+func (h *HTTP) post(ctx context.Context, path string, in any, out *Response) error {
 	body, err := Encode(in)
 	if err != nil {
 		return err
@@ -97,9 +97,9 @@
 	defer protocol.ReleaseRequest(req)
 	defer protocol.ReleaseResponse(resp)
 	req.SetMethod(http.MethodPost)
-	req.SetRequestURI("http://" + self.address + path)
+	req.SetRequestURI("http://" + h.address + path)
 	req.SetBody(body)
-	timeout := self.timeout
+	timeout := h.timeout
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(deadline))
 	}
@@ -107,7 +107,7 @@
 		return context.DeadlineExceeded
 	}
 	req.SetOptions(config.WithRequestTimeout(timeout))
-	if err := self.client.Do(ctx, req, resp); err != nil {
+	if err := h.client.Do(ctx, req, resp); err != nil {
 		return errors.Wrapf(err, "platform %s", path)
 	}
 	return readAnswer(path, resp, out)
--- a/pkg/platform/messages.go
+++ b/pkg/store/messages.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"github.com/fxamacker/cbor/v2"
--- a/pkg/platform/platform.go
+++ b/pkg/store/store.go
@@ -1,8 +1,8 @@
-// Package platform is what rushramp asks of the operators' platform: a
+// Package store is what rushramp asks of the operators' platform: a
 // transactional table, an object store and a list of VMs. Operators fit their
 // own service by implementing these few methods; HTTP speaks to the stand-in.
 // Source: brief, "What the platform gives".
-package platform
+package store
 
 import (
 	"context"
--- a/pkg/systems/compare.go
+++ b/pkg/systems/compare.go
@@ -27,42 +27,42 @@
 }
 
 // Tick implements System.
-func (self *compare) Tick(now int64, mail *tables.Mail) {
-	if changes := self.World.Members.Changes(); changes != self.changes {
-		self.changes, self.digest = changes, self.World.Members.Digest()
-		self.World.Peers.Rows(func(_ *link.Peer, row *tables.PeerRow) { row.DiffersSince = 0 })
+func (c *compare) Tick(now int64, mail *tables.Mail) {
+	if changes := c.World.Members.Changes(); changes != c.changes {
+		c.changes, c.digest = changes, c.World.Members.Digest()
+		c.World.Peers.Rows(func(_ *link.Peer, row *tables.PeerRow) { row.DiffersSince = 0 })
 	}
 	for _, n := range mail.News {
-		self.note(now, n)
+		c.note(now, n)
 	}
-	if self.due.at(now, compareEvery) {
-		self.ask(now)
+	if c.due.at(now, compareEvery) {
+		c.ask(now)
 	}
 }
 
-func (self *compare) note(now int64, n tables.PeerNews) {
-	row := self.World.Peers.Put(n.Peer)
+func (c *compare) note(now int64, n tables.PeerNews) {
+	row := c.World.Peers.Put(n.Peer)
 	switch {
-	case n.State.Members == self.digest:
+	case n.State.Members == c.digest:
 		row.DiffersSince = 0
 	case row.DiffersSince == 0 || n.State.Members != row.Members:
 		row.DiffersSince = now
 	}
 	row.Members = n.State.Members
-	if _, known := self.World.Members.Find(n.Peer.Hello.VM); !known && row.DiffersSince != 0 {
+	if _, known := c.World.Members.Find(n.Peer.Hello.VM); !known && row.DiffersSince != 0 {
 		// A daemon that this one has not heard of: its list is the newer one.
 		row.DiffersSince = min(row.DiffersSince, now-int64(differFor))
 	}
 }
 
-func (self *compare) ask(now int64) {
+func (c *compare) ask(now int64) {
 	var longest *link.Peer
 	since := now - int64(differFor)
 	// A daemon that knows nobody yet asks at once.
-	if self.World.Members.Len() <= 1 {
+	if c.World.Members.Len() <= 1 {
 		since = now
 	}
-	self.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
+	c.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
 		if row.DiffersSince != 0 && row.DiffersSince <= since {
 			longest, since = peer, row.DiffersSince
 		}
@@ -70,6 +70,6 @@
 	if longest == nil {
 		return
 	}
-	self.World.Peers.Put(longest).DiffersSince = now
-	_ = longest.Send(&wire.MembersAsk{Buckets: self.World.Members.Buckets()})
+	c.World.Peers.Put(longest).DiffersSince = now
+	_ = longest.Send(&wire.MembersAsk{Buckets: c.World.Members.Buckets()})
 }
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -27,66 +27,66 @@
 }
 
 // Hello implements link.Control.
-func (self *Control) Hello() *wire.Hello {
+func (c *Control) Hello() *wire.Hello {
 	return &wire.Hello{
-		VM:          self.Settings.VM.ID,
-		Incarnation: self.Incarnation,
-		DataCentre:  self.Settings.VM.DataCentre,
-		State:       *self.State(),
+		VM:          c.Settings.VM.ID,
+		Incarnation: c.Incarnation,
+		DataCentre:  c.Settings.VM.DataCentre,
+		State:       *c.State(),
 	}
 }
 
 // State implements link.Control.
-func (self *Control) State() *wire.State { return self.state.get(self.World.View) }
+func (c *Control) State() *wire.State { return c.state.get(c.World.View) }
 
 // Up implements link.Control.
-func (self *Control) Up(peer *link.Peer) { self.post(tables.LinkEvent{Peer: peer, Up: true}) }
+func (c *Control) Up(peer *link.Peer) { c.post(tables.LinkEvent{Peer: peer, Up: true}) }
 
 // Down implements link.Control.
-func (self *Control) Down(peer *link.Peer, cause error) {
-	self.post(tables.LinkEvent{Peer: peer, Cause: cause})
+func (c *Control) Down(peer *link.Peer, cause error) {
+	c.post(tables.LinkEvent{Peer: peer, Cause: cause})
 }
 
-func (self *Control) post(e tables.LinkEvent) {
-	self.World.Inbox.Post(true, func(m *tables.Mail) { m.Links = append(m.Links, e) })
+func (c *Control) post(e tables.LinkEvent) {
+	c.World.Inbox.Post(true, func(m *tables.Mail) { m.Links = append(m.Links, e) })
 }
 
 // News implements link.Control. Only what cannot wait wakes the systems.
-func (self *Control) News(peer *link.Peer, state *wire.State) {
-	urgent := state.Leaving || state.Placement > self.version()
-	n := tables.PeerNews{Peer: peer, State: state, At: self.Now()}
-	self.World.Inbox.Post(urgent, func(m *tables.Mail) { m.News = append(m.News, n) })
+func (c *Control) News(peer *link.Peer, state *wire.State) {
+	urgent := state.Leaving || state.Placement > c.version()
+	n := tables.PeerNews{Peer: peer, State: state, At: c.Now()}
+	c.World.Inbox.Post(urgent, func(m *tables.Mail) { m.News = append(m.News, n) })
 }
 
-func (self *Control) version() uint64 {
-	if p := self.World.View.Placement(); p != nil {
+func (c *Control) version() uint64 {
+	if p := c.World.View.Placement(); p != nil {
 		return p.Version
 	}
 	return 0
 }
 
 // Pull implements link.Control.
-func (self *Control) Pull(peer *link.Peer, pull *wire.Pull) {
+func (c *Control) Pull(peer *link.Peer, pull *wire.Pull) {
 	p := tables.PeerPull{Peer: peer, Have: pull.Have}
-	self.World.Inbox.Post(true, func(m *tables.Mail) { m.Pulls = append(m.Pulls, p) })
+	c.World.Inbox.Post(true, func(m *tables.Mail) { m.Pulls = append(m.Pulls, p) })
 }
 
 // Update implements link.Control.
-func (self *Control) Update(peer *link.Peer, update *wire.Update) {
+func (c *Control) Update(peer *link.Peer, update *wire.Update) {
 	u := tables.PeerUpdate{Peer: peer, Update: update}
-	self.World.Inbox.Post(true, func(m *tables.Mail) { m.Updates = append(m.Updates, u) })
+	c.World.Inbox.Post(true, func(m *tables.Mail) { m.Updates = append(m.Updates, u) })
 }
 
 // Members implements link.Control.
-func (self *Control) Members(peer *link.Peer, members *wire.Members) {
+func (c *Control) Members(peer *link.Peer, members *wire.Members) {
 	rows := tables.PeerMembers{Peer: peer, Rows: members.Rows}
-	self.World.Inbox.Post(true, func(m *tables.Mail) { m.Members = append(m.Members, rows) })
+	c.World.Inbox.Post(true, func(m *tables.Mail) { m.Members = append(m.Members, rows) })
 }
 
 // MembersAsk implements link.Control.
-func (self *Control) MembersAsk(peer *link.Peer, ask *wire.MembersAsk) {
+func (c *Control) MembersAsk(peer *link.Peer, ask *wire.MembersAsk) {
 	a := tables.PeerAsk{Peer: peer, Buckets: ask.Buckets}
-	self.World.Inbox.Post(false, func(m *tables.Mail) { m.Asks = append(m.Asks, a) })
+	c.World.Inbox.Post(false, func(m *tables.Mail) { m.Asks = append(m.Asks, a) })
 }
 
 // routeControl is the control of a link that this daemon opened for a route.
@@ -98,18 +98,18 @@
 }
 
 // Opened implements link.Opener: the client is known before the first frame.
-func (self *routeControl) Opened(client *link.Client) { self.client = client }
+func (r *routeControl) Opened(client *link.Client) { r.client = client }
 
 // Up implements link.Control.
-func (self *routeControl) Up(peer *link.Peer) {
-	self.post(tables.LinkEvent{Peer: peer, Client: self.client, Route: self.route, Up: true})
+func (r *routeControl) Up(peer *link.Peer) {
+	r.post(tables.LinkEvent{Peer: peer, Client: r.client, Route: r.route, Up: true})
 }
 
 // Down implements link.Control.
-func (self *routeControl) Down(peer *link.Peer, cause error) {
-	self.post(tables.LinkEvent{Peer: peer, Client: self.client, Route: self.route, Cause: cause})
+func (r *routeControl) Down(peer *link.Peer, cause error) {
+	r.post(tables.LinkEvent{Peer: peer, Client: r.client, Route: r.route, Cause: cause})
 }
 
-func (self *routeControl) post(e tables.LinkEvent) {
-	self.world.Inbox.Post(true, func(m *tables.Mail) { m.Links = append(m.Links, e) })
+func (r *routeControl) post(e tables.LinkEvent) {
+	r.world.Inbox.Post(true, func(m *tables.Mail) { m.Links = append(m.Links, e) })
 }
--- a/pkg/systems/doubt.go
+++ b/pkg/systems/doubt.go
@@ -20,33 +20,33 @@
 const doubtEvery = 100 * time.Millisecond
 
 // Tick implements System.
-func (self *doubt) Tick(now int64, _ *tables.Mail) {
-	if !self.due.at(now, doubtEvery) {
+func (d *doubt) Tick(now int64, _ *tables.Mail) {
+	if !d.due.at(now, doubtEvery) {
 		return
 	}
-	age, ok := self.World.StoreAge(now)
-	stale := !ok || age > self.Settings.Placement.UnsureAfter
-	self.World.View.SetStoreStale(stale)
-	unsure := self.World.Placement != nil && stale && self.someoneSilent(now)
-	if unsure == self.World.View.Unsure() {
+	age, ok := d.World.StoreAge(now)
+	stale := !ok || age > d.Settings.Placement.UnsureAfter
+	d.World.View.SetStoreStale(stale)
+	unsure := d.World.Placement != nil && stale && d.someoneSilent(now)
+	if unsure == d.World.View.Unsure() {
 		return
 	}
-	self.World.View.SetUnsure(unsure)
+	d.World.View.SetUnsure(unsure)
 	if unsure {
-		self.Log.Event(events.PlacementUnsure, events.F("version", self.World.Version()))
+		d.Log.Event(events.PlacementUnsure, events.F("version", d.World.Version()))
 	}
 }
 
 // someoneSilent is true when another data centre was not heard of lately.
-func (self *doubt) someoneSilent(now int64) bool {
-	bound := self.Settings.Placement.UnsureAfter
+func (d *doubt) someoneSilent(now int64) bool {
+	bound := d.Settings.Placement.UnsureAfter
 	silent := false
-	self.World.Members.Rows(func(row int) {
-		dc := self.World.Members.Row[row].DataCentre
-		if dc == self.World.DataCentre {
+	d.World.Members.Rows(func(row int) {
+		dc := d.World.Members.Row[row].DataCentre
+		if dc == d.World.DataCentre {
 			return
 		}
-		at, heard := self.World.Heard[dc]
+		at, heard := d.World.Heard[dc]
 		if !heard || time.Duration(now-at) > bound {
 			silent = true
 		}
--- a/pkg/systems/gatetick.go
+++ b/pkg/systems/gatetick.go
@@ -6,8 +6,8 @@
 type gateTick struct{ *Env }
 
 // Tick implements System.
-func (self *gateTick) Tick(_ int64, _ *tables.Mail) {
-	if self.Executor != nil {
-		self.Executor.Tick()
+func (g *gateTick) Tick(_ int64, _ *tables.Mail) {
+	if g.Executor != nil {
+		g.Executor.Tick()
 	}
 }
--- a/pkg/systems/head.go
+++ b/pkg/systems/head.go
@@ -21,55 +21,55 @@
 }
 
 // Tick implements System.
-func (self *headReader) Tick(now int64, _ *tables.Mail) {
-	if !self.due.at(now, self.Settings.Placement.HeadEvery) {
+func (h *headReader) Tick(now int64, _ *tables.Mail) {
+	if !h.due.at(now, h.Settings.Placement.HeadEvery) {
 		return
 	}
-	if self.World.Placement != nil && !self.isReader() {
+	if h.World.Placement != nil && !h.isReader() {
 		return
 	}
-	if self.busy.CompareAndSwap(false, true) {
-		go self.read(now, self.World.Version(), self.World.Placement)
+	if h.busy.CompareAndSwap(false, true) {
+		go h.read(now, h.World.Version(), h.World.Placement)
 	}
 }
 
-func (self *headReader) read(began int64, have uint64, base *placement.Document) {
-	defer self.busy.Store(false)
-	ctx, cancel := context.WithTimeout(self.Background, self.Settings.Platform.Timeout)
+func (h *headReader) read(began int64, have uint64, base *placement.Document) {
+	defer h.busy.Store(false)
+	ctx, cancel := context.WithTimeout(h.Background, h.Settings.Platform.Timeout)
 	defer cancel()
-	head, err := self.Store.Head(ctx)
-	self.outage.Note(err)
+	head, err := h.Store.Head(ctx)
+	h.outage.Note(err)
 	if err != nil {
 		return
 	}
-	self.World.Inbox.Post(true, func(m *tables.Mail) {
+	h.World.Inbox.Post(true, func(m *tables.Mail) {
 		m.HeadKnown, m.Head, m.StoreReadAt = true, head, began
 	})
 	if head.Version <= have && base != nil {
 		return
 	}
-	version, err := self.fetch(ctx, head, base)
+	version, err := h.fetch(ctx, head, base)
 	if err != nil {
-		self.Log.Event(events.PlacementRejected, events.F("version", head.Version), events.F("cause", err))
+		h.Log.Event(events.PlacementRejected, events.F("version", head.Version), events.F("cause", err))
 		return
 	}
-	self.World.Inbox.Post(true, func(m *tables.Mail) { m.Documents = append(m.Documents, version) })
+	h.World.Inbox.Post(true, func(m *tables.Mail) { m.Documents = append(m.Documents, version) })
 }
 
 // fetch reads the changes since base, or the snapshot when that is shorter.
-func (self *headReader) fetch(ctx context.Context, head placement.Head, base *placement.Document) (tables.Version, error) {
-	if version, ok := self.fetchChanges(ctx, head, base); ok {
+func (h *headReader) fetch(ctx context.Context, head placement.Head, base *placement.Document) (tables.Version, error) {
+	if version, ok := h.fetchChanges(ctx, head, base); ok {
 		return version, nil
 	}
-	doc, err := self.Store.Snapshot(ctx, head)
+	doc, err := h.Store.Snapshot(ctx, head)
 	return tables.Version{Document: doc, Hash: head.Hash, FromStore: true}, err
 }
 
-func (self *headReader) fetchChanges(ctx context.Context, head placement.Head, base *placement.Document) (tables.Version, bool) {
+func (h *headReader) fetchChanges(ctx context.Context, head placement.Head, base *placement.Document) (tables.Version, bool) {
 	if base == nil || head.Version-base.Version > tables.LogLength {
 		return tables.Version{}, false
 	}
-	entries, err := self.Store.History(ctx, base.Version, int(head.Version-base.Version))
+	entries, err := h.Store.History(ctx, base.Version, int(head.Version-base.Version))
 	if err != nil {
 		return tables.Version{}, false
 	}
--- a/pkg/systems/heartbeats.go
+++ b/pkg/systems/heartbeats.go
@@ -27,24 +27,24 @@
 }
 
 // Tick implements System.
-func (self *heartbeats) Tick(now int64, _ *tables.Mail) {
-	leftNow := self.World.View.Leaving() && !self.leaving
-	if !leftNow && !self.due.at(now, Heartbeat/4) {
+func (h *heartbeats) Tick(now int64, _ *tables.Mail) {
+	leftNow := h.World.View.Leaving() && !h.leaving
+	if !leftNow && !h.due.at(now, Heartbeat/4) {
 		return
 	}
-	self.leaving = self.World.View.Leaving()
-	self.refresh(now)
-	self.send(time.Now(), leftNow, self.Control.State(), self.heard(now))
+	h.leaving = h.World.View.Leaving()
+	h.refresh(now)
+	h.send(time.Now(), leftNow, h.Control.State(), h.heard(now))
 }
 
 // send sends the state on links without traffic, and on all when it must not
 // wait. Each fourth heartbeat of a link says which data centres were heard.
-func (self *heartbeats) send(at time.Time, all bool, brief *wire.State, heard []wire.Heard) {
+func (h *heartbeats) send(at time.Time, all bool, brief *wire.State, heard []wire.Heard) {
 	full := *brief
 	full.Heard = heard
-	sent := make(map[*link.Peer]int, self.World.Peers.Len())
-	self.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
-		sent[peer] = self.sent[peer]
+	sent := make(map[*link.Peer]int, h.World.Peers.Len())
+	h.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
+		sent[peer] = h.sent[peer]
 		if !all && !peer.HeartbeatDue(at) {
 			return
 		}
@@ -55,21 +55,21 @@
 		sent[peer]++
 		_ = peer.Send(state)
 	})
-	self.sent = sent
+	h.sent = sent
 }
 
-func (self *heartbeats) refresh(now int64) {
-	state := wire.State{StoreAgeMS: wire.StoreNever, Members: self.World.Members.Digest()}
-	if age, ok := self.World.StoreAge(now); ok {
+func (h *heartbeats) refresh(now int64) {
+	state := wire.State{StoreAgeMS: wire.StoreNever, Members: h.World.Members.Digest()}
+	if age, ok := h.World.StoreAge(now); ok {
 		state.StoreAgeMS = uint64(age.Milliseconds())
 	}
-	self.Control.state.set(state)
+	h.Control.state.set(state)
 }
 
-func (self *heartbeats) heard(now int64) []wire.Heard {
+func (h *heartbeats) heard(now int64) []wire.Heard {
 	var out []wire.Heard
-	for dc, at := range self.World.Heard {
-		if dc != self.World.DataCentre {
+	for dc, at := range h.World.Heard {
+		if dc != h.World.DataCentre {
 			out = append(out, wire.Heard{DataCentre: dc, AgeMS: uint64((now - at) / int64(time.Millisecond))})
 		}
 	}
@@ -80,11 +80,11 @@
 // force and leaving, are read from the view each time.
 type latest struct{ value atomic.Pointer[wire.State] }
 
-func (self *latest) set(s wire.State) { self.value.Store(&s) }
+func (l *latest) set(s wire.State) { l.value.Store(&s) }
 
-func (self *latest) get(view *tables.View) *wire.State {
+func (l *latest) get(view *tables.View) *wire.State {
 	out := wire.State{StoreAgeMS: wire.StoreNever}
-	if s := self.value.Load(); s != nil {
+	if s := l.value.Load(); s != nil {
 		out = *s
 	}
 	if p := view.Placement(); p != nil {
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -36,109 +36,109 @@
 }
 
 // Tick implements System.
-func (self *links) Tick(now int64, mail *tables.Mail) {
-	if self.open == nil {
-		self.open = map[*tables.Route]*link.Client{}
-		self.dialing = map[*tables.Route]struct{}{}
-		self.restUntil = map[*tables.Route]int64{}
+func (l *links) Tick(now int64, mail *tables.Mail) {
+	if l.open == nil {
+		l.open = map[*tables.Route]*link.Client{}
+		l.dialing = map[*tables.Route]struct{}{}
+		l.restUntil = map[*tables.Route]int64{}
 	}
 	for _, e := range mail.Links {
-		self.take(now, e)
+		l.take(now, e)
 	}
 	for _, service := range mail.Wanted {
-		self.World.Wanted[service] = struct{}{}
-		self.World.Touch(service)
+		l.World.Wanted[service] = struct{}{}
+		l.World.Touch(service)
 	}
-	retry := self.retryDue.at(now, redialAfter)
+	retry := l.retryDue.at(now, redialAfter)
 	if retry {
-		self.noteDistances()
+		l.noteDistances()
 	}
-	for service := range self.World.Wanted {
-		if _, dirty := self.World.Dirty[service]; dirty || retry {
-			self.openService(now, service)
+	for service := range l.World.Wanted {
+		if _, dirty := l.World.Dirty[service]; dirty || retry {
+			l.openService(now, service)
 		}
 	}
-	if self.sampleDue.at(now, sampleEvery) {
-		if changes := self.World.Members.Changes(); changes != self.drawnAt {
-			self.drawnAt = changes
-			self.drawSample()
-			self.closeGone()
+	if l.sampleDue.at(now, sampleEvery) {
+		if changes := l.World.Members.Changes(); changes != l.drawnAt {
+			l.drawnAt = changes
+			l.drawSample()
+			l.closeGone()
 		}
-		self.openAll(now, self.sample)
+		l.openAll(now, l.sample)
 	}
 }
 
-func (self *links) take(now int64, e tables.LinkEvent) {
+func (l *links) take(now int64, e tables.LinkEvent) {
 	if e.Up {
-		self.World.Peers.Put(e.Peer)
-		self.newProcess(now, e)
+		l.World.Peers.Put(e.Peer)
+		l.newProcess(now, e)
 	} else {
-		self.World.Peers.Remove(e.Peer)
+		l.World.Peers.Remove(e.Peer)
 	}
 	if e.Route == nil {
 		return
 	}
-	delete(self.dialing, e.Route)
-	self.World.Touch(e.Route.Service)
+	delete(l.dialing, e.Route)
+	l.World.Touch(e.Route.Service)
 	if e.Up {
-		self.up(e)
+		l.up(e)
 		return
 	}
-	self.down(now, e)
+	l.down(now, e)
 }
 
-func (self *links) noteDistances() {
-	for route, client := range self.open {
+func (l *links) noteDistances() {
+	for route, client := range l.open {
 		route.Load.SetDistance(client.RoundTrip())
 	}
 }
 
-func (self *links) up(e tables.LinkEvent) {
-	self.open[e.Route] = e.Client
+func (l *links) up(e tables.LinkEvent) {
+	l.open[e.Route] = e.Client
 	e.Route.SetRunner(e.Client)
-	row, ok := self.World.Members.Find(e.Route.VM)
-	if !ok || self.World.Members.Route[row] != e.Route {
+	row, ok := l.World.Members.Find(e.Route.VM)
+	if !ok || l.World.Members.Route[row] != e.Route {
 		e.Client.Close()
 		return
 	}
-	self.Log.Event(events.LinkUp, events.F("peer", e.Route.VM))
+	l.Log.Event(events.LinkUp, events.F("peer", e.Route.VM))
 }
 
 // newProcess takes over that another process answers for a known VM: what was
 // known of the old one's load is void, and that it left does not bind this one.
-func (self *links) newProcess(now int64, e tables.LinkEvent) {
+func (l *links) newProcess(now int64, e tables.LinkEvent) {
 	hello := &e.Peer.Hello
-	row, ok := self.World.Members.Find(hello.VM)
-	if !ok || hello.Incarnation <= self.World.Members.Row[row].Incarnation {
+	row, ok := l.World.Members.Find(hello.VM)
+	if !ok || hello.Incarnation <= l.World.Members.Row[row].Incarnation {
 		return
 	}
-	said := self.World.Members.Row[row]
+	said := l.World.Members.Row[row]
 	said.Incarnation = hello.Incarnation
 	said.State = wire.MemberLive
 	if hello.State.Leaving {
 		said.State = wire.MemberLeaving
 	}
-	self.World.Members.Merge(now, e.Peer, said)
-	self.World.Members.Route[row].Load.Reset(int(said.Slots))
-	self.World.Touch(said.Service)
+	l.World.Members.Merge(now, e.Peer, said)
+	l.World.Members.Route[row].Load.Reset(int(said.Slots))
+	l.World.Touch(said.Service)
 }
 
-func (self *links) down(now int64, e tables.LinkEvent) {
-	self.restUntil[e.Route] = now + int64(redialAfter)
-	if self.open[e.Route] == e.Client && e.Client != nil {
-		delete(self.open, e.Route)
+func (l *links) down(now int64, e tables.LinkEvent) {
+	l.restUntil[e.Route] = now + int64(redialAfter)
+	if l.open[e.Route] == e.Client && e.Client != nil {
+		delete(l.open, e.Route)
 		e.Route.SetRunner(nil)
-		self.Log.Event(events.LinkDown, events.F("peer", e.Route.VM), events.F("cause", e.Cause))
+		l.Log.Event(events.LinkDown, events.F("peer", e.Route.VM), events.F("cause", e.Cause))
 		return
 	}
 	if e.Client == nil {
-		self.Log.Event(events.LinkRefused, events.F("peer", e.Route.VM), events.F("cause", e.Cause))
+		l.Log.Event(events.LinkRefused, events.F("peer", e.Route.VM), events.F("cause", e.Cause))
 	}
 }
 
 // openService opens the links that calls of a service need.
-func (self *links) openService(now int64, service string) {
-	view := self.World.View.Placement()
+func (l *links) openService(now int64, service string) {
+	view := l.World.View.Placement()
 	if view == nil {
 		return
 	}
@@ -147,32 +147,32 @@
 		return
 	}
 	for _, kind := range compiled.Kinds {
-		self.openAll(now, Subset(self.World, self.Settings.Choosing.Subset, kind))
+		l.openAll(now, Subset(l.World, l.Settings.Choosing.Subset, kind))
 	}
 }
 
-func (self *links) openAll(now int64, routes []*tables.Route) {
+func (l *links) openAll(now int64, routes []*tables.Route) {
 	for _, route := range routes {
-		self.openOne(now, route)
+		l.openOne(now, route)
 	}
 }
 
-func (self *links) openOne(now int64, route *tables.Route) {
-	_, open := self.open[route]
-	_, dialing := self.dialing[route]
-	if open || dialing || route.VM == self.World.VM || now < self.restUntil[route] {
+func (l *links) openOne(now int64, route *tables.Route) {
+	_, open := l.open[route]
+	_, dialing := l.dialing[route]
+	if open || dialing || route.VM == l.World.VM || now < l.restUntil[route] {
 		return
 	}
-	self.dialing[route] = struct{}{}
-	go self.dial(route)
+	l.dialing[route] = struct{}{}
+	go l.dial(route)
 }
 
-func (self *links) dial(route *tables.Route) {
-	ctx, cancel := context.WithTimeout(self.Background, dialTime)
+func (l *links) dial(route *tables.Route) {
+	ctx, cancel := context.WithTimeout(l.Background, dialTime)
 	defer cancel()
-	client, err := link.DialClient(ctx, self.Common, &routeControl{Control: self.Control, world: self.World, route: route}, route.Links, self.Dial)
+	client, err := link.DialClient(ctx, l.Common, &routeControl{Control: l.Control, world: l.World, route: route}, route.Links, l.Dial)
 	if err != nil {
-		self.World.Inbox.Post(false, func(m *tables.Mail) {
+		l.World.Inbox.Post(false, func(m *tables.Mail) {
 			m.Links = append(m.Links, tables.LinkEvent{Route: route, Cause: err})
 		})
 		return
@@ -183,29 +183,29 @@
 // drawSample picks the daemons that this one keeps a link with besides those
 // that calls need: the highest by rendezvous hash in each data centre. They
 // carry placement versions and news even where no calls go.
-func (self *links) drawSample() {
+func (l *links) drawSample() {
 	best := map[string]*tables.Route{}
-	self.World.Members.Rows(func(row int) {
-		route := self.World.Members.Route[row]
-		if route.VM == self.World.VM || self.World.Members.Leaving(row) {
+	l.World.Members.Rows(func(row int) {
+		route := l.World.Members.Route[row]
+		if route.VM == l.World.VM || l.World.Members.Leaving(row) {
 			return
 		}
 		old := best[route.DataCentre]
-		if old == nil || utils.Rendezvous(self.World.VM, route.VM) > utils.Rendezvous(self.World.VM, old.VM) {
+		if old == nil || utils.Rendezvous(l.World.VM, route.VM) > utils.Rendezvous(l.World.VM, old.VM) {
 			best[route.DataCentre] = route
 		}
 	})
-	self.sample = self.sample[:0]
+	l.sample = l.sample[:0]
 	for _, route := range best {
-		self.sample = append(self.sample, route)
+		l.sample = append(l.sample, route)
 	}
 }
 
 // closeGone closes links to VMs that are gone or that another VM replaced.
-func (self *links) closeGone() {
-	for route, client := range self.open {
-		row, ok := self.World.Members.Find(route.VM)
-		if !ok || self.World.Members.Route[row] != route {
+func (l *links) closeGone() {
+	for route, client := range l.open {
+		row, ok := l.World.Members.Find(route.VM)
+		if !ok || l.World.Members.Route[row] != route {
 			client.Close()
 		}
 	}
--- a/pkg/systems/members.go
+++ b/pkg/systems/members.go
@@ -5,7 +5,7 @@
 
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -32,63 +32,63 @@
 }
 
 // Tick implements System.
-func (self *members) Tick(now int64, mail *tables.Mail) {
+func (me *members) Tick(now int64, mail *tables.Mail) {
 	if mail.Leave {
-		self.Leave()
+		me.Leave()
 	}
 	if mail.List != nil {
-		self.takeList(now, mail.List)
+		me.takeList(now, mail.List)
 	}
 	for _, m := range mail.Members {
 		for _, row := range m.Rows {
-			self.merge(now, m.Peer, row)
+			me.merge(now, m.Peer, row)
 		}
 	}
-	self.refuteGone(now)
+	me.refuteGone(now)
 	for _, ask := range mail.Asks {
-		send(ask.Peer, self.World.Members.Differing(ask.Buckets))
+		send(ask.Peer, me.World.Members.Differing(ask.Buckets))
 	}
 }
 
-func (self *members) takeList(now int64, list *tables.VMList) {
+func (me *members) takeList(now int64, list *tables.VMList) {
 	listed := make(map[string]struct{}, len(list.VMs))
 	for _, vm := range list.VMs {
 		listed[vm.ID] = struct{}{}
-		self.merge(now, nil, self.rowOf(vm))
-		if row, ok := self.World.Members.Find(vm.ID); ok {
-			self.World.Members.Listed[row] = true
-			self.World.Members.Missing[row] = 0
+		me.merge(now, nil, me.rowOf(vm))
+		if row, ok := me.World.Members.Find(vm.ID); ok {
+			me.World.Members.Listed[row] = true
+			me.World.Members.Missing[row] = 0
 		}
 	}
-	self.buryUnlisted(now, list.DataCentre, listed)
+	me.buryUnlisted(now, list.DataCentre, listed)
 }
 
 // rowOf turns a VM of the list into a row. The list knows VMs, not processes:
 // what it says holds for the newest process that is known.
-func (self *members) rowOf(vm platform.VM) wire.Member {
+func (me *members) rowOf(vm store.VM) wire.Member {
 	out := wire.Member{
 		VM: vm.ID, Started: vm.Started, Region: vm.Region, DataCentre: vm.DataCentre,
 		Service: vm.Service, Links: vm.Links, Callers: vm.Callers, Slots: uint32(max(vm.Slots, 0)),
 	}
-	if vm.State == platform.VMLeaving {
+	if vm.State == store.VMLeaving {
 		out.State = wire.MemberLeaving
 	}
-	if row, ok := self.World.Members.Find(vm.ID); ok && self.World.Members.Row[row].Started == vm.Started {
-		out.Incarnation = self.World.Members.Row[row].Incarnation
+	if row, ok := me.World.Members.Find(vm.ID); ok && me.World.Members.Row[row].Started == vm.Started {
+		out.Incarnation = me.World.Members.Row[row].Incarnation
 	}
 	return out
 }
 
 // buryUnlisted takes out what the list has shown before and shows no more.
-func (self *members) buryUnlisted(now int64, dataCentre string, listed map[string]struct{}) {
+func (me *members) buryUnlisted(now int64, dataCentre string, listed map[string]struct{}) {
 	var gone []wire.Member
-	m := self.World.Members
+	m := me.World.Members
 	m.Rows(func(row int) {
 		_, ok := listed[m.Row[row].VM]
 		mayKnow := m.Listed[row] || now-m.Since[row] > int64(unlistedAfter)
 		elsewhere := dataCentre != "" && m.Row[row].DataCentre != dataCentre
 		// A daemon does not bury itself: it knows better.
-		if ok || !mayKnow || elsewhere || m.Row[row].VM == self.World.VM {
+		if ok || !mayKnow || elsewhere || m.Row[row].VM == me.World.VM {
 			return
 		}
 		if m.Missing[row]++; m.Missing[row] < missingReads {
@@ -99,34 +99,34 @@
 		gone = append(gone, dead)
 	})
 	for _, dead := range gone {
-		self.merge(now, nil, dead)
+		me.merge(now, nil, dead)
 	}
 }
 
-func (self *members) merge(now int64, from *link.Peer, said wire.Member) {
-	ended, changed := self.World.Members.Merge(now, from, said)
+func (me *members) merge(now int64, from *link.Peer, said wire.Member) {
+	ended, changed := me.World.Members.Merge(now, from, said)
 	if !changed {
 		return
 	}
-	self.World.Touch(said.Service)
+	me.World.Touch(said.Service)
 	if ended != nil {
-		self.World.Touch(ended.Service)
+		me.World.Touch(ended.Service)
 	}
-	self.note(said)
-	if said.VM == self.World.VM {
-		self.aboutSelf(now, said)
+	me.note(said)
+	if said.VM == me.World.VM {
+		me.aboutSelf(now, said)
 	}
 }
 
-func (self *members) note(said wire.Member) {
+func (me *members) note(said wire.Member) {
 	vm := events.F("vm", said.VM)
 	switch said.State {
 	case wire.MemberLive:
-		self.Log.Event(events.MemberJoined, vm, events.F("data_centre", said.DataCentre), events.F("service", said.Service))
+		me.Log.Event(events.MemberJoined, vm, events.F("data_centre", said.DataCentre), events.F("service", said.Service))
 	case wire.MemberLeaving:
-		self.Log.Event(events.MemberLeaving, vm)
+		me.Log.Event(events.MemberLeaving, vm)
 	case wire.MemberGone:
-		self.Log.Event(events.MemberGone, vm)
+		me.Log.Event(events.MemberGone, vm)
 	}
 }
 
@@ -134,38 +134,38 @@
 // executor, answers what is said of an older process with its own incarnation,
 // and leaves when the platform marks this VM as leaving. Only the platform's
 // list says so without an incarnation.
-func (self *members) aboutSelf(now int64, said wire.Member) {
-	if row, ok := self.World.Members.Find(self.World.VM); ok && self.Executor != nil {
-		self.World.Members.Route[row].SetRunner(self.Executor)
+func (me *members) aboutSelf(now int64, said wire.Member) {
+	if row, ok := me.World.Members.Find(me.World.VM); ok && me.Executor != nil {
+		me.World.Members.Route[row].SetRunner(me.Executor)
 	}
 	switch {
 	case said.State == wire.MemberGone:
 		// refuteGone answers, not too often.
-	case said.Incarnation < self.Control.Incarnation:
+	case said.Incarnation < me.Control.Incarnation:
 		marked := said.State == wire.MemberLeaving && said.Incarnation == 0
-		said.Incarnation = self.Control.Incarnation
+		said.Incarnation = me.Control.Incarnation
 		if !marked {
 			said.State = wire.MemberLive
 		}
-		self.merge(now, nil, said)
+		me.merge(now, nil, said)
 	case said.State == wire.MemberLeaving:
-		self.Leave()
+		me.Leave()
 	}
 }
 
 // refuteGone answers the news that this daemon is gone while it lives, with a
 // newer incarnation, as in the SWIM paper. A list that flaps must not bury a
 // VM for as long as its tombstone stands.
-func (self *members) refuteGone(now int64) {
-	stone, buried := self.World.Members.Tombstone(self.World.VM)
-	if !buried || self.World.View.Leaving() || !self.refute.at(now, refuteEvery) {
+func (me *members) refuteGone(now int64) {
+	stone, buried := me.World.Members.Tombstone(me.World.VM)
+	if !buried || me.World.View.Leaving() || !me.refute.at(now, refuteEvery) {
 		return
 	}
-	self.Metrics.GetOrCreateCounter("rushramp_members_refuted_total").Inc()
-	self.Control.Incarnation = max(stone.Incarnation, self.Control.Incarnation) + 1
+	me.Metrics.GetOrCreateCounter("rushramp_members_refuted_total").Inc()
+	me.Control.Incarnation = max(stone.Incarnation, me.Control.Incarnation) + 1
 	stone.State = wire.MemberLive
-	stone.Incarnation = self.Control.Incarnation
-	self.merge(now, nil, stone)
+	stone.Incarnation = me.Control.Incarnation
+	me.merge(now, nil, stone)
 }
 
 func send(peer *link.Peer, rows []wire.Member) {
--- a/pkg/systems/news.go
+++ b/pkg/systems/news.go
@@ -14,51 +14,51 @@
 type news struct{ *Env }
 
 // Tick implements System.
-func (self *news) Tick(now int64, mail *tables.Mail) {
-	if mail.StoreReadAt > self.World.StoreSeen {
-		self.World.StoreSeen = mail.StoreReadAt
+func (ne *news) Tick(now int64, mail *tables.Mail) {
+	if mail.StoreReadAt > ne.World.StoreSeen {
+		ne.World.StoreSeen = mail.StoreReadAt
 	}
 	for _, n := range mail.News {
-		self.take(n)
+		ne.take(n)
 	}
 }
 
-func (self *news) take(n tables.PeerNews) {
-	row := self.World.Peers.Put(n.Peer)
+func (ne *news) take(n tables.PeerNews) {
+	row := ne.World.Peers.Put(n.Peer)
 	row.Placement = max(row.Placement, n.State.Placement)
-	self.hear(n)
+	ne.hear(n)
 	if n.State.Leaving && !row.Leaving {
 		row.Leaving = true
-		self.markLeaving(n.At, n.Peer)
+		ne.markLeaving(n.At, n.Peer)
 	}
 }
 
 // hear takes over how fresh the peer's knowledge of the store and of the data
 // centres is. Ages, not times, travel: clocks of VMs differ.
-func (self *news) hear(n tables.PeerNews) {
-	self.World.Heard[n.Peer.Hello.DataCentre] = n.At
+func (ne *news) hear(n tables.PeerNews) {
+	ne.World.Heard[n.Peer.Hello.DataCentre] = n.At
 	for _, h := range n.State.Heard {
 		at := n.At - int64(time.Duration(h.AgeMS)*time.Millisecond)
-		self.World.Heard[h.DataCentre] = max(self.World.Heard[h.DataCentre], at)
+		ne.World.Heard[h.DataCentre] = max(ne.World.Heard[h.DataCentre], at)
 	}
 	if n.State.StoreAgeMS < wire.StoreNever {
 		at := n.At - int64(time.Duration(n.State.StoreAgeMS)*time.Millisecond)
-		self.World.StoreSeen = max(self.World.StoreSeen, at)
+		ne.World.StoreSeen = max(ne.World.StoreSeen, at)
 	}
 }
 
 // markLeaving takes a peer's own word that it is leaving. The platform may say
 // so seconds later; members passes it on.
-func (self *news) markLeaving(now int64, peer *link.Peer) {
-	row, ok := self.World.Members.Find(peer.Hello.VM)
-	if !ok || self.World.Members.Row[row].Incarnation > peer.Hello.Incarnation {
+func (ne *news) markLeaving(now int64, peer *link.Peer) {
+	row, ok := ne.World.Members.Find(peer.Hello.VM)
+	if !ok || ne.World.Members.Row[row].Incarnation > peer.Hello.Incarnation {
 		return
 	}
-	said := self.World.Members.Row[row]
+	said := ne.World.Members.Row[row]
 	said.Incarnation = peer.Hello.Incarnation
 	said.State = wire.MemberLeaving
-	if _, changed := self.World.Members.Merge(now, peer, said); changed {
-		self.World.Touch(said.Service)
-		self.Log.Event(events.MemberLeaving, events.F("vm", said.VM), events.F("from", "link"))
+	if _, changed := ne.World.Members.Merge(now, peer, said); changed {
+		ne.World.Touch(said.Service)
+		ne.Log.Event(events.MemberLeaving, events.F("vm", said.VM), events.F("from", "link"))
 	}
 }
--- a/pkg/systems/placements.go
+++ b/pkg/systems/placements.go
@@ -27,61 +27,61 @@
 }
 
 // Tick implements System.
-func (self *placements) Tick(now int64, mail *tables.Mail) {
+func (pl *placements) Tick(now int64, mail *tables.Mail) {
 	for _, v := range mail.Documents {
-		self.take(v)
+		pl.take(v)
 	}
 	for _, u := range mail.Updates {
-		self.takeUpdate(u)
+		pl.takeUpdate(u)
 	}
 	for _, p := range mail.Pulls {
-		self.answer(p)
+		pl.answer(p)
 	}
 	if len(mail.News) > 0 {
-		self.pull(now)
+		pl.pull(now)
 	}
 }
 
-func (self *placements) takeUpdate(u tables.PeerUpdate) {
-	v, err := readUpdate(u.Peer, u.Update, self.World.Placement)
+func (pl *placements) takeUpdate(u tables.PeerUpdate) {
+	v, err := readUpdate(u.Peer, u.Update, pl.World.Placement)
 	if err != nil {
-		self.Log.Event(events.PlacementRejected, events.F("version", u.Update.Version), events.F("peer", u.Peer.Hello.VM), events.F("cause", err))
+		pl.Log.Event(events.PlacementRejected, events.F("version", u.Update.Version), events.F("peer", u.Peer.Hello.VM), events.F("cause", err))
 		return
 	}
-	self.pullDue.next = 0
-	self.take(v)
+	pl.pullDue.next = 0
+	pl.take(v)
 }
 
-func (self *placements) take(v tables.Version) {
-	if self.World.Placement != nil && v.Document.Version <= self.World.Version() {
+func (pl *placements) take(v tables.Version) {
+	if pl.World.Placement != nil && v.Document.Version <= pl.World.Version() {
 		return
 	}
-	if self.World.Placement == nil && !v.FromStore {
-		v = self.weigh(v)
+	if pl.World.Placement == nil && !v.FromStore {
+		v = pl.weigh(v)
 		if v.Document == nil {
 			return
 		}
 	}
-	self.force(v)
+	pl.force(v)
 }
 
 // weigh decides on a peer's version while this daemon has none and the store
 // has not answered: the highest of peers in more than one data centre, so that
 // a data centre that is cut off by itself does not start new daemons on an old
 // version. Where the members know of one data centre only, one is enough.
-func (self *placements) weigh(v tables.Version) tables.Version {
-	if self.offers == nil {
-		self.offers = map[string]tables.Version{}
+func (pl *placements) weigh(v tables.Version) tables.Version {
+	if pl.offers == nil {
+		pl.offers = map[string]tables.Version{}
 	}
 	dc := v.Peer.Hello.DataCentre
-	if old, ok := self.offers[dc]; !ok || old.Document.Version < v.Document.Version {
-		self.offers[dc] = v
+	if old, ok := pl.offers[dc]; !ok || old.Document.Version < v.Document.Version {
+		pl.offers[dc] = v
 	}
-	if len(self.offers) < min(2, self.dataCentres()) {
+	if len(pl.offers) < min(2, pl.dataCentres()) {
 		return tables.Version{}
 	}
 	best := tables.Version{}
-	for _, o := range self.offers {
+	for _, o := range pl.offers {
 		if best.Document == nil || o.Document.Version > best.Document.Version {
 			best = o
 		}
@@ -89,87 +89,87 @@
 	return best
 }
 
-func (self *placements) dataCentres() int {
+func (pl *placements) dataCentres() int {
 	seen := map[string]struct{}{}
-	self.World.Members.Rows(func(row int) { seen[self.World.Members.Row[row].DataCentre] = struct{}{} })
+	pl.World.Members.Rows(func(row int) { seen[pl.World.Members.Row[row].DataCentre] = struct{}{} })
 	return len(seen)
 }
 
 // force takes a version over: from here on the hot path uses it.
-func (self *placements) force(v tables.Version) {
-	old := self.World.Placement
-	self.touchChanged(old, v.Document)
-	self.World.Placement, self.World.Hash = v.Document, v.Hash
-	self.keepLog(old, v)
-	self.offers = nil
+func (pl *placements) force(v tables.Version) {
+	old := pl.World.Placement
+	pl.touchChanged(old, v.Document)
+	pl.World.Placement, pl.World.Hash = v.Document, v.Hash
+	pl.keepLog(old, v)
+	pl.offers = nil
 	compiled := placement.Compile(v.Document)
-	self.World.View.SetPlacement(compiled)
-	self.Log.Event(events.PlacementInForce, events.F("version", compiled.Version), events.F("services", compiled.Services()))
-	state := self.Control.State()
-	self.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) { _ = peer.Send(state) })
+	pl.World.View.SetPlacement(compiled)
+	pl.Log.Event(events.PlacementInForce, events.F("version", compiled.Version), events.F("services", compiled.Services()))
+	state := pl.Control.State()
+	pl.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) { _ = peer.Send(state) })
 }
 
 // touchChanged marks the services whose kinds differ between two versions.
-func (self *placements) touchChanged(old, now *placement.Document) {
+func (pl *placements) touchChanged(old, now *placement.Document) {
 	if old == nil {
 		old = &placement.Document{}
 	}
 	// Compiled kinds belong to one version, so each wanted service gets a new
 	// view; the cost grows with what this entry uses, not with the placement.
-	for service := range self.World.Wanted {
-		self.World.Touch(service)
+	for service := range pl.World.Wanted {
+		pl.World.Touch(service)
 	}
 	for _, c := range placement.Diff(old, now) {
-		self.World.Touch(c.Service)
+		pl.World.Touch(c.Service)
 	}
 }
 
 // keepLog keeps the newest changes, unless there is a gap before them.
-func (self *placements) keepLog(old *placement.Document, v tables.Version) {
+func (pl *placements) keepLog(old *placement.Document, v tables.Version) {
 	follows := old != nil && len(v.Entries) > 0 && v.Entries[0].Version == old.Version+1
 	if !follows {
-		self.World.Log = nil
+		pl.World.Log = nil
 		return
 	}
-	self.World.Log = append(self.World.Log, v.Entries...)
-	if extra := len(self.World.Log) - tables.LogLength; extra > 0 {
-		self.World.Log = append([]placement.LogEntry(nil), self.World.Log[extra:]...)
+	pl.World.Log = append(pl.World.Log, v.Entries...)
+	if extra := len(pl.World.Log) - tables.LogLength; extra > 0 {
+		pl.World.Log = append([]placement.LogEntry(nil), pl.World.Log[extra:]...)
 	}
 }
 
 // pull asks a peer that is ahead. One at a time: the answer comes to all that
 // wait, and 300 peers with the same news are not asked 300 times.
-func (self *placements) pull(now int64) {
-	have := self.World.Version()
+func (pl *placements) pull(now int64) {
+	have := pl.World.Version()
 	var best *link.Peer
 	var bestRow *tables.PeerRow
-	self.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
-		ahead := row.Placement > have || (self.World.Placement == nil && row.Placement > 0 && !self.offered(peer))
+	pl.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
+		ahead := row.Placement > have || (pl.World.Placement == nil && row.Placement > 0 && !pl.offered(peer))
 		if ahead && (best == nil || row.Placement > bestRow.Placement) {
 			best, bestRow = peer, row
 		}
 	})
-	if best == nil || (now < self.pullDue.next && bestRow.PulledAt != 0) {
+	if best == nil || (now < pl.pullDue.next && bestRow.PulledAt != 0) {
 		return
 	}
-	self.pullDue.next = now + int64(pullAgain)
+	pl.pullDue.next = now + int64(pullAgain)
 	bestRow.PulledAt = now
 	_ = best.Send(&wire.Pull{Have: have})
 }
 
-func (self *placements) offered(peer *link.Peer) bool {
-	_, ok := self.offers[peer.Hello.DataCentre]
+func (pl *placements) offered(peer *link.Peer) bool {
+	_, ok := pl.offers[peer.Hello.DataCentre]
 	return ok
 }
 
 // answer sends a peer the changes since its version, or the whole document.
-func (self *placements) answer(p tables.PeerPull) {
-	doc := self.World.Placement
+func (pl *placements) answer(p tables.PeerPull) {
+	doc := pl.World.Placement
 	if doc == nil || doc.Version <= p.Have {
 		return
 	}
-	update := &wire.Update{Version: doc.Version, Hash: self.World.Hash}
-	if entries, ok := self.since(p.Have); ok {
+	update := &wire.Update{Version: doc.Version, Hash: pl.World.Hash}
+	if entries, ok := pl.since(p.Have); ok {
 		update.From = p.Have
 		update.Entries = entries
 		_ = p.Peer.Send(update)
@@ -183,8 +183,8 @@
 	_ = p.Peer.Send(update)
 }
 
-func (self *placements) since(have uint64) ([][]byte, bool) {
-	log := self.World.Log
+func (pl *placements) since(have uint64) ([][]byte, bool) {
+	log := pl.World.Log
 	if have == 0 || len(log) == 0 || log[0].Version > have+1 {
 		return nil, false
 	}
--- a/pkg/systems/publish.go
+++ b/pkg/systems/publish.go
@@ -14,72 +14,72 @@
 type publish struct{ *Env }
 
 // Tick implements System.
-func (self *publish) Tick(_ int64, _ *tables.Mail) {
-	self.World.View.SetMembers(self.World.Members.Len())
-	self.becomeReady()
-	if len(self.World.Dirty) == 0 {
+func (p *publish) Tick(_ int64, _ *tables.Mail) {
+	p.World.View.SetMembers(p.World.Members.Len())
+	p.becomeReady()
+	if len(p.World.Dirty) == 0 {
 		return
 	}
-	current := self.World.View.Placement()
-	for service := range self.World.Dirty {
-		_, wanted := self.World.Wanted[service]
+	current := p.World.View.Placement()
+	for service := range p.World.Dirty {
+		_, wanted := p.World.Wanted[service]
 		if !wanted || current == nil {
 			continue
 		}
-		self.World.View.SetService(service, self.serviceView(current, service))
+		p.World.View.SetService(service, p.serviceView(current, service))
 	}
-	clear(self.World.Dirty)
+	clear(p.World.Dirty)
 }
 
-func (self *publish) becomeReady() {
-	if self.World.View.Ready() || self.World.Placement == nil || self.World.Members.Len() == 0 {
+func (p *publish) becomeReady() {
+	if p.World.View.Ready() || p.World.Placement == nil || p.World.Members.Len() == 0 {
 		return
 	}
-	self.World.View.SetReady()
-	self.Log.Event(events.DaemonReady, events.F("placement", self.World.Version()), events.F("members", self.World.Members.Len()))
+	p.World.View.SetReady()
+	p.Log.Event(events.DaemonReady, events.F("placement", p.World.Version()), events.F("members", p.World.Members.Len()))
 }
 
-func (self *publish) serviceView(current *placement.Compiled, name string) *tables.ServiceView {
+func (p *publish) serviceView(current *placement.Compiled, name string) *tables.ServiceView {
 	service := current.Service(name)
 	if service == nil {
 		return nil
 	}
 	kinds := make([]*tables.KindView, 0, len(service.Kinds))
 	for _, kind := range service.Kinds {
-		kinds = append(kinds, self.kindView(kind))
+		kinds = append(kinds, p.kindView(kind))
 	}
 	return tables.NewServiceView(service, kinds)
 }
 
-func (self *publish) kindView(kind *placement.CompiledKind) *tables.KindView {
+func (p *publish) kindView(kind *placement.CompiledKind) *tables.KindView {
 	out := &tables.KindView{Kind: kind}
-	for _, route := range Subset(self.World, self.Settings.Choosing.Subset, kind) {
+	for _, route := range Subset(p.World, p.Settings.Choosing.Subset, kind) {
 		if route.Runner() == nil {
 			out.Unlinked = append(out.Unlinked, route)
 			continue
 		}
 		out.Ready = append(out.Ready, tables.Candidate{Route: route, Load: route.Load})
 	}
-	if !kind.Allows(self.World.DataCentre) {
-		out.Redirect = self.redirects(kind)
+	if !kind.Allows(p.World.DataCentre) {
+		out.Redirect = p.redirects(kind)
 	}
 	return out
 }
 
 // redirects returns daemons in allowed data centres where callers from outside
 // may enter, a few of them, in an order of this daemon's own.
-func (self *publish) redirects(kind *placement.CompiledKind) []string {
+func (p *publish) redirects(kind *placement.CompiledKind) []string {
 	type weighed struct {
 		address string
 		weight  uint64
 	}
 	var best []weighed
-	self.World.Members.Rows(func(row int) {
-		route := self.World.Members.Route[row]
-		if self.World.Members.Leaving(row) || !kind.Allows(route.DataCentre) || route.Callers == "" {
+	p.World.Members.Rows(func(row int) {
+		route := p.World.Members.Route[row]
+		if p.World.Members.Leaving(row) || !kind.Allows(route.DataCentre) || route.Callers == "" {
 			return
 		}
-		best = append(best, weighed{route.Callers, utils.Rendezvous(self.World.VM, route.VM)})
+		best = append(best, weighed{route.Callers, utils.Rendezvous(p.World.VM, route.VM)})
 		for i := len(best) - 1; i > 0 && best[i].weight > best[i-1].weight; i-- {
 			best[i], best[i-1] = best[i-1], best[i]
 		}
--- a/pkg/systems/queries.go
+++ b/pkg/systems/queries.go
@@ -6,8 +6,8 @@
 type queries struct{ *Env }
 
 // Tick implements System.
-func (self *queries) Tick(_ int64, mail *tables.Mail) {
+func (q *queries) Tick(_ int64, mail *tables.Mail) {
 	for _, query := range mail.Queries {
-		query(self.World)
+		query(q.World)
 	}
 }
--- a/pkg/systems/readers.go
+++ b/pkg/systems/readers.go
@@ -6,18 +6,18 @@
 // platform. Each daemon works that out by itself from its table of members;
 // while tables differ there is a reader more or less, which costs a read or
 // some time, and is never wrong.
-func (self *Env) isReader() bool {
-	mine := utils.Rendezvous(self.World.DataCentre, self.World.VM)
+func (e *Env) isReader() bool {
+	mine := utils.Rendezvous(e.World.DataCentre, e.World.VM)
 	ahead := 0
-	m := self.World.Members
+	m := e.World.Members
 	m.Rows(func(row int) {
 		vm := &m.Row[row]
-		if vm.DataCentre != self.World.DataCentre || vm.VM == self.World.VM || m.Leaving(row) {
+		if vm.DataCentre != e.World.DataCentre || vm.VM == e.World.VM || m.Leaving(row) {
 			return
 		}
-		if utils.Rendezvous(self.World.DataCentre, vm.VM) > mine {
+		if utils.Rendezvous(e.World.DataCentre, vm.VM) > mine {
 			ahead++
 		}
 	})
-	return ahead < self.Settings.Placement.HeadReaders
+	return ahead < e.Settings.Placement.HeadReaders
 }
--- a/pkg/systems/spread.go
+++ b/pkg/systems/spread.go
@@ -17,12 +17,12 @@
 type spread struct{ *Env }
 
 // Tick implements System.
-func (self *spread) Tick(_ int64, _ *tables.Mail) {
-	fresh := self.World.Members.TakeFresh()
+func (s *spread) Tick(_ int64, _ *tables.Mail) {
+	fresh := s.World.Members.TakeFresh()
 	if len(fresh) == 0 || len(fresh) > spreadMost {
 		return
 	}
-	self.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
+	s.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
 		var rows []wire.Member
 		for _, f := range fresh {
 			if f.From != peer {
--- a/pkg/systems/sweeper.go
+++ b/pkg/systems/sweeper.go
@@ -21,20 +21,20 @@
 }
 
 // Tick implements System.
-func (self *sweeper) Tick(now int64, _ *tables.Mail) {
-	if self.Sweep == nil || !self.due.at(now, sweepEvery) || !self.isReader() {
+func (s *sweeper) Tick(now int64, _ *tables.Mail) {
+	if s.Sweep == nil || !s.due.at(now, sweepEvery) || !s.isReader() {
 		return
 	}
-	if self.busy.CompareAndSwap(false, true) {
-		go self.sweep()
+	if s.busy.CompareAndSwap(false, true) {
+		go s.sweep()
 	}
 }
 
-func (self *sweeper) sweep() {
-	defer self.busy.Store(false)
-	ctx, cancel := context.WithTimeout(self.Background, self.Settings.Platform.Timeout)
+func (s *sweeper) sweep() {
+	defer s.busy.Store(false)
+	ctx, cancel := context.WithTimeout(s.Background, s.Settings.Platform.Timeout)
 	defer cancel()
 	// A sweep that fails is made up for by the next ones.
-	deleted, _ := self.Sweep(ctx)
-	self.Metrics.GetOrCreateCounter("rushramp_once_swept_total").Add(deleted)
+	deleted, _ := s.Sweep(ctx)
+	s.Metrics.GetOrCreateCounter("rushramp_once_swept_total").Add(deleted)
 }
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -13,7 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/executor"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
@@ -26,7 +26,7 @@
 type Env struct {
 	*common.Common
 	World    *tables.World
-	Platform platform.Platform
+	Platform store.Platform
 	Store    *placement.Store
 	// Executor is nil on a daemon that is an entry only.
 	Executor *executor.Executor
@@ -73,25 +73,25 @@
 }
 
 // Run ticks until ctx ends.
-func (self *Scheduler) Run(ctx context.Context) {
-	ticker := time.NewTicker(self.env.Settings.Tick)
+func (sc *Scheduler) Run(ctx context.Context) {
+	ticker := time.NewTicker(sc.env.Settings.Tick)
 	defer ticker.Stop()
 	for {
-		self.Tick()
+		sc.Tick()
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-self.env.World.Inbox.Wake():
+		case <-sc.env.World.Inbox.Wake():
 		}
 	}
 }
 
 // Tick runs each system once.
-func (self *Scheduler) Tick() {
-	mail := self.env.World.Inbox.Take()
-	now := self.env.Now()
-	for _, s := range self.systems {
+func (sc *Scheduler) Tick() {
+	mail := sc.env.World.Inbox.Take()
+	now := sc.env.Now()
+	for _, s := range sc.systems {
 		s.Tick(now, &mail)
 	}
 }
@@ -100,10 +100,10 @@
 type due struct{ next int64 }
 
 // at is true once per interval.
-func (self *due) at(now int64, every time.Duration) bool {
-	if now < self.next {
+func (d *due) at(now int64, every time.Duration) bool {
+	if now < d.next {
 		return false
 	}
-	self.next = now + int64(every)
+	d.next = now + int64(every)
 	return true
 }
--- a/pkg/systems/vmlist.go
+++ b/pkg/systems/vmlist.go
@@ -27,32 +27,32 @@
 const neighbourEvery = 5
 
 // Tick implements System.
-func (self *vmListReader) Tick(now int64, _ *tables.Mail) {
-	if !self.due.at(now, self.Settings.Platform.VMListEvery) {
+func (v *vmListReader) Tick(now int64, _ *tables.Mail) {
+	if !v.due.at(now, v.Settings.Platform.VMListEvery) {
 		return
 	}
 	part := ""
-	if self.began.Load() {
-		if !self.isReader() {
+	if v.began.Load() {
+		if !v.isReader() {
 			return
 		}
-		part = self.nextPart()
+		part = v.nextPart()
 	}
-	if self.busy.CompareAndSwap(false, true) {
-		go self.read(part)
+	if v.busy.CompareAndSwap(false, true) {
+		go v.read(part)
 	}
 }
 
 // nextPart is the own data centre, and now and then the one after it.
-func (self *vmListReader) nextPart() string {
-	self.reads++
-	own := self.World.DataCentre
-	if self.reads%neighbourEvery != 0 {
+func (v *vmListReader) nextPart() string {
+	v.reads++
+	own := v.World.DataCentre
+	if v.reads%neighbourEvery != 0 {
 		return own
 	}
 	first, next := own, ""
-	self.World.Members.Rows(func(row int) {
-		dc := self.World.Members.Row[row].DataCentre
+	v.World.Members.Rows(func(row int) {
+		dc := v.World.Members.Row[row].DataCentre
 		if dc < first {
 			first = dc
 		}
@@ -66,16 +66,16 @@
 	return next
 }
 
-func (self *vmListReader) read(part string) {
-	defer self.busy.Store(false)
-	ctx, cancel := context.WithTimeout(self.Background, self.Settings.Platform.Timeout)
+func (v *vmListReader) read(part string) {
+	defer v.busy.Store(false)
+	ctx, cancel := context.WithTimeout(v.Background, v.Settings.Platform.Timeout)
 	defer cancel()
-	vms, err := self.Platform.VMs(ctx, part)
-	self.outage.Note(err)
+	vms, err := v.Platform.VMs(ctx, part)
+	v.outage.Note(err)
 	if err != nil {
 		return
 	}
-	self.began.Store(true)
+	v.began.Store(true)
 	list := &tables.VMList{DataCentre: part, VMs: vms}
-	self.World.Inbox.Post(false, func(m *tables.Mail) { m.List = list })
+	v.World.Inbox.Post(false, func(m *tables.Mail) { m.List = list })
 }
--- a/pkg/tables/inbox.go
+++ b/pkg/tables/inbox.go
@@ -5,7 +5,7 @@
 
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
-	"github.com/rushramp/rushramp/pkg/platform"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -51,7 +51,7 @@
 // VMList is the platform's list of one data centre, or of all of them.
 type VMList struct {
 	DataCentre string
-	VMs        []platform.VM
+	VMs        []store.VM
 }
 
 // PeerMembers are rows of the table of members that a peer sent.
@@ -112,27 +112,27 @@
 func NewInbox() *Inbox { return &Inbox{wake: make(chan struct{}, 1)} }
 
 // Wake is readable when something came that should not wait for the next tick.
-func (self *Inbox) Wake() <-chan struct{} { return self.wake }
+func (i *Inbox) Wake() <-chan struct{} { return i.wake }
 
 // Post changes the mail. urgent wakes the systems at once.
-func (self *Inbox) Post(urgent bool, change func(*Mail)) {
-	self.mu.Lock()
-	change(&self.mail)
-	self.mu.Unlock()
+func (i *Inbox) Post(urgent bool, change func(*Mail)) {
+	i.mu.Lock()
+	change(&i.mail)
+	i.mu.Unlock()
 	if !urgent {
 		return
 	}
 	select {
-	case self.wake <- struct{}{}:
+	case i.wake <- struct{}{}:
 	default:
 	}
 }
 
 // Ask runs a question between two ticks and waits for it; false when the
 // systems did not come to it before the channel closed.
-func (self *Inbox) Ask(done <-chan struct{}, query func(*World)) bool {
+func (i *Inbox) Ask(done <-chan struct{}, query func(*World)) bool {
 	answered := make(chan struct{})
-	self.Post(true, func(m *Mail) {
+	i.Post(true, func(m *Mail) {
 		m.Queries = append(m.Queries, func(w *World) {
 			query(w)
 			close(answered)
@@ -147,10 +147,10 @@
 }
 
 // Take returns the mail and empties the inbox.
-func (self *Inbox) Take() Mail {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	out := self.mail
-	self.mail = Mail{}
+func (i *Inbox) Take() Mail {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	out := i.mail
+	i.mail = Mail{}
 	return out
 }
--- a/pkg/tables/load.go
+++ b/pkg/tables/load.go
@@ -35,63 +35,63 @@
 
 // NewLoad makes the row of a backend server that has not been heard of.
 func NewLoad(slots int) *Load {
-	self := &Load{}
-	self.limit.Store(int64(max(slots, 1)))
-	return self
+	l := &Load{}
+	l.limit.Store(int64(max(slots, 1)))
+	return l
 }
 
 // Sent notes a call on its way to the backend server. now is in nanoseconds.
-func (self *Load) Sent(now int64) {
-	if self.outstanding.Add(1) == 1 {
-		self.quietFrom.Store(now)
+func (l *Load) Sent(now int64) {
+	if l.outstanding.Add(1) == 1 {
+		l.quietFrom.Store(now)
 	}
-	self.sentSince.Add(1)
+	l.sentSince.Add(1)
 }
 
 // Ended notes that a call is no longer outstanding, whatever came of it.
-func (self *Load) Ended(now int64) {
-	self.outstanding.Add(-1)
-	self.quietFrom.Store(now)
+func (l *Load) Ended(now int64) {
+	l.outstanding.Add(-1)
+	l.quietFrom.Store(now)
 }
 
 // Answered notes how a call that the backend server answered ended.
-func (self *Load) Answered(failed bool) {
-	old := self.failures.Load()
+func (l *Load) Answered(failed bool) {
+	old := l.failures.Load()
 	target := int64(0)
 	if failed {
 		target = failureOne
 	}
 	// A lost update of two racing answers costs an eighth of one answer.
-	self.failures.Store(old + (target-old)>>failureShift)
+	l.failures.Store(old + (target-old)>>failureShift)
 }
 
 // Report takes a stamp over, unless a newer one is known.
-func (self *Load) Report(now int64, stamp wire.Stamp) {
+func (l *Load) Report(now int64, stamp wire.Stamp) {
 	for {
-		seen := self.stampSeq.Load()
+		seen := l.stampSeq.Load()
 		if stamp.Seq <= seen {
 			return
 		}
-		if self.stampSeq.CompareAndSwap(seen, stamp.Seq) {
+		if l.stampSeq.CompareAndSwap(seen, stamp.Seq) {
 			break
 		}
 	}
-	self.inFlight.Store(int64(stamp.Running) + int64(stamp.Queued))
-	self.limit.Store(max(int64(stamp.Limit), 1))
-	self.service.Store(int64(stamp.ServiceUS) * int64(time.Microsecond))
-	self.stampAt.Store(now)
-	self.sentSince.Store(0)
+	l.inFlight.Store(int64(stamp.Running) + int64(stamp.Queued))
+	l.limit.Store(max(int64(stamp.Limit), 1))
+	l.service.Store(int64(stamp.ServiceUS) * int64(time.Microsecond))
+	l.stampAt.Store(now)
+	l.sentSince.Store(0)
 }
 
 // Reset forgets what was known, for a new incarnation at the same address.
-func (self *Load) Reset(slots int) {
-	self.stampSeq.Store(0)
-	self.stampAt.Store(0)
-	self.inFlight.Store(0)
-	self.service.Store(0)
-	self.sentSince.Store(0)
-	self.failures.Store(0)
-	self.limit.Store(int64(max(slots, 1)))
+func (l *Load) Reset(slots int) {
+	l.stampSeq.Store(0)
+	l.stampAt.Store(0)
+	l.inFlight.Store(0)
+	l.service.Store(0)
+	l.sentSince.Store(0)
+	l.failures.Store(0)
+	l.limit.Store(int64(max(slots, 1)))
 }
 
 // Known is a consistent enough reading of a Load: each field by itself is
@@ -118,41 +118,41 @@
 }
 
 // Known reads the row at time now.
-func (self *Load) Known(now int64) Known {
+func (l *Load) Known(now int64) Known {
 	var out Known
-	self.Read(now, &out)
+	l.Read(now, &out)
 	return out
 }
 
 // Read reads the row at time now into out, in place: choosing does it for each
 // candidate of each call.
-func (self *Load) Read(now int64, out *Known) {
-	out.StampAt = self.stampAt.Load()
-	out.InFlight = self.inFlight.Load()
-	out.Limit = self.limit.Load()
-	out.Service = time.Duration(self.service.Load())
-	out.Outstanding = self.outstanding.Load()
-	out.SentSince = self.sentSince.Load()
-	out.Distance = time.Duration(self.distance.Load())
+func (l *Load) Read(now int64, out *Known) {
+	out.StampAt = l.stampAt.Load()
+	out.InFlight = l.inFlight.Load()
+	out.Limit = l.limit.Load()
+	out.Service = time.Duration(l.service.Load())
+	out.Outstanding = l.outstanding.Load()
+	out.SentSince = l.sentSince.Load()
+	out.Distance = time.Duration(l.distance.Load())
 	out.QuietFor = 0
 	if out.Outstanding > 0 {
-		out.QuietFor = time.Duration(max(now-self.quietFrom.Load(), 0))
+		out.QuietFor = time.Duration(max(now-l.quietFrom.Load(), 0))
 	}
 	out.FailureShare = 0
-	if failures := self.failures.Load(); failures > 0 {
+	if failures := l.failures.Load(); failures > 0 {
 		out.FailureShare = float64(failures) / failureOne
 	}
 }
 
 // Outstanding counts this entry's own calls without an answer.
-func (self *Load) Outstanding() int64 { return self.outstanding.Load() }
+func (l *Load) Outstanding() int64 { return l.outstanding.Load() }
 
 // StampAt is when the newest stamp was received; 0: never.
-func (self *Load) StampAt() int64 { return self.stampAt.Load() }
+func (l *Load) StampAt() int64 { return l.stampAt.Load() }
 
 // SetDistance notes the time of a round trip to the daemon.
-func (self *Load) SetDistance(d time.Duration) { self.distance.Store(int64(d)) }
+func (l *Load) SetDistance(d time.Duration) { l.distance.Store(int64(d)) }
 
 // Distance is the time of a round trip to the daemon; 0 for this daemon itself
 // and while it is not known.
-func (self *Load) Distance() time.Duration { return time.Duration(self.distance.Load()) }
+func (l *Load) Distance() time.Duration { return time.Duration(l.distance.Load()) }
--- a/pkg/tables/members.go
+++ b/pkg/tables/members.go
@@ -25,17 +25,17 @@
 }
 
 // SetRunner says who runs calls of this route; nil when there is no link.
-func (self *Route) SetRunner(r call.Runner) {
+func (ro *Route) SetRunner(r call.Runner) {
 	if r == nil {
-		self.runner.Store(nil)
+		ro.runner.Store(nil)
 		return
 	}
-	self.runner.Store(&r)
+	ro.runner.Store(&r)
 }
 
 // Runner returns who runs calls of this route, or nil.
-func (self *Route) Runner() call.Runner {
-	if r := self.runner.Load(); r != nil {
+func (ro *Route) Runner() call.Runner {
+	if r := ro.runner.Load(); r != nil {
 		return *r
 	}
 	return nil
@@ -91,24 +91,24 @@
 }
 
 // Len counts the rows in use.
-func (self *Members) Len() int { return len(self.byID) }
+func (me *Members) Len() int { return len(me.byID) }
 
 // Changes grows with each change of the table, so that a system can see
 // cheaply that there was none.
-func (self *Members) Changes() uint64 { return self.changes }
+func (me *Members) Changes() uint64 { return me.changes }
 
 // Find returns the row number of a VM; ok is false when it is not known.
-func (self *Members) Find(id string) (row int, ok bool) {
-	row, ok = self.byID[id]
+func (me *Members) Find(id string) (row int, ok bool) {
+	row, ok = me.byID[id]
 	return row, ok
 }
 
 // Leaving is true for a member that takes no new calls.
-func (self *Members) Leaving(row int) bool { return self.Row[row].State == wire.MemberLeaving }
+func (me *Members) Leaving(row int) bool { return me.Row[row].State == wire.MemberLeaving }
 
 // Rows calls do for each row in use, in no particular order.
-func (self *Members) Rows(do func(row int)) {
-	for row, used := range self.inUse {
+func (me *Members) Rows(do func(row int)) {
+	for row, used := range me.inUse {
 		if used {
 			do(row)
 		}
@@ -116,8 +116,8 @@
 }
 
 // Service calls do for each member of a service.
-func (self *Members) Service(name string, do func(row int)) {
-	for row := range self.byService[name] {
+func (me *Members) Service(name string, do func(row int)) {
+	for row := range me.byService[name] {
 		do(row)
 	}
 }
@@ -138,48 +138,48 @@
 }
 
 // Tombstone returns what is remembered of a VM that is gone.
-func (self *Members) Tombstone(id string) (wire.Member, bool) {
-	stone, ok := self.gone[id]
+func (me *Members) Tombstone(id string) (wire.Member, bool) {
+	stone, ok := me.gone[id]
 	return stone.row, ok
 }
 
 // Merge takes what somebody says of a VM over, when it is newer than what is
 // known. It returns the route that this ended, if any, and whether anything
 // changed. now is in nanoseconds; from is the link that it came over, or nil.
-func (self *Members) Merge(now int64, from *link.Peer, said wire.Member) (ended *Route, changed bool) {
-	ended, changed = self.merge(now, said)
+func (me *Members) Merge(now int64, from *link.Peer, said wire.Member) (ended *Route, changed bool) {
+	ended, changed = me.merge(now, said)
 	if changed {
-		self.fresh = append(self.fresh, Fresh{Row: said, From: from})
+		me.fresh = append(me.fresh, Fresh{Row: said, From: from})
 	}
 	return ended, changed
 }
 
 // TakeFresh returns the rows to pass on, and forgets them.
-func (self *Members) TakeFresh() []Fresh {
-	out := self.fresh
-	self.fresh = nil
+func (me *Members) TakeFresh() []Fresh {
+	out := me.fresh
+	me.fresh = nil
 	return out
 }
 
-func (self *Members) merge(now int64, said wire.Member) (ended *Route, changed bool) {
-	row, known := self.byID[said.VM]
-	if known && !newer(&self.Row[row], &said) {
+func (me *Members) merge(now int64, said wire.Member) (ended *Route, changed bool) {
+	row, known := me.byID[said.VM]
+	if known && !newer(&me.Row[row], &said) {
 		return nil, false
 	}
-	if stone, dead := self.gone[said.VM]; !known && dead && !newer(&stone.row, &said) {
+	if stone, dead := me.gone[said.VM]; !known && dead && !newer(&stone.row, &said) {
 		return nil, false
 	}
 	if said.State == wire.MemberGone {
-		self.bury(now, said)
-		return self.remove(said.VM), known
+		me.bury(now, said)
+		return me.remove(said.VM), known
 	}
-	if known && samePlace(&self.Row[row], &said) {
-		self.put(row, said)
+	if known && samePlace(&me.Row[row], &said) {
+		me.put(row, said)
 		return nil, true
 	}
 	// The name stands for another process now.
-	ended = self.remove(said.VM)
-	self.add(now, said)
+	ended = me.remove(said.VM)
+	me.add(now, said)
 	return ended, true
 }
 
@@ -187,77 +187,77 @@
 	return a.Started == b.Started && a.Links == b.Links && a.Service == b.Service && a.DataCentre == b.DataCentre
 }
 
-func (self *Members) put(row int, said wire.Member) {
-	self.count(&self.Row[row])
-	self.Row[row] = said
-	self.count(&said)
+func (me *Members) put(row int, said wire.Member) {
+	me.count(&me.Row[row])
+	me.Row[row] = said
+	me.count(&said)
 }
 
-func (self *Members) add(now int64, said wire.Member) {
-	row := self.newRow()
-	self.Row[row] = said
-	self.Listed[row] = false
-	self.Missing[row] = 0
-	self.Since[row] = now
-	self.Route[row] = &Route{
+func (me *Members) add(now int64, said wire.Member) {
+	row := me.newRow()
+	me.Row[row] = said
+	me.Listed[row] = false
+	me.Missing[row] = 0
+	me.Since[row] = now
+	me.Route[row] = &Route{
 		VM: said.VM, Service: said.Service, DataCentre: said.DataCentre,
 		Links: said.Links, Callers: said.Callers, Load: NewLoad(int(said.Slots)),
 	}
-	self.inUse[row] = true
-	self.byID[said.VM] = row
-	delete(self.gone, said.VM)
-	if self.byService[said.Service] == nil {
-		self.byService[said.Service] = map[int]struct{}{}
+	me.inUse[row] = true
+	me.byID[said.VM] = row
+	delete(me.gone, said.VM)
+	if me.byService[said.Service] == nil {
+		me.byService[said.Service] = map[int]struct{}{}
 	}
-	self.byService[said.Service][row] = struct{}{}
-	self.count(&said)
+	me.byService[said.Service][row] = struct{}{}
+	me.count(&said)
 }
 
-func (self *Members) newRow() int {
-	if n := len(self.free); n > 0 {
-		row := self.free[n-1]
-		self.free = self.free[:n-1]
+func (me *Members) newRow() int {
+	if n := len(me.free); n > 0 {
+		row := me.free[n-1]
+		me.free = me.free[:n-1]
 		return row
 	}
-	self.Row = append(self.Row, wire.Member{})
-	self.Route = append(self.Route, nil)
-	self.Missing = append(self.Missing, 0)
-	self.Listed = append(self.Listed, false)
-	self.Since = append(self.Since, 0)
-	self.inUse = append(self.inUse, false)
-	return len(self.Row) - 1
+	me.Row = append(me.Row, wire.Member{})
+	me.Route = append(me.Route, nil)
+	me.Missing = append(me.Missing, 0)
+	me.Listed = append(me.Listed, false)
+	me.Since = append(me.Since, 0)
+	me.inUse = append(me.inUse, false)
+	return len(me.Row) - 1
 }
 
-func (self *Members) remove(id string) *Route {
-	row, ok := self.byID[id]
+func (me *Members) remove(id string) *Route {
+	row, ok := me.byID[id]
 	if !ok {
 		return nil
 	}
-	self.count(&self.Row[row])
-	route := self.Route[row]
-	delete(self.byID, id)
-	delete(self.byService[route.Service], row)
-	self.inUse[row] = false
-	self.Route[row] = nil
-	self.free = append(self.free, row)
+	me.count(&me.Row[row])
+	route := me.Route[row]
+	delete(me.byID, id)
+	delete(me.byService[route.Service], row)
+	me.inUse[row] = false
+	me.Route[row] = nil
+	me.free = append(me.free, row)
 	return route
 }
 
 // bury remembers that a VM is gone, and forgets those buried long ago.
-func (self *Members) bury(now int64, said wire.Member) {
-	self.gone[said.VM] = tombstone{row: said, at: now}
-	for id, stone := range self.gone {
+func (me *Members) bury(now int64, said wire.Member) {
+	me.gone[said.VM] = tombstone{row: said, at: now}
+	for id, stone := range me.gone {
 		if now-stone.at > tombstoneFor {
-			delete(self.gone, id)
+			delete(me.gone, id)
 		}
 	}
 }
 
 // count adds a row to the digests, or takes it out again: both are the same
 // exclusive or.
-func (self *Members) count(m *wire.Member) {
-	self.changes++
-	self.digests[bucketOf(m.VM)] ^= digest(m)
+func (me *Members) count(m *wire.Member) {
+	me.changes++
+	me.digests[bucketOf(m.VM)] ^= digest(m)
 }
 
 func bucketOf(id string) int { return int(xxhash.Sum64String(id) % buckets) }
@@ -278,9 +278,9 @@
 
 // Digest is one number for the whole table; two tables with the same rows have
 // the same.
-func (self *Members) Digest() uint64 {
+func (me *Members) Digest() uint64 {
 	out := uint64(0)
-	for i, d := range self.digests {
+	for i, d := range me.digests {
 		// A different factor for each bucket, so that equal digests in two
 		// buckets do not cancel out.
 		out ^= (uint64(d) + 1) * (2*uint64(i) + 0x9e3779b97f4a7c15)
@@ -289,22 +289,22 @@
 }
 
 // Buckets returns the digest of each bucket.
-func (self *Members) Buckets() []uint32 { return append([]uint32(nil), self.digests[:]...) }
+func (me *Members) Buckets() []uint32 { return append([]uint32(nil), me.digests[:]...) }
 
 // Differing returns the rows, those of VMs that are gone too, of the buckets
 // in which a peer's digests differ from this table's.
-func (self *Members) Differing(theirs []uint32) []wire.Member {
+func (me *Members) Differing(theirs []uint32) []wire.Member {
 	if len(theirs) != buckets {
 		return nil
 	}
-	differs := func(id string) bool { b := bucketOf(id); return theirs[b] != self.digests[b] }
+	differs := func(id string) bool { b := bucketOf(id); return theirs[b] != me.digests[b] }
 	var out []wire.Member
-	self.Rows(func(row int) {
-		if differs(self.Row[row].VM) {
-			out = append(out, self.Row[row])
+	me.Rows(func(row int) {
+		if differs(me.Row[row].VM) {
+			out = append(out, me.Row[row])
 		}
 	})
-	for id, stone := range self.gone {
+	for id, stone := range me.gone {
 		if differs(id) {
 			out = append(out, stone.row)
 		}
--- a/pkg/tables/peers.go
+++ b/pkg/tables/peers.go
@@ -24,24 +24,24 @@
 func NewPeers() *Peers { return &Peers{rows: map[*link.Peer]*PeerRow{}} }
 
 // Put returns the row of a link, a new one for a new link.
-func (self *Peers) Put(peer *link.Peer) *PeerRow {
-	row := self.rows[peer]
+func (p *Peers) Put(peer *link.Peer) *PeerRow {
+	row := p.rows[peer]
 	if row == nil {
 		row = &PeerRow{}
-		self.rows[peer] = row
+		p.rows[peer] = row
 	}
 	return row
 }
 
 // Remove takes a link out.
-func (self *Peers) Remove(peer *link.Peer) { delete(self.rows, peer) }
+func (p *Peers) Remove(peer *link.Peer) { delete(p.rows, peer) }
 
 // Rows calls do for each link.
-func (self *Peers) Rows(do func(peer *link.Peer, row *PeerRow)) {
-	for peer, row := range self.rows {
+func (p *Peers) Rows(do func(peer *link.Peer, row *PeerRow)) {
+	for peer, row := range p.rows {
 		do(peer, row)
 	}
 }
 
 // Len counts the links.
-func (self *Peers) Len() int { return len(self.rows) }
+func (p *Peers) Len() int { return len(p.rows) }
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -34,20 +34,20 @@
 
 // NewServiceView makes the view of one service.
 func NewServiceView(service *placement.CompiledService, kinds []*KindView) *ServiceView {
-	self := &ServiceView{Service: service, kinds: make(map[*placement.CompiledKind]*KindView, len(kinds))}
+	s := &ServiceView{Service: service, kinds: make(map[*placement.CompiledKind]*KindView, len(kinds))}
 	for _, k := range kinds {
-		self.kinds[k.Kind] = k
+		s.kinds[k.Kind] = k
 	}
-	return self
+	return s
 }
 
 // Match returns the view of the kind that fits, or nil.
-func (self *ServiceView) Match(method, path string) *KindView {
-	kind := self.Service.Match(method, path)
+func (s *ServiceView) Match(method, path string) *KindView {
+	kind := s.Service.Match(method, path)
 	if kind == nil {
 		return nil
 	}
-	return self.kinds[kind]
+	return s.kinds[kind]
 }
 
 // View is what the hot path reads. Each service is published by itself, so
@@ -63,54 +63,54 @@
 }
 
 // Placement returns the version in force, or nil.
-func (self *View) Placement() *placement.Compiled { return self.placement.Load() }
+func (vi *View) Placement() *placement.Compiled { return vi.placement.Load() }
 
 // SetPlacement publishes a version.
-func (self *View) SetPlacement(c *placement.Compiled) { self.placement.Store(c) }
+func (vi *View) SetPlacement(c *placement.Compiled) { vi.placement.Store(c) }
 
 // Service returns the view of a service, or nil.
-func (self *View) Service(name string) *ServiceView {
-	if v, ok := self.services.Load(name); ok {
+func (vi *View) Service(name string) *ServiceView {
+	if v, ok := vi.services.Load(name); ok {
 		return v.(*ServiceView)
 	}
 	return nil
 }
 
 // SetService publishes a service; nil takes it away.
-func (self *View) SetService(name string, v *ServiceView) {
+func (vi *View) SetService(name string, v *ServiceView) {
 	if v == nil {
-		self.services.Delete(name)
+		vi.services.Delete(name)
 		return
 	}
-	self.services.Store(name, v)
+	vi.services.Store(name, v)
 }
 
 // Unsure is true while nobody can tell whether the placement is in force.
-func (self *View) Unsure() bool { return self.unsure.Load() }
+func (vi *View) Unsure() bool { return vi.unsure.Load() }
 
 // SetUnsure publishes whether the placement may be out of date.
-func (self *View) SetUnsure(unsure bool) { self.unsure.Store(unsure) }
+func (vi *View) SetUnsure(unsure bool) { vi.unsure.Store(unsure) }
 
 // Leaving is true when this daemon takes no new calls.
-func (self *View) Leaving() bool { return self.leaving.Load() }
+func (vi *View) Leaving() bool { return vi.leaving.Load() }
 
 // SetLeaving makes this daemon take no new calls. There is no way back.
-func (self *View) SetLeaving() { self.leaving.Store(true) }
+func (vi *View) SetLeaving() { vi.leaving.Store(true) }
 
 // Ready is true when the daemon takes calls.
-func (self *View) Ready() bool { return self.ready.Load() }
+func (vi *View) Ready() bool { return vi.ready.Load() }
 
 // SetReady publishes that the daemon takes calls.
-func (self *View) SetReady() { self.ready.Store(true) }
+func (vi *View) SetReady() { vi.ready.Store(true) }
 
 // Members counts the VMs that this daemon knows of.
-func (self *View) Members() int { return int(self.members.Load()) }
+func (vi *View) Members() int { return int(vi.members.Load()) }
 
 // SetMembers publishes how many VMs are known.
-func (self *View) SetMembers(n int) { self.members.Store(int64(n)) }
+func (vi *View) SetMembers(n int) { vi.members.Store(int64(n)) }
 
 // StoreStale is true while the newest word of the store is over its bound.
-func (self *View) StoreStale() bool { return self.stale.Load() }
+func (vi *View) StoreStale() bool { return vi.stale.Load() }
 
 // SetStoreStale publishes whether it is.
-func (self *View) SetStoreStale(stale bool) { self.stale.Store(stale) }
+func (vi *View) SetStoreStale(stale bool) { vi.stale.Store(stale) }
--- a/pkg/tables/world.go
+++ b/pkg/tables/world.go
@@ -50,23 +50,23 @@
 }
 
 // Touch marks the view of a service as out of date.
-func (self *World) Touch(service string) { self.Dirty[service] = struct{}{} }
+func (w *World) Touch(service string) { w.Dirty[service] = struct{}{} }
 
 // Version returns the placement version in force; 0: none.
-func (self *World) Version() uint64 {
-	if self.Placement == nil {
+func (w *World) Version() uint64 {
+	if w.Placement == nil {
 		return 0
 	}
-	return self.Placement.Version
+	return w.Placement.Version
 }
 
 // StoreAge is how old the newest word of the store is; ok is false when there
 // never was one.
-func (self *World) StoreAge(now int64) (age time.Duration, ok bool) {
-	if self.StoreSeen == 0 {
+func (w *World) StoreAge(now int64) (age time.Duration, ok bool) {
+	if w.StoreSeen == 0 {
 		return 0, false
 	}
-	return time.Duration(now - self.StoreSeen), true
+	return time.Duration(now - w.StoreSeen), true
 }
 
 // LogLength is how many accepted changes are kept for peers that are behind.
--- a/pkg/wire/body.go
+++ b/pkg/wire/body.go
@@ -37,23 +37,23 @@
 }
 
 // Add takes the next chunk.
-func (self *Assembly) Add(chunk *Chunk) error {
-	inOrder := chunk.Seq == self.next
-	if !inOrder || uint64(len(self.data)+len(chunk.Data)) > self.want.Size {
+func (a *Assembly) Add(chunk *Chunk) error {
+	inOrder := chunk.Seq == a.next
+	if !inOrder || uint64(len(a.data)+len(chunk.Data)) > a.want.Size {
 		return ErrBodyCut
 	}
-	self.next++
-	self.data = append(self.data, chunk.Data...)
+	a.next++
+	a.data = append(a.data, chunk.Data...)
 	return nil
 }
 
 // Complete is true when all bytes are there.
-func (self *Assembly) Complete() bool { return uint64(len(self.data)) == self.want.Size }
+func (a *Assembly) Complete() bool { return uint64(len(a.data)) == a.want.Size }
 
 // Body returns the whole body, or ErrBodyCut.
-func (self *Assembly) Body() ([]byte, error) {
-	if !self.Complete() || xxhash.Sum64(self.data) != self.want.Hash {
+func (a *Assembly) Body() ([]byte, error) {
+	if !a.Complete() || xxhash.Sum64(a.data) != a.want.Hash {
 		return nil, ErrBodyCut
 	}
-	return self.data, nil
+	return a.data, nil
 }
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -81,13 +81,13 @@
 }
 
 // Append writes one frame to buf.
-func (self *Codec) Append(buf *bytes.Buffer, frame Frame) error {
+func (c *Codec) Append(buf *bytes.Buffer, frame Frame) error {
 	buf.WriteByte(byte(frame.Type()))
-	return errors.Wrapf(self.enc.MarshalToBuffer(frame, buf), "encode frame %d", frame.Type())
+	return errors.Wrapf(c.enc.MarshalToBuffer(frame, buf), "encode frame %d", frame.Type())
 }
 
 // Next reads the first frame of data and returns it with the rest.
-func (self *Codec) Next(data []byte) (Frame, []byte, error) {
+func (c *Codec) Next(data []byte) (Frame, []byte, error) {
 	if len(data) == 0 {
 		return nil, nil, errors.New("empty frame")
 	}
@@ -95,7 +95,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	rest, err := self.dec.UnmarshalFirst(data[1:], frame)
+	rest, err := c.dec.UnmarshalFirst(data[1:], frame)
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "decode frame %d", data[0])
 	}
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -47,10 +47,10 @@
 }
 
 // Size is how many bytes the stamp takes in a frame.
-func (self *Stamp) Size() int {
+func (s *Stamp) Size() int {
 	const arrayHead = 1
-	return arrayHead + uintSize(self.Seq) + uintSize(uint64(self.Running)) + uintSize(uint64(self.Queued)) +
-		uintSize(uint64(self.Limit)) + uintSize(uint64(self.ServiceUS))
+	return arrayHead + uintSize(s.Seq) + uintSize(uint64(s.Running)) + uintSize(uint64(s.Queued)) +
+		uintSize(uint64(s.Limit)) + uintSize(uint64(s.ServiceUS))
 }
 
 // uintSize is the length of an unsigned integer in CBOR (RFC 8949, section 3).
--- a/test/certs_test.go
+++ b/test/certs_test.go
@@ -36,19 +36,19 @@
 }
 
 func newAuthority(ts *testscript.TestScript, name string) *authority {
-	self := &authority{cert: template(name), key: newKey(ts)}
-	self.cert.IsCA, self.cert.BasicConstraintsValid = true, true
-	self.cert.KeyUsage |= x509.KeyUsageCertSign
-	der, err := x509.CreateCertificate(rand.Reader, self.cert, self.cert, &self.key.PublicKey, self.key)
+	a := &authority{cert: template(name), key: newKey(ts)}
+	a.cert.IsCA, a.cert.BasicConstraintsValid = true, true
+	a.cert.KeyUsage |= x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &a.key.PublicKey, a.key)
 	ts.Check(err)
-	self.cert, err = x509.ParseCertificate(der)
+	a.cert, err = x509.ParseCertificate(der)
 	ts.Check(err)
-	return self
+	return a
 }
 
-func (self *authority) issue(ts *testscript.TestScript, name string) {
+func (a *authority) issue(ts *testscript.TestScript, name string) {
 	key := newKey(ts)
-	der, err := x509.CreateCertificate(rand.Reader, template(name), self.cert, &key.PublicKey, self.key)
+	der, err := x509.CreateCertificate(rand.Reader, template(name), a.cert, &key.PublicKey, a.key)
 	ts.Check(err)
 	keyDER, err := x509.MarshalECPrivateKey(key)
 	ts.Check(err)
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -12,9 +12,9 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/rushramp/rushramp/pkg/loopback"
-	"github.com/rushramp/rushramp/pkg/platform"
 	"github.com/rushramp/rushramp/pkg/standin/backend"
-	"github.com/rushramp/rushramp/pkg/standin/store"
+	"github.com/rushramp/rushramp/pkg/standin/fakestore"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/test/faultproxy"
 )
 
@@ -53,8 +53,8 @@
 		w.workers[args[0]] = n
 	}
 	a := n.address
-	n.vm = platform.VM{
-		ID: args[0], Region: "test", DataCentre: args[2], Service: args[1], State: platform.VMLive,
+	n.vm = store.VM{
+		ID: args[0], Region: "test", DataCentre: args[2], Service: args[1], State: store.VMLive,
 		Links: a.Address(portProxy), Callers: a.Address(loopback.PortCallers), Slots: 4,
 		Started: uint64(time.Now().UnixNano()),
 	}
@@ -73,9 +73,9 @@
 	w.startDaemon(ts, args[0])
 }
 
-func (self *world) startDaemon(ts *testscript.TestScript, name string) {
-	n := self.worker(ts, name)
-	n.daemon = self.start(ts, "rushrampd", "--settings", ts.MkAbs(name+".yaml"))
+func (wo *world) startDaemon(ts *testscript.TestScript, name string) {
+	n := wo.worker(ts, name)
+	n.daemon = wo.start(ts, "rushrampd", "--settings", ts.MkAbs(name+".yaml"))
 	await(ts, "daemon "+name, func() bool {
 		_, status := get("http://" + n.address.Address(loopback.PortMetrics) + "/healthz")
 		return status == 200
@@ -85,7 +85,7 @@
 // portProxy is where other daemons find a worker's links: at a proxy.
 const portProxy = loopback.PortLinks + 5
 
-func (self *world) newWorker(ts *testscript.TestScript) *worker {
+func (wo *world) newWorker(ts *testscript.TestScript) *worker {
 	out := &worker{address: addresses.Next()}
 	proxy, err := faultproxy.Start(out.address.Address(portProxy), out.address.Address(loopback.PortLinks))
 	ts.Check(err)
@@ -143,12 +143,12 @@
 }
 
 // memberState is what one daemon says of another VM.
-func (self *world) memberState(ts *testscript.TestScript, at, of string) string {
-	args := []string{"--daemon", self.worker(ts, at).address.Address(loopback.PortOperators), "status"}
-	if self.authority != nil {
+func (wo *world) memberState(ts *testscript.TestScript, at, of string) string {
+	args := []string{"--daemon", wo.worker(ts, at).address.Address(loopback.PortOperators), "status"}
+	if wo.authority != nil {
 		args = append(args, "--cert", ts.MkAbs("anna.pem"), "--key", ts.MkAbs("anna.key"), "--ca", ts.MkAbs("ca.pem"))
 	}
-	text, err := exec.Command(self.program("rushramp"), args...).Output()
+	text, err := exec.Command(wo.program("rushramp"), args...).Output()
 	if err != nil {
 		return err.Error()
 	}
@@ -180,8 +180,8 @@
 }
 
 // metric reads one of a daemon's metrics; 0 when it has none of this name.
-func (self *worker) metric(name string) float64 {
-	text, _ := get("http://" + self.address.Address(loopback.PortMetrics) + "/metrics")
+func (w *worker) metric(name string) float64 {
+	text, _ := get("http://" + w.address.Address(loopback.PortMetrics) + "/metrics")
 	for _, line := range strings.Split(text, "\n") {
 		if value, ok := strings.CutPrefix(line, name+" "); ok {
 			n, _ := strconv.ParseFloat(value, 64)
@@ -221,12 +221,12 @@
 		lose, _ := strconv.ParseFloat(words["lose"], 64)
 		delay, _ := time.ParseDuration(words["delay"])
 		lag, _ := time.ParseDuration(words["lag"])
-		post(ts, "http://"+w.platform+"/control/faults", store.Faults{Down: words["down"] == "true", Delay: delay, LoseAnswers: lose, VMLag: lag})
+		post(ts, "http://"+w.platform+"/control/faults", fakestore.Faults{Down: words["down"] == "true", Delay: delay, LoseAnswers: lose, VMLag: lag})
 		return
 	}
 	n := w.worker(ts, args[0])
 	if state, ok := words["state"]; ok {
-		n.vm.State = platform.VMState(state)
+		n.vm.State = store.VMState(state)
 		w.publishVMs(ts)
 		return
 	}
--- a/test/faultproxy/proxy.go
+++ b/test/faultproxy/proxy.go
@@ -45,98 +45,98 @@
 	if err != nil {
 		return nil, err
 	}
-	self := &Proxy{target: target, listener: listener, faults: map[string]Fault{}, conns: map[net.Conn]string{}}
-	self.wake = sync.NewCond(&self.mu)
-	go self.accept()
-	return self, nil
+	p := &Proxy{target: target, listener: listener, faults: map[string]Fault{}, conns: map[net.Conn]string{}}
+	p.wake = sync.NewCond(&p.mu)
+	go p.accept()
+	return p, nil
 }
 
 // Set replaces the fault of a dialler's IP number, or of Everybody.
-func (self *Proxy) Set(from string, f Fault) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.faults[from] = f
-	self.wake.Broadcast()
-	for conn, dialler := range self.conns {
-		if self.faultOf(dialler).Cut {
+func (p *Proxy) Set(from string, f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults[from] = f
+	p.wake.Broadcast()
+	for conn, dialler := range p.conns {
+		if p.faultOf(dialler).Cut {
 			_ = conn.Close()
 		}
 	}
 }
 
 // Close ends the proxy and all its connections.
-func (self *Proxy) Close() {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	self.closed = true
-	self.wake.Broadcast()
-	_ = self.listener.Close()
-	for conn := range self.conns {
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.wake.Broadcast()
+	_ = p.listener.Close()
+	for conn := range p.conns {
 		_ = conn.Close()
 	}
 }
 
 // faultOf expects the lock to be held.
-func (self *Proxy) faultOf(dialler string) Fault {
-	if f, ok := self.faults[dialler]; ok {
+func (p *Proxy) faultOf(dialler string) Fault {
+	if f, ok := p.faults[dialler]; ok {
 		return f
 	}
-	return self.faults[Everybody]
+	return p.faults[Everybody]
 }
 
-func (self *Proxy) accept() {
+func (p *Proxy) accept() {
 	for {
-		conn, err := self.listener.Accept()
+		conn, err := p.listener.Accept()
 		if err != nil {
 			return
 		}
-		go self.serve(conn)
+		go p.serve(conn)
 	}
 }
 
-func (self *Proxy) serve(in net.Conn) {
+func (p *Proxy) serve(in net.Conn) {
 	defer func() { _ = in.Close() }()
 	dialler, _, err := net.SplitHostPort(in.RemoteAddr().String())
-	if err != nil || !self.enter(in, dialler) {
+	if err != nil || !p.enter(in, dialler) {
 		return
 	}
-	defer self.leave(in)
-	out, err := net.Dial("tcp", self.target)
+	defer p.leave(in)
+	out, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
 	}
 	defer func() { _ = out.Close() }()
 	done := make(chan struct{}, 2)
-	go self.pump(in, out, dialler, func(f Fault) bool { return f.HoldIn }, done)
-	go self.pump(out, in, dialler, func(f Fault) bool { return f.HoldOut }, done)
+	go p.pump(in, out, dialler, func(f Fault) bool { return f.HoldIn }, done)
+	go p.pump(out, in, dialler, func(f Fault) bool { return f.HoldOut }, done)
 	<-done
 }
 
-func (self *Proxy) enter(conn net.Conn, dialler string) bool {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	if self.closed || self.faultOf(dialler).Cut {
+func (p *Proxy) enter(conn net.Conn, dialler string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.faultOf(dialler).Cut {
 		return false
 	}
-	self.conns[conn] = dialler
+	p.conns[conn] = dialler
 	return true
 }
 
-func (self *Proxy) leave(conn net.Conn) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	delete(self.conns, conn)
+func (p *Proxy) leave(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, conn)
 }
 
 const bufferSize = 16 << 10
 
-func (self *Proxy) pump(from io.Reader, to io.Writer, dialler string, held func(Fault) bool, done chan<- struct{}) {
+func (p *Proxy) pump(from io.Reader, to io.Writer, dialler string, held func(Fault) bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(buf)
 		if n > 0 {
-			f, open := self.waitWhile(dialler, held)
+			f, open := p.waitWhile(dialler, held)
 			if !open {
 				return
 			}
@@ -151,20 +151,20 @@
 	}
 }
 
-func (self Fault) wait(size int) time.Duration {
-	out := self.Delay
-	if self.BytesPerSecond > 0 {
-		out += time.Duration(size) * time.Second / time.Duration(self.BytesPerSecond)
+func (f Fault) wait(size int) time.Duration {
+	out := f.Delay
+	if f.BytesPerSecond > 0 {
+		out += time.Duration(size) * time.Second / time.Duration(f.BytesPerSecond)
 	}
 	return out
 }
 
 // waitWhile waits while the direction is held; false when the proxy closed.
-func (self *Proxy) waitWhile(dialler string, held func(Fault) bool) (Fault, bool) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
-	for !self.closed && held(self.faultOf(dialler)) {
-		self.wake.Wait()
+func (p *Proxy) waitWhile(dialler string, held func(Fault) bool) (Fault, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for !p.closed && held(p.faultOf(dialler)) {
+		p.wake.Wait()
 	}
-	return self.faultOf(dialler), !self.closed
+	return p.faultOf(dialler), !p.closed
 }
--- a/test/world_test.go
+++ b/test/world_test.go
@@ -18,8 +18,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/rushramp/rushramp/pkg/loopback"
-	"github.com/rushramp/rushramp/pkg/platform"
 	"github.com/rushramp/rushramp/pkg/standin/backend"
+	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/test/faultproxy"
 )
 
@@ -47,7 +47,7 @@
 
 // worker is a daemon with a backend server's stand-in beside it.
 type worker struct {
-	vm      platform.VM
+	vm      store.VM
 	address loopback.VM
 	daemon  *process
 	backend *process
@@ -84,8 +84,8 @@
 }
 
 // program finds one of the project's programs, as the scenario's exec does.
-func (self *world) program(name string) string {
-	for _, dir := range filepath.SplitList(self.env("PATH")) {
+func (wo *world) program(name string) string {
+	for _, dir := range filepath.SplitList(wo.env("PATH")) {
 		if _, err := os.Stat(filepath.Join(dir, name)); err == nil {
 			return filepath.Join(dir, name)
 		}
@@ -94,9 +94,9 @@
 }
 
 // start starts one of the project's programs and ends it with the scenario.
-func (self *world) start(ts *testscript.TestScript, name string, args ...string) *process {
-	p := &process{cmd: exec.Command(self.program(name), args...), done: make(chan struct{})}
-	p.log = filepath.Join(self.work, fmt.Sprintf("%s-%d.log", name, len(self.procs)))
+func (wo *world) start(ts *testscript.TestScript, name string, args ...string) *process {
+	p := &process{cmd: exec.Command(wo.program(name), args...), done: make(chan struct{})}
+	p.log = filepath.Join(wo.work, fmt.Sprintf("%s-%d.log", name, len(wo.procs)))
 	file, err := os.Create(p.log)
 	ts.Check(err)
 	p.cmd.Stdout, p.cmd.Stderr = file, file
@@ -108,15 +108,15 @@
 		_ = file.Close()
 		close(p.done)
 	}()
-	self.procs = append(self.procs, p)
+	wo.procs = append(wo.procs, p)
 	return p
 }
 
-func (self *process) signal(s syscall.Signal) { _ = self.cmd.Process.Signal(s) }
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 // stopped is true when the system says that all threads are stopped.
-func (self *process) stopped() bool {
-	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", self.cmd.Process.Pid))
+func (p *process) stopped() bool {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
 	for _, task := range tasks {
 		text, err := os.ReadFile(task)
 		if err != nil {
@@ -130,23 +130,23 @@
 	return len(tasks) > 0
 }
 
-func (self *process) ended() bool {
+func (p *process) ended() bool {
 	select {
-	case <-self.done:
+	case <-p.done:
 		return true
 	default:
 		return false
 	}
 }
 
-func (self *world) stop() {
-	for _, l := range self.loads {
+func (wo *world) stop() {
+	for _, l := range wo.loads {
 		l.end()
 	}
-	for _, n := range self.workers {
+	for _, n := range wo.workers {
 		n.proxy.Close()
 	}
-	for _, p := range self.procs {
+	for _, p := range wo.procs {
 		if !p.ended() {
 			p.signal(syscall.SIGCONT)
 			p.signal(syscall.SIGKILL)
@@ -186,18 +186,18 @@
 	}
 }
 
-func (self *world) publishVMs(ts *testscript.TestScript) {
-	var vms []platform.VM
-	for name, w := range self.workers {
-		if !slices.Contains(self.unlisted, name) {
+func (wo *world) publishVMs(ts *testscript.TestScript) {
+	var vms []store.VM
+	for name, w := range wo.workers {
+		if !slices.Contains(wo.unlisted, name) {
 			vms = append(vms, w.vm)
 		}
 	}
-	post(ts, "http://"+self.platform+"/control/vms", vms)
+	post(ts, "http://"+wo.platform+"/control/vms", vms)
 }
 
-func (self *world) worker(ts *testscript.TestScript, name string) *worker {
-	w := self.workers[name]
+func (wo *world) worker(ts *testscript.TestScript, name string) *worker {
+	w := wo.workers[name]
 	if w == nil {
 		ts.Fatalf("there is no worker %q", name)
 	}
@@ -205,9 +205,9 @@
 }
 
 // runs sums what the ledgers say of calls whose id begins with a prefix.
-func (self *world) runs(worker, prefix string) int {
+func (wo *world) runs(worker, prefix string) int {
 	total := 0
-	for name, w := range self.workers {
+	for name, w := range wo.workers {
 		if worker != "any" && worker != name {
 			continue
 		}
@@ -226,7 +226,7 @@
 }
 
 // send sends one call to a worker's daemon.
-func (self *world) send(to *worker, method, service, path, id string, headers map[string]string, body string) *answer {
+func (wo *world) send(to *worker, method, service, path, id string, headers map[string]string, body string) *answer {
 	req, err := http.NewRequest(method, "http://"+to.vm.Callers+path, strings.NewReader(body))
 	if err != nil {
 		return &answer{err: err}
@@ -263,24 +263,24 @@
 	unknown  int
 }
 
-func (self *load) end() {
+func (l *load) end() {
 	select {
-	case <-self.stop:
+	case <-l.stop:
 	default:
-		close(self.stop)
+		close(l.stop)
 	}
-	self.wait.Wait()
+	l.wait.Wait()
 }
 
-func (self *load) note(a *answer) {
-	self.mu.Lock()
-	defer self.mu.Unlock()
+func (l *load) note(a *answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	switch {
 	case a.err == nil && a.header.Get("Rushramp-Error") == "" && a.status == http.StatusOK:
-		self.answered++
+		l.answered++
 	case a.err == nil && a.header.Get("Rushramp-Ran") == "no":
-		self.refused++
+		l.refused++
 	default:
-		self.unknown++
+		l.unknown++
 	}
 }
--- a/tools/gendocs/main.go
+++ b/tools/gendocs/main.go
@@ -34,17 +34,17 @@
 	}
 }
 
-func (self page) do(check bool) error {
-	want, err := self.make()
+func (p page) do(check bool) error {
+	want, err := p.make()
 	if err != nil {
 		return err
 	}
 	if !check {
-		return os.WriteFile(self.path, want, 0o644)
+		return os.WriteFile(p.path, want, 0o644)
 	}
-	have, err := os.ReadFile(self.path)
+	have, err := os.ReadFile(p.path)
 	if err != nil || !bytes.Equal(have, want) {
-		return fmt.Errorf("%s is stale; run `make generate` and commit it", self.path)
+		return fmt.Errorf("%s is stale; run `make generate` and commit it", p.path)
 	}
 	return nil
 }
--- a/tools/gendocs/settings.go
+++ b/tools/gendocs/settings.go
@@ -33,24 +33,24 @@
 }
 
 // section writes the plain fields of a struct, then its sections.
-func (self *writer) section(path string, v reflect.Value) {
+func (w *writer) section(path string, v reflect.Value) {
 	title, under := "Top level", ""
 	if path != "" {
 		title, under = "`"+path+"`", path+"."
 	}
-	fmt.Fprintf(self.out, "## %s\n\n| field | default | allowed | meaning |\n|---|---|---|---|\n", title)
+	fmt.Fprintf(w.out, "## %s\n\n| field | default | allowed | meaning |\n|---|---|---|---|\n", title)
 	for i := range v.NumField() {
 		field := v.Type().Field(i)
 		if isSection(field.Type) {
 			continue
 		}
-		fmt.Fprintf(self.out, "| `%s%s` | %s | %s | %s |\n", under, field.Tag.Get("yaml"), defaultOf(v.Field(i)),
-			allowedOf(field.Tag.Get("validate")), self.comments[v.Type().Name()+"."+field.Name])
+		fmt.Fprintf(w.out, "| `%s%s` | %s | %s | %s |\n", under, field.Tag.Get("yaml"), defaultOf(v.Field(i)),
+			allowedOf(field.Tag.Get("validate")), w.comments[v.Type().Name()+"."+field.Name])
 	}
-	self.out.WriteString("\n")
+	w.out.WriteString("\n")
 	for i := range v.NumField() {
 		if field := v.Type().Field(i); isSection(field.Type) {
-			self.section(under+field.Tag.Get("yaml"), v.Field(i))
+			w.section(under+field.Tag.Get("yaml"), v.Field(i))
 		}
 	}
 }
