--- a/cmd/rushrampd/main.go
+++ b/cmd/rushrampd/main.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/rushramp/rushramp/pkg/cli"
 	"github.com/rushramp/rushramp/pkg/daemon"
+	"github.com/rushramp/rushramp/platform"
 )
 
-func main() { cli.Main(daemon.NewCommand()) }
+func main() { cli.Main(daemon.NewCommand(platform.Adapters())) }
--- /dev/null
+++ b/pkg/backend/conn.go
@@ -0,0 +1,150 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// errStray ends a connection on which bytes came while no request was waiting:
+// they belong to no request.
+var errStray = errors.New("bytes that belong to no request")
+
+// errTooLarge ends a connection whose answer is over the bound.
+var errTooLarge = errors.New("the answer is over the bound")
+
+// exchange is one request on its connection.
+type exchange struct {
+	id   string
+	head *http.Request
+	// answers has room for the one answer, failed for the one error.
+	answers chan *http.Response
+	failed  chan error
+}
+
+// conn is one connection to the backend server. It carries one request at a
+// time. A goroutine of its own reads, so that a close is seen at once, and an
+// answer that comes before a long body is written, too.
+type conn struct {
+	net.Conn
+	reader   *bufio.Reader
+	idHeader string
+	maxBody  int64
+	lastUsed time.Time
+
+	mu      sync.Mutex
+	current *exchange
+	broken  error
+}
+
+func newConn(c net.Conn, idHeader string, maxBody int) *conn {
+	out := &conn{Conn: c, reader: bufio.NewReader(c), idHeader: idHeader, maxBody: int64(maxBody), lastUsed: time.Now()}
+	go out.readLoop()
+	return out
+}
+
+// begin makes ex the request that the next answer belongs to; false when the
+// connection has ended: then nothing of the request was sent.
+func (c *conn) begin(ex *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != nil {
+		return false
+	}
+	c.current = ex
+	return true
+}
+
+// usable is true for an idle connection that has not ended.
+func (c *conn) usable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.broken == nil
+}
+
+// fail ends the connection and the request that waits on it.
+func (c *conn) fail(cause error) {
+	c.mu.Lock()
+	if c.broken == nil {
+		c.broken = cause
+	}
+	ex := c.current
+	c.current = nil
+	c.mu.Unlock()
+	_ = c.Close()
+	if ex != nil {
+		ex.failed <- cause
+	}
+}
+
+func (c *conn) waiting() *exchange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+func (c *conn) readLoop() {
+	for {
+		if err := c.readOne(); err != nil {
+			c.fail(err)
+			return
+		}
+	}
+}
+
+// readOne reads one answer. An answer to an older request, which may come late
+// in the place of the next one, is read to its end and dropped.
+func (c *conn) readOne() error {
+	if _, err := c.reader.Peek(1); err != nil {
+		return err
+	}
+	ex := c.waiting()
+	if ex == nil {
+		return errStray
+	}
+	resp, err := http.ReadResponse(c.reader, ex.head)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode < http.StatusOK {
+		return nil
+	}
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBody+1))
+	if err != nil {
+		return errors.Wrap(err, "answer cut")
+	}
+	if int64(len(body)) > c.maxBody {
+		return errTooLarge
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	last := resp.Close || unframed
+	if resp.Header.Get(c.idHeader) != ex.id {
+		if last {
+			return errStray
+		}
+		return nil
+	}
+	return c.deliver(ex, resp, last)
+}
+
+// deliver hands the answer over. What follows it on the connection belongs to
+// no request, so the connection is not used again then.
+func (c *conn) deliver(ex *exchange, resp *http.Response, last bool) error {
+	c.mu.Lock()
+	c.current = nil
+	var end error
+	if last || c.reader.Buffered() > 0 {
+		end = errStray
+		c.broken = end
+	}
+	c.mu.Unlock()
+	ex.answers <- resp
+	return end
+}
--- /dev/null
+++ b/pkg/backend/headers.go
@@ -0,0 +1,32 @@
+// Package backend speaks to the one backend server beside the daemon: it hands
+// requests over, follows what the backend server says of its load, and knows
+// whether it lives, leaves or is gone. Source: docs/design/platform.md,
+// "Executor and backend server".
+package backend
+
+// Headers names the headers that daemon and backend server exchange. Platforms
+// spell them differently; nothing here depends on a spelling.
+type Headers struct {
+	// RequestID carries the caller's id to the backend server and back.
+	RequestID string
+	// DeadlineMS carries the time left, in milliseconds.
+	DeadlineMS string
+	// Expected names the incarnation that alone may run the request.
+	Expected string
+	// Caller names the service on whose VM the request began.
+	Caller string
+	// Instance is how a backend server names its incarnation in answers.
+	Instance string
+	// Load carries running, waiting and slots, and the slowdown in percent.
+	Load string
+	// NotExecuted marks the only answers that prove that a request did not run.
+	NotExecuted string
+}
+
+// DefaultHeaders are the names that the product itself uses.
+func DefaultHeaders() Headers {
+	return Headers{
+		RequestID: "Rushramp-Request-Id", DeadlineMS: "Rushramp-Timeout", Expected: "Rushramp-Expected-Instance",
+		Caller: "Rushramp-Caller", Instance: "Rushramp-Instance", Load: "Rushramp-Load", NotExecuted: "Rushramp-Not-Run",
+	}
+}
--- /dev/null
+++ b/pkg/backend/lifecycle.go
@@ -0,0 +1,236 @@
+package backend
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// rememberDepartures is how long the id of a process that said it leaves is
+	// remembered. It is far longer than any such process lives on.
+	rememberDepartures = 5 * time.Minute
+	// confirmedFor is how long a sign of life of one incarnation outweighs a
+	// heartbeat of another one, which may come seconds late.
+	confirmedFor = 2 * time.Second
+	// downAfter is how many connections in a row must be refused before the
+	// backend server counts as down.
+	downAfter = 2
+)
+
+// State is what the daemon believes of its backend server.
+type State uint8
+
+// The states of a backend server.
+const (
+	// Unknown: no incarnation has shown itself yet.
+	Unknown State = iota
+	// Live: the incarnation takes requests.
+	Live
+	// Leaving: the incarnation said that it leaves; it gets nothing more.
+	Leaving
+	// Down: connections are refused.
+	Down
+)
+
+// String returns the state's word in log lines.
+func (s State) String() string {
+	return [...]string{"unknown", "live", "leaving", "down"}[s]
+}
+
+// Heartbeat is a backend server's announcement of itself.
+type Heartbeat struct {
+	Instance string
+	// Sequence rises with each call of one incarnation, so that a late one is
+	// known.
+	Sequence uint64
+	Slots    int
+	Leaving  bool
+	// ColdFor is how much longer it is slow from its start.
+	ColdFor time.Duration
+}
+
+// Lifecycle knows which incarnation of the backend server may get requests.
+// Times are nanoseconds of a steady clock, handed in. It is safe for
+// concurrent use.
+type Lifecycle struct {
+	mu       sync.Mutex
+	instance string
+	state    State
+	// informed is true once all departures that could matter are known: a
+	// daemon that was started again may have acknowledged one before.
+	informed bool
+	// seenAt is the last sign of life of instance.
+	seenAt   int64
+	coldTill int64
+	sequence map[string]uint64
+	departed map[string]int64
+	refusals int
+	// changed is called without the lock after each change of the belief.
+	changed func(instance string, state State)
+}
+
+// NewLifecycle makes the lifecycle of a backend server that has not been seen.
+// informed is true when no departure can have been acknowledged before, as at
+// the first start of the whole system. changed may be nil.
+func NewLifecycle(informed bool, changed func(instance string, state State)) *Lifecycle {
+	if changed == nil {
+		changed = func(string, State) {}
+	}
+	return &Lifecycle{informed: informed, changed: changed, sequence: map[string]uint64{}, departed: map[string]int64{}}
+}
+
+// Accepting returns the incarnation that may get requests now; ok is false when
+// there is none.
+func (l *Lifecycle) Accepting() (instance string, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.instance, l.informed && l.state == Live
+}
+
+// Current returns the incarnation and what is believed of it.
+func (l *Lifecycle) Current() (instance string, state State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.instance, l.state
+}
+
+// ColdFor is how much longer the backend server is slow from its start.
+func (l *Lifecycle) ColdFor(now int64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(max(l.coldTill-now, 0))
+}
+
+// Informed notes that all departures that could matter are known.
+func (l *Lifecycle) Informed() {
+	l.change(func() { l.informed = true })
+}
+
+// IsInformed is true once all departures that could matter are known.
+func (l *Lifecycle) IsInformed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.informed
+}
+
+// change runs do under the lock and tells of what changed for others.
+func (l *Lifecycle) change(do func()) {
+	l.mu.Lock()
+	oldInstance, oldState, oldInformed := l.instance, l.state, l.informed
+	do()
+	instance, state := l.instance, l.state
+	same := instance == oldInstance && state == oldState && l.informed == oldInformed
+	l.mu.Unlock()
+	if !same {
+		l.changed(instance, state)
+	}
+}
+
+// Heartbeat takes an announcement. It returns true when the announcement says
+// for the first time that the incarnation leaves.
+func (l *Lifecycle) Heartbeat(now int64, h Heartbeat) (departed bool) {
+	l.change(func() {
+		late := h.Sequence <= l.sequence[h.Instance]
+		l.sequence[h.Instance] = max(h.Sequence, l.sequence[h.Instance])
+		switch {
+		case h.Leaving:
+			departed = l.depart(now, h.Instance)
+		case !late && (h.Instance == l.instance || !l.confirmed(now)):
+			l.coldTill = max(l.coldTill, now+int64(h.ColdFor))
+			l.show(now, h.Instance)
+		}
+	})
+	return departed
+}
+
+// confirmed is true while the current incarnation has shown itself lately.
+func (l *Lifecycle) confirmed(now int64) bool {
+	return l.state == Live && now-l.seenAt < int64(confirmedFor)
+}
+
+// show notes a sign of life. An incarnation that said it leaves stays so.
+func (l *Lifecycle) show(now int64, instance string) {
+	if instance == "" {
+		return
+	}
+	if _, gone := l.departed[instance]; gone {
+		if l.instance == "" || l.instance == instance {
+			l.instance, l.state = instance, Leaving
+		}
+		return
+	}
+	l.instance, l.state, l.seenAt, l.refusals = instance, Live, now, 0
+}
+
+// Seen takes an answer that names the incarnation, as that of the health path
+// does: it is first-hand, so it goes before any heartbeat.
+func (l *Lifecycle) Seen(now int64, instance string) {
+	l.change(func() { l.show(now, instance) })
+}
+
+// Answered notes a sign of life of the current incarnation.
+func (l *Lifecycle) Answered(now int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seenAt, l.refusals = now, 0
+}
+
+// Depart takes the word that an incarnation leaves, from itself or from a peer
+// that knows. It returns true the first time.
+func (l *Lifecycle) Depart(now int64, instance string) (first bool) {
+	l.change(func() { first = l.depart(now, instance) })
+	return first
+}
+
+func (l *Lifecycle) depart(now int64, instance string) (first bool) {
+	l.forgetOld(now)
+	if _, known := l.departed[instance]; known {
+		return false
+	}
+	l.departed[instance] = now
+	if l.instance == instance {
+		l.state = Leaving
+	}
+	return true
+}
+
+func (l *Lifecycle) forgetOld(now int64) {
+	for id, at := range l.departed {
+		if now-at > int64(rememberDepartures) {
+			delete(l.departed, id)
+			delete(l.sequence, id)
+		}
+	}
+}
+
+// Departures lists the ids that are remembered.
+func (l *Lifecycle) Departures() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]string, 0, len(l.departed))
+	for id := range l.departed {
+		out = append(out, id)
+	}
+	return out
+}
+
+// Replaced notes that another incarnation answers at the address.
+func (l *Lifecycle) Replaced(now int64, by string) {
+	l.change(func() {
+		if by == "" {
+			l.state = Unknown
+			return
+		}
+		l.show(now, by)
+	})
+}
+
+// Unreachable notes a refused connection.
+func (l *Lifecycle) Unreachable() {
+	l.change(func() {
+		l.refusals++
+		if l.refusals >= downAfter && l.state == Live {
+			l.state = Down
+		}
+	})
+}
--- /dev/null
+++ b/pkg/backend/lifecycle_test.go
@@ -0,0 +1,98 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+const second = int64(time.Second)
+
+func accepting(t *testing.T, l *Lifecycle, want string) {
+	t.Helper()
+	got, ok := l.Accepting()
+	if want == "" {
+		test.False(t, ok)
+		return
+	}
+	test.True(t, ok)
+	test.Eq(t, want, got)
+}
+
+func TestAnIncarnationThatSaidItLeavesGetsNothingMore(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	accepting(t, l, "")
+	l.Heartbeat(1*second, Heartbeat{Instance: "a", Sequence: 1})
+	accepting(t, l, "a")
+	must.True(t, l.Heartbeat(2*second, Heartbeat{Instance: "a", Sequence: 3, Leaving: true}))
+	accepting(t, l, "")
+	// A heartbeat that was sent before, and a health answer that misleads.
+	l.Heartbeat(3*second, Heartbeat{Instance: "a", Sequence: 2})
+	l.Heartbeat(30*second, Heartbeat{Instance: "a", Sequence: 4})
+	l.Seen(31*second, "a")
+	accepting(t, l, "")
+	must.False(t, l.Depart(32*second, "a"))
+	l.Seen(33*second, "b")
+	accepting(t, l, "b")
+}
+
+func TestADepartureIsBindingBeforeTheIncarnationIsSeen(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	must.True(t, l.Depart(1, "a"))
+	l.Heartbeat(2, Heartbeat{Instance: "a", Sequence: 9})
+	l.Seen(3, "a")
+	accepting(t, l, "")
+}
+
+func TestARestartedDaemonWaitsUntilItIsInformed(t *testing.T) {
+	var told []State
+	l := NewLifecycle(false, func(_ string, s State) { told = append(told, s) })
+	l.Seen(1, "a")
+	accepting(t, l, "")
+	l.Informed()
+	accepting(t, l, "a")
+	test.Len(t, 2, told)
+}
+
+func TestALateHeartbeatOfAnOlderIncarnationChangesNothing(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	l.Heartbeat(1*second, Heartbeat{Instance: "old", Sequence: 7})
+	l.Seen(5*second, "new")
+	l.Heartbeat(6*second, Heartbeat{Instance: "old", Sequence: 8})
+	accepting(t, l, "new")
+}
+
+func TestAnotherIncarnationAtTheAddress(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	l.Seen(1, "a")
+	l.Replaced(2, "b")
+	accepting(t, l, "b")
+	l.Replaced(3, "")
+	accepting(t, l, "")
+}
+
+func TestRefusedConnectionsTakeItDownUntilItShowsItself(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	l.Seen(1, "a")
+	l.Unreachable()
+	accepting(t, l, "a")
+	l.Unreachable()
+	accepting(t, l, "")
+	l.Heartbeat(2, Heartbeat{Instance: "a", Sequence: 1})
+	accepting(t, l, "a")
+}
+
+func TestReports(t *testing.T) {
+	r, ok := ParseReport("3, 0,12,400")
+	must.True(t, ok)
+	test.Eq(t, Report{Running: 3, Waiting: 0, Slots: 12, Slowdown: 400}, r)
+	r, ok = ParseReport("3,0,8")
+	must.True(t, ok)
+	test.Eq(t, usualPercent, r.Slowdown)
+	for _, text := range []string{"", "1", "a,b,c", "1,2,-3", "1,2,3,x"} {
+		_, ok = ParseReport(text)
+		test.False(t, ok, test.Sprint(text))
+	}
+}
--- /dev/null
+++ b/pkg/backend/prober.go
@@ -0,0 +1,62 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Prober asks the backend server's health path. Its answer comes at once and
+// takes no slot; the load header in it is what the daemon is after.
+type Prober struct {
+	address string
+	headers Headers
+	client  *http.Client
+}
+
+// maxHealthBody bounds what is read of a health answer.
+const maxHealthBody = 4 << 10
+
+// NewProber makes a prober. One connection is kept.
+func NewProber(address string, headers Headers, timeout time.Duration) *Prober {
+	dialer := &net.Dialer{Timeout: timeout}
+	return &Prober{
+		address: address, headers: headers,
+		client: &http.Client{Timeout: timeout, Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
+		}},
+	}
+}
+
+// Health is one answer of the health path.
+type Health struct {
+	// Well is the backend server's own opinion.
+	Well     bool
+	Instance string
+	// Load is the text of the load header.
+	Load string
+}
+
+// Probe asks once.
+func (p *Prober) Probe(ctx context.Context, path string) (Health, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address+path, nil)
+	if err != nil {
+		return Health{}, err
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return Health{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBody))
+	return Health{
+		Well:     resp.StatusCode == http.StatusOK,
+		Instance: resp.Header.Get(p.headers.Instance),
+		Load:     resp.Header.Get(p.headers.Load),
+	}, nil
+}
+
+// Close ends the kept connection.
+func (p *Prober) Close() { p.client.CloseIdleConnections() }
--- /dev/null
+++ b/pkg/backend/transport_test.go
@@ -0,0 +1,253 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/errkind"
+)
+
+// script answers each request on each connection by hand.
+type script func(conn net.Conn, req *http.Request)
+
+// serve runs a backend server that follows a script, and counts connections.
+func serve(t *testing.T, answer script) (address string, connections *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	connections = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for {
+					req, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					answer(c, req)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), connections
+}
+
+func newTestTransport(address string) *Transport {
+	return NewTransport(Options{Address: address, Headers: DefaultHeaders(), DialTimeout: time.Second, MaxBody: 1 << 20})
+}
+
+func get(id string) *Request {
+	return &Request{ID: id, Method: "GET", URI: "/a/b?c=%2f", Host: "h.example", Instance: "i-1", Caller: "front", Repeatable: true}
+}
+
+func reply(conn net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRushramp-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func do(t *testing.T, tr *Transport, req *Request) Reply {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	return tr.Do(ctx, req)
+}
+
+func TestARequestGoesOnUnchanged(t *testing.T) {
+	seen := make(chan *http.Request, 1)
+	address, _ := serve(t, func(c net.Conn, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		req.Body = io.NopCloser(strings.NewReader(string(body)))
+		seen <- req
+		reply(c, req.Header.Get("Rushramp-Request-Id"), "done")
+	})
+	req := get("r1")
+	req.Method, req.Body = "POST", []byte("payload")
+	got := do(t, newTestTransport(address), req)
+	must.Nil(t, got.Refusal)
+	test.Eq(t, "done", string(got.Answer.Body))
+	at := <-seen
+	body, _ := io.ReadAll(at.Body)
+	test.Eq(t, "payload", string(body))
+	test.Eq(t, "/a/b?c=%2f", at.RequestURI)
+	test.Eq(t, "h.example", at.Host)
+	test.Eq(t, "i-1", at.Header.Get("Rushramp-Expected-Instance"))
+	test.Eq(t, "front", at.Header.Get("Rushramp-Caller"))
+	test.NotEq(t, "", at.Header.Get("Rushramp-Timeout"))
+}
+
+func TestALateAnswerOfAnOlderRequestIsDropped(t *testing.T) {
+	address, connections := serve(t, func(c net.Conn, req *http.Request) {
+		if id := req.Header.Get("Rushramp-Request-Id"); id == "r2" {
+			reply(c, "r1", "late")
+			reply(c, id, "right")
+		} else {
+			reply(c, id, "first")
+		}
+	})
+	tr := newTestTransport(address)
+	must.Eq(t, "first", string(do(t, tr, get("r1")).Answer.Body))
+	must.Eq(t, "right", string(do(t, tr, get("r2")).Answer.Body))
+	test.Eq(t, 1, connections.Load())
+}
+
+func TestSurplusBytesEndTheConnection(t *testing.T) {
+	address, connections := serve(t, func(c net.Conn, req *http.Request) {
+		id := req.Header.Get("Rushramp-Request-Id")
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nRushramp-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok", id)
+		_, _ = io.WriteString(c, text+"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad")
+	})
+	tr := newTestTransport(address)
+	for i := range 3 {
+		must.Eq(t, "ok", string(do(t, tr, get(fmt.Sprint(i))).Answer.Body))
+	}
+	test.Eq(t, 3, connections.Load())
+}
+
+func TestAnswersThatAreCutAreMaybe(t *testing.T) {
+	texts := map[string]string{
+		"body short":     "HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\nContent-Length: 10\r\n\r\nabc",
+		"head cut":       "HTTP/1.1 200 OK\r\nRushramp-Req",
+		"no answer":      "",
+		"not HTTP":       "\x00\x01\x02 nonsense\r\n\r\n",
+		"chunk cut":      "HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"another's only": "HTTP/1.1 200 OK\r\nRushramp-Request-Id: x\r\nConnection: close\r\nContent-Length: 2\r\n\r\nab",
+	}
+	for name, text := range texts {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(c net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(c, text)
+				_ = c.Close()
+			})
+			got := do(t, newTestTransport(address), get("r"))
+			must.NotNil(t, got.Refusal)
+			test.Eq(t, errkind.BackendFailed, got.Refusal.Kind)
+			test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+			test.True(t, got.Offered)
+		})
+	}
+}
+
+func TestAnAnswerWithoutLengthIsWholeOnlyAfterAClose(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\n\r\n"
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(c net.Conn, _ *http.Request) {
+				_, _ = io.WriteString(c, head+"part")
+				if reset {
+					_ = c.(*net.TCPConn).SetLinger(0)
+				}
+				_ = c.Close()
+			})
+			got := do(t, newTestTransport(address), get("r"))
+			if reset {
+				must.NotNil(t, got.Refusal)
+				test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+				return
+			}
+			must.NotNil(t, got.Answer)
+			test.Eq(t, "part", string(got.Answer.Body))
+		})
+	}
+}
+
+func TestOnlyTheBackendServersMarkSaysNotRun(t *testing.T) {
+	scenarios := []struct {
+		name, text string
+		kind       errkind.Kind
+		instance   string
+	}{
+		{"marked", "HTTP/1.1 503 X\r\nRushramp-Request-Id: r\r\nRushramp-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", errkind.BackendRefused, ""},
+		{"replaced", "HTTP/1.1 421 X\r\nRushramp-Request-Id: r\r\nRushramp-Instance: i-2\r\nContent-Length: 0\r\n\r\n", errkind.BackendReplaced, "i-2"},
+		{"its own 503", "HTTP/1.1 503 X\r\nRushramp-Request-Id: r\r\nContent-Length: 0\r\n\r\n", errkind.None, ""},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			address, _ := serve(t, func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, s.text) })
+			got := do(t, newTestTransport(address), get("r"))
+			if s.kind == errkind.None {
+				must.NotNil(t, got.Answer)
+				test.Eq(t, 503, got.Answer.Status)
+				return
+			}
+			must.NotNil(t, got.Refusal)
+			test.Eq(t, s.kind, got.Refusal.Kind)
+			test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+			test.Eq(t, s.instance, got.Instance)
+		})
+	}
+}
+
+func TestAnEarlyAnswerEndsTheConnection(t *testing.T) {
+	answered := make(chan struct{}, 2)
+	address, connections := serve(t, func(c net.Conn, req *http.Request) {
+		reply(c, req.Header.Get("Rushramp-Request-Id"), "no")
+		answered <- struct{}{}
+		_, _ = io.Copy(io.Discard, req.Body)
+	})
+	tr := newTestTransport(address)
+	big := get("r1")
+	big.Method, big.Body = "POST", make([]byte, 8<<20)
+	must.Eq(t, "no", string(do(t, tr, big).Answer.Body))
+	must.Eq(t, "no", string(do(t, tr, get("r2")).Answer.Body))
+	test.Eq(t, 2, connections.Load())
+}
+
+func TestACallerThatLeavesEndsTheConnection(t *testing.T) {
+	came, closed := make(chan struct{}), make(chan struct{})
+	address, _ := serve(t, func(c net.Conn, _ *http.Request) {
+		close(came)
+		_, _ = c.Read(make([]byte, 1))
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-came
+		cancel()
+	}()
+	got := newTestTransport(address).Do(ctx, get("r"))
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.CallerGone, got.Refusal.Kind)
+	test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+	<-closed
+}
+
+func TestANotRepeatableRequestAvoidsAConnectionThatRested(t *testing.T) {
+	address, connections := serve(t, func(c net.Conn, req *http.Request) {
+		reply(c, req.Header.Get("Rushramp-Request-Id"), "ok")
+	})
+	tr := newTestTransport(address)
+	must.NotNil(t, do(t, tr, get("r1")).Answer)
+	tr.mu.Lock()
+	tr.idle[0].lastUsed = time.Now().Add(-2 * freshFor)
+	tr.mu.Unlock()
+	once := get("r2")
+	once.Repeatable = false
+	must.NotNil(t, do(t, tr, once).Answer)
+	must.Eq(t, 2, connections.Load())
+	must.NotNil(t, do(t, tr, get("r3")).Answer)
+	test.Eq(t, 2, connections.Load())
+}
+
+func TestNobodyListens(t *testing.T) {
+	got := do(t, newTestTransport("127.0.0.1:1"), get("r"))
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.BackendUnreachable, got.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+	test.False(t, got.Offered)
+}
--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -26,6 +26,9 @@
 	// Spoke is true when this is the executor's own word, and not this side's
 	// conclusion from silence.
 	Spoke bool
+	// Offered is true when a routed request reached a backend server, or may
+	// have: it counts as an attempt.
+	Offered bool
 	// Stamp is the gate's load; Seq 0: none came with this result.
 	Stamp wire.Stamp
 	// Server and DataCentre say which backend server this end is about.
--- /dev/null
+++ b/pkg/choose/routed.go
@@ -0,0 +1,100 @@
+package choose
+
+import (
+	"math"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+const (
+	// slowdownHalfLife is the age at which what was said of a backend server's
+	// speed has half its weight. Neighbours' noise lasts some 300 ms.
+	slowdownHalfLife = 200 * time.Millisecond
+	// usualSlowdown is what an old word on the speed tends to, as a share of
+	// the usual work time: a quarter of the time fourfold.
+	usualSlowdown = 1.75
+	// kneeUse is the share of the slots in use from which on work slows, and
+	// kneeFactor by how much.
+	kneeUse    = 0.8
+	kneeFactor = 1.7
+	// routedFailureCost is how many work times one certain failure counts as.
+	routedFailureCost = 6
+)
+
+// Routed is one decision's input for a routed request.
+type Routed struct {
+	// Now is the time of the decision in nanoseconds of a steady clock.
+	Now int64
+	// Set holds the candidates; it is not changed.
+	Set []tables.Candidate
+	// Excluded has a bit for each index of Set that may not be picked.
+	Excluded Tried
+	// Allowed is nil, or says in which data centres the request may be handled.
+	Allowed []string
+	// DataCentre is the entry's own, LeaveCost what leaving it costs.
+	DataCentre string
+	LeaveCost  time.Duration
+	// Work is how long the request runs at a backend server that works as usual.
+	Work time.Duration
+}
+
+// PickRouted picks the candidate with the least expected time, where bytes that
+// leave the data centre are counted as time, too; None when there is none.
+// Source: docs/design/platform.md, "The first decisions".
+func PickRouted(req *Routed, rnd Random) int {
+	best, bestCost := None, math.Inf(1)
+	for i := range req.Set {
+		if req.Excluded.Has(i) || !req.allows(req.Set[i].Route.DataCentre) {
+			continue
+		}
+		cost := req.cost(&req.Set[i]) + tieShare*float64(req.Work)*rnd.Float64()
+		if cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+func (r *Routed) allows(dataCentre string) bool {
+	if len(r.Allowed) == 0 {
+		return true
+	}
+	for _, allowed := range r.Allowed {
+		if allowed == dataCentre {
+			return true
+		}
+	}
+	return false
+}
+
+// cost is the expected time of the request at a candidate, in nanoseconds.
+func (r *Routed) cost(c *tables.Candidate) float64 {
+	var known tables.Known
+	c.Load.Read(r.Now, &known)
+	limit := float64(known.Limit)
+	inFlight := float64(known.Outstanding)
+	slowdown := usualSlowdown
+	if known.StampAt != 0 {
+		age := float64(max(r.Now-known.StampAt, 0))
+		inFlight = max(inFlight, decay(age/float64(max(r.Work, 1)))*float64(known.InFlight)+float64(known.SentSince))
+		if known.Slowdown > 0 {
+			slowdown += decay(math.Ln2*age/float64(slowdownHalfLife)) * (float64(known.Slowdown)/100 - usualSlowdown)
+		}
+	}
+	service := float64(r.Work) * slowdown
+	if (inFlight+1)/limit > kneeUse {
+		service *= kneeFactor
+	}
+	cost := service + wait(inFlight, limit, 1/limit, service) + float64(known.Distance)
+	if quiet := float64(known.QuietFor); quiet > quietFactor*service {
+		cost += quiet
+	}
+	if known.FailureShare > failureFree {
+		cost += known.FailureShare * routedFailureCost * float64(r.Work)
+	}
+	if c.Route.DataCentre != r.DataCentre {
+		cost += float64(r.LeaveCost)
+	}
+	return cost
+}
--- /dev/null
+++ b/pkg/daemon/adapter.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/ingress"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/store"
+)
+
+// Adapter is what a daemon needs of the platform it runs on. What a platform
+// does not have stays nil.
+type Adapter struct {
+	Store store.Platform
+	// Feed is set where operators write placements to the store themselves.
+	Feed placement.Feed
+	// Registrar is set where daemons write the list of VMs themselves.
+	Registrar store.Registrar
+	// Callers and Backend are how the platform spells the headers.
+	Callers ingress.Headers
+	Backend backend.Headers
+	// Announcements makes the handler of backend servers' announcements.
+	Announcements func(backend.Announcer) http.Handler
+}
+
+// NewAdapter makes the adapter of one platform from the settings.
+type NewAdapter func(*settings.Settings) (*Adapter, error)
+
+// Adapters are the platforms that a program knows, by settings platform.form.
+type Adapters map[string]NewAdapter
+
+// ownForm is the platform.form of rushramp's own HTTP form.
+const ownForm = "http"
+
+// adapter makes the adapter that the settings name.
+func (a Adapters) adapter(s *settings.Settings) (*Adapter, error) {
+	if s.Platform.Form == ownForm {
+		return newOwnAdapter(s)
+	}
+	build, ok := a[s.Platform.Form]
+	if !ok {
+		return nil, errors.Errorf("platform.form: this program knows no platform %q. Give %q, or use a program that was built with its adapter.", s.Platform.Form, ownForm)
+	}
+	return build(s)
+}
+
+func newOwnAdapter(s *settings.Settings) (*Adapter, error) {
+	client, err := store.NewHTTP(s.Platform.Address, s.Platform.Timeout)
+	if err != nil {
+		return nil, err
+	}
+	return &Adapter{Store: client, Callers: ingress.DefaultHeaders(), Backend: backend.DefaultHeaders()}, nil
+}
--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -12,8 +12,9 @@
 	"github.com/rushramp/rushramp/pkg/settings"
 )
 
-// NewCommand makes the command line of rushrampd.
-func NewCommand() *cobra.Command {
+// NewCommand makes the command line of rushrampd. adapters are the platforms
+// that it knows besides rushramp's own.
+func NewCommand(adapters Adapters) *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
 		Use:           "rushrampd --settings FILE",
@@ -26,7 +27,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(&s)
+			return serve(path, &s, adapters)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "rushrampd.yaml", "settings file")
@@ -35,9 +36,9 @@
 
 // serve runs the daemon until it has drained after SIGTERM, an operator's
 // drain, or the platform's leaving mark.
-func serve(s *settings.Settings) error {
+func serve(path string, s *settings.Settings, adapters Adapters) error {
 	level, _ := events.ParseLevel(s.Log.Level)
-	d, err := New(s, Options{Log: events.NewLog(os.Stderr, level, events.F("vm", s.VM.ID))})
+	d, err := New(s, Options{Adapters: adapters, Log: events.NewLog(os.Stdout, level, events.F("vm", s.VM.ID))})
 	if err != nil {
 		return err
 	}
@@ -46,6 +47,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	go newReloader(d, path, *s).run(d.env.Background)
 	select {
 	case <-ctx.Done():
 		d.Leave()
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -30,6 +30,9 @@
 
 // Options replace parts in tests and in the bench. Each may be nil.
 type Options struct {
+	// Adapters are the platforms that this program knows besides rushramp's own.
+	Adapters Adapters
+	// Platform replaces the store of the adapter.
 	Platform store.Platform
 	Policy   choose.Policy
 	Dial     link.Dial
@@ -50,6 +53,8 @@
 	policy    choose.Policy
 	control   *systems.Control
 	operators *operators.Server
+	// routed is nil on a daemon that takes no routed requests.
+	routed *routed
 	// endWork ends what runs in the background, after the drain.
 	endWork context.CancelFunc
 	stops   []func()
@@ -61,12 +66,12 @@
 
 // New makes a daemon from its settings. It opens no listener yet.
 func New(s *settings.Settings, opts Options) (*Daemon, error) {
+	adapter, err := opts.Adapters.adapter(s)
+	if err != nil {
+		return nil, err
+	}
 	if opts.Platform == nil {
-		http, err := store.NewHTTP(s.Platform.Address, s.Platform.Timeout)
-		if err != nil {
-			return nil, err
-		}
-		opts.Platform = http
+		opts.Platform = adapter.Store
 	}
 	if opts.Policy == nil {
 		policy, err := choose.New(s.Choosing.Policy, choose.Options{HalfLife: s.Choosing.StampHalfLife})
@@ -102,13 +107,22 @@
 		return nil, err
 	}
 	d.Entry = entry.NewEntry(c, d.World, opts.Policy, claims)
+	if d.routed, err = newRouted(d, adapter); err != nil {
+		endWork()
+		return nil, err
+	}
 	d.control = systems.NewControl(c, d.World, uint64(time.Now().UnixNano()))
 	d.env = &systems.Env{
 		Common: c, World: d.World, Platform: opts.Platform, Store: d.store,
 		Executor: d.Executor, Control: d.control, Background: background,
-		Dial:  link.DialOptions{Dial: opts.Dial, TLS: reloader.Client(), Heartbeat: systems.Heartbeat},
+		Dial:  link.DialOptions{Dial: opts.Dial, TLS: reloader.Client(), Heartbeat: s.Links.Heartbeat},
 		Sweep: claims.Sweep,
 		Leave: d.Leave,
+		Feed:  adapter.Feed, Registrar: adapter.Registrar,
+		Runner: d.runner(),
+	}
+	if d.routed != nil {
+		d.env.Routed, d.env.Backend = d.routed.runner, d.routed.lifecycle
 	}
 	d.scheduler = systems.NewScheduler(d.env)
 	d.operators = d.newOperators()
@@ -153,13 +167,16 @@
 	if err != nil {
 		return errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", d.Settings.Listen.Links, err)
 	}
-	links := link.Listen(d.Common, d.control, d.runner(), listener, d.certs.Server(), systems.Heartbeat)
+	links := link.Listen(d.Common, d.control, d.runner(), listener, d.certs.Server(), d.Settings.Links.Heartbeat)
 	d.stops = append(d.stops, links.Close)
 	starts := []func() (func(), error){
 		func() (func(), error) { return startMetrics(d) },
 		func() (func(), error) { return operators.Start(d.operators, d.certs.Server()) },
 		func() (func(), error) { return callers.Start(d.Common, d.Entry) },
 	}
+	if d.routed != nil {
+		starts = append(starts, d.routed.start)
+	}
 	for _, start := range starts {
 		stop, err := start()
 		if err != nil {
@@ -172,6 +189,9 @@
 
 // runner is who runs calls from links; a nil interface on an entry only.
 func (d *Daemon) runner() call.Runner {
+	if d.routed != nil {
+		return d.routed.runner
+	}
 	if d.Executor == nil {
 		return nil
 	}
@@ -192,6 +212,9 @@
 	if d.Executor != nil {
 		out += d.Executor.InFlight()
 	}
+	if d.routed != nil {
+		out += d.routed.forwarder.InFlight() + d.routed.runner.InFlight()
+	}
 	return out
 }
 
@@ -200,20 +223,28 @@
 func (d *Daemon) Leave() {
 	d.leave.Do(func() {
 		d.Log.Event(events.DaemonDraining, events.F("calls_in_flight", d.InFlight()))
-		d.World.View.SetLeaving()
-		if d.Executor != nil {
-			d.Executor.Leave()
-		}
-		d.World.Inbox.Post(true, func(*tables.Mail) {})
-		go d.drain()
+		go d.leaveInTurn(time.Now())
 	})
 }
 
+// leaveInTurn lets callers of routed requests see that this daemon leaves
+// before other daemons do, so that its backend server is used meanwhile.
+func (d *Daemon) leaveInTurn(began time.Time) {
+	if d.routed != nil {
+		d.routed.drain(began)
+	}
+	d.World.View.SetLeaving()
+	if d.Executor != nil {
+		d.Executor.Leave()
+	}
+	d.World.Inbox.Post(true, func(*tables.Mail) {})
+	d.drain(began)
+}
+
 const drainPoll = 5 * time.Millisecond
 
-func (d *Daemon) drain() {
+func (d *Daemon) drain(began time.Time) {
 	defer close(d.left)
-	began := time.Now()
 	bound := d.Settings.Drain.Bound
 	// Others learn at once over their links; those without one learn it from
 	// the refusals of this linger.
@@ -238,6 +269,9 @@
 	if d.Executor != nil {
 		d.Executor.Close()
 	}
+	if d.routed != nil {
+		d.routed.runner.Close()
+	}
 	d.Log.Event(events.DaemonStopped, events.F("cut", d.Cut()))
 }
 
--- /dev/null
+++ b/pkg/daemon/routed.go
@@ -0,0 +1,221 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/forward"
+	"github.com/rushramp/rushramp/pkg/ingress"
+	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/runner"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+const (
+	// ackWithin bounds how long an announcement waits for the store before it
+	// is acknowledged; the backend server gives up after a second.
+	ackWithin = 600 * time.Millisecond
+	// probeTimeout bounds one question to the health path.
+	probeTimeout = 400 * time.Millisecond
+	// seekEvery is the time between two questions while no incarnation is known.
+	seekEvery = 60 * time.Millisecond
+	// closeWithin bounds the end of the callers' connections.
+	closeWithin = 300 * time.Millisecond
+)
+
+// routed holds the parts of a daemon that takes routed requests. Source:
+// docs/design/platform.md.
+type routed struct {
+	daemon    *Daemon
+	adapter   *Adapter
+	lifecycle *backend.Lifecycle
+	load      *backend.Load
+	runner    *runner.Runner
+	forwarder *forward.Forwarder
+	prober    *backend.Prober
+	ingress   *ingress.Server
+	draining  atomic.Bool
+}
+
+// newRouted makes the parts; nil when the settings name no listener for routed
+// requests.
+func newRouted(d *Daemon, adapter *Adapter) (*routed, error) {
+	s := d.Settings
+	if s.Listen.Routed == "" {
+		return nil, nil
+	}
+	r := &routed{
+		daemon: d, adapter: adapter, load: &backend.Load{},
+		forwarder: forward.NewForwarder(d.Common, d.World.View),
+		prober:    backend.NewProber(s.BackendServer.Address, adapter.Backend, probeTimeout),
+	}
+	r.lifecycle = backend.NewLifecycle(s.Platform.FirstStart, r.stateChanged)
+	var err error
+	r.runner, err = runner.NewRunner(d.Common, adapter.Backend, r.lifecycle, r.load)
+	return r, err
+}
+
+// stateChanged logs the new belief and wakes the systems, which pass it on.
+func (r *routed) stateChanged(instance string, state backend.State) {
+	r.daemon.Log.Event(events.BackendState, events.F("instance", instance), events.F("state", state))
+	r.daemon.World.Inbox.Post(true, func(*tables.Mail) {})
+}
+
+// start opens the listeners and begins to watch the backend server.
+func (r *routed) start() (stop func(), err error) {
+	d := r.daemon
+	var stops []func()
+	stopAll := func() {
+		for i := len(stops) - 1; i >= 0; i-- {
+			stops[i]()
+		}
+	}
+	r.ingress, err = ingress.Start(d.Common, r.adapter.Callers, r.forwarder, r.limits)
+	if err != nil {
+		return nil, err
+	}
+	stops = append(stops, r.closeIngress)
+	handlers := map[string]http.Handler{}
+	if address := d.Settings.Listen.Readiness; address != "" {
+		handlers[address] = http.HandlerFunc(r.serveReadiness)
+	}
+	if address := d.Settings.Listen.Announcements; address != "" && r.adapter.Announcements != nil {
+		handlers[address] = r.adapter.Announcements(r)
+	}
+	for address, handler := range handlers {
+		stop, err := serveHTTP(address, handler)
+		if err != nil {
+			stopAll()
+			return nil, err
+		}
+		stops = append(stops, stop)
+	}
+	go r.watch(d.env.Background)
+	return stopAll, nil
+}
+
+func (r *routed) limits() routing.Limits {
+	if p := r.daemon.World.View.Placement(); p != nil {
+		return p.Routes.Limits()
+	}
+	return routing.Limits{}
+}
+
+func (r *routed) closeIngress() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeWithin)
+	defer cancel()
+	r.ingress.Close(ctx)
+}
+
+// serveHTTP serves a small listener beside the main ones.
+func serveHTTP(address string, handler http.Handler) (stop func(), err error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: probeTimeout * 10}
+	go func() { _ = server.Serve(listener) }()
+	return func() { _ = server.Close() }, nil
+}
+
+// serveReadiness says whether callers should send requests here.
+func (r *routed) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if r.draining.Load() || !r.daemon.World.View.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Heartbeat implements backend.Announcer.
+func (r *routed) Heartbeat(ctx context.Context, h backend.Heartbeat) {
+	r.load.SetSlots(h.Slots)
+	if r.lifecycle.Heartbeat(r.daemon.Now(), h) {
+		r.keep(ctx, h.Instance)
+	}
+}
+
+// Depart implements backend.Announcer.
+func (r *routed) Depart(ctx context.Context, instance string) {
+	if r.lifecycle.Depart(r.daemon.Now(), instance) {
+		r.keep(ctx, instance)
+	}
+}
+
+// keep makes a departure outlive this process before it is acknowledged.
+func (r *routed) keep(ctx context.Context, instance string) {
+	ctx, cancel := context.WithTimeout(ctx, ackWithin)
+	defer cancel()
+	r.daemon.env.KeepDeparture(ctx, instance)
+}
+
+// watch asks the backend server's health path where its own word on its speed
+// is older than the settings want. Answers of requests carry that word, too.
+func (r *routed) watch(ctx context.Context) {
+	defer r.prober.Close()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		timer.Reset(r.look(ctx))
+	}
+}
+
+// look asks once where that is due, and returns when to look again.
+func (r *routed) look(ctx context.Context) time.Duration {
+	every := r.daemon.Settings.Routing.HealthEvery
+	path := r.healthPath()
+	if path == "" {
+		return seekEvery
+	}
+	_, accepting := r.lifecycle.Accepting()
+	if age := r.load.Age(r.daemon.Now()); accepting && age < every {
+		return every - age
+	}
+	r.ask(ctx, path)
+	if !accepting {
+		return seekEvery
+	}
+	return every
+}
+
+func (r *routed) ask(ctx context.Context, path string) {
+	health, err := r.prober.Probe(ctx, path)
+	if err != nil {
+		return
+	}
+	r.runner.TakeLoad(health.Load)
+	if health.Well && health.Instance != "" {
+		r.lifecycle.Seen(r.daemon.Now(), health.Instance)
+	}
+}
+
+// healthPath is empty until a placement names it.
+func (r *routed) healthPath() string {
+	p := r.daemon.World.View.Placement()
+	if p == nil {
+		return ""
+	}
+	service, _ := p.Routes.Service(r.daemon.Settings.BackendServer.Service)
+	return service.HealthPath
+}
+
+// drain is a planned stop: readiness falls at once, and requests go on being
+// taken until callers have seen that. None is cut.
+func (r *routed) drain(began time.Time) {
+	r.draining.Store(true)
+	r.ingress.Leave()
+	time.Sleep(time.Until(began.Add(r.daemon.Settings.Routing.Linger)))
+	r.runner.Leave()
+}
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -39,6 +39,11 @@
 	LinkLost
 	BackendFailed
 	AnswerCut
+	UnknownRoute
+	BackendRefused
+	BackendReplaced
+	BackendAbsent
+	HeaderTooLarge
 	Internal
 	kindCount
 )
@@ -112,6 +117,11 @@
 	LinkLost:             {Name: "link_lost", Status: 502, Ran: RanMaybe, Advice: "The link to the executor broke; the call may have run."},
 	BackendFailed:        {Name: "backend_failed", Status: 502, Ran: RanMaybe, Advice: "The backend server broke off; the call may have run."},
 	AnswerCut:            {Name: "answer_cut", Status: 502, Ran: RanMaybe, Advice: "The answer arrived incomplete and was dropped; the call may have run."},
+	UnknownRoute:         {Name: "unknown_route", Status: 404, Advice: "No route of the placement in force fits this host and path; ask the operators to add one."},
+	BackendRefused:       {Name: "backend_refused", Status: 503, Elsewhere: true, Overload: true, RetryAfterMS: 100, Advice: "The backend server was full and did not run the request; come back after the stated time."},
+	BackendReplaced:      {Name: "backend_replaced", Status: 503, Elsewhere: true, RetryAfterMS: 100, Advice: "Another backend server has taken the address over; try again."},
+	BackendAbsent:        {Name: "backend_absent", Status: 503, Elsewhere: true, RetryAfterMS: 100, Advice: "The backend server beside the chosen daemon is leaving, down or not known yet; try again."},
+	HeaderTooLarge:       {Name: "header_too_large", Status: 431, Advice: "Send a smaller head."},
 	Internal:             {Name: "internal", Status: 500, Ran: RanMaybe, Advice: "A fault in rushramp; report it with the daemon's log."},
 }
 
--- /dev/null
+++ b/pkg/forward/attempts.go
@@ -0,0 +1,251 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/choose"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+const (
+	// grace is how long after the deadline the entry still waits for the word
+	// of the executor, which knows whether the request ran.
+	grace = 20 * time.Millisecond
+	// leastLeft is the time below which a request that ran is not sent again.
+	leastLeft = 30 * time.Millisecond
+	// mostTries bounds the attempts of one request, refusals included.
+	mostTries = 12
+	// workShare stands in for a work time that is not known yet, as a share of
+	// the target latency.
+	workShare = 0.3
+)
+
+// attempts are one request's attempts. Source: docs/design/platform.md, "The
+// first decisions".
+type attempts struct {
+	owner   *Forwarder
+	ctx     context.Context
+	req     *Request
+	route   *routing.Compiled
+	version uint64
+	service string
+	// began and deadline are in nanoseconds of the daemon's clock.
+	began    int64
+	deadline int64
+	target   time.Duration
+
+	set []tables.Candidate
+	// softLeft is how many attempts may still be refused softly; softTried are
+	// the candidates that did so, and closed those not to be asked again.
+	softLeft  int
+	softTried choose.Tried
+	closed    choose.Tried
+	// tries counts all attempts, offered those that reached a backend server.
+	tries   int
+	offered int
+	// inHand is the answer or failure of an attempt that ran; it is what the
+	// caller gets when no later attempt ends better.
+	inHand *call.Result
+}
+
+func (a *attempts) run() call.Result {
+	last := call.Refused(errkind.NoBackendServer, "no backend server of service %s is known", a.service)
+	a.owner.budgets.of(a.service).request(a.owner.Now())
+	for a.tries < mostTries {
+		if a.left() <= 0 {
+			return a.conclude(call.Refused(errkind.DeadlineBeforeRun, "the time ran out at the entry"))
+		}
+		index, soft := a.pick()
+		if index == choose.None {
+			break
+		}
+		a.tries++
+		result := a.send(index, soft)
+		if a.isLast(index, &result) {
+			return a.conclude(result)
+		}
+		last = result
+	}
+	return a.conclude(last)
+}
+
+// conclude returns the answer in hand where the last attempt got none.
+func (a *attempts) conclude(result call.Result) call.Result {
+	if result.Answer == nil && a.inHand != nil {
+		result = *a.inHand
+	}
+	return a.truthful(result)
+}
+
+// truthful keeps a backend server's own 503 from passing for the promise that
+// the request has not run, where only the backend server's mark would prove it.
+func (a *attempts) truthful(result call.Result) call.Result {
+	if result.Answer == nil || a.route.Repeatable || !promisesNotRun(result.Answer.Status) {
+		return result
+	}
+	return call.Refused(errkind.BackendFailed, "the backend server answered %d without saying that it did not run the request", result.Answer.Status)
+}
+
+// promisesNotRun is true for the statuses by which a caller may repeat a
+// request that must run at most once.
+func promisesNotRun(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
+func (a *attempts) left() time.Duration { return time.Duration(a.deadline - a.owner.Now()) }
+
+// pick chooses the next candidate. While soft attempts are left it takes one
+// that has not refused softly; then any that is not closed, and may queue there.
+func (a *attempts) pick() (index int, soft bool) {
+	a.refresh()
+	req := choose.Routed{
+		Now: a.owner.Now(), Set: a.set, Allowed: a.route.DataCentres,
+		DataCentre: a.owner.Settings.VM.DataCentre,
+		LeaveCost:  time.Duration(a.owner.Settings.Routing.LeaveCost * float64(a.target)),
+		Work:       a.work(),
+	}
+	if a.softLeft > 0 {
+		req.Excluded = a.softTried | a.closed
+		if index = choose.PickRouted(&req, a.owner.random); index != choose.None {
+			return index, true
+		}
+	}
+	req.Excluded = a.closed
+	return choose.PickRouted(&req, a.owner.random), false
+}
+
+// refresh takes the candidates once; a view that had none is looked at again.
+func (a *attempts) refresh() {
+	if len(a.set) > 0 {
+		return
+	}
+	service := a.owner.view.Service(a.service)
+	if service == nil {
+		return
+	}
+	if kind := service.Match(a.req.Method, a.req.Path); kind != nil {
+		a.set = kind.Ready
+	}
+}
+
+func (a *attempts) work() time.Duration {
+	if work := a.owner.work.Of(a.route.Name); work > 0 {
+		return work
+	}
+	return time.Duration(workShare * float64(a.target))
+}
+
+// isLast takes over how an attempt ended and decides whether it was the last.
+func (a *attempts) isLast(index int, result *call.Result) bool {
+	if result.Refusal != nil && result.Refusal.Kind == errkind.GateBusier {
+		a.softTried = a.softTried.With(index)
+		a.softLeft--
+		return false
+	}
+	a.closed = a.closed.With(index)
+	if result.Refusal != nil && result.Refusal.Ran == errkind.RanNo && !result.Offered {
+		return !result.Refusal.RetryElsewhere()
+	}
+	a.offered++
+	if result.Answer != nil && result.Answer.Status < 500 {
+		return true
+	}
+	return !a.sendAgain(result)
+}
+
+// sendAgain decides whether a request that reached a backend server and did not
+// end well goes to another one.
+func (a *attempts) sendAgain(result *call.Result) bool {
+	notRun := result.Refusal != nil && result.Refusal.Ran == errkind.RanNo
+	if !notRun && !a.route.Repeatable {
+		return false
+	}
+	if result.Refusal != nil && (result.Refusal.Kind == errkind.CallerGone || result.Refusal.Kind == errkind.DeadlineWhileRunning) {
+		return false
+	}
+	if !notRun {
+		a.inHand = result
+	}
+	if a.offered >= a.route.Attempts || a.left() < leastLeft {
+		return false
+	}
+	return a.owner.budgets.of(a.service).take(a.owner.Now())
+}
+
+// send sends the request to one candidate and waits for its end.
+func (a *attempts) send(index int, soft bool) call.Result {
+	to := &a.set[index]
+	runner := to.Route.Runner()
+	if runner == nil {
+		return call.Refused(errkind.LinkUnavailable, "the link to %s is down", to.Route.VM)
+	}
+	now := a.owner.Now()
+	to.Load.Sent(now)
+	ends := make(chan call.Result, 1)
+	cancel := runner.Execute(a.frame(soft), a.req.Body, func(r call.Result) { ends <- a.land(to, r) })
+	bound := time.NewTimer(a.left() + grace)
+	defer bound.Stop()
+	select {
+	case result := <-ends:
+		return result
+	case <-bound.C:
+		cancel()
+		return a.unheard(errkind.New(errkind.DeadlineWhileRunning, "no word of %s in time", to.Route.VM))
+	case <-a.ctx.Done():
+		cancel()
+		return a.unheard(errkind.New(errkind.CallerGone, "the caller left").Maybe())
+	}
+}
+
+// unheard is the end of an attempt whose executor gave no word.
+func (a *attempts) unheard(refusal *errkind.Error) call.Result {
+	return call.Result{Refusal: refusal, Offered: true}
+}
+
+// land takes over what an end tells of the backend server, also when nobody
+// waits for it any more.
+func (a *attempts) land(to *tables.Candidate, result call.Result) call.Result {
+	now := a.owner.Now()
+	to.Load.Ended(now)
+	if result.Stamp.Seq > 0 {
+		to.Load.Report(now, result.Stamp)
+	}
+	switch {
+	case result.Answer != nil:
+		result.Offered = true
+		to.Load.Answered(result.Answer.Status >= 500)
+		if result.Answer.Status < 500 {
+			a.owner.work.Note(a.route.Name, result.Answer.Run, int(result.Stamp.Slowdown))
+		}
+	case result.Refusal.Ran == errkind.RanMaybe:
+		result.Offered = true
+		to.Load.Answered(result.Refusal.Kind != errkind.CallerGone)
+	}
+	result.Server, result.DataCentre = to.Route.VM, to.Route.DataCentre
+	return result
+}
+
+func (a *attempts) frame(soft bool) *wire.Call {
+	elapsed := time.Duration(a.owner.Now() - a.began)
+	wait := time.Duration(a.owner.Settings.Routing.WaitShare*float64(a.target)) - elapsed
+	return &wire.Call{
+		Service:   a.service,
+		Kind:      a.route.Name,
+		Method:    a.req.Method,
+		URI:       a.req.URI,
+		Headers:   a.req.Headers,
+		Placement: a.version,
+		Remaining: a.left(),
+		WantStamp: true,
+		Routed: wire.Routed{
+			ID: a.req.ID, Host: a.req.Host, Caller: a.owner.Settings.BackendServer.Service,
+			Repeatable: a.route.Repeatable, Priority: a.route.Priority, Soft: soft,
+			MaxWait: max(wait, time.Millisecond),
+		},
+	}
+}
--- /dev/null
+++ b/pkg/forward/forward.go
@@ -0,0 +1,121 @@
+// Package forward is the entry side of routed requests: it finds the route,
+// chooses backend servers, sends the request again where that is right, and
+// says how it ended. Source: docs/design/platform.md, "The way of a request".
+package forward
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/choose"
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+	"github.com/rushramp/rushramp/pkg/worktime"
+)
+
+// Request is a routed request as the caller sent it.
+type Request struct {
+	// ID is the caller's own; it reaches the backend server unchanged.
+	ID      string
+	Host    string
+	Method  string
+	URI     string
+	Path    string
+	Headers []wire.Header
+	Body    []byte
+	// Timeout is what the caller allows; 0: not said.
+	Timeout time.Duration
+}
+
+// Forwarder takes routed requests to an end. It is safe for concurrent use.
+type Forwarder struct {
+	*common.Common
+	view    *tables.View
+	random  choose.Random
+	budgets *budgets
+	work    *worktime.Times
+
+	inFlight atomic.Int64
+}
+
+// NewForwarder makes the forwarder of one daemon.
+func NewForwarder(c *common.Common, view *tables.View) *Forwarder {
+	return &Forwarder{
+		Common:  c,
+		view:    view,
+		random:  choose.Runtime{},
+		budgets: newBudgets(c.Settings.Routing, view.Members),
+		work:    worktime.NewTimes(),
+	}
+}
+
+// InFlight counts requests that have not ended.
+func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
+
+// Forward takes a request to its end. ctx ends when the caller leaves.
+func (f *Forwarder) Forward(ctx context.Context, req *Request) call.Result {
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	began := f.Now()
+	placement := f.view.Placement()
+	if placement == nil {
+		return f.ended(req, nil, began, call.Refused(errkind.PlacementUnknown, "this daemon has no placement yet"))
+	}
+	route := placement.Routes.Match(req.Host, req.Path)
+	if route == nil {
+		return f.ended(req, nil, began, call.Refused(errkind.UnknownRoute, "version %d has no route for this host and path", placement.Version))
+	}
+	a := f.newAttempts(ctx, req, route, placement.Version, began)
+	return f.ended(req, a, began, a.run())
+}
+
+// ended counts how a request ended, and logs what did not end well.
+func (f *Forwarder) ended(req *Request, a *attempts, began int64, result call.Result) call.Result {
+	outcome, service, route := "answered", "", ""
+	if a != nil {
+		service, route = a.service, a.route.Name
+	}
+	if result.Refusal != nil {
+		outcome = result.Refusal.Kind.String()
+	}
+	f.Metrics.GetOrCreateCounter(`rushramp_routed_total{service="` + service + `",outcome="` + outcome + `"}`).Inc()
+	if result.Refusal == nil {
+		return result
+	}
+	fields := []events.Field{
+		events.F("request", req.ID), events.F("route", route), events.F("service", service),
+		events.F("outcome", outcome), events.F("ran", result.Refusal.Ran), events.F("detail", result.Refusal.Detail),
+		events.F("took_ms", (f.Now()-began)/int64(time.Millisecond)),
+	}
+	if a != nil {
+		fields = append(fields, events.F("version", a.version), events.F("tries", a.tries), events.F("offered", a.offered))
+	}
+	f.Log.Event(events.RequestFailed, fields...)
+	return result
+}
+
+// newAttempts begins the attempts of a request whose route is known.
+func (f *Forwarder) newAttempts(ctx context.Context, req *Request, route *routing.Compiled, version uint64, began int64) *attempts {
+	timeout := route.Timeout
+	if req.Timeout > 0 && (timeout == 0 || req.Timeout < timeout) {
+		timeout = req.Timeout
+	}
+	if timeout == 0 {
+		timeout = f.Settings.Retries.DefaultTimeout
+	}
+	target := route.Target
+	if target == 0 {
+		target = timeout
+	}
+	return &attempts{
+		owner: f, ctx: ctx, req: req, route: route, version: version, service: route.Next(),
+		began: began, deadline: began + int64(timeout), target: target,
+		softLeft: f.Settings.Routing.SoftAttempts,
+	}
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -22,6 +22,9 @@
 // before the limit falls below the slots.
 const slowTolerance = 2.2
 
+// percent is the form in which a slowdown travels.
+const percent = 100
+
 // Options are the gate's settings.
 type Options struct {
 	Slots       int
@@ -29,6 +32,10 @@
 	QueueTime   time.Duration
 	Order       Order
 	Adaptive    bool
+	// SoftSlowdown is the slowdown, 1 for none, above which soft jobs are
+	// refused; SoftUse the share of the slots in use from which on they are.
+	SoftSlowdown float64
+	SoftUse      float64
 }
 
 // Gate is the gate of one backend server. It is safe for concurrent use.
@@ -40,6 +47,10 @@
 	queue    *queue
 	estimate estimate
 	jobSeq   uint64
+	// slots may change: the backend server says how many it has.
+	slots int
+	// slowdown is what the backend server says of itself; 1: as usual.
+	slowdown float64
 
 	stampSeq atomic.Uint64
 	// inFlight repeats running plus queued for readers without the lock.
@@ -48,7 +59,7 @@
 
 // New makes a gate.
 func New(opts Options) *Gate {
-	return &Gate{opts: opts, queue: newQueue(opts.Order)}
+	return &Gate{opts: opts, queue: newQueue(opts.Order), slots: opts.Slots, slowdown: 1}
 }
 
 // Admit takes a job in. run is true when the owner must start it now; false
@@ -60,7 +71,7 @@
 	job.index = notQueued
 	g.jobSeq++
 	job.seq = g.jobSeq
-	service := g.estimate.service(now)
+	service := g.expected(now, job)
 	limit := g.limit(now)
 	free := g.running < limit && g.queue.len() == 0
 	if refusal := g.check(now, job, service, limit, free); refusal != nil {
@@ -81,6 +92,10 @@
 		wait = service * time.Duration(g.queue.len()+1) / time.Duration(limit)
 	}
 	switch {
+	case job.Soft && g.busyForSoft():
+		return errkind.New(errkind.GateBusier, "%d of %d slots are in use, slowdown %.1f", g.running, g.slots, g.slowdown)
+	case job.MaxWait > 0 && wait > job.MaxWait:
+		return errkind.New(errkind.Overloaded, "the expected wait of %v is over the bound of %v", wait, job.MaxWait)
 	case job.Deadline <= now:
 		return errkind.New(errkind.DeadlineBeforeRun, "no time was left at the gate")
 	case job.MaxCost > 0 && wait+service > job.MaxCost:
@@ -97,6 +112,35 @@
 	return nil
 }
 
+// busyForSoft is true while a soft job is better off elsewhere. A nearly full
+// backend server counts: work slows there.
+func (g *Gate) busyForSoft() bool {
+	return g.slowdown > g.opts.SoftSlowdown || float64(g.running+1) > g.opts.SoftUse*float64(g.slots) || g.queue.len() > 0
+}
+
+// expected is the expected time of one run of a job that starts now.
+func (g *Gate) expected(now int64, job *Job) time.Duration {
+	if job.Work == 0 {
+		return g.estimate.service(now)
+	}
+	return time.Duration(float64(job.Work) * g.slowdown)
+}
+
+// SetSlots changes how many jobs run at once; the owner starts those that this
+// frees at its next tick.
+func (g *Gate) SetSlots(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slots = max(n, 1)
+}
+
+// SetSlowdown takes over what the backend server says of its speed; 1: as usual.
+func (g *Gate) SetSlowdown(slowdown float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slowdown = max(slowdown, 1)
+}
+
 func (g *Gate) begin(now int64, job *Job) {
 	g.running++
 	job.started = now
@@ -170,13 +214,13 @@
 // slows the backend server, so that less work is stuck behind it.
 func (g *Gate) limit(now int64) int {
 	if !g.opts.Adaptive {
-		return g.opts.Slots
+		return g.slots
 	}
 	slowness := g.estimate.slowness(now)
 	if slowness <= slowTolerance {
-		return g.opts.Slots
+		return g.slots
 	}
-	return max(1, int(float64(g.opts.Slots)*slowTolerance/slowness))
+	return max(1, int(float64(g.slots)*slowTolerance/slowness))
 }
 
 // Stamp reports the load now.
@@ -189,6 +233,7 @@
 		Queued:    uint32(g.queue.len()),
 		Limit:     uint32(g.limit(now)),
 		ServiceUS: uint32(min(g.estimate.service(now).Microseconds(), 1<<31)),
+		Slowdown:  uint32(g.slowdown * percent),
 	}
 }
 
@@ -203,7 +248,11 @@
 }
 
 // Slots returns the number of slots.
-func (g *Gate) Slots() int { return g.opts.Slots }
+func (g *Gate) Slots() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.slots
+}
 
 // Queued returns how long a started job waited.
 func (j *Job) Queued() time.Duration { return time.Duration(j.started - j.arrived) }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -19,6 +19,8 @@
 	// is endangered by it. The idea is that of Bosch and Mullender, "Real-Time
 	// Disk Scheduling in a Mixed-Media File System", section 3.2.
 	Slack Order = "slack"
+	// Ranked puts the rank of a routed request before its deadline.
+	Ranked Order = "ranked"
 )
 
 // Job is one call at the gate. The fields in capitals are set by the caller.
@@ -30,6 +32,16 @@
 	// MaxCost is the longest expected time at this gate, wait and run, that
 	// the sender accepts. Zero or less: no bound.
 	MaxCost time.Duration
+	// Rank orders jobs of routed requests, 0 first; it goes before the deadline.
+	Rank uint8
+	// Work is how long the job would run at a backend server that works as
+	// usual; 0: the gate takes its own estimate of all jobs.
+	Work time.Duration
+	// Soft jobs are refused at once while the backend server is slowed or
+	// nearly full.
+	Soft bool
+	// MaxWait bounds the wait of a routed job. 0: the gate's own bounds hold.
+	MaxWait time.Duration
 	// Start runs the job, SendBack refuses one that waited. The gate's owner
 	// calls them without the gate's lock.
 	Start    func()
@@ -99,6 +111,16 @@
 			}
 			return earlierArrival(a, b)
 		}
+	case Ranked:
+		return func(a, b *Job) bool {
+			if a.Rank != b.Rank {
+				return a.Rank < b.Rank
+			}
+			if a.Deadline != b.Deadline {
+				return a.Deadline < b.Deadline
+			}
+			return earlierArrival(a, b)
+		}
 	case Priority:
 		return func(a, b *Job) bool {
 			if a.Class != b.Class {
--- /dev/null
+++ b/pkg/ingress/server.go
@@ -0,0 +1,202 @@
+// Package ingress is the listener for routed requests: HTTP in, HTTP out.
+//
+// It stands on the standard library's server and not on hertz: that one tells
+// when a caller leaves, ends resting connections alone at a planned stop, and
+// bounds the time of a head apart from that of a body. docs/design/libraries.md.
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/forward"
+	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+const (
+	// headTime is the time of a head until a placement names one.
+	headTime = 10 * time.Second
+	// idleTime is how long a connection may rest. It is longer than placements
+	// allow callers, so that a caller never meets a close.
+	idleTime = 2 * time.Minute
+	// maxHead bounds a request's head until a placement names a bound, bytes.
+	maxHead = 64 << 10
+)
+
+// Headers names the headers that callers and daemon exchange.
+type Headers struct {
+	RequestID  string
+	DeadlineMS string
+	// Caller names the service on whose VM a request began; what callers send
+	// in it goes no further.
+	Caller string
+}
+
+// DefaultHeaders are the names that the product itself uses.
+func DefaultHeaders() Headers {
+	return Headers{RequestID: "Rushramp-Request-Id", DeadlineMS: "Rushramp-Timeout", Caller: "Rushramp-Caller"}
+}
+
+// Server is the listener for routed requests.
+type Server struct {
+	*common.Common
+	headers   Headers
+	forwarder *forward.Forwarder
+	limits    func() routing.Limits
+	http      *http.Server
+	leaving   atomic.Bool
+}
+
+// Start opens the listener in the settings. limits returns those in force.
+func Start(c *common.Common, h Headers, f *forward.Forwarder, limits func() routing.Limits) (*Server, error) {
+	listener, err := net.Listen("tcp", c.Settings.Listen.Routed)
+	if err != nil {
+		return nil, errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", c.Settings.Listen.Routed, err)
+	}
+	s := &Server{Common: c, headers: h, forwarder: f, limits: limits}
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead}
+	go func() { _ = s.http.Serve(listener) }()
+	return s, nil
+}
+
+// Leave lets callers know on each answer that the connection ends.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Close ends resting connections, waits for requests until ctx ends, and then
+// ends those, too.
+func (s *Server) Close(ctx context.Context) {
+	if err := s.http.Shutdown(ctx); err != nil {
+		_ = s.http.Close()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req, refusal := s.read(w, r)
+	if refusal != nil {
+		s.refuse(w, refusal)
+		return
+	}
+	s.answer(w, s.forwarder.Forward(r.Context(), req))
+}
+
+// read takes the whole request in, within its bounds.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (*forward.Request, *errkind.Error) {
+	out := &forward.Request{
+		ID: r.Header.Get(s.headers.RequestID), Host: r.Host, Method: r.Method,
+		URI: r.RequestURI, Path: r.URL.EscapedPath(),
+	}
+	if out.ID == "" {
+		return nil, errkind.New(errkind.BadRequest, "the request has no %s header", s.headers.RequestID)
+	}
+	var refusal *errkind.Error
+	if out.Timeout, refusal = timeoutOf(r.Header.Get(s.headers.DeadlineMS)); refusal != nil {
+		return nil, refusal
+	}
+	out.Headers = s.requestHeaders(r.Header)
+	out.Body, refusal = s.body(w, r)
+	return out, refusal
+}
+
+// timeoutOf reads a number of milliseconds; an empty text stands for none.
+func timeoutOf(text string) (time.Duration, *errkind.Error) {
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || ms < 0 || ms > float64(time.Hour.Milliseconds()) {
+		return 0, errkind.New(errkind.BadRequest, "%q is no number of milliseconds", text)
+	}
+	return max(time.Duration(ms*float64(time.Millisecond)), 1), nil
+}
+
+func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, *errkind.Error) {
+	bound := int64(s.Settings.Limits.MaxBodyBytes)
+	if most := int64(s.limits().MaxBodyBytes); most > 0 {
+		bound = min(bound, most)
+	}
+	if r.ContentLength > bound {
+		w.Header().Set("Connection", "close")
+		return nil, errkind.New(errkind.BodyTooLarge, "the body has %d bytes, %d are allowed", r.ContentLength, bound)
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, errkind.New(errkind.BodyTooLarge, "the body has more than the allowed %d bytes", bound)
+	case err != nil:
+		return nil, errkind.New(errkind.BodyCut, "the body ended after %d bytes", len(data))
+	}
+	return data, nil
+}
+
+// answer passes on what the backend server answered, whole and unchanged.
+func (s *Server) answer(w http.ResponseWriter, result call.Result) {
+	if result.Refusal != nil {
+		s.refuse(w, result.Refusal)
+		return
+	}
+	header := w.Header()
+	for _, h := range result.Answer.Headers {
+		if !hopByHop(h.Name) {
+			header.Add(h.Name, h.Value)
+		}
+	}
+	if header.Get("Content-Type") == "" {
+		// A nil value keeps the server from guessing one.
+		header["Content-Type"] = nil
+	}
+	header.Set("Content-Length", strconv.Itoa(len(result.Answer.Body)))
+	w.WriteHeader(result.Answer.Status)
+	// A caller that left is told nothing; the connection ends by itself.
+	_, _ = w.Write(result.Answer.Body)
+}
+
+// refuse answers at once with what the table says of the kind.
+func (s *Server) refuse(w http.ResponseWriter, refusal *errkind.Error) {
+	row := refusal.Kind.Row()
+	status := row.Status
+	if refusal.Ran == errkind.RanMaybe && status == http.StatusServiceUnavailable {
+		// 503 is a promise that the request has not run.
+		status = http.StatusBadGateway
+	}
+	header := w.Header()
+	header.Set("Rushramp-Error", row.Name)
+	header.Set("Rushramp-Ran", refusal.Ran.String())
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if refusal.Ran == errkind.RanNo && row.RetryAfterMS > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(float64(row.RetryAfterMS)/1000, 'f', -1, 64))
+	}
+	text := row.Name + ": " + refusal.Detail + ". " + row.Advice + "\n"
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
+}
+
+func (s *Server) requestHeaders(from http.Header) []wire.Header {
+	out := make([]wire.Header, 0, len(from))
+	named := connectionNames(from)
+	for name, values := range from {
+		if hopByHop(name) || named[name] || http.CanonicalHeaderKey(s.headers.Caller) == name {
+			continue
+		}
+		for _, v := range values {
+			out = append(out, wire.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -35,6 +35,7 @@
 func (q *quietControl) Pull(*Peer, *wire.Pull)             {}
 func (q *quietControl) Members(*Peer, *wire.Members)       {}
 func (q *quietControl) MembersAsk(*Peer, *wire.MembersAsk) {}
+func (q *quietControl) Departures(*Peer, *wire.Departures) {}
 func (q *quietControl) Update(*Peer, *wire.Update)         {}
 
 // runnerFunc makes a function a runner.
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -25,6 +25,8 @@
 	Members(peer *Peer, members *wire.Members)
 	// MembersAsk answers a peer whose table of members differs.
 	MembersAsk(peer *Peer, ask *wire.MembersAsk)
+	// Departures takes the ids of backend servers' processes that leave.
+	Departures(peer *Peer, said *wire.Departures)
 }
 
 // Peer is the daemon at the other end of a link.
@@ -68,6 +70,8 @@
 		c.Members(p, f)
 	case *wire.MembersAsk:
 		c.MembersAsk(p, f)
+	case *wire.Departures:
+		c.Departures(p, f)
 	default:
 		return false
 	}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -273,7 +273,7 @@
 func (s *session) refuse(id uint64, result call.Result) {
 	_ = s.Send(&wire.Refusal{
 		ID: id, Kind: uint8(result.Refusal.Kind), Ran: uint8(result.Refusal.Ran),
-		Detail: result.Refusal.Detail, Stamp: result.Stamp, Next: result.Next,
+		Detail: result.Refusal.Detail, Stamp: result.Stamp, Next: result.Next, Offered: result.Offered,
 	})
 }
 
--- a/pkg/placement/compiled.go
+++ b/pkg/placement/compiled.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"strings"
+
+	"github.com/rushramp/rushramp/pkg/routing"
 )
 
 // Compiled is a version made ready for the hot path. It never changes.
@@ -10,6 +12,8 @@
 	Version uint64
 	// Document is what was compiled.
 	Document *Document
+	// Routes are the routes by host and path; empty where a version has none.
+	Routes   *routing.Table
 	services map[string]*CompiledService
 }
 
@@ -28,6 +32,9 @@
 	prefix  string
 	isWhole bool
 	allowed map[string]struct{}
+	// anywhere is set for services that only routes name; a kind whose list of
+	// data centres is empty is allowed nowhere.
+	anywhere bool
 }
 
 // Compile makes a version ready for the hot path.
@@ -36,6 +43,38 @@
 	for _, s := range doc.Services {
 		out.services[s.Name] = compileService(doc.Version, s)
 	}
+	out.Routes = routing.Compile(doc.Routes, doc.BackendServices, doc.Limits)
+	out.addRouted()
+	return out
+}
+
+// anyKind is the kind of all requests of a service that only routes name.
+const anyKind = "any"
+
+// addRouted adds the services that only routes name: their requests may be
+// handled anywhere.
+func (c *Compiled) addRouted() {
+	for _, name := range c.RoutedServices() {
+		if c.services[name] == nil {
+			service := compileService(c.Version, Service{Name: name, Kinds: []Kind{{Name: anyKind, Path: "/*"}}})
+			service.Kinds[0].anywhere = true
+			c.services[name] = service
+		}
+	}
+}
+
+// RoutedServices lists the services that routes name, each once.
+func (c *Compiled) RoutedServices() []string {
+	seen := map[string]struct{}{}
+	var out []string
+	for _, r := range c.Document.Routes {
+		for _, p := range r.Parts {
+			if _, ok := seen[p.Service]; !ok {
+				seen[p.Service] = struct{}{}
+				out = append(out, p.Service)
+			}
+		}
+	}
 	return out
 }
 
@@ -97,6 +136,9 @@
 
 // Allows is true when calls of this kind may be handled in the data centre.
 func (c *CompiledKind) Allows(dataCentre string) bool {
+	if c.anywhere {
+		return true
+	}
 	_, ok := c.allowed[dataCentre]
 	return ok
 }
--- a/pkg/placement/document.go
+++ b/pkg/placement/document.go
@@ -12,6 +12,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/routing"
 )
 
 // Class orders the calls that wait at a gate.
@@ -68,6 +70,13 @@
 type Document struct {
 	Version  uint64    `cbor:"1,keyasint" yaml:"version"`
 	Services []Service `cbor:"2,keyasint" yaml:"services" validate:"dive"`
+	// Routes send requests to services by host and path. A service that only
+	// routes name may be handled anywhere, unless its route says where.
+	Routes []routing.Route `cbor:"3,keyasint,omitempty" yaml:"routes,omitempty" validate:"dive"`
+	// BackendServices says how the backend servers of services are spoken to.
+	BackendServices []routing.Service `cbor:"4,keyasint,omitempty" yaml:"backend_services,omitempty" validate:"dive"`
+	// Limits bound what callers of routed requests may send.
+	Limits routing.Limits `cbor:"5,keyasint,omitempty" yaml:"limits,omitempty"`
 }
 
 // Hash returns a digest of the content. Two documents with the same services
@@ -113,7 +122,9 @@
 // Clone returns a copy that shares no slice with the original's list of
 // services. Kinds are never changed in place, so they may be shared.
 func (d *Document) Clone() *Document {
-	return &Document{Version: d.Version, Services: append([]Service(nil), d.Services...)}
+	out := *d
+	out.Services = append([]Service(nil), d.Services...)
+	return &out
 }
 
 // Service returns the rules of one service.
--- /dev/null
+++ b/pkg/placement/feed.go
@@ -0,0 +1,37 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Feed tells of the documents that a platform's operators write to the store
+// themselves, where they do not use rushramp's own calls. Next returns
+// store.ErrHistoryGone when the store has forgotten the changes since after.
+type Feed interface {
+	// Newest reads the newest document.
+	Newest(ctx context.Context) (FeedUpdate, error)
+	// Next waits up to wait for a change after a cursor.
+	Next(ctx context.Context, after uint64, wait time.Duration) (FeedUpdate, error)
+}
+
+// FeedUpdate is what a Feed told.
+type FeedUpdate struct {
+	// Document is nil when nothing is new.
+	Document *Document
+	// Cursor is where Next goes on.
+	Cursor uint64
+}
+
+// DamagedError is returned for a document that cannot be read. The feed goes on
+// after it.
+type DamagedError struct {
+	Cursor uint64
+	Cause  error
+}
+
+// Error implements error.
+func (d *DamagedError) Error() string {
+	return fmt.Sprintf("the placement document in the store cannot be read: %v. Correct it and write it again", d.Cause)
+}
--- /dev/null
+++ b/pkg/routing/table_test.go
@@ -0,0 +1,67 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+func route(name, host, prefix string, parts ...Part) Route {
+	return Route{Name: name, Host: host, Prefix: prefix, Parts: parts, Timeout: time.Second}
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	table := Compile([]Route{
+		route("short", "a.example", "/x/", Part{"s", 1}),
+		route("long", "a.example", "/x/y/", Part{"s", 1}),
+		route("other", "b.example", "/x/y/z/", Part{"s", 1}),
+	}, nil, Limits{})
+	scenarios := []struct{ host, path, want string }{
+		{"a.example", "/x/y/z/1", "long"},
+		{"A.Example:8080", "/x/1", "short"},
+		{"a.example", "/x/y", "short"},
+		{"b.example", "/x/y/z/1", "other"},
+		{"a.example", "/", ""},
+		{"c.example", "/x/y/", ""},
+	}
+	for _, s := range scenarios {
+		got := table.Match(s.host, s.path)
+		if s.want == "" {
+			test.Nil(t, got, test.Sprint(s.host, s.path))
+			continue
+		}
+		must.NotNil(t, got, must.Sprint(s.host, s.path))
+		test.Eq(t, s.want, got.Name)
+	}
+}
+
+func TestPartsHaveTheirShareOfFewRequests(t *testing.T) {
+	table := Compile([]Route{route("r", "h", "/", Part{"a", 90}, Part{"b", 10})}, nil, Limits{})
+	r := table.Match("h", "/")
+	counts := map[string]int{}
+	for range 100 {
+		counts[r.Next()]++
+	}
+	test.Between(t, 88, counts["a"], 92)
+}
+
+func TestAPartWithoutWeightGetsNothing(t *testing.T) {
+	table := Compile([]Route{route("r", "h", "/", Part{"a", 0}, Part{"b", 3})}, nil, Limits{})
+	for range 50 {
+		must.Eq(t, "b", table.Match("h", "/").Next())
+	}
+}
+
+func BenchmarkCompile2000Routes(b *testing.B) {
+	var routes []Route
+	for i := range 2000 {
+		routes = append(routes, route(fmt.Sprint(i), fmt.Sprintf("h%d.example", i%50), fmt.Sprintf("/p%d/", i), Part{"s", 1}))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Compile(routes, nil, Limits{})
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -20,6 +20,10 @@
 	Platform Platform `yaml:"platform"`
 	// How a backend server is chosen.
 	Choosing Choosing `yaml:"choosing"`
+	// Requests that are routed by host and path.
+	Routing Routing `yaml:"routing"`
+	// Links between daemons.
+	Links Links `yaml:"links"`
 	// The gate in front of the backend server.
 	Gate Gate `yaml:"gate"`
 	// Retries and hedges.
@@ -64,6 +68,12 @@
 	Operators string `yaml:"operators" validate:"required,ip_port"`
 	// Metrics, health and readiness over HTTP.
 	Metrics string `yaml:"metrics" validate:"required,ip_port"`
+	// Requests that are routed by host and path; empty: none are taken.
+	Routed string `yaml:"routed" validate:"omitempty,ip_port"`
+	// Readiness alone, for a platform that asks elsewhere than at metrics; empty: not served.
+	Readiness string `yaml:"readiness" validate:"omitempty,ip_port"`
+	// Announcements of the backend server beside this daemon; empty: it announces nothing.
+	Announcements string `yaml:"announcements" validate:"omitempty,ip_port"`
 }
 
 // BackendServer describes the backend server beside this daemon.
@@ -90,6 +100,42 @@
 	Timeout time.Duration `yaml:"timeout" validate:"min=1ms"`
 	// Time between two reads of the list of VMs.
 	VMListEvery time.Duration `yaml:"vm_list_every" validate:"min=10ms"`
+	// Name of the adapter that speaks to the platform; "http" is the product's own.
+	Form string `yaml:"form" validate:"required"`
+	// True when the whole system starts for the first time, so that nothing of an earlier run binds.
+	FirstStart bool `yaml:"first_start"`
+}
+
+// Routing holds the settings of requests that are routed by host and path.
+type Routing struct {
+	// Attempts that a slowed or nearly full backend server's gate refuses at once, before one may queue.
+	SoftAttempts int `yaml:"soft_attempts" validate:"min=0,max=10"`
+	// Slowdown, 1 for none, above which a gate refuses soft attempts.
+	SoftSlowdown float64 `yaml:"soft_slowdown" validate:"min=1"`
+	// Share of the slots in use from which on a gate refuses soft attempts.
+	SoftUse float64 `yaml:"soft_use" validate:"min=0.1,max=1"`
+	// What leaving the own data centre costs, as a share of a request's target latency.
+	LeaveCost float64 `yaml:"leave_cost" validate:"min=0,max=10"`
+	// Share of a request's target latency for which it may wait at a gate.
+	WaitShare float64 `yaml:"wait_share" validate:"min=0.01,max=1"`
+	// Retries that reach a backend server, per request of the service.
+	RetryRatio float64 `yaml:"retry_ratio" validate:"min=0,max=1"`
+	// Retries of all daemons together that a service may use besides, in one window.
+	RetrySlack int `yaml:"retry_slack" validate:"min=0"`
+	// Time in which the slack comes back.
+	RetryWindow time.Duration `yaml:"retry_window" validate:"min=1s"`
+	// Age of the backend server's own word on its speed after which its health path is asked.
+	HealthEvery time.Duration `yaml:"health_every" validate:"min=10ms"`
+	// Time that a drained daemon goes on taking requests.
+	Linger time.Duration `yaml:"linger" validate:"min=0"`
+}
+
+// Links holds the settings of links between daemons.
+type Links struct {
+	// Time without traffic after which a link carries a heartbeat; three missed ones end it.
+	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=50ms"`
+	// VMs whose daemons a new daemon asks for members and the placement, each an IP number and a port. The port is passed over: links use that of listen.links, which is alike on all VMs.
+	Seeds []string `yaml:"seeds" validate:"dive,ip_port"`
 }
 
 // Choosing holds the settings of the policy that picks a backend server.
@@ -211,9 +257,15 @@
 func Default() Settings {
 	return Settings{
 		BackendServer: BackendServer{Slots: 12, Connections: 200, DialTimeout: 500 * time.Millisecond},
-		Platform:      Platform{Timeout: 2 * time.Second, VMListEvery: time.Second},
+		Platform:      Platform{Timeout: 2 * time.Second, VMListEvery: time.Second, Form: "http"},
 		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, StampHalfLife: 20 * time.Millisecond},
-		Gate:          Gate{QueueLength: 200, QueueTime: time.Second, Order: "edf", Adaptive: true},
+		Routing: Routing{
+			SoftAttempts: 3, SoftSlowdown: 1.8, SoftUse: 0.8, LeaveCost: 0.1, WaitShare: 0.25,
+			RetryRatio: 0.1, RetrySlack: 50, RetryWindow: 10 * time.Second,
+			HealthEvery: 150 * time.Millisecond, Linger: 2500 * time.Millisecond,
+		},
+		Links: Links{Heartbeat: time.Second},
+		Gate:  Gate{QueueLength: 200, QueueTime: time.Second, Order: "edf", Adaptive: true},
 		Retries: Retries{
 			Attempts: 3, Budget: 0.2, BudgetFloor: 10,
 			HedgeBudget: 0.05, HedgeQuantile: 0.99, DefaultTimeout: 5 * time.Second,
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -16,6 +16,10 @@
 // ErrConflict is returned when a condition of a transaction does not hold.
 var ErrConflict = errors.New("another writer was first")
 
+// ErrHistoryGone is returned when the store has forgotten the changes that a
+// reader asked for; it reads the rows as they are instead.
+var ErrHistoryGone = errors.New("the store has forgotten these changes")
+
 // Row is one row of the table.
 type Row struct {
 	_     struct{} `cbor:",toarray"`
@@ -107,3 +111,10 @@
 	Objects
 	VMs
 }
+
+// Registrar is a platform whose list of VMs is written by the daemons
+// themselves: each puts its own entry there when it starts.
+type Registrar interface {
+	// Register writes this VM's entry, whatever stood there.
+	Register(ctx context.Context, vm VM) error
+}
--- /dev/null
+++ b/pkg/systems/backendwatch.go
@@ -0,0 +1,38 @@
+package systems
+
+import (
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// backendWatch keeps what this daemon tells others of its backend server up to
+// date in its own row of the table of members.
+type backendWatch struct{ *Env }
+
+// Tick implements System.
+func (b *backendWatch) Tick(now int64, _ *tables.Mail) {
+	if b.Backend == nil {
+		return
+	}
+	row, ok := b.World.Members.Find(b.World.VM)
+	if !ok {
+		return
+	}
+	said := b.World.Members.Row[row]
+	if said.Backend == b.backendState() || said.Incarnation != b.Control.Incarnation() {
+		return
+	}
+	said.Backend = b.backendState()
+	said.Revision++
+	if _, changed := b.World.Members.Merge(now, nil, said); changed {
+		b.World.Touch(said.Service)
+	}
+}
+
+// backendState is what others need to know of the backend server.
+func (e *Env) backendState() wire.BackendState {
+	if _, ok := e.Backend.Accepting(); ok {
+		return wire.BackendLive
+	}
+	return wire.BackendAbsent
+}
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -1,6 +1,8 @@
 package systems
 
 import (
+	"sync/atomic"
+
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -12,9 +14,9 @@
 type Control struct {
 	*common.Common
 	World *tables.World
-	// Incarnation tells the processes that one VM's name stood for apart. Only
-	// the systems change it.
-	Incarnation uint64
+	// incarnation tells the processes that one VM's name stood for apart. Only
+	// the systems change it; links read it for their greetings.
+	incarnation atomic.Uint64
 	// state is what State returns; the heartbeat system keeps it up to date.
 	state *latest
 }
@@ -23,14 +25,19 @@
 
 // NewControl makes the control of one daemon.
 func NewControl(c *common.Common, w *tables.World, incarnation uint64) *Control {
-	return &Control{Common: c, World: w, Incarnation: incarnation, state: &latest{}}
+	out := &Control{Common: c, World: w, state: &latest{}}
+	out.incarnation.Store(incarnation)
+	return out
 }
 
+// Incarnation returns the number of this process among those of its VM.
+func (c *Control) Incarnation() uint64 { return c.incarnation.Load() }
+
 // Hello implements link.Control.
 func (c *Control) Hello() *wire.Hello {
 	return &wire.Hello{
 		VM:          c.Settings.VM.ID,
-		Incarnation: c.Incarnation,
+		Incarnation: c.Incarnation(),
 		DataCentre:  c.Settings.VM.DataCentre,
 		State:       *c.State(),
 	}
@@ -89,6 +96,12 @@
 	c.World.Inbox.Post(false, func(m *tables.Mail) { m.Asks = append(m.Asks, a) })
 }
 
+// Departures implements link.Control.
+func (c *Control) Departures(peer *link.Peer, said *wire.Departures) {
+	d := tables.PeerDepartures{Peer: peer, Said: said}
+	c.World.Inbox.Post(true, func(m *tables.Mail) { m.PeerDepartures = append(m.PeerDepartures, d) })
+}
+
 // routeControl is the control of a link that this daemon opened for a route.
 type routeControl struct {
 	link.Control
--- /dev/null
+++ b/pkg/systems/departures.go
@@ -0,0 +1,164 @@
+package systems
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/store"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+const (
+	// departurePrefix begins the keys of departures in the store.
+	departurePrefix = "departure/"
+	// departuresRead is how many rows of departures are read at a time.
+	departuresRead = 500
+	// departuresFor is how long a departure is remembered, in nanoseconds.
+	departuresFor = 5 * 60 * int64(time.Second)
+	// informedAfter is how long a daemon that was started again waits for the
+	// store's or a peer's word before it trusts its backend server alone.
+	informedAfter = 4 * time.Second
+	// departuresEvery is the time between two tries to read them.
+	departuresEvery = 500 * time.Millisecond
+)
+
+// departures keeps and passes on which processes of backend servers have said
+// that they leave. A daemon that acknowledged that may be killed at once and
+// started anew; peers and the store then know what it has forgotten. Source:
+// docs/design/platform.md, "A backend server leaves".
+type departures struct {
+	*Env
+	due  due
+	busy atomic.Bool
+	// greeted are the links over which the whole set was sent.
+	greeted map[*link.Peer]struct{}
+}
+
+// Tick implements System.
+func (d *departures) Tick(now int64, mail *tables.Mail) {
+	if d.Backend == nil {
+		return
+	}
+	var fresh []string
+	for _, id := range mail.Departed {
+		fresh = d.add(now, fresh, id)
+	}
+	for _, p := range mail.PeerDepartures {
+		fresh = d.takeOver(now, fresh, p.Said)
+	}
+	d.tell(fresh)
+	d.greet()
+	if !d.Backend.IsInformed() {
+		d.inform(now)
+	}
+}
+
+func (d *departures) add(now int64, fresh []string, id string) []string {
+	if _, known := d.World.Departures[id]; known {
+		return fresh
+	}
+	d.World.Departures[id] = now
+	for old, at := range d.World.Departures {
+		if now-at > departuresFor {
+			delete(d.World.Departures, old)
+		}
+	}
+	return append(fresh, id)
+}
+
+func (d *departures) takeOver(now int64, fresh []string, said *wire.Departures) []string {
+	for _, id := range said.IDs {
+		d.Backend.Depart(now, id)
+		fresh = d.add(now, fresh, id)
+	}
+	if said.Informed {
+		d.Backend.Informed()
+	}
+	return fresh
+}
+
+// tell passes departures on that are new here. Who knows them already passes
+// nothing on, so news ends by itself.
+func (d *departures) tell(fresh []string) {
+	if len(fresh) == 0 {
+		return
+	}
+	frame := &wire.Departures{IDs: fresh}
+	d.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) { _ = peer.Send(frame) })
+}
+
+// greet sends the whole set over each new link, once this daemon is informed.
+func (d *departures) greet() {
+	if !d.Backend.IsInformed() {
+		return
+	}
+	greeted := make(map[*link.Peer]struct{}, d.World.Peers.Len())
+	var frame *wire.Departures
+	d.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
+		greeted[peer] = struct{}{}
+		if _, done := d.greeted[peer]; done {
+			return
+		}
+		if frame == nil {
+			frame = &wire.Departures{Informed: true}
+			for id := range d.World.Departures {
+				frame.IDs = append(frame.IDs, id)
+			}
+		}
+		_ = peer.Send(frame)
+	})
+	d.greeted = greeted
+}
+
+// inform reads the departures from the store while no peer has told them.
+func (d *departures) inform(now int64) {
+	if time.Duration(now) > informedAfter {
+		d.Backend.Informed()
+		return
+	}
+	if d.due.at(now, departuresEvery) && d.busy.CompareAndSwap(false, true) {
+		go d.read()
+	}
+}
+
+func (d *departures) read() {
+	defer d.busy.Store(false)
+	ctx, cancel := context.WithTimeout(d.Background, d.Settings.Platform.Timeout)
+	defer cancel()
+	said := &wire.Departures{Informed: true}
+	after := departurePrefix
+	for {
+		rows, err := d.Platform.Scan(ctx, departurePrefix, after, departuresRead)
+		if err != nil {
+			return
+		}
+		for _, row := range rows {
+			said.IDs = append(said.IDs, strings.TrimPrefix(row.Key, departurePrefix))
+			after = row.Key
+		}
+		if len(rows) < departuresRead {
+			break
+		}
+	}
+	d.World.Inbox.Post(true, func(m *tables.Mail) {
+		m.PeerDepartures = append(m.PeerDepartures, tables.PeerDepartures{Said: said})
+	})
+}
+
+// KeepDeparture notes that a process of the backend server beside this daemon
+// leaves: here and with the peers at once, and in the store, which it waits for
+// until ctx ends. Only then may the announcement be acknowledged.
+func (e *Env) KeepDeparture(ctx context.Context, instance string) {
+	e.World.Inbox.Post(true, func(m *tables.Mail) { m.Departed = append(m.Departed, instance) })
+	err := e.Platform.Transact(ctx, []store.Write{{Key: departurePrefix + instance, Value: []byte(e.Settings.VM.ID)}})
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		e.Log.Event(events.DepartureNotKept, events.F("instance", instance), events.F("cause", err))
+	}
+}
--- /dev/null
+++ b/pkg/systems/follower.go
@@ -0,0 +1,155 @@
+package systems
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/store"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+const (
+	// feedWaitLeast and feedWaitMost bound how long one request to the feed may
+	// hang. They differ between requests, so that somewhere in the fleet a new
+	// one begins often; the others learn over their links.
+	feedWaitLeast = 8 * time.Second
+	feedWaitMost  = 12 * time.Second
+	// feedSlack is how much longer than asked for an answer may take.
+	feedSlack = 1500 * time.Millisecond
+	// feedRest and feedRestMost bound the rest after a failure.
+	feedRest     = 100 * time.Millisecond
+	feedRestMost = 2 * time.Second
+	// feedTrust is how long a request to the feed may know less than a peer
+	// before it is given up and opened again.
+	feedTrust = 300 * time.Millisecond
+)
+
+// follower follows the documents that operators write to the store themselves.
+// Source: docs/design/platform.md, "The way of a configuration".
+type follower struct {
+	*Env
+	outage  *events.Outage
+	started sync.Once
+	// told is the highest version that the feed has told, aheadSince since when
+	// a peer has told more; 0: it has not.
+	told       atomic.Uint64
+	aheadSince int64
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+}
+
+func newFollower(env *Env) *follower {
+	return &follower{Env: env, outage: events.NewOutage(env.Log, "placement feed")}
+}
+
+// Tick implements System.
+func (f *follower) Tick(now int64, _ *tables.Mail) {
+	f.started.Do(func() { go f.run() })
+	if f.World.Version() <= f.told.Load() {
+		f.aheadSince = 0
+		return
+	}
+	if f.aheadSince == 0 {
+		f.aheadSince = now
+	}
+	if now-f.aheadSince > int64(feedTrust) {
+		f.aheadSince = now
+		f.reopen()
+	}
+}
+
+// reopen gives up the request that hangs: it may hang behind a cut.
+func (f *follower) reopen() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+func (f *follower) run() {
+	cursor, rest := uint64(0), feedRest
+	for f.Background.Err() == nil {
+		next, err := f.step(cursor)
+		f.outage.Note(err)
+		if err == nil {
+			cursor, rest = next, feedRest
+			continue
+		}
+		if errors.Is(err, store.ErrHistoryGone) {
+			f.Log.Event(events.FeedBehind, events.F("cursor", cursor))
+			cursor = 0
+		}
+		f.sleep(rest)
+		rest = min(2*rest, feedRestMost)
+	}
+}
+
+// sleep rests for around a time, so that daemons do not come back as one.
+func (f *follower) sleep(rest time.Duration) {
+	timer := time.NewTimer(rest/2 + rand.N(rest))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.Background.Done():
+	}
+}
+
+// step makes one request to the feed and hands on what it told.
+func (f *follower) step(cursor uint64) (next uint64, err error) {
+	wait := feedWaitLeast + rand.N(feedWaitMost-feedWaitLeast)
+	bound := wait + feedSlack
+	if cursor == 0 {
+		bound = f.Settings.Platform.Timeout
+	}
+	ctx, cancel := context.WithTimeout(f.Background, bound)
+	defer cancel()
+	f.mu.Lock()
+	f.cancel = cancel
+	f.mu.Unlock()
+	update, err := f.ask(ctx, cursor, wait)
+	var damaged *placement.DamagedError
+	if errors.As(err, &damaged) {
+		f.Log.Event(events.DocumentRefused, events.F("cause", damaged.Cause))
+		return damaged.Cursor, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	if update.Document != nil {
+		return update.Cursor, f.take(update.Document)
+	}
+	return update.Cursor, nil
+}
+
+func (f *follower) ask(ctx context.Context, cursor uint64, wait time.Duration) (placement.FeedUpdate, error) {
+	if cursor == 0 {
+		return f.Feed.Newest(ctx)
+	}
+	return f.Feed.Next(ctx, cursor, wait)
+}
+
+// take hands a document to the systems, which never lower the version.
+func (f *follower) take(doc *placement.Document) error {
+	hash, err := doc.Hash()
+	if err != nil {
+		return err
+	}
+	if doc.Version > f.told.Load() {
+		f.told.Store(doc.Version)
+	}
+	now := f.Now()
+	f.World.Inbox.Post(true, func(m *tables.Mail) {
+		m.StoreReadAt = now
+		m.Documents = append(m.Documents, tables.Version{Document: doc, Hash: hash, FromStore: true})
+	})
+	return nil
+}
--- a/pkg/systems/gatetick.go
+++ b/pkg/systems/gatetick.go
@@ -10,4 +10,7 @@
 	if g.Executor != nil {
 		g.Executor.Tick()
 	}
+	if g.Routed != nil {
+		g.Routed.Tick()
+	}
 }
--- a/pkg/systems/heartbeats.go
+++ b/pkg/systems/heartbeats.go
@@ -9,10 +9,6 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
-// Heartbeat is the time without traffic after which a link carries a
-// heartbeat. Three missed ones end the link.
-const Heartbeat = time.Second
-
 // heardEvery is how many heartbeats go by between two that carry Heard.
 const heardEvery = 4
 
@@ -29,7 +25,7 @@
 // Tick implements System.
 func (h *heartbeats) Tick(now int64, _ *tables.Mail) {
 	leftNow := h.World.View.Leaving() && !h.leaving
-	if !leftNow && !h.due.at(now, Heartbeat/4) {
+	if !leftNow && !h.due.at(now, h.Settings.Links.Heartbeat/4) {
 		return
 	}
 	h.leaving = h.World.View.Leaving()
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -17,6 +17,8 @@
 	dialTime = 2 * time.Second
 	// redialAfter is how long a route rests after a link failed or ended.
 	redialAfter = 200 * time.Millisecond
+	// redialDoublings is how often that time doubles while dialling fails.
+	redialDoublings = 4
 	// sampleEvery is how often the sample is worked out again.
 	sampleEvery = time.Second
 )
@@ -28,6 +30,8 @@
 	open      map[*tables.Route]*link.Client
 	dialing   map[*tables.Route]struct{}
 	restUntil map[*tables.Route]int64
+	// failures counts a route's failed dials and ended links in a row.
+	failures  map[*tables.Route]int
 	sampleDue due
 	sample    []*tables.Route
 	// drawnAt is the state of the members that the sample was drawn from.
@@ -41,6 +45,7 @@
 		l.open = map[*tables.Route]*link.Client{}
 		l.dialing = map[*tables.Route]struct{}{}
 		l.restUntil = map[*tables.Route]int64{}
+		l.failures = map[*tables.Route]int{}
 	}
 	for _, e := range mail.Links {
 		l.take(now, e)
@@ -72,6 +77,7 @@
 	if e.Up {
 		l.World.Peers.Put(e.Peer)
 		l.newProcess(now, e)
+		l.greet(now, e.Peer)
 	} else {
 		l.World.Peers.Remove(e.Peer)
 	}
@@ -87,6 +93,25 @@
 	l.down(now, e)
 }
 
+// greet tells a peer at once what only this daemon knows first-hand, and lets a
+// peer that was restarted be dialled again without a rest.
+func (l *links) greet(now int64, peer *link.Peer) {
+	if row, ok := l.World.Members.Find(l.World.VM); ok {
+		send(peer, []wire.Member{l.World.Members.Row[row]})
+	}
+	row, ok := l.World.Members.Find(peer.Hello.VM)
+	if !ok {
+		return
+	}
+	said := l.World.Members.Row[row]
+	if said.Incarnation > peer.Hello.Incarnation {
+		// The peer's process is a new one with a lower number: it must count on.
+		send(peer, []wire.Member{said})
+	}
+	l.restUntil[l.World.Members.Route[row]] = now
+	delete(l.failures, l.World.Members.Route[row])
+}
+
 func (l *links) noteDistances() {
 	for route, client := range l.open {
 		route.Load.SetDistance(client.RoundTrip())
@@ -94,13 +119,24 @@
 }
 
 func (l *links) up(e tables.LinkEvent) {
-	l.open[e.Route] = e.Client
-	e.Route.SetRunner(e.Client)
 	row, ok := l.World.Members.Find(e.Route.VM)
 	if !ok || l.World.Members.Route[row] != e.Route {
 		e.Client.Close()
 		return
 	}
+	if e.Peer.Hello.VM != e.Route.VM {
+		// Another VM has the address: the one that was meant is gone.
+		gone := l.World.Members.Row[row]
+		gone.State = wire.MemberGone
+		l.World.Members.Merge(l.Now(), nil, gone)
+		l.World.Touch(e.Route.Service)
+		l.Log.Event(events.MemberGone, events.F("vm", e.Route.VM), events.F("replaced_by", e.Peer.Hello.VM))
+		e.Client.Close()
+		return
+	}
+	delete(l.failures, e.Route)
+	l.open[e.Route] = e.Client
+	e.Route.SetRunner(e.Client)
 	l.Log.Event(events.LinkUp, events.F("peer", e.Route.VM))
 }
 
@@ -114,6 +150,7 @@
 	}
 	said := l.World.Members.Row[row]
 	said.Incarnation = hello.Incarnation
+	said.Revision = 0
 	said.State = wire.MemberLive
 	if hello.State.Leaving {
 		said.State = wire.MemberLeaving
@@ -124,7 +161,9 @@
 }
 
 func (l *links) down(now int64, e tables.LinkEvent) {
-	l.restUntil[e.Route] = now + int64(redialAfter)
+	l.failures[e.Route]++
+	rest := redialAfter << min(l.failures[e.Route]-1, redialDoublings)
+	l.restUntil[e.Route] = now + int64(rest)
 	if l.open[e.Route] == e.Client && e.Client != nil {
 		delete(l.open, e.Route)
 		e.Route.SetRunner(nil)
@@ -217,7 +256,8 @@
 func Subset(w *tables.World, size int, kind *placement.CompiledKind) []*tables.Route {
 	var all []*tables.Route
 	w.Members.Service(kind.Service, func(row int) {
-		if !w.Members.Leaving(row) && kind.Allows(w.Members.Row[row].DataCentre) {
+		takes := !w.Members.Leaving(row) && w.Members.Row[row].Backend == wire.BackendLive
+		if takes && kind.Allows(w.Members.Row[row].DataCentre) {
 			all = append(all, w.Members.Route[row])
 		}
 	})
--- a/pkg/systems/members.go
+++ b/pkg/systems/members.go
@@ -29,6 +29,8 @@
 type members struct {
 	*Env
 	refute due
+	// introduced is true once the own row stands in the table.
+	introduced bool
 }
 
 // Tick implements System.
@@ -36,6 +38,7 @@
 	if mail.Leave {
 		me.Leave()
 	}
+	me.introduce(now)
 	if mail.List != nil {
 		me.takeList(now, mail.List)
 	}
@@ -50,6 +53,21 @@
 	}
 }
 
+// introduce puts this daemon's own row into the table at its first tick, where
+// daemons write the list themselves.
+func (me *members) introduce(now int64) {
+	if me.Registrar == nil || me.introduced {
+		return
+	}
+	me.introduced = true
+	s := me.Settings
+	me.merge(now, nil, me.ownRow(wire.Member{
+		VM: s.VM.ID, Incarnation: me.Control.Incarnation(), Region: s.VM.Region, DataCentre: s.VM.DataCentre,
+		Service: s.BackendServer.Service, Links: s.Listen.Links, Callers: s.Listen.Callers,
+		Slots: uint32(s.BackendServer.Slots), Revision: 1,
+	}))
+}
+
 func (me *members) takeList(now int64, list *tables.VMList) {
 	listed := make(map[string]struct{}, len(list.VMs))
 	for _, vm := range list.VMs {
@@ -60,7 +78,10 @@
 			me.World.Members.Missing[row] = 0
 		}
 	}
-	me.buryUnlisted(now, list.DataCentre, listed)
+	if me.Registrar == nil {
+		// A list that daemons write themselves never takes anybody out.
+		me.buryUnlisted(now, list.DataCentre, listed)
+	}
 }
 
 // rowOf turns a VM of the list into a row. The list knows VMs, not processes:
@@ -75,6 +96,8 @@
 	}
 	if row, ok := me.World.Members.Find(vm.ID); ok && me.World.Members.Row[row].Started == vm.Started {
 		out.Incarnation = me.World.Members.Row[row].Incarnation
+		out.Revision = me.World.Members.Row[row].Revision
+		out.Backend = me.World.Members.Row[row].Backend
 	}
 	return out
 }
@@ -131,28 +154,45 @@
 }
 
 // aboutSelf looks at what is said of this daemon: it binds the own row to the
-// executor, answers what is said of an older process with its own incarnation,
+// runner, answers what is said of an older process with its own incarnation,
 // and leaves when the platform marks this VM as leaving. Only the platform's
 // list says so without an incarnation.
 func (me *members) aboutSelf(now int64, said wire.Member) {
-	if row, ok := me.World.Members.Find(me.World.VM); ok && me.Executor != nil {
-		me.World.Members.Route[row].SetRunner(me.Executor)
+	if row, ok := me.World.Members.Find(me.World.VM); ok && me.Runner != nil {
+		me.World.Members.Route[row].SetRunner(me.Runner)
 	}
+	own := me.Control.Incarnation()
 	switch {
 	case said.State == wire.MemberGone:
 		// refuteGone answers, not too often.
-	case said.Incarnation < me.Control.Incarnation:
+	case said.Incarnation < own:
 		marked := said.State == wire.MemberLeaving && said.Incarnation == 0
-		said.Incarnation = me.Control.Incarnation
+		said.Incarnation = own
 		if !marked {
 			said.State = wire.MemberLive
 		}
-		me.merge(now, nil, said)
+		me.merge(now, nil, me.ownRow(said))
+	case said.Incarnation > own:
+		// An older process of this VM counted further, as after a step of the
+		// wall clock: this one goes before it.
+		me.Control.incarnation.Store(said.Incarnation + 1)
+		said.Incarnation++
+		said.State = wire.MemberLive
+		me.merge(now, nil, me.ownRow(said))
 	case said.State == wire.MemberLeaving:
 		me.Leave()
 	}
 }
 
+// ownRow is a row of this daemon with what only it knows.
+func (me *members) ownRow(said wire.Member) wire.Member {
+	if me.Backend == nil {
+		return said
+	}
+	said.Backend = me.backendState()
+	return said
+}
+
 // refuteGone answers the news that this daemon is gone while it lives, with a
 // newer incarnation, as in the SWIM paper. A list that flaps must not bury a
 // VM for as long as its tombstone stands.
@@ -162,9 +202,9 @@
 		return
 	}
 	me.Metrics.GetOrCreateCounter("rushramp_members_refuted_total").Inc()
-	me.Control.Incarnation = max(stone.Incarnation, me.Control.Incarnation) + 1
+	me.Control.incarnation.Store(max(stone.Incarnation, me.Control.Incarnation()) + 1)
 	stone.State = wire.MemberLive
-	stone.Incarnation = me.Control.Incarnation
+	stone.Incarnation = me.Control.Incarnation()
 	me.merge(now, nil, stone)
 }
 
--- a/pkg/systems/placements.go
+++ b/pkg/systems/placements.go
@@ -98,13 +98,17 @@
 // force takes a version over: from here on the hot path uses it.
 func (pl *placements) force(v tables.Version) {
 	old := pl.World.Placement
+	compiled := placement.Compile(v.Document)
+	for _, service := range compiled.RoutedServices() {
+		// Callers of routed requests ask for all of them sooner or later.
+		pl.World.Wanted[service] = struct{}{}
+	}
 	pl.touchChanged(old, v.Document)
 	pl.World.Placement, pl.World.Hash = v.Document, v.Hash
 	pl.keepLog(old, v)
 	pl.offers = nil
-	compiled := placement.Compile(v.Document)
 	pl.World.View.SetPlacement(compiled)
-	pl.Log.Event(events.PlacementInForce, events.F("version", compiled.Version), events.F("services", compiled.Services()))
+	pl.Log.Event(events.PlacementInForce, events.F("version", compiled.Version), events.F("services", compiled.Services()), events.F("routes", compiled.Routes.Len()), events.F("from_store", v.FromStore))
 	state := pl.Control.State()
 	pl.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) { _ = peer.Send(state) })
 }
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -8,11 +8,14 @@
 	"context"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/executor"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/runner"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -30,8 +33,19 @@
 	Store    *placement.Store
 	// Executor is nil on a daemon that is an entry only.
 	Executor *executor.Executor
-	Control  *Control
-	Dial     link.DialOptions
+	// Runner runs calls of this daemon's own backend server; nil: there is none.
+	Runner call.Runner
+	// Routed runs routed requests; nil: none are taken.
+	Routed *runner.Runner
+	// Backend knows whether the backend server of routed requests lives; nil: it
+	// is not watched.
+	Backend *backend.Lifecycle
+	// Feed tells of documents in the store; nil: rushramp's own head is read.
+	Feed placement.Feed
+	// Registrar is set where daemons write the list of VMs themselves.
+	Registrar store.Registrar
+	Control   *Control
+	Dial      link.DialOptions
 	// Background ends when the daemon does.
 	Background context.Context
 	// Sweep deletes old rows of never-repeat calls; nil: it is not done.
@@ -45,7 +59,11 @@
 func order(env *Env) []System {
 	return []System{
 		&vmListReader{Env: env, outage: events.NewOutage(env.Log, "list of VMs")},
-		&headReader{Env: env, outage: events.NewOutage(env.Log, "placement head")},
+		versionReader(env),
+		&seeds{Env: env},
+		&register{Env: env, outage: events.NewOutage(env.Log, "own entry in the list of VMs")},
+		&departures{Env: env},
+		&backendWatch{Env: env},
 		&members{Env: env},
 		&news{Env: env},
 		&compare{Env: env},
@@ -61,6 +79,14 @@
 	}
 }
 
+// versionReader is the system that reads new versions from the store.
+func versionReader(env *Env) System {
+	if env.Feed != nil {
+		return newFollower(env)
+	}
+	return &headReader{Env: env, outage: events.NewOutage(env.Log, "placement head")}
+}
+
 // Scheduler runs the systems.
 type Scheduler struct {
 	env     *Env
--- a/pkg/systems/vmlist.go
+++ b/pkg/systems/vmlist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -22,13 +23,20 @@
 	reads int
 }
 
+// firstListEvery is the time between two tries to read the first list.
+const firstListEvery = time.Second
+
 // neighbourEvery is how many reads go by between two of the next data centre's
 // part: a data centre that is lost has no readers left that could say so.
 const neighbourEvery = 5
 
 // Tick implements System.
 func (v *vmListReader) Tick(now int64, _ *tables.Mail) {
-	if !v.due.at(now, v.Settings.Platform.VMListEvery) {
+	every := v.Settings.Platform.VMListEvery
+	if !v.began.Load() {
+		every = min(every, firstListEvery)
+	}
+	if !v.due.at(now, every) {
 		return
 	}
 	part := ""
--- a/pkg/tables/inbox.go
+++ b/pkg/tables/inbox.go
@@ -42,6 +42,10 @@
 	HeadKnown bool
 	// Wanted are services that a call asked for and that have no view yet.
 	Wanted []string
+	// Departed are processes of backend servers that said here that they leave.
+	Departed []string
+	// PeerDepartures are those that peers told of.
+	PeerDepartures []PeerDepartures
 	// Queries are questions about the tables, asked by operators.
 	Queries []func(*World)
 	// Leave is true when this daemon was told to leave.
@@ -96,6 +100,12 @@
 	Update *wire.Update
 }
 
+// PeerDepartures are departures that a peer told of.
+type PeerDepartures struct {
+	Peer *link.Peer
+	Said *wire.Departures
+}
+
 // Version is a placement document with its digest, and the changes that led
 // to it where they are known.
 type Version struct {
--- a/pkg/tables/load.go
+++ b/pkg/tables/load.go
@@ -31,6 +31,7 @@
 	quietFrom   atomic.Int64
 	failures    atomic.Int64
 	distance    atomic.Int64
+	slowdown    atomic.Int64
 }
 
 // NewLoad makes the row of a backend server that has not been heard of.
@@ -79,6 +80,7 @@
 	l.inFlight.Store(int64(stamp.Running) + int64(stamp.Queued))
 	l.limit.Store(max(int64(stamp.Limit), 1))
 	l.service.Store(int64(stamp.ServiceUS) * int64(time.Microsecond))
+	l.slowdown.Store(int64(stamp.Slowdown))
 	l.stampAt.Store(now)
 	l.sentSince.Store(0)
 }
@@ -91,6 +93,7 @@
 	l.service.Store(0)
 	l.sentSince.Store(0)
 	l.failures.Store(0)
+	l.slowdown.Store(0)
 	l.limit.Store(int64(max(slots, 1)))
 }
 
@@ -113,6 +116,9 @@
 	QuietFor time.Duration
 	// Distance is the time of a round trip to the daemon.
 	Distance time.Duration
+	// Slowdown is how long work takes there, in percent of what is usual; 0: not
+	// known.
+	Slowdown int64
 	// FailureShare is the weighted share of recent answers that were failures.
 	FailureShare float64
 }
@@ -134,6 +140,7 @@
 	out.Outstanding = l.outstanding.Load()
 	out.SentSince = l.sentSince.Load()
 	out.Distance = time.Duration(l.distance.Load())
+	out.Slowdown = l.slowdown.Load()
 	out.QuietFor = 0
 	if out.Outstanding > 0 {
 		out.QuietFor = time.Duration(max(now-l.quietFrom.Load(), 0))
--- a/pkg/tables/members.go
+++ b/pkg/tables/members.go
@@ -131,6 +131,8 @@
 		return b.Incarnation > a.Incarnation
 	case a.State != b.State:
 		return b.State > a.State
+	case a.Revision != b.Revision:
+		return b.Revision > a.Revision
 	}
 	// Two lists that differ in addresses only: any rule will do that all
 	// daemons share.
@@ -268,6 +270,7 @@
 	for _, part := range []string{
 		m.VM, strconv.FormatUint(m.Started, 10), strconv.FormatUint(m.Incarnation, 10), strconv.Itoa(int(m.State)),
 		m.DataCentre, m.Service, m.Links, m.Callers, strconv.Itoa(int(m.Slots)),
+		strconv.FormatUint(m.Revision, 10), strconv.Itoa(int(m.Backend)),
 	} {
 		// Writing to a digest has no error to give.
 		_, _ = d.WriteString(part)
--- a/pkg/tables/world.go
+++ b/pkg/tables/world.go
@@ -28,6 +28,9 @@
 	// Heard says when something that was said in a data centre was last heard
 	// of here, directly or through others.
 	Heard map[string]int64
+	// Departures are the processes of backend servers, anywhere, that said that
+	// they leave, and when this daemon heard of it. Source: docs/design/platform.md.
+	Departures map[string]int64
 	// Dirty are the services whose view must be published again.
 	Dirty map[string]struct{}
 	View  *View
@@ -43,6 +46,7 @@
 		Peers:      NewPeers(),
 		Wanted:     map[string]struct{}{},
 		Heard:      map[string]int64{},
+		Departures: map[string]int64{},
 		Dirty:      map[string]struct{}{},
 		View:       &View{},
 		Inbox:      NewInbox(),
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -56,6 +56,9 @@
 // Type implements Frame.
 func (*MembersAsk) Type() Type { return TypeMembersAsk }
 
+// Type implements Frame.
+func (*Departures) Type() Type { return TypeDepartures }
+
 // Codec encodes and decodes frames. It is safe for concurrent use.
 type Codec struct {
 	enc cbor.UserBufferEncMode
@@ -126,6 +129,8 @@
 		return &Members{}, nil
 	case TypeMembersAsk:
 		return &MembersAsk{}, nil
+	case TypeDepartures:
+		return &Departures{}, nil
 	}
 	return nil, errors.Errorf("unknown frame type %d", t)
 }
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -22,6 +22,7 @@
 	TypeUpdate
 	TypeMembers
 	TypeMembersAsk
+	TypeDepartures
 )
 
 // Header is one HTTP header field.
@@ -44,13 +45,16 @@
 	Limit uint32
 	// ServiceUS is the estimated time of one run, in microseconds.
 	ServiceUS uint32
+	// Slowdown is how long work takes at the backend server now, in percent of
+	// what is usual there; 0: the backend server does not say.
+	Slowdown uint32
 }
 
 // Size is how many bytes the stamp takes in a frame.
 func (s *Stamp) Size() int {
 	const arrayHead = 1
 	return arrayHead + uintSize(s.Seq) + uintSize(uint64(s.Running)) + uintSize(uint64(s.Queued)) +
-		uintSize(uint64(s.Limit)) + uintSize(uint64(s.ServiceUS))
+		uintSize(uint64(s.Limit)) + uintSize(uint64(s.ServiceUS)) + uintSize(uint64(s.Slowdown))
 }
 
 // uintSize is the length of an unsigned integer in CBOR (RFC 8949, section 3).
@@ -127,6 +131,26 @@
 	// attempt is worth queueing; a longer one is refused at once. Zero: no bound.
 	MaxCost time.Duration
 	Body    Body
+	// Routed is set for requests that are routed by host and path.
+	Routed Routed
+}
+
+// Routed is what a routed request carries besides a call.
+type Routed struct {
+	_ struct{} `cbor:",toarray"`
+	// ID is the caller's own id of the request; empty: the call is not routed.
+	ID   string
+	Host string
+	// Caller is the service that runs on the VM where the request began.
+	Caller string
+	// Repeatable is true when the request may run more than once.
+	Repeatable bool
+	Priority   uint8
+	// Soft asks the gate to refuse at once while its backend server is slowed
+	// or nearly full.
+	Soft bool
+	// MaxWait is the longest that the request may wait at the gate.
+	MaxWait time.Duration
 }
 
 // Claim is a place in the history of an Idempotency-Key. The executor may run
@@ -179,6 +203,8 @@
 	Stamp  Stamp
 	// Next is the claim that the entry may try instead, with KeyMoved.
 	Next Claim
+	// Offered is true when a routed request reached the backend server.
+	Offered bool
 }
 
 // Cancel says that nobody waits for the call any more.
@@ -231,8 +257,23 @@
 	Links       string
 	Callers     string
 	Slots       uint32
+	// Revision orders what one incarnation says of itself.
+	Revision uint64
+	// Backend is the state of the backend server beside the daemon.
+	Backend BackendState
 }
 
+// BackendState is what a daemon says of its backend server.
+type BackendState uint8
+
+// The states of a backend server. A daemon that does not watch its backend
+// server says that it is live.
+const (
+	BackendLive BackendState = iota
+	// BackendAbsent takes no requests: it is not known yet, is leaving, or down.
+	BackendAbsent
+)
+
 // Members carries rows that changed, or that a peer asked for.
 type Members struct {
 	_    struct{} `cbor:",toarray"`
@@ -245,3 +286,13 @@
 	_       struct{} `cbor:",toarray"`
 	Buckets []uint32
 }
+
+// Departures carries the ids of backend servers' processes that have said that
+// they leave. The set only grows; ids are dropped when they are old.
+type Departures struct {
+	_   struct{} `cbor:",toarray"`
+	IDs []string
+	// Informed is true when the sender knows all departures that could matter:
+	// a daemon that was just started may not.
+	Informed bool
+}
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -11,13 +11,14 @@
 	"github.com/rushramp/rushramp/pkg/burn"
 	"github.com/rushramp/rushramp/pkg/cli"
 	"github.com/rushramp/rushramp/pkg/daemon"
+	"github.com/rushramp/rushramp/platform"
 	"github.com/rushramp/rushramp/pkg/operatorcli"
 	"github.com/rushramp/rushramp/pkg/standin"
 )
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"rushrampd":        func() { cli.Main(daemon.NewCommand()) },
+		"rushrampd":        func() { cli.Main(daemon.NewCommand(platform.Adapters())) },
 		"rushramp":         func() { cli.Main(operatorcli.NewCommand()) },
 		"rushramp-burn":    func() { cli.Main(burn.NewCommand()) },
 		"rushramp-standin": func() { cli.Main(standin.NewCommand()) },
