Gate: a routed request's wait counts what goes before it, and its run must end in time

The expected wait counted all waiting jobs, also those that start later.

Change: the wait counts only jobs ahead in the order; a job is refused when wait and run would end after its target, or, for routes that services call (learnt from where their requests begin), after its deadline; entries of the own data centre may take any free slot softly; headers that executor or entry write anew do not travel; leave_cost 0.8.

--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -260,6 +260,9 @@
 	body, _ := io.ReadAll(resp.Body)
 	answer := &call.Answer{Status: resp.StatusCode, Body: body}
 	for name, values := range resp.Header {
+		if t.spent(name) {
+			continue
+		}
 		for _, v := range values {
 			answer.Headers = append(answer.Headers, wire.Header{Name: name, Value: v})
 		}
@@ -267,6 +270,17 @@
 	return Reply{Answer: answer, Offered: true, Load: load}
 }
 
+// spent is true for headers of an answer that end here: the daemon has taken
+// them over, or the entry writes them anew.
+func (t *Transport) spent(name string) bool {
+	switch name {
+	case http.CanonicalHeaderKey(t.opts.Headers.Load), http.CanonicalHeaderKey(t.opts.Headers.RequestID),
+		"Content-Length", "Connection", "Keep-Alive":
+		return true
+	}
+	return false
+}
+
 // Opened counts the connections that were opened.
 func (t *Transport) Opened() int64 {
 	t.mu.Lock()
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -187,7 +187,7 @@
 	now := a.owner.Now()
 	to.Load.Sent(now)
 	ends := make(chan call.Result, 1)
-	cancel := runner.Execute(a.frame(soft), a.req.Body, func(r call.Result) { ends <- a.land(to, r) })
+	cancel := runner.Execute(a.frame(to, soft), a.req.Body, func(r call.Result) { ends <- a.land(to, r) })
 	bound := time.NewTimer(a.left() + grace)
 	defer bound.Stop()
 	select {
@@ -230,9 +230,8 @@
 	return result
 }
 
-func (a *attempts) frame(soft bool) *wire.Call {
+func (a *attempts) frame(to *tables.Candidate, soft bool) *wire.Call {
 	elapsed := time.Duration(a.owner.Now() - a.began)
-	wait := time.Duration(a.owner.Settings.Routing.WaitShare*float64(a.target)) - elapsed
 	return &wire.Call{
 		Service:   a.service,
 		Kind:      a.route.Name,
@@ -245,7 +244,7 @@
 		Routed: wire.Routed{
 			ID: a.req.ID, Host: a.req.Host, Caller: a.owner.Settings.BackendServer.Service,
 			Repeatable: a.route.Repeatable, Priority: a.route.Priority, Soft: soft,
-			MaxWait: max(wait, time.Millisecond),
+			Near: to.Route.DataCentre == a.owner.Settings.VM.DataCentre, Target: a.target - elapsed,
 		},
 	}
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -82,20 +82,21 @@
 		g.begin(now, job)
 		return true, nil
 	}
+	job.startBy = job.Deadline
+	if job.EndBy > 0 {
+		job.startBy = min(job.Deadline, job.EndBy-int64(service))
+	}
 	g.queue.push(job)
 	return false, nil
 }
 
 func (g *Gate) check(now int64, job *Job, service time.Duration, limit int, free bool) *errkind.Error {
-	var wait time.Duration
-	if !free {
-		wait = service * time.Duration(g.queue.len()+1) / time.Duration(limit)
-	}
+	wait := g.expectedWait(job, service, limit, free)
 	switch {
-	case job.Soft && g.busyForSoft():
-		return errkind.New(errkind.GateBusier, "%d of %d slots are in use, slowdown %.1f", g.running, g.slots, g.slowdown)
-	case job.MaxWait > 0 && wait > job.MaxWait:
-		return errkind.New(errkind.Overloaded, "the expected wait of %v is over the bound of %v", wait, job.MaxWait)
+	case job.Soft && g.busyForSoft(job):
+		return errkind.New(errkind.GateBusier, "")
+	case job.EndBy > 0 && now+int64(wait+service) > job.EndBy:
+		return errkind.New(errkind.Overloaded, "wait %v and run %v would end too late", wait.Round(time.Millisecond), service.Round(time.Millisecond))
 	case job.Deadline <= now:
 		return errkind.New(errkind.DeadlineBeforeRun, "no time was left at the gate")
 	case job.MaxCost > 0 && wait+service > job.MaxCost:
@@ -112,10 +113,27 @@
 	return nil
 }
 
+// expectedWait is how long a job would wait until it starts. A routed job waits
+// only for those that go before it in the order.
+func (g *Gate) expectedWait(job *Job, service time.Duration, limit int, free bool) time.Duration {
+	if free {
+		return 0
+	}
+	if job.EndBy == 0 {
+		return service * time.Duration(g.queue.len()+1) / time.Duration(limit)
+	}
+	ahead := g.queue.workAhead(job, func(other *Job) time.Duration { return g.expected(job.arrived, other) })
+	return (ahead + service) / time.Duration(limit)
+}
+
 // busyForSoft is true while a soft job is better off elsewhere. A nearly full
 // backend server counts: work slows there.
-func (g *Gate) busyForSoft() bool {
-	return g.slowdown > g.opts.SoftSlowdown || float64(g.running+1) > g.opts.SoftUse*float64(g.slots) || g.queue.len() > 0
+func (g *Gate) busyForSoft(job *Job) bool {
+	use := g.opts.SoftUse
+	if job.Near {
+		use = 1
+	}
+	return g.slowdown > g.opts.SoftSlowdown || float64(g.running+1) > use*float64(g.slots) || g.queue.len() > 0
 }
 
 // expected is the expected time of one run of a job that starts now.
@@ -254,5 +272,8 @@
 	return g.slots
 }
 
+// Patience is how long a job that waits may go on waiting.
+func (j *Job) Patience(now int64) time.Duration { return time.Duration(max(j.startBy-now, 0)) }
+
 // Queued returns how long a started job waited.
 func (j *Job) Queued() time.Duration { return time.Duration(j.started - j.arrived) }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -40,8 +40,11 @@
 	// Soft jobs are refused at once while the backend server is slowed or
 	// nearly full.
 	Soft bool
-	// MaxWait bounds the wait of a routed job. 0: the gate's own bounds hold.
-	MaxWait time.Duration
+	// Near relaxes Soft to a free slot: the sender would pay for going on.
+	Near bool
+	// EndBy is when a routed job should have ended, in nanoseconds: one that
+	// cannot is refused while another server may still take it. 0: no bound.
+	EndBy int64
 	// Start runs the job, SendBack refuses one that waited. The gate's owner
 	// calls them without the gate's lock.
 	Start    func()
@@ -49,6 +52,8 @@
 
 	arrived int64
 	started int64
+	// startBy is until when a waiting job is worth starting.
+	startBy int64
 	seq     uint64
 	index   int
 }
@@ -154,6 +159,20 @@
 	return &q.main
 }
 
+// workAhead is the expected work, in all, of the waiting jobs that would start
+// before one.
+func (q *queue) workAhead(job *Job, expected func(*Job) time.Duration) time.Duration {
+	var out time.Duration
+	for _, h := range []*jobHeap{&q.main, &q.background} {
+		for _, other := range h.jobs {
+			if h.less(other, job) {
+				out += expected(other)
+			}
+		}
+	}
+	return out
+}
+
 func (q *queue) push(job *Job) { heap.Push(q.heapOf(job), job) }
 
 func (q *queue) remove(job *Job) bool {
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -91,7 +91,9 @@
 		s.refuse(w, refusal)
 		return
 	}
-	s.answer(w, s.forwarder.Forward(r.Context(), req))
+	result := s.forwarder.Forward(r.Context(), req)
+	w.Header().Set(s.headers.RequestID, req.ID)
+	s.answer(w, result)
 }
 
 // read takes the whole request in, within its bounds.
@@ -187,11 +189,21 @@
 	_, _ = io.WriteString(w, text)
 }
 
+// ownHeader is true for headers that the executor sets itself, so that they
+// need not travel to it.
+func (s *Server) ownHeader(name string) bool {
+	switch name {
+	case http.CanonicalHeaderKey(s.headers.Caller), http.CanonicalHeaderKey(s.headers.RequestID), http.CanonicalHeaderKey(s.headers.DeadlineMS):
+		return true
+	}
+	return false
+}
+
 func (s *Server) requestHeaders(from http.Header) []wire.Header {
 	out := make([]wire.Header, 0, len(from))
 	named := connectionNames(from)
 	for name, values := range from {
-		if hopByHop(name) || named[name] || http.CanonicalHeaderKey(s.headers.Caller) == name {
+		if hopByHop(name) || named[name] || s.ownHeader(name) {
 			continue
 		}
 		for _, v := range values {
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -37,6 +37,7 @@
 	lifecycle *backend.Lifecycle
 	load      *backend.Load
 	work      *worktime.Times
+	origins   *origins
 	leaving   atomic.Bool
 	inFlight  atomic.Int64
 }
@@ -55,6 +56,7 @@
 		lifecycle: lifecycle,
 		load:      load,
 		work:      worktime.NewTimes(),
+		origins:   newOrigins(),
 		transport: backend.NewTransport(backend.Options{
 			Address: s.BackendServer.Address, Headers: headers,
 			DialTimeout: s.BackendServer.DialTimeout, MaxBody: s.Limits.MaxBodyBytes,
@@ -136,7 +138,7 @@
 	}
 	run.job = gate.Job{
 		Rank: c.Routed.Priority, Deadline: run.deadline, Work: r.work.Of(c.Kind),
-		Soft: c.Routed.Soft, MaxWait: c.Routed.MaxWait, Start: run.start, SendBack: run.sendBack,
+		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: r.endBy(now, run), Start: run.start, SendBack: run.sendBack,
 	}
 	admitted, refusal := r.gate.Admit(now, &run.job)
 	switch {
@@ -145,7 +147,7 @@
 	case admitted:
 		r.start(&run.job)
 	default:
-		run.expiry.Store(time.AfterFunc(run.patience(), run.expire))
+		run.expiry.Store(time.AfterFunc(run.job.Patience(now), run.expire))
 	}
 	return run.cancel
 }
@@ -176,12 +178,15 @@
 	}
 }
 
-// patience is how long the request may wait at the gate.
-func (run *routedRun) patience() time.Duration {
-	if wait := run.call.Routed.MaxWait; wait > 0 {
-		return min(wait, run.call.Remaining)
+// endBy is until when the request's run should have ended: within its target,
+// or, for calls that services make, within their deadline. A call that is
+// refused fails the request that made it, which has run already.
+func (r *Runner) endBy(now int64, run *routedRun) int64 {
+	c := run.call
+	if r.origins.note(c.Kind, c.Routed.Caller) {
+		return run.deadline
 	}
-	return run.call.Remaining
+	return min(run.deadline, now+int64(c.Routed.Target))
 }
 
 // expire refuses a request that waited for as long as it may.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -116,8 +116,6 @@
 	SoftUse float64 `yaml:"soft_use" validate:"min=0.1,max=1"`
 	// What leaving the own data centre costs, as a share of a request's target latency.
 	LeaveCost float64 `yaml:"leave_cost" validate:"min=0,max=10"`
-	// Share of a request's target latency for which it may wait at a gate.
-	WaitShare float64 `yaml:"wait_share" validate:"min=0.01,max=1"`
 	// Retries that reach a backend server, per request of the service.
 	RetryRatio float64 `yaml:"retry_ratio" validate:"min=0,max=1"`
 	// Retries of all daemons together that a service may use besides, in one window.
@@ -260,7 +258,7 @@
 		Platform:      Platform{Timeout: 2 * time.Second, VMListEvery: time.Second, Form: "http"},
 		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, StampHalfLife: 20 * time.Millisecond},
 		Routing: Routing{
-			SoftAttempts: 3, SoftSlowdown: 1.8, SoftUse: 0.8, LeaveCost: 0.1, WaitShare: 0.25,
+			SoftAttempts: 3, SoftSlowdown: 1.8, SoftUse: 0.8, LeaveCost: 0.8,
 			RetryRatio: 0.1, RetrySlack: 50, RetryWindow: 10 * time.Second,
 			HealthEvery: 150 * time.Millisecond, Linger: 2500 * time.Millisecond,
 		},
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -149,8 +149,11 @@
 	// Soft asks the gate to refuse at once while its backend server is slowed
 	// or nearly full.
 	Soft bool
-	// MaxWait is the longest that the request may wait at the gate.
-	MaxWait time.Duration
+	// Near is true when the entry is in the executor's data centre, so that
+	// going on to another one has a price.
+	Near bool
+	// Target is the time left in which an answer has its full worth.
+	Target time.Duration
 }
 
 // Claim is a place in the history of an Idempotency-Key. The executor may run
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -11,9 +11,9 @@
 	"github.com/rushramp/rushramp/pkg/burn"
 	"github.com/rushramp/rushramp/pkg/cli"
 	"github.com/rushramp/rushramp/pkg/daemon"
-	"github.com/rushramp/rushramp/platform"
 	"github.com/rushramp/rushramp/pkg/operatorcli"
 	"github.com/rushramp/rushramp/pkg/standin"
+	"github.com/rushramp/rushramp/platform"
 )
 
 func TestMain(m *testing.M) {
