--- a/cmd/rushramp-standin/main.go
+++ b/cmd/rushramp-standin/main.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/rushramp/rushramp/pkg/cli"
 	"github.com/rushramp/rushramp/pkg/standin"
+	platform "github.com/rushramp/rushramp/platform/standin"
 )
 
-func main() { cli.Main(standin.NewCommand()) }
+func main() { cli.Main(standin.NewCommand(platform.NewCommands()...)) }
--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -14,6 +14,9 @@
 	// usualSlowdown is what an old word on the speed tends to, as a share of
 	// the usual work time: a quarter of the time fourfold.
 	usualSlowdown = 1.75
+	// softSlowdown is what it tends to for a soft attempt: a slowed backend
+	// server refuses that at once, so what is risked is a round trip.
+	softSlowdown = 1.1
 	// kneeUse is the share of the slots in use from which on work slows, and
 	// kneeFactor by how much.
 	kneeUse    = 0.8
@@ -35,6 +38,8 @@
 	// DataCentre is the entry's own, LeaveCost what leaving it costs.
 	DataCentre string
 	LeaveCost  time.Duration
+	// Soft is true for an attempt that a slowed backend server refuses at once.
+	Soft bool
 	// Work is how long the request runs at a backend server that works as usual.
 	Work time.Duration
 }
@@ -74,12 +79,16 @@
 	c.Load.Read(r.Now, &known)
 	limit := float64(known.Limit)
 	inFlight := float64(known.Outstanding)
-	slowdown := usualSlowdown
+	usual := usualSlowdown
+	if r.Soft {
+		usual = softSlowdown
+	}
+	slowdown := usual
 	if known.StampAt != 0 {
 		age := float64(max(r.Now-known.StampAt, 0))
 		inFlight = max(inFlight, decay(age/float64(max(r.Work, 1)))*float64(known.InFlight)+float64(known.SentSince))
 		if known.Slowdown > 0 {
-			slowdown += decay(math.Ln2*age/float64(slowdownHalfLife)) * (float64(known.Slowdown)/100 - usualSlowdown)
+			slowdown += decay(math.Ln2*age/float64(slowdownHalfLife)) * (float64(known.Slowdown)/100 - usual)
 		}
 	}
 	service := float64(r.Work) * slowdown
--- /dev/null
+++ b/pkg/choose/routed_test.go
@@ -0,0 +1,70 @@
+package choose
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+const work = 100 * time.Millisecond
+
+func at(dataCentre string, stamp wire.Stamp, age time.Duration, now int64) tables.Candidate {
+	load := tables.NewLoad(10)
+	stamp.Seq = 1
+	if stamp.Limit > 0 {
+		load.Report(now-int64(age), stamp)
+	}
+	return tables.Candidate{Route: &tables.Route{DataCentre: dataCentre, Load: load}, Load: load}
+}
+
+func TestPickRouted(t *testing.T) {
+	now := int64(time.Hour)
+	idle, slow, full := wire.Stamp{Limit: 10, Slowdown: 100}, wire.Stamp{Limit: 10, Slowdown: 400}, wire.Stamp{Limit: 10, Running: 10, Queued: 10, Slowdown: 100}
+	scenarios := []struct {
+		name string
+		set  []tables.Candidate
+		want int
+	}{
+		{"the own data centre where all are alike", []tables.Candidate{at("there", idle, 0, now), at("here", idle, 0, now)}, 1},
+		{"another one while the own is slowed", []tables.Candidate{at("there", idle, 0, now), at("here", slow, 0, now)}, 0},
+		{"the own one when its slowness is long ago", []tables.Candidate{at("there", idle, 0, now), at("here", slow, 2*time.Second, now)}, 1},
+		{"another one while the own is full", []tables.Candidate{at("there", idle, 0, now), at("here", full, 0, now)}, 0},
+		{"nobody", nil, None},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			req := &Routed{Now: now, Set: s.set, DataCentre: "here", LeaveCost: 2 * work / 3, Work: work, Soft: true}
+			for seed := range uint64(20) {
+				test.Eq(t, s.want, PickRouted(req, rand.New(rand.NewPCG(1, seed))))
+			}
+		})
+	}
+}
+
+func TestPickRoutedKeepsOutWhatMayNotBePicked(t *testing.T) {
+	now := int64(time.Hour)
+	idle := wire.Stamp{Limit: 10, Slowdown: 100}
+	req := &Routed{
+		Now: now, Set: []tables.Candidate{at("here", idle, 0, now), at("there", idle, 0, now), at("far", idle, 0, now)},
+		Excluded: Tried(0).With(0), Allowed: []string{"here", "far"}, DataCentre: "here", Work: work,
+	}
+	test.Eq(t, 2, PickRouted(req, Runtime{}))
+	req.Excluded = req.Excluded.With(2)
+	test.Eq(t, None, PickRouted(req, Runtime{}))
+}
+
+func TestPickRoutedSpreadsWhatIsAlike(t *testing.T) {
+	now := int64(time.Hour)
+	idle := wire.Stamp{Limit: 10, Slowdown: 100}
+	req := &Routed{Now: now, Set: []tables.Candidate{at("here", idle, 0, now), at("here", idle, 0, now)}, DataCentre: "here", Work: work}
+	counts := [2]int{}
+	for range 200 {
+		counts[PickRouted(req, Runtime{})]++
+	}
+	test.Between(t, 50, counts[0], 150)
+}
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -55,7 +55,7 @@
 
 func (a *attempts) run() call.Result {
 	last := call.Refused(errkind.NoBackendServer, "no backend server of service %s is known", a.service)
-	a.owner.budgets.of(a.service).request(a.owner.Now())
+	a.owner.budgets.of(a.service).request()
 	for a.tries < mostTries {
 		if a.left() <= 0 {
 			return a.conclude(call.Refused(errkind.DeadlineBeforeRun, "the time ran out at the entry"))
@@ -110,11 +110,13 @@
 		Work:       a.work(),
 	}
 	if a.softLeft > 0 {
+		req.Soft = true
 		req.Excluded = a.softTried | a.closed
 		if index = choose.PickRouted(&req, a.owner.random); index != choose.None {
 			return index, true
 		}
 	}
+	req.Soft = false
 	req.Excluded = a.closed
 	return choose.PickRouted(&req, a.owner.random), false
 }
@@ -174,7 +176,7 @@
 	if a.offered >= a.route.Attempts || a.left() < leastLeft {
 		return false
 	}
-	return a.owner.budgets.of(a.service).take(a.owner.Now())
+	return a.owner.budgets.of(a.service).take()
 }
 
 // send sends the request to one candidate and waits for its end.
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -2,56 +2,42 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/rushramp/rushramp/pkg/settings"
 )
 
 // budget holds one service's retries at this entry. All daemons together may
 // use a share of the service's requests and a fixed number besides in each
-// window; each daemon spends its own part of both, so nobody has to be asked.
+// window; each daemon spends its own part of both, so nobody has to be asked:
+// it saves up at most its part of the fixed number, and earns by its requests.
 type budget struct {
-	ratio  float64
-	slack  float64
-	window time.Duration
+	ratio float64
+	slack float64
 	// daemons counts those that share the slack.
 	daemons func() int
 
 	mu     sync.Mutex
 	tokens float64
-	at     int64
 	begun  bool
 }
 
 // most is how many retries may be saved up.
-func (b *budget) most() float64 { return b.slack / float64(max(b.daemons(), 1)) }
-
-// flow adds what has come in since the last look.
-func (b *budget) flow(now int64) {
-	most := b.most()
-	if !b.begun {
-		b.begun, b.at, b.tokens = true, now, most
-		return
-	}
-	// Half of the slack may be saved up, and half flows in over a window, so
-	// that no window holds more than the whole.
-	b.tokens = min(b.tokens+most/2*float64(now-b.at)/float64(b.window), most/2)
-	b.at = now
-}
+func (b *budget) most() float64 { return max(b.slack/float64(max(b.daemons(), 1)), 1) }
 
 // request earns for one request of the service.
-func (b *budget) request(now int64) {
+func (b *budget) request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.flow(now)
-	b.tokens = min(b.tokens+b.ratio, max(b.most()/2, 1))
+	if !b.begun {
+		b.begun, b.tokens = true, b.most()
+	}
+	b.tokens = min(b.tokens+b.ratio, b.most())
 }
 
 // take spends one retry; false when none is left.
-func (b *budget) take(now int64) bool {
+func (b *budget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.flow(now)
 	if b.tokens < 1 {
 		return false
 	}
@@ -77,8 +63,7 @@
 	found := b.byName[service]
 	if found == nil {
 		found = &budget{
-			ratio: b.settings.RetryRatio, slack: float64(b.settings.RetrySlack),
-			window: b.settings.RetryWindow, daemons: b.daemons,
+			ratio: b.settings.RetryRatio, slack: float64(b.settings.RetrySlack), daemons: b.daemons,
 		}
 		b.byName[service] = found
 	}
--- /dev/null
+++ b/pkg/forward/forward_test.go
@@ -0,0 +1,254 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// fakeRunner answers calls by hand, and keeps them.
+type fakeRunner struct {
+	mu     sync.Mutex
+	calls  []wire.Call
+	answer func(c *wire.Call) (result call.Result, silent bool)
+	// cancelled counts the calls that nobody waited for any more.
+	cancelled int
+}
+
+func (f *fakeRunner) Execute(c *wire.Call, _ []byte, done func(call.Result)) (cancel func()) {
+	f.mu.Lock()
+	f.calls = append(f.calls, *c)
+	f.mu.Unlock()
+	if result, silent := f.answer(c); !silent {
+		done(result)
+	}
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.cancelled++
+	}
+}
+
+func answers(status int) func(*wire.Call) (call.Result, bool) {
+	return func(*wire.Call) (call.Result, bool) {
+		return call.Result{Answer: &call.Answer{Status: status}, Offered: true}, false
+	}
+}
+
+func refuses(kind errkind.Kind, offered bool) func(*wire.Call) (call.Result, bool) {
+	return func(*wire.Call) (call.Result, bool) {
+		return call.Result{Refusal: errkind.New(kind, ""), Offered: offered}, false
+	}
+}
+
+func silent(*wire.Call) (call.Result, bool) { return call.Result{}, true }
+
+// busySoftly refuses soft attempts only.
+func busySoftly(status int) func(*wire.Call) (call.Result, bool) {
+	return func(c *wire.Call) (call.Result, bool) {
+		if c.Routed.Soft {
+			return call.Refused(errkind.GateBusier, ""), false
+		}
+		return answers(status)(c)
+	}
+}
+
+// newForwarder makes a forwarder with a route of each sort over runners, one a
+// backend server of service s.
+func newForwarder(runners ...*fakeRunner) *Forwarder {
+	s := settings.Default()
+	s.VM = settings.VM{ID: "vm", DataCentre: "here"}
+	s.BackendServer.Service = "front"
+	view := &tables.View{}
+	doc := &placement.Document{Version: 3, Routes: []routing.Route{
+		{Name: "read", Host: "h", Prefix: "/read/", Repeatable: true, Attempts: 2, Parts: []routing.Part{{Service: "s", Weight: 1}}, Timeout: time.Second, Target: 400 * time.Millisecond},
+		{Name: "post", Host: "h", Prefix: "/post/", Attempts: 2, Parts: []routing.Part{{Service: "s", Weight: 1}}, Timeout: time.Second, Target: 400 * time.Millisecond},
+	}}
+	compiled := placement.Compile(doc)
+	view.SetPlacement(compiled)
+	kind := &tables.KindView{Kind: compiled.Service("s").Kinds[0]}
+	for range runners {
+		route := &tables.Route{DataCentre: "here", Load: tables.NewLoad(4)}
+		kind.Ready = append(kind.Ready, tables.Candidate{Route: route, Load: route.Load})
+	}
+	for i, r := range runners {
+		kind.Ready[i].Route.SetRunner(r)
+	}
+	view.SetService("s", tables.NewServiceView(compiled.Service("s"), []*tables.KindView{kind}))
+	return NewForwarder(common.NewCommon(events.Discard(), &s), view)
+}
+
+func request(path string) *Request {
+	return &Request{ID: "r-1", Host: "h", Method: "GET", URI: path, Path: path}
+}
+
+func total(runners ...*fakeRunner) int {
+	n := 0
+	for _, r := range runners {
+		n += len(r.calls)
+	}
+	return n
+}
+
+func TestTheRequestCarriesWhatTheExecutorNeeds(t *testing.T) {
+	r := &fakeRunner{answer: answers(200)}
+	got := newForwarder(r).Forward(t.Context(), request("/read/1"))
+	must.NotNil(t, got.Answer)
+	sent := r.calls[0]
+	test.Eq(t, "s", sent.Service)
+	test.Eq(t, "r-1", sent.Routed.ID)
+	test.Eq(t, "front", sent.Routed.Caller)
+	test.True(t, sent.Routed.Repeatable)
+	test.True(t, sent.Routed.Soft)
+	test.True(t, sent.Routed.Near)
+	test.Eq(t, 3, sent.Placement)
+	test.Between(t, 0, sent.Remaining, time.Second)
+}
+
+func TestOutcomes(t *testing.T) {
+	ok := answers(200)
+	scenarios := []struct {
+		name     string
+		path     string
+		runners  []func(*wire.Call) (call.Result, bool)
+		status   int
+		kind     errkind.Kind
+		ran      errkind.Ran
+		attempts int
+	}{
+		{"all refuse softly, then one may queue", "/read/", []func(*wire.Call) (call.Result, bool){busySoftly(200), busySoftly(200)}, 200, 0, 0, 3},
+		{"a soft refusal costs a post nothing", "/post/", []func(*wire.Call) (call.Result, bool){busySoftly(200)}, 200, 0, 0, 2},
+		{"what was not offered goes on", "/post/", []func(*wire.Call) (call.Result, bool){refuses(errkind.BackendAbsent, false), ok}, 200, 0, 0, -1},
+		{"a read that failed is sent again", "/read/", []func(*wire.Call) (call.Result, bool){answers(500), answers(500)}, 500, 0, 0, 2},
+		{"a read whose answer was lost is sent again", "/read/", []func(*wire.Call) (call.Result, bool){refuses(errkind.BackendFailed, true), refuses(errkind.BackendFailed, true)}, 0, errkind.BackendFailed, errkind.RanMaybe, 2},
+		{"a post that failed is not", "/post/", []func(*wire.Call) (call.Result, bool){answers(500), answers(500)}, 500, 0, 0, 1},
+		{"a post whose answer was lost is not", "/post/", []func(*wire.Call) (call.Result, bool){refuses(errkind.LinkLost, false), refuses(errkind.LinkLost, false)}, 0, errkind.LinkLost, errkind.RanMaybe, 1},
+		{"a post that the backend server marked as not run is", "/post/", []func(*wire.Call) (call.Result, bool){refuses(errkind.BackendRefused, true), refuses(errkind.BackendRefused, true)}, 0, errkind.BackendRefused, errkind.RanNo, 2},
+		{"an unmarked 503 is no promise", "/post/", []func(*wire.Call) (call.Result, bool){answers(503)}, 0, errkind.BackendFailed, errkind.RanMaybe, 1},
+		{"an unmarked 503 of a read is passed on", "/read/", []func(*wire.Call) (call.Result, bool){answers(503)}, 503, 0, 0, 1},
+		{"all full", "/read/", []func(*wire.Call) (call.Result, bool){refuses(errkind.Overloaded, false), refuses(errkind.Overloaded, false)}, 0, errkind.Overloaded, errkind.RanNo, 2},
+		{"nobody is known", "/read/", nil, 0, errkind.NoBackendServer, errkind.RanNo, 0},
+		{"no route", "/none/", nil, 0, errkind.UnknownRoute, errkind.RanNo, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			var runners []*fakeRunner
+			for _, answer := range s.runners {
+				runners = append(runners, &fakeRunner{answer: answer})
+			}
+			got := newForwarder(runners...).Forward(t.Context(), request(s.path))
+			if s.attempts >= 0 {
+				test.Eq(t, s.attempts, total(runners...))
+			}
+			if s.status > 0 {
+				must.NotNil(t, got.Answer)
+				test.Eq(t, s.status, got.Answer.Status)
+				return
+			}
+			must.NotNil(t, got.Refusal)
+			test.Eq(t, s.kind, got.Refusal.Kind)
+			test.Eq(t, s.ran, got.Refusal.Ran)
+		})
+	}
+}
+
+func TestAFirstFailureIsAnsweredWhenTheSecondAttemptIsRefused(t *testing.T) {
+	first := &fakeRunner{answer: answers(500)}
+	second := &fakeRunner{answer: answers(500)}
+	second.answer = func(c *wire.Call) (call.Result, bool) {
+		if len(first.calls) > 0 {
+			return refuses(errkind.Overloaded, false)(c)
+		}
+		first.answer = refuses(errkind.Overloaded, false)
+		return answers(500)(c)
+	}
+	got := newForwarder(first, second).Forward(t.Context(), request("/read/"))
+	must.NotNil(t, got.Answer)
+	test.Eq(t, 500, got.Answer.Status)
+}
+
+func TestNoVersionYet(t *testing.T) {
+	f := newForwarder()
+	f.view.SetPlacement(nil)
+	got := f.Forward(t.Context(), request("/read/"))
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.PlacementUnknown, got.Refusal.Kind)
+	test.Eq(t, 503, got.Refusal.Kind.Row().Status)
+}
+
+func TestSilenceEndsAtTheTimeoutAndIsMaybe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeRunner{answer: silent}
+		f := newForwarder(r)
+		began := time.Now()
+		got := f.Forward(t.Context(), request("/post/"))
+		must.NotNil(t, got.Refusal)
+		test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+		test.Eq(t, time.Second+grace, time.Since(began))
+		test.Eq(t, 1, r.cancelled)
+	})
+}
+
+func TestACallerThatLeavesCancels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeRunner{answer: silent}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		got := newForwarder(r).Forward(ctx, request("/read/"))
+		must.NotNil(t, got.Refusal)
+		test.Eq(t, errkind.CallerGone, got.Refusal.Kind)
+		test.Eq(t, 1, r.cancelled)
+		test.Eq(t, 1, len(r.calls))
+	})
+}
+
+// TestTheRetryBudgetHoldsInEachWindow has each request of a service fail.
+func TestTheRetryBudgetHoldsInEachWindow(t *testing.T) {
+	const daemons, requests = 13, 40_000
+	s := settings.Default().Routing
+	b := newBudgets(s, func() int { return daemons }).of("s")
+	second := int64(time.Second)
+	var taken []int64
+	for i := range requests {
+		now := int64(i) * second / 100
+		b.request()
+		if b.take() {
+			taken = append(taken, now)
+		}
+	}
+	window := 10 * second
+	allowed := s.RetryRatio*float64(window)/float64(second/100) + float64(s.RetrySlack)/daemons
+	for i := range taken {
+		in := 0
+		for _, at := range taken[i:] {
+			if at >= taken[i]+window {
+				break
+			}
+			in++
+		}
+		must.LessEq(t, allowed+1, float64(in))
+	}
+	test.Greater(t, 3000, len(taken))
+}
+
+func TestAFewRetriesAreThereFromTheStart(t *testing.T) {
+	b := newBudgets(settings.Default().Routing, func() int { return 13 }).of("s")
+	b.request()
+	test.True(t, b.take())
+	test.True(t, b.take())
+}
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -211,3 +211,60 @@
 		g.Finish(now+500, j, true)
 	}
 }
+
+// routedGate is a gate as the runner of routed requests makes it.
+func routedGate() *Gate {
+	return New(Options{Slots: 2, QueueLength: 10, QueueTime: time.Minute, Order: Ranked, SoftSlowdown: 1.8, SoftUse: 0.8})
+}
+
+func TestSoftJobs(t *testing.T) {
+	const deadline = int64(time.Hour)
+	g := routedGate()
+	soft := func(near bool) *errkind.Error {
+		_, refusal := g.Admit(1, &Job{Deadline: deadline, EndBy: deadline, Work: time.Second, Soft: true, Near: near})
+		return refusal
+	}
+	must.Nil(t, soft(false))
+	test.Eq(t, errkind.GateBusier, soft(false).Kind, test.Sprint("nearly full for a far sender"))
+	must.Nil(t, soft(true))
+	test.Eq(t, errkind.GateBusier, soft(true).Kind, test.Sprint("full"))
+	g = routedGate()
+	g.SetSlowdown(4)
+	test.Eq(t, errkind.GateBusier, soft(true).Kind, test.Sprint("slowed"))
+}
+
+func TestARoutedJobWaitsOnlyForWhatGoesBeforeIt(t *testing.T) {
+	const hour = int64(time.Hour)
+	g := routedGate()
+	for range 2 {
+		run, refusal := g.Admit(1, &Job{Deadline: hour, EndBy: hour, Work: time.Second})
+		must.True(t, run)
+		must.Nil(t, refusal)
+	}
+	for range 4 {
+		_, refusal := g.Admit(1, &Job{Rank: 2, Deadline: hour, EndBy: hour, Work: time.Second})
+		must.Nil(t, refusal)
+	}
+	// Half a second of wait and one of work, behind nobody of its rank.
+	urgent := &Job{Rank: 0, Deadline: hour, EndBy: 1 + int64(1600*time.Millisecond), Work: time.Second}
+	_, refusal := g.Admit(1, urgent)
+	must.Nil(t, refusal)
+	test.Eq(t, 600*time.Millisecond, urgent.Patience(1))
+	late := &Job{Rank: 2, Deadline: hour, EndBy: 1 + int64(1600*time.Millisecond), Work: time.Second}
+	_, refusal = g.Admit(1, late)
+	must.NotNil(t, refusal)
+	test.Eq(t, errkind.Overloaded, refusal.Kind)
+	test.Eq(t, errkind.RanNo, refusal.Ran)
+}
+
+func TestMoreSlotsStartWhatWaits(t *testing.T) {
+	const hour = int64(time.Hour)
+	g := routedGate()
+	for range 4 {
+		_, refusal := g.Admit(1, &Job{Deadline: hour, EndBy: hour, Work: time.Second})
+		must.Nil(t, refusal)
+	}
+	g.SetSlots(3)
+	start, _ := g.Tick(2)
+	test.Len(t, 1, start)
+}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -120,7 +120,7 @@
 		return 0, nil
 	}
 	ms, err := strconv.ParseFloat(text, 64)
-	if err != nil || ms < 0 || ms > float64(time.Hour.Milliseconds()) {
+	if err != nil || !(ms >= 0 && ms <= float64(time.Hour.Milliseconds())) {
 		return 0, errkind.New(errkind.BadRequest, "%q is no number of milliseconds", text)
 	}
 	return max(time.Duration(ms*float64(time.Millisecond)), 1), nil
--- /dev/null
+++ b/pkg/ingress/server_test.go
@@ -0,0 +1,145 @@
+package ingress
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/forward"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// runnerFunc makes a function a runner.
+type runnerFunc func(c *wire.Call, body []byte) call.Result
+
+func (f runnerFunc) Execute(c *wire.Call, body []byte, done func(call.Result)) func() {
+	done(f(c, body))
+	return func() {}
+}
+
+func newServer(t *testing.T, run runnerFunc) (*Server, string) {
+	s := settings.Default()
+	s.VM = settings.VM{ID: "vm", DataCentre: "here"}
+	view := &tables.View{}
+	compiled := placement.Compile(&placement.Document{Version: 1, Routes: []routing.Route{{
+		Name: "r", Host: "h", Prefix: "/p/", Parts: []routing.Part{{Service: "s", Weight: 1}}, Timeout: time.Minute,
+	}}, Limits: routing.Limits{MaxBodyBytes: 1000}})
+	view.SetPlacement(compiled)
+	route := &tables.Route{DataCentre: "here", Load: tables.NewLoad(4)}
+	route.SetRunner(run)
+	kind := &tables.KindView{Kind: compiled.Service("s").Kinds[0], Ready: []tables.Candidate{{Route: route, Load: route.Load}}}
+	view.SetService("s", tables.NewServiceView(compiled.Service("s"), []*tables.KindView{kind}))
+	c := common.NewCommon(events.Discard(), &s)
+	server := &Server{
+		Common: c, headers: DefaultHeaders(), forwarder: forward.NewForwarder(c, view),
+		limits: func() routing.Limits { return view.Placement().Routes.Limits() },
+	}
+	h := httptest.NewServer(server)
+	t.Cleanup(h.Close)
+	return server, strings.TrimPrefix(h.URL, "http://")
+}
+
+// raw sends text and reads one answer.
+func raw(t *testing.T, address, text string) (*http.Response, string) {
+	c, err := net.Dial("tcp", address)
+	must.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, text)
+	must.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return resp, string(body)
+}
+
+func TestHeadersAndBodiesGoThrough(t *testing.T) {
+	var seen wire.Call
+	var sent string
+	_, address := newServer(t, func(c *wire.Call, body []byte) call.Result {
+		seen, sent = *c, string(body)
+		return call.Result{Answer: &call.Answer{Status: 201, Body: []byte("done"), Headers: []wire.Header{
+			{Name: "X-Seal", Value: "s1"}, {Name: "Connection", Value: "close"}, {Name: "Transfer-Encoding", Value: "chunked"},
+		}}}
+	})
+	resp, body := raw(t, address, "POST /p/x%2fy?q=1 HTTP/1.1\r\nHost: h:80\r\nRushramp-Request-Id: id-7\r\nRushramp-Timeout: 800\r\n"+
+		"Rushramp-Caller: forged\r\nX-Own: v\r\nConnection: X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	test.Eq(t, 201, resp.StatusCode)
+	test.Eq(t, "done", body)
+	test.Eq(t, "s1", resp.Header.Get("X-Seal"))
+	test.Eq(t, "id-7", resp.Header.Get("Rushramp-Request-Id"))
+	test.Eq(t, 4, resp.ContentLength)
+	test.Eq(t, "abcde", sent)
+	test.Eq(t, "/p/x%2fy?q=1", seen.URI)
+	test.Eq(t, []wire.Header{{Name: "X-Own", Value: "v"}}, seen.Headers)
+	test.Between(t, 0, seen.Remaining, 800*time.Millisecond)
+}
+
+func TestRefusals(t *testing.T) {
+	const head = "POST /p/ HTTP/1.1\r\nHost: h\r\nRushramp-Request-Id: i\r\n"
+	scenarios := []struct {
+		name, text string
+		result     call.Result
+		status     int
+		retryAfter string
+	}{
+		{"not run: 503 with a time to come back", head + "\r\n", call.Refused(errkind.Overloaded, "full"), 503, "0.2"},
+		{"maybe run: never 503", head + "\r\n", call.Result{Refusal: errkind.New(errkind.BackendRefused, "").Maybe(), Offered: true}, 502, ""},
+		{"lost", head + "\r\n", call.Refused(errkind.LinkLost, "lost"), 502, ""},
+		{"no id", "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n", call.Result{}, 400, ""},
+		{"no route", "GET /q/ HTTP/1.1\r\nHost: h\r\nRushramp-Request-Id: i\r\n\r\n", call.Result{}, 404, ""},
+		{"no number", head + "Rushramp-Timeout: soon\r\n\r\n", call.Result{}, 400, ""},
+		{"body over the bound", head + "Content-Length: 1001\r\n\r\n", call.Result{}, 413, ""},
+		{"chunks over the bound", head + "Transfer-Encoding: chunked\r\n\r\n400\r\n" + strings.Repeat("x", 1024) + "\r\n0\r\n\r\n", call.Result{}, 413, ""},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			_, address := newServer(t, func(*wire.Call, []byte) call.Result { return s.result })
+			resp, _ := raw(t, address, s.text)
+			test.Eq(t, s.status, resp.StatusCode)
+			test.Eq(t, s.retryAfter, resp.Header.Get("Retry-After"))
+		})
+	}
+}
+
+func TestADrainingListenerSaysSoOnEachAnswer(t *testing.T) {
+	s, address := newServer(t, func(*wire.Call, []byte) call.Result {
+		return call.Result{Answer: &call.Answer{Status: 200}}
+	})
+	text := "GET /p/ HTTP/1.1\r\nHost: h\r\nRushramp-Request-Id: i\r\n\r\n"
+	resp, _ := raw(t, address, text)
+	test.False(t, resp.Close)
+	s.Leave()
+	resp, _ = raw(t, address, text)
+	test.Eq(t, 200, resp.StatusCode)
+	test.True(t, resp.Close)
+}
+
+func TestTimeouts(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "800": 800 * time.Millisecond, "0.5": 500 * time.Microsecond, "0": 1} {
+		got, refusal := timeoutOf(text)
+		must.Nil(t, refusal, must.Sprint(text))
+		test.Eq(t, want, got, test.Sprint(text))
+	}
+	for _, text := range []string{"x", "-1", "NaN", fmt.Sprint(1e12)} {
+		_, refusal := timeoutOf(text)
+		test.NotNil(t, refusal, test.Sprint(text))
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -118,10 +118,8 @@
 	LeaveCost float64 `yaml:"leave_cost" validate:"min=0,max=10"`
 	// Retries that reach a backend server, per request of the service.
 	RetryRatio float64 `yaml:"retry_ratio" validate:"min=0,max=1"`
-	// Retries of all daemons together that a service may use besides, in one window.
+	// Retries of all daemons together that a service may save up besides.
 	RetrySlack int `yaml:"retry_slack" validate:"min=0"`
-	// Time in which the slack comes back.
-	RetryWindow time.Duration `yaml:"retry_window" validate:"min=1s"`
 	// Age of the backend server's own word on its speed after which its health path is asked.
 	HealthEvery time.Duration `yaml:"health_every" validate:"min=10ms"`
 	// Time that a drained daemon goes on taking requests.
@@ -259,7 +257,7 @@
 		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, StampHalfLife: 20 * time.Millisecond},
 		Routing: Routing{
 			SoftAttempts: 3, SoftSlowdown: 1.8, SoftUse: 0.8, LeaveCost: 0.8,
-			RetryRatio: 0.1, RetrySlack: 50, RetryWindow: 10 * time.Second,
+			RetryRatio: 0.15, RetrySlack: 50,
 			HealthEvery: 150 * time.Millisecond, Linger: 2500 * time.Millisecond,
 		},
 		Links: Links{Heartbeat: time.Second},
--- a/pkg/standin/command.go
+++ b/pkg/standin/command.go
@@ -17,8 +17,9 @@
 	"github.com/rushramp/rushramp/pkg/store"
 )
 
-// NewCommand makes the command line of rushramp-standin.
-func NewCommand() *cobra.Command {
+// NewCommand makes the command line of rushramp-standin. more are the commands
+// of other platforms' stand-ins.
+func NewCommand(more ...*cobra.Command) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "rushramp-standin",
 		Short:         "Stand-ins for the platform and for backend servers, for tests",
@@ -26,6 +27,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(platformCommand(), backendCommand())
+	root.AddCommand(more...)
 	return root
 }
 
--- /dev/null
+++ b/pkg/systems/departures_test.go
@@ -0,0 +1,103 @@
+package systems
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/standin/fakestore"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+func departuresEnv(t *testing.T, informed bool) (*Env, *fakestore.Store, func()) {
+	env := testEnv()
+	platform := fakestore.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	env.Background, env.Platform, env.Backend = ctx, platform, backend.NewLifecycle(informed, nil)
+	system := &departures{Env: env}
+	return env, platform, func() {
+		mail := env.World.Inbox.Take()
+		system.Tick(env.Now(), &mail)
+	}
+}
+
+func TestARestartedDaemonLearnsADepartureFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, platform, tick := departuresEnv(t, true)
+		first.KeepDeparture(t.Context(), "i-1")
+		tick()
+		test.MapContainsKey(t, first.World.Departures, "i-1")
+
+		second, _, tick := departuresEnv(t, false)
+		second.Platform = platform
+		second.Backend.Seen(1, "i-1")
+		_, ok := second.Backend.Accepting()
+		must.False(t, ok)
+		tick()
+		synctest.Wait()
+		tick()
+		must.True(t, second.Backend.IsInformed())
+		_, ok = second.Backend.Accepting()
+		test.False(t, ok, test.Sprint("the departed incarnation gets nothing"))
+		second.Backend.Seen(2, "i-2")
+		_, ok = second.Backend.Accepting()
+		test.True(t, ok)
+	})
+}
+
+func TestAPeerThatIsNotInformedDoesNotInform(t *testing.T) {
+	env, platform, tick := departuresEnv(t, false)
+	platform.SetFaults(fakestore.Faults{Down: true})
+	env.World.Inbox.Post(true, func(m *tables.Mail) {
+		m.PeerDepartures = append(m.PeerDepartures, tables.PeerDepartures{Said: &wire.Departures{IDs: []string{"i-1"}}})
+	})
+	tick()
+	test.False(t, env.Backend.IsInformed())
+	env.World.Inbox.Post(true, func(m *tables.Mail) {
+		m.PeerDepartures = append(m.PeerDepartures, tables.PeerDepartures{Said: &wire.Departures{Informed: true}})
+	})
+	tick()
+	test.True(t, env.Backend.IsInformed())
+	env.Backend.Seen(1, "i-1")
+	_, ok := env.Backend.Accepting()
+	test.False(t, ok)
+}
+
+func TestADaemonThatNobodyInformsTrustsItsBackendServerInTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env, platform, tick := departuresEnv(t, false)
+		platform.SetFaults(fakestore.Faults{Down: true})
+		for range 100 {
+			tick()
+			time.Sleep(informedAfter / 50)
+		}
+		test.True(t, env.Backend.IsInformed())
+	})
+}
+
+func TestADepartureIsKeptAlthoughTheAnswerIsLost(t *testing.T) {
+	env, platform, tick := departuresEnv(t, true)
+	platform.SetFaults(fakestore.Faults{LoseAnswers: 1})
+	env.KeepDeparture(t.Context(), "i-1")
+	tick()
+	test.MapContainsKey(t, env.World.Departures, "i-1")
+	platform.SetFaults(fakestore.Faults{})
+	rows, err := platform.Scan(t.Context(), departurePrefix, "", 10)
+	must.NoError(t, err)
+	test.Len(t, 1, rows)
+}
+
+func TestDeparturesOfLongAgoAreForgotten(t *testing.T) {
+	env, _, _ := departuresEnv(t, true)
+	system := &departures{Env: env}
+	system.add(1, nil, "old")
+	system.add(2+departuresFor, nil, "new")
+	test.MapNotContainsKey(t, env.World.Departures, "old")
+}
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -46,6 +46,13 @@
 	cancel context.CancelFunc
 }
 
+// feedPlace is where the feed goes on; not known at first, and after the store
+// has forgotten its history.
+type feedPlace struct {
+	known  bool
+	cursor uint64
+}
+
 func newFollower(env *Env) *follower {
 	return &follower{Env: env, outage: events.NewOutage(env.Log, "placement feed")}
 }
@@ -76,17 +83,17 @@
 }
 
 func (f *follower) run() {
-	cursor, rest := uint64(0), feedRest
+	at, rest := feedPlace{}, feedRest
 	for f.Background.Err() == nil {
-		next, err := f.step(cursor)
+		next, err := f.step(at)
 		f.outage.Note(err)
 		if err == nil {
-			cursor, rest = next, feedRest
+			at, rest = next, feedRest
 			continue
 		}
 		if errors.Is(err, store.ErrHistoryGone) {
-			f.Log.Event(events.FeedBehind, events.F("cursor", cursor))
-			cursor = 0
+			f.Log.Event(events.FeedBehind, events.F("cursor", at.cursor))
+			at = feedPlace{}
 		}
 		f.sleep(rest)
 		rest = min(2*rest, feedRestMost)
@@ -104,10 +111,10 @@
 }
 
 // step makes one request to the feed and hands on what it told.
-func (f *follower) step(cursor uint64) (next uint64, err error) {
+func (f *follower) step(at feedPlace) (next feedPlace, err error) {
 	wait := feedWaitLeast + rand.N(feedWaitMost-feedWaitLeast)
 	bound := wait + feedSlack
-	if cursor == 0 {
+	if !at.known {
 		bound = f.Settings.Platform.Timeout
 	}
 	ctx, cancel := context.WithTimeout(f.Background, bound)
@@ -115,26 +122,26 @@
 	f.mu.Lock()
 	f.cancel = cancel
 	f.mu.Unlock()
-	update, err := f.ask(ctx, cursor, wait)
+	update, err := f.ask(ctx, at, wait)
 	var damaged *placement.DamagedError
 	if errors.As(err, &damaged) {
 		f.Log.Event(events.DocumentRefused, events.F("cause", damaged.Cause))
-		return damaged.Cursor, nil
+		return feedPlace{known: true, cursor: damaged.Cursor}, nil
 	}
 	if err != nil {
-		return 0, err
+		return at, err
 	}
 	if update.Document != nil {
-		return update.Cursor, f.take(update.Document)
+		err = f.take(update.Document)
 	}
-	return update.Cursor, nil
+	return feedPlace{known: true, cursor: update.Cursor}, err
 }
 
-func (f *follower) ask(ctx context.Context, cursor uint64, wait time.Duration) (placement.FeedUpdate, error) {
-	if cursor == 0 {
+func (f *follower) ask(ctx context.Context, at feedPlace, wait time.Duration) (placement.FeedUpdate, error) {
+	if !at.known {
 		return f.Feed.Newest(ctx)
 	}
-	return f.Feed.Next(ctx, cursor, wait)
+	return f.Feed.Next(ctx, at.cursor, wait)
 }
 
 // take hands a document to the systems, which never lower the version.
--- /dev/null
+++ b/pkg/systems/follower_test.go
@@ -0,0 +1,118 @@
+package systems
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/store"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+// scriptedFeed answers each request by hand; one without a step hangs until its
+// context ends, as behind a cut.
+type scriptedFeed struct {
+	mu    sync.Mutex
+	steps []func(after uint64) (placement.FeedUpdate, error)
+	asked []uint64
+}
+
+func (s *scriptedFeed) next(ctx context.Context, after uint64) (placement.FeedUpdate, error) {
+	s.mu.Lock()
+	s.asked = append(s.asked, after)
+	if len(s.steps) == 0 {
+		s.mu.Unlock()
+		<-ctx.Done()
+		return placement.FeedUpdate{}, ctx.Err()
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	s.mu.Unlock()
+	return step(after)
+}
+
+func (s *scriptedFeed) Newest(ctx context.Context) (placement.FeedUpdate, error) {
+	return s.next(ctx, 0)
+}
+
+func (s *scriptedFeed) Next(ctx context.Context, after uint64, _ time.Duration) (placement.FeedUpdate, error) {
+	return s.next(ctx, after)
+}
+
+func tells(version, cursor uint64) func(uint64) (placement.FeedUpdate, error) {
+	return func(uint64) (placement.FeedUpdate, error) {
+		return placement.FeedUpdate{Document: &placement.Document{Version: version}, Cursor: cursor}, nil
+	}
+}
+
+func fails(err error) func(uint64) (placement.FeedUpdate, error) {
+	return func(uint64) (placement.FeedUpdate, error) { return placement.FeedUpdate{}, err }
+}
+
+// follow runs a follower and the placements system over a feed.
+func follow(t *testing.T, feed *scriptedFeed) (env *Env, tick func(time.Duration)) {
+	env = testEnv()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	env.Background, env.Feed = ctx, feed
+	follower, versions := newFollower(env), &placements{Env: env}
+	return env, func(d time.Duration) {
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			mail := env.World.Inbox.Take()
+			follower.Tick(env.Now(), &mail)
+			versions.Tick(env.Now(), &mail)
+			synctest.Wait()
+		}
+	}
+}
+
+func TestTheFollowerNeverLowersTheVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &scriptedFeed{steps: []func(uint64) (placement.FeedUpdate, error){
+			tells(4, 10), tells(3, 11), fails(store.ErrHistoryGone), tells(2, 9), tells(6, 13),
+		}}
+		env, tick := follow(t, feed)
+		for range 40 {
+			before := env.World.Version()
+			tick(50 * time.Millisecond)
+			must.GreaterEq(t, before, env.World.Version())
+		}
+		test.Eq(t, 6, env.World.Version())
+		// After the lost history it read the newest version whole, and went on
+		// from where that was.
+		test.Eq(t, []uint64{0, 10, 11, 0, 9, 13}, feed.asked)
+	})
+}
+
+func TestAHungFeedIsGivenUpWhenAPeerKnowsMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &scriptedFeed{steps: []func(uint64) (placement.FeedUpdate, error){tells(4, 10)}}
+		env, tick := follow(t, feed)
+		tick(100 * time.Millisecond)
+		must.Eq(t, []uint64{0, 10}, feed.asked)
+		env.World.Inbox.Post(true, func(m *tables.Mail) { m.Updates = append(m.Updates, update(t, "there", 7)) })
+		tick(2 * feedTrust)
+		test.Eq(t, 7, env.World.Version())
+		must.SliceLen(t, 3, feed.asked)
+		test.Eq(t, 10, feed.asked[2])
+	})
+}
+
+func TestAFeedThatFailsIsAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &scriptedFeed{}
+		for range 1000 {
+			feed.steps = append(feed.steps, fails(errors.New("down")))
+		}
+		_, tick := follow(t, feed)
+		tick(20 * time.Second)
+		test.Between(t, 8, len(feed.asked), 30)
+	})
+}
--- /dev/null
+++ b/pkg/systems/selfrow_test.go
@@ -0,0 +1,71 @@
+package systems
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/store"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// noRegistrar stands for a platform whose list daemons write themselves.
+type noRegistrar struct{}
+
+func (noRegistrar) Register(context.Context, store.VM) error { return nil }
+
+func selfEnv() (env *Env, run func(said ...wire.Member) wire.Member) {
+	env = testEnv()
+	left := false
+	env.Leave = func() { left = true }
+	env.Backend = backend.NewLifecycle(true, nil)
+	env.Registrar = noRegistrar{}
+	env.Settings.Listen.Links = "127.0.0.1:7401"
+	system, watch := &members{Env: env}, &backendWatch{Env: env}
+	return env, func(said ...wire.Member) wire.Member {
+		mail := &tables.Mail{}
+		if len(said) > 0 {
+			mail.Members = []tables.PeerMembers{{Rows: said}}
+		}
+		system.Tick(env.Now(), mail)
+		watch.Tick(env.Now(), mail)
+		row, ok := env.World.Members.Find(env.World.VM)
+		if !ok || left {
+			return wire.Member{State: wire.MemberGone}
+		}
+		return env.World.Members.Row[row]
+	}
+}
+
+func TestADaemonIntroducesItself(t *testing.T) {
+	env, run := selfEnv()
+	own := run()
+	must.Eq(t, "vm", own.VM)
+	test.Eq(t, wire.BackendAbsent, own.Backend)
+	env.Backend.Seen(1, "i-1")
+	now := run()
+	test.Eq(t, wire.BackendLive, now.Backend)
+	test.Greater(t, own.Revision, now.Revision)
+	env.Backend.Depart(2, "i-1")
+	test.Eq(t, wire.BackendAbsent, run().Backend)
+}
+
+// TestAnOlderProcessThatCountedFurther is a restart after the wall clock was
+// set back: peers hold a row with a higher incarnation, which was leaving.
+func TestAnOlderProcessThatCountedFurther(t *testing.T) {
+	env, run := selfEnv()
+	own := run()
+	env.Backend.Seen(1, "i-1")
+	old := own
+	old.Incarnation, old.State, old.Revision = 99, wire.MemberLeaving, 7
+	now := run(old)
+	test.Eq(t, wire.MemberLive, now.State)
+	test.Greater(t, 99, now.Incarnation)
+	test.Eq(t, now.Incarnation, env.Control.Incarnation())
+	test.Eq(t, now.Incarnation, env.Control.Hello().Incarnation)
+	test.Eq(t, wire.BackendLive, now.Backend)
+}
