Refused callers are told to come back after 300 ms, a third of their time at most

Change: Retry-After of a refusal for load is routing.retry_after (300 ms), bounded by 0.32 of the time left.

--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -29,6 +29,9 @@
 	// Offered is true when a routed request reached a backend server, or may
 	// have: it counts as an attempt.
 	Offered bool
+	// RetryAfter is when a caller that was refused should come back; 0: as the
+	// table of error kinds says.
+	RetryAfter time.Duration
 	// Stamp is the gate's load; Seq 0: none came with this result.
 	Stamp wire.Stamp
 	// Server and DataCentre say which backend server this end is about.
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -20,6 +20,9 @@
 	leastLeft = 30 * time.Millisecond
 	// mostTries bounds the attempts of one request, refusals included.
 	mostTries = 12
+	// retryShare is the longest that a caller is asked to stay away, as a share
+	// of its time: callers heed up to a third.
+	retryShare = 0.32
 	// workShare stands in for a work time that is not known yet, as a share of
 	// the target latency.
 	workShare = 0.3
@@ -79,7 +82,11 @@
 	if result.Answer == nil && a.inHand != nil {
 		result = *a.inHand
 	}
-	return a.truthful(result)
+	result = a.truthful(result)
+	if result.Refusal != nil && result.Refusal.Kind.Row().Overload {
+		result.RetryAfter = min(a.owner.Settings.Routing.RetryAfter, time.Duration(retryShare*float64(a.left())))
+	}
+	return result
 }
 
 // truthful keeps a backend server's own 503 from passing for the promise that
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -88,7 +88,7 @@
 	}
 	req, refusal := s.read(w, r)
 	if refusal != nil {
-		s.refuse(w, refusal)
+		s.refuse(w, refusal, 0)
 		return
 	}
 	result := s.forwarder.Forward(r.Context(), req)
@@ -149,7 +149,7 @@
 // answer passes on what the backend server answered, whole and unchanged.
 func (s *Server) answer(w http.ResponseWriter, result call.Result) {
 	if result.Refusal != nil {
-		s.refuse(w, result.Refusal)
+		s.refuse(w, result.Refusal, result.RetryAfter)
 		return
 	}
 	header := w.Header()
@@ -169,8 +169,11 @@
 }
 
 // refuse answers at once with what the table says of the kind.
-func (s *Server) refuse(w http.ResponseWriter, refusal *errkind.Error) {
+func (s *Server) refuse(w http.ResponseWriter, refusal *errkind.Error, retryAfter time.Duration) {
 	row := refusal.Kind.Row()
+	if retryAfter <= 0 {
+		retryAfter = time.Duration(row.RetryAfterMS) * time.Millisecond
+	}
 	status := row.Status
 	if refusal.Ran == errkind.RanMaybe && status == http.StatusServiceUnavailable {
 		// 503 is a promise that the request has not run.
@@ -180,8 +183,8 @@
 	header.Set("Rushramp-Error", row.Name)
 	header.Set("Rushramp-Ran", refusal.Ran.String())
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if refusal.Ran == errkind.RanNo && row.RetryAfterMS > 0 {
-		header.Set("Retry-After", strconv.FormatFloat(float64(row.RetryAfterMS)/1000, 'f', -1, 64))
+	if refusal.Ran == errkind.RanNo && retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 	}
 	text := row.Name + ": " + refusal.Detail + ". " + row.Advice + "\n"
 	header.Set("Content-Length", strconv.Itoa(len(text)))
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -116,6 +116,8 @@
 	SoftUse float64 `yaml:"soft_use" validate:"min=0.1,max=1"`
 	// What leaving the own data centre costs, as a share of a request's target latency.
 	LeaveCost float64 `yaml:"leave_cost" validate:"min=0,max=10"`
+	// When callers that found all backend servers full are told to come back.
+	RetryAfter time.Duration `yaml:"retry_after" validate:"min=1ms"`
 	// Retries that reach a backend server, per request of the service.
 	RetryRatio float64 `yaml:"retry_ratio" validate:"min=0,max=1"`
 	// Retries of all daemons together that a service may save up besides.
@@ -257,7 +259,7 @@
 		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, StampHalfLife: 20 * time.Millisecond},
 		Routing: Routing{
 			SoftAttempts: 3, SoftSlowdown: 1.8, SoftUse: 0.8, LeaveCost: 0.8,
-			RetryRatio: 0.15, RetrySlack: 50,
+			RetryAfter: 300 * time.Millisecond, RetryRatio: 0.15, RetrySlack: 50,
 			HealthEvery: 150 * time.Millisecond, Linger: 2500 * time.Millisecond,
 		},
 		Links: Links{Heartbeat: time.Second},
