The gate does not close on its own estimate; silent executors are left

Ruled out: load (the backend servers were half idle); the retry of callers (they were refused again by the same estimate).

Change: a job that would start at once on a backend server as usual is always admitted; work times follow short runs sooner than long ones and are divided by the mean of the slowdown at begin and end of a run; an attempt that has waited 150 ms without a sign of life from the executor asks for one, and after 200 ms more a request that may be repeated goes on, and others avoid that executor.

--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -21,6 +21,9 @@
 	// kneeFactor by how much.
 	kneeUse    = 0.8
 	kneeFactor = 1.7
+	// silentFor is how long a daemon that was found silent is avoided. Its link
+	// ends, or it is heard again, before that.
+	silentFor = 2 * time.Second
 	// routedFailureCost is how many work times one certain failure counts as.
 	routedFailureCost = 6
 )
@@ -99,6 +102,9 @@
 	if quiet := float64(known.QuietFor); quiet > quietFactor*service {
 		cost += quiet
 	}
+	if known.SilentFor > 0 && known.SilentFor < silentFor {
+		cost += float64(silentFor)
+	}
 	if known.FailureShare > failureFree {
 		cost += known.FailureShare * routedFailureCost * float64(r.Work)
 	}
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -197,17 +197,36 @@
 	to.Load.Sent(now)
 	ends := make(chan call.Result, 1)
 	cancel := runner.Execute(a.frame(to, soft), a.req.Body, func(r call.Result) { ends <- a.land(to, r) })
+	return a.await(to, runner, cancel, ends)
+}
+
+// await waits for the end of an attempt: the executor's word, the deadline, the
+// caller's leaving, or the executor's silence, where the request may go on.
+func (a *attempts) await(to *tables.Candidate, runner call.Runner, cancel func(), ends <-chan call.Result) call.Result {
 	bound := time.NewTimer(a.left() + grace)
 	defer bound.Stop()
-	select {
-	case result := <-ends:
-		return result
-	case <-bound.C:
-		cancel()
-		return a.unheard(errkind.New(errkind.DeadlineWhileRunning, "no word of %s in time", to.Route.VM))
-	case <-a.ctx.Done():
-		cancel()
-		return a.unheard(errkind.New(errkind.CallerGone, "the caller left").Maybe())
+	watch := newWatch(runner)
+	defer watch.stop()
+	for {
+		select {
+		case result := <-ends:
+			return result
+		case <-watch.due():
+			if !watch.silent() {
+				continue
+			}
+			to.Load.Silent(a.owner.Now())
+			if a.route.Repeatable {
+				cancel()
+				return a.unheard(errkind.New(errkind.LinkLost, "%s gives no sign of life", to.Route.VM))
+			}
+		case <-bound.C:
+			cancel()
+			return a.unheard(errkind.New(errkind.DeadlineWhileRunning, "no word of %s in time", to.Route.VM))
+		case <-a.ctx.Done():
+			cancel()
+			return a.unheard(errkind.New(errkind.CallerGone, "the caller left").Maybe())
+		}
 	}
 }
 
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -252,3 +252,76 @@
 	test.True(t, b.take())
 	test.True(t, b.take())
 }
+
+// quietRunner is the runner of a link whose peer may give signs of life.
+type quietRunner struct {
+	fakeRunner
+	heard  func() time.Duration
+	probes int
+}
+
+func (q *quietRunner) Silence() time.Duration { return q.heard() }
+func (q *quietRunner) Probe()                 { q.probes++ }
+
+// withRunner puts a runner in the place of the first backend server's.
+func withRunner(f *Forwarder, r call.Runner) {
+	f.view.Service("s").Match("GET", "/").Ready[0].Route.SetRunner(r)
+}
+
+func TestARequestThatMayBeRepeatedLeavesASilentExecutor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		dead := &quietRunner{fakeRunner: fakeRunner{answer: silent}, heard: func() time.Duration { return time.Since(began) + time.Second }}
+		alive := &fakeRunner{answer: refuses(errkind.GateBusier, false)}
+		f := newForwarder(&fakeRunner{}, alive)
+		withRunner(f, dead)
+		alive.answer = func(c *wire.Call) (call.Result, bool) {
+			if len(dead.calls) == 0 {
+				return call.Refused(errkind.GateBusier, ""), false
+			}
+			return answers(200)(c)
+		}
+		got := f.Forward(t.Context(), request("/read/"))
+		must.NotNil(t, got.Answer)
+		test.Eq(t, probeAfter+silentAfter, time.Since(began))
+		test.Eq(t, 1, dead.probes)
+		test.Eq(t, 1, dead.cancelled)
+		// The next request does not ask it first.
+		got = f.Forward(t.Context(), request("/read/"))
+		must.NotNil(t, got.Answer)
+		test.Len(t, 1, dead.calls)
+	})
+}
+
+func TestAnExecutorThatGivesSignsOfLifeIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := &quietRunner{fakeRunner: fakeRunner{answer: silent}, heard: func() time.Duration { return time.Millisecond }}
+		f := newForwarder(&fakeRunner{})
+		withRunner(f, slow)
+		began := time.Now()
+		got := f.Forward(t.Context(), request("/read/"))
+		must.NotNil(t, got.Refusal)
+		test.Eq(t, errkind.DeadlineWhileRunning, got.Refusal.Kind)
+		test.Eq(t, time.Second+grace, time.Since(began))
+		test.Eq(t, 0, slow.probes)
+	})
+}
+
+func TestAPostStaysWithASilentExecutor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dead := &quietRunner{fakeRunner: fakeRunner{answer: silent}, heard: func() time.Duration { return time.Hour }}
+		other := &fakeRunner{answer: answers(200)}
+		f := newForwarder(&fakeRunner{}, other)
+		withRunner(f, dead)
+		other.answer = func(c *wire.Call) (call.Result, bool) {
+			if len(dead.calls) == 0 {
+				return call.Refused(errkind.BackendAbsent, ""), false
+			}
+			return answers(200)(c)
+		}
+		got := f.Forward(t.Context(), request("/post/"))
+		must.NotNil(t, got.Refusal)
+		test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+		test.Len(t, 1, dead.calls)
+	})
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -95,7 +95,7 @@
 	switch {
 	case job.Soft && g.busyForSoft(job):
 		return errkind.New(errkind.GateBusier, "")
-	case job.EndBy > 0 && now+int64(wait+service) > job.EndBy:
+	case job.EndBy > 0 && now+int64(wait+service) > job.EndBy && !g.unhindered(free):
 		return errkind.New(errkind.Overloaded, "wait %v and run %v would end too late", wait.Round(time.Millisecond), service.Round(time.Millisecond))
 	case job.Deadline <= now:
 		return errkind.New(errkind.DeadlineBeforeRun, "no time was left at the gate")
@@ -126,6 +126,11 @@
 	return (ahead + service) / time.Duration(limit)
 }
 
+// unhindered is true while a job would start at once on a backend server that
+// works as usual. It is admitted then whatever the estimate of its work says:
+// an estimate that is too long would else refuse all runs that could correct it.
+func (g *Gate) unhindered(free bool) bool { return free && g.slowdown <= g.opts.SoftSlowdown }
+
 // busyForSoft is true while a soft job is better off elsewhere. A nearly full
 // backend server counts: work slows there.
 func (g *Gate) busyForSoft(job *Job) bool {
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -268,3 +268,17 @@
 	start, _ := g.Tick(2)
 	test.Len(t, 1, start)
 }
+
+// TestAnEstimateThatIsTooLongDoesNotCloseTheGate: the work time was learnt in a
+// bad moment and is over each target.
+func TestAnEstimateThatIsTooLongDoesNotCloseTheGate(t *testing.T) {
+	g := routedGate()
+	job := func() *Job { return &Job{Deadline: int64(time.Hour), EndBy: int64(time.Second), Work: time.Minute} }
+	run, refusal := g.Admit(1, job())
+	must.Nil(t, refusal)
+	test.True(t, run)
+	g.SetSlowdown(4)
+	_, refusal = g.Admit(1, job())
+	must.NotNil(t, refusal)
+	test.Eq(t, errkind.Overloaded, refusal.Kind)
+}
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -50,6 +50,8 @@
 	// roundTrip is the shortest of the pings, in nanoseconds.
 	roundTrip atomic.Int64
 	pings     atomic.Int64
+	// heardAt is when anything last came from the peer, since start.
+	heardAt atomic.Int64
 }
 
 // newConn starts the writer. idle is the time without traffic after which a
@@ -74,6 +76,15 @@
 	}
 }
 
+// Silence is how long nothing has come from the peer.
+func (c *Conn) Silence() time.Duration {
+	return time.Since(c.start) - time.Duration(c.heardAt.Load())
+}
+
+// Probe asks the peer for a sign of life; Silence shows whether one came. It
+// does not wait: a link behind a cut may not take even a ping.
+func (c *Conn) Probe() { go c.ping() }
+
 // ping measures the round trip. The time travels in the ping and comes back.
 func (c *Conn) ping() {
 	c.pings.Add(1)
@@ -84,6 +95,7 @@
 }
 
 func (c *Conn) pong(data string) error {
+	c.heardAt.Store(int64(time.Since(c.start)))
 	if len(data) != 8 {
 		return nil
 	}
@@ -223,6 +235,7 @@
 			return err
 		}
 		c.read.add(len(data))
+		c.heardAt.Store(int64(time.Since(c.start)))
 		if err := c.readMessage(data, receive); err != nil {
 			return err
 		}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -213,6 +213,7 @@
 	if !ok {
 		return call.Refused(errkind.BackendAbsent, "the backend server stopped taking requests"), false
 	}
+	slowdown := r.load.Slowdown()
 	ctx, stop := context.WithTimeout(context.Background(), left)
 	defer stop()
 	if !run.begin(stop) {
@@ -228,7 +229,7 @@
 	reply.Answer.Run = took
 	worked := reply.Answer.Status < 500
 	if worked {
-		r.work.Note(run.call.Kind, took, r.load.Slowdown())
+		r.work.Note(run.call.Kind, took, (slowdown+r.load.Slowdown())/2)
 	}
 	return call.Result{Answer: reply.Answer, Offered: true}, worked
 }
--- a/pkg/tables/load.go
+++ b/pkg/tables/load.go
@@ -32,6 +32,8 @@
 	failures    atomic.Int64
 	distance    atomic.Int64
 	slowdown    atomic.Int64
+	// silentAt is when the daemon was found silent; 0: it was heard since.
+	silentAt atomic.Int64
 }
 
 // NewLoad makes the row of a backend server that has not been heard of.
@@ -55,6 +57,9 @@
 	l.quietFrom.Store(now)
 }
 
+// Silent notes that the daemon gives no sign of life.
+func (l *Load) Silent(now int64) { l.silentAt.Store(now) }
+
 // Answered notes how a call that the backend server answered ended.
 func (l *Load) Answered(failed bool) {
 	old := l.failures.Load()
@@ -81,6 +86,7 @@
 	l.limit.Store(max(int64(stamp.Limit), 1))
 	l.service.Store(int64(stamp.ServiceUS) * int64(time.Microsecond))
 	l.slowdown.Store(int64(stamp.Slowdown))
+	l.silentAt.Store(0)
 	l.stampAt.Store(now)
 	l.sentSince.Store(0)
 }
@@ -94,6 +100,7 @@
 	l.sentSince.Store(0)
 	l.failures.Store(0)
 	l.slowdown.Store(0)
+	l.silentAt.Store(0)
 	l.limit.Store(int64(max(slots, 1)))
 }
 
@@ -119,6 +126,9 @@
 	// Slowdown is how long work takes there, in percent of what is usual; 0: not
 	// known.
 	Slowdown int64
+	// SilentFor is how long ago the daemon was found silent; 0: it was not, or
+	// was heard since.
+	SilentFor time.Duration
 	// FailureShare is the weighted share of recent answers that were failures.
 	FailureShare float64
 }
@@ -141,6 +151,10 @@
 	out.SentSince = l.sentSince.Load()
 	out.Distance = time.Duration(l.distance.Load())
 	out.Slowdown = l.slowdown.Load()
+	out.SilentFor = 0
+	if at := l.silentAt.Load(); at > 0 {
+		out.SilentFor = time.Duration(max(now-at, 1))
+	}
 	out.QuietFor = 0
 	if out.Outstanding > 0 {
 		out.QuietFor = time.Duration(max(now-l.quietFrom.Load(), 0))
--- a/pkg/worktime/worktime.go
+++ b/pkg/worktime/worktime.go
@@ -8,8 +8,12 @@
 )
 
 const (
-	// weight is the weight of one run in the work time of its route.
-	weight = 1.0 / 8
+	// fallWeight and riseWeight are the weights of a run that is shorter, and of
+	// one that is longer, than the work time of its route. Runs are mostly long
+	// for reasons that are not the route's (slow times that nobody told of, slow
+	// calls), so the work time follows short ones sooner.
+	fallWeight = 1.0 / 8
+	riseWeight = 1.0 / 24
 	// mostRoutes bounds the routes whose work times are kept.
 	mostRoutes = 4096
 	// usualPercent is the slowdown of a backend server that works as usual.
@@ -48,5 +52,9 @@
 		}
 		old = work
 	}
+	weight := fallWeight
+	if work > old {
+		weight = riseWeight
+	}
 	t.byRoute[route] = old + (work-old)*weight
 }
