--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,8 @@
 # The commands of the README. CI calls check and test.
 GO ?= go
 BIN := bin
+# Names of the users' platform, which only platform/ may know.
+PLATFORM_WORDS := X-Rushramp-|op/config|rows-(tx|get|feed|parts)|blob-(put|get)|heartbeat-addr|path-prefix|weighted-clusters|RUSHRAMP_CONFIG
 
 .PHONY: run test check build generate
 
@@ -18,6 +20,7 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 	$(GO) run ./tools/gendocs -check
+	@! git grep -nIE "$(PLATFORM_WORDS)" -- '*.go' ':!platform' || { echo "the platform's names belong in platform/: move the lines above there"; exit 1; }
 
 # Pages only; operators.proto is compiled with the pinned plugins by tools/genproto.
 generate:
