--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -34,6 +34,9 @@
 	MaxCost time.Duration
 	// Rank orders jobs of routed requests, 0 first; it goes before the deadline.
 	Rank uint8
+	// Called jobs go first among those of one rank: a service waits for each in
+	// the middle of a run, with its slot held.
+	Called bool
 	// Work is how long the job would run at a backend server that works as
 	// usual; 0: the gate takes its own estimate of all jobs.
 	Work time.Duration
@@ -121,6 +124,9 @@
 			if a.Rank != b.Rank {
 				return a.Rank < b.Rank
 			}
+			if a.Called != b.Called {
+				return a.Called
+			}
 			if a.Deadline != b.Deadline {
 				return a.Deadline < b.Deadline
 			}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -136,9 +136,10 @@
 		run.refuse(refusal)
 		return func() {}
 	}
+	called := r.origins.note(c.Kind, c.Routed.Caller)
 	run.job = gate.Job{
-		Rank: c.Routed.Priority, Deadline: run.deadline, Work: r.work.Of(c.Kind),
-		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: r.endBy(now, run), Start: run.start, SendBack: run.sendBack,
+		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.Of(c.Kind),
+		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: endBy(now, run, called), Start: run.start, SendBack: run.sendBack,
 	}
 	admitted, refusal := r.gate.Admit(now, &run.job)
 	switch {
@@ -181,12 +182,11 @@
 // endBy is until when the request's run should have ended: within its target,
 // or, for calls that services make, within their deadline. A call that is
 // refused fails the request that made it, which has run already.
-func (r *Runner) endBy(now int64, run *routedRun) int64 {
-	c := run.call
-	if r.origins.note(c.Kind, c.Routed.Caller) {
+func endBy(now int64, run *routedRun, called bool) int64 {
+	if called {
 		return run.deadline
 	}
-	return min(run.deadline, now+int64(c.Routed.Target))
+	return min(run.deadline, now+int64(run.call.Routed.Target))
 }
 
 // expire refuses a request that waited for as long as it may.
