Gate: late runs are admitted as probes only

Ruled out: leaving the work time slow to rise (it lagged the burst by 2 s).

Change: at most one run in 100 ms that is expected to be late, where it would start at once at usual speed; work times follow faster (1/8 up, 1/4 down).

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -51,6 +51,8 @@
 	slots int
 	// slowdown is what the backend server says of itself; 1: as usual.
 	slowdown float64
+	// probedAt is when a job was last admitted that was expected to be late.
+	probedAt int64
 
 	stampSeq atomic.Uint64
 	// inFlight repeats running plus queued for readers without the lock.
@@ -59,7 +61,7 @@
 
 // New makes a gate.
 func New(opts Options) *Gate {
-	return &Gate{opts: opts, queue: newQueue(opts.Order), slots: opts.Slots, slowdown: 1}
+	return &Gate{opts: opts, queue: newQueue(opts.Order), slots: opts.Slots, slowdown: 1, probedAt: -probeEvery}
 }
 
 // Admit takes a job in. run is true when the owner must start it now; false
@@ -95,7 +97,7 @@
 	switch {
 	case job.Soft && g.busyForSoft(job):
 		return errkind.New(errkind.GateBusier, "")
-	case job.EndBy > 0 && now+int64(wait+service) > job.EndBy && !g.unhindered(free):
+	case job.EndBy > 0 && now+int64(wait+service) > job.EndBy && !g.probes(now, free):
 		return errkind.New(errkind.Overloaded, "wait %v and run %v would end too late", wait.Round(time.Millisecond), service.Round(time.Millisecond))
 	case job.Deadline <= now:
 		return errkind.New(errkind.DeadlineBeforeRun, "no time was left at the gate")
@@ -126,10 +128,21 @@
 	return (ahead + service) / time.Duration(limit)
 }
 
-// unhindered is true while a job would start at once on a backend server that
-// works as usual. It is admitted then whatever the estimate of its work says:
-// an estimate that is too long would else refuse all runs that could correct it.
-func (g *Gate) unhindered(free bool) bool { return free && g.slowdown <= g.opts.SoftSlowdown }
+// probeEvery is the least time between two runs that are admitted although
+// they are expected to end too late, in nanoseconds.
+const probeEvery = int64(100 * time.Millisecond)
+
+// probes decides whether a job that would end too late runs all the same: it
+// would start at once on a backend server that works as usual, and no other did
+// so lately. An estimate that is too long would else refuse all the runs that
+// could correct it.
+func (g *Gate) probes(now int64, free bool) bool {
+	if !free || g.slowdown > g.opts.SoftSlowdown || now-g.probedAt < probeEvery {
+		return false
+	}
+	g.probedAt = now
+	return true
+}
 
 // busyForSoft is true while a soft job is better off elsewhere. A nearly full
 // backend server counts: work slows there.
--- a/pkg/worktime/worktime.go
+++ b/pkg/worktime/worktime.go
@@ -12,8 +12,8 @@
 	// one that is longer, than the work time of its route. Runs are mostly long
 	// for reasons that are not the route's (slow times that nobody told of, slow
 	// calls), so the work time follows short ones sooner.
-	fallWeight = 1.0 / 8
-	riseWeight = 1.0 / 24
+	fallWeight = 1.0 / 4
+	riseWeight = 1.0 / 8
 	// mostRoutes bounds the routes whose work times are kept.
 	mostRoutes = 4096
 	// usualPercent is the slowdown of a backend server that works as usual.
