A feed of placements is followed by six daemons of a data centre; the others learn over links

Ruled out: counting readers from the table of members (members that are gone but not forgotten would take the places, and nobody would follow): only daemons with a live link count.

Change: placement.feed_readers (6); a daemon without a version or with fewer than two links follows in any case; a pull takes a peer of the own data centre among equals.

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -192,6 +192,8 @@
 	HeadEvery time.Duration `yaml:"head_every" validate:"min=10ms"`
 	// Number of head readers per data centre.
 	HeadReaders int `yaml:"head_readers" validate:"min=1,max=10"`
+	// Number of daemons per data centre that follow a feed of placements, where the store has one.
+	FeedReaders int `yaml:"feed_readers" validate:"min=1,max=1000"`
 	// Time without news of the store or of other data centres after which strict kinds are refused.
 	UnsureAfter time.Duration `yaml:"unsure_after" validate:"min=100ms"`
 	// What a caller outside the allowed data centres receives.
@@ -270,7 +272,7 @@
 		},
 		Once: Once{Timeout: 500 * time.Millisecond, KeepFor: 48 * time.Hour, StoredAnswerBytes: 4096},
 		Placement: Placement{
-			HeadEvery: time.Second, HeadReaders: 2,
+			HeadEvery: time.Second, HeadReaders: 2, FeedReaders: 6,
 			UnsureAfter: 15 * time.Second, Misplaced: "redirect",
 		},
 		Measurement: Measurement{BytesPerSecond: 15000},
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -10,9 +10,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/utils"
 )
 
 const (
@@ -26,6 +28,8 @@
 	// feedRest and feedRestMost bound the rest after a failure.
 	feedRest     = 100 * time.Millisecond
 	feedRestMost = 2 * time.Second
+	// feedLook is the time between two looks whether this daemon must follow.
+	feedLook = 300 * time.Millisecond
 	// feedTrust is how long a request to the feed may know less than a peer
 	// before it is given up and opened again.
 	feedTrust = 300 * time.Millisecond
@@ -37,6 +41,9 @@
 	*Env
 	outage  *events.Outage
 	started sync.Once
+	lookDue due
+	// resting is true while others of this data centre follow the feed.
+	resting atomic.Bool
 	// told is the highest version that the feed has told, aheadSince since when
 	// a peer has told more; 0: it has not.
 	told       atomic.Uint64
@@ -59,6 +66,9 @@
 
 // Tick implements System.
 func (f *follower) Tick(now int64, _ *tables.Mail) {
+	if f.lookDue.at(now, feedLook) {
+		f.resting.Store(!f.mustFollow())
+	}
 	f.started.Do(func() { go f.run() })
 	if f.World.Version() <= f.told.Load() {
 		f.aheadSince = 0
@@ -73,6 +83,29 @@
 	}
 }
 
+// mustFollow is true for the first few daemons of each data centre, for one
+// that has no version yet, and for one that has few links: it may be the only
+// one that hears the store. All others learn over their links.
+func (f *follower) mustFollow() bool {
+	return f.World.Placement == nil || f.World.Peers.Len() < fewLinks || f.ahead() < f.Settings.Placement.FeedReaders
+}
+
+// ahead counts the daemons of this data centre that come before this one by
+// rendezvous hash. Only those with a link count: a member that is gone but not
+// forgotten follows nothing. Where links are few, more daemons follow, which
+// costs calls and is never wrong.
+func (f *follower) ahead() int {
+	mine := utils.Rendezvous(f.World.DataCentre, f.World.VM)
+	before := map[string]struct{}{}
+	f.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
+		hello := &peer.Hello
+		if hello.DataCentre == f.World.DataCentre && !row.Leaving && utils.Rendezvous(f.World.DataCentre, hello.VM) > mine {
+			before[hello.VM] = struct{}{}
+		}
+	})
+	return len(before)
+}
+
 // reopen gives up the request that hangs: it may hang behind a cut.
 func (f *follower) reopen() {
 	f.mu.Lock()
@@ -85,6 +118,12 @@
 func (f *follower) run() {
 	at, rest := feedPlace{}, feedRest
 	for f.Background.Err() == nil {
+		if f.resting.Load() {
+			// Where the feed went on is of no use later: others followed it.
+			at = feedPlace{}
+			f.sleep(feedLook)
+			continue
+		}
 		next, err := f.step(at)
 		f.outage.Note(err)
 		if err == nil {
--- a/pkg/systems/follower_test.go
+++ b/pkg/systems/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,9 +12,12 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/utils"
+	"github.com/rushramp/rushramp/pkg/wire"
 )
 
 // scriptedFeed answers each request by hand; one without a step hangs until its
@@ -116,3 +120,33 @@
 		test.Between(t, 8, len(feed.asked), 30)
 	})
 }
+
+// TestOnlyAFewDaemonsOfADataCentreFollowTheFeed: the others learn over links,
+// and follow when they are alone.
+func TestOnlyAFewDaemonsOfADataCentreFollowTheFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &scriptedFeed{steps: []func(uint64) (placement.FeedUpdate, error){tells(4, 10)}}
+		env, tick := follow(t, feed)
+		env.Settings.Placement.FeedReaders = 1
+		tick(feedLook)
+		must.Eq(t, 4, env.World.Version(), must.Sprint("a daemon without a version reads it"))
+		rank := utils.Rendezvous("here", "vm")
+		var peers []*link.Peer
+		for n := 0; len(peers) < 2; n++ {
+			if vm := fmt.Sprint("other", n); utils.Rendezvous("here", vm) > rank {
+				peers = append(peers, &link.Peer{Hello: wire.Hello{VM: vm, DataCentre: "here"}})
+				env.World.Peers.Put(peers[len(peers)-1])
+			}
+		}
+		asked := len(feed.asked)
+		feed.mu.Lock()
+		feed.steps = append(feed.steps, tells(5, 11))
+		feed.mu.Unlock()
+		tick(30 * time.Second)
+		test.LessEq(t, asked+1, len(feed.asked), test.Sprint("it rests after the request that hung"))
+		env.World.Peers.Remove(peers[0])
+		env.World.Peers.Remove(peers[1])
+		tick(2 * feedLook)
+		must.Eq(t, 5, env.World.Version(), must.Sprint("one that is alone follows"))
+	})
+}
--- a/pkg/systems/placements.go
+++ b/pkg/systems/placements.go
@@ -149,7 +149,7 @@
 	var bestRow *tables.PeerRow
 	pl.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
 		ahead := row.Placement > have || (pl.World.Placement == nil && row.Placement > 0 && !pl.offered(peer))
-		if ahead && (best == nil || row.Placement > bestRow.Placement) {
+		if ahead && (best == nil || row.Placement > bestRow.Placement || row.Placement == bestRow.Placement && pl.isNearer(peer, best)) {
 			best, bestRow = peer, row
 		}
 	})
@@ -161,6 +161,13 @@
 	_ = best.Send(&wire.Pull{Have: have})
 }
 
+// isNearer is true when only the first of two peers is in the own data centre:
+// bytes between data centres have a price.
+func (pl *placements) isNearer(a, b *link.Peer) bool {
+	own := pl.World.DataCentre
+	return a.Hello.DataCentre == own && b.Hello.DataCentre != own
+}
+
 func (pl *placements) offered(peer *link.Peer) bool {
 	_, ok := pl.offers[peer.Hello.DataCentre]
 	return ok
