--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -26,6 +26,10 @@
 	probeTimeout = 400 * time.Millisecond
 	// seekEvery is the time between two questions while no incarnation is known.
 	seekEvery = 60 * time.Millisecond
+	// idleAfter is how long no request must have come for the backend server to
+	// be asked idlePace times less often.
+	idleAfter = 500 * time.Millisecond
+	idlePace  = 4
 	// closeWithin bounds the end of the callers' connections.
 	closeWithin = 300 * time.Millisecond
 )
@@ -174,13 +178,14 @@
 
 // look asks once where that is due, and returns when to look again.
 func (r *routed) look(ctx context.Context) time.Duration {
-	every := r.daemon.Settings.Routing.HealthEvery
+	now := r.daemon.Now()
+	every := healthPace(r.daemon.Settings.Routing.HealthEvery, r.runner.IdleFor(now))
 	path := r.healthPath()
 	if path == "" {
 		return seekEvery
 	}
 	_, accepting := r.lifecycle.Accepting()
-	if age := r.load.Age(r.daemon.Now()); accepting && age < every {
+	if age := r.load.Age(now); accepting && age < every {
 		return every - age
 	}
 	r.ask(ctx, path)
@@ -190,6 +195,15 @@
 	return every
 }
 
+// healthPace is how old the backend server's word may be: older while nobody
+// sends it requests, so that asking costs little where nothing depends on it.
+func healthPace(every, idleFor time.Duration) time.Duration {
+	if idleFor > idleAfter {
+		return idlePace * every
+	}
+	return every
+}
+
 func (r *routed) ask(ctx context.Context, path string) {
 	health, err := r.prober.Probe(ctx, path)
 	if err != nil {
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -40,6 +40,8 @@
 	origins   *origins
 	leaving   atomic.Bool
 	inFlight  atomic.Int64
+	// askedAt is when a request last came, in nanoseconds.
+	askedAt atomic.Int64
 }
 
 // NewRunner makes a runner. lifecycle and load are kept
@@ -74,6 +76,9 @@
 // InFlight counts requests that were taken in and have not ended.
 func (r *Runner) InFlight() int64 { return r.inFlight.Load() }
 
+// IdleFor is how long no request has come.
+func (r *Runner) IdleFor(now int64) time.Duration { return time.Duration(now - r.askedAt.Load()) }
+
 // Close frees the pool and the connections.
 func (r *Runner) Close() {
 	r.pool.Release()
@@ -131,6 +136,7 @@
 func (r *Runner) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
 	r.inFlight.Add(1)
 	now := r.Now()
+	r.askedAt.Store(now)
 	run := &routedRun{owner: r, call: c, body: body, done: done, deadline: now + int64(c.Remaining)}
 	if refusal := r.check(c); refusal != nil {
 		run.refuse(refusal)
