--- a/pkg/operators/status.go
+++ b/pkg/operators/status.go
@@ -87,7 +87,7 @@
 func (se *Server) fillExplain(w *tables.World, kind *placement.CompiledKind, out *api.ExplainResponse) {
 	inSubset := map[string]bool{}
 	req := &choose.Request{Now: se.Now()}
-	for _, route := range systems.Subset(w, se.Settings.Choosing.Subset, kind) {
+	for _, route := range systems.Subset(w, se.Settings.Choosing, kind) {
 		inSubset[route.VM] = true
 		if route.Runner() != nil {
 			req.Set = append(req.Set, tables.Candidate{Route: route, Load: route.Load})
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -144,6 +144,8 @@
 	SoftFirst bool `yaml:"soft_first"`
 	// Number of backend servers that one entry works with in a large service.
 	Subset int `yaml:"subset" validate:"min=2,max=1000"`
+	// Share of them that is taken from the own data centre first, where it has that many.
+	NearShare float64 `yaml:"near_share" validate:"min=0,max=1"`
 	// Age at which a load report has lost most of its weight.
 	StampHalfLife time.Duration `yaml:"stamp_half_life" validate:"min=1ms"`
 }
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -8,6 +8,7 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/utils"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -187,7 +188,7 @@
 		return
 	}
 	for _, kind := range compiled.Kinds {
-		l.openAll(now, Subset(l.World, l.Settings.Choosing.Subset, kind))
+		l.openAll(now, Subset(l.World, l.Settings.Choosing, kind))
 	}
 }
 
@@ -253,8 +254,9 @@
 
 // Subset returns the routes that this entry works with for a kind: all of
 // them in a small service, else the first ones by rendezvous hash on this
-// daemon's name, so that each entry has its own stable choice.
-func Subset(w *tables.World, size int, kind *placement.CompiledKind) []*tables.Route {
+// daemon's name, so that each entry has its own stable choice. Up to a share of
+// them is taken from the own data centre first (choosing.near_share).
+func Subset(w *tables.World, choosing settings.Choosing, kind *placement.CompiledKind) []*tables.Route {
 	var all []*tables.Route
 	w.Members.Service(kind.Service, func(row int) {
 		takes := !w.Members.Leaving(row) && w.Members.Row[row].Backend == wire.BackendLive
@@ -263,11 +265,26 @@
 		}
 	})
 	sort.Slice(all, func(i, j int) bool { return all[i].VM < all[j].VM })
+	size := choosing.Subset
 	if len(all) <= size {
 		return all
 	}
 	sort.SliceStable(all, func(i, j int) bool {
 		return utils.Rendezvous(w.VM, all[i].VM) > utils.Rendezvous(w.VM, all[j].VM)
 	})
-	return all[:size]
+	return nearFirst(all, w.DataCentre, int(choosing.NearShare*float64(size)))[:size]
+}
+
+// nearFirst moves up to most routes of a data centre to the front.
+func nearFirst(routes []*tables.Route, dataCentre string, most int) []*tables.Route {
+	out := make([]*tables.Route, 0, len(routes))
+	var rest []*tables.Route
+	for _, route := range routes {
+		if route.DataCentre == dataCentre && len(out) < most {
+			out = append(out, route)
+			continue
+		}
+		rest = append(rest, route)
+	}
+	return append(out, rest...)
 }
