Runner: the slots of a heartbeat reach the gate

A heartbeat's slots went into the load table only; the gate took them over with the next load header. A backend server that tells no load would keep the gate at the 12 slots of the settings template, whatever it has. Ruled out: a setting per service (the heartbeat says it). Change: TakeSlots for heartbeats and load headers alike; TestSlotsOfABackendServerThatTellsNoLoad did not compile before, since nothing took slots without a header.

--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -140,7 +140,7 @@
 
 // Heartbeat implements backend.Announcer.
 func (r *routed) Heartbeat(ctx context.Context, h backend.Heartbeat) {
-	r.load.SetSlots(h.Slots)
+	r.runner.TakeSlots(h.Slots)
 	if r.lifecycle.Heartbeat(r.daemon.Now(), h) {
 		r.keep(ctx, h.Instance)
 	}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -100,15 +100,22 @@
 	}
 }
 
+// TakeSlots takes over how many requests the backend server runs at once; 0 is
+// passed over.
+func (r *Runner) TakeSlots(slots int) {
+	r.load.SetSlots(slots)
+	if slots > 0 && slots != r.gate.Slots() {
+		r.gate.SetSlots(slots)
+	}
+}
+
 // TakeLoad takes over a load header's text that came now.
 func (r *Runner) TakeLoad(text string) {
 	if text == "" {
 		return
 	}
 	r.load.Take(r.Now(), text)
-	if slots := r.load.Slots(); slots > 0 && slots != r.gate.Slots() {
-		r.gate.SetSlots(slots)
-	}
+	r.TakeSlots(r.load.Slots())
 	if slowdown := r.load.Slowdown(); slowdown > 0 {
 		r.gate.SetSlowdown(float64(slowdown) / 100)
 	}
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -180,3 +180,13 @@
 	test.False(t, o.note("outside", "a"))
 	test.False(t, o.note("called", "b"))
 }
+
+// TestSlotsOfABackendServerThatTellsNoLoad: not all put a load header into
+// their answers; their heartbeats say how many slots they have.
+func TestSlotsOfABackendServerThatTellsNoLoad(t *testing.T) {
+	r, _ := newTestRunner(t, newHeld(), 12)
+	r.TakeSlots(6)
+	test.Eq(t, 6, r.Gate().Slots())
+	r.TakeSlots(0)
+	test.Eq(t, 6, r.Gate().Slots())
+}
