Planned stop: the listener closes before the bound

Ruled out: the change of the slots before it (the requests were taken 5 s after SIGTERM by a process that had not closed its listener). Change: after the linger (2.5 s) the listener and resting connections close and requests in flight have until the bound, 5.6 s in the platform's template.

--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -232,4 +232,9 @@
 	r.ingress.Leave()
 	time.Sleep(time.Until(began.Add(r.daemon.Settings.Routing.Linger)))
 	r.runner.Leave()
+	// Callers may go on coming, as when too few daemons of their data centre
+	// are in: what would be taken from here on might have to be cut.
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(r.daemon.Settings.Drain.Bound))
+	defer cancel()
+	r.ingress.Close(ctx)
 }
