Executor: the backend server's speed is asked right before a start

Change: a request that could start and whose backend server's word is older than 10 ms waits for one health check, which all share that come meanwhile: 8 ms at most, 40 a second in the mean, with pauses after checks that fail.

--- /dev/null
+++ b/pkg/backend/checker.go
@@ -0,0 +1,141 @@
+package backend
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// checkPause is how long nothing is asked after a check that failed or that
+	// outlasted CheckerOptions.Within; it doubles up to longestCheckPause while
+	// checks go on failing. A backend server that hangs costs each starting
+	// request Within once a pause.
+	checkPause        = 500 * time.Millisecond
+	longestCheckPause = 8 * time.Second
+	// checkBurst is how many seconds of checks may be saved up: spells of noise
+	// come in groups.
+	checkBurst = 2
+)
+
+// CheckerOptions bound what health checks cost.
+type CheckerOptions struct {
+	// Within is how long those who wait for a check are held up at most.
+	Within time.Duration
+	// PerSecond is how many checks a second are made in the mean at most.
+	PerSecond int
+}
+
+// Checker makes the health checks of one backend server for all who need its
+// word on its speed: those who ask while a check is under way share its answer,
+// and a backend server that does not answer holds nobody up for long. It is safe
+// for concurrent use.
+type Checker struct {
+	opts  CheckerOptions
+	check func(context.Context) error
+	limit *rate.Limiter
+
+	mu sync.Mutex
+	// waiting are those who wait for the check under way.
+	waiting []func()
+	// busy is true while a check is under way, late once it outlasted Within.
+	busy bool
+	late bool
+	// pause is the length of the next pause; resumeAt ends the present one.
+	pause    time.Duration
+	resumeAt time.Time
+}
+
+// NewChecker makes a checker. check asks once, and takes the answer over before
+// it returns.
+func NewChecker(opts CheckerOptions, check func(context.Context) error) *Checker {
+	return &Checker{
+		opts: opts, check: check, pause: checkPause,
+		limit: rate.NewLimiter(rate.Limit(opts.PerSecond), checkBurst*opts.PerSecond),
+	}
+}
+
+// Check has the backend server asked, unless that is under way, and calls done
+// when the answer was taken over or Within has passed. It returns false, and
+// never calls done, where a check is not allowed now: the rate is used up, or
+// checks have just failed.
+func (c *Checker) Check(done func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	switch {
+	case c.busy && c.late:
+		return false
+	case !c.busy && (now.Before(c.resumeAt) || !c.limit.AllowN(now, 1)):
+		return false
+	}
+	c.join(done)
+	return true
+}
+
+// Watch has the backend server asked by those who follow whether it lives, at
+// a pace of their own: no pause and no rate holds for them. done is called when
+// the answer was taken over or Within has passed.
+func (c *Checker) Watch(done func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.join(done)
+}
+
+// join adds one who waits, and begins a check where none is under way; the lock
+// is held.
+func (c *Checker) join(done func()) {
+	c.waiting = append(c.waiting, done)
+	if c.busy {
+		return
+	}
+	c.busy, c.late = true, false
+	go c.run()
+}
+
+// run makes one check.
+func (c *Checker) run() {
+	timer := time.AfterFunc(c.opts.Within, c.giveUp)
+	err := c.check(context.Background())
+	timer.Stop()
+	c.mu.Lock()
+	c.busy = false
+	c.notePause(err != nil || c.late)
+	waiting := c.take()
+	c.mu.Unlock()
+	callAll(waiting)
+}
+
+// giveUp lets those go on who wait for a check that outlasts its time.
+func (c *Checker) giveUp() {
+	c.mu.Lock()
+	c.late = c.busy
+	waiting := c.take()
+	c.mu.Unlock()
+	callAll(waiting)
+}
+
+// notePause sets the pause that follows a check; the lock is held.
+func (c *Checker) notePause(failed bool) {
+	if !failed {
+		c.pause = checkPause
+		return
+	}
+	c.resumeAt = time.Now().Add(c.pause)
+	c.pause = min(2*c.pause, longestCheckPause)
+}
+
+// take empties the list of those who wait; the lock is held.
+func (c *Checker) take() []func() {
+	out := c.waiting
+	c.waiting = nil
+	return out
+}
+
+func callAll(all []func()) {
+	for _, done := range all {
+		done()
+	}
+}
--- /dev/null
+++ b/pkg/backend/checker_test.go
@@ -0,0 +1,112 @@
+package backend
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test"
+)
+
+// checks is a health path that answers after a while, or fails.
+type checks struct {
+	made  int
+	takes time.Duration
+	err   error
+}
+
+func (c *checks) check(context.Context) error {
+	c.made++
+	time.Sleep(c.takes)
+	return c.err
+}
+
+const within = 8 * time.Millisecond
+
+func newTestChecker(c *checks, perSecond int) *Checker {
+	return NewChecker(CheckerOptions{Within: within, PerSecond: perSecond}, c.check)
+}
+
+func TestAChecksAnswerIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := &checks{takes: time.Millisecond}
+		checker := newTestChecker(path, 40)
+		told := 0
+		for range 5 {
+			test.True(t, checker.Check(func() { told++ }))
+		}
+		time.Sleep(2 * time.Millisecond)
+		test.Eq(t, 1, path.made)
+		test.Eq(t, 5, told)
+	})
+}
+
+func TestChecksKeepToTheirRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := &checks{}
+		checker := newTestChecker(path, 40)
+		const seconds = 20
+		for range seconds * 1000 {
+			checker.Check(func() {})
+			time.Sleep(time.Millisecond)
+		}
+		test.Between(t, seconds*39, path.made, (seconds+checkBurst)*40)
+	})
+}
+
+// TestAHungHealthPathHoldsNobodyUp: those who wait go on after a few
+// milliseconds, and nobody waits again before a pause, which grows.
+func TestAHungHealthPathHoldsNobodyUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := &checks{takes: 400 * time.Millisecond}
+		checker := newTestChecker(path, 40)
+		began := time.Now()
+		var waited []time.Duration
+		for time.Since(began) < 4*time.Second {
+			asked := time.Now()
+			checker.Check(func() { waited = append(waited, time.Since(asked)) })
+			time.Sleep(3 * time.Millisecond)
+		}
+		for _, w := range waited {
+			test.LessEq(t, within, w)
+		}
+		// Begun at 0, 0.9 and 2.3 s; three callers each came before it was late.
+		test.Eq(t, 3, path.made)
+		test.Len(t, 9, waited)
+	})
+}
+
+func TestAFailedCheckPausesAndAGoodOneEndsThat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := &checks{err: errors.New("reset")}
+		checker := newTestChecker(path, 40)
+		ask := func() bool {
+			allowed := checker.Check(func() {})
+			synctest.Wait()
+			return allowed
+		}
+		test.True(t, ask())
+		test.False(t, ask())
+		time.Sleep(checkPause)
+		path.err = nil
+		test.True(t, ask())
+		test.True(t, ask())
+	})
+}
+
+// TestTheWatchIsNotPaused: whether the backend server lives is asked at another
+// pace than how fast it is.
+func TestTheWatchIsNotPaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := &checks{err: errors.New("refused")}
+		checker := newTestChecker(path, 0)
+		test.False(t, checker.Check(func() {}), test.Sprint("no rate is allowed"))
+		for range 3 {
+			checker.Watch(func() {})
+			synctest.Wait()
+		}
+		test.Eq(t, 3, path.made)
+	})
+}
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -22,14 +22,6 @@
 	// ackWithin bounds how long an announcement waits for the store before it
 	// is acknowledged; the backend server gives up after a second.
 	ackWithin = 600 * time.Millisecond
-	// probeTimeout bounds one question to the health path.
-	probeTimeout = 400 * time.Millisecond
-	// seekEvery is the time between two questions while no incarnation is known.
-	seekEvery = 60 * time.Millisecond
-	// idleAfter is how long no request must have come for the backend server to
-	// be asked idlePace times less often.
-	idleAfter = 500 * time.Millisecond
-	idlePace  = 4
 	// closeWithin bounds the end of the callers' connections.
 	closeWithin = 300 * time.Millisecond
 )
@@ -44,6 +36,7 @@
 	runner    *runner.Runner
 	forwarder *forward.Forwarder
 	prober    *backend.Prober
+	checker   *backend.Checker
 	ingress   *ingress.Server
 	draining  atomic.Bool
 }
@@ -61,8 +54,11 @@
 		prober:    backend.NewProber(s.BackendServer.Address, adapter.Backend, probeTimeout),
 	}
 	r.lifecycle = backend.NewLifecycle(s.Platform.FirstStart, r.stateChanged)
+	r.checker = backend.NewChecker(backend.CheckerOptions{
+		Within: s.Routing.LookWithin, PerSecond: s.Routing.LooksPerSecond,
+	}, r.ask)
 	var err error
-	r.runner, err = runner.NewRunner(d.Common, adapter.Backend, r.lifecycle, r.load)
+	r.runner, err = runner.NewRunner(d.Common, adapter.Backend, r.lifecycle, r.load, r.checker)
 	return r, err
 }
 
@@ -160,71 +156,6 @@
 	r.daemon.env.KeepDeparture(ctx, instance)
 }
 
-// watch asks the backend server's health path where its own word on its speed
-// is older than the settings want. Answers of requests carry that word, too.
-func (r *routed) watch(ctx context.Context) {
-	defer r.prober.Close()
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		timer.Reset(r.look(ctx))
-	}
-}
-
-// look asks once where that is due, and returns when to look again.
-func (r *routed) look(ctx context.Context) time.Duration {
-	now := r.daemon.Now()
-	every := healthPace(r.daemon.Settings.Routing.HealthEvery, r.runner.IdleFor(now))
-	path := r.healthPath()
-	if path == "" {
-		return seekEvery
-	}
-	_, accepting := r.lifecycle.Accepting()
-	if age := r.load.Age(now); accepting && age < every {
-		return every - age
-	}
-	r.ask(ctx, path)
-	if !accepting {
-		return seekEvery
-	}
-	return every
-}
-
-// healthPace is how old the backend server's word may be: older while nobody
-// sends it requests, so that asking costs little where nothing depends on it.
-func healthPace(every, idleFor time.Duration) time.Duration {
-	if idleFor > idleAfter {
-		return idlePace * every
-	}
-	return every
-}
-
-func (r *routed) ask(ctx context.Context, path string) {
-	health, err := r.prober.Probe(ctx, path)
-	if err != nil {
-		return
-	}
-	r.runner.TakeLoad(health.Load)
-	if health.Well && health.Instance != "" {
-		r.lifecycle.Seen(r.daemon.Now(), health.Instance)
-	}
-}
-
-// healthPath is empty until a placement names it.
-func (r *routed) healthPath() string {
-	p := r.daemon.World.View.Placement()
-	if p == nil {
-		return ""
-	}
-	service, _ := p.Routes.Service(r.daemon.Settings.BackendServer.Service)
-	return service.HealthPath
-}
-
 // drain is a planned stop: readiness falls at once, and requests go on being
 // taken until callers have seen that. None is cut.
 func (r *routed) drain(began time.Time) {
--- /dev/null
+++ b/pkg/daemon/watch.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// probeTimeout bounds one question to the health path.
+	probeTimeout = 400 * time.Millisecond
+	// seekEvery is the time between two questions while no incarnation is known.
+	seekEvery = 60 * time.Millisecond
+	// idleAfter is how long no request must have come for the backend server to
+	// be asked idlePace times less often.
+	idleAfter = 500 * time.Millisecond
+	idlePace  = 4
+)
+
+// errNoHealthPath is how a check ends before a placement names the health path.
+var errNoHealthPath = errors.New("no placement names the health path yet")
+
+// watch asks the backend server's health path where its own word on its speed
+// is older than the settings want. Answers of requests carry that word, too.
+func (r *routed) watch(ctx context.Context) {
+	defer r.prober.Close()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		timer.Reset(r.look(ctx))
+	}
+}
+
+// look asks once where that is due, and returns when to look again.
+func (r *routed) look(ctx context.Context) time.Duration {
+	now := r.daemon.Now()
+	every := healthPace(r.daemon.Settings.Routing.HealthEvery, r.runner.IdleFor(now))
+	if r.healthPath() == "" {
+		return seekEvery
+	}
+	_, accepting := r.lifecycle.Accepting()
+	if age := r.load.Age(now); accepting && age < every {
+		return every - age
+	}
+	r.checkAndWait(ctx)
+	if !accepting {
+		return seekEvery
+	}
+	return every
+}
+
+// checkAndWait makes one health check, or shares the one under way.
+func (r *routed) checkAndWait(ctx context.Context) {
+	done := make(chan struct{})
+	r.checker.Watch(func() { close(done) })
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// healthPace is how old the backend server's word may be: older while nobody
+// sends it requests, so that asking costs little where nothing depends on it.
+func healthPace(every, idleFor time.Duration) time.Duration {
+	if idleFor > idleAfter {
+		return idlePace * every
+	}
+	return every
+}
+
+// ask makes one health check and takes its answer over.
+func (r *routed) ask(ctx context.Context) error {
+	path := r.healthPath()
+	if path == "" {
+		return errNoHealthPath
+	}
+	health, err := r.prober.Probe(ctx, path)
+	if err != nil {
+		return err
+	}
+	r.runner.TakeLoad(health.Load)
+	if health.Well && health.Instance != "" {
+		r.lifecycle.Seen(r.daemon.Now(), health.Instance)
+	}
+	return nil
+}
+
+// healthPath is empty until a placement names it.
+func (r *routed) healthPath() string {
+	p := r.daemon.World.View.Placement()
+	if p == nil {
+		return ""
+	}
+	service, _ := p.Routes.Service(r.daemon.Settings.BackendServer.Service)
+	return service.HealthPath
+}
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -195,6 +195,13 @@
 	}
 }
 
+// HasRoom is true while a job that is admitted now would start at once.
+func (g *Gate) HasRoom(now int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running < g.limit(now) && g.queue.len() == 0
+}
+
 // InFlight counts the jobs at the gate, running and waiting.
 func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
 
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -181,11 +181,14 @@
 
 func (q *queue) push(job *Job) { heap.Push(q.heapOf(job), job) }
 
+// remove takes a job out; false when it does not wait, also where it was never
+// admitted.
 func (q *queue) remove(job *Job) bool {
-	if job.index == notQueued {
+	h := q.heapOf(job)
+	if job.index < 0 || job.index >= h.Len() || h.jobs[job.index] != job {
 		return false
 	}
-	heap.Remove(q.heapOf(job), job.index)
+	heap.Remove(h, job.index)
 	return true
 }
 
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -44,6 +44,35 @@
 	return min(run.deadline, now+int64(run.call.Routed.Target))
 }
 
+// admit takes the request to the gate, which starts it, lets it wait or refuses
+// it.
+func (run *routedRun) admit() {
+	r := run.owner
+	if run.isGone() {
+		run.refuse(errkind.New(errkind.CallerGone, "the caller left before the gate was asked"))
+		return
+	}
+	now := r.Now()
+	admitted, refusal := r.gate.Admit(now, &run.job)
+	switch {
+	case refusal != nil:
+		run.refuse(refusal)
+	case admitted:
+		r.start(&run.job)
+	default:
+		run.expiry.Store(time.AfterFunc(run.job.Patience(now), run.expire))
+		if run.isGone() {
+			run.cancel()
+		}
+	}
+}
+
+func (run *routedRun) isGone() bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.gone
+}
+
 // expire refuses a request that waited for as long as it may.
 func (run *routedRun) expire() { run.withdraw(errkind.Overloaded, "it waited as long as it may") }
 
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -36,7 +36,9 @@
 	load      *backend.Load
 	work      *worktime.Times
 	origins   *origins
-	leaving   atomic.Bool
+	// checker is nil where the backend server has no health path.
+	checker *backend.Checker
+	leaving atomic.Bool
 	// slowed is true while the backend server is too slow for soft attempts.
 	slowed   atomic.Bool
 	inFlight atomic.Int64
@@ -44,9 +46,9 @@
 	askedAt atomic.Int64
 }
 
-// NewRunner makes a runner. lifecycle and load are kept
-// by those who watch the backend server.
-func NewRunner(c *common.Common, headers backend.Headers, lifecycle *backend.Lifecycle, load *backend.Load) (*Runner, error) {
+// NewRunner makes a runner. lifecycle and load are kept by those who watch the
+// backend server; checker, which may be nil, asks its health path.
+func NewRunner(c *common.Common, headers backend.Headers, lifecycle *backend.Lifecycle, load *backend.Load, checker *backend.Checker) (*Runner, error) {
 	s := c.Settings
 	pool, err := ants.NewPool(poolShare*s.BackendServer.Slots, ants.WithNonblocking(true))
 	if err != nil {
@@ -59,6 +61,7 @@
 		load:      load,
 		work:      worktime.NewTimes(),
 		origins:   newOrigins(),
+		checker:   checker,
 		transport: backend.NewTransport(backend.Options{
 			Address: s.BackendServer.Address, Headers: headers,
 			DialTimeout: s.BackendServer.DialTimeout, MaxBody: s.Limits.MaxBodyBytes,
@@ -149,14 +152,8 @@
 		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.Of(c.Kind),
 		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: endBy(now, run, called), Start: run.start, SendBack: run.sendBack,
 	}
-	admitted, refusal := r.gate.Admit(now, &run.job)
-	switch {
-	case refusal != nil:
-		run.refuse(refusal)
-	case admitted:
-		r.start(&run.job)
-	default:
-		run.expiry.Store(time.AfterFunc(run.job.Patience(now), run.expire))
+	if !r.looksFirst(now, run) {
+		run.admit()
 	}
 	return run.cancel
 }
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -57,7 +57,7 @@
 	s.BackendServer.Service, s.BackendServer.Slots = "s", slots
 	lifecycle := backend.NewLifecycle(true, nil)
 	lifecycle.Seen(1, "i-1")
-	r, err := NewRunner(common.NewCommon(events.Discard(), &s), backend.DefaultHeaders(), lifecycle, &backend.Load{})
+	r, err := NewRunner(common.NewCommon(events.Discard(), &s), backend.DefaultHeaders(), lifecycle, &backend.Load{}, nil)
 	must.NoError(t, err)
 	t.Cleanup(func() {
 		r.Close()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -124,6 +124,12 @@
 	RetrySlack int `yaml:"retry_slack" validate:"min=0"`
 	// Age of the backend server's own word on its speed after which its health path is asked.
 	HealthEvery time.Duration `yaml:"health_every" validate:"min=10ms"`
+	// Age of that word after which a request that could start asks first: a run keeps the speed of the moment at which it starts.
+	LookAfter time.Duration `yaml:"look_after" validate:"min=1ms"`
+	// Longest time that a request waits for the answer of the health path.
+	LookWithin time.Duration `yaml:"look_within" validate:"min=1ms"`
+	// Questions to the health path a second that starting requests may cause, in the mean.
+	LooksPerSecond int `yaml:"looks_per_second" validate:"min=0"`
 	// Time that a drained daemon goes on taking requests.
 	Linger time.Duration `yaml:"linger" validate:"min=0"`
 }
@@ -270,7 +276,8 @@
 		Routing: Routing{
 			SoftAttempts: 3, SoftSlowdown: 1.8, Use: 0.8, LeaveCost: 0.8,
 			RetryAfter: 300 * time.Millisecond, RetryRatio: 0.15, RetrySlack: 50,
-			HealthEvery: 150 * time.Millisecond, Linger: 2500 * time.Millisecond,
+			HealthEvery: 150 * time.Millisecond, LookAfter: 10 * time.Millisecond, LookWithin: 8 * time.Millisecond,
+			LooksPerSecond: 40, Linger: 2500 * time.Millisecond,
 		},
 		Links: Links{Heartbeat: time.Second},
 		Gate:  Gate{QueueLength: 200, QueueTime: time.Second, Order: "edf", Adaptive: true},
