Gate: starts are held for the end of a slow spell where that pays

Cause: a run that starts in a slow spell takes as long as the spell says (4 to 5 times its work on the users' sites) to its end, and spells last 150 to 400 ms; once soft attempts were used up, requests were started or refused in them. A job that has a free slot waits in the queue, by rank and deadline and without a slot, under the time limit that costs least: time, and what a late end costs, by the odds. The backend server is asked every 15 ms while starts are held.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/speed"
 )
 
 // SpreadFactor is how many times its expected run a routed job must have left
@@ -20,44 +21,107 @@
 	job.index = notQueued
 	g.jobSeq++
 	job.seq = g.jobSeq
-	service := g.expected(now, job)
-	limit := g.limit(now)
-	free := g.running < limit && g.queue.len() == 0
-	if refusal := g.check(now, job, service, limit, free); refusal != nil {
+	at := g.expect(now, job)
+	if refusal := g.check(now, job, at); refusal != nil {
 		return false, refusal
 	}
 	g.inFlight.Add(1)
-	if free {
+	if at.free && !at.held {
 		g.begin(now, job)
 		return true, nil
 	}
 	job.startBy = job.Deadline
 	if job.EndBy > 0 {
-		job.startBy = min(job.Deadline, job.EndBy-withSpread(service))
+		job.startBy = min(job.Deadline, job.EndBy-withSpread(at.service))
 	}
 	g.queue.push(job)
 	return false, nil
 }
 
-func (g *Gate) check(now int64, job *Job, service time.Duration, limit int, free bool) *errkind.Error {
-	wait := g.expectedWait(job, service, limit, free)
+// outlook is what a job that is admitted now has to expect.
+type outlook struct {
+	// free is true where a slot is free for it, held where it should wait all the
+	// same, for the end of a slow spell.
+	free bool
+	held bool
+	// wait is the expected time until its start, service that of its run.
+	wait    time.Duration
+	service time.Duration
+	// inTime are the odds that a held job ends in time.
+	inTime float64
+}
+
+// expect works out what a job has to expect.
+func (g *Gate) expect(now int64, job *Job) outlook {
+	limit := g.limit(now)
+	at := outlook{free: g.running < limit}
+	if !at.free {
+		at.service = g.expected(now, job)
+		at.wait = g.queueWait(now, job, at.service, limit)
+		return at
+	}
+	held, hold := g.holds(now, job)
+	if !hold {
+		at.service = g.expected(now, job)
+		return at
+	}
+	at.held, at.wait, at.inTime = true, held.Wait, held.InTime
+	at.service = g.expectedAfterSpell(job)
+	// Others are held, too, and may fill the slots when the spell ends.
+	ahead, work := g.queue.workAhead(job, g.expectedAfterSpell)
+	if ahead >= limit-g.running {
+		at.wait += work / time.Duration(limit)
+	}
+	return at
+}
+
+// holds decides whether a job should wait for the end of a slow spell although
+// a slot is free.
+func (g *Gate) holds(now int64, job *Job) (speed.Outlook, bool) {
+	if job.Work == 0 {
+		return speed.Outlook{}, false
+	}
+	run := speed.Run{Work: job.Work}
+	if job.EndBy > 0 {
+		run.Left = time.Duration(max(job.EndBy-now, 1))
+		run.Late = time.Duration(job.EndBy - job.arrived)
+	}
+	return g.speed.Hold(now, run)
+}
+
+// leastInTime are the odds of ending in time that a held job must have: one that
+// is refused after a wait is worse off than one that is refused at once.
+const leastInTime = 0.4
+
+// tooLate is true where a job is not expected to end in time.
+func tooLate(now int64, job *Job, at outlook) bool {
+	if job.EndBy == 0 {
+		return false
+	}
+	if at.held {
+		return at.inTime < leastInTime
+	}
+	return now+int64(at.wait)+withSpread(at.service) > job.EndBy
+}
+
+func (g *Gate) check(now int64, job *Job, at outlook) *errkind.Error {
 	switch {
 	case job.Soft && g.busyForSoft(job):
 		return errkind.New(errkind.GateBusier, "")
-	case job.EndBy > 0 && now+int64(wait)+withSpread(service) > job.EndBy && !g.takesLate(now, job, service, free):
-		return errkind.New(errkind.Overloaded, "wait %v and run %v would end too late", wait.Round(time.Millisecond), service.Round(time.Millisecond))
+	case tooLate(now, job, at) && !g.takesLate(now, job, at):
+		return errkind.New(errkind.Overloaded, "wait %v and run %v would end too late", at.wait.Round(time.Millisecond), at.service.Round(time.Millisecond))
 	case job.Deadline <= now:
 		return errkind.New(errkind.DeadlineBeforeRun, "no time was left at the gate")
-	case job.MaxCost > 0 && wait+service > job.MaxCost:
+	case job.MaxCost > 0 && at.wait+at.service > job.MaxCost:
 		return errkind.New(errkind.GateBusier, "its expected time is over the bound that came with the call")
-	case free:
+	case at.free && !at.held:
 		return nil
 	case g.queue.len() >= g.opts.QueueLength:
 		return errkind.New(errkind.Overloaded, "the queue is full")
-	case wait > g.opts.QueueTime:
-		return errkind.New(errkind.Overloaded, "the expected wait of %v is over the bound", wait)
-	case now+int64(wait) >= job.Deadline:
-		return errkind.New(errkind.Overloaded, "the expected wait of %v is longer than the time left", wait)
+	case at.wait > g.opts.QueueTime:
+		return errkind.New(errkind.Overloaded, "the expected wait of %v is over the bound", at.wait)
+	case now+int64(at.wait) >= job.Deadline:
+		return errkind.New(errkind.Overloaded, "the expected wait of %v is longer than the time left", at.wait)
 	}
 	return nil
 }
@@ -66,16 +130,13 @@
 // nanoseconds.
 func withSpread(service time.Duration) int64 { return int64(SpreadFactor * float64(service)) }
 
-// expectedWait is how long a job would wait until it starts. A routed job waits
-// only for those that go before it in the order.
-func (g *Gate) expectedWait(job *Job, service time.Duration, limit int, free bool) time.Duration {
-	if free {
-		return 0
-	}
+// queueWait is how long a job waits for a slot while none is free. A routed job
+// waits only for those that go before it in the order.
+func (g *Gate) queueWait(now int64, job *Job, service time.Duration, limit int) time.Duration {
 	if job.EndBy == 0 {
 		return service * time.Duration(g.queue.len()+1) / time.Duration(limit)
 	}
-	ahead := g.queue.workAhead(job, func(other *Job) time.Duration { return g.expected(job.arrived, other) })
+	_, ahead := g.queue.workAhead(job, func(other *Job) time.Duration { return g.expected(now, other) })
 	return (ahead + service) / time.Duration(limit)
 }
 
@@ -89,11 +150,11 @@
 
 // takesLate decides whether a job that would end too late runs all the same:
 // where slots are free, if it would end before its deadline, or as a probe.
-func (g *Gate) takesLate(now int64, job *Job, service time.Duration, free bool) bool {
-	if free && SlotsForLate(int64(g.running), int64(g.usable())) && now+int64(service) < job.Deadline {
+func (g *Gate) takesLate(now int64, job *Job, at outlook) bool {
+	if at.free && SlotsForLate(int64(g.running), int64(g.usable())) && now+int64(at.wait)+int64(at.service) < job.Deadline {
 		return true
 	}
-	return g.probes(now, free)
+	return g.probes(now, at.free)
 }
 
 // probeEvery is the least time between two runs that are admitted although
@@ -105,7 +166,7 @@
 // so lately. An estimate that is too long would else refuse all the runs that
 // could correct it.
 func (g *Gate) probes(now int64, free bool) bool {
-	if !free || g.slowdown > g.opts.SoftSlowdown || now-g.probedAt < probeEvery {
+	if !free || g.speed.Slowdown() > g.opts.SoftSlowdown || now-g.probedAt < probeEvery {
 		return false
 	}
 	g.probedAt = now
@@ -121,7 +182,7 @@
 	if job.Near {
 		most = g.slots
 	}
-	return g.slowdown > g.opts.SoftSlowdown || g.running+g.queue.len() >= most
+	return g.speed.Slowdown() > g.opts.SoftSlowdown || g.running+g.queue.len() >= most
 }
 
 // expected is the expected time of one run of a job that starts now.
@@ -129,5 +190,11 @@
 	if job.Work == 0 {
 		return g.estimate.service(now)
 	}
-	return time.Duration(float64(job.Work) * g.slowdown)
+	return time.Duration(float64(job.Work) * g.speed.Factor())
+}
+
+// expectedAfterSpell is the expected time of one run of a job that starts when
+// the slow spell has ended.
+func (g *Gate) expectedAfterSpell(job *Job) time.Duration {
+	return time.Duration(float64(job.Work) * g.speed.Steady())
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -50,8 +51,8 @@
 	jobSeq   uint64
 	// slots may change: the backend server says how many it has.
 	slots int
-	// slowdown is what the backend server says of itself; 1: as usual.
-	slowdown float64
+	// speed is what is known of the backend server's speed, from its own word.
+	speed *speed.Model
 	// probedAt is when a job was last admitted that was expected to be late.
 	probedAt int64
 
@@ -65,7 +66,7 @@
 	if opts.Use == 0 {
 		opts.Use = 1
 	}
-	return &Gate{opts: opts, queue: newQueue(opts.Order), slots: opts.Slots, slowdown: 1, probedAt: -probeEvery}
+	return &Gate{opts: opts, queue: newQueue(opts.Order), slots: opts.Slots, speed: speed.NewModel(), probedAt: -probeEvery}
 }
 
 // SetSlots changes how many jobs run at once; the owner starts those that this
@@ -76,16 +77,20 @@
 	g.slots = max(n, 1)
 }
 
-// SetSlowdown takes over what the backend server says of its speed; 1: as usual.
-func (g *Gate) SetSlowdown(slowdown float64) {
+// Report takes over what the backend server says of its speed, 1: as usual. It
+// returns the jobs that the owner must start now: those that were held until a
+// slow spell ended.
+func (g *Gate) Report(now int64, slowdown float64) []*Job {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.slowdown = max(slowdown, 1)
+	g.speed.Report(now, slowdown)
+	return g.startWaiting(now)
 }
 
 func (g *Gate) begin(now int64, job *Job) {
 	g.running++
 	job.started = now
+	job.slowdown, job.inSpell = g.speed.Start(now)
 	g.estimate.start(now)
 }
 
@@ -98,6 +103,9 @@
 	g.running--
 	g.inFlight.Add(-1)
 	g.estimate.end(now, job.started, counts)
+	if counts && job.inSpell && job.Work > 0 {
+		g.speed.Ran(job.slowdown, float64(now-job.started)/float64(job.Work))
+	}
 	return g.startWaiting(now)
 }
 
@@ -128,19 +136,38 @@
 }
 
 func (g *Gate) startWaiting(now int64) []*Job {
-	var out []*Job
+	var out, held []*Job
 	limit := g.limit(now)
 	for g.running < limit {
 		job := g.queue.pop(now, g.estimate.service(now))
 		if job == nil {
 			break
 		}
+		if g.staysHeld(now, job) {
+			held = append(held, job)
+			continue
+		}
 		g.begin(now, job)
 		out = append(out, job)
 	}
+	for _, job := range held {
+		g.queue.push(job)
+	}
 	return out
 }
 
+// staysHeld is true while a waiting job should not start although a slot is free.
+// In a spell that outlasts what was expected, a job whose slowed run would end
+// too late goes on waiting: for the spell's end, or until it can still be refused
+// in time.
+func (g *Gate) staysHeld(now int64, job *Job) bool {
+	if _, hold := g.holds(now, job); hold {
+		return true
+	}
+	at := outlook{free: true, service: g.expected(now, job)}
+	return g.speed.InSpell() && tooLate(now, job, at) && !g.takesLate(now, job, at)
+}
+
 // Withdraw takes a waiting job out; false when it does not wait any more.
 func (g *Gate) Withdraw(job *Job) bool {
 	g.mu.Lock()
@@ -191,15 +218,23 @@
 		Queued:    uint32(g.queue.len()),
 		Limit:     uint32(g.limit(now)),
 		ServiceUS: uint32(min(g.estimate.service(now).Microseconds(), 1<<31)),
-		Slowdown:  uint32(g.slowdown * percent),
+		Slowdown:  uint32(g.speed.Slowdown() * percent),
 	}
 }
 
-// HasRoom is true while a job that is admitted now would start at once.
+// HasRoom is true while a job that is admitted now could start at once.
 func (g *Gate) HasRoom(now int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.running < g.limit(now) && g.queue.len() == 0
+	return g.running < g.limit(now)
+}
+
+// Holds is true while jobs wait although slots are free: for the end of a slow
+// spell, which the owner should look for.
+func (g *Gate) Holds(now int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.len() > 0 && g.running < g.limit(now)
 }
 
 // InFlight counts the jobs at the gate, running and waiting.
--- a/pkg/gate/gate_test.go
+++ b/pkg/gate/gate_test.go
@@ -233,7 +233,7 @@
 	must.Nil(t, soft(true))
 	test.Eq(t, errkind.GateBusier, soft(true).Kind, test.Sprint("full"))
 	g = nearlyFull()
-	g.SetSlowdown(4)
+	g.Report(1, 4)
 	test.Eq(t, errkind.GateBusier, soft(true).Kind, test.Sprint("slowed"))
 }
 
@@ -307,7 +307,7 @@
 func TestFreeSlotsTakeRunsThatWouldBeLate(t *testing.T) {
 	const hour = int64(time.Hour)
 	g := New(Options{Slots: 4, QueueLength: 10, QueueTime: time.Minute, Order: Ranked, SoftSlowdown: 1.8, Use: 1})
-	g.SetSlowdown(4)
+	g.Report(1, 4)
 	late := func(deadline int64) (run bool) {
 		run, _ = g.Admit(1, &Job{Deadline: deadline, EndBy: 1 + int64(time.Second), Work: time.Second})
 		return run
@@ -346,7 +346,7 @@
 		}
 	}
 	test.Eq(t, 10, admitted)
-	g.SetSlowdown(4)
+	g.Report(1, 4)
 	_, refusal := g.Admit(int64(time.Second), &Job{Deadline: int64(time.Hour), EndBy: int64(2 * time.Second), Work: time.Minute})
 	must.NotNil(t, refusal, must.Sprint("a slowed backend server tells nothing of the work"))
 }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -59,6 +59,10 @@
 	startBy int64
 	seq     uint64
 	index   int
+	// slowdown is the one at which the job started, told by a fresh report in a
+	// slow spell; inSpell is false for all other starts.
+	slowdown float64
+	inSpell  bool
 }
 
 // notQueued is the index of a job that does not wait.
@@ -165,18 +169,18 @@
 	return &q.main
 }
 
-// workAhead is the expected work, in all, of the waiting jobs that would start
-// before one.
-func (q *queue) workAhead(job *Job, expected func(*Job) time.Duration) time.Duration {
-	var out time.Duration
+// workAhead counts the waiting jobs that would start before one, and gives
+// their expected work in all.
+func (q *queue) workAhead(job *Job, expected func(*Job) time.Duration) (jobs int, work time.Duration) {
 	for _, h := range []*jobHeap{&q.main, &q.background} {
 		for _, other := range h.jobs {
 			if h.less(other, job) {
-				out += expected(other)
+				jobs++
+				work += expected(other)
 			}
 		}
 	}
-	return out
+	return jobs, work
 }
 
 func (q *queue) push(job *Job) { heap.Push(q.heapOf(job), job) }
--- a/pkg/runner/look.go
+++ b/pkg/runner/look.go
@@ -1,5 +1,12 @@
 package runner
 
+import "time"
+
+// heldLookEvery is how often the backend server is asked whether a slow spell
+// has ended while starts are held for that: the delay of half of it is a tenth
+// of the shortest work on the users' sites, and more often costs more checks.
+const heldLookEvery = 15 * time.Millisecond
+
 // looksFirst has the backend server asked how fast it is now, where the request
 // could start and the newest word on that is old: a run keeps the speed of the
 // moment at which it starts. The request is admitted when the answer is there;
@@ -10,3 +17,18 @@
 	}
 	return r.checker.Check(run.admit)
 }
+
+// lookForEnd has the backend server asked again soon while starts are held for
+// the end of a slow spell. Its answer starts them, or makes the next look due.
+func (r *Runner) lookForEnd() {
+	if r.checker == nil || !r.gate.Holds(r.Now()) || r.lookDue.Swap(true) {
+		return
+	}
+	time.AfterFunc(heldLookEvery, func() {
+		r.lookDue.Store(false)
+		if r.load.Age(r.Now()) >= heldLookEvery/2 && r.checker.Check(r.lookForEnd) {
+			return
+		}
+		r.lookForEnd()
+	})
+}
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -61,6 +61,7 @@
 		r.start(&run.job)
 	default:
 		run.expiry.Store(time.AfterFunc(run.job.Patience(now), run.expire))
+		r.lookForEnd()
 		if run.isGone() {
 			run.cancel()
 		}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -38,6 +38,8 @@
 	origins   *origins
 	// checker is nil where the backend server has no health path.
 	checker *backend.Checker
+	// lookDue is true while a look for the end of a slow spell is due.
+	lookDue atomic.Bool
 	leaving atomic.Bool
 	// slowed is true while the backend server is too slow for soft attempts.
 	slowed   atomic.Bool
@@ -121,8 +123,9 @@
 	r.load.Take(r.Now(), text)
 	r.TakeSlots(r.load.Slots())
 	if slowdown := r.load.Slowdown(); slowdown > 0 {
-		r.gate.SetSlowdown(float64(slowdown) / 100)
 		r.noteSpeed(slowdown)
+		r.startAll(r.gate.Report(r.Now(), float64(slowdown)/100))
+		r.lookForEnd()
 	}
 }
 
