Work times: by the speed at the start of a run, guessed where not known

Cause: work times were normalized by the mean of the slowdown at a run's start and at its end, though the speed at the start decides: a run that ended in a spell counted for a third of its work, also at entries. A route without a run yet was expected to take what all jobs take: after a power-off calls of 55 ms were refused by 457 ms. Ruled out: the spread of runs (medians by speed at the start are 1.1 and 4.3). Change: answers carry the slowdown at the start; the first runs of a route count alike; an unknown work time is guessed from the target (0.3 of it, 300 ms at most).

--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -17,6 +17,9 @@
 	// Queued and Run are the time at the gate and at the backend server.
 	Queued time.Duration
 	Run    time.Duration
+	// Slowdown is the one at which the run started, in percent of what is usual;
+	// 0: not known.
+	Slowdown int
 }
 
 // Result is how a call ended at an executor: one of Answer and Refusal is set.
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -82,7 +82,7 @@
 		result.Offered = true
 		to.Load.Answered(result.Answer.Status >= 500)
 		if result.Answer.Status < 500 {
-			a.owner.work.Note(a.route.Name, result.Answer.Run, int(result.Stamp.Slowdown))
+			a.owner.work.Note(a.route.Name, result.Answer.Run, result.Answer.Slowdown)
 		}
 	case result.Refusal.Ran == errkind.RanMaybe:
 		result.Offered = true
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -22,9 +22,6 @@
 	// retryShare is the longest that a caller is asked to stay away, as a share
 	// of its time: callers heed up to a third.
 	retryShare = 0.32
-	// workShare stands in for a work time that is not known yet, as a share of
-	// the target latency.
-	workShare = 0.3
 )
 
 // attempts are one request's attempts. Source: docs/design/platform.md, "The
@@ -168,10 +165,7 @@
 }
 
 func (a *attempts) work() time.Duration {
-	if work := a.owner.work.Of(a.route.Name); work > 0 {
-		return work
-	}
-	return time.Duration(workShare * float64(a.target))
+	return a.owner.work.OfOrGuess(a.route.Name, a.target)
 }
 
 // isLast takes over how an attempt ended and decides whether it was the last.
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -113,9 +113,10 @@
 	took := time.Duration(r.Now() - began)
 	reply.Answer.Queued = run.job.Queued()
 	reply.Answer.Run = took
+	reply.Answer.Slowdown = slowdown
 	worked := reply.Answer.Status < 500
 	if worked {
-		r.work.Note(run.call.Kind, took, (slowdown+r.load.Slowdown())/2)
+		r.work.Note(run.call.Kind, took, slowdown)
 	}
 	return call.Result{Answer: reply.Answer, Offered: true}, worked
 }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -152,7 +152,7 @@
 	run.origin = r.origins.note(c.Kind, c.Routed.Caller)
 	called := run.origin == wire.OriginService
 	run.job = gate.Job{
-		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.Of(c.Kind),
+		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
 		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: endBy(now, run, called), Start: run.start, SendBack: run.sendBack,
 	}
 	if !r.looksFirst(now, run) {
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -196,6 +196,9 @@
 	Body   Body
 	// Origin says where the requests of the route begin.
 	Origin Origin
+	// Slowdown is the one at which the run started, in percent of what is usual;
+	// 0: not known.
+	Slowdown uint32
 }
 
 // Refusal says that the executor did not produce an answer.
--- a/pkg/worktime/worktime.go
+++ b/pkg/worktime/worktime.go
@@ -16,6 +16,11 @@
 	riseWeight = 1.0 / 8
 	// mostRoutes bounds the routes whose work times are kept.
 	mostRoutes = 4096
+	// guessShare stands in for a work time that is not known yet, as a share of
+	// the target latency: that of the users' requests is 0.3 to 0.4.
+	guessShare = 0.3
+	// longestGuess bounds that: a generous target tells little of the work.
+	longestGuess = 300 * time.Millisecond
 	// usualPercent is the slowdown of a backend server that works as usual.
 	usualPercent = 100
 )
@@ -23,17 +28,35 @@
 // Times holds the work times. It is safe for concurrent use.
 type Times struct {
 	mu      sync.Mutex
-	byRoute map[string]float64
+	byRoute map[string]*mean
+}
+
+// mean is the work time of one route and the number of runs in it.
+type mean struct {
+	work float64
+	runs int
 }
 
 // NewTimes makes empty work times.
-func NewTimes() *Times { return &Times{byRoute: map[string]float64{}} }
+func NewTimes() *Times { return &Times{byRoute: map[string]*mean{}} }
 
 // Of returns the work time of a route; 0: not known.
 func (t *Times) Of(route string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return time.Duration(t.byRoute[route])
+	if known := t.byRoute[route]; known != nil {
+		return time.Duration(known.work)
+	}
+	return 0
+}
+
+// OfOrGuess returns the work time of a route, or a guess from its target latency
+// while no run of it has ended here.
+func (t *Times) OfOrGuess(route string, target time.Duration) time.Duration {
+	if work := t.Of(route); work > 0 {
+		return work
+	}
+	return min(time.Duration(guessShare*float64(target)), longestGuess)
 }
 
 // Note takes a run over. slowdown is what the backend server said of its speed,
@@ -45,16 +68,23 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old, known := t.byRoute[route]
-	if !known {
+	known := t.byRoute[route]
+	if known == nil {
 		if len(t.byRoute) >= mostRoutes {
 			return
 		}
-		old = work
+		known = &mean{}
+		t.byRoute[route] = known
 	}
+	known.note(work)
+}
+
+// note takes one run over; the first few count alike.
+func (m *mean) note(work float64) {
+	m.runs++
 	weight := fallWeight
-	if work > old {
+	if work > m.work {
 		weight = riseWeight
 	}
-	t.byRoute[route] = old + (work-old)*weight
+	m.work += (work - m.work) * max(weight, 1/float64(m.runs))
 }
--- a/pkg/worktime/worktime_test.go
+++ b/pkg/worktime/worktime_test.go
@@ -40,3 +40,20 @@
 	}
 	test.MapLen(t, mostRoutes, times.byRoute)
 }
+
+// TestAWorkTimeThatIsNotKnownIsGuessed: from the target, until the first run.
+func TestAWorkTimeThatIsNotKnownIsGuessed(t *testing.T) {
+	times := NewTimes()
+	test.Eq(t, 150*time.Millisecond, times.OfOrGuess("r", 500*time.Millisecond))
+	test.Eq(t, longestGuess, times.OfOrGuess("r", time.Hour))
+	times.Note("r", usual, 100)
+	test.Eq(t, usual, times.OfOrGuess("r", time.Hour))
+}
+
+// TestTheFirstRunsCountAlike: one unlucky first run does not stand for long.
+func TestTheFirstRunsCountAlike(t *testing.T) {
+	times := NewTimes()
+	times.Note("r", 3*usual, 100)
+	times.Note("r", usual, 100)
+	test.Eq(t, 2*usual, times.Of("r"))
+}
