Health checks: the first good one ends a pause; pauses are logged

Ruled out: the bound on the rate of looks (no event 513 after the starts). Change: a good check clears the pause; events 513 and 514 tell of pauses.

--- a/pkg/backend/checker.go
+++ b/pkg/backend/checker.go
@@ -11,7 +11,8 @@
 const (
 	// checkPause is how long nothing is asked after a check that failed or that
 	// outlasted CheckerOptions.Within; it doubles up to longestCheckPause while
-	// checks go on failing. A backend server that hangs costs each starting
+	// checks go on failing, and ends with the first that does not: the watch goes
+	// on asking. A backend server that hangs costs each starting
 	// request Within once a pause.
 	checkPause        = 500 * time.Millisecond
 	longestCheckPause = 8 * time.Second
@@ -26,6 +27,10 @@
 	Within time.Duration
 	// PerSecond is how many checks a second are made in the mean at most.
 	PerSecond int
+	// Paused is told when checks begin to be paused, with what the last one took
+	// and its error, and when one succeeds again, with a pause of 0. It may be
+	// nil.
+	Paused func(pause, took time.Duration, err error)
 }
 
 // Checker makes the health checks of one backend server for all who need its
@@ -97,14 +102,18 @@
 
 // run makes one check.
 func (c *Checker) run() {
+	began := time.Now()
 	timer := time.AfterFunc(c.opts.Within, c.giveUp)
 	err := c.check(context.Background())
 	timer.Stop()
 	c.mu.Lock()
 	c.busy = false
-	c.notePause(err != nil || c.late)
+	pause, turned := c.notePause(err != nil || c.late)
 	waiting := c.take()
 	c.mu.Unlock()
+	if turned && c.opts.Paused != nil {
+		c.opts.Paused(pause, time.Since(began), err)
+	}
 	callAll(waiting)
 }
 
@@ -117,14 +126,17 @@
 	callAll(waiting)
 }
 
-// notePause sets the pause that follows a check; the lock is held.
-func (c *Checker) notePause(failed bool) {
+// notePause sets the pause that follows a check; the lock is held. turned is true
+// when checks begin to be paused, or are no longer.
+func (c *Checker) notePause(failed bool) (pause time.Duration, turned bool) {
+	before := c.pause
 	if !failed {
-		c.pause = checkPause
-		return
+		c.pause, c.resumeAt = checkPause, time.Time{}
+		return 0, before != checkPause
 	}
 	c.resumeAt = time.Now().Add(c.pause)
 	c.pause = min(2*c.pause, longestCheckPause)
+	return before, before == checkPause
 }
 
 // take empties the list of those who wait; the lock is held.
--- a/pkg/backend/checker_test.go
+++ b/pkg/backend/checker_test.go
@@ -110,3 +110,28 @@
 		test.Eq(t, 3, path.made)
 	})
 }
+
+// TestTheWatchEndsAPause: a backend server that has just started refused
+// connections for a second, and answers now.
+func TestTheWatchEndsAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		path := &checks{err: errors.New("refused")}
+		var pauses []time.Duration
+		checker := NewChecker(CheckerOptions{
+			Within: within, PerSecond: 40,
+			Paused: func(pause, _ time.Duration, _ error) { pauses = append(pauses, pause) },
+		}, path.check)
+		watch := func() {
+			checker.Watch(func() {})
+			synctest.Wait()
+		}
+		for range 10 {
+			watch()
+		}
+		test.False(t, checker.Check(func() {}))
+		path.err = nil
+		watch()
+		test.True(t, checker.Check(func() {}))
+		test.Eq(t, []time.Duration{checkPause, 0}, pauses)
+	})
+}
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -55,7 +55,7 @@
 	}
 	r.lifecycle = backend.NewLifecycle(s.Platform.FirstStart, r.stateChanged)
 	r.checker = backend.NewChecker(backend.CheckerOptions{
-		Within: s.Routing.LookWithin, PerSecond: s.Routing.LooksPerSecond,
+		Within: s.Routing.LookWithin, PerSecond: s.Routing.LooksPerSecond, Paused: r.checksPaused,
 	}, r.ask)
 	var err error
 	r.runner, err = runner.NewRunner(d.Common, adapter.Backend, r.lifecycle, r.load, r.checker)
--- a/pkg/daemon/watch.go
+++ b/pkg/daemon/watch.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/events"
 )
 
 const (
@@ -65,6 +67,17 @@
 	}
 }
 
+// checksPaused logs that the health path does not answer in time, or does again.
+func (r *routed) checksPaused(pause, took time.Duration, err error) {
+	id := events.ChecksResumed
+	fields := []events.Field{events.F("took", events.Milliseconds(took))}
+	if pause > 0 {
+		id = events.ChecksPaused
+		fields = append(fields, events.F("pause", events.Milliseconds(pause)), events.F("cause", err))
+	}
+	r.daemon.Log.Event(id, fields...)
+}
+
 // healthPace is how old the backend server's word may be: older while nobody
 // sends it requests, so that asking costs little where nothing depends on it.
 func healthPace(every, idleFor time.Duration) time.Duration {
