Bounds: the platform's own bounds set the retry budget and the rate of checks

Cause: the retry budget (0.15 of the requests and 50) and the rate of health checks were constants that fit the smaller deployments; one that allows less would be broken by them, one that allows more was not used. Ruled out: reading them in the template (it cannot find a name in a list). Change: platform.bounds hands the platform's texts on, the adapter translates three of them, daemon.Bounds keeps a share of each (0.8, 0.8, 0.65) below what is allowed: calls of repeated runs, daemons that start anew, the watch.

--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -25,6 +25,8 @@
 	Backend backend.Headers
 	// Announcements makes the handler of backend servers' announcements.
 	Announcements func(backend.Announcer) http.Handler
+	// Bounds are what the platform holds all daemons to.
+	Bounds Bounds
 }
 
 // NewAdapter makes the adapter of one platform from the settings.
--- /dev/null
+++ b/pkg/daemon/bounds.go
@@ -0,0 +1,39 @@
+package daemon
+
+import "github.com/rushramp/rushramp/pkg/settings"
+
+// Bounds are what the platform holds all daemons of a deployment to; 0: it names
+// no such bound, and the setting stays.
+type Bounds struct {
+	// RetryRatio is how many requests may reach a service once more, for each
+	// request of it, and RetrySlack how many besides, in the platform's window.
+	RetryRatio float64
+	RetrySlack float64
+	// ChecksPerSecond is how often a backend server's health path may be asked.
+	ChecksPerSecond float64
+}
+
+const (
+	// ratioShare is the share of the platform's ratio that daemons spend: calls
+	// that a repeated run makes count as repeats, too, and no entry sees them.
+	ratioShare = 0.8
+	// slackShare is the share of the platform's slack that daemons share out: one
+	// that is started again begins with its part anew.
+	slackShare = 0.8
+	// checksShare is the share of the platform's checks that starting requests may
+	// cause; the watch makes some seven a second besides.
+	checksShare = 0.65
+)
+
+// apply puts the bounds into the settings that keep them.
+func (b Bounds) apply(r *settings.Routing) {
+	if b.RetryRatio > 0 {
+		r.RetryRatio = ratioShare * b.RetryRatio
+	}
+	if b.RetrySlack > 0 {
+		r.RetrySlack = int(slackShare * b.RetrySlack)
+	}
+	if b.ChecksPerSecond > 0 {
+		r.LooksPerSecond = int(checksShare * b.ChecksPerSecond)
+	}
+}
--- /dev/null
+++ b/pkg/daemon/bounds_test.go
@@ -0,0 +1,22 @@
+package daemon
+
+import (
+	"testing"
+
+	"github.com/shoenig/test"
+
+	"github.com/rushramp/rushramp/pkg/settings"
+)
+
+// TestThePlatformsBoundsGoBeforeSettings: a larger deployment allows more
+// retries, and daemons keep below what it allows.
+func TestThePlatformsBoundsGoBeforeSettings(t *testing.T) {
+	r := settings.Default().Routing
+	before := r
+	Bounds{}.apply(&r)
+	test.Eq(t, before, r)
+	Bounds{RetryRatio: 0.5, RetrySlack: 630, ChecksPerSecond: 100}.apply(&r)
+	test.Eq(t, 0.4, r.RetryRatio)
+	test.Eq(t, 504, r.RetrySlack)
+	test.Eq(t, 65, r.LooksPerSecond)
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -70,6 +70,10 @@
 	if err != nil {
 		return nil, err
 	}
+	// The file's own settings stay as they are: the reloader compares them.
+	inForce := *s
+	adapter.Bounds.apply(&inForce.Routing)
+	s = &inForce
 	if opts.Platform == nil {
 		opts.Platform = adapter.Store
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -104,6 +104,8 @@
 	Form string `yaml:"form" validate:"required"`
 	// True when the whole system starts for the first time, so that nothing of an earlier run binds.
 	FirstStart bool `yaml:"first_start"`
+	// What the platform holds all daemons to, each entry name=value; those that the adapter knows go before the settings under routing.
+	Bounds []string `yaml:"bounds"`
 }
 
 // Routing holds the settings of requests that are routed by host and path.
