Gate: the number of runs at once is learnt

Change: pkg/concurrency compares runs that start near the limit, at low concurrency and as probes over it, on fresh word and outside of slow spells; it starts at 0.8, falls by an eighth, rises by one. Conclusion: kept for deployments with another knee; sooner learning is open.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/concurrency"
 	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -38,6 +39,9 @@
 	// Use is the share of the slots that the gate uses, up to 1; 0 stands for 1. Work
 	// slows for all runs of a backend server that is nearly full.
 	Use float64
+	// Learn makes Use the start only: the gate learns from its runs how many go on
+	// at once before work slows.
+	Learn bool
 }
 
 // Gate is the gate of one backend server. It is safe for concurrent use.
@@ -51,6 +55,9 @@
 	jobSeq   uint64
 	// slots may change: the backend server says how many it has.
 	slots int
+	// limiter learns how many jobs run at once where Options.Learn is set; else it
+	// is nil.
+	limiter *concurrency.Limiter
 	// speed is what is known of the backend server's speed, from its own word.
 	speed *speed.Model
 	// probedAt is when a job was last admitted that was expected to be late.
@@ -66,7 +73,16 @@
 	if opts.Use == 0 {
 		opts.Use = 1
 	}
-	return &Gate{opts: opts, queue: newQueue(opts.Order), slots: opts.Slots, speed: speed.NewModel(), probedAt: -probeEvery}
+	g := &Gate{opts: opts, queue: newQueue(opts.Order), slots: opts.Slots, speed: speed.NewModel(), probedAt: -probeEvery}
+	g.newLimiter()
+	return g
+}
+
+// newLimiter begins to learn anew, for another number of slots.
+func (g *Gate) newLimiter() {
+	if g.opts.Learn {
+		g.limiter = concurrency.NewLimiter(g.slots, g.share())
+	}
 }
 
 // SetSlots changes how many jobs run at once; the owner starts those that this
@@ -74,7 +90,10 @@
 func (g *Gate) SetSlots(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.slots = max(n, 1)
+	if n = max(n, 1); n != g.slots {
+		g.slots = n
+		g.newLimiter()
+	}
 }
 
 // Report takes over what the backend server says of its speed, 1: as usual. It
@@ -90,7 +109,9 @@
 func (g *Gate) begin(now int64, job *Job) {
 	g.running++
 	job.started = now
-	job.slowdown, job.inSpell = g.speed.Start(now)
+	job.atOnce = g.running
+	job.slowdown, job.fresh = g.speed.Start(now)
+	job.inSpell = g.speed.InSpell()
 	g.estimate.start(now)
 }
 
@@ -103,12 +124,24 @@
 	g.running--
 	g.inFlight.Add(-1)
 	g.estimate.end(now, job.started, counts)
-	if counts && job.inSpell && job.Work > 0 {
-		g.speed.Ran(job.slowdown, float64(now-job.started)/float64(job.Work))
+	if counts && job.fresh && job.Work > 0 {
+		g.learn(now, job)
 	}
 	return g.startWaiting(now)
 }
 
+// learn takes over how long a run took that started on fresh word.
+func (g *Gate) learn(now int64, job *Job) {
+	ratio := float64(now-job.started) / float64(job.Work)
+	if job.inSpell {
+		g.speed.Ran(job.slowdown, ratio)
+		return
+	}
+	if g.limiter != nil {
+		g.limiter.Ran(now, job.atOnce, ratio/job.slowdown)
+	}
+}
+
 // Tick starts waiting jobs when the limit rose since the last call, and takes
 // out those that wait behind a server that has slowed since they came, while
 // their sender knows of a better one. The owner refuses them as not run.
@@ -153,9 +186,23 @@
 	for _, job := range held {
 		g.queue.push(job)
 	}
+	if probe := g.probe(now, limit); probe != nil {
+		out = append(out, probe)
+	}
 	return out
 }
 
+// probe starts a waiting job over the limit where that tells whether the limit
+// could be higher; nil: it does not.
+func (g *Gate) probe(now int64, limit int) *Job {
+	if g.limiter == nil || g.running != limit || g.queue.len() == 0 || g.speed.InSpell() || !g.limiter.Probes(now) {
+		return nil
+	}
+	job := g.queue.pop(now, g.estimate.service(now))
+	g.begin(now, job)
+	return job
+}
+
 // staysHeld is true while a waiting job should not start although a slot is free.
 // In a spell that outlasts what was expected, a job whose slowed run would end
 // too late goes on waiting: for the spell's end, or until it can still be refused
@@ -201,6 +248,14 @@
 
 // usable is how many jobs run at once at a backend server that works as usual.
 func (g *Gate) usable() int {
+	if g.limiter != nil {
+		return g.limiter.Limit()
+	}
+	return g.share()
+}
+
+// share is the share of the slots that is used where nothing is learnt.
+func (g *Gate) share() int {
 	usable := int(g.opts.Use * float64(g.slots))
 	if float64(usable) < leastUse*float64(g.slots) {
 		return g.slots
@@ -247,6 +302,13 @@
 	return g.estimate.slowness(now) > slowTolerance
 }
 
+// Usable is how many jobs run at once at a backend server that works as usual.
+func (g *Gate) Usable() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.usable()
+}
+
 // Slots returns the number of slots.
 func (g *Gate) Slots() int {
 	g.mu.Lock()
@@ -257,5 +319,9 @@
 // Patience is how long a job that waits may go on waiting.
 func (j *Job) Patience(now int64) time.Duration { return time.Duration(max(j.startBy-now, 0)) }
 
+// AtOnce is how many jobs ran when this one had started, itself among them; 0:
+// it did not start.
+func (j *Job) AtOnce() int { return j.atOnce }
+
 // Queued returns how long a started job waited.
 func (j *Job) Queued() time.Duration { return time.Duration(j.started - j.arrived) }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -59,9 +59,12 @@
 	startBy int64
 	seq     uint64
 	index   int
-	// slowdown is the one at which the job started, told by a fresh report in a
-	// slow spell; inSpell is false for all other starts.
+	// atOnce is how many jobs ran when this one had started.
+	atOnce int
+	// slowdown is the one at which the job started, where fresh word told it;
+	// inSpell is true where that was in a slow spell.
 	slowdown float64
+	fresh    bool
 	inSpell  bool
 }
 
--- a/pkg/runner/log.go
+++ b/pkg/runner/log.go
@@ -30,7 +30,8 @@
 	}
 	if answer := result.Answer; answer != nil {
 		fields = append(fields, events.F("outcome", "answered"), events.F("status", answer.Status),
-			events.F("queued", events.Milliseconds(answer.Queued)), events.F("run", events.Milliseconds(answer.Run)), events.F("instance", run.instance))
+			events.F("queued", events.Milliseconds(answer.Queued)),
+			events.F("start_slowdown", answer.Slowdown), events.F("at_once", run.job.AtOnce()), events.F("run", events.Milliseconds(answer.Run)), events.F("instance", run.instance))
 	}
 	log.Event(id, fields...)
 }
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -82,6 +82,7 @@
 	result, counts := run.handOver()
 	next := run.owner.gate.Finish(run.owner.Now(), &run.job, counts)
 	run.owner.startAll(next)
+	run.owner.noteLimit()
 	run.end(result)
 }
 
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -41,6 +41,8 @@
 	// lookDue is true while a look for the end of a slow spell is due.
 	lookDue atomic.Bool
 	leaving atomic.Bool
+	// usable is how many requests ran at once when that was logged last.
+	usable atomic.Int64
 	// slowed is true while the backend server is too slow for soft attempts.
 	slowed   atomic.Bool
 	inFlight atomic.Int64
@@ -70,7 +72,7 @@
 		}),
 		gate: gate.New(gate.Options{
 			Slots: s.BackendServer.Slots, QueueLength: s.Gate.QueueLength, QueueTime: s.Gate.QueueTime,
-			Order: gate.Ranked, SoftSlowdown: s.Routing.SoftSlowdown, Use: s.Routing.Use,
+			Order: gate.Ranked, SoftSlowdown: s.Routing.SoftSlowdown, Use: s.Routing.Use, Learn: true,
 		}),
 	}, nil
 }
@@ -139,6 +141,16 @@
 	r.Log.Event(events.SpeedChanged, events.F("slowed", slowed), events.F("slowdown", slowdown), events.F("in_flight", r.gate.InFlight()))
 }
 
+// noteLimit logs when the gate has learnt another number of runs at once.
+func (r *Runner) noteLimit() {
+	usable := int64(r.gate.Usable())
+	before := r.usable.Swap(usable)
+	if before == usable || before == 0 {
+		return
+	}
+	r.Log.Event(events.LimitChanged, events.F("usable", usable), events.F("before", before), events.F("slots", r.gate.Slots()))
+}
+
 // Execute implements call.Runner.
 func (r *Runner) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
 	r.inFlight.Add(1)
--- a/pkg/speed/model.go
+++ b/pkg/speed/model.go
@@ -117,10 +117,10 @@
 	return steady + m.trust*(m.Slowdown()-steady)
 }
 
-// Start tells at which slowdown a run starts; ok is false when the newest word
-// is too old to tell, or there is no spell.
-func (m *Model) Start(now int64) (slowdown float64, ok bool) {
-	return m.last.slowdown, m.InSpell() && now-m.last.at <= freshFor
+// Start tells at which slowdown a run starts; fresh is false when the newest word
+// is too old to tell.
+func (m *Model) Start(now int64) (slowdown float64, fresh bool) {
+	return m.Slowdown(), m.last.at != 0 && now-m.last.at <= freshFor
 }
 
 // Ran learns from a run that started in a spell, at the slowdown that Start
