--- a/pkg/backend/checker_test.go
+++ b/pkg/backend/checker_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,13 +14,13 @@
 
 // checks is a health path that answers after a while, or fails.
 type checks struct {
-	made  int
+	made  atomic.Int64
 	takes time.Duration
 	err   error
 }
 
 func (c *checks) check(context.Context) error {
-	c.made++
+	c.made.Add(1)
 	time.Sleep(c.takes)
 	return c.err
 }
@@ -33,13 +35,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		path := &checks{takes: time.Millisecond}
 		checker := newTestChecker(path, 40)
-		told := 0
+		var told atomic.Int64
 		for range 5 {
-			test.True(t, checker.Check(func() { told++ }))
+			test.True(t, checker.Check(func() { told.Add(1) }))
 		}
 		time.Sleep(2 * time.Millisecond)
-		test.Eq(t, 1, path.made)
-		test.Eq(t, 5, told)
+		test.Eq(t, 1, path.made.Load())
+		test.Eq(t, 5, told.Load())
 	})
 }
 
@@ -52,7 +54,7 @@
 			checker.Check(func() {})
 			time.Sleep(time.Millisecond)
 		}
-		test.Between(t, seconds*39, path.made, (seconds+checkBurst)*40)
+		test.Between(t, seconds*39, path.made.Load(), (seconds+checkBurst)*40)
 	})
 }
 
@@ -63,17 +65,24 @@
 		path := &checks{takes: 400 * time.Millisecond}
 		checker := newTestChecker(path, 40)
 		began := time.Now()
+		var mu sync.Mutex
 		var waited []time.Duration
 		for time.Since(began) < 4*time.Second {
 			asked := time.Now()
-			checker.Check(func() { waited = append(waited, time.Since(asked)) })
+			checker.Check(func() {
+				mu.Lock()
+				defer mu.Unlock()
+				waited = append(waited, time.Since(asked))
+			})
 			time.Sleep(3 * time.Millisecond)
 		}
+		mu.Lock()
+		defer mu.Unlock()
 		for _, w := range waited {
 			test.LessEq(t, within, w)
 		}
 		// Begun at 0, 0.9 and 2.3 s; three callers each came before it was late.
-		test.Eq(t, 3, path.made)
+		test.Eq(t, 3, path.made.Load())
 		test.Len(t, 9, waited)
 	})
 }
@@ -107,7 +116,7 @@
 			checker.Watch(func() {})
 			synctest.Wait()
 		}
-		test.Eq(t, 3, path.made)
+		test.Eq(t, 3, path.made.Load())
 	})
 }
 
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -30,6 +30,7 @@
 		g.begin(now, job)
 		return true, nil
 	}
+	job.held = at.held
 	job.startBy = job.Deadline
 	if job.EndBy > 0 {
 		job.startBy = min(job.Deadline, job.EndBy-withSpread(at.service))
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -177,6 +177,7 @@
 			break
 		}
 		if g.staysHeld(now, job) {
+			job.held = true
 			held = append(held, job)
 			continue
 		}
@@ -215,6 +216,16 @@
 	return g.speed.InSpell() && tooLate(now, job, at) && !g.takesLate(now, job, at)
 }
 
+// TakeWaiting takes all waiting jobs out, for a backend server that takes no
+// more; the owner dismisses them.
+func (g *Gate) TakeWaiting() []*Job {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := g.queue.takeIf(func(*Job) bool { return true })
+	g.inFlight.Add(-int64(len(out)))
+	return out
+}
+
 // Withdraw takes a waiting job out; false when it does not wait any more.
 func (g *Gate) Withdraw(job *Job) bool {
 	g.mu.Lock()
@@ -319,6 +330,10 @@
 // Patience is how long a job that waits may go on waiting.
 func (j *Job) Patience(now int64) time.Duration { return time.Duration(max(j.startBy-now, 0)) }
 
+// Held is true when the job had to wait for the end of a slow spell although a
+// slot was free.
+func (j *Job) Held() bool { return j.held }
+
 // AtOnce is how many jobs ran when this one had started, itself among them; 0:
 // it did not start.
 func (j *Job) AtOnce() int { return j.atOnce }
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -48,10 +48,12 @@
 	// EndBy is when a routed job should have ended, in nanoseconds: one that
 	// cannot is refused while another server may still take it. 0: no bound.
 	EndBy int64
-	// Start runs the job, SendBack refuses one that waited. The gate's owner
-	// calls them without the gate's lock.
+	// Start runs the job, SendBack refuses one that waited, and Dismiss one whose
+	// backend server takes no more. The gate's owner calls them without the
+	// gate's lock.
 	Start    func()
 	SendBack func()
+	Dismiss  func()
 
 	arrived int64
 	started int64
@@ -59,6 +61,8 @@
 	startBy int64
 	seq     uint64
 	index   int
+	// held is true once the job had to wait for the end of a slow spell.
+	held bool
 	// atOnce is how many jobs ran when this one had started.
 	atOnce int
 	// slowdown is the one at which the job started, where fresh word told it;
--- a/pkg/runner/look.go
+++ b/pkg/runner/look.go
@@ -1,6 +1,10 @@
 package runner
 
-import "time"
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 // heldLookEvery is how often the backend server is asked whether a slow spell
 // has ended while starts are held for that: the delay of half of it is a tenth
@@ -15,7 +19,11 @@
 	if r.checker == nil || r.load.Age(now) < r.Settings.Routing.LookAfter || !r.gate.HasRoom(now) {
 		return false
 	}
-	return r.checker.Check(run.admit)
+	if !r.checker.Check(run.admit) {
+		return false
+	}
+	r.looks.Inc()
+	return true
 }
 
 // lookForEnd has the backend server asked again soon while starts are held for
@@ -32,3 +40,20 @@
 		r.lookForEnd()
 	})
 }
+
+// counters are the metrics of this package.
+type counters struct {
+	// looks counts the requests that waited for a look before the gate decided.
+	looks *metrics.Counter
+	// held counts the starts that waited for the end of a slow spell.
+	held *metrics.Counter
+}
+
+// newCounters registers the metrics of a runner.
+func newCounters(r *Runner) counters {
+	r.Metrics.GetOrCreateGauge("rushramp_routed_runs_allowed", func() float64 { return float64(r.gate.Usable()) })
+	return counters{
+		looks: r.Metrics.GetOrCreateCounter("rushramp_routed_looks_total"),
+		held:  r.Metrics.GetOrCreateCounter("rushramp_routed_held_total"),
+	}
+}
--- a/pkg/runner/look_test.go
+++ b/pkg/runner/look_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/wire"
 )
 
 // withHealthPath makes the runner ask a health path that says load.
@@ -56,3 +58,66 @@
 	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
 	test.Eq(t, 0, len(h.came))
 }
+
+// slowSpells makes the gate hold starts: spells of 100 ms came again and again,
+// and one goes on.
+func slowSpells(r *Runner) {
+	const second, step = int64(time.Second), int64(10 * time.Millisecond)
+	now := r.Now() - 40*second
+	for ; now < r.Now(); now += step {
+		slowdown := 1.0
+		if now%second < second/10 {
+			slowdown = 5
+		}
+		r.gate.Report(now, slowdown)
+	}
+	for range 10 {
+		r.gate.Report(r.Now(), 1)
+	}
+	r.load.Take(r.Now(), "0,0,2,500")
+	r.gate.Report(r.Now(), 5)
+}
+
+// heldCall is a call that a gate holds in a slow spell.
+func heldCall(id string) *wire.Call {
+	c := routedCall(id)
+	c.Routed.Target = time.Second
+	return c
+}
+
+// TestAHeldStartOutlastsThePlannedStop: it was taken, so it runs when the spell
+// ends, though nothing new is taken any more.
+func TestAHeldStartOutlastsThePlannedStop(t *testing.T) {
+	h := newHeld()
+	r, _ := newTestRunner(t, h, 2)
+	slowSpells(r)
+	results, _ := execute(r, heldCall("a"))
+	must.True(t, r.gate.Holds(r.Now()))
+	r.Leave()
+	late, _ := execute(r, heldCall("b"))
+	got := <-late
+	test.Eq(t, errkind.Leaving, got.Refusal.Kind)
+	h.goOn <- struct{}{}
+	r.TakeLoad("0,0,2,100")
+	got = <-results
+	must.NotNil(t, got.Answer)
+	test.Eq(t, 1, r.held.Get())
+}
+
+// TestAHeldStartIsRefusedWhenItsBackendServerLeaves: at once, as not run, so that
+// it goes elsewhere while it has time.
+func TestAHeldStartIsRefusedWhenItsBackendServerLeaves(t *testing.T) {
+	h := newHeld()
+	r, lifecycle := newTestRunner(t, h, 2)
+	slowSpells(r)
+	results, _ := execute(r, heldCall("a"))
+	must.True(t, r.gate.Holds(r.Now()))
+	lifecycle.Depart(2, "i-1")
+	r.Tick()
+	got := <-results
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.BackendAbsent, got.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+	test.Eq(t, 0, len(h.came))
+	test.Eq(t, 0, r.gate.InFlight())
+}
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -79,6 +79,9 @@
 
 func (run *routedRun) start() {
 	run.stopExpiry()
+	if run.job.Held() {
+		run.owner.held.Inc()
+	}
 	result, counts := run.handOver()
 	next := run.owner.gate.Finish(run.owner.Now(), &run.job, counts)
 	run.owner.startAll(next)
@@ -149,6 +152,13 @@
 	run.refuse(errkind.New(errkind.Overloaded, "the backend server has slowed since the request came"))
 }
 
+// dismiss refuses a request that waited while the backend server stopped taking
+// requests: another one may still run it in time.
+func (run *routedRun) dismiss() {
+	run.stopExpiry()
+	run.refuse(errkind.New(errkind.BackendAbsent, "the backend server stopped taking requests while it waited"))
+}
+
 func (run *routedRun) refuse(refusal *errkind.Error) { run.end(call.Result{Refusal: refusal}) }
 
 func (run *routedRun) end(result call.Result) {
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -29,6 +29,7 @@
 // server".
 type Runner struct {
 	*common.Common
+	counters
 	gate      *gate.Gate
 	pool      *ants.Pool
 	transport *backend.Transport
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "runner pool")
 	}
-	return &Runner{
+	r := &Runner{
 		Common:    c,
 		pool:      pool,
 		lifecycle: lifecycle,
@@ -74,7 +75,9 @@
 			Slots: s.BackendServer.Slots, QueueLength: s.Gate.QueueLength, QueueTime: s.Gate.QueueTime,
 			Order: gate.Ranked, SoftSlowdown: s.Routing.SoftSlowdown, Use: s.Routing.Use, Learn: true,
 		}),
-	}, nil
+	}
+	r.counters = newCounters(r)
+	return r, nil
 }
 
 // Leave makes the runner refuse new requests from now on.
@@ -98,8 +101,15 @@
 // Gate returns the gate.
 func (r *Runner) Gate() *gate.Gate { return r.gate }
 
-// Tick starts waiting requests when there are more slots than before.
+// Tick starts waiting requests when there are more slots than before, and refuses
+// all that wait when the backend server takes no more.
 func (r *Runner) Tick() {
+	if _, ok := r.lifecycle.Accepting(); !ok {
+		for _, job := range r.gate.TakeWaiting() {
+			job.Dismiss()
+		}
+		return
+	}
 	start, sendBack := r.gate.Tick(r.Now())
 	r.startAll(start)
 	for _, job := range sendBack {
@@ -165,7 +175,7 @@
 	called := run.origin == wire.OriginService
 	run.job = gate.Job{
 		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
-		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: endBy(now, run, called), Start: run.start, SendBack: run.sendBack,
+		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: endBy(now, run, called), Start: run.start, SendBack: run.sendBack, Dismiss: run.dismiss,
 	}
 	if !r.looksFirst(now, run) {
 		run.admit()
