Speed: percent of the usual work time in one place

Cause: usualPercent stood in three packages and as 100 in two more. Change: pkg/speed holds the constant and the two turns; no behaviour changes. Figures: unit tests of the six packages pass as before.

--- a/pkg/backend/load.go
+++ b/pkg/backend/load.go
@@ -5,10 +5,9 @@
 	"strings"
 	"sync/atomic"
 	"time"
-)
 
-// usualPercent is the slowdown of a backend server that works as usual.
-const usualPercent = 100
+	"github.com/rushramp/rushramp/pkg/speed"
+)
 
 // Load is what the backend server said of itself last. It is safe for
 // concurrent use.
@@ -33,7 +32,7 @@
 	if len(fields) < 3 {
 		return Report{}, false
 	}
-	r.Slowdown = usualPercent
+	r.Slowdown = speed.UsualPercent
 	for i, into := range []*int{&r.Running, &r.Waiting, &r.Slots, &r.Slowdown} {
 		if i >= len(fields) {
 			break
--- a/pkg/choose/refusing.go
+++ b/pkg/choose/refusing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/gate"
+	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
@@ -13,9 +14,6 @@
 // finds all gates full is refused without having crossed the fleet.
 const freshFor = 60 * time.Millisecond
 
-// usualPercent is the slowdown of a backend server that works as usual.
-const usualPercent = 100
-
 // wouldBeRefused is true when a fresh stamp shows that the gate would refuse the
 // request, by the rules of the gate itself.
 func (r *Routed) wouldBeRefused(known *tables.Known, near bool) bool {
@@ -34,7 +32,7 @@
 }
 
 func (r *Routed) wouldBeRefusedSoftly(known *tables.Known, near bool) bool {
-	if float64(known.Slowdown) > r.SoftSlowdown*usualPercent {
+	if speed.Slowdown(known.Slowdown) > r.SoftSlowdown {
 		return true
 	}
 	most := float64(known.Limit)
@@ -46,8 +44,7 @@
 
 // expected is how long a run would take at the gate of a stamp, in nanoseconds.
 func (r *Routed) expected(known *tables.Known) float64 {
-	slowdown := float64(max(known.Slowdown, usualPercent)) / usualPercent
-	return float64(r.Work) * slowdown
+	return float64(r.Work) * max(speed.Slowdown(known.Slowdown), 1)
 }
 
 // expectedWithSpread is the time, in nanoseconds, that the request must have
--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
@@ -112,7 +113,7 @@
 		age := float64(max(r.Now-known.StampAt, 0))
 		inFlight = max(inFlight, decay(age/float64(max(r.Work, 1)))*float64(known.InFlight)+float64(known.SentSince))
 		if known.Slowdown > 0 {
-			slowdown += decay(math.Ln2*age/float64(slowdownHalfLife)) * (float64(known.Slowdown)/100 - usual)
+			slowdown += decay(math.Ln2*age/float64(slowdownHalfLife)) * (speed.Slowdown(known.Slowdown) - usual)
 		}
 	}
 	service := float64(r.Work) * slowdown
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -23,9 +23,6 @@
 // before the limit falls below the slots.
 const slowTolerance = 2.2
 
-// percent is the form in which a slowdown travels.
-const percent = 100
-
 // Options are the gate's settings.
 type Options struct {
 	Slots       int
@@ -284,7 +281,7 @@
 		Queued:    uint32(g.queue.len()),
 		Limit:     uint32(g.limit(now)),
 		ServiceUS: uint32(min(g.estimate.service(now).Microseconds(), 1<<31)),
-		Slowdown:  uint32(g.speed.Slowdown() * percent),
+		Slowdown:  speed.Percent(g.speed.Slowdown()),
 	}
 }
 
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -16,6 +16,7 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
+	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/wire"
 	"github.com/rushramp/rushramp/pkg/worktime"
 )
@@ -136,7 +137,7 @@
 	r.TakeSlots(r.load.Slots())
 	if slowdown := r.load.Slowdown(); slowdown > 0 {
 		r.noteSpeed(slowdown)
-		r.startAll(r.gate.Report(r.Now(), float64(slowdown)/100))
+		r.startAll(r.gate.Report(r.Now(), speed.Slowdown(int64(slowdown))))
 		r.lookForEnd()
 	}
 }
@@ -144,7 +145,7 @@
 // noteSpeed logs when the backend server becomes too slow for soft attempts, or
 // as fast as usual again.
 func (r *Runner) noteSpeed(slowdown int) {
-	slowed := float64(slowdown)/100 > r.Settings.Routing.SoftSlowdown
+	slowed := speed.Slowdown(int64(slowdown)) > r.Settings.Routing.SoftSlowdown
 	if r.slowed.Swap(slowed) == slowed {
 		return
 	}
--- a/pkg/worktime/worktime.go
+++ b/pkg/worktime/worktime.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/rushramp/rushramp/pkg/speed"
 )
 
 const (
@@ -21,8 +23,6 @@
 	guessShare = 0.3
 	// longestGuess bounds that: a generous target tells little of the work.
 	longestGuess = 300 * time.Millisecond
-	// usualPercent is the slowdown of a backend server that works as usual.
-	usualPercent = 100
 )
 
 // Times holds the work times. It is safe for concurrent use.
@@ -64,7 +64,7 @@
 func (t *Times) Note(route string, took time.Duration, slowdown int) {
 	work := float64(took)
 	if slowdown > 0 {
-		work = work * usualPercent / float64(slowdown)
+		work /= speed.Slowdown(int64(slowdown))
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
