Executor: looks by what they are expected to gain; the learnt limit falls on full windows

Change: a request asks first where its run must be expected to take 4 ms longer (odds that a spell began since the newest word, learnt from the time between spells, times what one adds). A limit falls on a full window at 1.25 times, and probes go over it twice a second.

--- a/pkg/concurrency/limiter.go
+++ b/pkg/concurrency/limiter.go
@@ -26,8 +26,9 @@
 	// slowed nor clearly not.
 	plenty = 2 * enough
 	// slowed is the ratio to the runs at low concurrency above which the limit is
-	// too high: over three times the error of two full means.
-	slowed = 1.2
+	// too high: over four times the error of two full means, since it is looked at
+	// after each run, and runs that call others take longer under load anyway.
+	slowed = 1.25
 	// clearly is the ratio above which few probes are enough to tell.
 	clearly = 1.35
 	// lowerBy is the part of the limit that it falls by at once.
@@ -37,7 +38,7 @@
 	// window is how many runs a mean looks back on.
 	window = 64
 	// probeEvery is the least time between two runs over the limit.
-	probeEvery = int64(200 * time.Millisecond)
+	probeEvery = int64(500 * time.Millisecond)
 	// firstPause is how long no run goes over the limit after those that did were
 	// slowed; it doubles each time, up to longestPause.
 	firstPause   = int64(time.Minute)
@@ -108,7 +109,7 @@
 
 // judgeLimit lowers the limit when runs near it are slowed.
 func (l *Limiter) judgeLimit() {
-	if l.high.runs < enough || l.low.runs < enough || l.high.value <= slowed*l.low.value {
+	if l.high.runs < window || l.low.runs < enough || l.high.value <= slowed*l.low.value {
 		return
 	}
 	next := l.limit - max(l.limit/lowerBy, 1)
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -285,11 +285,16 @@
 	}
 }
 
-// HasRoom is true while a job that is admitted now could start at once.
-func (g *Gate) HasRoom(now int64) bool {
+// Doubt is by how much longer the run of a job that is admitted now must be
+// expected to take, since the newest word on the backend server's speed is old; 0
+// where it could not start at once.
+func (g *Gate) Doubt(now int64, job *Job) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.running < g.limit(now)
+	if g.running >= g.limit(now) {
+		return 0
+	}
+	return g.speed.Doubt(now, job.Work)
 }
 
 // Holds is true while jobs wait although slots are free: for the end of a slow
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -126,8 +126,8 @@
 	RetrySlack int `yaml:"retry_slack" validate:"min=0"`
 	// Age of the backend server's own word on its speed after which its health path is asked.
 	HealthEvery time.Duration `yaml:"health_every" validate:"min=10ms"`
-	// Age of that word after which a request that could start asks first: a run keeps the speed of the moment at which it starts.
-	LookAfter time.Duration `yaml:"look_after" validate:"min=1ms"`
+	// What asking it costs, as a time: a request that could start asks first where its run is expected to take that much longer, since a slow spell may have begun after the newest word.
+	LookCost time.Duration `yaml:"look_cost" validate:"min=0"`
 	// Longest time that a request waits for the answer of the health path.
 	LookWithin time.Duration `yaml:"look_within" validate:"min=1ms"`
 	// Questions to the health path a second that starting requests may cause, in the mean.
@@ -278,7 +278,7 @@
 		Routing: Routing{
 			SoftAttempts: 3, SoftSlowdown: 1.8, Use: 0.8, LeaveCost: 0.8,
 			RetryAfter: 300 * time.Millisecond, RetryRatio: 0.15, RetrySlack: 50,
-			HealthEvery: 150 * time.Millisecond, LookAfter: 10 * time.Millisecond, LookWithin: 8 * time.Millisecond,
+			HealthEvery: 150 * time.Millisecond, LookCost: 4 * time.Millisecond, LookWithin: 8 * time.Millisecond,
 			LooksPerSecond: 40, Linger: 2500 * time.Millisecond,
 		},
 		Links: Links{Heartbeat: time.Second},
--- a/pkg/speed/lengths.go
+++ b/pkg/speed/lengths.go
@@ -56,6 +56,16 @@
 	l.add(length, 1)
 }
 
+// mean is the mean length of the spells that do not last, in nanoseconds.
+func (l *lengths) mean() float64 {
+	var total, weight float64
+	for _, b := range l.buckets[:buckets-1] {
+		total += b.total
+		weight += b.weight
+	}
+	return total / weight
+}
+
 func (l *lengths) add(length time.Duration, weight float64) {
 	b := &l.buckets[bucketOf(length)]
 	b.weight += weight
--- a/pkg/speed/model.go
+++ b/pkg/speed/model.go
@@ -6,7 +6,10 @@
 // model to one goroutine at a time. Source: docs/design/gate.md, "Held starts".
 package speed
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// notable is the ratio to the steady slowdown above which a backend server
@@ -21,6 +24,11 @@
 	widestGap = int64(100 * time.Millisecond)
 	// trustWeight is the weight of one slowed run in the trust.
 	trustWeight = 1.0 / 8
+	// priorApart and priorLevel stand in for the time between two spells and their
+	// level until some were seen, and apartWeight is the weight of each that is.
+	priorApart  = float64(time.Second)
+	priorLevel  = 4.0
+	apartWeight = 1.0 / 8
 	// mostTrust bounds by how much a slowed run may take longer than was told.
 	mostTrust = 1.5
 	// freshFor is the age up to which a report tells the speed at which a run
@@ -44,13 +52,21 @@
 	// spellSince is when the present spell began; 0: there is none.
 	spellSince int64
 	lengths    lengths
+	// usualSince is when the last spell ended; 0: none was seen. apart and level
+	// are the means of the time between two spells, in nanoseconds, and of their
+	// slowdown as a multiple of the steady one.
+	usualSince int64
+	apart      float64
+	level      float64
 	// trust is the share of the slowdown told that runs really show: 1 when they
 	// take as long as was said, 0 when they take no longer than usual.
 	trust float64
 }
 
 // NewModel makes the model of a backend server that has said nothing yet.
-func NewModel() *Model { return &Model{trust: 1, lengths: newLengths()} }
+func NewModel() *Model {
+	return &Model{trust: 1, lengths: newLengths(), apart: priorApart, level: priorLevel}
+}
 
 // Report takes the backend server's word over: slowdown is 1 when it works as
 // usual.
@@ -63,12 +79,21 @@
 	turned := now - min(now-before.at, widestGap)/2
 	switch slow := m.slowed(); {
 	case slow && m.spellSince == 0:
-		m.spellSince = turned
+		m.beginSpell(turned)
 	case !slow && m.spellSince != 0:
 		m.endSpell(turned, before.slowdown)
 	}
 }
 
+// beginSpell learns how long there was none, and how slow this one is.
+func (m *Model) beginSpell(at int64) {
+	m.spellSince = at
+	m.level += (m.last.slowdown/m.Steady() - m.level) * apartWeight
+	if m.usualSince != 0 {
+		m.apart += (float64(at-m.usualSince) - m.apart) * apartWeight
+	}
+}
+
 // endSpell learns from the spell that has ended. One that has outlasted the
 // steady window has become the usual state: it tells that some last for long.
 func (m *Model) endSpell(at int64, level float64) {
@@ -78,6 +103,22 @@
 	}
 	m.lengths.note(length)
 	m.spellSince = 0
+	m.usualSince = at
+}
+
+// Doubt is by how much longer a run must be expected to take, in the mean, since
+// a spell may have begun after the newest word; the longest duration where there
+// was none. In a spell it is how much shorter it would be if that had ended.
+func (m *Model) Doubt(now int64, work time.Duration) time.Duration {
+	if m.last.at == 0 {
+		return math.MaxInt64
+	}
+	lasts := m.apart
+	if m.InSpell() {
+		lasts = m.lengths.mean()
+	}
+	turned := 1 - math.Exp(-float64(now-m.last.at)/max(lasts, 1))
+	return time.Duration(turned * float64(work) * m.Steady() * m.trust * (m.level - 1))
 }
 
 // addLow keeps the least slowdown of the window at the front.
--- a/pkg/speed/model_test.go
+++ b/pkg/speed/model_test.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -175,3 +176,31 @@
 		test.LessEq(t, 500, len(m.lows))
 	})
 }
+
+// TestDoubtGrowsWithAgeAndWork: and is smaller where spells are rare, or where
+// runs do not bear the word out.
+func TestDoubtGrowsWithAgeAndWork(t *testing.T) {
+	const long, short = 200 * time.Millisecond, 20 * time.Millisecond
+	often, now := NewModel(), int64(1)
+	test.Eq(t, math.MaxInt64, often.Doubt(now, long))
+	spells(often, &now, 60, 5, 200*time.Millisecond)
+	at := now - 10*ms
+	test.Eq(t, 0, often.Doubt(at, long))
+	// Once a second, at five times the usual: 10 ms are a hundredth of that.
+	test.Between(t, 6*time.Millisecond, often.Doubt(at+10*ms, long), 10*time.Millisecond)
+	test.Less(t, 2*time.Millisecond, often.Doubt(at+10*ms, short))
+	test.Greater(t, 30*time.Millisecond, often.Doubt(at+100*ms, long))
+	often.Report(now, 5)
+	test.Greater(t, 30*time.Millisecond, often.Doubt(now+10*ms, long), test.Sprint("in a spell, which is short"))
+	rare, now := NewModel(), int64(1)
+	for range 30 {
+		feed(rare, &now, 1, 20*time.Second)
+		feed(rare, &now, 5, 200*time.Millisecond)
+	}
+	feed(rare, &now, 1, 10*time.Millisecond)
+	test.Less(t, time.Millisecond, rare.Doubt(now, long))
+	for range 60 {
+		often.Ran(5, 1)
+	}
+	test.Less(t, time.Millisecond, often.Doubt(at+10*ms, long))
+}
