--- /dev/null
+++ b/pkg/gate/report.go
@@ -0,0 +1,80 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/speed"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// Stamp reports the load now.
+func (g *Gate) Stamp(now int64) wire.Stamp {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return wire.Stamp{
+		Seq:       g.stampSeq.Add(1),
+		Running:   uint32(g.running),
+		Queued:    uint32(g.queue.len()),
+		Limit:     uint32(g.limit(now)),
+		ServiceUS: uint32(min(g.estimate.service(now).Microseconds(), 1<<31)),
+		Slowdown:  speed.Percent(g.speed.Slowdown()),
+	}
+}
+
+// Doubt is by how much longer the run of a job that is admitted now must be
+// expected to take, since the newest word on the backend server's speed is old; 0
+// where it could not start at once.
+func (g *Gate) Doubt(now int64, job *Job) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.running >= g.limit(now) {
+		return 0
+	}
+	return g.speed.Doubt(now, job.Work)
+}
+
+// Holds is true while jobs wait although slots are free: for the end of a slow
+// spell, which the owner should look for.
+func (g *Gate) Holds(now int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.queue.len() > 0 && g.running < g.limit(now)
+}
+
+// InFlight counts the jobs at the gate, running and waiting.
+func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
+
+// Slowed is true while the backend server is notably slower than usual.
+func (g *Gate) Slowed(now int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.estimate.slowness(now) > slowTolerance
+}
+
+// Usable is how many jobs run at once at a backend server that works as usual.
+func (g *Gate) Usable() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.usable()
+}
+
+// Slots returns the number of slots.
+func (g *Gate) Slots() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.slots
+}
+
+// Patience is how long a job that waits may go on waiting.
+func (j *Job) Patience(now int64) time.Duration { return time.Duration(max(j.startBy-now, 0)) }
+
+// Held is true when the job had to wait for the end of a slow spell although a
+// slot was free.
+func (j *Job) Held() bool { return j.held }
+
+// AtOnce is how many jobs ran when this one had started, itself among them; 0:
+// it did not start.
+func (j *Job) AtOnce() int { return j.atOnce }
+
+// Queued returns how long a started job waited.
+func (j *Job) Queued() time.Duration { return time.Duration(j.started - j.arrived) }
--- a/pkg/runner/look.go
+++ b/pkg/runner/look.go
@@ -13,8 +13,9 @@
 
 // looksFirst has the backend server asked how fast it is now, where the request
 // could start and may run longer than expected since the newest word on that is
-// old: a run keeps the speed of the moment at which it starts. The request is admitted when the answer is there;
-// false: nothing is asked, and the caller admits it.
+// old: a run keeps the speed of the moment at which it starts. The request is
+// admitted when the answer is there; false: nothing is asked, and the caller
+// admits it.
 func (r *Runner) looksFirst(now int64, run *routedRun) bool {
 	if r.checker == nil || r.gate.Doubt(now, &run.job) < r.Settings.Routing.LookCost {
 		return false
