--- a/pkg/runner/look_test.go
+++ b/pkg/runner/look_test.go
@@ -121,3 +121,18 @@
 	test.Eq(t, 0, len(h.came))
 	test.Eq(t, 0, r.gate.InFlight())
 }
+
+// TestAnAnswerTellsTheSlowdownAtItsStart: not the one that came with it, since a
+// run keeps the speed of its start; entries learn work times from it.
+func TestAnAnswerTellsTheSlowdownAtItsStart(t *testing.T) {
+	h := newHeld()
+	h.load = "1,0,2,100"
+	r, _ := newTestRunner(t, h, 2)
+	r.TakeLoad("0,0,2,300")
+	h.goOn <- struct{}{}
+	results, _ := execute(r, routedCall("a"))
+	got := <-results
+	must.NotNil(t, got.Answer)
+	test.Eq(t, 300, got.Answer.Slowdown)
+	test.Eq(t, 100, got.Stamp.Slowdown)
+}
