Speed: forgotten spells tell no mean; the watch's comment says how long it waits

Cause, found by reading the change again: weights of short spells that decay over some 47,000 lasting ones end as rounding errors, and their mean length with them (the test gave 1 ns); Checker.Watch promised an end within look_within also to one who joins a check that is already late, which no code brings about. Ruled out: a division by nothing (weights stay at the least number; a test for that passed before the mend). Change: below a thousandth of a spell the mean is that of lasting ones; the comment says what happens; two tests of held starts share their beginning. Listed as open, not mended: the gate's work under its lock in a spell, and what a daemon's first reports decide. Figures: TestAMeanOfForgottenSpellsIsNotUsed failed before (4e9 wanted, 1 got) and passes now; the other tests of pkg/speed, pkg/backend and pkg/runner pass.

--- a/pkg/backend/checker.go
+++ b/pkg/backend/checker.go
@@ -82,7 +82,8 @@
 
 // Watch has the backend server asked by those who follow whether it lives, at
 // a pace of their own: no pause and no rate holds for them. done is called when
-// the answer was taken over or Within has passed.
+// the answer was taken over or Within has passed; for one who joins a check that
+// has outlasted Within, when that check ends.
 func (c *Checker) Watch(done func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/runner/look_test.go
+++ b/pkg/runner/look_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -85,14 +86,20 @@
 	return c
 }
 
-// TestAHeldStartOutlastsThePlannedStop: it was taken, so it runs when the spell
-// ends, though nothing new is taken any more.
-func TestAHeldStartOutlastsThePlannedStop(t *testing.T) {
+// holding makes a runner that holds one start for the end of a slow spell.
+func holding(t *testing.T) (*Runner, *backend.Lifecycle, *held, chan call.Result) {
 	h := newHeld()
-	r, _ := newTestRunner(t, h, 2)
+	r, lifecycle := newTestRunner(t, h, 2)
 	slowSpells(r)
 	results, _ := execute(r, heldCall("a"))
 	must.True(t, r.gate.Holds(r.Now()))
+	return r, lifecycle, h, results
+}
+
+// TestAHeldStartOutlastsThePlannedStop: it was taken, so it runs when the spell
+// ends, though nothing new is taken any more.
+func TestAHeldStartOutlastsThePlannedStop(t *testing.T) {
+	r, _, h, results := holding(t)
 	r.Leave()
 	late, _ := execute(r, heldCall("b"))
 	got := <-late
@@ -107,11 +114,7 @@
 // TestAHeldStartIsRefusedWhenItsBackendServerLeaves: at once, as not run, so that
 // it goes elsewhere while it has time.
 func TestAHeldStartIsRefusedWhenItsBackendServerLeaves(t *testing.T) {
-	h := newHeld()
-	r, lifecycle := newTestRunner(t, h, 2)
-	slowSpells(r)
-	results, _ := execute(r, heldCall("a"))
-	must.True(t, r.gate.Holds(r.Now()))
+	r, lifecycle, h, results := holding(t)
 	lifecycle.Depart(2, "i-1")
 	r.Tick()
 	got := <-results
--- a/pkg/speed/lengths.go
+++ b/pkg/speed/lengths.go
@@ -56,13 +56,21 @@
 	l.add(length, 1)
 }
 
-// mean is the mean length of the spells that do not last, in nanoseconds.
+// leastWeight is the weight of the spells of a mean below which they are as good
+// as forgotten: a thousandth of one.
+const leastWeight = 0.001
+
+// mean is the mean length of the spells that do not last, in nanoseconds; that
+// of those that do where the others are forgotten.
 func (l *lengths) mean() float64 {
 	var total, weight float64
 	for _, b := range l.buckets[:buckets-1] {
 		total += b.total
 		weight += b.weight
 	}
+	if weight < leastWeight {
+		return float64(lasting)
+	}
 	return total / weight
 }
 
--- a/pkg/speed/model_test.go
+++ b/pkg/speed/model_test.go
@@ -204,3 +204,13 @@
 	}
 	test.Less(t, time.Millisecond, often.Doubt(at+10*ms, long))
 }
+
+// TestAMeanOfForgottenSpellsIsNotUsed: after so many lasting spells that the
+// weights of all shorter ones are rounding errors, their mean would be too.
+func TestAMeanOfForgottenSpellsIsNotUsed(t *testing.T) {
+	l := newLengths()
+	for range 60_000 {
+		l.note(lasting)
+	}
+	test.Eq(t, float64(lasting), l.mean())
+}
