Account of what daemons send each other and ask of the store

Cause: of 0.122 GB between data centres that 295 daemons spend in their first ten seconds nobody could tell which frames they are.

Change: counters of frames and bytes by kind and by inside or outside the data centre (rushramp_link_frames_total, rushramp_link_bytes_total), and events 206 and 707 each ten seconds. No decision changes.

--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -10,6 +10,7 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/measure"
 	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/traffic"
 )
 
 // Common is the shared dependencies.
@@ -18,6 +19,8 @@
 	Settings *settings.Settings
 	Metrics  *metrics.Set
 	Measure  *measure.Budget
+	// Traffic accounts for what is sent to other daemons.
+	Traffic *traffic.Account
 	// start makes Now a steady clock: wall time may jump, this may not.
 	start time.Time
 }
@@ -28,6 +31,7 @@
 	return &Common{
 		Log: log, Settings: s, Metrics: set,
 		Measure: measure.NewBudget(s.Measurement, set),
+		Traffic: traffic.NewAccount(set),
 		start:   time.Now(),
 	}
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -41,6 +41,7 @@
 	LinkBadFrame      ID = 203
 	LinkRefused       ID = 204
 	LinkSurplus       ID = 205
+	LinkTraffic       ID = 206
 	PlacementInForce  ID = 301
 	PlacementRejected ID = 302
 	PlacementChanged  ID = 303
@@ -72,6 +73,7 @@
 	FeedBehind        ID = 704
 	DocumentRefused   ID = 705
 	DepartureNotKept  ID = 706
+	StoreCalls        ID = 707
 )
 
 // Entry is the catalogue's row of one event.
@@ -105,6 +107,7 @@
 		{LinkBadFrame, Warn, "bad frame on link, link closed", false, "A peer sent bytes that are not a frame, or a frame over the bound.", "Check that both daemons run compatible releases."},
 		{LinkRefused, Debug, "link refused", false, "The peer did not accept a connection.", "Nothing, unless the peer should be live."},
 		{LinkSurplus, Debug, "link closed, not needed any more", false, "No subset of a service and no sample has held the peer for some seconds.", "Nothing."},
+		{LinkTraffic, Info, "traffic with other daemons", true, "Each ten seconds: links, and frames and bytes sent since the last such line, by kind and by whether they left the data centre.", "Nothing; compare it with docs/CAPACITY.md when a network or a processor is full."},
 		{PlacementInForce, Info, "placement in force", false, "A newer placement version was taken over.", "Nothing."},
 		{PlacementRejected, Error, "placement version refused", false, "Its content does not match its hash, or it cannot be read.", "Check the object store; apply the placement again."},
 		{PlacementChanged, Info, "placement changed by operator", false, "An operator's change was accepted.", "Nothing; the line holds author and version."},
@@ -136,6 +139,7 @@
 		{FeedBehind, Warn, "placement feed lost its history", false, "The store forgot the changes since the last one seen; the newest version is read whole.", "Nothing."},
 		{DocumentRefused, Error, "placement document refused", false, "The row in the store cannot be read; the version in force stays.", "Correct the document and write it again."},
 		{DepartureNotKept, Warn, "departure was not written to the store", false, "The store did not answer in time; peers were told.", "Look at the platform's store."},
+		{StoreCalls, Info, "calls to the platform's store", true, "Each ten seconds in which there were any: calls since the last such line, by purpose and result.", "Nothing; many while the store answers mean that links are few or end often."},
 	}
 }
 
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -38,6 +38,8 @@
 	*Peer
 	control Control
 	maxBody int
+	// dataCentre is this daemon's own.
+	dataCentre string
 
 	mu sync.Mutex
 	// lastID is the id of the newest call.
@@ -70,8 +72,8 @@
 		return nil, err
 	}
 	cl := &Client{
-		Peer:    &Peer{Conn: newConn(ws, codec, opts.Heartbeat), Outgoing: true},
-		control: control,
+		Peer:    &Peer{Conn: newConn(ws, codec, c.Traffic, opts.Heartbeat), Outgoing: true},
+		control: control, dataCentre: c.Settings.VM.DataCentre,
 		maxBody: c.Settings.Limits.MaxBodyBytes,
 		pending: map[uint64]*pending{},
 	}
@@ -90,6 +92,7 @@
 // Run serves the link until it ends. The first frame must be the greeting.
 func (cl *Client) Run() {
 	_, err := cl.serve(func() {
+		cl.setPlace(cl.Hello.DataCentre == cl.dataCentre)
 		cl.ping()
 		cl.control.Up(cl.Peer)
 		cl.control.News(cl.Peer, &cl.Hello.State)
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/websocket"
 	"github.com/pkg/errors"
 
+	"github.com/rushramp/rushramp/pkg/traffic"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -45,6 +46,10 @@
 	closed   bool
 	lastSent time.Time
 
+	account *traffic.Account
+	// place is a traffic.Place: where the peer stands, once it has greeted.
+	place atomic.Uint32
+
 	written counter
 	read    counter
 	// roundTrip is the shortest of the pings, in nanoseconds.
@@ -56,8 +61,8 @@
 
 // newConn starts the writer. idle is the time without traffic after which a
 // heartbeat is due; the peer counts as gone after three of them.
-func newConn(ws *websocket.Conn, codec *wire.Codec, idle time.Duration) *Conn {
-	c := &Conn{ws: ws, codec: codec, idle: idle, start: time.Now(), lastSent: time.Now()}
+func newConn(ws *websocket.Conn, codec *wire.Codec, account *traffic.Account, idle time.Duration) *Conn {
+	c := &Conn{ws: ws, codec: codec, account: account, idle: idle, start: time.Now(), lastSent: time.Now()}
 	c.wake = sync.NewCond(&c.mu)
 	ws.SetReadLimit(wire.MaxMessage)
 	ws.SetPongHandler(c.pong)
@@ -150,6 +155,15 @@
 	_ = c.ws.Close()
 }
 
+// setPlace notes whether the peer stands in this daemon's own data centre.
+func (c *Conn) setPlace(own bool) {
+	place := traffic.OtherDataCentre
+	if own {
+		place = traffic.OwnDataCentre
+	}
+	c.place.Store(uint32(place))
+}
+
 // HeartbeatDue is true when nothing was sent for the idle time.
 func (c *Conn) HeartbeatDue(now time.Time) bool {
 	c.mu.Lock()
@@ -198,9 +212,11 @@
 func (c *Conn) writeBatch(buf *bytes.Buffer, batch []wire.Frame) error {
 	buf.Reset()
 	for i, frame := range batch {
+		before := buf.Len()
 		if err := c.codec.Append(buf, frame); err != nil {
 			return err
 		}
+		c.account.Sent(traffic.Place(c.place.Load()), frame.Type(), buf.Len()-before)
 		if buf.Len() < batchBytes && i < len(batch)-1 {
 			continue
 		}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -90,7 +90,7 @@
 	}
 	session := &session{
 		server: s,
-		Peer:   &Peer{Conn: newConn(ws, codec, s.heartbeat)},
+		Peer:   &Peer{Conn: newConn(ws, codec, s.Traffic, s.heartbeat)},
 		calls:  map[uint64]*incoming{},
 	}
 	session.run()
@@ -132,6 +132,7 @@
 }
 
 func (s *session) up() {
+	s.setPlace(s.Hello.DataCentre == s.server.Settings.VM.DataCentre)
 	s.server.mu.Lock()
 	s.server.peers[s.Peer] = struct{}{}
 	s.server.mu.Unlock()
--- a/pkg/store/counted.go
+++ b/pkg/store/counted.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,10 +20,37 @@
 
 // Count counts one call that began at a time and ended with err.
 func Count(set *metrics.Set, call string, began time.Time, err error) {
-	set.GetOrCreateCounter(`rushramp_store_calls_total{call="` + call + `",result="` + resultOf(err) + `"}`).Inc()
+	set.GetOrCreateCounter(callsPrefix + call + callsMiddle + resultOf(err) + `"}`).Inc()
 	set.GetOrCreateHistogram(`rushramp_store_call_seconds{call="` + call + `"}`).Update(time.Since(began).Seconds())
 }
 
+// CallCount is how many calls of one purpose ended in one way.
+type CallCount struct {
+	// Name is the call and its result, as in "feed/ok".
+	Name  string
+	Count uint64
+}
+
+// callsPrefix and callsMiddle stand around a call in the name of its counter.
+const (
+	callsPrefix = `rushramp_store_calls_total{call="`
+	callsMiddle = `",result="`
+)
+
+// Calls returns what Count has counted in a set, by name.
+func Calls(set *metrics.Set) []CallCount {
+	var out []CallCount
+	for _, name := range set.ListMetricNames() {
+		labels, ok := strings.CutPrefix(name, callsPrefix)
+		if !ok {
+			continue
+		}
+		call, result, _ := strings.Cut(strings.TrimSuffix(labels, `"}`), callsMiddle)
+		out = append(out, CallCount{Name: call + "/" + result, Count: set.GetOrCreateCounter(name).Get()})
+	}
+	return out
+}
+
 // resultOf is the label of a call's end; the set of labels is closed.
 func resultOf(err error) string {
 	switch {
--- a/pkg/store/counted_test.go
+++ b/pkg/store/counted_test.go
@@ -30,4 +30,5 @@
 		set.WritePrometheus(&out)
 		test.StrContains(t, out.String(), `rushramp_store_calls_total{call="get",result="`+result+`"} 1`)
 	}
+	test.SliceContains(t, Calls(set), CallCount{Name: "get/not_found", Count: 1})
 }
--- /dev/null
+++ b/pkg/systems/account.go
@@ -0,0 +1,77 @@
+package systems
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/store"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/traffic"
+)
+
+// accountEvery is the time between two lines of the account: two short lines
+// each ten seconds are under a tenth of a percent of log.bytes_per_second.
+const accountEvery = 10 * time.Second
+
+// account logs what this daemon has sent to others and asked of the store. The
+// same figures stand in the metrics.
+type account struct {
+	*Env
+	due   due
+	sent  map[traffic.Line]traffic.Line
+	calls map[string]uint64
+}
+
+// Tick implements System.
+func (a *account) Tick(now int64, _ *tables.Mail) {
+	if !a.due.at(now, accountEvery) {
+		return
+	}
+	a.logTraffic()
+	a.logStore()
+}
+
+func (a *account) logTraffic() {
+	if a.sent == nil {
+		a.sent = map[traffic.Line]traffic.Line{}
+	}
+	var frames []string
+	for _, line := range a.Traffic.Lines() {
+		key := traffic.Line{To: line.To, Kind: line.Kind}
+		before := a.sent[key]
+		a.sent[key] = line
+		if line.Frames > before.Frames {
+			frames = append(frames, fmt.Sprintf("%s/%s:%d/%d", line.Kind, line.To, line.Frames-before.Frames, line.Bytes-before.Bytes))
+		}
+	}
+	opened, own := 0, 0
+	a.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
+		if peer.Outgoing {
+			opened++
+		}
+		if peer.Hello.DataCentre == a.World.DataCentre {
+			own++
+		}
+	})
+	a.Log.Event(events.LinkTraffic, events.F("links", a.World.Peers.Len()), events.F("opened", opened), events.F("own_data_centre", own),
+		events.F("members", a.World.Members.Len()), events.F("frames_and_bytes", strings.Join(frames, " ")))
+}
+
+func (a *account) logStore() {
+	if a.calls == nil {
+		a.calls = map[string]uint64{}
+	}
+	var calls []string
+	for _, c := range store.Calls(a.Metrics) {
+		if n := c.Count - a.calls[c.Name]; n > 0 {
+			calls = append(calls, fmt.Sprintf("%s:%d", c.Name, n))
+		}
+		a.calls[c.Name] = c.Count
+	}
+	if len(calls) > 0 {
+		a.Log.Event(events.StoreCalls, events.F("calls", strings.Join(calls, " ")))
+	}
+}
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -76,6 +76,7 @@
 		&sweeper{Env: env},
 		&publish{Env: env},
 		&queries{Env: env},
+		&account{Env: env},
 	}
 }
 
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -23,8 +23,18 @@
 	TypeMembers
 	TypeMembersAsk
 	TypeDepartures
+	// TypeCount is one more than the highest type.
+	TypeCount
 )
 
+// String returns the type's word in metrics and log lines.
+func (t Type) String() string {
+	return [...]string{
+		"none", "hello", "call", "chunk", "answer", "refusal", "cancel",
+		"state", "pull", "update", "members", "members_ask", "departures", "count",
+	}[min(t, TypeCount)]
+}
+
 // Header is one HTTP header field.
 type Header struct {
 	_     struct{} `cbor:",toarray"`
