Members: rows spread inside the data centre, and three times into each other one

Ruled out: larger batches alone (the bytes are the rows'), two relays a data centre chosen by hash (while the fleet starts each daemon knows other ones).

Change: a new row, the own one too, goes to four daemons of the own data centre; of those that hear of it three in the mean send it to one daemon of each other data centre. The sample holds three near daemons in place of one.

Tests: TestNewsGoesToAFewDaemonsOfTheOwnDataCentre takes the place of TestHearsayGoesToAFewDaemons (as strict, and for own rows too); TestARowCrossesIntoAnotherDataCentreAFewTimes, TestASmallDataCentreLosesNoRow.

--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/events"
@@ -10,7 +9,6 @@
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/tables"
-	"github.com/rushramp/rushramp/pkg/utils"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -231,24 +229,30 @@
 	client.Run()
 }
 
+// sampleNear is how many daemons of the own data centre the sample holds: links
+// drawn at random, three a daemon, connect a data centre of any size.
+const sampleNear = 3
+
 // drawSample picks the daemons that this one keeps a link with besides those
-// that calls need: the highest by rendezvous hash in each data centre. They
-// carry placement versions and news even where no calls go.
+// that calls need: the highest by rendezvous hash, some in the own data centre
+// and one in each other. They carry placement versions and news even where no
+// calls go.
 func (l *links) drawSample() {
-	best := map[string]*tables.Route{}
+	byDataCentre := map[string][]*tables.Route{}
 	l.World.Members.Rows(func(row int) {
 		route := l.World.Members.Route[row]
 		if route.VM == l.World.VM || l.World.Members.Leaving(row) {
 			return
 		}
-		old := best[route.DataCentre]
-		if old == nil || utils.Rendezvous(l.World.VM, route.VM) > utils.Rendezvous(l.World.VM, old.VM) {
-			best[route.DataCentre] = route
-		}
+		byDataCentre[route.DataCentre] = append(byDataCentre[route.DataCentre], route)
 	})
 	l.sample = l.sample[:0]
-	for _, route := range best {
-		l.sample = append(l.sample, route)
+	for dataCentre, routes := range byDataCentre {
+		most := 1
+		if dataCentre == l.World.DataCentre {
+			most = sampleNear
+		}
+		l.sample = append(l.sample, highest(l.World.VM, routes, most)...)
 	}
 }
 
@@ -267,34 +271,25 @@
 // daemon's name, so that each entry has its own stable choice. Up to a share of
 // them is taken from the own data centre first (choosing.near_share).
 func Subset(w *tables.World, choosing settings.Choosing, kind *placement.CompiledKind) []*tables.Route {
-	var all []*tables.Route
+	var near, far []*tables.Route
 	w.Members.Service(kind.Service, func(row int) {
 		takes := !w.Members.Leaving(row) && w.Members.Row[row].Backend == wire.BackendLive
-		if takes && kind.Allows(w.Members.Row[row].DataCentre) {
-			all = append(all, w.Members.Route[row])
+		if !takes || !kind.Allows(w.Members.Row[row].DataCentre) {
+			return
+		}
+		if route := w.Members.Route[row]; route.DataCentre == w.DataCentre {
+			near = append(near, route)
+		} else {
+			far = append(far, route)
 		}
 	})
-	sort.Slice(all, func(i, j int) bool { return all[i].VM < all[j].VM })
 	size := choosing.Subset
-	if len(all) <= size {
-		return all
-	}
-	sort.SliceStable(all, func(i, j int) bool {
-		return utils.Rendezvous(w.VM, all[i].VM) > utils.Rendezvous(w.VM, all[j].VM)
-	})
-	return nearFirst(all, w.DataCentre, int(choosing.NearShare*float64(size)))[:size]
-}
-
-// nearFirst moves up to most routes of a data centre to the front.
-func nearFirst(routes []*tables.Route, dataCentre string, most int) []*tables.Route {
-	out := make([]*tables.Route, 0, len(routes))
-	var rest []*tables.Route
-	for _, route := range routes {
-		if route.DataCentre == dataCentre && len(out) < most {
-			out = append(out, route)
-			continue
-		}
-		rest = append(rest, route)
+	if len(near)+len(far) <= size {
+		return highest(w.VM, append(near, far...), size)
 	}
-	return append(out, rest...)
+	nearMost := int(choosing.NearShare * float64(size))
+	near = highest(w.VM, near, len(near))
+	rest := append(far, near[min(nearMost, len(near)):]...)
+	near = near[:min(nearMost, len(near))]
+	return append(near[:len(near):len(near)], highest(w.VM, rest, size-len(near))...)
 }
--- a/pkg/systems/spread.go
+++ b/pkg/systems/spread.go
@@ -13,15 +13,20 @@
 // peer only what it lacks.
 const spreadMost = 200
 
-// spreadFanout is how many daemons a row is passed on to by one that heard of it
-// from another. Each daemon doing so reaches nearly all in a few steps (some
-// e^-4 are missed, and found by the comparing of tables), where passing on over
-// all links costs the square of the fleet for each change.
+// spreadFanout is how many daemons of its own data centre a daemon passes a new
+// row on to. Each daemon doing so reaches nearly all in a few steps (some e^-4
+// are missed, and found by the comparing of tables), where passing on over all
+// links costs the square of the fleet for each change.
 const spreadFanout = 4
 
-// spread passes on rows of members that changed: what is first-hand goes over
-// all links, what was heard from another daemon to a few of them. A row that a
-// daemon knows already changes nothing there and goes no further.
+// spreadRelays is how many daemons of a data centre, in the mean, send a row of
+// one of its VMs to each other data centre; e^-3 of the rows are missed there
+// and found by the comparing of tables. Bytes between data centres have a price.
+const spreadRelays = 3
+
+// spread passes on rows of members that changed, the own row too: to a few
+// daemons of the own data centre, and now and then to another data centre. A row
+// that a daemon knows already changes nothing there and goes no further.
 type spread struct{ *Env }
 
 // Tick implements System.
@@ -30,47 +35,93 @@
 	if len(fresh) == 0 || len(fresh) > spreadMost {
 		return
 	}
-	var all, some []tables.Fresh
+	if s.Registrar == nil {
+		s.spreadList(fresh)
+	}
+	for peer, rows := range s.plan(s.saidByDaemons(fresh)) {
+		send(peer, rows)
+	}
+}
+
+// plan says which rows go over which links.
+func (s *spread) plan(said []tables.Fresh) map[*link.Peer][]wire.Member {
+	out := map[*link.Peer][]wire.Member{}
+	if len(said) == 0 {
+		return out
+	}
+	near, far := s.peersByDataCentre()
+	for _, peer := range draw(near, spreadFanout) {
+		out[peer] = except(peer, said)
+	}
+	for _, peers := range far {
+		for _, peer := range draw(peers, 1) {
+			out[peer] = except(peer, s.relayed(said))
+		}
+	}
+	return out
+}
+
+// spreadList passes a reader's news of the platform's list on over all links.
+// Where daemons write the list themselves, each reads it at its start.
+func (s *spread) spreadList(fresh []tables.Fresh) {
+	var listed []tables.Fresh
+	for _, f := range fresh {
+		if f.From == nil && f.Row.VM != s.World.VM {
+			listed = append(listed, f)
+		}
+	}
+	s.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) { send(peer, except(peer, listed)) })
+}
+
+// saidByDaemons are the rows that a daemon said, this one or another.
+func (s *spread) saidByDaemons(fresh []tables.Fresh) []tables.Fresh {
+	var out []tables.Fresh
 	for _, f := range fresh {
-		switch {
-		case f.Row.VM == s.World.VM:
-			all = append(all, f)
-		case f.From != nil:
-			some = append(some, f)
-		case s.Registrar == nil:
-			// A reader's news of the platform's list. Where daemons write the
-			// list themselves, each reads it at its start.
-			all = append(all, f)
+		if f.From != nil || f.Row.VM == s.World.VM {
+			out = append(out, f)
 		}
 	}
-	reach := s.someDaemons()
-	s.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
-		rows := except(peer, all)
-		if reach[peer] {
-			rows = append(rows, except(peer, some)...)
+	return out
+}
+
+// peersByDataCentre returns one link to each daemon: those of the own data
+// centre, and the others by theirs.
+func (s *spread) peersByDataCentre() (near []*link.Peer, far map[string][]*link.Peer) {
+	seen := map[string]struct{}{}
+	far = map[string][]*link.Peer{}
+	s.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
+		if _, known := seen[peer.Hello.VM]; known || row.Leaving {
+			return
 		}
-		send(peer, rows)
+		seen[peer.Hello.VM] = struct{}{}
+		if dataCentre := peer.Hello.DataCentre; dataCentre != s.World.DataCentre {
+			far[dataCentre] = append(far[dataCentre], peer)
+			return
+		}
+		near = append(near, peer)
 	})
+	return near, far
 }
 
-// someDaemons draws links to a few daemons, one link each.
-func (s *spread) someDaemons() map[*link.Peer]bool {
-	byVM := map[string]*link.Peer{}
-	var names []string
-	s.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
-		if _, known := byVM[peer.Hello.VM]; !known {
-			names = append(names, peer.Hello.VM)
+// relayed are the rows that this daemon sends to another data centre: those of
+// the own one, each with a chance by which spreadRelays daemons do so.
+func (s *spread) relayed(said []tables.Fresh) []tables.Fresh {
+	chance := spreadRelays / float64(max(s.World.Members.InDataCentre(s.World.DataCentre), 1))
+	var out []tables.Fresh
+	for _, f := range said {
+		if f.Row.DataCentre == s.World.DataCentre && rand.Float64() < chance {
+			out = append(out, f)
 		}
-		byVM[peer.Hello.VM] = peer
-	})
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	out := map[*link.Peer]bool{}
-	for _, name := range names[:min(spreadFanout, len(names))] {
-		out[byVM[name]] = true
 	}
 	return out
 }
 
+// draw picks up to most of some links.
+func draw(peers []*link.Peer, most int) []*link.Peer {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(most, len(peers))]
+}
+
 // except are the rows that did not come from a peer.
 func except(peer *link.Peer, fresh []tables.Fresh) []wire.Member {
 	var rows []wire.Member
--- a/pkg/systems/spread_test.go
+++ b/pkg/systems/spread_test.go
@@ -11,22 +11,80 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
-// TestHearsayGoesToAFewDaemons: with two links to each of 60 daemons, four
-// daemons are reached, over one link each.
-func TestHearsayGoesToAFewDaemons(t *testing.T) {
+// spreadFleet makes a daemon with two links to each of some others in its own
+// data centre and in another one, all of them members.
+func spreadFleet(each int) *spread {
 	env := testEnv()
-	for n := range 60 {
-		for range 2 {
-			env.World.Peers.Put(&link.Peer{Hello: wire.Hello{VM: fmt.Sprint(n)}})
+	for _, dataCentre := range []string{"here", "there"} {
+		for n := range each {
+			vm := fmt.Sprint(dataCentre, n)
+			env.World.Members.Merge(1, nil, wire.Member{VM: vm, DataCentre: dataCentre, Service: "s"})
+			for range 2 {
+				env.World.Peers.Put(&link.Peer{Hello: wire.Hello{VM: vm, DataCentre: dataCentre}})
+			}
 		}
 	}
-	reached := map[string]struct{}{}
-	links := (&spread{Env: env}).someDaemons()
-	for peer := range links {
-		reached[peer.Hello.VM] = struct{}{}
+	return &spread{Env: env}
+}
+
+// TestNewsGoesToAFewDaemonsOfTheOwnDataCentre: with two links to each of 60
+// daemons, four daemons are reached, over one link each, be the row the own one
+// or one that was heard.
+func TestNewsGoesToAFewDaemonsOfTheOwnDataCentre(t *testing.T) {
+	s := spreadFleet(60)
+	far := &link.Peer{Hello: wire.Hello{VM: "there5", DataCentre: "there"}}
+	for _, f := range []tables.Fresh{
+		{Row: wire.Member{VM: "vm", DataCentre: "here"}},
+		{Row: wire.Member{VM: "there9", DataCentre: "there"}, From: far},
+	} {
+		reached := map[string]int{}
+		for peer, rows := range s.plan([]tables.Fresh{f}) {
+			if peer.Hello.DataCentre == "here" {
+				reached[peer.Hello.VM] += len(rows)
+			}
+		}
+		test.MapLen(t, spreadFanout, reached)
+	}
+}
+
+// TestARowCrossesIntoAnotherDataCentreAFewTimes: sixty daemons that hear of a
+// row of their data centre send it to another one some three times in all, and
+// rows of other data centres not at all.
+func TestARowCrossesIntoAnotherDataCentreAFewTimes(t *testing.T) {
+	const daemons, rounds = 60, 200
+	s := spreadFleet(daemons)
+	near := &link.Peer{Hello: wire.Hello{VM: "here5", DataCentre: "here"}}
+	crossed := map[string]int{}
+	for range daemons * rounds {
+		plan := s.plan([]tables.Fresh{
+			{Row: wire.Member{VM: "own", DataCentre: "here"}, From: near},
+			{Row: wire.Member{VM: "foreign", DataCentre: "there"}, From: near},
+		})
+		for peer, rows := range plan {
+			for _, row := range rows {
+				if peer.Hello.DataCentre == "there" {
+					crossed[row.VM]++
+				}
+			}
+		}
+	}
+	test.Between(t, rounds*spreadRelays*8/10, crossed["own"], rounds*spreadRelays*12/10)
+	test.Eq(t, 0, crossed["foreign"])
+}
+
+// TestASmallDataCentreLosesNoRow: where a data centre has no more daemons than
+// relays are wanted, each sends each row on.
+func TestASmallDataCentreLosesNoRow(t *testing.T) {
+	s := spreadFleet(spreadRelays)
+	for range 100 {
+		sent := 0
+		for peer, rows := range s.plan([]tables.Fresh{{Row: wire.Member{VM: "vm", DataCentre: "here"}}}) {
+			if peer.Hello.DataCentre == "there" {
+				sent += len(rows)
+			}
+		}
+		test.Eq(t, 1, sent)
 	}
-	test.MapLen(t, spreadFanout, links)
-	test.MapLen(t, spreadFanout, reached)
 }
 
 func TestARowDoesNotGoBackToTheDaemonItCameFrom(t *testing.T) {
--- a/pkg/tables/members.go
+++ b/pkg/tables/members.go
@@ -65,9 +65,11 @@
 	free      []int
 	byID      map[string]int
 	byService map[string]map[int]struct{}
-	gone      map[string]tombstone
-	digests   [buckets]uint32
-	changes   uint64
+	// inDataCentre counts the rows of each data centre.
+	inDataCentre map[string]int
+	gone         map[string]tombstone
+	digests      [buckets]uint32
+	changes      uint64
 	// fresh are rows that changed and were not passed on yet.
 	fresh []Fresh
 }
@@ -87,7 +89,10 @@
 
 // NewMembers makes an empty table.
 func NewMembers() *Members {
-	return &Members{byID: map[string]int{}, byService: map[string]map[int]struct{}{}, gone: map[string]tombstone{}}
+	return &Members{
+		byID: map[string]int{}, byService: map[string]map[int]struct{}{},
+		inDataCentre: map[string]int{}, gone: map[string]tombstone{},
+	}
 }
 
 // Len counts the rows in use.
@@ -97,6 +102,9 @@
 // cheaply that there was none.
 func (me *Members) Changes() uint64 { return me.changes }
 
+// InDataCentre counts the members of a data centre.
+func (me *Members) InDataCentre(name string) int { return me.inDataCentre[name] }
+
 // Find returns the row number of a VM; ok is false when it is not known.
 func (me *Members) Find(id string) (row int, ok bool) {
 	row, ok = me.byID[id]
@@ -212,6 +220,7 @@
 		me.byService[said.Service] = map[int]struct{}{}
 	}
 	me.byService[said.Service][row] = struct{}{}
+	me.inDataCentre[said.DataCentre]++
 	me.count(&said)
 }
 
@@ -239,6 +248,7 @@
 	route := me.Route[row]
 	delete(me.byID, id)
 	delete(me.byService[route.Service], row)
+	me.inDataCentre[route.DataCentre]--
 	me.inUse[row] = false
 	me.Route[row] = nil
 	me.free = append(me.free, row)
