Links: an entry works with its own data centre's backend servers and four others

Cause: a subset of 16 of 144 by hashing shifts while members become known (52,000 links opened for 20,000), leaves the data centre on a quarter of its links, and puts the busiest backend server into 1.3 times as many subsets as the mean. It was sorted again for each service five times a second. A VM without power kept its place in the subset, since no list says that it is gone.

Change: choosing.near_share gives way to choosing.near (32) and choosing.far (4). Services of up to choosing.subset members are used whole, as before. Members whose dials or links failed twice in a row are passed over until their rest is over.

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -150,10 +150,12 @@
 	Policy string `yaml:"policy" validate:"oneof=random round_robin least_outstanding hot_cold expected_wait idle_hints"`
 	// Whether the first attempt is refused at once by a gate that is busier than the entry believed.
 	SoftFirst bool `yaml:"soft_first"`
-	// Number of backend servers that one entry works with in a large service.
+	// Number of backend servers up to which an entry works with all of a service.
 	Subset int `yaml:"subset" validate:"min=2,max=1000"`
-	// Share of them that is taken from the own data centre first, where it has that many.
-	NearShare float64 `yaml:"near_share" validate:"min=0,max=1"`
+	// Most backend servers of its own data centre that an entry works with in a larger service.
+	Near int `yaml:"near" validate:"min=1,max=1000"`
+	// Number of backend servers of other data centres that it works with besides; more where the own one has few, so that there are half of choosing.subset in all.
+	Far int `yaml:"far" validate:"min=0,max=1000"`
 	// Age at which a load report has lost most of its weight.
 	StampHalfLife time.Duration `yaml:"stamp_half_life" validate:"min=1ms"`
 }
@@ -274,7 +276,7 @@
 	return Settings{
 		BackendServer: BackendServer{Slots: 12, Connections: 200, DialTimeout: 500 * time.Millisecond},
 		Platform:      Platform{Timeout: 2 * time.Second, VMListEvery: time.Second, Form: "http"},
-		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, StampHalfLife: 20 * time.Millisecond},
+		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, Near: 32, Far: 4, StampHalfLife: 20 * time.Millisecond},
 		Routing: Routing{
 			SoftAttempts: 3, SoftSlowdown: 1.8, Use: 0.8, LeaveCost: 0.8,
 			RetryAfter: 300 * time.Millisecond, RetryRatio: 0.15, RetrySlack: 50,
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -6,8 +6,6 @@
 
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
-	"github.com/rushramp/rushramp/pkg/placement"
-	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -32,6 +30,7 @@
 	// failures counts a route's failed dials and ended links in a row.
 	failures  map[*tables.Route]int
 	surplus   *surplus
+	unreached *unreached
 	sampleDue due
 	sample    []*tables.Route
 	// drawnAt is the state of the members that the sample was drawn from.
@@ -47,6 +46,7 @@
 		l.restUntil = map[*tables.Route]int64{}
 		l.failures = map[*tables.Route]int{}
 		l.surplus = newSurplus()
+		l.unreached = newUnreached(l.World)
 	}
 	for _, e := range mail.Links {
 		l.take(now, e)
@@ -58,6 +58,7 @@
 	retry := l.retryDue.at(now, redialAfter)
 	if retry {
 		l.noteDistances()
+		l.unreached.expire(now)
 	}
 	for service := range l.World.Wanted {
 		if _, dirty := l.World.Dirty[service]; dirty || retry {
@@ -110,8 +111,10 @@
 		// The peer's process is a new one with a lower number: it must count on.
 		send(peer, []wire.Member{said})
 	}
-	l.restUntil[l.World.Members.Route[row]] = now
-	delete(l.failures, l.World.Members.Route[row])
+	route := l.World.Members.Route[row]
+	l.restUntil[route] = now
+	delete(l.failures, route)
+	l.unreached.forget(route)
 }
 
 func (l *links) noteDistances() {
@@ -138,6 +141,7 @@
 		return
 	}
 	delete(l.failures, e.Route)
+	l.unreached.forget(e.Route)
 	// The members may have told of the new process before this link came up.
 	e.Route.Load.Begin(e.Peer.Hello.Incarnation, int(l.World.Members.Row[row].Slots))
 	l.open[e.Route] = e.Client
@@ -174,6 +178,9 @@
 	l.failures[e.Route]++
 	rest := redialAfter << min(l.failures[e.Route]-1, redialDoublings)
 	l.restUntil[e.Route] = now + int64(rest)
+	if l.failures[e.Route] >= unreachedAfter {
+		l.unreached.note(e.Route, l.restUntil[e.Route])
+	}
 	if l.open[e.Route] == e.Client && e.Client != nil {
 		delete(l.open, e.Route)
 		e.Route.SetRunner(nil)
@@ -196,7 +203,7 @@
 		return
 	}
 	for _, kind := range compiled.Kinds {
-		l.openAll(now, Subset(l.World, l.Settings.Choosing, kind))
+		l.openAll(now, l.subset(kind))
 	}
 }
 
@@ -265,31 +272,3 @@
 		}
 	}
 }
-
-// Subset returns the routes that this entry works with for a kind: all of
-// them in a small service, else the first ones by rendezvous hash on this
-// daemon's name, so that each entry has its own stable choice. Up to a share of
-// them is taken from the own data centre first (choosing.near_share).
-func Subset(w *tables.World, choosing settings.Choosing, kind *placement.CompiledKind) []*tables.Route {
-	var near, far []*tables.Route
-	w.Members.Service(kind.Service, func(row int) {
-		takes := !w.Members.Leaving(row) && w.Members.Row[row].Backend == wire.BackendLive
-		if !takes || !kind.Allows(w.Members.Row[row].DataCentre) {
-			return
-		}
-		if route := w.Members.Route[row]; route.DataCentre == w.DataCentre {
-			near = append(near, route)
-		} else {
-			far = append(far, route)
-		}
-	})
-	size := choosing.Subset
-	if len(near)+len(far) <= size {
-		return highest(w.VM, append(near, far...), size)
-	}
-	nearMost := int(choosing.NearShare * float64(size))
-	near = highest(w.VM, near, len(near))
-	rest := append(far, near[min(nearMost, len(near)):]...)
-	near = near[:min(nearMost, len(near))]
-	return append(near[:len(near):len(near)], highest(w.VM, rest, size-len(near))...)
-}
--- a/pkg/systems/publish.go
+++ b/pkg/systems/publish.go
@@ -53,7 +53,7 @@
 
 func (p *publish) kindView(kind *placement.CompiledKind) *tables.KindView {
 	out := &tables.KindView{Kind: kind}
-	for _, route := range Subset(p.World, p.Settings.Choosing, kind) {
+	for _, route := range p.subset(kind) {
 		if route.Runner() == nil {
 			out.Unlinked = append(out.Unlinked, route)
 			continue
--- /dev/null
+++ b/pkg/systems/subset.go
@@ -0,0 +1,66 @@
+package systems
+
+import (
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// Subset returns the routes that this entry works with for a kind: all of them
+// in a small service. Of a large one it takes those of its own data centre, so
+// that each of them has the same entries and none is busier for the luck of a
+// hash, and a few of other data centres for when its own has no room. Where
+// there are more than it may take, rendezvous hashing on this daemon's name
+// decides, so that each entry has its own stable choice. Members that could not
+// be reached of late are passed over. Source: docs/design/members.md, "Links".
+func Subset(w *tables.World, choosing settings.Choosing, kind *placement.CompiledKind) []*tables.Route {
+	var near, far []*tables.Route
+	w.Members.Service(kind.Service, func(row int) {
+		takes := !w.Members.Leaving(row) && w.Members.Row[row].Backend == wire.BackendLive
+		if !takes || !kind.Allows(w.Members.Row[row].DataCentre) {
+			return
+		}
+		route := w.Members.Route[row]
+		if _, unreached := w.Unreached[route]; unreached {
+			return
+		}
+		if route.DataCentre == w.DataCentre {
+			near = append(near, route)
+		} else {
+			far = append(far, route)
+		}
+	})
+	if len(near)+len(far) <= choosing.Subset {
+		return highest(w.VM, append(near, far...), choosing.Subset)
+	}
+	near = highest(w.VM, near, choosing.Near)
+	return append(near, highest(w.VM, far, max(choosing.Far, choosing.Subset/2-len(near)))...)
+}
+
+// subsetKey names a kind of a service, subsetRow is its subset and what it was
+// worked out from.
+type (
+	subsetKey struct{ service, kind string }
+	subsetRow struct {
+		kind      *placement.CompiledKind
+		members   uint64
+		unreached uint64
+		routes    []*tables.Route
+	}
+)
+
+// subset is Subset, worked out again only after something that it hangs on has
+// changed: several systems ask for it at each tick. The result is not changed.
+func (e *Env) subset(kind *placement.CompiledKind) []*tables.Route {
+	if e.subsets == nil {
+		e.subsets = map[subsetKey]subsetRow{}
+	}
+	key := subsetKey{kind.Service, kind.Name}
+	row, changes := e.subsets[key], e.World.Members.ServiceChanges(kind.Service)
+	if row.kind != kind || row.members != changes || row.unreached != e.World.UnreachedChanges {
+		row = subsetRow{kind: kind, members: changes, unreached: e.World.UnreachedChanges, routes: Subset(e.World, e.Settings.Choosing, kind)}
+		e.subsets[key] = row
+	}
+	return row.routes
+}
--- a/pkg/systems/surplus.go
+++ b/pkg/systems/surplus.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		for _, kind := range compiled.Kinds {
-			for _, route := range Subset(l.World, l.Settings.Choosing, kind) {
+			for _, route := range l.subset(kind) {
 				out[route] = struct{}{}
 			}
 		}
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -52,6 +52,9 @@
 	Sweep func(ctx context.Context) (deleted int, err error)
 	// Leave begins the drain; it returns at once.
 	Leave func()
+
+	// subsets are those worked out last, by service and kind.
+	subsets map[subsetKey]subsetRow
 }
 
 // order is the one list of systems, in the order in which they run: what came
--- /dev/null
+++ b/pkg/systems/unreached.go
@@ -0,0 +1,51 @@
+package systems
+
+import "github.com/rushramp/rushramp/pkg/tables"
+
+// unreachedAfter is how many dials and ends of a link in a row put a route among
+// those that cannot be reached: one may be a restart.
+const unreachedAfter = 2
+
+// unreached keeps the routes whose daemons cannot be reached. A VM that lost its
+// power says nothing of it, and no list tells: without this its place in the
+// subset would stay empty. A route comes back when its rest is over, and is then
+// dialled again.
+type unreached struct {
+	world *tables.World
+	until map[*tables.Route]int64
+}
+
+func newUnreached(w *tables.World) *unreached {
+	return &unreached{world: w, until: map[*tables.Route]int64{}}
+}
+
+// note puts a route among them until a time in nanoseconds.
+func (u *unreached) note(route *tables.Route, until int64) {
+	u.until[route] = until
+	u.world.Unreached[route] = struct{}{}
+	u.changed(route)
+}
+
+// forget takes a route out: its daemon was heard.
+func (u *unreached) forget(route *tables.Route) {
+	if _, known := u.until[route]; !known {
+		return
+	}
+	delete(u.until, route)
+	delete(u.world.Unreached, route)
+	u.changed(route)
+}
+
+// expire takes out the routes whose rest is over.
+func (u *unreached) expire(now int64) {
+	for route, until := range u.until {
+		if now >= until {
+			u.forget(route)
+		}
+	}
+}
+
+func (u *unreached) changed(route *tables.Route) {
+	u.world.UnreachedChanges++
+	u.world.Touch(route.Service)
+}
--- a/pkg/tables/members.go
+++ b/pkg/tables/members.go
@@ -65,6 +65,8 @@
 	free      []int
 	byID      map[string]int
 	byService map[string]map[int]struct{}
+	// serviceChanges grows with each change of a service's rows.
+	serviceChanges map[string]uint64
 	// inDataCentre counts the rows of each data centre.
 	inDataCentre map[string]int
 	gone         map[string]tombstone
@@ -91,7 +93,7 @@
 func NewMembers() *Members {
 	return &Members{
 		byID: map[string]int{}, byService: map[string]map[int]struct{}{},
-		inDataCentre: map[string]int{}, gone: map[string]tombstone{},
+		serviceChanges: map[string]uint64{}, inDataCentre: map[string]int{}, gone: map[string]tombstone{},
 	}
 }
 
@@ -102,6 +104,9 @@
 // cheaply that there was none.
 func (me *Members) Changes() uint64 { return me.changes }
 
+// ServiceChanges grows with each change of a row of a service.
+func (me *Members) ServiceChanges(name string) uint64 { return me.serviceChanges[name] }
+
 // InDataCentre counts the members of a data centre.
 func (me *Members) InDataCentre(name string) int { return me.inDataCentre[name] }
 
@@ -269,6 +274,7 @@
 // exclusive or.
 func (me *Members) count(m *wire.Member) {
 	me.changes++
+	me.serviceChanges[m.Service]++
 	me.digests[bucketOf(m.VM)] ^= digest(m)
 }
 
--- a/pkg/tables/world.go
+++ b/pkg/tables/world.go
@@ -31,6 +31,10 @@
 	// Departures are the processes of backend servers, anywhere, that said that
 	// they leave, and when this daemon heard of it. Source: docs/design/platform.md.
 	Departures map[string]int64
+	// Unreached are routes whose daemons could not be reached of late. Subsets
+	// pass them over; UnreachedChanges grows with each change of the set.
+	Unreached        map[*Route]struct{}
+	UnreachedChanges uint64
 	// Dirty are the services whose view must be published again.
 	Dirty map[string]struct{}
 	View  *View
@@ -47,6 +51,7 @@
 		Wanted:     map[string]struct{}{},
 		Heard:      map[string]int64{},
 		Departures: map[string]int64{},
+		Unreached:  map[*Route]struct{}{},
 		Dirty:      map[string]struct{}{},
 		View:       &View{},
 		Inbox:      NewInbox(),
