--- a/pkg/systems/compare.go
+++ b/pkg/systems/compare.go
@@ -1,6 +1,7 @@
 package systems
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/link"
@@ -14,6 +15,14 @@
 	// differFor is how long a peer's table must differ, with neither changing,
 	// before it is asked: news on the way makes tables differ for a moment.
 	differFor = 1500 * time.Millisecond
+	// farPatience bounds how much longer a peer in another data centre is waited
+	// with, each time drawn anew: where a whole data centre lacks the same row, the
+	// first daemon that asks passes it on to the others, and saves bytes between
+	// data centres.
+	farPatience = 4 * time.Second
+	// nearFirst is how long a daemon that knows nobody yet waits for a peer of its
+	// own data centre.
+	nearFirst = 300 * time.Millisecond
 )
 
 // compare asks a peer whose table of members differs for the rows in which it
@@ -24,6 +33,8 @@
 	due     due
 	changes uint64
 	digest  uint64
+	// patience is the one drawn for the next question to another data centre.
+	patience time.Duration
 }
 
 // Tick implements System.
@@ -57,19 +68,34 @@
 
 func (c *compare) ask(now int64) {
 	var longest *link.Peer
-	since := now - int64(differFor)
-	// A daemon that knows nobody yet asks at once.
-	if c.World.Members.Len() <= 1 {
-		since = now
-	}
+	var longestOver int64
 	c.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
-		if row.DiffersSince != 0 && row.DiffersSince <= since {
-			longest, since = peer, row.DiffersSince
+		if row.DiffersSince == 0 {
+			return
+		}
+		if over := now - row.DiffersSince - int64(c.wait(peer)); over >= 0 && (longest == nil || over > longestOver) {
+			longest, longestOver = peer, over
 		}
 	})
 	if longest == nil {
 		return
 	}
+	c.patience = rand.N(farPatience)
 	c.World.Peers.Put(longest).DiffersSince = now
 	_ = longest.Send(&wire.MembersAsk{Buckets: c.World.Members.Buckets()})
 }
+
+// wait is how long a peer's table must differ before the peer is asked.
+func (c *compare) wait(peer *link.Peer) time.Duration {
+	near := peer.Hello.DataCentre == c.World.DataCentre
+	knowsNobody := c.World.Members.Len() <= 1
+	switch {
+	case near && knowsNobody:
+		return 0
+	case knowsNobody:
+		return nearFirst
+	case near:
+		return differFor
+	}
+	return differFor + c.patience
+}
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -30,6 +30,11 @@
 	feedRestMost = 2 * time.Second
 	// feedLook is the time between two looks whether this daemon must follow.
 	feedLook = 300 * time.Millisecond
+	// firstFollowAfter is when the first daemons begin to follow at the first
+	// start of the whole system: they know each other by then, so that only the
+	// first few do. firstFollowAll is when all that have no version yet do.
+	firstFollowAfter = 1500 * time.Millisecond
+	firstFollowAll   = 4 * time.Second
 	// feedTrust is how long a request to the feed may know less than a peer
 	// before it is given up and opened again.
 	feedTrust = 300 * time.Millisecond
@@ -67,7 +72,7 @@
 // Tick implements System.
 func (f *follower) Tick(now int64, _ *tables.Mail) {
 	if f.lookDue.at(now, feedLook) {
-		f.resting.Store(!f.mustFollow())
+		f.resting.Store(!f.mustFollow(now))
 	}
 	f.started.Do(func() { go f.run() })
 	if f.World.Version() <= f.told.Load() {
@@ -86,8 +91,15 @@
 // mustFollow is true for the first few daemons of each data centre, for one
 // that has no version yet, and for one that has few links: it may be the only
 // one that hears the store. All others learn over their links.
-func (f *follower) mustFollow() bool {
-	return f.World.Placement == nil || f.World.Peers.Len() < fewLinks || f.ahead() < f.Settings.Placement.FeedReaders
+func (f *follower) mustFollow(now int64) bool {
+	if f.Settings.Platform.FirstStart && now < int64(firstFollowAfter) {
+		return false
+	}
+	if f.World.Peers.Len() < fewLinks || f.ahead() < f.Settings.Placement.FeedReaders {
+		return true
+	}
+	mayBeTold := f.Settings.Platform.FirstStart && now < int64(firstFollowAll)
+	return f.World.Placement == nil && !mayBeTold
 }
 
 // ahead counts the daemons of this data centre that come before this one by
--- a/pkg/systems/placements.go
+++ b/pkg/systems/placements.go
@@ -80,7 +80,8 @@
 	if old, ok := pl.offers[dc]; !ok || old.Document.Version < v.Document.Version {
 		pl.offers[dc] = v
 	}
-	if len(pl.offers) < min(2, pl.dataCentres()) {
+	// At the first start of the whole system there is no old version.
+	if !pl.Settings.Platform.FirstStart && len(pl.offers) < min(2, pl.dataCentres()) {
 		return tables.Version{}
 	}
 	best := tables.Version{}
--- a/pkg/systems/register.go
+++ b/pkg/systems/register.go
@@ -23,9 +23,22 @@
 	outage *events.Outage
 }
 
+// listFirst is how long a daemon that was started again waits for the list: its
+// entry stands there mostly, as it was. A VM that is new tells its peers of
+// itself meanwhile.
+const listFirst = 500 * time.Millisecond
+
 // Tick implements System.
-func (r *register) Tick(now int64, _ *tables.Mail) {
-	if r.Registrar == nil || r.done.Load() || !r.due.at(now, registerEvery) {
+func (r *register) Tick(now int64, mail *tables.Mail) {
+	if r.Registrar == nil || r.done.Load() {
+		return
+	}
+	if mail.List != nil && r.isListed(mail.List) {
+		r.done.Store(true)
+		return
+	}
+	waits := !r.Settings.Platform.FirstStart && mail.List == nil && now < int64(listFirst)
+	if waits || !r.due.at(now, registerEvery) {
 		return
 	}
 	if r.busy.CompareAndSwap(false, true) {
@@ -37,13 +50,28 @@
 	defer r.busy.Store(false)
 	ctx, cancel := context.WithTimeout(r.Background, r.Settings.Platform.Timeout)
 	defer cancel()
-	s := r.Settings
 	began := time.Now()
-	err := r.Registrar.Register(ctx, store.VM{
-		ID: s.VM.ID, Region: s.VM.Region, DataCentre: s.VM.DataCentre, Service: s.BackendServer.Service,
-		State: store.VMLive, Links: s.Listen.Links, Callers: s.Listen.Callers, Slots: s.BackendServer.Slots,
-	})
+	err := r.Registrar.Register(ctx, r.entry())
 	store.Count(r.Metrics, "register", began, err)
 	r.outage.Note(err)
 	r.done.Store(err == nil)
 }
+
+// entry is this daemon's own.
+func (r *register) entry() store.VM {
+	s := r.Settings
+	return store.VM{
+		ID: s.VM.ID, Region: s.VM.Region, DataCentre: s.VM.DataCentre, Service: s.BackendServer.Service,
+		State: store.VMLive, Links: s.Listen.Links, Callers: s.Listen.Callers, Slots: s.BackendServer.Slots,
+	}
+}
+
+// isListed is true when a list holds this daemon's entry as it would write it.
+func (r *register) isListed(list *tables.VMList) bool {
+	for _, vm := range list.VMs {
+		if vm == r.entry() {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/systems/vmlist.go
+++ b/pkg/systems/vmlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,8 @@
 	began atomic.Bool
 	// reads counts this reader's reads.
 	reads int
+	// firstAt is when the first list is read, in nanoseconds.
+	firstAt int64
 }
 
 // firstListEvery is the time between two tries to read the first list.
@@ -30,8 +33,21 @@
 // part: a data centre that is lost has no readers left that could say so.
 const neighbourEvery = 5
 
+// At the first start of the whole system daemons write their entries at the same
+// moment, so a list that is read at once is nearly empty. They read it at a
+// random time instead, and those whom others have told of toldEnough members by
+// then do not need to: a few readers in a fleet of hundreds do for all.
+const (
+	firstListAfter  = 300 * time.Millisecond
+	firstListWithin = time.Second
+	toldEnough      = 20
+)
+
 // Tick implements System.
 func (v *vmListReader) Tick(now int64, _ *tables.Mail) {
+	if v.tooEarly(now) {
+		return
+	}
 	every := v.Settings.Platform.VMListEvery
 	if !v.began.Load() {
 		every = min(every, firstListEvery)
@@ -51,6 +67,21 @@
 	}
 }
 
+// tooEarly is true at the first start until this daemon's time to read the first
+// list has come.
+func (v *vmListReader) tooEarly(now int64) bool {
+	if !v.Settings.Platform.FirstStart || v.began.Load() {
+		return false
+	}
+	if v.firstAt == 0 {
+		v.firstAt = int64(firstListAfter + rand.N(firstListWithin))
+	}
+	if v.World.Members.Len() > toldEnough {
+		v.began.Store(true)
+	}
+	return now < v.firstAt
+}
+
 // nextPart is the own data centre, and now and then the one after it.
 func (v *vmListReader) nextPart() string {
 	v.reads++
