Heartbeats are paced by the size of the fleet; links in use are watched by calls

Change: idle links carry one each links.heartbeat in a fleet of up to 32 members, more rarely in proportion above that, up to four times. The time between two grows only when the larger fleet has been known for 3 s, the patience of peers at once. A peer that owes a sign of life for three links.heartbeat, while calls wait for it, loses the link: links in use are found dead as soon as before.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -120,7 +120,7 @@
 	d.env = &systems.Env{
 		Common: c, World: d.World, Platform: opts.Platform, Store: d.store,
 		Executor: d.Executor, Control: d.control, Background: background,
-		Dial:  link.DialOptions{Dial: opts.Dial, TLS: reloader.Client(), Heartbeat: s.Links.Heartbeat},
+		Dial:  link.DialOptions{Dial: opts.Dial, TLS: reloader.Client(), Pace: link.NewPace(s.Links.Heartbeat)},
 		Sweep: claims.Sweep,
 		Leave: d.Leave,
 		Feed:  adapter.Feed, Registrar: adapter.Registrar,
@@ -172,7 +172,7 @@
 	if err != nil {
 		return errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", d.Settings.Listen.Links, err)
 	}
-	links := link.Listen(d.Common, d.control, d.runner(), listener, d.certs.Server(), d.Settings.Links.Heartbeat)
+	links := link.Listen(d.Common, d.control, d.runner(), listener, d.certs.Server(), d.env.Dial.Pace)
 	d.stops = append(d.stops, links.Close)
 	starts := []func() (func(), error){
 		func() (func(), error) { return startMetrics(d) },
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/gorilla/websocket"
 	"github.com/pkg/errors"
@@ -29,8 +28,8 @@
 	Dial Dial
 	// TLS is nil for plain text.
 	TLS *tls.Config
-	// Heartbeat is the time without traffic after which a heartbeat is due.
-	Heartbeat time.Duration
+	// Pace is how often idle links carry a heartbeat.
+	Pace *Pace
 }
 
 // Client is the entry's side of a link: it sends calls and waits for answers.
@@ -72,7 +71,7 @@
 		return nil, err
 	}
 	cl := &Client{
-		Peer:    &Peer{Conn: newConn(ws, codec, c.Traffic, opts.Heartbeat), Outgoing: true},
+		Peer:    &Peer{Conn: newConn(ws, codec, c.Traffic, opts.Pace), Outgoing: true},
 		control: control, dataCentre: c.Settings.VM.DataCentre,
 		maxBody: c.Settings.Limits.MaxBodyBytes,
 		pending: map[uint64]*pending{},
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -36,7 +36,7 @@
 type Conn struct {
 	ws    *websocket.Conn
 	codec *wire.Codec
-	idle  time.Duration
+	pace  *Pace
 	start time.Time
 
 	mu       sync.Mutex
@@ -57,12 +57,14 @@
 	pings     atomic.Int64
 	// heardAt is when anything last came from the peer, since start.
 	heardAt atomic.Int64
+	// askedAt is when the peer was first asked for a sign of life that has not
+	// come, since start; it is void once something came after it.
+	askedAt atomic.Int64
 }
 
-// newConn starts the writer. idle is the time without traffic after which a
-// heartbeat is due; the peer counts as gone after three of them.
-func newConn(ws *websocket.Conn, codec *wire.Codec, account *traffic.Account, idle time.Duration) *Conn {
-	c := &Conn{ws: ws, codec: codec, account: account, idle: idle, start: time.Now(), lastSent: time.Now()}
+// newConn starts the writer.
+func newConn(ws *websocket.Conn, codec *wire.Codec, account *traffic.Account, pace *Pace) *Conn {
+	c := &Conn{ws: ws, codec: codec, account: account, pace: pace, start: time.Now(), lastSent: time.Now()}
 	c.wake = sync.NewCond(&c.mu)
 	ws.SetReadLimit(wire.MaxMessage)
 	ws.SetPongHandler(c.pong)
@@ -88,7 +90,23 @@
 
 // Probe asks the peer for a sign of life; Silence shows whether one came. It
 // does not wait: a link behind a cut may not take even a ping.
-func (c *Conn) Probe() { go c.ping() }
+func (c *Conn) Probe() {
+	asked, heard := c.askedAt.Load(), c.heardAt.Load()
+	if asked <= heard {
+		c.askedAt.CompareAndSwap(asked, int64(time.Since(c.start)))
+	}
+	go c.ping()
+}
+
+// Unanswered is for how long the peer has owed a sign of life that it was asked
+// for; 0: it owes none.
+func (c *Conn) Unanswered() time.Duration {
+	asked := c.askedAt.Load()
+	if asked <= c.heardAt.Load() {
+		return 0
+	}
+	return time.Since(c.start) - time.Duration(asked)
+}
 
 // ping measures the round trip. The time travels in the ping and comes back.
 func (c *Conn) ping() {
@@ -168,7 +186,7 @@
 func (c *Conn) HeartbeatDue(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Sub(c.lastSent) >= c.idle
+	return now.Sub(c.lastSent) >= c.pace.Idle()
 }
 
 // nextBatch waits for frames: all small ones, and one chunk, so that a large
@@ -236,14 +254,11 @@
 	return c.ws.WriteMessage(websocket.BinaryMessage, buf.Bytes())
 }
 
-// missedHeartbeats is how many idle times without a frame end a link.
-const missedHeartbeats = 3
-
 // readLoop hands each frame to receive until the link ends, and returns why.
 func (c *Conn) readLoop(receive func(wire.Frame) error) error {
 	defer c.Close()
 	for {
-		if err := c.ws.SetReadDeadline(time.Now().Add(missedHeartbeats * c.idle)); err != nil {
+		if err := c.ws.SetReadDeadline(time.Now().Add(c.pace.Silence())); err != nil {
 			return err
 		}
 		_, data, err := c.ws.ReadMessage()
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -59,9 +59,9 @@
 func pair(t *testing.T, runner call.Runner) (*Client, *Server) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	server := Listen(testCommon(), &quietControl{up: make(chan *Peer, 10)}, runner, listener, nil, testHeartbeat)
+	server := Listen(testCommon(), &quietControl{up: make(chan *Peer, 10)}, runner, listener, nil, NewPace(testHeartbeat))
 	control := &quietControl{up: make(chan *Peer, 10)}
-	client, err := DialClient(context.Background(), testCommon(), control, listener.Addr().String(), DialOptions{Heartbeat: testHeartbeat})
+	client, err := DialClient(context.Background(), testCommon(), control, listener.Addr().String(), DialOptions{Pace: NewPace(testHeartbeat)})
 	must.NoError(t, err)
 	ended := make(chan struct{})
 	go func() {
@@ -217,9 +217,9 @@
 func BenchmarkRoundTrip(b *testing.B) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(b, err)
-	server := Listen(testCommon(), &quietControl{up: make(chan *Peer, 1)}, runnerFunc(echo), listener, nil, testHeartbeat)
+	server := Listen(testCommon(), &quietControl{up: make(chan *Peer, 1)}, runnerFunc(echo), listener, nil, NewPace(testHeartbeat))
 	defer server.Close()
-	client, err := DialClient(context.Background(), testCommon(), &quietControl{up: make(chan *Peer, 1)}, listener.Addr().String(), DialOptions{Heartbeat: testHeartbeat})
+	client, err := DialClient(context.Background(), testCommon(), &quietControl{up: make(chan *Peer, 1)}, listener.Addr().String(), DialOptions{Pace: NewPace(testHeartbeat)})
 	must.NoError(b, err)
 	go client.Run()
 	defer client.Close()
@@ -229,3 +229,16 @@
 		do(client, "/bench", body)
 	}
 }
+
+// TestAPeerThatOwesASignOfLifeIsKnown: a link in use does not wait for missed
+// heartbeats, which are rare in a large fleet.
+func TestAPeerThatOwesASignOfLifeIsKnown(t *testing.T) {
+	c := &Conn{start: time.Now().Add(-time.Minute)}
+	test.Eq(t, 0, c.Unanswered(), test.Sprint("it was not asked"))
+	asked := int64(time.Since(c.start)) - int64(time.Second)
+	c.askedAt.Store(asked)
+	c.heardAt.Store(asked - 1)
+	test.GreaterEq(t, time.Second, c.Unanswered())
+	c.heardAt.Store(asked)
+	test.Eq(t, 0, c.Unanswered(), test.Sprint("it answered"))
+}
--- /dev/null
+++ b/pkg/link/pace.go
@@ -0,0 +1,38 @@
+package link
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// missedHeartbeats is how many idle times without a frame end a link.
+const missedHeartbeats = 3
+
+// Pace says how often idle links carry a heartbeat and how long a peer may say
+// nothing. All links of a daemon share one, since the work grows with their
+// number. It is safe for concurrent use.
+type Pace struct {
+	idle    atomic.Int64
+	silence atomic.Int64
+}
+
+// NewPace makes a pace of one heartbeat each idle time, where three missed ones
+// end a link.
+func NewPace(idle time.Duration) *Pace {
+	p := &Pace{}
+	p.Set(idle, missedHeartbeats*idle)
+	return p
+}
+
+// Set changes the pace: idle is the time without traffic after which a
+// heartbeat is due, silence the time without a frame that ends a link.
+func (p *Pace) Set(idle, silence time.Duration) {
+	p.idle.Store(int64(idle))
+	p.silence.Store(int64(silence))
+}
+
+// Idle is the time without traffic after which a heartbeat is due.
+func (p *Pace) Idle() time.Duration { return time.Duration(p.idle.Load()) }
+
+// Silence is the time without a frame that ends a link.
+func (p *Pace) Silence() time.Duration { return time.Duration(p.silence.Load()) }
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -24,19 +24,19 @@
 	*common.Common
 	control Control
 	// runner is nil on a daemon that is an entry only.
-	runner    call.Runner
-	heartbeat time.Duration
-	upgrader  websocket.Upgrader
-	http      *http.Server
-	address   string
+	runner   call.Runner
+	pace     *Pace
+	upgrader websocket.Upgrader
+	http     *http.Server
+	address  string
 
 	mu    sync.Mutex
 	peers map[*Peer]struct{}
 }
 
 // Listen accepts links on listener until Close.
-func Listen(c *common.Common, control Control, runner call.Runner, listener net.Listener, conf *tls.Config, heartbeat time.Duration) *Server {
-	s := &Server{Common: c, control: control, runner: runner, heartbeat: heartbeat, peers: map[*Peer]struct{}{}, address: listener.Addr().String()}
+func Listen(c *common.Common, control Control, runner call.Runner, listener net.Listener, conf *tls.Config, pace *Pace) *Server {
+	s := &Server{Common: c, control: control, runner: runner, pace: pace, peers: map[*Peer]struct{}{}, address: listener.Addr().String()}
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, s.accept)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headTime, TLSConfig: conf}
@@ -90,7 +90,7 @@
 	}
 	session := &session{
 		server: s,
-		Peer:   &Peer{Conn: newConn(ws, codec, s.Traffic, s.heartbeat)},
+		Peer:   &Peer{Conn: newConn(ws, codec, s.Traffic, s.pace)},
 		calls:  map[uint64]*incoming{},
 	}
 	session.run()
--- a/pkg/systems/heartbeats.go
+++ b/pkg/systems/heartbeats.go
@@ -20,6 +20,18 @@
 	leaving bool
 	// sent counts the heartbeats of each link.
 	sent map[*link.Peer]int
+	pace pace
+}
+
+// keepPace sets how often idle links carry a heartbeat. The number of links
+// grows with that of the members; links in use do not wait for heartbeats, but
+// ask for a sign of life (closeSilent).
+func (h *heartbeats) keepPace(now int64) {
+	if h.Dial.Pace == nil {
+		return
+	}
+	every, bound := h.pace.of(now, h.World.Members.Len())
+	h.Dial.Pace.Set(every*h.Settings.Links.Heartbeat/paceUnit, bound*h.Settings.Links.Heartbeat/paceUnit)
 }
 
 // Tick implements System.
@@ -29,6 +41,7 @@
 		return
 	}
 	h.leaving = h.World.View.Leaving()
+	h.keepPace(now)
 	h.refresh(now)
 	h.send(time.Now(), leftNow, h.Control.State(), h.heard(now))
 }
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -59,6 +59,7 @@
 	if retry {
 		l.noteDistances()
 		l.unreached.expire(now)
+		l.closeSilent()
 	}
 	for service := range l.World.Wanted {
 		if _, dirty := l.World.Dirty[service]; dirty || retry {
@@ -192,6 +193,20 @@
 	}
 }
 
+// silentFor is how long a peer may owe a sign of life, while calls wait for it,
+// before its link is closed; in heartbeats, as for idle links of a small fleet.
+const silentFor = 3
+
+// closeSilent closes links on which calls wait and whose peers do not answer: a
+// VM without power, or behind a cut, ends no connection.
+func (l *links) closeSilent() {
+	for route, client := range l.open {
+		if route.Load.Outstanding() > 0 && client.Unanswered() > silentFor*l.Settings.Links.Heartbeat {
+			client.Close()
+		}
+	}
+}
+
 // openService opens the links that calls of a service need.
 func (l *links) openService(now int64, service string) {
 	view := l.World.View.Placement()
