--- a/pkg/systems/firststart_test.go
+++ b/pkg/systems/firststart_test.go
@@ -203,3 +203,22 @@
 	test.Eq(t, differFor, c.wait(near))
 	test.Eq(t, differFor+time.Second, c.wait(far))
 }
+
+// TestADaemonDoesNotSweepAtItsStart: it knows nobody yet and takes itself for a
+// reader; 295 daemons made 295 calls to the store.
+func TestADaemonDoesNotSweepAtItsStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := testEnv()
+		env.Background = t.Context()
+		sweeps := 0
+		env.Sweep = func(context.Context) (int, error) { sweeps++; return 0, nil }
+		s := &sweeper{Env: env}
+		s.Tick(1, &tables.Mail{})
+		s.Tick(int64(sweepEvery), &tables.Mail{})
+		synctest.Wait()
+		test.Eq(t, 0, sweeps)
+		s.Tick(1+int64(sweepEvery), &tables.Mail{})
+		synctest.Wait()
+		test.Eq(t, 1, sweeps)
+	})
+}
--- a/pkg/systems/sweeper.go
+++ b/pkg/systems/sweeper.go
@@ -22,6 +22,10 @@
 
 // Tick implements System.
 func (s *sweeper) Tick(now int64, _ *tables.Mail) {
+	if s.due.next == 0 {
+		// Not at the start: all daemons would sweep that know nobody yet.
+		s.due.next = now + int64(sweepEvery)
+	}
 	if s.Sweep == nil || !s.due.at(now, sweepEvery) || !s.isReader() {
 		return
 	}
