Frames of the next release and of the one before are read

Ruled out: maps (bytes on each call), versions in the greeting (writers for older releases).

Change: a frame whose number of fields differs is fitted to this release's type, nested arrays too; unknown types below 24 are passed over. Frames of the same release take the way they took. This release adds no field, so it talks to the one before it.

--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -285,10 +285,14 @@
 		if err != nil {
 			return &BadFrameError{Cause: err}
 		}
+		data = rest
+		if frame == nil {
+			// Of a type that a later release has added.
+			continue
+		}
 		if err := receive(frame); err != nil {
 			return err
 		}
-		data = rest
 	}
 	return nil
 }
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"reflect"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -89,17 +90,57 @@
 	return errors.Wrapf(c.enc.MarshalToBuffer(frame, buf), "encode frame %d", frame.Type())
 }
 
-// Next reads the first frame of data and returns it with the rest.
+// Next reads the first frame of data and returns it with the rest. A frame of a
+// type that a later release may have added is nil, and passed over.
 func (c *Codec) Next(data []byte) (Frame, []byte, error) {
 	if len(data) == 0 {
 		return nil, nil, errors.New("empty frame")
 	}
+	if t := Type(data[0]); t >= TypeCount && t <= mostType {
+		rest, err := c.skip(data[1:])
+		return nil, rest, errors.Wrapf(err, "pass over frame %d", t)
+	}
 	frame, err := newFrame(Type(data[0]))
 	if err != nil {
 		return nil, nil, err
 	}
 	rest, err := c.dec.UnmarshalFirst(data[1:], frame)
+	var mismatch *cbor.UnmarshalTypeError
+	if errors.As(err, &mismatch) {
+		return c.nextOfAnotherRelease(data)
+	}
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "decode frame %d", data[0])
+	}
+	return frame, rest, nil
+}
+
+// mostType is the highest type that a later release may add: types stay one
+// CBOR item of one byte.
+const mostType = 23
+
+func (c *Codec) skip(data []byte) (rest []byte, err error) {
+	var passed cbor.RawMessage
+	return c.dec.UnmarshalFirst(data, &passed)
+}
+
+// nextOfAnotherRelease reads a frame that has more or fewer fields than this
+// release's.
+func (c *Codec) nextOfAnotherRelease(data []byte) (Frame, []byte, error) {
+	var raw cbor.RawMessage
+	rest, err := c.dec.UnmarshalFirst(data[1:], &raw)
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "decode frame %d", data[0])
+	}
+	frame, err := newFrame(Type(data[0]))
 	if err != nil {
+		return nil, nil, err
+	}
+	fitted, err := c.fit(raw, reflect.TypeOf(frame).Elem())
+	if err != nil {
+		return nil, nil, errors.Wrapf(err, "decode frame %d", data[0])
+	}
+	if err := c.dec.Unmarshal(fitted, frame); err != nil {
 		return nil, nil, errors.Wrapf(err, "decode frame %d", data[0])
 	}
 	return frame, rest, nil
--- a/pkg/wire/codec_test.go
+++ b/pkg/wire/codec_test.go
@@ -93,12 +93,19 @@
 		must.NoError(f, codec.Append(&buf, frame))
 		f.Add(buf.Bytes())
 	}
+	// Fewer fields than this release's, nested too, and a type of a later one.
+	f.Add([]byte{byte(TypeMembers), 0x81, 0x81, 0x80})
+	f.Add([]byte{byte(TypeAnswer), 0x80})
+	f.Add([]byte{byte(TypeCount), 0x81, 0x01})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		frame, rest, err := codec.Next(data)
 		if err != nil {
 			return
 		}
 		must.Less(t, len(data), len(rest))
+		if frame == nil {
+			return
+		}
 		var buf bytes.Buffer
 		must.NoError(t, codec.Append(&buf, frame))
 		again, _, err := codec.Next(buf.Bytes())
--- /dev/null
+++ b/pkg/wire/fit.go
@@ -0,0 +1,76 @@
+package wire
+
+import (
+	"bytes"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// fit makes a CBOR item of another release readable as a value of this
+// release's type: fields that this release does not know are dropped, and those
+// that the other one does not send are zero. Fields are only ever added at the
+// end of a frame. Source: docs/design/links.md, "Releases".
+func (c *Codec) fit(raw []byte, t reflect.Type) ([]byte, error) {
+	switch {
+	case t.Kind() == reflect.Struct:
+		return c.fitStruct(raw, t)
+	case t.Kind() == reflect.Slice && t.Elem().Kind() == reflect.Struct:
+		return c.fitSlice(raw, t.Elem())
+	}
+	return raw, nil
+}
+
+func (c *Codec) fitStruct(raw []byte, t reflect.Type) ([]byte, error) {
+	items, err := c.items(raw)
+	if err != nil {
+		return nil, err
+	}
+	var out []cbor.RawMessage
+	for _, field := range reflect.VisibleFields(t) {
+		if !field.IsExported() {
+			continue
+		}
+		item, err := c.fitField(items, len(out), field.Type)
+		if err != nil {
+			return nil, errors.Wrap(err, field.Name)
+		}
+		out = append(out, item)
+	}
+	return c.encode(out)
+}
+
+// fitField is the item at a place of an array, or a zero value where the other
+// release does not send it.
+func (c *Codec) fitField(items []cbor.RawMessage, at int, t reflect.Type) (cbor.RawMessage, error) {
+	if at >= len(items) {
+		return c.encode(reflect.Zero(t).Interface())
+	}
+	return c.fit(items[at], t)
+}
+
+func (c *Codec) fitSlice(raw []byte, element reflect.Type) ([]byte, error) {
+	items, err := c.items(raw)
+	if err != nil || items == nil {
+		return raw, err
+	}
+	for i := range items {
+		if items[i], err = c.fit(items[i], element); err != nil {
+			return nil, err
+		}
+	}
+	return c.encode(items)
+}
+
+// items are those of an array; nil for a null.
+func (c *Codec) items(raw []byte) (items []cbor.RawMessage, err error) {
+	err = c.dec.Unmarshal(raw, &items)
+	return items, err
+}
+
+func (c *Codec) encode(v any) ([]byte, error) {
+	var buf bytes.Buffer
+	err := c.enc.MarshalToBuffer(v, &buf)
+	return buf.Bytes(), err
+}
