Ticks: departures are told once a link; the list's first part is read later

Cause: departures.greet built a map of all links at each tick, heartbeats one at each eighth of a second; and a daemon read the list again one second after its first read, when many still take themselves for readers.

Change: what was told over a link stands in the link's row; the first part of the list is read a whole interval after the first list.

Test, failing without the change: TestEachNewLinkIsToldOfTheDeparturesOnce.

--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -72,6 +72,14 @@
 	return c
 }
 
+// NewClosedConn makes a connection that was closed: it takes no frame. It stands
+// in for a link in tests of what systems decide.
+func NewClosedConn() *Conn {
+	c := &Conn{closed: true, start: time.Now()}
+	c.wake = sync.NewCond(&c.mu)
+	return c
+}
+
 // mostPings is how often the round trip of a link is measured. The first ping
 // meets the busiest moment of a link, the greeting; the shortest counts.
 const mostPings = 4
--- a/pkg/systems/departures.go
+++ b/pkg/systems/departures.go
@@ -37,8 +37,8 @@
 	*Env
 	due  due
 	busy atomic.Bool
-	// greeted are the links over which the whole set was sent.
-	greeted map[*link.Peer]struct{}
+	// greeted is how many links had ever come up when all were told.
+	greeted uint64
 }
 
 // Tick implements System.
@@ -96,25 +96,22 @@
 
 // greet sends the whole set over each new link, once this daemon is informed.
 func (d *departures) greet() {
-	if !d.Backend.IsInformed() {
+	if !d.Backend.IsInformed() || d.greeted == d.World.Peers.Added() {
 		return
 	}
-	greeted := make(map[*link.Peer]struct{}, d.World.Peers.Len())
-	var frame *wire.Departures
-	d.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
-		greeted[peer] = struct{}{}
-		if _, done := d.greeted[peer]; done {
+	d.greeted = d.World.Peers.Added()
+	frame := &wire.Departures{Informed: true}
+	for id := range d.World.Departures {
+		frame.IDs = append(frame.IDs, id)
+	}
+	d.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
+		if row.Told {
 			return
 		}
-		if frame == nil {
-			frame = &wire.Departures{Informed: true}
-			for id := range d.World.Departures {
-				frame.IDs = append(frame.IDs, id)
-			}
-		}
+		row.Told = true
+		// A link that has closed leaves the table with its next event.
 		_ = peer.Send(frame)
 	})
-	d.greeted = greeted
 }
 
 // inform reads the departures from the store while no peer has told them.
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -10,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/standin/fakestore"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -101,3 +102,20 @@
 	system.add(2+departuresFor, nil, "new")
 	test.MapNotContainsKey(t, env.World.Departures, "old")
 }
+
+// TestEachNewLinkIsToldOfTheDeparturesOnce: going through all links at each tick
+// costs a daemon with hundreds of them more than what it has to say.
+func TestEachNewLinkIsToldOfTheDeparturesOnce(t *testing.T) {
+	env, _, tick := departuresEnv(t, false)
+	first := &link.Peer{Conn: link.NewClosedConn()}
+	env.World.Peers.Put(first)
+	tick()
+	test.False(t, env.World.Peers.Put(first).Told, test.Sprint("a daemon that is not informed tells nothing"))
+	env.Backend.Informed()
+	tick()
+	test.True(t, env.World.Peers.Put(first).Told)
+	second := &link.Peer{Conn: link.NewClosedConn()}
+	env.World.Peers.Put(second)
+	tick()
+	test.True(t, env.World.Peers.Put(second).Told)
+}
--- a/pkg/systems/heartbeats.go
+++ b/pkg/systems/heartbeats.go
@@ -18,9 +18,7 @@
 	*Env
 	due     due
 	leaving bool
-	// sent counts the heartbeats of each link.
-	sent map[*link.Peer]int
-	pace pace
+	pace    pace
 }
 
 // keepPace sets how often idle links carry a heartbeat. The number of links
@@ -51,20 +49,18 @@
 func (h *heartbeats) send(at time.Time, all bool, brief *wire.State, heard []wire.Heard) {
 	full := *brief
 	full.Heard = heard
-	sent := make(map[*link.Peer]int, h.World.Peers.Len())
-	h.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
-		sent[peer] = h.sent[peer]
+	h.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
 		if !all && !peer.HeartbeatDue(at) {
 			return
 		}
 		state := brief
-		if sent[peer]%heardEvery == 0 {
+		if row.Heartbeats%heardEvery == 0 {
 			state = &full
 		}
-		sent[peer]++
+		row.Heartbeats++
+		// A link that has closed leaves the table with its next event.
 		_ = peer.Send(state)
 	})
-	h.sent = sent
 }
 
 func (h *heartbeats) refresh(now int64) {
--- a/pkg/systems/vmlist.go
+++ b/pkg/systems/vmlist.go
@@ -14,8 +14,9 @@
 // centre that data centre's part, and a daemon that knows nobody yet all of it.
 type vmListReader struct {
 	*Env
-	due  due
-	busy atomic.Bool
+	firstDue due
+	due      due
+	busy     atomic.Bool
 	// outage logs when the list does not come.
 	outage *events.Outage
 	// began is true once a whole list was read.
@@ -48,20 +49,28 @@
 	if v.tooEarly(now) {
 		return
 	}
-	every := v.Settings.Platform.VMListEvery
 	if !v.began.Load() {
-		every = min(every, firstListEvery)
-	}
-	if !v.due.at(now, every) {
+		v.readFirst(now)
 		return
 	}
-	part := ""
-	if v.began.Load() {
-		if !v.isReader() {
-			return
-		}
-		part = v.nextPart()
+	if v.due.at(now, v.Settings.Platform.VMListEvery) && v.isReader() {
+		v.start(v.nextPart())
+	}
+}
+
+// readFirst reads the whole list until that has worked once.
+func (v *vmListReader) readFirst(now int64) {
+	every := v.Settings.Platform.VMListEvery
+	if !v.firstDue.at(now, min(every, firstListEvery)) {
+		return
 	}
+	// While members become known, more daemons than in the end take themselves
+	// for readers: the first part is read a whole interval later.
+	v.due.next = now + int64(every)
+	v.start("")
+}
+
+func (v *vmListReader) start(part string) {
 	if v.busy.CompareAndSwap(false, true) {
 		go v.read(part)
 	}
--- a/pkg/tables/peers.go
+++ b/pkg/tables/peers.go
@@ -6,6 +6,8 @@
 // direction, one row a link.
 type Peers struct {
 	rows map[*link.Peer]*PeerRow
+	// added counts the links that ever came up.
+	added uint64
 }
 
 // PeerRow is what a peer said last.
@@ -16,6 +18,10 @@
 	// and the own one differ, both unchanged; 0: they do not.
 	Members      uint64
 	DiffersSince int64
+	// Heartbeats counts those sent over the link.
+	Heartbeats int
+	// Told is true once the peer was told which backend servers have departed.
+	Told bool
 	// PulledAt is when this daemon last asked the peer for its placement.
 	PulledAt int64
 }
@@ -29,6 +35,7 @@
 	if row == nil {
 		row = &PeerRow{}
 		p.rows[peer] = row
+		p.added++
 	}
 	return row
 }
@@ -43,5 +50,9 @@
 	}
 }
 
+// Added grows with each new link, so that a system can see cheaply that there
+// was none.
+func (p *Peers) Added() uint64 { return p.added }
+
 // Len counts the links.
 func (p *Peers) Len() int { return len(p.rows) }
