Links: dials are bounded and taken in turns

Cause: after a power-off of all VMs a daemon of a sixth of a core opens some 75 links and accepts as many at once; each costs some 0.2 ms of a processor at either end, so all come up late together.

What it gives in the seconds after a power-off was not measured by itself.

--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -25,7 +25,7 @@
 type links struct {
 	*Env
 	open      map[*tables.Route]*link.Client
-	dialing   map[*tables.Route]struct{}
+	dialing   *dialing
 	restUntil map[*tables.Route]int64
 	// failures counts a route's failed dials and ended links in a row.
 	failures  map[*tables.Route]int
@@ -42,7 +42,7 @@
 func (l *links) Tick(now int64, mail *tables.Mail) {
 	if l.open == nil {
 		l.open = map[*tables.Route]*link.Client{}
-		l.dialing = map[*tables.Route]struct{}{}
+		l.dialing = newDialing()
 		l.restUntil = map[*tables.Route]int64{}
 		l.failures = map[*tables.Route]int{}
 		l.surplus = newSurplus()
@@ -61,10 +61,11 @@
 		l.unreached.expire(now)
 		l.closeSilent()
 	}
-	for service := range l.World.Wanted {
-		if _, dirty := l.World.Dirty[service]; dirty || retry {
-			l.openService(now, service)
-		}
+	again := l.dialing.leftOver
+	l.dialing.leftOver = false
+	l.openServices(now, retry || again)
+	if again {
+		l.openAll(now, l.sample)
 	}
 	if l.sampleDue.at(now, sampleEvery) {
 		if changes := l.World.Members.Changes(); changes != l.drawnAt {
@@ -88,7 +89,7 @@
 	if e.Route == nil {
 		return
 	}
-	delete(l.dialing, e.Route)
+	l.dialing.ended(e.Route)
 	l.World.Touch(e.Route.Service)
 	if e.Up {
 		l.up(e)
@@ -207,19 +208,44 @@
 	}
 }
 
-// openService opens the links that calls of a service need.
-func (l *links) openService(now int64, service string) {
+// openServices opens the links that calls need: those of the services whose
+// members changed, or of all. Services take turns, each with its routes in their
+// order, so that a daemon that has just started has a few links for each of them
+// first.
+func (l *links) openServices(now int64, all bool) {
+	var subsets [][]*tables.Route
+	for service := range l.World.Wanted {
+		if _, dirty := l.World.Dirty[service]; dirty || all {
+			subsets = append(subsets, l.subsetsOf(service)...)
+		}
+	}
+	for turn := 0; len(subsets) > 0; turn++ {
+		rest := subsets[:0]
+		for _, routes := range subsets {
+			if turn < len(routes) {
+				l.openOne(now, routes[turn])
+				rest = append(rest, routes)
+			}
+		}
+		subsets = rest
+	}
+}
+
+// subsetsOf are the subsets of a service, one a kind.
+func (l *links) subsetsOf(service string) [][]*tables.Route {
 	view := l.World.View.Placement()
 	if view == nil {
-		return
+		return nil
 	}
 	compiled := view.Service(service)
 	if compiled == nil {
-		return
+		return nil
 	}
+	var out [][]*tables.Route
 	for _, kind := range compiled.Kinds {
-		l.openAll(now, l.subset(kind))
+		out = append(out, l.subset(kind))
 	}
+	return out
 }
 
 func (l *links) openAll(now int64, routes []*tables.Route) {
@@ -229,13 +255,12 @@
 }
 
 func (l *links) openOne(now int64, route *tables.Route) {
-	_, open := l.open[route]
-	_, dialing := l.dialing[route]
-	if open || dialing || route.VM == l.World.VM || now < l.restUntil[route] {
+	if _, open := l.open[route]; open || route.VM == l.World.VM || now < l.restUntil[route] {
 		return
 	}
-	l.dialing[route] = struct{}{}
-	go l.dial(route)
+	if l.dialing.begin(now, route) {
+		go l.dial(route)
+	}
 }
 
 func (l *links) dial(route *tables.Route) {
--- a/pkg/systems/surplus.go
+++ b/pkg/systems/surplus.go
@@ -78,17 +78,9 @@
 	for _, route := range l.sample {
 		out[route] = struct{}{}
 	}
-	placement := l.World.View.Placement()
-	if placement == nil {
-		return out
-	}
 	for service := range l.World.Wanted {
-		compiled := placement.Service(service)
-		if compiled == nil {
-			continue
-		}
-		for _, kind := range compiled.Kinds {
-			for _, route := range l.subset(kind) {
+		for _, routes := range l.subsetsOf(service) {
+			for _, route := range routes {
 				out[route] = struct{}{}
 			}
 		}
