--- a/pkg/systems/dialing_test.go
+++ b/pkg/systems/dialing_test.go
@@ -18,6 +18,19 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
+// countDials lets all dials of a daemon fail, and counts them by address.
+func countDials(env *Env) map[string]int {
+	var mu sync.Mutex
+	dialled := map[string]int{}
+	env.Dial = link.DialOptions{Dial: func(_ context.Context, _, address string) (net.Conn, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		dialled[address]++
+		return nil, io.ErrClosedPipe
+	}}
+	return dialled
+}
+
 func TestDialsAreBoundedForATime(t *testing.T) {
 	d := newDialing()
 	routes := make([]*tables.Route, dialsAtOnce+1)
@@ -44,14 +57,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		env := testEnv()
 		env.Background = t.Context()
-		var mu sync.Mutex
-		dialled := map[string]int{}
-		env.Dial = link.DialOptions{Dial: func(_ context.Context, _, address string) (net.Conn, error) {
-			mu.Lock()
-			defer mu.Unlock()
-			dialled[address]++
-			return nil, io.ErrClosedPipe
-		}}
+		dialled := countDials(env)
 		doc := &placement.Document{Version: 1}
 		for s := range 4 {
 			service := fmt.Sprint("s", s)
--- a/pkg/systems/firststart_test.go
+++ b/pkg/systems/firststart_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -134,14 +132,7 @@
 		env.Background = t.Context()
 		env.Settings.Listen.Links = "10.0.0.1:7000"
 		env.Settings.Links.Seeds = []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"}
-		var mu sync.Mutex
-		dialled := map[string]int{}
-		env.Dial = link.DialOptions{Dial: func(_ context.Context, _, address string) (net.Conn, error) {
-			mu.Lock()
-			defer mu.Unlock()
-			dialled[address]++
-			return nil, io.ErrClosedPipe
-		}}
+		dialled := countDials(env)
 		s := &seeds{Env: env}
 		s.Tick(env.Now(), &tables.Mail{})
 		synctest.Wait()
