First start: the first followers rank themselves among members, not links

Cause: at 1.5 s a daemon has some six links in its data centre, so nearly all of 295 took themselves for one of its six first followers: 232 reads of the newest version.

Change: at the first start the rank is worked out from the members that are known. They begin at 2.5 s, so that links to subsets open when the members are known. A daemon that knows nobody asks a near peer each 60 ms.

Tests: TestAtTheFirstStartOnlyTheFirstDaemonsFollowTheFeed.

--- a/pkg/systems/compare.go
+++ b/pkg/systems/compare.go
@@ -12,6 +12,8 @@
 const (
 	// compareEvery is the time between two questions of this daemon, at least.
 	compareEvery = 500 * time.Millisecond
+	// firstAskEvery is the same for a daemon that knows nobody yet.
+	firstAskEvery = 60 * time.Millisecond
 	// differFor is how long a peer's table must differ, with neither changing,
 	// before it is asked: news on the way makes tables differ for a moment.
 	differFor = 1500 * time.Millisecond
@@ -46,7 +48,11 @@
 	for _, n := range mail.News {
 		c.note(now, n)
 	}
-	if c.due.at(now, compareEvery) {
+	every := compareEvery
+	if c.knowsNobody() {
+		every = firstAskEvery
+	}
+	if c.due.at(now, every) {
 		c.ask(now)
 	}
 }
@@ -88,14 +94,17 @@
 // wait is how long a peer's table must differ before the peer is asked.
 func (c *compare) wait(peer *link.Peer) time.Duration {
 	near := peer.Hello.DataCentre == c.World.DataCentre
-	knowsNobody := c.World.Members.Len() <= 1
 	switch {
-	case near && knowsNobody:
+	case near && c.knowsNobody():
 		return 0
-	case knowsNobody:
+	case c.knowsNobody():
 		return nearFirst
 	case near:
 		return differFor
 	}
 	return differFor + c.patience
 }
+
+// knowsNobody is true for a daemon that has just started: the only members are
+// itself and, once a peer has greeted, that peer.
+func (c *compare) knowsNobody() bool { return c.World.Members.Len() <= 2 }
--- a/pkg/systems/firststart_test.go
+++ b/pkg/systems/firststart_test.go
@@ -162,11 +162,9 @@
 	f := newFollower(env)
 	test.False(t, f.mustFollow(1), test.Sprint("nobody knows the others yet"))
 	test.True(t, f.mustFollow(int64(firstFollowAfter)), test.Sprint("alone"))
-	// Enough links to daemons of which some come first.
-	for n := range 20 {
-		env.World.Peers.Put(&link.Peer{Hello: wire.Hello{VM: fmt.Sprint("m", n), DataCentre: "here"}})
-	}
-	must.Positive(t, f.ahead())
+	// Some of these members come first; links to them there are none yet.
+	tellMembers(env, 20)
+	must.Positive(t, f.aheadInDataCentre())
 	test.False(t, f.mustFollow(int64(firstFollowAfter)))
 	test.True(t, f.mustFollow(int64(firstFollowAll)), test.Sprint("nobody has told a version"))
 	env.Settings.Platform.FirstStart = false
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -33,8 +33,8 @@
 	// firstFollowAfter is when the first daemons begin to follow at the first
 	// start of the whole system: they know each other by then, so that only the
 	// first few do. firstFollowAll is when all that have no version yet do.
-	firstFollowAfter = 1500 * time.Millisecond
-	firstFollowAll   = 4 * time.Second
+	firstFollowAfter = 2500 * time.Millisecond
+	firstFollowAll   = 5 * time.Second
 	// feedTrust is how long a request to the feed may know less than a peer
 	// before it is given up and opened again.
 	feedTrust = 300 * time.Millisecond
@@ -92,14 +92,17 @@
 // that has no version yet, and for one that has few links: it may be the only
 // one that hears the store. All others learn over their links.
 func (f *follower) mustFollow(now int64) bool {
-	if f.Settings.Platform.FirstStart && now < int64(firstFollowAfter) {
-		return false
+	if f.Settings.Platform.FirstStart && now < int64(firstFollowAll) {
+		return f.mustFollowFirst(now)
 	}
-	if f.World.Peers.Len() < fewLinks || f.ahead() < f.Settings.Placement.FeedReaders {
-		return true
-	}
-	mayBeTold := f.Settings.Platform.FirstStart && now < int64(firstFollowAll)
-	return f.World.Placement == nil && !mayBeTold
+	return f.World.Placement == nil || f.World.Peers.Len() < fewLinks || f.ahead() < f.Settings.Placement.FeedReaders
+}
+
+// mustFollowFirst is mustFollow while the whole system starts for the first
+// time. Few links are open by then, so daemons rank themselves among the members
+// that they know; all of them live.
+func (f *follower) mustFollowFirst(now int64) bool {
+	return now >= int64(firstFollowAfter) && f.aheadInDataCentre() < f.Settings.Placement.FeedReaders
 }
 
 // ahead counts the daemons of this data centre that come before this one by
--- a/pkg/systems/readers.go
+++ b/pkg/systems/readers.go
@@ -6,7 +6,11 @@
 // platform. Each daemon works that out by itself from its table of members;
 // while tables differ there is a reader more or less, which costs a read or
 // some time, and is never wrong.
-func (e *Env) isReader() bool {
+func (e *Env) isReader() bool { return e.aheadInDataCentre() < e.Settings.Placement.HeadReaders }
+
+// aheadInDataCentre counts the members of this data centre that come before this
+// daemon by rendezvous hash.
+func (e *Env) aheadInDataCentre() int {
 	mine := utils.Rendezvous(e.World.DataCentre, e.World.VM)
 	ahead := 0
 	m := e.World.Members
@@ -19,5 +23,5 @@
 			ahead++
 		}
 	})
-	return ahead < e.Settings.Placement.HeadReaders
+	return ahead
 }
--- a/pkg/systems/vmlist.go
+++ b/pkg/systems/vmlist.go
@@ -40,7 +40,7 @@
 // then do not need to: a few readers in a fleet of hundreds do for all.
 const (
 	firstListAfter  = 300 * time.Millisecond
-	firstListWithin = time.Second
+	firstListWithin = 2 * time.Second
 	toldEnough      = 20
 )
 
