--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -163,7 +163,10 @@
 		return err
 	}
 	go d.scheduler.Run(d.env.Background)
-	d.Log.Event(events.DaemonStarted, events.F("data_centre", d.Settings.VM.DataCentre), events.F("service", d.Settings.BackendServer.Service))
+	routing := &d.Settings.Routing
+	d.Log.Event(events.DaemonStarted, events.F("data_centre", d.Settings.VM.DataCentre), events.F("service", d.Settings.BackendServer.Service),
+		events.F("first_start", d.Settings.Platform.FirstStart), events.F("retry_ratio", routing.RetryRatio),
+		events.F("retry_slack", routing.RetrySlack), events.F("looks_per_second", routing.LooksPerSecond))
 	return nil
 }
 
