--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -50,8 +50,7 @@
 	}
 	r := &routed{
 		daemon: d, adapter: adapter, load: &backend.Load{},
-		forwarder: forward.NewForwarder(d.Common, d.World.View),
-		prober:    backend.NewProber(s.BackendServer.Address, adapter.Backend, probeTimeout),
+		prober: backend.NewProber(s.BackendServer.Address, adapter.Backend, probeTimeout),
 	}
 	r.lifecycle = backend.NewLifecycle(s.Platform.FirstStart, r.stateChanged)
 	r.checker = backend.NewChecker(backend.CheckerOptions{
@@ -59,6 +58,10 @@
 	}, r.ask)
 	var err error
 	r.runner, err = runner.NewRunner(d.Common, adapter.Backend, r.lifecycle, r.load, r.checker)
+	if err != nil {
+		return nil, err
+	}
+	r.forwarder = forward.NewForwarder(d.Common, d.World.View, r.runner)
 	return r, err
 }
 
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -103,6 +103,7 @@
 		Placement: a.version,
 		Remaining: a.left(),
 		WantStamp: true,
+		Claim:     wire.Claim{Generation: uint32(a.offered)},
 		Routed: wire.Routed{
 			ID: a.req.ID, Host: a.req.Host, Caller: a.owner.Settings.BackendServer.Service,
 			Repeatable: a.route.Repeatable, Priority: a.route.Priority, Soft: soft,
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -58,7 +58,7 @@
 
 func (a *attempts) run() call.Result {
 	last := call.Refused(errkind.NoBackendServer, "no backend server of service %s is known", a.service)
-	a.owner.budgets.of(a.service).request()
+	a.earn()
 	for a.tries < mostTries {
 		if a.left() <= 0 {
 			return a.conclude(call.Refused(errkind.DeadlineBeforeRun, "the time ran out at the entry"))
@@ -87,6 +87,17 @@
 	return a.conclude(last)
 }
 
+// earn lets the request earn its share of a retry. A call that the backend
+// server beside this daemon makes may belong to a run that repeats one elsewhere:
+// at the called service it counts as a repeat, though it is sent once.
+func (a *attempts) earn() {
+	budget := a.owner.budgets.of(a.service)
+	budget.request()
+	if a.owner.runs != nil && a.owner.called.has(a.route.Name) {
+		budget.charge(a.owner.runs.RepeatShare())
+	}
+}
+
 // conclude returns the answer in hand where the last attempt got none.
 func (a *attempts) conclude(result call.Result) call.Result {
 	if result.Answer == nil && a.inHand != nil {
--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -48,6 +48,18 @@
 	return true
 }
 
+// mostDebt bounds what charges may leave a service owing at one entry, in
+// retries: what is owed longer than a window of ten seconds binds nobody.
+const mostDebt = 20
+
+// charge takes over that a request of the service counts as a share of a retry
+// for another reason than this entry's, so that fewer retries are left.
+func (b *budget) charge(share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = max(b.tokens-share, -mostDebt)
+}
+
 // left is how many retries are saved up.
 func (b *budget) left() float64 {
 	b.mu.Lock()
--- a/pkg/forward/budget_test.go
+++ b/pkg/forward/budget_test.go
@@ -12,6 +12,7 @@
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/wire"
 )
 
 // TestTheRetryBudgetHoldsInEachWindow has each request of a service fail.
@@ -70,3 +71,33 @@
 	test.True(t, b.take())
 	test.True(t, b.take())
 }
+
+// repeatingRuns are runs of which a share repeats others.
+type repeatingRuns float64
+
+func (r repeatingRuns) RepeatShare() float64 { return float64(r) }
+
+// TestCallsOfRepeatedRunsAreChargedToTheBudget: a run that repeats one makes its
+// calls again, and at the called service they count as repeats. Without the
+// charge a service that is called spent its own retries beside those.
+func TestCallsOfRepeatedRunsAreChargedToTheBudget(t *testing.T) {
+	backend := &fakeRunner{answer: answers(200)}
+	f := newForwarder(backend)
+	send := func(count int) float64 {
+		before := f.budgets.of("s").left()
+		for range count {
+			f.Forward(t.Context(), request("/read/"))
+		}
+		return f.budgets.of("s").left() - before
+	}
+	send(1)
+	f.runs = repeatingRuns(1)
+	test.GreaterEq(t, 0, send(3), test.Sprint("callers' requests are charged nothing"))
+	f.called.note("read", wire.OriginService)
+	test.Less(t, 0, send(3), test.Sprint("calls of runs that all repeat others"))
+	f.runs = repeatingRuns(0)
+	test.GreaterEq(t, 0, send(3))
+	f.runs = repeatingRuns(1)
+	send(1000)
+	test.Eq(t, -mostDebt, f.budgets.of("s").left())
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -32,6 +32,12 @@
 	Timeout time.Duration
 }
 
+// Runs tells of the runs at the backend server beside this daemon.
+type Runs interface {
+	// RepeatShare is the share of them that repeat a run elsewhere, from 0 to 1.
+	RepeatShare() float64
+}
+
 // Forwarder takes routed requests to an end. It is safe for concurrent use.
 type Forwarder struct {
 	*common.Common
@@ -40,12 +46,14 @@
 	budgets *budgets
 	work    *worktime.Times
 	called  *calledRoutes
+	// runs is nil on a daemon without a backend server.
+	runs Runs
 
 	inFlight atomic.Int64
 }
 
-// NewForwarder makes the forwarder of one daemon.
-func NewForwarder(c *common.Common, view *tables.View) *Forwarder {
+// NewForwarder makes the forwarder of one daemon; runs may be nil.
+func NewForwarder(c *common.Common, view *tables.View, runs Runs) *Forwarder {
 	return &Forwarder{
 		Common:  c,
 		view:    view,
@@ -53,6 +61,7 @@
 		budgets: newBudgets(c, view.Members),
 		work:    worktime.NewTimes(),
 		called:  newCalledRoutes(),
+		runs:    runs,
 	}
 }
 
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -90,7 +90,7 @@
 		kind.Ready[i].Route.SetRunner(r)
 	}
 	view.SetService("s", tables.NewServiceView(compiled.Service("s"), []*tables.KindView{kind}))
-	return NewForwarder(common.NewCommon(events.Discard(), &s), view)
+	return NewForwarder(common.NewCommon(events.Discard(), &s), view, nil)
 }
 
 func request(path string) *Request {
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -48,7 +48,7 @@
 	view.SetService("s", tables.NewServiceView(compiled.Service("s"), []*tables.KindView{kind}))
 	c := common.NewCommon(events.Discard(), &s)
 	server := &Server{
-		Common: c, headers: DefaultHeaders(), forwarder: forward.NewForwarder(c, view),
+		Common: c, headers: DefaultHeaders(), forwarder: forward.NewForwarder(c, view, nil),
 		limits: func() routing.Limits { return view.Placement().Routes.Limits() },
 	}
 	h := httptest.NewServer(server)
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -109,7 +109,9 @@
 	if !run.begin(stop) {
 		return call.Refused(errkind.CallerGone, "the caller left before hand-over"), false
 	}
+	ended := r.countRun(run.call.Claim.Generation > 0)
 	reply := r.transport.Do(ctx, run.request(instance))
+	ended()
 	r.note(&reply)
 	if reply.Refusal != nil {
 		return call.Result{Refusal: reply.Refusal, Offered: reply.Offered}, false
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -48,6 +48,9 @@
 	// slowed is true while the backend server is too slow for soft attempts.
 	slowed   atomic.Bool
 	inFlight atomic.Int64
+	// running counts the runs at the backend server, repeating those of them that
+	// repeat a run elsewhere.
+	running, repeating atomic.Int64
 	// askedAt is when a request last came, in nanoseconds.
 	askedAt atomic.Int64
 }
@@ -90,6 +93,30 @@
 // IdleFor is how long no request has come.
 func (r *Runner) IdleFor(now int64) time.Duration { return time.Duration(now - r.askedAt.Load()) }
 
+// RepeatShare is the share of the runs at the backend server that repeat a run
+// elsewhere: calls that these make count as repeats at the service they call.
+func (r *Runner) RepeatShare() float64 {
+	running := r.running.Load()
+	if running <= 0 {
+		return 0
+	}
+	return min(float64(r.repeating.Load())/float64(running), 1)
+}
+
+// countRun counts a run until the returned function is called.
+func (r *Runner) countRun(repeats bool) (ended func()) {
+	repeating := int64(0)
+	if repeats {
+		repeating = 1
+	}
+	r.running.Add(1)
+	r.repeating.Add(repeating)
+	return func() {
+		r.repeating.Add(-repeating)
+		r.running.Add(-1)
+	}
+}
+
 // Close frees the pool and the connections.
 func (r *Runner) Close() {
 	r.pool.Release()
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -190,3 +190,22 @@
 	r.TakeSlots(0)
 	test.Eq(t, 6, r.Gate().Slots())
 }
+
+// TestTheShareOfRepeatedRunsIsKnown: entries tell which runs repeat one elsewhere.
+func TestTheShareOfRepeatedRunsIsKnown(t *testing.T) {
+	h := newHeld()
+	r, _ := newTestRunner(t, h, 4)
+	test.Eq(t, 0.0, r.RepeatShare())
+	first, again := routedCall("a"), routedCall("b")
+	again.Claim.Generation = 1
+	one, _ := execute(r, first)
+	two, _ := execute(r, again)
+	<-h.came
+	<-h.came
+	test.Eq(t, 0.5, r.RepeatShare())
+	h.goOn <- struct{}{}
+	h.goOn <- struct{}{}
+	<-one
+	<-two
+	test.Eq(t, 0.0, r.RepeatShare())
+}
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -172,7 +172,8 @@
 	_ struct{} `cbor:",toarray"`
 	// Version is the version of the key's row; 0: there is none.
 	Version uint64
-	// Generation counts the runs that a key was allowed to begin.
+	// Generation counts the runs that a key was allowed to begin; for a routed
+	// request, the attempts before this one that reached a backend server.
 	Generation uint32
 }
 
