--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -353,3 +353,15 @@
 	test.Eq(t, errkind.RanNo, result.Refusal.Ran)
 	test.Eq(t, 0, total(runner))
 }
+
+// TestAnAttemptTellsHowManyBeforeItReachedABackendServer: the daemon beside the
+// next one then knows that its run repeats another.
+func TestAnAttemptTellsHowManyBeforeItReachedABackendServer(t *testing.T) {
+	first, second := &fakeRunner{answer: answers(500)}, &fakeRunner{answer: answers(500)}
+	newForwarder(first, second).Forward(t.Context(), request("/read/"))
+	generations := map[uint32]int{}
+	for _, c := range append(first.calls, second.calls...) {
+		generations[c.Claim.Generation]++
+	}
+	test.Eq(t, map[uint32]int{0: 1, 1: 1}, generations)
+}
--- a/pkg/systems/links_test.go
+++ b/pkg/systems/links_test.go
@@ -4,10 +4,16 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/gorilla/websocket"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -44,3 +50,33 @@
 	up(restarted)
 	test.Eq(t, 2, route.Load.Known(6).InFlight)
 }
+
+// TestALinkWhosePeerOwesASignOfLifeIsClosedWhileCallsWait: heartbeats are rare in
+// a large fleet, and a VM without power ends no connection.
+func TestALinkWhosePeerOwesASignOfLifeIsClosedWhileCallsWait(t *testing.T) {
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ws, err := (&websocket.Upgrader{}).Upgrade(w, r, nil)
+		if err != nil {
+			return
+		}
+		// It reads nothing, so that pings stay unanswered.
+		<-release
+		_ = ws.Close()
+	}))
+	defer server.Close()
+	defer close(release)
+	env := testEnv()
+	env.Settings.Links.Heartbeat = 10 * time.Millisecond
+	client, err := link.DialClient(t.Context(), env.Common, env.Control, strings.TrimPrefix(server.URL, "http://"), link.DialOptions{Pace: link.NewPace(time.Minute)})
+	must.NoError(t, err)
+	route := &tables.Route{Load: tables.NewLoad(1)}
+	l := &links{Env: env, open: map[*tables.Route]*link.Client{route: client}}
+	client.Probe()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return client.Unanswered() > silentFor*env.Settings.Links.Heartbeat }), wait.Timeout(10*time.Second)))
+	l.closeSilent()
+	must.NoError(t, client.Send(&wire.Cancel{}), must.Sprint("nobody waits for it"))
+	route.Load.Sent(1)
+	l.closeSilent()
+	must.ErrorIs(t, client.Send(&wire.Cancel{}), link.ErrClosed)
+}
