--- a/pkg/forward/budget_test.go
+++ b/pkg/forward/budget_test.go
@@ -101,3 +101,48 @@
 	send(1000)
 	test.Eq(t, -mostDebt, f.budgets.of("s").left())
 }
+
+// TestAChainOfServicesKeepsTheBudgetOfTheCalledOne: each run of the first service
+// fails and each call that it makes fails, so that both repeat as often as they
+// may. What repeats at the called service, its own retries and the calls of
+// repeated runs, stays within what the platform allows.
+func TestAChainOfServicesKeepsTheBudgetOfTheCalledOne(t *testing.T) {
+	const (
+		daemons, requests, callsARun = 30, 600, 2
+		allowedRatio, allowedSlack   = 0.2, 30
+	)
+	s := settings.Default().Routing
+	s.RetryRatio, s.RetrySlack = 0.8*allowedRatio, 0.8*allowedSlack
+	repeats, sent := 0.0, 0.0
+	for range daemons {
+		all := newBudgets(testCommon(s), func() int { return daemons })
+		first, called := all.of("first"), all.of("called")
+		runs, repeated := 0.0, 0.0
+		run := func(again bool) {
+			runs++
+			if again {
+				repeated++
+			}
+			for range callsARun {
+				sent++
+				if again {
+					repeats++
+				}
+				called.request()
+				called.charge(repeated / runs)
+				if called.take() {
+					repeats++
+				}
+			}
+		}
+		for range requests / daemons {
+			first.request()
+			run(false)
+			if first.take() {
+				run(true)
+			}
+		}
+	}
+	test.LessEq(t, allowedRatio*sent+allowedSlack, repeats)
+	test.Greater(t, 0, repeats)
+}
--- /dev/null
+++ b/pkg/systems/converge_test.go
@@ -0,0 +1,129 @@
+package systems
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// tableNode is a daemon of which only the table of members and the links count.
+type tableNode struct {
+	spread *spread
+	env    *Env
+	// byPeer are the daemons at the other ends of its links.
+	byPeer map[*link.Peer]*tableNode
+}
+
+func newTableNode(vm, dataCentre string) *tableNode {
+	s := settings.Default()
+	s.VM = settings.VM{ID: vm, DataCentre: dataCentre}
+	c := common.NewCommon(events.Discard(), &s)
+	env := &Env{Common: c, World: tables.NewWorld(vm, dataCentre)}
+	return &tableNode{spread: &spread{Env: env}, env: env, byPeer: map[*link.Peer]*tableNode{}}
+}
+
+func (n *tableNode) members() *tables.Members { return n.env.World.Members }
+
+// connect opens a link between two daemons, with a row of peers at each end.
+func connect(a, b *tableNode) {
+	toB, toA := peerOf(b), peerOf(a)
+	a.byPeer[toB], b.byPeer[toA] = b, a
+	a.env.World.Peers.Put(toB)
+	b.env.World.Peers.Put(toA)
+}
+
+func peerOf(n *tableNode) *link.Peer {
+	return &link.Peer{Hello: wire.Hello{VM: n.env.World.VM, DataCentre: n.env.World.DataCentre}}
+}
+
+// passOn hands on what is new at a daemon; some frames are lost. It returns
+// whether anything was sent.
+func (n *tableNode) passOn(lost func() bool) bool {
+	fresh := n.members().TakeFresh()
+	plan := n.spread.plan(n.spread.saidByDaemons(fresh))
+	for peer, rows := range plan {
+		to := n.byPeer[peer]
+		for _, row := range rows {
+			if !lost() {
+				to.members().Merge(1, peerOf(n), row)
+			}
+		}
+	}
+	return len(plan) > 0
+}
+
+// TestTablesOfAFleetConverge: rows that chance or a lost frame kept from a daemon
+// come in by the comparing of tables, whichever links there are.
+func TestTablesOfAFleetConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := drawFleet(t)
+		lost := func() bool { return rapid.IntRange(0, 9).Draw(t, "lost") == 0 }
+		for _, n := range nodes {
+			n.members().Merge(1, nil, wire.Member{VM: n.env.World.VM, DataCentre: n.env.World.DataCentre, Service: "s", Incarnation: 1})
+		}
+		for again := true; again; {
+			again = false
+			for _, n := range nodes {
+				again = n.passOn(lost) || again
+			}
+		}
+		// Each daemon asks its peers in turn, as often as the fleet is wide.
+		for range nodes {
+			for _, n := range nodes {
+				for peer, from := range n.byPeer {
+					if from.members().Digest() == n.members().Digest() {
+						continue
+					}
+					for _, row := range from.members().Differing(n.members().Buckets()) {
+						n.members().Merge(1, peer, row)
+					}
+				}
+			}
+		}
+		for _, n := range nodes {
+			must.Eq(t, len(nodes), n.members().Len())
+			must.Eq(t, nodes[0].members().Digest(), n.members().Digest())
+		}
+	})
+}
+
+// drawFleet makes daemons in some data centres: a chain inside each, one link
+// from each to the next, and further links at random.
+func drawFleet(t *rapid.T) []*tableNode {
+	var nodes []*tableNode
+	var first *tableNode
+	for d := range rapid.IntRange(1, 4).Draw(t, "data centres") {
+		var before *tableNode
+		for v := range rapid.IntRange(1, 8).Draw(t, "daemons") {
+			n := newTableNode(fmt.Sprint("d", d, "v", v), fmt.Sprint("d", d))
+			switch {
+			case before != nil:
+				connect(n, before)
+			case first != nil:
+				connect(n, first)
+			}
+			if before == nil {
+				first = n
+			}
+			before = n
+			nodes = append(nodes, n)
+		}
+	}
+	for range rapid.IntRange(0, 20).Draw(t, "more links") {
+		a := rapid.SampledFrom(nodes).Draw(t, "a")
+		b := rapid.SampledFrom(nodes).Draw(t, "b")
+		if a != b {
+			connect(a, b)
+		}
+	}
+	return nodes
+}
