--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -75,7 +75,7 @@
 // NewClosedConn makes a connection that was closed: it takes no frame. It stands
 // in for a link in tests of what systems decide.
 func NewClosedConn() *Conn {
-	c := &Conn{closed: true, start: time.Now()}
+	c := &Conn{closed: true, start: time.Now(), pace: NewPace(time.Minute)}
 	c.wake = sync.NewCond(&c.mu)
 	return c
 }
