--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -102,7 +102,7 @@
 	VMListEvery time.Duration `yaml:"vm_list_every" validate:"min=10ms"`
 	// Name of the adapter that speaks to the platform; "http" is the product's own.
 	Form string `yaml:"form" validate:"required"`
-	// True when the whole system starts for the first time, so that nothing of an earlier run binds.
+	// True when the whole system starts for the first time, so that nothing of an earlier run binds. Daemons then learn of each other before most of them ask the store, and have their first placement some three seconds after they start.
 	FirstStart bool `yaml:"first_start"`
 	// What the platform holds all daemons to, each entry name=value; those that the adapter knows go before the settings under routing.
 	Bounds []string `yaml:"bounds"`
