Forward: a silent executor is waited for where nothing else may be tried

Ruled out: the planned stop's own bounds (2.5 s of taking requests and 5.6 s in all had not passed), closing a silent link (1.5 s).

Change: a silent executor is left only where attempts, time, the retry budget and another linked backend server allow a further attempt; else its word is waited for to the deadline, as for requests that must run at most once.

Test, seen to fail before: TestASilentExecutorIsWaitedForWhereNothingElseMayBeTried.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -33,6 +33,21 @@
 	return a.await(to, runner, cancel, ends)
 }
 
+// mayGoOn is true when a request that leaves a backend server could be sent to
+// another one. Where it could not, giving up gains nothing: the backend server may
+// be at work, and its answer may still come.
+func (a *attempts) mayGoOn(from *tables.Candidate) bool {
+	if a.offered+1 >= a.route.Attempts || a.left() < leastLeft || a.owner.budgets.of(a.service).left() < 1 {
+		return false
+	}
+	for i := range a.set {
+		if other := &a.set[i]; other != from && !a.closed.Has(i) && other.Route.Runner() != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // await waits for the end of an attempt: the executor's word, the deadline, the
 // caller's leaving, or the executor's silence, where the request may go on.
 func (a *attempts) await(to *tables.Candidate, runner call.Runner, cancel func(), ends <-chan call.Result) call.Result {
@@ -49,7 +64,7 @@
 				continue
 			}
 			to.Load.Silent(a.owner.Now())
-			if a.route.Repeatable {
+			if a.route.Repeatable && a.mayGoOn(to) {
 				cancel()
 				return a.unheard(errkind.New(errkind.LinkLost, "%s gives no sign of life", to.Route.VM))
 			}
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -365,3 +365,45 @@
 	}
 	test.Eq(t, map[uint32]int{0: 1, 1: 1}, generations)
 }
+
+// TestASilentExecutorIsWaitedForWhereNothingElseMayBeTried: a request that was
+// given up for its executor's silence, with no retry left to spend, was answered
+// 502 while its backend server was at work on it; the answer came 100 ms later.
+func TestASilentExecutorIsWaitedForWhereNothingElseMayBeTried(t *testing.T) {
+	for name, prepare := range map[string]func(f *Forwarder){
+		"no retry left": func(f *Forwarder) {
+			f.budgets.of("s").request()
+			for f.budgets.take("s") {
+			}
+		},
+		"no other backend server": func(f *Forwarder) {
+			kind := f.view.Service("s").Match("GET", "/")
+			kind.Ready = kind.Ready[:1]
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				began := time.Now()
+				dead := &lateRunner{quietRunner{heard: func() time.Duration { return time.Since(began) + time.Second }}}
+				f := newForwarder(&fakeRunner{}, &fakeRunner{answer: answers(200)})
+				withRunner(f, dead)
+				f.view.Service("s").Match("GET", "/").Ready[1].Load.Silent(f.Now())
+				prepare(f)
+				got := f.Forward(t.Context(), request("/read/"))
+				must.NotNil(t, got.Answer)
+				test.Eq(t, lateAfter, time.Since(began))
+			})
+		})
+	}
+}
+
+// lateAfter is when a lateRunner answers: long after its silence is known.
+const lateAfter = probeAfter + silentAfter + 100*time.Millisecond
+
+// lateRunner says nothing for a long time, and then answers.
+type lateRunner struct{ quietRunner }
+
+func (l *lateRunner) Execute(_ *wire.Call, _ []byte, done func(call.Result)) (cancel func()) {
+	timer := time.AfterFunc(lateAfter, func() { done(call.Result{Answer: &call.Answer{Status: 200}, Offered: true}) })
+	return func() { timer.Stop() }
+}
