Evacuated data centres: a set with the store's revision, over links, kept by entries and executors

Ruled out: a part of the versioned placement (the configuration's version does not move when a row comes, so that nothing would order the two); a register a data centre (a removed row leaves nothing behind, so that removals would need marks of their own, and these an end). Change: the follower of the feed keeps the whole set as it stood at its cursor; the higher revision goes before any other, so that old news of a peer, a lost history or a cut bring nothing back. A change goes over all links, a new link greets with it. Subsets and choices pass evacuated data centres over; executors refuse what comes and what waits as not run; runs under way end.

--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -35,6 +36,8 @@
 	Excluded Tried
 	// Allowed is nil, or says in which data centres the request may be handled.
 	Allowed []string
+	// Evacuated are the data centres whose backend servers get nothing new.
+	Evacuated evacuation.Set
 	// DataCentre is the entry's own, LeaveCost what leaving it costs.
 	DataCentre string
 	LeaveCost  time.Duration
@@ -89,6 +92,9 @@
 }
 
 func (r *Routed) allows(dataCentre string) bool {
+	if r.Evacuated.Has(dataCentre) {
+		return false
+	}
 	if len(r.Allowed) == 0 {
 		return true
 	}
--- a/pkg/choose/routed_test.go
+++ b/pkg/choose/routed_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test"
 
+	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -54,6 +55,9 @@
 		Excluded: Tried(0).With(0), Allowed: []string{"here", "far"}, DataCentre: "here", Work: work,
 	}
 	test.Eq(t, 2, PickRouted(req, Runtime{}).Index)
+	req.Evacuated = evacuation.Set{}.With(1, []evacuation.Change{{DataCentre: "far", Evacuated: true}})
+	test.Eq(t, None, PickRouted(req, Runtime{}).Index)
+	req.Evacuated = evacuation.Set{}
 	req.Excluded = req.Excluded.With(2)
 	test.Eq(t, None, PickRouted(req, Runtime{}).Index)
 }
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -45,6 +45,8 @@
 	BackendAbsent
 	HeaderTooLarge
 	Internal
+	// Kinds are told between releases by their number: a new one comes last.
+	DataCentreEvacuated
 	kindCount
 )
 
@@ -122,6 +124,7 @@
 	BackendReplaced:      {Name: "backend_replaced", Status: 503, Elsewhere: true, RetryAfterMS: 100, Advice: "Another backend server has taken the address over; try again."},
 	BackendAbsent:        {Name: "backend_absent", Status: 503, Elsewhere: true, RetryAfterMS: 100, Advice: "The backend server beside the chosen daemon is leaving, down or not known yet; try again."},
 	HeaderTooLarge:       {Name: "header_too_large", Status: 431, Advice: "Send a smaller head."},
+	DataCentreEvacuated:  {Name: "data_centre_evacuated", Status: 503, Elsewhere: true, RetryAfterMS: 500, Advice: "Operators have evacuated the data centre of the chosen backend server; try again, or ask the operators to take it back."},
 	Internal:             {Name: "internal", Status: 500, Ran: RanMaybe, Advice: "A fault in rushramp; report it with the daemon's log."},
 }
 
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -45,6 +45,7 @@
 	claims    Claims
 	placement func() *placement.Compiled
 	leaving   atomic.Bool
+	evacuated atomic.Bool
 	down      atomic.Bool
 	callSeq   atomic.Uint64
 	inFlight  atomic.Int64
@@ -85,6 +86,10 @@
 // Leave makes the executor refuse new calls from now on.
 func (e *Executor) Leave() { e.leaving.Store(true) }
 
+// SetEvacuated makes the executor refuse new calls while its data centre is
+// evacuated.
+func (e *Executor) SetEvacuated(evacuated bool) { e.evacuated.Store(evacuated) }
+
 // InFlight counts calls that were taken in and have not ended.
 func (e *Executor) InFlight() int64 { return e.inFlight.Load() }
 
@@ -154,6 +159,9 @@
 	if e.leaving.Load() {
 		return nil, errkind.New(errkind.Leaving, "the executor is leaving")
 	}
+	if e.evacuated.Load() {
+		return nil, errkind.New(errkind.DataCentreEvacuated, "%s is evacuated", e.Settings.VM.DataCentre)
+	}
 	current := e.placement()
 	if current == nil {
 		return nil, errkind.New(errkind.PlacementUnknown, "the executor has no placement yet")
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -135,7 +135,7 @@
 func (a *attempts) pick() (pick choose.RoutedPick, soft bool) {
 	a.refresh()
 	req := choose.Routed{
-		Now: a.owner.Now(), Set: a.set, Allowed: a.route.DataCentres,
+		Now: a.owner.Now(), Set: a.set, Allowed: a.route.DataCentres, Evacuated: a.owner.view.Evacuation(),
 		DataCentre: a.owner.Settings.VM.DataCentre,
 		LeaveCost:  time.Duration(a.owner.Settings.Routing.LeaveCost * float64(a.target)),
 		Work:       a.work(),
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/placement"
 )
 
@@ -53,7 +54,7 @@
 	// gate's lock.
 	Start    func()
 	SendBack func()
-	Dismiss  func()
+	Dismiss  func(why *errkind.Error)
 
 	arrived int64
 	started int64
--- a/pkg/placement/feed.go
+++ b/pkg/placement/feed.go
@@ -4,13 +4,17 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/rushramp/rushramp/pkg/evacuation"
 )
 
-// Feed tells of the documents that a platform's operators write to the store
-// themselves, where they do not use rushramp's own calls. Next returns
-// store.ErrHistoryGone when the store has forgotten the changes since after.
+// Feed tells of the documents and the evacuated data centres that a platform's
+// operators write to the store themselves, where they do not use rushramp's own
+// calls. Next returns store.ErrHistoryGone when the store has forgotten the changes
+// since after. An update that comes with a DamagedError is right but for its
+// document.
 type Feed interface {
-	// Newest reads the newest document.
+	// Newest reads the newest document and all evacuated data centres.
 	Newest(ctx context.Context) (FeedUpdate, error)
 	// Next waits up to wait for a change after a cursor.
 	Next(ctx context.Context, after uint64, wait time.Duration) (FeedUpdate, error)
@@ -20,16 +24,16 @@
 type FeedUpdate struct {
 	// Document is nil when nothing is new.
 	Document *Document
+	// Evacuations are those of all data centres that are evacuated, from Newest,
+	// and the changes since the cursor, in their order, from Next.
+	Evacuations []evacuation.Change
 	// Cursor is where Next goes on.
 	Cursor uint64
 }
 
 // DamagedError is returned for a document that cannot be read. The feed goes on
 // after it.
-type DamagedError struct {
-	Cursor uint64
-	Cause  error
-}
+type DamagedError struct{ Cause error }
 
 // Error implements error.
 func (d *DamagedError) Error() string {
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -98,9 +98,9 @@
 	if left <= 0 {
 		return call.Refused(errkind.DeadlineBeforeRun, "the time ran out before hand-over"), false
 	}
-	instance, ok := r.lifecycle.Accepting()
-	if !ok {
-		return call.Refused(errkind.BackendAbsent, "the backend server stopped taking requests"), false
+	instance, refusal := r.accepting()
+	if refusal != nil {
+		return call.Result{Refusal: refusal}, false
 	}
 	run.instance = instance
 	slowdown := r.load.Slowdown()
@@ -155,10 +155,10 @@
 }
 
 // dismiss refuses a request that waited while the backend server stopped taking
-// requests: another one may still run it in time.
-func (run *routedRun) dismiss() {
+// requests.
+func (run *routedRun) dismiss(why *errkind.Error) {
 	run.stopExpiry()
-	run.refuse(errkind.New(errkind.BackendAbsent, "the backend server stopped taking requests while it waited"))
+	run.refuse(why)
 }
 
 func (run *routedRun) refuse(refusal *errkind.Error) { run.end(call.Result{Refusal: refusal}) }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -43,6 +43,8 @@
 	// lookDue is true while a look for the end of a slow spell is due.
 	lookDue atomic.Bool
 	leaving atomic.Bool
+	// evacuated is true while the data centre of this VM is.
+	evacuated atomic.Bool
 	// usable is how many requests ran at once when that was logged last.
 	usable atomic.Int64
 	// slowed is true while the backend server is too slow for soft attempts.
@@ -87,6 +89,23 @@
 // Leave makes the runner refuse new requests from now on.
 func (r *Runner) Leave() { r.leaving.Store(true) }
 
+// SetEvacuated makes the runner refuse new requests, and those that wait, while
+// its data centre is evacuated.
+func (r *Runner) SetEvacuated(evacuated bool) { r.evacuated.Store(evacuated) }
+
+// accepting returns the incarnation that requests may be handed to now, or why
+// there is none.
+func (r *Runner) accepting() (instance string, refusal *errkind.Error) {
+	if r.evacuated.Load() {
+		return "", errkind.New(errkind.DataCentreEvacuated, "%s is evacuated", r.Settings.VM.DataCentre)
+	}
+	instance, ok := r.lifecycle.Accepting()
+	if !ok {
+		return "", errkind.New(errkind.BackendAbsent, "the backend server takes no requests now")
+	}
+	return instance, nil
+}
+
 // InFlight counts requests that were taken in and have not ended.
 func (r *Runner) InFlight() int64 { return r.inFlight.Load() }
 
@@ -132,10 +151,8 @@
 // Tick starts waiting requests when there are more slots than before, and refuses
 // all that wait when the backend server takes no more.
 func (r *Runner) Tick() {
-	if _, ok := r.lifecycle.Accepting(); !ok {
-		for _, job := range r.gate.TakeWaiting() {
-			job.Dismiss()
-		}
+	if _, refusal := r.accepting(); refusal != nil {
+		r.dismiss(refusal)
 		return
 	}
 	start, sendBack := r.gate.Tick(r.Now())
@@ -145,6 +162,13 @@
 	}
 }
 
+// dismiss refuses all that wait: another backend server may still run it in time.
+func (r *Runner) dismiss(why *errkind.Error) {
+	for _, job := range r.gate.TakeWaiting() {
+		job.Dismiss(why)
+	}
+}
+
 // TakeSlots takes over how many requests the backend server runs at once; 0 is
 // passed over.
 func (r *Runner) TakeSlots(slots int) {
@@ -219,10 +243,8 @@
 	if c.Service != r.Settings.BackendServer.Service {
 		return errkind.New(errkind.BackendReplaced, "this backend server runs another service")
 	}
-	if _, ok := r.lifecycle.Accepting(); !ok {
-		return errkind.New(errkind.BackendAbsent, "the backend server takes no requests now")
-	}
-	return nil
+	_, refusal := r.accepting()
+	return refusal
 }
 
 func (r *Runner) startAll(jobs []*gate.Job) {
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -137,6 +137,32 @@
 	test.Eq(t, 0, len(h.came))
 }
 
+// TestAnEvacuatedDataCentreTakesNothingNew: the run under way ends, what waits and
+// what comes is refused as not run, until the data centre is taken back.
+func TestAnEvacuatedDataCentreTakesNothingNew(t *testing.T) {
+	h := newHeld()
+	r, _ := newTestRunner(t, h, 1)
+	runs, _ := execute(r, routedCall("runs"))
+	test.Eq(t, "runs", <-h.came)
+	waits, _ := execute(r, routedCall("waits"))
+	r.SetEvacuated(true)
+	comes, _ := execute(r, routedCall("comes"))
+	r.Tick()
+	for _, results := range []chan call.Result{comes, waits} {
+		got := <-results
+		must.NotNil(t, got.Refusal)
+		test.Eq(t, errkind.DataCentreEvacuated, got.Refusal.Kind)
+		test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+		test.True(t, got.Refusal.RetryElsewhere())
+	}
+	h.goOn <- struct{}{}
+	must.NotNil(t, (<-runs).Answer)
+	r.SetEvacuated(false)
+	h.goOn <- struct{}{}
+	back, _ := execute(r, routedCall("back"))
+	must.NotNil(t, (<-back).Answer)
+}
+
 func TestACancelledRequestLeavesTheBackendServer(t *testing.T) {
 	h := newHeld()
 	r, _ := newTestRunner(t, h, 1)
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -60,11 +60,18 @@
 
 // News implements link.Control. Only what cannot wait wakes the systems.
 func (c *Control) News(peer *link.Peer, state *wire.State) {
-	urgent := state.Leaving || state.Placement > c.version()
+	urgent := state.Leaving || state.Placement > c.version() || c.isEvacuationNews(state)
 	n := tables.PeerNews{Peer: peer, State: state, At: c.Now()}
 	c.World.Inbox.Post(urgent, func(m *tables.Mail) { m.News = append(m.News, n) })
 }
 
+// isEvacuationNews is true where a peer knows of a change of the evacuated data
+// centres that this daemon has not taken over.
+func (c *Control) isEvacuationNews(state *wire.State) bool {
+	known := c.World.View.Evacuation()
+	return state.Evacuation.Revision > known.Revision && !state.Evacuation.Same(known)
+}
+
 func (c *Control) version() uint64 {
 	if p := c.World.View.Placement(); p != nil {
 		return p.Version
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
@@ -63,6 +64,16 @@
 type feedPlace struct {
 	known  bool
 	cursor uint64
+	// evacuated is the set of evacuated data centres as it stood at the cursor.
+	evacuated evacuation.Set
+}
+
+// after is the place after an update. The first one tells all of the set.
+func (at feedPlace) after(update placement.FeedUpdate) feedPlace {
+	return feedPlace{
+		known: true, cursor: update.Cursor,
+		evacuated: at.evacuated.With(update.Cursor, update.Evacuations),
+	}
 }
 
 func newFollower(env *Env) *follower {
@@ -185,15 +196,25 @@
 	var damaged *placement.DamagedError
 	if errors.As(err, &damaged) {
 		f.Log.Event(events.DocumentRefused, events.F("cause", damaged.Cause))
-		return feedPlace{known: true, cursor: damaged.Cursor}, nil
+		err = nil
 	}
 	if err != nil {
 		return at, err
 	}
+	next = at.after(update)
+	if !at.known || len(update.Evacuations) > 0 {
+		f.takeEvacuation(next.evacuated)
+	}
 	if update.Document != nil {
 		err = f.take(update.Document)
 	}
-	return feedPlace{known: true, cursor: update.Cursor}, err
+	return next, err
+}
+
+// takeEvacuation hands the set of evacuated data centres to the systems, before
+// any document that came with it: both are then in force at once.
+func (f *follower) takeEvacuation(set evacuation.Set) {
+	f.World.Inbox.Post(true, func(m *tables.Mail) { m.Evacuation = &set })
 }
 
 func (f *follower) ask(ctx context.Context, at feedPlace, wait time.Duration) (placement.FeedUpdate, error) {
--- a/pkg/systems/heartbeats.go
+++ b/pkg/systems/heartbeats.go
@@ -82,7 +82,8 @@
 }
 
 // latest is the state for peers. The parts that may not lag, the version in
-// force and leaving, are read from the view each time.
+// force, the evacuated data centres and leaving, are read from the view each
+// time.
 type latest struct{ value atomic.Pointer[wire.State] }
 
 func (l *latest) set(s wire.State) { l.value.Store(&s) }
@@ -95,6 +96,7 @@
 	if p := view.Placement(); p != nil {
 		out.Placement = p.Version
 	}
+	out.Evacuation = view.Evacuation()
 	out.Leaving = view.Leaving()
 	return &out
 }
--- a/pkg/systems/linkevents.go
+++ b/pkg/systems/linkevents.go
@@ -34,6 +34,7 @@
 	if row, ok := l.World.Members.Find(l.World.VM); ok {
 		send(peer, []wire.Member{l.World.Members.Row[row]})
 	}
+	l.tellEvacuation(peer)
 	row, ok := l.World.Members.Find(peer.Hello.VM)
 	if !ok {
 		return
--- a/pkg/systems/publish.go
+++ b/pkg/systems/publish.go
@@ -74,9 +74,10 @@
 		weight  uint64
 	}
 	var best []weighed
+	evacuated := p.World.View.Evacuation()
 	p.World.Members.Rows(func(row int) {
 		route := p.World.Members.Route[row]
-		if p.World.Members.Leaving(row) || !kind.Allows(route.DataCentre) || route.Callers == "" {
+		if p.World.Members.Leaving(row) || !kind.Allows(route.DataCentre) || evacuated.Has(route.DataCentre) || route.Callers == "" {
 			return
 		}
 		best = append(best, weighed{route.Callers, utils.Rendezvous(p.World.VM, route.VM)})
--- a/pkg/systems/subset.go
+++ b/pkg/systems/subset.go
@@ -13,12 +13,13 @@
 // hash, and a few of other data centres for when its own has no room. Where
 // there are more than it may take, rendezvous hashing on this daemon's name
 // decides, so that each entry has its own stable choice. Members that could not
-// be reached of late are passed over. Source: docs/design/members.md, "Links".
+// be reached of late or whose data centre is evacuated are passed over. Source: docs/design/members.md, "Links".
 func Subset(w *tables.World, choosing settings.Choosing, kind *placement.CompiledKind) []*tables.Route {
 	var near, far []*tables.Route
+	evacuated := w.View.Evacuation()
 	w.Members.Service(kind.Service, func(row int) {
 		takes := !w.Members.Leaving(row) && w.Members.Row[row].Backend == wire.BackendLive
-		if !takes || !kind.Allows(w.Members.Row[row].DataCentre) {
+		if !takes || !kind.Allows(w.Members.Row[row].DataCentre) || evacuated.Has(w.Members.Row[row].DataCentre) {
 			return
 		}
 		route := w.Members.Route[row]
@@ -46,6 +47,7 @@
 		kind      *placement.CompiledKind
 		members   uint64
 		unreached uint64
+		evacuated uint64
 		routes    []*tables.Route
 	}
 )
@@ -58,8 +60,12 @@
 	}
 	key := subsetKey{kind.Service, kind.Name}
 	row, changes := e.subsets[key], e.World.Members.ServiceChanges(kind.Service)
-	if row.kind != kind || row.members != changes || row.unreached != e.World.UnreachedChanges {
-		row = subsetRow{kind: kind, members: changes, unreached: e.World.UnreachedChanges, routes: Subset(e.World, e.Settings.Choosing, kind)}
+	evacuated := e.World.View.Evacuation().Revision
+	if row.kind != kind || row.members != changes || row.unreached != e.World.UnreachedChanges || row.evacuated != evacuated {
+		row = subsetRow{
+			kind: kind, members: changes, unreached: e.World.UnreachedChanges, evacuated: evacuated,
+			routes: Subset(e.World, e.Settings.Choosing, kind),
+		}
 		e.subsets[key] = row
 	}
 	return row.routes
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -69,6 +69,7 @@
 		&backendWatch{Env: env},
 		&members{Env: env},
 		&news{Env: env},
+		&evacuations{Env: env},
 		&compare{Env: env},
 		&placements{Env: env},
 		&links{Env: env},
--- a/pkg/tables/inbox.go
+++ b/pkg/tables/inbox.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/store"
@@ -40,6 +41,9 @@
 	Head placement.Head
 	// HeadKnown is true when the store answered, even if it was empty.
 	HeadKnown bool
+	// Evacuation is the newest set of evacuated data centres that this daemon read
+	// in the store; nil: it read none.
+	Evacuation *evacuation.Set
 	// Wanted are services that a call asked for and that have no view yet.
 	Wanted []string
 	// Departed are processes of backend servers that said here that they leave.
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/placement"
 )
 
@@ -63,6 +64,8 @@
 	ready    atomic.Bool
 	members  atomic.Int64
 	stale    atomic.Bool
+	// evacuation is nil while no set is known.
+	evacuation atomic.Pointer[evacuation.Set]
 }
 
 // Placement returns the version in force, or nil.
@@ -100,6 +103,17 @@
 	vi.services.Store(name, v)
 }
 
+// Evacuation returns which data centres are evacuated.
+func (vi *View) Evacuation() evacuation.Set {
+	if s := vi.evacuation.Load(); s != nil {
+		return *s
+	}
+	return evacuation.Set{}
+}
+
+// SetEvacuation publishes which data centres are evacuated.
+func (vi *View) SetEvacuation(s evacuation.Set) { vi.evacuation.Store(&s) }
+
 // Unsure is true while nobody can tell whether the placement is in force.
 func (vi *View) Unsure() bool { return vi.unsure.Load() }
 
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -3,7 +3,11 @@
 // byte, and the frame as a CBOR array. Source: docs/design/links.md.
 package wire
 
-import "time"
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/evacuation"
+)
 
 // Type says which frame follows. Values stay below 24, so that the byte is a
 // whole CBOR item.
@@ -106,6 +110,9 @@
 	// Heard says how long ago the sender heard of each data centre. It is long
 	// and keeps for seconds, so not each heartbeat carries it.
 	Heard []Heard
+	// Evacuation is the newest set of evacuated data centres that the sender
+	// knows of.
+	Evacuation evacuation.Set
 }
 
 // Heard is how long ago something said in a data centre was heard of.
