--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -14,6 +13,7 @@
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/netdial"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -22,6 +22,11 @@
 	// may not be repeated goes on a new one: the backend server may be about
 	// to close it, and a request lost in that moment is a "maybe".
 	freshFor = time.Second
+	// unacknowledgedFor is how long bytes to the backend server may stay without an
+	// acknowledgement. Both are on one VM, where a round trip takes microseconds: a
+	// request that was written into a silent connection ends after it, and may go
+	// elsewhere, rather than at its deadline.
+	unacknowledgedFor = 300 * time.Millisecond
 	// keepIdle is how long a resting connection is kept.
 	keepIdle = 8 * time.Second
 	// inlineBytes is the largest body that is written before the answer is
@@ -184,8 +189,7 @@
 			return c, nil
 		}
 	}
-	dialer := net.Dialer{Timeout: t.opts.DialTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", t.opts.Address)
+	raw, err := netdial.New(t.opts.DialTimeout, unacknowledgedFor).DialContext(ctx, "tcp", t.opts.Address)
 	if err != nil {
 		return nil, err
 	}
