Cold backend servers: starts bounded by what they bear; a cold one's own speed counts as usual

Cause: how long a backend server is cold was decoded and used by nothing. Ruled out: a rate at the entries (no entry knows the others' starts); a pace of equal gaps (a cold server is idle at first); trusting the word of a heartbeat that it is warm (it may be seconds late); a word's age as its bound (at 150 requests a second 400 ms are 60 starts). Change: the gate keeps the times of its newest starts and begins no more in 1.05 s than 15/16 of what the platform allows; starts of the process before count where it was cold by then; a word that it is warm allows what a cold one bears, and the health path is asked when half of that is used. Before a placement is known nothing runs. An incarnation that another followed is not brought back by a late heartbeat. The test of frames of the next release has the new field in its stamp, else it would stand for a release that dropped one.

--- a/pkg/backend/headers.go
+++ b/pkg/backend/headers.go
@@ -21,6 +21,8 @@
 	Load string
 	// NotExecuted marks the only answers that prove that a request did not run.
 	NotExecuted string
+	// ColdMS is how much longer the backend server is cold, in milliseconds.
+	ColdMS string
 }
 
 // DefaultHeaders are the names that the product itself uses.
@@ -28,5 +30,6 @@
 	return Headers{
 		RequestID: "Rushramp-Request-Id", DeadlineMS: "Rushramp-Timeout", Expected: "Rushramp-Expected-Instance",
 		Caller: "Rushramp-Caller", Instance: "Rushramp-Instance", Load: "Rushramp-Load", NotExecuted: "Rushramp-Not-Run",
+		ColdMS: "Rushramp-Cold-Ms",
 	}
 }
--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -45,10 +45,19 @@
 	Sequence uint64
 	Slots    int
 	Leaving  bool
-	// ColdFor is how much longer it is slow from its start.
+	// ColdFor is how much longer it is cold from its start.
 	ColdFor time.Duration
 }
 
+// Cold is what the current incarnation said of its being cold.
+type Cold struct {
+	// Till is until when it is cold; in the past for one that is warm.
+	Till int64
+	// ToldAt is when its health path said so last. Heartbeats may come seconds late,
+	// so that none proves that a backend server is warm.
+	ToldAt int64
+}
+
 // Lifecycle knows which incarnation of the backend server may get requests.
 // Times are nanoseconds of a steady clock, handed in. It is safe for
 // concurrent use.
@@ -61,9 +70,12 @@
 	informed bool
 	// seenAt is the last sign of life of instance.
 	seenAt   int64
-	coldTill int64
+	cold     Cold
 	sequence map[string]uint64
 	departed map[string]int64
+	// replaced are incarnations after which another one was seen at the address, and
+	// when. A heartbeat that a cut held back does not bring one of them back.
+	replaced map[string]int64
 	refusals int
 	// changed is called without the lock after each change of the belief.
 	changed func(instance string, state State)
@@ -76,7 +88,7 @@
 	if changed == nil {
 		changed = func(string, State) {}
 	}
-	return &Lifecycle{informed: informed, changed: changed, sequence: map[string]uint64{}, departed: map[string]int64{}}
+	return &Lifecycle{informed: informed, changed: changed, sequence: map[string]uint64{}, departed: map[string]int64{}, replaced: map[string]int64{}}
 }
 
 // Accepting returns the incarnation that may get requests now; ok is false when
@@ -94,11 +106,21 @@
 	return l.instance, l.state
 }
 
-// ColdFor is how much longer the backend server is slow from its start.
-func (l *Lifecycle) ColdFor(now int64) time.Duration {
+// Cold returns what the current incarnation said of its being cold.
+func (l *Lifecycle) Cold() Cold {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Duration(max(l.coldTill-now, 0))
+	return l.cold
+}
+
+// TakeCold takes over what the health path of an incarnation says of its being
+// cold, which goes before any heartbeat.
+func (l *Lifecycle) TakeCold(now int64, instance string, coldFor time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if instance == l.instance {
+		l.cold = Cold{Till: now + int64(coldFor), ToldAt: now}
+	}
 }
 
 // Informed notes that all departures that could matter are known.
@@ -135,14 +157,23 @@
 		switch {
 		case h.Leaving:
 			departed = l.depart(now, h.Instance)
-		case !late && (h.Instance == l.instance || !l.confirmed(now)):
-			l.coldTill = max(l.coldTill, now+int64(h.ColdFor))
+		case !late && l.mayShow(now, h.Instance):
 			l.show(now, h.Instance)
+			l.cold.Till = max(l.cold.Till, now+int64(h.ColdFor))
 		}
 	})
 	return departed
 }
 
+// mayShow is true where a heartbeat may make its sender the current incarnation.
+func (l *Lifecycle) mayShow(now int64, instance string) bool {
+	if instance == l.instance {
+		return true
+	}
+	_, replaced := l.replaced[instance]
+	return !replaced && !l.confirmed(now)
+}
+
 // confirmed is true while the current incarnation has shown itself lately.
 func (l *Lifecycle) confirmed(now int64) bool {
 	return l.state == Live && now-l.seenAt < int64(confirmedFor)
@@ -159,13 +190,25 @@
 		}
 		return
 	}
+	if instance != l.instance {
+		l.cold = Cold{}
+	}
 	l.instance, l.state, l.seenAt, l.refusals = instance, Live, now, 0
 }
 
+// replace notes a first-hand sign of life, which ends any other incarnation at the
+// address.
+func (l *Lifecycle) replace(now int64, instance string) {
+	if instance != "" && instance != l.instance {
+		l.replaced[l.instance] = now
+	}
+	l.show(now, instance)
+}
+
 // Seen takes an answer that names the incarnation, as that of the health path
 // does: it is first-hand, so it goes before any heartbeat.
 func (l *Lifecycle) Seen(now int64, instance string) {
-	l.change(func() { l.show(now, instance) })
+	l.change(func() { l.replace(now, instance) })
 }
 
 // Answered notes a sign of life of the current incarnation.
@@ -201,6 +244,11 @@
 			delete(l.sequence, id)
 		}
 	}
+	for id, at := range l.replaced {
+		if now-at > int64(rememberDepartures) {
+			delete(l.replaced, id)
+		}
+	}
 }
 
 // Departures lists the ids that are remembered.
@@ -221,7 +269,7 @@
 			l.state = Unknown
 			return
 		}
-		l.show(now, by)
+		l.replace(now, by)
 	})
 }
 
--- a/pkg/backend/lifecycle_test.go
+++ b/pkg/backend/lifecycle_test.go
@@ -98,3 +98,36 @@
 		test.False(t, ok, test.Sprint(text))
 	}
 }
+
+// TestAHeartbeatThatACutHeldBackChangesNothing: its sender has crashed, and a new
+// incarnation was seen at the address, which may be silent for a while itself.
+func TestAHeartbeatThatACutHeldBackChangesNothing(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	l.Heartbeat(1*second, Heartbeat{Instance: "old", Sequence: 1})
+	l.Seen(2*second, "new")
+	l.TakeCold(2*second, "new", 3*time.Second)
+	l.Heartbeat(30*second, Heartbeat{Instance: "old", Sequence: 2, ColdFor: 9 * time.Second})
+	accepting(t, l, "new")
+	test.Eq(t, Cold{Till: 5 * second, ToldAt: 2 * second}, l.Cold())
+	l.Heartbeat(31*second, Heartbeat{Instance: "old", Sequence: 3, Leaving: true})
+	accepting(t, l, "new")
+	l.Heartbeat(32*second, Heartbeat{Instance: "next", Sequence: 1})
+	accepting(t, l, "next")
+}
+
+// TestHowLongABackendServerIsCold: its health path goes before heartbeats, which
+// may be late, and each incarnation counts by itself.
+func TestHowLongABackendServerIsCold(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	l.Heartbeat(1*second, Heartbeat{Instance: "a", Sequence: 1, ColdFor: 3 * time.Second})
+	test.Eq(t, Cold{Till: 4 * second}, l.Cold())
+	l.TakeCold(2*second, "a", time.Second)
+	test.Eq(t, Cold{Till: 3 * second, ToldAt: 2 * second}, l.Cold())
+	l.TakeCold(2*second, "other", 9*time.Second)
+	test.Eq(t, 3*second, l.Cold().Till)
+	// Cold again, as after its data centre was taken back.
+	l.TakeCold(20*second, "a", 3*time.Second)
+	test.Eq(t, 23*second, l.Cold().Till)
+	l.Seen(21*second, "b")
+	test.Eq(t, Cold{}, l.Cold())
+}
--- a/pkg/backend/prober.go
+++ b/pkg/backend/prober.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
+	"strconv"
 	"time"
+
+	"github.com/rushramp/rushramp/pkg/netdial"
 )
 
 // Prober asks the backend server's health path. Its answer comes at once and
@@ -21,7 +23,7 @@
 
 // NewProber makes a prober. One connection is kept.
 func NewProber(address string, headers Headers, timeout time.Duration) *Prober {
-	dialer := &net.Dialer{Timeout: timeout}
+	dialer := netdial.New(timeout, unacknowledgedFor)
 	return &Prober{
 		address: address, headers: headers,
 		client: &http.Client{Timeout: timeout, Transport: &http.Transport{
@@ -37,6 +39,9 @@
 	Instance string
 	// Load is the text of the load header.
 	Load string
+	// ColdFor is how much longer the backend server is cold; 0 where it does not
+	// say that it is.
+	ColdFor time.Duration
 }
 
 // Probe asks once.
@@ -55,8 +60,18 @@
 		Well:     resp.StatusCode == http.StatusOK,
 		Instance: resp.Header.Get(p.headers.Instance),
 		Load:     resp.Header.Get(p.headers.Load),
+		ColdFor:  coldFor(resp.Header.Get(p.headers.ColdMS)),
 	}, nil
 }
 
+// coldFor reads the text of the cold header. One that cannot be read says nothing.
+func coldFor(text string) time.Duration {
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || ms < 0 {
+		return 0
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
 // Close ends the kept connection.
 func (p *Prober) Close() { p.client.CloseIdleConnections() }
--- a/pkg/choose/refusing.go
+++ b/pkg/choose/refusing.go
@@ -32,7 +32,7 @@
 }
 
 func (r *Routed) wouldBeRefusedSoftly(known *tables.Known, near bool) bool {
-	if speed.Slowdown(known.Slowdown) > r.SoftSlowdown {
+	if speed.Slowdown(known.Slowdown) > r.SoftSlowdown*max(speed.Slowdown(known.Usual), 1) {
 		return true
 	}
 	most := float64(known.Limit)
--- a/pkg/daemon/bounds.go
+++ b/pkg/daemon/bounds.go
@@ -11,6 +11,10 @@
 	RetrySlack float64
 	// ChecksPerSecond is how often a backend server's health path may be asked.
 	ChecksPerSecond float64
+	// ColdFactor is how many times what a cold backend server bears it may get in a
+	// second, and ColdSlack how many requests besides.
+	ColdFactor float64
+	ColdSlack  float64
 }
 
 const (
@@ -25,6 +29,11 @@
 	checksShare = 0.65
 )
 
+// coldShare is the share of the platform's bound on starts at a cold backend server
+// that its gate uses. Two in thirty-two are left for starts that a new process of
+// the daemon cannot know of.
+const coldShare = 15.0 / 16
+
 // apply puts the bounds into the settings that keep them.
 func (b Bounds) apply(r *settings.Routing) {
 	if b.RetryRatio > 0 {
@@ -36,4 +45,8 @@
 	if b.ChecksPerSecond > 0 {
 		r.LooksPerSecond = int(checksShare * b.ChecksPerSecond)
 	}
+	if b.ColdFactor > 0 {
+		r.ColdFactor = coldShare * b.ColdFactor
+		r.ColdSlack = coldShare * b.ColdSlack
+	}
 }
--- a/pkg/daemon/bounds_test.go
+++ b/pkg/daemon/bounds_test.go
@@ -19,4 +19,6 @@
 	test.Eq(t, 0.4, r.RetryRatio)
 	test.Eq(t, 504, r.RetrySlack)
 	test.Eq(t, 65, r.LooksPerSecond)
+	Bounds{ColdFactor: 1.5, ColdSlack: 8}.apply(&r)
+	test.Eq(t, 30, r.ColdFactor*16+r.ColdSlack)
 }
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -57,7 +57,9 @@
 		Within: s.Routing.LookWithin, PerSecond: s.Routing.LooksPerSecond, Paused: r.checksPaused,
 	}, r.ask)
 	var err error
-	r.runner, err = runner.NewRunner(d.Common, adapter.Backend, r.lifecycle, r.load, r.checker)
+	r.runner, err = runner.NewRunner(d.Common, runner.Deps{
+		Headers: adapter.Backend, Lifecycle: r.lifecycle, Load: r.load, Checker: r.checker, Service: r.service,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -140,7 +142,9 @@
 // Heartbeat implements backend.Announcer.
 func (r *routed) Heartbeat(ctx context.Context, h backend.Heartbeat) {
 	r.runner.TakeSlots(h.Slots)
-	if r.lifecycle.Heartbeat(r.daemon.Now(), h) {
+	departed := r.lifecycle.Heartbeat(r.daemon.Now(), h)
+	r.runner.TakeCold()
+	if departed {
 		r.keep(ctx, h.Instance)
 	}
 }
--- a/pkg/daemon/watch.go
+++ b/pkg/daemon/watch.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/routing"
 )
 
 const (
@@ -97,19 +98,28 @@
 	if err != nil {
 		return err
 	}
-	r.runner.TakeLoad(health.Load)
 	if health.Well && health.Instance != "" {
 		r.lifecycle.Seen(r.daemon.Now(), health.Instance)
 	}
+	r.lifecycle.TakeCold(r.daemon.Now(), health.Instance, health.ColdFor)
+	r.runner.TakeCold()
+	r.runner.TakeLoad(health.Load)
 	return nil
 }
 
 // healthPath is empty until a placement names it.
 func (r *routed) healthPath() string {
+	service, _ := r.service()
+	return service.HealthPath
+}
+
+// service is what the placement in force says of the backend server's service; ok
+// is false without a placement.
+func (r *routed) service() (s routing.Service, ok bool) {
 	p := r.daemon.World.View.Placement()
 	if p == nil {
-		return ""
+		return routing.Service{}, false
 	}
-	service, _ := p.Routes.Service(r.daemon.Settings.BackendServer.Service)
-	return service.HealthPath
+	s, _ = p.Routes.Service(r.daemon.Settings.BackendServer.Service)
+	return s, true
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -65,6 +65,7 @@
 	ChecksPaused      ID = 513
 	ChecksResumed     ID = 514
 	LimitChanged      ID = 515
+	BackendCold       ID = 516
 	ClaimLost         ID = 601
 	ClaimVoided       ID = 602
 	ClaimUnknown      ID = 603
@@ -132,6 +133,7 @@
 		{ChecksPaused, Warn, "health path does not answer in time", false, "A check that starting requests waited for failed, or took longer than routing.look_within; requests start on the last word until the pause is over.", "If it repeats, look at the backend server's health path."},
 		{ChecksResumed, Info, "health path answers again", false, "A check succeeded after event 513.", "Nothing."},
 		{LimitChanged, Info, "number of runs at once changed", false, "The gate has learnt from runs above which number work slows, or that it does not.", "Nothing."},
+		{BackendCold, Info, "backend server became cold, or is warm again", false, "It has started or come back; while it is cold, no more than most_starts requests start there in a second (0: any number).", "Nothing; requests that cannot start in time go elsewhere, or are refused."},
 		{ClaimLost, Info, "claim taken by another executor", false, "Two executors tried the same never-repeat call; only one may run it.", "Nothing."},
 		{ClaimVoided, Info, "abandoned claim voided", false, "This executor held a claim that it had not handed over.", "Nothing."},
 		{ClaimUnknown, Warn, "claim outcome unknown", false, "The store answered neither the write nor the read-back in time; the call was not run.", "Look at the platform's table service."},
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -55,10 +55,14 @@
 // expect works out what a job has to expect.
 func (g *Gate) expect(now int64, job *Job) outlook {
 	limit := g.limit(now)
-	at := outlook{free: g.running < limit}
+	start := g.startWait(now, job)
+	at := outlook{free: g.running < limit && start == 0}
 	if !at.free {
 		at.service = g.expected(now, job)
-		at.wait = g.queueWait(now, job, at.service, limit)
+		at.wait = start
+		if g.running >= limit {
+			at.wait = max(start, g.queueWait(now, job, at.service, limit))
+		}
 		return at
 	}
 	held, hold := g.holds(now, job)
@@ -107,7 +111,7 @@
 
 func (g *Gate) check(now int64, job *Job, at outlook) *errkind.Error {
 	switch {
-	case job.Soft && g.busyForSoft(job):
+	case job.Soft && g.busyForSoft(now, job):
 		return errkind.New(errkind.GateBusier, "")
 	case tooLate(now, job, at) && !g.takesLate(now, job, at):
 		return errkind.New(errkind.Overloaded, "wait %v and run %v would end too late", at.wait.Round(time.Millisecond), at.service.Round(time.Millisecond))
@@ -131,6 +135,16 @@
 // nanoseconds.
 func withSpread(service time.Duration) int64 { return int64(SpreadFactor * float64(service)) }
 
+// startWait is how long a job waits until the backend server bears its start,
+// behind those that go before it.
+func (g *Gate) startWait(now int64, job *Job) time.Duration {
+	if g.cold.wait(now, 0) == 0 && g.queue.len() == 0 {
+		return 0
+	}
+	ahead, _ := g.queue.workAhead(job, func(*Job) time.Duration { return 0 })
+	return g.cold.wait(now, ahead)
+}
+
 // queueWait is how long a job waits for a slot while none is free. A routed job
 // waits only for those that go before it in the order.
 func (g *Gate) queueWait(now int64, job *Job, service time.Duration, limit int) time.Duration {
@@ -167,7 +181,7 @@
 // so lately. An estimate that is too long would else refuse all the runs that
 // could correct it.
 func (g *Gate) probes(now int64, free bool) bool {
-	if !free || g.speed.Slowdown() > g.opts.SoftSlowdown || now-g.probedAt < probeEvery {
+	if !free || g.tooSlowForSoft(now) || now-g.probedAt < probeEvery {
 		return false
 	}
 	g.probedAt = now
@@ -175,15 +189,16 @@
 }
 
 // busyForSoft is true while a soft job is better off elsewhere: at a slowed
-// backend server, or where it would wait. A sender of the own data centre would
+// backend server, at a cold one that bears no further start, or where it would
+// wait. A sender of the own data centre would
 // pay for going on, so its job may wait behind as many as there are slots that
 // the gate does not use.
-func (g *Gate) busyForSoft(job *Job) bool {
+func (g *Gate) busyForSoft(now int64, job *Job) bool {
 	most := g.usable()
 	if job.Near {
 		most = g.slots
 	}
-	return g.speed.Slowdown() > g.opts.SoftSlowdown || g.running+g.queue.len() >= most
+	return g.tooSlowForSoft(now) || g.running+g.queue.len() >= most || g.cold.isCold(now) && !g.mayStart(now)
 }
 
 // expected is the expected time of one run of a job that starts now.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -29,6 +29,9 @@
 	// Learn makes Use the start only: the gate learns from its runs how many go on
 	// at once before work slows.
 	Learn bool
+	// Restarted is true where another process of the daemon may have started jobs
+	// before this one.
+	Restarted bool
 }
 
 // Gate is the gate of one backend server. It is safe for concurrent use.
@@ -49,6 +52,8 @@
 	speed *speed.Model
 	// probedAt is when a job was last admitted that was expected to be late.
 	probedAt int64
+	// cold bounds the starts at a cold backend server.
+	cold coldStarts
 
 	stampSeq atomic.Uint64
 	// inFlight repeats running plus queued for readers without the lock.
@@ -88,6 +93,7 @@
 
 func (g *Gate) begin(now int64, job *Job) {
 	g.running++
+	g.cold.note(now)
 	job.started = now
 	job.atOnce = g.running
 	job.slowdown, job.fresh = g.speed.Start(now)
--- a/pkg/gate/report.go
+++ b/pkg/gate/report.go
@@ -18,27 +18,41 @@
 		Limit:     uint32(g.limit(now)),
 		ServiceUS: uint32(min(g.estimate.service(now).Microseconds(), 1<<31)),
 		Slowdown:  speed.Percent(g.speed.Slowdown()),
+		Usual:     usualOf(g.usualSlowdown(now)),
 	}
 }
 
+// usualOf is a usual slowdown as stamps carry it: 0 for none, to save a byte on
+// most of them.
+func usualOf(slowdown float64) uint32 {
+	if slowdown <= 1 {
+		return 0
+	}
+	return speed.Percent(slowdown)
+}
+
 // Doubt is by how much longer the run of a job that is admitted now must be
 // expected to take, since the newest word on the backend server's speed is old; 0
 // where it could not start at once.
 func (g *Gate) Doubt(now int64, job *Job) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.running >= g.limit(now) {
+	if g.running >= g.limit(now) || g.cold.isCold(now) && !g.mayStart(now) {
 		return 0
 	}
 	return g.speed.Doubt(now, job.Work)
 }
 
-// Holds is true while jobs wait although slots are free: for the end of a slow
-// spell, which the owner should look for.
+// Holds is true while jobs wait although slots are free, for a word of the backend
+// server that the owner should ask for: that a slow spell has ended, or that it is
+// still warm.
 func (g *Gate) Holds(now int64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.queue.len() > 0 && g.running < g.limit(now)
+	if g.queue.len() == 0 || g.running >= g.limit(now) {
+		return false
+	}
+	return !g.cold.isCold(now) || g.mayStart(now)
 }
 
 // InFlight counts the jobs at the gate, running and waiting.
--- a/pkg/gate/waiting.go
+++ b/pkg/gate/waiting.go
@@ -36,7 +36,7 @@
 func (g *Gate) startWaiting(now int64) []*Job {
 	var out, held []*Job
 	limit := g.limit(now)
-	for g.running < limit {
+	for g.running < limit && g.mayStart(now) {
 		job := g.queue.pop(now, g.estimate.service(now))
 		if job == nil {
 			break
@@ -61,7 +61,7 @@
 // probe starts a waiting job over the limit where that tells whether the limit
 // could be higher; nil: it does not.
 func (g *Gate) probe(now int64, limit int) *Job {
-	if g.limiter == nil || g.running != limit || g.queue.len() == 0 || g.speed.InSpell() || !g.limiter.Probes(now) {
+	if g.limiter == nil || g.running != limit || !g.mayStart(now) || g.queue.len() == 0 || g.speed.InSpell() || !g.limiter.Probes(now) {
 		return nil
 	}
 	job := g.queue.pop(now, g.estimate.service(now))
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -42,6 +42,12 @@
 	HealthPath string `cbor:"2,keyasint,omitempty" yaml:"health_path,omitempty"`
 	// Connections is the most that one backend server accepts from all callers.
 	Connections int `cbor:"3,keyasint,omitempty" yaml:"connections,omitempty"`
+	// ColdFor is how long a backend server is cold after it has started, or has
+	// come back.
+	ColdFor time.Duration `cbor:"4,keyasint,omitempty" yaml:"cold_for,omitempty" validate:"min=0"`
+	// ColdRate is how many requests a second a cold backend server bears; 0: as
+	// many as a warm one.
+	ColdRate float64 `cbor:"5,keyasint,omitempty" yaml:"cold_rate,omitempty" validate:"min=0"`
 }
 
 // Limits bound what callers may send.
--- /dev/null
+++ b/pkg/runner/cold.go
@@ -0,0 +1,64 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/gate"
+)
+
+// coldSlack is by how much a backend server may have been cold for longer than its
+// words tell, in nanoseconds: they travel, and are said in whole milliseconds.
+const coldSlack = int64(50 * time.Millisecond)
+
+// TakeCold takes over what the backend server last said of its being cold, and
+// what the placement in force says it bears then. It returns false while there is
+// no placement.
+func (r *Runner) TakeCold() bool {
+	service, ok := r.service()
+	if !ok {
+		return false
+	}
+	said, s := r.lifecycle.Cold(), &r.Settings.Routing
+	cold := gate.Cold{Since: said.ToldAt - coldSlack, Till: said.Till}
+	if service.ColdRate > 0 {
+		cold.Most = max(int(s.ColdFactor*service.ColdRate+s.ColdSlack), 1)
+	}
+	now := r.Now()
+	if now < said.Till {
+		cold.Since = coldSince(now, said.Till, service.ColdFor) - coldSlack
+	}
+	r.noteCold(now, cold)
+	r.startAll(r.gate.SetCold(now, cold))
+	r.coldTold.Store(true)
+	return true
+}
+
+// coldSince is since when a backend server is cold that is so until till. One that
+// has longer to go than the placement tells may have been so at any time.
+func coldSince(now, till int64, coldFor time.Duration) int64 {
+	since := till - int64(coldFor)
+	if since > now {
+		return now - int64(time.Second)
+	}
+	return since
+}
+
+// lookForCold has the backend server asked whether it is still warm, where many
+// requests have started since it said so.
+func (r *Runner) lookForCold(now int64) {
+	if r.checker != nil && r.gate.AsksWhetherCold(now) {
+		r.checker.Check(func() {})
+	}
+}
+
+// noteCold logs when the backend server becomes cold, or warm again.
+func (r *Runner) noteCold(now int64, cold gate.Cold) {
+	isCold := now < cold.Till
+	if r.cold.Swap(isCold) == isCold {
+		return
+	}
+	instance, _ := r.lifecycle.Current()
+	r.Log.Event(events.BackendCold, events.F("instance", instance), events.F("cold", isCold),
+		events.F("left", events.Milliseconds(time.Duration(max(cold.Till-now, 0)))), events.F("most_starts", cold.Most))
+}
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -59,6 +59,7 @@
 		run.refuse(refusal)
 	case admitted:
 		r.start(&run.job)
+		r.lookForCold(now)
 	default:
 		run.expiry.Store(time.AfterFunc(run.job.Patience(now), run.expire))
 		r.lookForEnd()
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -16,6 +16,7 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
+	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/wire"
 	"github.com/rushramp/rushramp/pkg/worktime"
@@ -38,6 +39,7 @@
 	load      *backend.Load
 	work      *worktime.Times
 	origins   *origins
+	service   func() (s routing.Service, ok bool)
 	// checker is nil where the backend server has no health path.
 	checker *backend.Checker
 	// lookDue is true while a look for the end of a slow spell is due.
@@ -45,6 +47,9 @@
 	leaving atomic.Bool
 	// evacuated is true while the data centre of this VM is.
 	evacuated atomic.Bool
+	// cold is true while the backend server says that it is; coldTold once the gate
+	// knows what the backend server bears then.
+	cold, coldTold atomic.Bool
 	// usable is how many requests ran at once when that was logged last.
 	usable atomic.Int64
 	// slowed is true while the backend server is too slow for soft attempts.
@@ -57,9 +62,21 @@
 	askedAt atomic.Int64
 }
 
-// NewRunner makes a runner. lifecycle and load are kept by those who watch the
-// backend server; checker, which may be nil, asks its health path.
-func NewRunner(c *common.Common, headers backend.Headers, lifecycle *backend.Lifecycle, load *backend.Load, checker *backend.Checker) (*Runner, error) {
+// Deps is what a runner works with besides the shared dependencies.
+type Deps struct {
+	Headers backend.Headers
+	// Lifecycle and Load are kept by those who watch the backend server.
+	Lifecycle *backend.Lifecycle
+	Load      *backend.Load
+	// Checker asks the backend server's health path; it may be nil.
+	Checker *backend.Checker
+	// Service is what the placement says of the backend server's service; ok is
+	// false while there is no placement.
+	Service func() (s routing.Service, ok bool)
+}
+
+// NewRunner makes a runner.
+func NewRunner(c *common.Common, deps Deps) (*Runner, error) {
 	s := c.Settings
 	pool, err := ants.NewPool(poolShare*s.BackendServer.Slots, ants.WithNonblocking(true))
 	if err != nil {
@@ -68,18 +85,20 @@
 	r := &Runner{
 		Common:    c,
 		pool:      pool,
-		lifecycle: lifecycle,
-		load:      load,
+		lifecycle: deps.Lifecycle,
+		load:      deps.Load,
+		service:   deps.Service,
 		work:      worktime.NewTimes(),
 		origins:   newOrigins(),
-		checker:   checker,
+		checker:   deps.Checker,
 		transport: backend.NewTransport(backend.Options{
-			Address: s.BackendServer.Address, Headers: headers,
+			Address: s.BackendServer.Address, Headers: deps.Headers,
 			DialTimeout: s.BackendServer.DialTimeout, MaxBody: s.Limits.MaxBodyBytes,
 		}),
 		gate: gate.New(gate.Options{
 			Slots: s.BackendServer.Slots, QueueLength: s.Gate.QueueLength, QueueTime: s.Gate.QueueTime,
 			Order: gate.Ranked, SoftSlowdown: s.Routing.SoftSlowdown, Use: s.Routing.Use, Learn: true,
+			Restarted: !s.Platform.FirstStart,
 		}),
 	}
 	r.counters = newCounters(r)
@@ -240,6 +259,9 @@
 	if r.leaving.Load() {
 		return errkind.New(errkind.Leaving, "the daemon is leaving")
 	}
+	if !r.coldTold.Load() && !r.TakeCold() {
+		return errkind.New(errkind.PlacementUnknown, "the executor has no placement yet")
+	}
 	if c.Service != r.Settings.BackendServer.Service {
 		return errkind.New(errkind.BackendReplaced, "this backend server runs another service")
 	}
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -17,6 +17,7 @@
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -57,7 +58,10 @@
 	s.BackendServer.Service, s.BackendServer.Slots = "s", slots
 	lifecycle := backend.NewLifecycle(true, nil)
 	lifecycle.Seen(1, "i-1")
-	r, err := NewRunner(common.NewCommon(events.Discard(), &s), backend.DefaultHeaders(), lifecycle, &backend.Load{}, nil)
+	r, err := NewRunner(common.NewCommon(events.Discard(), &s), Deps{
+		Headers: backend.DefaultHeaders(), Lifecycle: lifecycle, Load: &backend.Load{},
+		Service: func() (routing.Service, bool) { return routing.Service{}, true },
+	})
 	must.NoError(t, err)
 	t.Cleanup(func() {
 		r.Close()
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -132,6 +132,10 @@
 	LookWithin time.Duration `yaml:"look_within" validate:"min=1ms"`
 	// Questions to the health path a second that starting requests may cause, in the mean.
 	LooksPerSecond int `yaml:"looks_per_second" validate:"min=0"`
+	// How many times what a cold backend server bears, by the placement's cold_rate, its gate starts in a second.
+	ColdFactor float64 `yaml:"cold_factor" validate:"min=0"`
+	// Starts in a second that a cold backend server may get besides.
+	ColdSlack float64 `yaml:"cold_slack" validate:"min=0"`
 	// Time that a drained daemon goes on taking requests.
 	Linger time.Duration `yaml:"linger" validate:"min=0"`
 }
@@ -281,7 +285,7 @@
 			SoftAttempts: 3, SoftSlowdown: 1.8, Use: 0.8, LeaveCost: 0.8,
 			RetryAfter: 300 * time.Millisecond, RetryRatio: 0.15, RetrySlack: 50,
 			HealthEvery: 150 * time.Millisecond, LookCost: 4 * time.Millisecond, LookWithin: 8 * time.Millisecond,
-			LooksPerSecond: 40, Linger: 2500 * time.Millisecond,
+			LooksPerSecond: 40, ColdFactor: 1, Linger: 2500 * time.Millisecond,
 		},
 		Links: Links{Heartbeat: time.Second},
 		Gate:  Gate{QueueLength: 200, QueueTime: time.Second, Order: "edf", Adaptive: true},
--- a/pkg/tables/load.go
+++ b/pkg/tables/load.go
@@ -34,6 +34,7 @@
 	failures    atomic.Int64
 	distance    atomic.Int64
 	slowdown    atomic.Int64
+	usual       atomic.Int64
 	// silentAt is when the daemon was found silent; 0: it was heard since.
 	silentAt atomic.Int64
 }
@@ -88,6 +89,7 @@
 	l.limit.Store(max(int64(stamp.Limit), 1))
 	l.service.Store(int64(stamp.ServiceUS) * int64(time.Microsecond))
 	l.slowdown.Store(int64(stamp.Slowdown))
+	l.usual.Store(int64(stamp.Usual))
 	l.silentAt.Store(0)
 	l.stampAt.Store(now)
 	l.sentSince.Store(0)
@@ -111,6 +113,7 @@
 	l.sentSince.Store(0)
 	l.failures.Store(0)
 	l.slowdown.Store(0)
+	l.usual.Store(0)
 	l.silentAt.Store(0)
 	l.limit.Store(int64(max(slots, 1)))
 }
@@ -137,6 +140,8 @@
 	// Slowdown is how long work takes there, in percent of what is usual; 0: not
 	// known.
 	Slowdown int64
+	// Usual is the slowdown there outside of slow spells, in percent; 0: none.
+	Usual int64
 	// SilentFor is how long ago the daemon was found silent; 0: it was not, or
 	// was heard since.
 	SilentFor time.Duration
@@ -162,6 +167,7 @@
 	out.SentSince = l.sentSince.Load()
 	out.Distance = time.Duration(l.distance.Load())
 	out.Slowdown = l.slowdown.Load()
+	out.Usual = l.usual.Load()
 	out.SilentFor = 0
 	if at := l.silentAt.Load(); at > 0 {
 		out.SilentFor = time.Duration(max(now-at, 1))
--- a/pkg/wire/fit_test.go
+++ b/pkg/wire/fit_test.go
@@ -12,10 +12,10 @@
 // after this one: each has a field more at its end.
 type (
 	laterStamp struct {
-		_                                           struct{} `cbor:",toarray"`
-		Seq                                         uint64
-		Running, Queued, Limit, ServiceUS, Slowdown uint32
-		Added                                       []string
+		_                                                  struct{} `cbor:",toarray"`
+		Seq                                                uint64
+		Running, Queued, Limit, ServiceUS, Slowdown, Usual uint32
+		Added                                              []string
 	}
 	laterRefusal struct {
 		_         struct{} `cbor:",toarray"`
@@ -54,6 +54,15 @@
 		Body        Body
 		Origin      Origin
 	}
+	// earlierState is a state of the release before evacuated data centres were told.
+	earlierState struct {
+		_          struct{} `cbor:",toarray"`
+		Placement  uint64
+		Leaving    bool
+		StoreAgeMS uint64
+		Members    uint64
+		Heard      []Heard
+	}
 	earlierStamp struct {
 		_                                 struct{} `cbor:",toarray"`
 		Seq                               uint64
@@ -101,6 +110,11 @@
 	}, answer)
 }
 
+func TestAStateOfTheReleaseBeforeIsRead(t *testing.T) {
+	state := next[*State](t, framed(t, TypeState, earlierState{Placement: 3, Heard: []Heard{{DataCentre: "a", AgeMS: 4}}}))
+	test.Eq(t, &State{Placement: 3, Heard: []Heard{{DataCentre: "a", AgeMS: 4}}}, state)
+}
+
 func TestAFrameTypeOfTheNextReleaseIsPassedOver(t *testing.T) {
 	codec, err := NewCodec()
 	must.NoError(t, err)
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -62,13 +62,16 @@
 	// Slowdown is how long work takes at the backend server now, in percent of
 	// what is usual there; 0: the backend server does not say.
 	Slowdown uint32
+	// Usual is the slowdown outside of slow spells where that is not 100 percent, as
+	// of a backend server that is cold; 0: it is.
+	Usual uint32
 }
 
 // Size is how many bytes the stamp takes in a frame.
 func (s *Stamp) Size() int {
 	const arrayHead = 1
 	return arrayHead + uintSize(s.Seq) + uintSize(uint64(s.Running)) + uintSize(uint64(s.Queued)) +
-		uintSize(uint64(s.Limit)) + uintSize(uint64(s.ServiceUS)) + uintSize(uint64(s.Slowdown))
+		uintSize(uint64(s.Limit)) + uintSize(uint64(s.ServiceUS)) + uintSize(uint64(s.Slowdown)) + uintSize(uint64(s.Usual))
 }
 
 // uintSize is the length of an unsigned integer in CBOR (RFC 8949, section 3).
