Operators evacuate a data centre by rushramp's own call; status and explain show it

Cause: only the users' platform could evacuate a data centre, by a row in its store; the product had no word for it of its own. Ruled out: a change of the placement (see docs/design/evacuation.md); a row a data centre (removals would have no revision); protoc, which is not installed on every machine: tools/genproto compiles the schema itself now. Readers of the head make two reads a second in place of one.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 	$(GO) run ./tools/gendocs -check
 	@! git grep -nIE "$(PLATFORM_WORDS)" -- '*.go' ':!platform' || { echo "the platform's names belong in platform/: move the lines above there"; exit 1; }
 
-# Pages only; operators.proto is compiled with the pinned plugins by tools/genproto.
+# Pages and the code of the operators' schema.
 generate:
 	$(GO) run ./tools/gendocs
+	$(GO) run ./tools/genproto
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/rushramp/rushramp/pkg/entry"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/executor"
+	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/netdial"
 	"github.com/rushramp/rushramp/pkg/once"
@@ -127,6 +128,9 @@
 		Feed:  adapter.Feed, Registrar: adapter.Registrar,
 		Runner: d.runner(),
 	}
+	if adapter.Feed == nil {
+		d.env.Evacuation = evacuation.NewRegister(opts.Platform)
+	}
 	if d.routed != nil {
 		d.env.Routed, d.env.Backend = d.routed.runner, d.routed.lifecycle
 	}
@@ -211,7 +215,8 @@
 	return &operators.Server{
 		Common: d.Common, World: d.World, Store: d.store,
 		Policy: d.policy, Executor: d.Executor,
-		Leave: d.Leave, InFlight: d.InFlight,
+		Evacuation: d.env.Evacuation,
+		Leave:      d.Leave, InFlight: d.InFlight,
 	}
 }
 
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -47,6 +47,7 @@
 	PlacementChanged  ID = 303
 	PlacementUnsure   ID = 304
 	EvacuationChanged ID = 305
+	EvacuationOrdered ID = 306
 	MemberJoined      ID = 401
 	MemberLeaving     ID = 402
 	MemberGone        ID = 403
@@ -115,6 +116,7 @@
 		{PlacementChanged, Info, "placement changed by operator", false, "An operator's change was accepted.", "Nothing; the line holds author and version."},
 		{PlacementUnsure, Warn, "placement may be out of date", false, "Neither the store nor readers of other data centres were heard within placement.unsure_after.", "Look at the network of this data centre; strict kinds are refused meanwhile."},
 		{EvacuationChanged, Info, "evacuated data centres changed", false, "Operators evacuated a data centre or took one back; data_centres names all that are evacuated now, revision the store's counter at which that held.", "Nothing; requests under way there end, and new ones go elsewhere."},
+		{EvacuationOrdered, Info, "evacuation changed by operator", false, "An operator evacuated a data centre or took one back through this daemon.", "Nothing; the line holds author and revision."},
 		{MemberJoined, Debug, "member joined", false, "A VM appeared in the platform's list or was heard of.", "Nothing."},
 		{MemberLeaving, Info, "member is leaving", false, "A VM was marked as leaving.", "Nothing."},
 		{MemberGone, Info, "member gone", false, "A VM left the platform's list or stopped answering.", "Nothing, unless many go at once."},
--- a/pkg/operatorcli/status.go
+++ b/pkg/operatorcli/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -113,6 +114,9 @@
 	} else {
 		fmt.Fprintln(out, "no word of the store yet")
 	}
+	if len(s.GetEvacuated()) > 0 {
+		fmt.Fprintf(out, "evacuated: %s (revision %d)\n", strings.Join(s.GetEvacuated(), ", "), s.GetEvacuationRevision())
+	}
 	fmt.Fprintf(out, "measuring: %.0f of %.0f bytes/s\n", s.GetMeasureBytesPerS(), s.GetMeasureBytesAgreed())
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "vm\tdata centre\tservice\tstate\tplacement")
--- a/pkg/operators/server.go
+++ b/pkg/operators/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/executor"
 	api "github.com/rushramp/rushramp/pkg/operatorsapi"
@@ -37,6 +38,8 @@
 	Store    *placement.Store
 	Policy   choose.Policy
 	Executor *executor.Executor
+	// Evacuation is nil where operators write to the platform's store themselves.
+	Evacuation *evacuation.Register
 	// Leave begins the drain; InFlight counts calls that have not ended.
 	Leave    func()
 	InFlight func() int64
@@ -224,7 +227,7 @@
 			continue
 		}
 		for _, s := range o.Services {
-			if s == "*" || s == service {
+			if s == allServices || s == service {
 				return true
 			}
 		}
--- a/pkg/operators/status.go
+++ b/pkg/operators/status.go
@@ -40,6 +40,8 @@
 
 func (se *Server) fillStatus(w *tables.World, out *api.StatusResponse) {
 	out.Placement = w.Version()
+	evacuated := w.View.Evacuation()
+	out.Evacuated, out.EvacuationRevision = evacuated.DataCentres, evacuated.Revision
 	if age, ok := w.StoreAge(se.Now()); ok {
 		out.StoreAgeMs = age.Milliseconds()
 	}
@@ -126,6 +128,8 @@
 
 func reason(w *tables.World, row int, kind *placement.CompiledKind, inSubset bool) string {
 	switch {
+	case w.View.Evacuation().Has(w.Members.Row[row].DataCentre):
+		return "its data centre is evacuated"
 	case !kind.Allows(w.Members.Row[row].DataCentre):
 		return "the placement does not allow its data centre"
 	case w.Members.Leaving(row):
--- a/pkg/systems/head.go
+++ b/pkg/systems/head.go
@@ -9,9 +9,9 @@
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
-// headReader reads the placement's head in the platform's table. A few daemons
-// a data centre do so about every second; a daemon without a placement does so
-// until it has one. Source: docs/design/placement.md.
+// headReader reads the placement's head and the evacuated data centres in the
+// platform's table. A few daemons a data centre do so about every second; a daemon
+// without a placement does so until it has one. Source: docs/design/placement.md.
 type headReader struct {
 	*Env
 	due  due
@@ -42,8 +42,13 @@
 	if err != nil {
 		return
 	}
+	evacuated, err := h.Evacuation.Read(ctx)
+	h.outage.Note(err)
+	if err != nil {
+		return
+	}
 	h.World.Inbox.Post(true, func(m *tables.Mail) {
-		m.HeadKnown, m.Head, m.StoreReadAt = true, head, began
+		m.HeadKnown, m.Head, m.StoreReadAt, m.Evacuation = true, head, began, &evacuated
 	})
 	if head.Version <= have && base != nil {
 		return
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -11,6 +11,7 @@
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/executor"
 	"github.com/rushramp/rushramp/pkg/link"
@@ -40,6 +41,8 @@
 	// Backend knows whether the backend server of routed requests lives; nil: it
 	// is not watched.
 	Backend *backend.Lifecycle
+	// Evacuation is read beside rushramp's own head; nil where there is a feed.
+	Evacuation *evacuation.Register
 	// Feed tells of documents in the store; nil: rushramp's own head is read.
 	Feed placement.Feed
 	// Registrar is set where daemons write the list of VMs themselves.
--- /dev/null
+++ b/tools/genproto/main.go
@@ -0,0 +1,94 @@
+// Command genproto compiles the operators' schema with the plugins pinned in
+// go.mod. It compiles the schema itself, so that no protoc has to be installed.
+// Run it from the repository's root after a change of the schema.
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/bufbuild/protocompile"
+	"github.com/bufbuild/protocompile/protoutil"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/pluginpb"
+)
+
+const (
+	schemaDir = "api/operators"
+	schema    = "operators.proto"
+	outDir    = "pkg/operatorsapi"
+	// parameter is what the plugins are told: files go beside each other.
+	parameter = "paths=source_relative"
+)
+
+// plugins are the commands that write the code, as go.mod pins them.
+var plugins = []string{
+	"google.golang.org/protobuf/cmd/protoc-gen-go",
+	"google.golang.org/grpc/cmd/protoc-gen-go-grpc",
+}
+
+func main() {
+	if err := run(context.Background()); err != nil {
+		fmt.Fprintf(os.Stderr, "genproto: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) error {
+	request, err := compile(ctx)
+	if err != nil {
+		return err
+	}
+	for _, plugin := range plugins {
+		if err := generate(ctx, plugin, request); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// compile reads the schema and returns what plugins are asked, as bytes.
+func compile(ctx context.Context) ([]byte, error) {
+	compiler := protocompile.Compiler{
+		Resolver:       protocompile.WithStandardImports(&protocompile.SourceResolver{ImportPaths: []string{schemaDir}}),
+		SourceInfoMode: protocompile.SourceInfoStandard,
+	}
+	files, err := compiler.Compile(ctx, schema)
+	if err != nil {
+		return nil, errors.Wrap(err, "schema")
+	}
+	request := &pluginpb.CodeGeneratorRequest{FileToGenerate: []string{schema}, Parameter: proto.String(parameter)}
+	for _, file := range files {
+		request.ProtoFile = append(request.ProtoFile, protoutil.ProtoFromFileDescriptor(file))
+	}
+	return proto.Marshal(request)
+}
+
+// generate runs one plugin and writes the files that it answers with.
+func generate(ctx context.Context, plugin string, request []byte) error {
+	cmd := exec.CommandContext(ctx, "go", "run", plugin)
+	cmd.Stdin, cmd.Stderr = bytes.NewReader(request), os.Stderr
+	answer, err := cmd.Output()
+	if err != nil {
+		return errors.Wrap(err, plugin)
+	}
+	var response pluginpb.CodeGeneratorResponse
+	if err := proto.Unmarshal(answer, &response); err != nil {
+		return errors.Wrap(err, plugin)
+	}
+	if response.Error != nil {
+		return errors.Errorf("%s: %s", plugin, response.GetError())
+	}
+	for _, file := range response.File {
+		if err := os.WriteFile(filepath.Join(outDir, file.GetName()), []byte(file.GetContent()), 0o644); err != nil {
+			return errors.Wrap(err, plugin)
+		}
+	}
+	return nil
+}
+
