Feed: the first follower of a data centre asks again within three seconds

All followers had asked while the store was silent; what a silent store was asked is never answered, and they gave up after 13.5 s. Ruled out: shorter waits for all followers (six times the calls); reopening when other calls fail (a daemon makes none for many seconds); keep-alive probes (the connection is well, the answer is missing). Change: the first follower by rendezvous hash waits for 1.8 to 2.3 s and gives up 0.7 s later; the others as before.

--- a/pkg/systems/evacuations.go
+++ b/pkg/systems/evacuations.go
@@ -1,6 +1,8 @@
 package systems
 
 import (
+	"strings"
+
 	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
@@ -34,7 +36,7 @@
 	if set.Same(known) {
 		return
 	}
-	ev.Log.Event(events.EvacuationChanged, events.F("data_centres", set.DataCentres), events.F("revision", set.Revision), events.F("from", from))
+	ev.Log.Event(events.EvacuationChanged, events.F("data_centres", strings.Join(set.DataCentres, ",")), events.F("revision", set.Revision), events.F("from", from))
 	ev.enforce(set.Has(ev.World.DataCentre))
 	for service := range ev.World.Wanted {
 		ev.World.Touch(service)
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -26,6 +26,13 @@
 	feedWaitMost  = 12 * time.Second
 	// feedSlack is how much longer than asked for an answer may take.
 	feedSlack = 1500 * time.Millisecond
+	// firstWaitLeast, firstWaitMost and firstSlack are those of the first follower of
+	// a data centre. All followers may hang on requests that a store which was silent
+	// for a while will never answer; the first ones ask again within three seconds of
+	// its return, which is what platforms give a VM to be in touch again.
+	firstWaitLeast = 1800 * time.Millisecond
+	firstWaitMost  = 2300 * time.Millisecond
+	firstSlack     = 700 * time.Millisecond
 	// feedRest and feedRestMost bound the rest after a failure.
 	feedRest     = 100 * time.Millisecond
 	feedRestMost = 2 * time.Second
@@ -50,6 +57,8 @@
 	lookDue due
 	// resting is true while others of this data centre follow the feed.
 	resting atomic.Bool
+	// first is true for the first follower of this data centre.
+	first atomic.Bool
 	// told is the highest version that the feed has told, aheadSince since when
 	// a peer has told more; 0: it has not.
 	told       atomic.Uint64
@@ -84,6 +93,7 @@
 func (f *follower) Tick(now int64, _ *tables.Mail) {
 	if f.lookDue.at(now, feedLook) {
 		f.resting.Store(!f.mustFollow(now))
+		f.first.Store(f.ahead() == 0)
 	}
 	f.started.Do(func() { go f.run() })
 	if f.World.Version() <= f.told.Load() {
@@ -182,8 +192,7 @@
 
 // step makes one request to the feed and hands on what it told.
 func (f *follower) step(at feedPlace) (next feedPlace, err error) {
-	wait := feedWaitLeast + rand.N(feedWaitMost-feedWaitLeast)
-	bound := wait + feedSlack
+	wait, bound := f.waits()
 	if !at.known {
 		bound = f.Settings.Platform.Timeout
 	}
@@ -217,6 +226,16 @@
 	f.World.Inbox.Post(true, func(m *tables.Mail) { m.Evacuation = &set })
 }
 
+// waits is how long the next request to the feed may hang, and when it is given up.
+func (f *follower) waits() (wait, bound time.Duration) {
+	if f.first.Load() {
+		wait = firstWaitLeast + rand.N(firstWaitMost-firstWaitLeast)
+		return wait, wait + firstSlack
+	}
+	wait = feedWaitLeast + rand.N(feedWaitMost-feedWaitLeast)
+	return wait, wait + feedSlack
+}
+
 func (f *follower) ask(ctx context.Context, at feedPlace, wait time.Duration) (placement.FeedUpdate, error) {
 	began := time.Now()
 	if !at.known {
--- a/pkg/systems/follower_test.go
+++ b/pkg/systems/follower_test.go
@@ -109,6 +109,22 @@
 	})
 }
 
+// TestTheFirstFollowerAsksAgainWithinThreeSeconds: a store that was silent never
+// answers what was asked meanwhile, and all followers may hang on that.
+func TestTheFirstFollowerAsksAgainWithinThreeSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &scriptedFeed{steps: []func(uint64) (placement.FeedUpdate, error){tells(4, 10)}}
+		env, tick := follow(t, feed)
+		tick(4 * feedLook)
+		must.Eq(t, []uint64{0, 10}, feed.asked)
+		feed.mu.Lock()
+		feed.steps = append(feed.steps, tells(5, 11))
+		feed.mu.Unlock()
+		tick(3*time.Second + feedRest)
+		test.Eq(t, 5, env.World.Version())
+	})
+}
+
 func TestAFeedThatFailsIsAskedSeldom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		feed := &scriptedFeed{}
