--- a/pkg/choose/refusing.go
+++ b/pkg/choose/refusing.go
@@ -23,7 +23,7 @@
 	if r.Soft {
 		return r.wouldBeRefusedSoftly(known, near)
 	}
-	if r.Within <= 0 || r.expectedWithSpread(known) <= float64(r.Within) {
+	if r.Within <= 0 || r.needs(known) <= float64(r.Within) {
 		return false
 	}
 	inFlight := known.InFlight + known.SentSince
@@ -47,10 +47,13 @@
 	return float64(r.Work) * max(speed.Slowdown(known.Slowdown), 1)
 }
 
-// expectedWithSpread is the time, in nanoseconds, that the request must have
-// left at the gate of a stamp to be admitted.
-func (r *Routed) expectedWithSpread(known *tables.Known) float64 {
+// needs is the time, in nanoseconds, that the request must have left at the gate of
+// a stamp to be admitted.
+func (r *Routed) needs(known *tables.Known) float64 {
+	behind := known.InFlight + known.SentSince - known.Limit + 1
+	if behind <= 0 {
+		return r.expected(known)
+	}
 	service := gate.SpreadFactor * r.expected(known)
-	behind := max(known.InFlight+known.SentSince-known.Limit+1, 0)
 	return service + service*float64(behind)/float64(known.Limit)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -295,7 +295,7 @@
 		},
 		Once: Once{Timeout: 500 * time.Millisecond, KeepFor: 48 * time.Hour, StoredAnswerBytes: 4096},
 		Placement: Placement{
-			HeadEvery: time.Second, HeadReaders: 2, FeedReaders: 6,
+			HeadEvery: time.Second, HeadReaders: 2, FeedReaders: 3,
 			UnsureAfter: 15 * time.Second, Misplaced: "redirect",
 		},
 		Measurement: Measurement{BytesPerSecond: 15000},
