Links are not probed by the kernel

Change: links are dialled as before; they watch each other by heartbeats. Probes stay on connections to the store and to backend servers.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -20,7 +20,6 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/executor"
 	"github.com/rushramp/rushramp/pkg/link"
-	"github.com/rushramp/rushramp/pkg/netdial"
 	"github.com/rushramp/rushramp/pkg/once"
 	"github.com/rushramp/rushramp/pkg/operators"
 	"github.com/rushramp/rushramp/pkg/placement"
@@ -142,7 +141,9 @@
 // dialFrom dials from the IP number that the daemon listens on, so that others
 // see which VM a link comes from.
 func dialFrom(listen string) link.Dial {
-	dialer := netdial.New(0, 0)
+	// Links watch each other by heartbeats; probes besides would cost a packet a
+	// second on each idle one.
+	dialer := &net.Dialer{}
 	if host, _, err := net.SplitHostPort(listen); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
 			dialer.LocalAddr = &net.TCPAddr{IP: ip}
