--- a/pkg/once/batch.go
+++ b/pkg/once/batch.go
@@ -142,8 +142,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), w.timeout)
 	defer cancel()
+	began := time.Now()
 	results, err := w.table.Batch(ctx, writes)
-	w.note(err)
+	if !w.stoodStill(time.Since(began)) {
+		w.note(err)
+	}
 	for i, p := range batch {
 		out := writeResult{sent: true, err: err}
 		if err == nil {
@@ -153,6 +156,16 @@
 	}
 }
 
+// pauseFactor is how many times its time-out a call must have taken for this process
+// to have stood still meanwhile: timers of one that runs fire a few milliseconds late.
+const pauseFactor = 1.5
+
+// stoodStill is true where the process was paused during a call. That such a call
+// has timed out says nothing of the table service, and the next one may be made.
+func (w *writer) stoodStill(took time.Duration) bool {
+	return float64(took) > pauseFactor*float64(w.timeout)
+}
+
 func (w *writer) note(err error) {
 	w.outage.Note(err)
 	w.mu.Lock()
