Gate, runner, link: less work with a queue, gauges, a bound on what a peer may ask for

Cause: read again. Each admission walked the queue also where the backend server bears any number of starts; what is cold or evacuated showed in logs only; a peer could ask for any patience. Change: the walk is left out there, which changes no decision; rushramp_routed_cold and rushramp_routed_evacuated; a peer's silence counts up to 4 s. Conclusion: kept.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -143,8 +143,8 @@
 // startWait is how long a job waits until the backend server bears its start,
 // behind those that go before it.
 func (g *Gate) startWait(now int64, job *Job) time.Duration {
-	if g.cold.wait(now, 0) == 0 && g.queue.len() == 0 {
-		return 0
+	if g.cold.Most == 0 || g.queue.len() == 0 {
+		return g.cold.wait(now, 0)
 	}
 	ahead, _ := g.queue.workAhead(job, func(*Job) time.Duration { return 0 })
 	return g.cold.wait(now, ahead)
@@ -195,9 +195,8 @@
 
 // busyForSoft is true while a soft job is better off elsewhere: at a slowed
 // backend server, at a cold one that bears no further start, or where it would
-// wait. A sender of the own data centre would
-// pay for going on, so its job may wait behind as many as there are slots that
-// the gate does not use.
+// wait. A sender of the own data centre would pay for going on, so its job may wait
+// behind as many as there are slots that the gate does not use.
 func (g *Gate) busyForSoft(now int64, job *Job) bool {
 	most := g.usable()
 	if job.Near {
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -328,7 +328,7 @@
 			continue
 		}
 		if idle := idleOf(frame); idle > 0 {
-			c.peerIdle.Store(int64(idle))
+			c.peerIdle.Store(int64(min(idle, longestIdle)))
 		}
 		if err := receive(frame); err != nil {
 			return err
--- a/pkg/link/pace.go
+++ b/pkg/link/pace.go
@@ -9,6 +9,10 @@
 // many a peer may owe a sign of life that it was asked for.
 const MissedHeartbeats = 3
 
+// longestIdle bounds the time without a sign of life that a peer may ask for: no
+// setting leads to a longer one in a fleet whose heartbeats are a second.
+const longestIdle = 4 * time.Second
+
 // Pace says how often idle links carry a heartbeat and how long a peer may say
 // nothing. All links of a daemon share one, since the work grows with their
 // number. It is safe for concurrent use.
--- a/pkg/link/pace_test.go
+++ b/pkg/link/pace_test.go
@@ -36,7 +36,7 @@
 	must.NoError(t, err)
 	c.codec = codec
 	test.Eq(t, 1500*time.Millisecond, c.patience())
-	for tenths, want := range map[uint32]time.Duration{20: 6 * time.Second, 0: 6 * time.Second, 1: 1500 * time.Millisecond} {
+	for tenths, want := range map[uint32]time.Duration{20: 6 * time.Second, 1_000_000: MissedHeartbeats * longestIdle, 0: 6 * time.Second, 1: 1500 * time.Millisecond} {
 		c.peerIdle.Store(int64(2 * time.Second))
 		must.NoError(t, c.readMessage(encoded(t, codec, &wire.State{IdleTenths: tenths}), func(wire.Frame) error { return nil }))
 		test.Eq(t, want, c.patience())
--- a/pkg/runner/look.go
+++ b/pkg/runner/look.go
@@ -50,9 +50,19 @@
 	held *metrics.Counter
 }
 
+// asNumber is 1 for true, as metrics have it.
+func asNumber(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
+}
+
 // newCounters registers the metrics of a runner.
 func newCounters(r *Runner) counters {
 	r.Metrics.GetOrCreateGauge("rushramp_routed_runs_allowed", func() float64 { return float64(r.gate.Usable()) })
+	r.Metrics.GetOrCreateGauge("rushramp_routed_cold", func() float64 { return asNumber(r.cold.Load()) })
+	r.Metrics.GetOrCreateGauge("rushramp_routed_evacuated", func() float64 { return asNumber(r.evacuated.Load()) })
 	return counters{
 		looks: r.Metrics.GetOrCreateCounter("rushramp_routed_looks_total"),
 		held:  r.Metrics.GetOrCreateCounter("rushramp_routed_held_total"),
