Lifecycle: a wrong word on being cold is bounded

Cause: the time that a backend server says it is cold for comes from outside, as a float; one of hours would hold it to a few starts a second for hours, and what is no number became a time in the past by luck only. Change: taken as 0 to 60 s. Measured: TestAWrongWordOnBeingColdIsBounded fails on the code before.

--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -12,6 +12,10 @@
 	// confirmedFor is how long a sign of life of one incarnation outweighs a
 	// heartbeat of another one, which may come seconds late.
 	confirmedFor = 2 * time.Second
+	// longestCold bounds what a backend server says of its being cold: one that is
+	// wrong by more must not be held to few starts for long. Those of the users' sites
+	// are cold for three seconds.
+	longestCold = time.Minute
 	// downAfter is how many connections in a row must be refused before the
 	// backend server counts as down.
 	downAfter = 2
@@ -119,10 +123,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if instance == l.instance {
-		l.cold = Cold{Till: now + int64(coldFor), ToldAt: now}
+		l.cold = Cold{Till: coldTill(now, coldFor), ToldAt: now}
 	}
 }
 
+// coldTill is until when a backend server is cold that says so for a time.
+func coldTill(now int64, coldFor time.Duration) int64 {
+	return now + int64(min(max(coldFor, 0), longestCold))
+}
+
 // Informed notes that all departures that could matter are known.
 func (l *Lifecycle) Informed() {
 	l.change(func() { l.informed = true })
@@ -159,7 +168,7 @@
 			departed = l.depart(now, h.Instance)
 		case !late && l.mayShow(now, h.Instance):
 			l.show(now, h.Instance)
-			l.cold.Till = max(l.cold.Till, now+int64(h.ColdFor))
+			l.cold.Till = max(l.cold.Till, coldTill(now, h.ColdFor))
 		}
 	})
 	return departed
--- a/pkg/backend/lifecycle_test.go
+++ b/pkg/backend/lifecycle_test.go
@@ -131,3 +131,16 @@
 	l.Seen(21*second, "b")
 	test.Eq(t, Cold{}, l.Cold())
 }
+
+// TestAWrongWordOnBeingColdIsBounded: the text of a header or heartbeat may hold
+// anything.
+func TestAWrongWordOnBeingColdIsBounded(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	l.Seen(1*second, "a")
+	for text, want := range map[string]int64{"1e300": 0, "NaN": 0, "-5": 0, "": 0, "x": 0, "3000": 3 * second, "99999999": int64(longestCold)} {
+		l.TakeCold(2*second, "a", coldFor(text))
+		test.Eq(t, 2*second+want, l.Cold().Till, test.Sprint(text))
+	}
+	l.Heartbeat(3*second, Heartbeat{Instance: "a", Sequence: 1, ColdFor: 1 << 62})
+	test.Eq(t, 3*second+int64(longestCold), l.Cold().Till)
+}
