Benchmarks of an admission, a report and a choice; what decisions cost

Cause: what the cold bound and evacuations cost a request had no figure, nor what a report costs while starts are held.

--- /dev/null
+++ b/pkg/choose/routed_bench_test.go
@@ -0,0 +1,36 @@
+package choose
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// BenchmarkPickRouted chooses among as many candidates as a subset has, with and
+// without an evacuated data centre.
+func BenchmarkPickRouted(b *testing.B) {
+	now := int64(time.Hour)
+	var set []tables.Candidate
+	for n := range 36 {
+		place := []string{"here", "there", "far"}[n%3]
+		set = append(set, at(place, wire.Stamp{Limit: 8, Running: uint32(n % 6), Slowdown: 100}, time.Duration(n)*time.Millisecond, now))
+	}
+	for name, evacuated := range map[string]evacuation.Set{
+		"none evacuated": {},
+		"one evacuated":  evacuation.Set{}.With(1, []evacuation.Change{{DataCentre: "far", Evacuated: true}}),
+	} {
+		b.Run(name, func(b *testing.B) {
+			req := &Routed{
+				Now: now, Set: set, DataCentre: "here", LeaveCost: work, Work: work, Soft: true, SoftSlowdown: 1.8, Use: 0.8,
+				Within: 4 * work, Left: 8 * work, Evacuated: evacuated,
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				PickRouted(req, Runtime{})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/gate/gate_bench_test.go
@@ -0,0 +1,68 @@
+package gate
+
+import (
+	"testing"
+	"time"
+)
+
+// busyGate is a routed gate with all usable slots taken and so many jobs waiting.
+func busyGate(b *testing.B, waiting int, cold bool) *Gate {
+	g := New(Options{Slots: 11, QueueLength: 10_000, QueueTime: time.Hour, Order: Ranked, SoftSlowdown: 1.8, Use: 0.8, Learn: true})
+	if cold {
+		g.SetCold(1, Cold{Most: 30, Since: 1, Till: int64(time.Hour)})
+	}
+	for range g.Usable() + waiting {
+		if _, refusal := g.Admit(1, benchJob()); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+	return g
+}
+
+func benchJob() *Job {
+	const hour = int64(time.Hour)
+	return &Job{Rank: 1, Deadline: hour, EndBy: hour, Work: 100 * time.Millisecond}
+}
+
+// BenchmarkAdmit admits a job that has to wait and takes it out again.
+func BenchmarkAdmit(b *testing.B) {
+	for name, s := range map[string]struct {
+		waiting int
+		cold    bool
+	}{"idle queue": {0, false}, "200 wait": {200, false}, "200 wait, cold": {200, true}} {
+		b.Run(name, func(b *testing.B) {
+			g := busyGate(b, s.waiting, s.cold)
+			b.ReportAllocs()
+			for b.Loop() {
+				job := benchJob()
+				if _, refusal := g.Admit(2, job); refusal == nil {
+					g.Withdraw(job)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkReport takes over a word on the speed while 200 jobs are held for the end
+// of a slow spell, with free slots.
+func BenchmarkReport(b *testing.B) {
+	g := New(Options{Slots: 1000, QueueLength: 10_000, QueueTime: time.Hour, Order: Ranked, SoftSlowdown: 1.8, Use: 0.8})
+	now := int64(time.Minute)
+	for range 50 {
+		now += int64(100 * time.Millisecond)
+		g.Report(now, 1)
+		now += int64(100 * time.Millisecond)
+		g.Report(now, 4)
+	}
+	for range 200 {
+		job := benchJob()
+		job.EndBy = now + int64(time.Second)
+		job.Work = 300 * time.Millisecond
+		_, _ = g.Admit(now, job)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		g.Report(now, 4)
+	}
+	b.ReportMetric(float64(g.InFlight()-int64(g.running)), "held")
+}
