Cold backend servers: how soon a daemon is started again is a setting

Cause: with the processor charged a daemon's start takes a tenth of a second on a sixth of a core, so that its backend server, which started with it after a loss of power, had been cold for up to 112 ms when the daemon's clock began. Ruled out: the process's own age from the kernel (not told alike everywhere).

--- a/pkg/gate/cold.go
+++ b/pkg/gate/cold.go
@@ -7,11 +7,6 @@
 	// in nanoseconds. Its bound holds for any second; what is more is for starts
 	// that reach the backend server closer together than they left the gate.
 	coldWindow = int64(1050 * time.Millisecond)
-	// predecessorGone is how long before this process began the one before it had
-	// ended at least, in nanoseconds: platforms wait before they start a process
-	// again. A backend server that started together with this process, as after a
-	// loss of power, was seen to say so to within 55 ms.
-	predecessorGone = int64(80 * time.Millisecond)
 	// wordWithin is how long a job waits at a backend server that is warm as far as is
 	// known, for the word that it still is: the owner asks at once, and again after
 	// 15 ms where that was not answered.
@@ -44,17 +39,24 @@
 	next int
 }
 
-// set takes over what is known now. restarted is true where a process of the daemon
-// before this one may have started jobs, too.
-func (c *coldStarts) set(now int64, cold Cold, restarted bool) {
+// predecessor is the process of the daemon before this one, which may have started
+// jobs, too.
+type predecessor struct {
+	was bool
+	// gone is how long before this process it had ended at least, in nanoseconds.
+	gone int64
+}
+
+// set takes over what is known now.
+func (c *coldStarts) set(now int64, cold Cold, before predecessor) {
 	if c.isCold(now) && now < cold.Till {
 		// Another word on the same cold time, or on the next one right after it.
 		cold.Since = min(cold.Since, c.Since)
 	}
 	if cold.Most != len(c.at) {
 		c.resize(cold.Most)
-		if restarted && cold.Since < -predecessorGone {
-			c.assumeFull(-predecessorGone)
+		if before.was && cold.Since < -before.gone {
+			c.assumeFull(-before.gone)
 		}
 	}
 	c.Cold = cold
@@ -125,7 +127,7 @@
 func (g *Gate) SetCold(now int64, cold Cold) []*Job {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.cold.set(now, cold, g.opts.Restarted)
+	g.cold.set(now, cold, predecessor{was: g.opts.Restarted, gone: int64(g.opts.RestartAfter)})
 	return g.startWaiting(now)
 }
 
--- a/pkg/gate/cold_test.go
+++ b/pkg/gate/cold_test.go
@@ -135,10 +135,11 @@
 	}{
 		{"cold before this process", -500 * ms, true, false},
 		{"cold with this process", -50 * ms, true, true},
+		{"cold with this process, which took its time to start", -160 * ms, true, true},
 		{"no process before this one", -500 * ms, false, true},
 	} {
 		t.Run(s.name, func(t *testing.T) {
-			g := New(Options{Slots: 10, QueueLength: 10, QueueTime: time.Minute, Order: Ranked, Restarted: s.restarted})
+			g := New(Options{Slots: 10, QueueLength: 10, QueueTime: time.Minute, Order: Ranked, Restarted: s.restarted, RestartAfter: 300 * time.Millisecond})
 			g.SetCold(now, Cold{Most: 2, Since: s.since, Till: s.since + 3000*ms})
 			run, refusal := g.Admit(now, coldJob(now))
 			must.Nil(t, refusal)
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -30,8 +30,10 @@
 	// at once before work slows.
 	Learn bool
 	// Restarted is true where another process of the daemon may have started jobs
-	// before this one.
-	Restarted bool
+	// before this one, and RestartAfter how long before this one it had ended at
+	// least.
+	Restarted    bool
+	RestartAfter time.Duration
 }
 
 // Gate is the gate of one backend server. It is safe for concurrent use.
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -98,7 +98,7 @@
 		gate: gate.New(gate.Options{
 			Slots: s.BackendServer.Slots, QueueLength: s.Gate.QueueLength, QueueTime: s.Gate.QueueTime,
 			Order: gate.Ranked, SoftSlowdown: s.Routing.SoftSlowdown, Use: s.Routing.Use, Learn: true,
-			Restarted: !s.Platform.FirstStart,
+			Restarted: !s.Platform.FirstStart, RestartAfter: s.Platform.RestartAfter,
 		}),
 	}
 	r.counters = newCounters(r)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -104,6 +104,8 @@
 	Form string `yaml:"form" validate:"required"`
 	// True when the whole system starts for the first time, so that nothing of an earlier run binds. Daemons then learn of each other before most of them ask the store, and have their first placement some three seconds after they start.
 	FirstStart bool `yaml:"first_start"`
+	// Least time between the end of a daemon's process and the start of the next one, as the platform keeps it. What the one before may have started at a cold backend server counts as started by then; a VM that starts together with its backend server loses a second to that where it is shorter than the daemon's own start takes.
+	RestartAfter time.Duration `yaml:"restart_after" validate:"min=0"`
 	// What the platform holds all daemons to, each entry name=value; those that the adapter knows go before the settings under routing.
 	Bounds []string `yaml:"bounds"`
 }
@@ -279,7 +281,7 @@
 func Default() Settings {
 	return Settings{
 		BackendServer: BackendServer{Slots: 12, Connections: 200, DialTimeout: 500 * time.Millisecond},
-		Platform:      Platform{Timeout: 2 * time.Second, VMListEvery: time.Second, Form: "http"},
+		Platform:      Platform{Timeout: 2 * time.Second, VMListEvery: time.Second, Form: "http", RestartAfter: 100 * time.Millisecond},
 		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, Near: 32, Far: 4, StampHalfLife: 20 * time.Millisecond},
 		Routing: Routing{
 			SoftAttempts: 3, SoftSlowdown: 1.8, Use: 0.8, LeaveCost: 0.8,
