Cold backend servers: two cold times in a row count as one

Ruled out: the process before (the daemon was not restarted), an old warm word (the words came within 0.1 s). Change: a cold time that begins within the span in which starts count after the end of the last one goes on from that one's beginning.

--- a/pkg/gate/cold.go
+++ b/pkg/gate/cold.go
@@ -37,6 +37,8 @@
 	// place of the oldest one.
 	at   []int64
 	next int
+	// last is the last cold time.
+	last Cold
 }
 
 // predecessor is the process of the daemon before this one, which may have started
@@ -49,9 +51,13 @@
 
 // set takes over what is known now.
 func (c *coldStarts) set(now int64, cold Cold, before predecessor) {
-	if c.isCold(now) && now < cold.Till {
-		// Another word on the same cold time, or on the next one right after it.
-		cold.Since = min(cold.Since, c.Since)
+	if now < cold.Till {
+		if c.last.Till > cold.Since-coldWindow {
+			// Another word on the same cold time, or on the next one within the span
+			// in which starts count.
+			cold.Since = min(cold.Since, c.last.Since)
+		}
+		c.last = cold
 	}
 	if cold.Most != len(c.at) {
 		c.resize(cold.Most)
--- a/pkg/gate/cold_test.go
+++ b/pkg/gate/cold_test.go
@@ -123,6 +123,31 @@
 	test.False(t, g.AsksWhetherCold(now))
 }
 
+// TestTwoColdTimesInARowCountAsOne: in the second in which one ends and the next
+// begins, the backend server bears no more than in any other.
+func TestTwoColdTimesInARowCountAsOne(t *testing.T) {
+	now := int64(10_000 * ms)
+	g := coldGate(now, 4)
+	admitted := func(count int) (started int) {
+		for range count {
+			if run, _ := g.Admit(now, coldJob(now)); run {
+				started++
+			}
+		}
+		return started
+	}
+	now += 2800 * ms
+	test.Eq(t, 4, admitted(4))
+	now += 250 * ms
+	g.SetCold(now, Cold{Most: 4, Since: now})
+	now += 150 * ms
+	g.SetCold(now, Cold{Most: 4, Since: now - 50*ms, Till: now + 3000*ms})
+	test.Eq(t, 0, admitted(4))
+	now += coldWindow
+	start, _ := g.Tick(now)
+	test.Len(t, 4, start)
+}
+
 // TestStartsOfTheProcessBeforeCount: a backend server that was cold before this
 // process began may have got all that it bears from the one before.
 func TestStartsOfTheProcessBeforeCount(t *testing.T) {
