Scenarios: wait for the backend server's stand-in to listen

The stand-in of a backend server is a process of its own, and only the daemon beside it was waited for. Ruled out: a change of the product (the daemon was ready and had its placement). Change: place waits until each stand-in takes connections. No expectation is eased.

--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -170,6 +170,9 @@
 		return status == 200
 	})
 	for name, other := range w.workers {
+		// A backend server's stand-in is a process of its own: the daemon beside it may
+		// be ready first.
+		await(ts, name+"'s backend server to listen", func() bool { return listens(other.address.Address(loopback.PortBackend)) })
 		await(ts, name+" to know the others", func() bool { return other.metric("rushramp_members") >= float64(len(w.workers)) })
 	}
 	ts.Check(ts.Exec("rushramp", "--daemon", n.address.Address(loopback.PortOperators), "placement", "apply", args[1], "--author", "scenario"))
--- a/test/world_test.go
+++ b/test/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -165,6 +166,16 @@
 	ts.Fatalf("waited in vain for %s", what)
 }
 
+// listens is true where somebody takes connections at an address.
+func listens(address string) bool {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 func get(url string) (string, int) {
 	resp, err := http.Get(url)
 	if err != nil {
