--- a/pkg/once/batch.go
+++ b/pkg/once/batch.go
@@ -156,14 +156,15 @@
 	}
 }
 
-// pauseFactor is how many times its time-out a call must have taken for this process
-// to have stood still meanwhile: timers of one that runs fire a few milliseconds late.
-const pauseFactor = 1.5
+// timerSlack is by how much longer than its time-out a call must have taken for this
+// process to have stood still meanwhile: timers of one that runs fire a few
+// milliseconds late.
+const timerSlack = 20 * time.Millisecond
 
 // stoodStill is true where the process was paused during a call. That such a call
 // has timed out says nothing of the table service, and the next one may be made.
 func (w *writer) stoodStill(took time.Duration) bool {
-	return float64(took) > pauseFactor*float64(w.timeout)
+	return took > w.timeout+timerSlack
 }
 
 func (w *writer) note(err error) {
--- a/pkg/once/batch_test.go
+++ b/pkg/once/batch_test.go
@@ -36,7 +36,7 @@
 // process stood still tells nothing of the store; one that timed out by itself does.
 func TestAPausedProcessDoesNotTakeTheStoreForDown(t *testing.T) {
 	const timeout = 500 * time.Millisecond
-	for after, refused := range map[time.Duration]bool{timeout: true, 3 * timeout: false} {
+	for after, refused := range map[time.Duration]bool{timeout: true, timeout + timeout/4: false, 3 * timeout: false} {
 		synctest.Test(t, func(t *testing.T) {
 			s := settings.Default()
 			table := &slowTable{after: after}
