--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -55,9 +55,12 @@
 
 // Cold is what the current incarnation said of its being cold.
 type Cold struct {
-	// Till is until when it is cold; in the past for one that is warm.
+	// Till is until when it is cold at the latest; in the past for one that is warm.
 	Till int64
-	// ToldAt is when its health path said so last. Heartbeats may come seconds late,
+	// TillLeast is until when it is cold at least: an answer may have been on its way
+	// for as long as the question took.
+	TillLeast int64
+	// ToldAt is when its health path was last asked for what it then said. Heartbeats may come seconds late,
 	// so that none proves that a backend server is warm.
 	ToldAt int64
 }
@@ -118,12 +121,12 @@
 }
 
 // TakeCold takes over what the health path of an incarnation says of its being
-// cold, which goes before any heartbeat.
-func (l *Lifecycle) TakeCold(now int64, instance string, coldFor time.Duration) {
+// cold, which goes before any heartbeat. asked is when it was asked.
+func (l *Lifecycle) TakeCold(asked, now int64, instance string, coldFor time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if instance == l.instance {
-		l.cold = Cold{Till: coldTill(now, coldFor), ToldAt: now}
+		l.cold = Cold{Till: coldTill(now, coldFor), TillLeast: coldTill(asked, coldFor), ToldAt: asked}
 	}
 }
 
@@ -168,12 +171,20 @@
 			departed = l.depart(now, h.Instance)
 		case !late && l.mayShow(now, h.Instance):
 			l.show(now, h.Instance)
-			l.cold.Till = max(l.cold.Till, coldTill(now, h.ColdFor))
+			l.takeColdHeartbeat(coldTill(now, h.ColdFor))
 		}
 	})
 	return departed
 }
 
+// takeColdHeartbeat takes over what a heartbeat says: it may only make the cold time
+// longer.
+func (l *Lifecycle) takeColdHeartbeat(till int64) {
+	if till > l.cold.Till {
+		l.cold.Till, l.cold.TillLeast = till, till
+	}
+}
+
 // mayShow is true where a heartbeat may make its sender the current incarnation.
 func (l *Lifecycle) mayShow(now int64, instance string) bool {
 	if instance == l.instance {
--- a/pkg/daemon/watch.go
+++ b/pkg/daemon/watch.go
@@ -94,6 +94,7 @@
 	if path == "" {
 		return errNoHealthPath
 	}
+	asked := r.daemon.Now()
 	health, err := r.prober.Probe(ctx, path)
 	if err != nil {
 		return err
@@ -101,7 +102,7 @@
 	if health.Well && health.Instance != "" {
 		r.lifecycle.Seen(r.daemon.Now(), health.Instance)
 	}
-	r.lifecycle.TakeCold(r.daemon.Now(), health.Instance, health.ColdFor)
+	r.lifecycle.TakeCold(asked, r.daemon.Now(), health.Instance, health.ColdFor)
 	r.runner.TakeCold()
 	r.runner.TakeLoad(health.Load)
 	return nil
--- a/pkg/runner/cold.go
+++ b/pkg/runner/cold.go
@@ -26,7 +26,7 @@
 	}
 	now := r.Now()
 	if now < said.Till {
-		cold.Since = coldSince(now, said.Till, service.ColdFor) - coldSlack
+		cold.Since = coldSince(now, said.TillLeast, service.ColdFor) - coldSlack
 	}
 	r.noteCold(now, cold)
 	r.startAll(r.gate.SetCold(now, cold))
