--- a/pkg/gate/cold_test.go
+++ b/pkg/gate/cold_test.go
@@ -148,6 +148,31 @@
 	test.Len(t, 4, start)
 }
 
+// TestAWarmWordBetweenTwoColdTimes: what started at the end of one cold time counts
+// in the second in which the next may begin, though a word between the two said that
+// the backend server is warm.
+func TestAWarmWordBetweenTwoColdTimes(t *testing.T) {
+	const most = 4
+	now := int64(10_000 * ms)
+	g := coldGate(now, most)
+	started := 0
+	admit := func() {
+		for range most {
+			if run, _ := g.Admit(now, coldJob(now)); run {
+				started++
+			}
+		}
+	}
+	now += 2800 * ms
+	admit()
+	now += 250 * ms
+	g.SetCold(now, Cold{Most: most, Since: now})
+	now += 100 * ms
+	admit()
+	g.SetCold(now+50*ms, Cold{Most: most, Since: now - 50*ms, Till: now + 3000*ms})
+	test.LessEq(t, most, started, test.Sprint("within 350 ms"))
+}
+
 // TestStartsOfTheProcessBeforeCount: a backend server that was cold before this
 // process began may have got all that it bears from the one before.
 func TestStartsOfTheProcessBeforeCount(t *testing.T) {
