Log: each line is charged by its length

Ruled out: encoding before the decision (each line left out would be paid for). Change: a second token bucket for bytes, charged once a line is encoded and taken by the buffer; it may be overdrawn by one line.

--- a/pkg/events/budget.go
+++ b/pkg/events/budget.go
@@ -26,15 +26,14 @@
 // burstSeconds is for how many seconds of the budget a log may save up.
 const burstSeconds = 2
 
-// meanLine is what a line is expected to take, in bytes; the number of bytes is
-// known only once it is encoded.
-const meanLine = 400
-
 // budget decides which lines are written. It is safe for concurrent use.
 type budget struct {
 	lines *rate.Limiter
-	// reserve is how many lines routine events leave.
-	reserve float64
+	// bytes is charged with a line's length once it is encoded, so it may be
+	// overdrawn by one line; nothing more is written until that is made up for.
+	bytes *rate.Limiter
+	// linesReserve and bytesReserve are what routine events leave.
+	linesReserve, bytesReserve float64
 
 	total atomic.Int64
 	mu    sync.Mutex
@@ -44,31 +43,38 @@
 	told   map[ID]int64
 }
 
-// newBudget makes a budget. Bytes are bounded through the lines: whichever of
-// the two is less.
+// newBudget makes a budget.
 func newBudget(b Bounds) *budget {
-	perSecond := min(float64(b.LinesPerSecond), float64(b.BytesPerSecond)/meanLine)
-	burst := max(int(perSecond*burstSeconds), 1)
-	return &budget{
-		lines:   rate.NewLimiter(rate.Limit(perSecond), burst),
-		reserve: reservedShare * float64(burst),
-		counts:  map[ID]int64{},
-		told:    map[ID]int64{},
-	}
+	out := &budget{lines: limiterOf(b.LinesPerSecond), bytes: limiterOf(b.BytesPerSecond), counts: map[ID]int64{}, told: map[ID]int64{}}
+	out.linesReserve = reservedShare * float64(out.lines.Burst())
+	out.bytesReserve = reservedShare * float64(out.bytes.Burst())
+	return out
+}
+
+// limiterOf makes a limiter that saves up the budget of burstSeconds.
+func limiterOf(perSecond int) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(perSecond), max(perSecond*burstSeconds, 1))
 }
 
 func (b *budget) allows(now time.Time, routine bool) bool {
-	least := 1.0
+	lines, bytes := 1.0, 1.0
 	if routine {
-		least += b.reserve
+		lines += b.linesReserve
+		bytes += b.bytesReserve
 	}
-	return b.lines.TokensAt(now) >= least
+	return b.lines.TokensAt(now) >= lines && b.bytes.TokensAt(now) >= bytes
 }
 
 func (b *budget) takeLine(now time.Time, routine bool) bool {
 	return b.allows(now, routine) && b.lines.AllowN(now, 1)
 }
 
+// charge takes a line's length out of the budget. A line longer than all that can be
+// saved up counts as that: the limiter knows no more.
+func (b *budget) charge(now time.Time, length int) {
+	b.bytes.ReserveN(now, min(length, b.bytes.Burst()))
+}
+
 func (b *budget) leaveOut(id ID) {
 	b.total.Add(1)
 	b.mu.Lock()
--- a/pkg/events/log.go
+++ b/pkg/events/log.go
@@ -46,8 +46,8 @@
 	out := newLog(min)
 	out.buffer = newBuffer(w, bounds.BufferBytes)
 	out.budget = newBudget(bounds)
-	out.important = encoder(out.buffer.important(), base)
-	out.routine = encoder(out.buffer.routine(), base)
+	out.important = encoder(charged{out.buffer.important(), out.budget}, base)
+	out.routine = encoder(charged{out.buffer.routine(), out.budget}, base)
 	go out.report()
 	return out
 }
@@ -55,6 +55,22 @@
 // Discard returns a Log that writes nothing.
 func Discard() *Log { return NewLog(io.Discard, nothing) }
 
+// charged passes encoded lines on, one a call, and charges the budget with those
+// that were taken.
+type charged struct {
+	to     io.Writer
+	budget *budget
+}
+
+// Write implements io.Writer.
+func (c charged) Write(line []byte) (int, error) {
+	n, err := c.to.Write(line)
+	if err == nil {
+		c.budget.charge(time.Now(), len(line))
+	}
+	return n, err
+}
+
 func newLog(min Level) *Log {
 	out := &Log{min: min, entries: map[ID]Entry{}}
 	for _, entry := range Catalogue() {
@@ -145,9 +161,8 @@
 	}
 }
 
-// reportOnce writes one line with what was left out since the last one. It does
-// not count against the budget; a line that the buffer refuses is made up for
-// by the next.
+// reportOnce writes one line with what was left out since the last one, whatever is
+// left of the budget; a line that the buffer refuses is made up for by the next.
 func (l *Log) reportOnce() {
 	text, total := l.budget.leftOut()
 	if total == 0 {
--- a/pkg/events/log_test.go
+++ b/pkg/events/log_test.go
@@ -144,3 +144,31 @@
 	log.Event(PlatformDown)
 	test.StrContains(t, out.String(), "event=701")
 }
+
+// TestBytesAreChargedByTheLengthOfEachLine: lines of any length keep within the
+// bound on bytes, but for what was saved up and the line that uses it up.
+func TestBytesAreChargedByTheLengthOfEachLine(t *testing.T) {
+	for _, length := range []int{10, 700, 3000} {
+		synctest.Test(t, func(t *testing.T) {
+			var out safeBuffer
+			const perSecond, seconds = 8000, 20
+			log := NewBoundedLog(&out, Info, Bounds{LinesPerSecond: 1 << 20, BytesPerSecond: perSecond, BufferBytes: 1 << 20})
+			text := strings.Repeat("x", length)
+			longest := 0
+			for range 100 * seconds {
+				log.Event(RequestFailed, F("cause", text))
+				time.Sleep(10 * time.Millisecond)
+			}
+			log.Close(time.Second)
+			written := 0
+			for line := range strings.Lines(out.String()) {
+				if strings.Contains(line, "event=504") {
+					written += len(line)
+					longest = max(longest, len(line))
+				}
+			}
+			bound := perSecond * (seconds + burstSeconds)
+			test.Between(t, bound*9/10, written, bound+longest, test.Sprint("lines of ", longest))
+		})
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -271,7 +271,7 @@
 	Level string `yaml:"level" validate:"oneof=debug info warn error"`
 	// Most lines a second. Routine lines are left out first; what is left out is counted in a line of its own.
 	LinesPerSecond int `yaml:"lines_per_second" validate:"min=1"`
-	// Most bytes a second, at some 400 a line.
+	// Most bytes a second. Each line counts with its length.
 	BytesPerSecond int `yaml:"bytes_per_second" validate:"min=400"`
 	// Bytes that may wait for a reader that stands still. Requests never wait for it.
 	BufferBytes int `yaml:"buffer_bytes" validate:"min=4096"`
