Departures: their rows in the store are swept

Change: one daemon a data centre reads the rows each five minutes and deletes those that it saw the time before, under the condition of their version.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -28,55 +28,56 @@
 // The events. Hundreds group them: 1xx process, 2xx links, 3xx placement,
 // 4xx members, 5xx calls, 6xx never-repeat calls, 7xx platform.
 const (
-	DaemonStarted     ID = 101
-	DaemonReady       ID = 102
-	DaemonDraining    ID = 103
-	DaemonStopped     ID = 104
-	ListenerFailed    ID = 105
-	SettingsRead      ID = 106
-	SettingsRefused   ID = 107
-	LinesLeftOut      ID = 108
-	LinkUp            ID = 201
-	LinkDown          ID = 202
-	LinkBadFrame      ID = 203
-	LinkRefused       ID = 204
-	LinkSurplus       ID = 205
-	LinkTraffic       ID = 206
-	PlacementInForce  ID = 301
-	PlacementRejected ID = 302
-	PlacementChanged  ID = 303
-	PlacementUnsure   ID = 304
-	EvacuationChanged ID = 305
-	EvacuationOrdered ID = 306
-	MemberJoined      ID = 401
-	MemberLeaving     ID = 402
-	MemberGone        ID = 403
-	CallFault         ID = 501
-	BackendDown       ID = 502
-	BackendUp         ID = 503
-	RequestFailed     ID = 504
-	BackendState      ID = 505
-	RequestAnswered   ID = 506
-	RunEnded          ID = 507
-	RunRefused        ID = 508
-	RunAbandoned      ID = 509
-	SpeedChanged      ID = 510
-	SlotsChanged      ID = 511
-	RetryBudgetEmpty  ID = 512
-	ChecksPaused      ID = 513
-	ChecksResumed     ID = 514
-	LimitChanged      ID = 515
-	BackendCold       ID = 516
-	ClaimLost         ID = 601
-	ClaimVoided       ID = 602
-	ClaimUnknown      ID = 603
-	PlatformDown      ID = 701
-	PlatformUp        ID = 702
-	FeedReopened      ID = 703
-	FeedBehind        ID = 704
-	DocumentRefused   ID = 705
-	DepartureNotKept  ID = 706
-	StoreCalls        ID = 707
+	DaemonStarted      ID = 101
+	DaemonReady        ID = 102
+	DaemonDraining     ID = 103
+	DaemonStopped      ID = 104
+	ListenerFailed     ID = 105
+	SettingsRead       ID = 106
+	SettingsRefused    ID = 107
+	LinesLeftOut       ID = 108
+	LinkUp             ID = 201
+	LinkDown           ID = 202
+	LinkBadFrame       ID = 203
+	LinkRefused        ID = 204
+	LinkSurplus        ID = 205
+	LinkTraffic        ID = 206
+	PlacementInForce   ID = 301
+	PlacementRejected  ID = 302
+	PlacementChanged   ID = 303
+	PlacementUnsure    ID = 304
+	EvacuationChanged  ID = 305
+	EvacuationOrdered  ID = 306
+	MemberJoined       ID = 401
+	MemberLeaving      ID = 402
+	MemberGone         ID = 403
+	CallFault          ID = 501
+	BackendDown        ID = 502
+	BackendUp          ID = 503
+	RequestFailed      ID = 504
+	BackendState       ID = 505
+	RequestAnswered    ID = 506
+	RunEnded           ID = 507
+	RunRefused         ID = 508
+	RunAbandoned       ID = 509
+	SpeedChanged       ID = 510
+	SlotsChanged       ID = 511
+	RetryBudgetEmpty   ID = 512
+	ChecksPaused       ID = 513
+	ChecksResumed      ID = 514
+	LimitChanged       ID = 515
+	BackendCold        ID = 516
+	ClaimLost          ID = 601
+	ClaimVoided        ID = 602
+	ClaimUnknown       ID = 603
+	PlatformDown       ID = 701
+	PlatformUp         ID = 702
+	FeedReopened       ID = 703
+	FeedBehind         ID = 704
+	DocumentRefused    ID = 705
+	DepartureNotKept   ID = 706
+	StoreCalls         ID = 707
+	DeparturesNotSwept ID = 708
 )
 
 // Entry is the catalogue's row of one event.
@@ -146,6 +147,7 @@
 		{DocumentRefused, Error, "placement document refused", false, "The row in the store cannot be read; the version in force stays.", "Correct the document and write it again."},
 		{DepartureNotKept, Warn, "departure was not written to the store", false, "The store did not answer in time; peers were told.", "Look at the platform's store."},
 		{StoreCalls, Info, "calls to the platform's store", true, "Each ten seconds in which there were any: calls since the last such line, by purpose and result.", "Nothing; many while the store answers mean that links are few or end often."},
+		{DeparturesNotSwept, Warn, "old departures were not deleted in the store", false, "The store did not answer in time, or refused.", "Nothing once: the next sweep makes up for it. If it repeats, look at the platform's store: the table departure grows."},
 	}
 }
 
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -69,6 +69,7 @@
 		&seeds{Env: env},
 		&register{Env: env, outage: events.NewOutage(env.Log, "own entry in the list of VMs")},
 		&departures{Env: env},
+		&departureSweep{Env: env},
 		&backendWatch{Env: env},
 		&members{Env: env},
 		&news{Env: env},
