Routes may be bound to regions: entries, executors, subsets

Cause: allowed-regions of routes was not decoded; routing.Route.DataCentres was heeded by the choice and filled by nobody on the platform's path. Ruled out: a second mechanism beside the data centres of routes; refusing all that was decided on another version (versions differ on all routes after each change). Entries keep the newest version's rules at each pick and retry. Executors look the route up when a request comes and right before hand-over, and ask for their own region besides, so that a wrong map of another daemon sends nothing astray. Subsets hold enough allowed backend servers of a large service where the own data centre is not allowed. Conclusion: the rule holds at entry and executor; tenants are on no wire yet.

--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -34,7 +35,7 @@
 	Set []tables.Candidate
 	// Excluded has a bit for each index of Set that may not be picked.
 	Excluded Tried
-	// Allowed is nil, or says in which data centres the request may be handled.
+	// Allowed says in which data centres the request may be handled; empty: anywhere.
 	Allowed []string
 	// Evacuated are the data centres whose backend servers get nothing new.
 	Evacuated evacuation.Set
@@ -95,15 +96,7 @@
 	if r.Evacuated.Has(dataCentre) {
 		return false
 	}
-	if len(r.Allowed) == 0 {
-		return true
-	}
-	for _, allowed := range r.Allowed {
-		if allowed == dataCentre {
-			return true
-		}
-	}
-	return false
+	return routing.Allows(r.Allowed, dataCentre)
 }
 
 // cost is the expected time of the request at a candidate, in nanoseconds.
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -58,7 +58,7 @@
 	}, r.ask)
 	var err error
 	r.runner, err = runner.NewRunner(d.Common, runner.Deps{
-		Headers: adapter.Backend, Lifecycle: r.lifecycle, Load: r.load, Checker: r.checker, Service: r.service,
+		Headers: adapter.Backend, Lifecycle: r.lifecycle, Load: r.load, Checker: r.checker, Service: r.service, Route: r.route,
 	})
 	if err != nil {
 		return nil, err
@@ -106,6 +106,15 @@
 	return stopAll, nil
 }
 
+// route finds a request's route in the placement in force; nil where there is none.
+func (r *routed) route(host, path string) (route *routing.Compiled, version uint64) {
+	p := r.daemon.World.View.Placement()
+	if p == nil {
+		return nil, 0
+	}
+	return p.Routes.Match(host, path), p.Version
+}
+
 func (r *routed) limits() routing.Limits {
 	if p := r.daemon.World.View.Placement(); p != nil {
 		return p.Routes.Limits()
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -41,7 +41,7 @@
 		return false
 	}
 	for i := range a.set {
-		if other := &a.set[i]; other != from && !a.closed.Has(i) && other.Route.Runner() != nil {
+		if other := &a.set[i]; other != from && !a.closed.Has(i) && a.mayTake(other) && other.Route.Runner() != nil {
 			return true
 		}
 	}
@@ -115,7 +115,7 @@
 		Method:    a.req.Method,
 		URI:       a.req.URI,
 		Headers:   a.req.Headers,
-		Placement: a.version,
+		Placement: a.rules.version,
 		Remaining: a.left(),
 		WantStamp: true,
 		Claim:     wire.Claim{Generation: uint32(a.offered)},
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -32,6 +32,7 @@
 	req     *Request
 	route   *routing.Compiled
 	version uint64
+	rules   rules
 	service string
 	// began and deadline are in nanoseconds of the daemon's clock.
 	began    int64
@@ -57,7 +58,7 @@
 }
 
 func (a *attempts) run() call.Result {
-	last := call.Refused(errkind.NoBackendServer, "no backend server of service %s is known", a.service)
+	last := a.nobody()
 	a.earn()
 	for a.tries < mostTries {
 		if a.left() <= 0 {
@@ -134,8 +135,9 @@
 // that has not refused softly; then any that is not closed, and may queue there.
 func (a *attempts) pick() (pick choose.RoutedPick, soft bool) {
 	a.refresh()
+	a.renewRules()
 	req := choose.Routed{
-		Now: a.owner.Now(), Set: a.set, Allowed: a.route.DataCentres, Evacuated: a.owner.view.Evacuation(),
+		Now: a.owner.Now(), Set: a.set, Allowed: a.rules.allowed, Evacuated: a.owner.view.Evacuation(),
 		DataCentre: a.owner.Settings.VM.DataCentre,
 		LeaveCost:  time.Duration(a.owner.Settings.Routing.LeaveCost * float64(a.target)),
 		Work:       a.work(),
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -139,6 +139,7 @@
 	}
 	return &attempts{
 		owner: f, ctx: ctx, req: req, route: route, version: version, service: route.Next(),
+		rules: rules{version, route.DataCentres},
 		began: began, deadline: began + int64(timeout), target: target,
 		softLeft: f.Settings.Routing.SoftAttempts,
 	}
--- /dev/null
+++ b/pkg/forward/rules_test.go
@@ -0,0 +1,93 @@
+package forward
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// bind puts a version in force in which the routes may be handled in some data
+// centres only, and places the candidates, one a data centre.
+func bind(f *Forwarder, version uint64, allowed []string, places ...string) {
+	doc := *f.view.Placement().Document
+	doc.Version, doc.Routes = version, append([]routing.Route(nil), doc.Routes...)
+	for i := range doc.Routes {
+		doc.Routes[i].DataCentres = allowed
+	}
+	set := f.view.Service("s").Match("GET", "/read/").Ready
+	for i, place := range places {
+		set[i].Route.DataCentre = place
+	}
+	f.view.SetPlacement(placement.Compile(&doc))
+}
+
+func TestOnlyAllowedDataCentresAreAsked(t *testing.T) {
+	here, there, far := &fakeRunner{answer: answers(500)}, &fakeRunner{answer: answers(500)}, &fakeRunner{answer: answers(500)}
+	f := newForwarder(here, there, far)
+	bind(f, 4, []string{"there"}, "here", "there", "far")
+	for range 10 {
+		got := f.Forward(t.Context(), request("/read/1"))
+		must.NotNil(t, got.Answer)
+		test.Eq(t, 500, got.Answer.Status)
+	}
+	test.Len(t, 0, here.calls)
+	test.Len(t, 0, far.calls, test.Sprint("a retry has nobody else to go to"))
+	test.Len(t, 10, there.calls)
+	test.Eq(t, 4, there.calls[0].Placement)
+}
+
+func TestWhereNobodyIsAllowedTheRequestIsRefusedAtOnce(t *testing.T) {
+	for _, allowed := range [][]string{{"far"}, {routing.Nowhere}} {
+		here := &fakeRunner{answer: answers(200)}
+		f := newForwarder(here)
+		bind(f, 4, allowed, "here")
+		for _, path := range []string{"/read/1", "/post/1"} {
+			got := f.Forward(t.Context(), request(path))
+			must.NotNil(t, got.Refusal)
+			test.Eq(t, errkind.NoBackendServer, got.Refusal.Kind)
+			test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+			test.Eq(t, 503, got.Refusal.Kind.Row().Status)
+		}
+		test.Len(t, 0, here.calls)
+	}
+}
+
+// TestARetryKeepsTheNewestRules: the configuration changes while the first attempt
+// is under way.
+func TestARetryKeepsTheNewestRules(t *testing.T) {
+	var f *Forwarder
+	moves := func(*wire.Call) (call.Result, bool) {
+		bind(f, 4, []string{"far"})
+		return call.Refused(errkind.BackendAbsent, ""), false
+	}
+	near, other, far := &fakeRunner{answer: moves}, &fakeRunner{answer: moves}, &fakeRunner{answer: answers(200)}
+	f = newForwarder(near, other, far)
+	bind(f, 3, []string{"here"}, "here", "here", "far")
+	got := f.Forward(t.Context(), request("/post/1"))
+	must.NotNil(t, got.Answer)
+	test.Eq(t, 1, total(near, other))
+	must.Len(t, 1, far.calls)
+	test.Eq(t, 4, far.calls[0].Placement, test.Sprint("the executor is told by which version"))
+}
+
+// TestASilentExecutorIsNotLeftForOneThatIsNotAllowed: there is nobody to go on at,
+// and the answer may still come.
+func TestASilentExecutorIsNotLeftForOneThatIsNotAllowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mute, other := &fakeRunner{answer: silent}, &fakeRunner{answer: answers(200)}
+		f := newForwarder(mute, other)
+		bind(f, 4, []string{"there"}, "there", "far")
+		got := f.Forward(t.Context(), request("/read/1"))
+		must.NotNil(t, got.Refusal)
+		test.Eq(t, errkind.DeadlineWhileRunning, got.Refusal.Kind)
+		test.Len(t, 0, other.calls)
+	})
+}
--- a/pkg/placement/compiled.go
+++ b/pkg/placement/compiled.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sort"
 	"strings"
 
@@ -35,6 +36,9 @@
 	// anywhere is set for services that only routes name; a kind whose list of
 	// data centres is empty is allowed nowhere.
 	anywhere bool
+	// Limits are the lists of data centres that routes of the service name, each
+	// once: entries must know enough backend servers of each.
+	Limits [][]string
 }
 
 // Compile makes a version ready for the hot path.
@@ -61,6 +65,28 @@
 			c.services[name] = service
 		}
 	}
+	c.addLimits()
+}
+
+// addLimits notes the distinct lists of data centres of each service's routes.
+func (c *Compiled) addLimits() {
+	for _, r := range c.Document.Routes {
+		if len(r.DataCentres) == 0 {
+			continue
+		}
+		for _, p := range r.Parts {
+			for _, kind := range c.services[p.Service].Kinds {
+				kind.addLimit(r.DataCentres)
+			}
+		}
+	}
+}
+
+func (c *CompiledKind) addLimit(list []string) {
+	list = slices.Sorted(slices.Values(list))
+	if !slices.ContainsFunc(c.Limits, func(known []string) bool { return slices.Equal(known, list) }) {
+		c.Limits = append(c.Limits, list)
+	}
 }
 
 // RoutedServices lists the services that routes name, each once.
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -31,8 +31,13 @@
 	// Attempts is the largest number of backend servers that one request may
 	// be handed to; 0 stands for 1.
 	Attempts int `cbor:"9,keyasint,omitempty" yaml:"attempts,omitempty" validate:"min=0"`
-	// DataCentres lists where the requests may be handled; empty: anywhere.
+	// DataCentres lists where the requests may be handled; empty: anywhere, and
+	// Nowhere alone: by nobody.
 	DataCentres []string `cbor:"10,keyasint,omitempty" yaml:"data_centres,omitempty"`
+	// Regions are the regions that DataCentres was translated from, where the
+	// operators named regions. An executor asks for its own among them besides: it
+	// knows that at first hand, and who translated may have had another map.
+	Regions []string `cbor:"11,keyasint,omitempty" yaml:"regions,omitempty"`
 }
 
 // Service is what operators say of a service's backend servers.
--- /dev/null
+++ b/pkg/runner/place_test.go
@@ -0,0 +1,84 @@
+package runner
+
+import (
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/routing"
+)
+
+// place has a runner stand in data centre n1 of the north, with a version in force
+// in which a route is bound to regions and their data centres.
+func place(r *Runner, version uint64, regions, dataCentres []string) {
+	r.Settings.VM.DataCentre, r.Settings.VM.Region = "n1", "north"
+	compiled := placement.Compile(&placement.Document{Version: version, Routes: []routing.Route{{
+		Name: "route", Host: "h", Prefix: "/bound/", Parts: []routing.Part{{Service: "s", Weight: 1}}, Regions: regions, DataCentres: dataCentres,
+	}}})
+	r.route = func(host, path string) (*routing.Compiled, uint64) { return compiled.Routes.Match(host, path), version }
+}
+
+func TestTheExecutorIsTheLastGuardOfAllowedRegions(t *testing.T) {
+	north, south := []string{"north"}, []string{"south"}
+	for _, s := range []struct {
+		name        string
+		regions     []string
+		dataCentres []string
+		uri         string
+		decidedOn   uint64
+		runs        bool
+	}{
+		{"the own region", north, []string{"n1"}, "/bound/x?y=/", 5, true},
+		{"another region", south, []string{"s1"}, "/bound/x?y=/", 5, false},
+		{"nowhere", []string{"west"}, []string{routing.Nowhere}, "/bound/x", 5, false},
+		{"a translation by a wrong map", south, []string{"n1", "s1"}, "/bound/x", 5, false},
+		{"data centres without regions", nil, []string{"s1"}, "/bound/x", 5, false},
+		{"an entry with an older version", south, []string{"s1"}, "/bound/x", 4, false},
+		{"an entry with a newer version knows better", south, []string{"s1"}, "/bound/x", 6, true},
+		{"another route", south, []string{"s1"}, "/free/x", 5, true},
+	} {
+		h := newHeld()
+		r, _ := newTestRunner(t, h, 2)
+		place(r, 5, s.regions, s.dataCentres)
+		h.goOn <- struct{}{}
+		c := routedCall("a")
+		c.URI, c.Placement = s.uri, s.decidedOn
+		results, _ := execute(r, c)
+		got := <-results
+		if s.runs {
+			test.NotNil(t, got.Answer, test.Sprint(s.name))
+			continue
+		}
+		must.NotNil(t, got.Refusal, must.Sprint(s.name))
+		test.Eq(t, errkind.PlacementStale, got.Refusal.Kind)
+		test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+		test.False(t, got.Offered)
+		test.True(t, got.Refusal.RetryElsewhere(), test.Sprint("another executor may run it"))
+		test.Eq(t, 0, len(h.came), test.Sprint(s.name))
+	}
+}
+
+// TestAChangeOfTheRulesBindsWhatWaits at the gate.
+func TestAChangeOfTheRulesBindsWhatWaits(t *testing.T) {
+	h := newHeld()
+	r, _ := newTestRunner(t, h, 1)
+	place(r, 5, []string{"north"}, []string{"n1"})
+	bound := routedCall("first")
+	bound.URI, bound.Placement = "/bound/1", 5
+	first, _ := execute(r, bound)
+	test.Eq(t, "first", <-h.came)
+	waits := *bound
+	waits.Routed.ID = "second"
+	second, _ := execute(r, &waits)
+	place(r, 6, []string{"south"}, []string{"s1"})
+	h.goOn <- struct{}{}
+	must.NotNil(t, (<-first).Answer, must.Sprint("what runs already ends"))
+	got := <-second
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.PlacementStale, got.Refusal.Kind)
+	test.False(t, got.Offered)
+	test.Eq(t, 0, len(h.came))
+}
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -103,6 +103,10 @@
 	if refusal != nil {
 		return call.Result{Refusal: refusal}, false
 	}
+	// The rules may have changed while the request waited.
+	if refusal := r.misplaced(run.call); refusal != nil {
+		return call.Result{Refusal: refusal}, false
+	}
 	run.instance = instance
 	slowdown := r.load.Slowdown()
 	ctx, stop := context.WithTimeout(context.Background(), left)
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -40,6 +40,7 @@
 	work      *worktime.Times
 	origins   *origins
 	service   func() (s routing.Service, ok bool)
+	route     func(host, path string) (route *routing.Compiled, version uint64)
 	// checker is nil where the backend server has no health path.
 	checker *backend.Checker
 	// lookDue is true while a look for the end of a slow spell is due.
@@ -73,6 +74,9 @@
 	// Service is what the placement says of the backend server's service; ok is
 	// false while there is no placement.
 	Service func() (s routing.Service, ok bool)
+	// Route finds a request's route in the placement in force; nil where that has
+	// none.
+	Route func(host, path string) (route *routing.Compiled, version uint64)
 }
 
 // NewRunner makes a runner.
@@ -88,6 +92,7 @@
 		lifecycle: deps.Lifecycle,
 		load:      deps.Load,
 		service:   deps.Service,
+		route:     deps.Route,
 		work:      worktime.NewTimes(),
 		origins:   newOrigins(),
 		checker:   deps.Checker,
@@ -265,6 +270,9 @@
 	if c.Service != r.Settings.BackendServer.Service {
 		return errkind.New(errkind.BackendReplaced, "this backend server runs another service")
 	}
+	if refusal := r.misplaced(c); refusal != nil {
+		return refusal
+	}
 	_, refusal := r.accepting()
 	return refusal
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -120,6 +120,8 @@
 	Use float64 `yaml:"use" validate:"min=0.1,max=1"`
 	// What leaving the own data centre costs, as a share of a request's target latency.
 	LeaveCost float64 `yaml:"leave_cost" validate:"min=0,max=10"`
+	// Region of each data centre, for placements that name regions. The own one is known from vm.
+	Regions map[string]string `yaml:"regions"`
 	// When callers that found all backend servers full are told to come back.
 	RetryAfter time.Duration `yaml:"retry_after" validate:"min=1ms"`
 	// Retries that reach a backend server, per request of the service.
--- a/pkg/systems/subset.go
+++ b/pkg/systems/subset.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -13,7 +14,8 @@
 // hash, and a few of other data centres for when its own has no room. Where
 // there are more than it may take, rendezvous hashing on this daemon's name
 // decides, so that each entry has its own stable choice. Members that could not
-// be reached of late or whose data centre is evacuated are passed over. Source: docs/design/members.md, "Links".
+// be reached of late or whose data centre is evacuated are passed over. Source:
+// docs/design/members.md, "Links", and docs/design/regions.md.
 func Subset(w *tables.World, choosing settings.Choosing, kind *placement.CompiledKind) []*tables.Route {
 	var near, far []*tables.Route
 	evacuated := w.View.Evacuation()
@@ -35,8 +37,46 @@
 	if len(near)+len(far) <= choosing.Subset {
 		return highest(w.VM, append(near, far...), choosing.Subset)
 	}
-	near = highest(w.VM, near, choosing.Near)
-	return append(near, highest(w.VM, far, max(choosing.Far, choosing.Subset/2-len(near)))...)
+	chosen := highest(w.VM, near, choosing.Near)
+	chosen = append(chosen, highest(w.VM, far, max(choosing.Far, choosing.Subset/2-len(chosen)))...)
+	return fillUp(w.VM, chosen, append(near, far...), kind.Limits, choosing.Subset)
+}
+
+// subsetMost bounds a subset that lists of data centres fill up: choosing marks
+// whom it has asked in a word of 64 bits.
+const subsetMost = 64
+
+// fillUp adds to a subset, for each list of data centres that routes name, allowed
+// backend servers until it holds enough of them. A route that the own data centre
+// may not handle would else find none but the few of others.
+func fillUp(vm string, chosen, all []*tables.Route, lists [][]string, enough int) []*tables.Route {
+	if len(lists) == 0 {
+		return chosen
+	}
+	has := make(map[*tables.Route]struct{}, subsetMost)
+	for _, route := range chosen {
+		has[route] = struct{}{}
+	}
+	// Each list gets its part of the room, so that the first leaves some to the last.
+	enough = min(enough, max(1, (subsetMost-len(chosen))/len(lists)))
+	for _, list := range lists {
+		held := 0
+		var others []*tables.Route
+		for _, route := range all {
+			switch _, is := has[route]; {
+			case !routing.Allows(list, route.DataCentre):
+			case is:
+				held++
+			default:
+				others = append(others, route)
+			}
+		}
+		for _, route := range highest(vm, others, min(max(enough-held, 0), max(subsetMost-len(chosen), 0))) {
+			has[route] = struct{}{}
+			chosen = append(chosen, route)
+		}
+	}
+	return chosen
 }
 
 // subsetKey names a kind of a service, subsetRow is its subset and what it was
--- a/pkg/systems/subset_test.go
+++ b/pkg/systems/subset_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -60,6 +61,45 @@
 	}
 }
 
+// TestASubsetHoldsEnoughOfTheAllowedDataCentres of a large service, also where
+// the own one is not among them.
+func TestASubsetHoldsEnoughOfTheAllowedDataCentres(t *testing.T) {
+	choosing := settings.Default().Choosing
+	for _, tc := range []struct {
+		name  string
+		each  []int
+		lists [][]string
+		// held is how many of the data centre c are known at least, most all.
+		held, most int
+	}{
+		{"no list", []int{29, 58, 57}, nil, 0, 29 + choosing.Far},
+		{"the own one alone needs no more", []int{29, 58, 57}, [][]string{{"a"}}, 0, 29 + choosing.Far},
+		{"another one", []int{29, 58, 57}, [][]string{{"c"}}, choosing.Subset, 29 + choosing.Far + choosing.Subset},
+		{"one with few", []int{29, 58, 5}, [][]string{{"c"}}, 5, 29 + choosing.Far + 5},
+		{"nowhere", []int{29, 58, 57}, [][]string{{routing.Nowhere}}, 0, 29 + choosing.Far},
+		{"many lists share the room", []int{100, 58, 57}, [][]string{{"b"}, {"b", "c"}, {"c"}, {"a", "c"}}, 7, subsetMost},
+		{"a small service is known whole", []int{4, 6, 6}, [][]string{{"c"}}, 6, 16},
+	} {
+		w, _ := subsetWorld(tc.each...)
+		doc := &placement.Document{}
+		for i, list := range tc.lists {
+			doc.Routes = append(doc.Routes, routing.Route{Host: "h", Prefix: fmt.Sprint("/", i, "/"), DataCentres: list, Parts: []routing.Part{{Service: "s"}}})
+		}
+		doc.Routes = append(doc.Routes, routing.Route{Host: "h", Prefix: "/free/", Parts: []routing.Part{{Service: "s"}}})
+		subset := Subset(w, choosing, placement.Compile(doc).Service("s").Kinds[0])
+		held, seen := 0, map[string]struct{}{}
+		for _, route := range subset {
+			seen[route.VM] = struct{}{}
+			if route.DataCentre == "c" {
+				held++
+			}
+		}
+		test.GreaterEq(t, tc.held, held, test.Sprint(tc.name))
+		test.LessEq(t, tc.most, len(subset), test.Sprint(tc.name))
+		test.MapLen(t, len(subset), seen, test.Sprint("each once: ", tc.name))
+	}
+}
+
 // TestEachServerOfADataCentreHasTheSameEntries: by hashing alone the busiest of
 // 29 backend servers stood in 1.3 times as many subsets as the mean.
 func TestEachServerOfADataCentreHasTheSameEntries(t *testing.T) {
--- a/tools/gendocs/settings.go
+++ b/tools/gendocs/settings.go
@@ -59,7 +59,7 @@
 
 func defaultOf(v reflect.Value) string {
 	text := fmt.Sprint(v.Interface())
-	if text == "" || v.Kind() == reflect.Slice {
+	if text == "" || v.Kind() == reflect.Slice || v.Kind() == reflect.Map {
 		return "none"
 	}
 	return "`" + text + "`"
