Places: near, region, other; crossings priced by them, bytes accounted by them

Cause: Region was carried in rows and used by no decision; choice knew here and elsewhere with one price. Ruled out: constants fitted on a deployment. routing.leave_cost stays the price of the dearest crossing; one within the region costs the part that operators name (routing.region_share) or that the round trips show. In one region the part is 1. Change: pkg/place; Hello says the region (added at its end); account, metrics and the trail of a request say near, region or other.

--- a/pkg/choose/refusing_test.go
+++ b/pkg/choose/refusing_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test"
 
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -51,13 +52,13 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			place := "there"
+			dataCentre := "there"
 			if s.near {
-				place = "here"
+				dataCentre = "here"
 			}
-			candidate := at(place, s.stamp, s.age, now)
+			candidate := at(dataCentre, s.stamp, s.age, now)
 			req := &Routed{
-				Now: now, Set: []tables.Candidate{candidate}, DataCentre: "here", Work: work,
+				Now: now, Set: []tables.Candidate{candidate}, Here: place.Here{DataCentre: "here"}, Work: work,
 				Soft: s.soft, SoftSlowdown: 1.8, Use: 0.8, Within: s.within, Left: s.left,
 			}
 			pick := PickRouted(req, Runtime{})
--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -27,6 +28,9 @@
 	routedFailureCost = 6
 )
 
+// Costs are what crossing to each place costs, as a time; nothing for Near.
+type Costs [place.Count]time.Duration
+
 // Routed is one decision's input for a routed request.
 type Routed struct {
 	// Now is the time of the decision in nanoseconds of a steady clock.
@@ -39,9 +43,9 @@
 	Allowed []string
 	// Evacuated are the data centres whose backend servers get nothing new.
 	Evacuated evacuation.Set
-	// DataCentre is the entry's own, LeaveCost what leaving it costs.
-	DataCentre string
-	LeaveCost  time.Duration
+	// Here is where the entry stands, LeaveCost what crossing to each place costs.
+	Here      place.Here
+	LeaveCost Costs
 	// Soft is true for an attempt that a slowed backend server refuses at once.
 	Soft bool
 	// SoftSlowdown is the slowdown, 1 for none, above which gates refuse soft
@@ -79,12 +83,12 @@
 		}
 		var known tables.Known
 		candidate.Load.Read(req.Now, &known)
-		near := candidate.Route.DataCentre == req.DataCentre
-		if req.wouldBeRefused(&known, near) {
+		at := req.Here.Of(candidate.Route.DataCentre, candidate.Route.Region)
+		if req.wouldBeRefused(&known, at == place.Near) {
 			out.Refusing++
 			continue
 		}
-		cost := req.cost(&known, near) + tieShare*float64(req.Work)*rnd.Float64()
+		cost := req.cost(&known, at) + tieShare*float64(req.Work)*rnd.Float64()
 		if cost < bestCost {
 			out.Index, bestCost = i, cost
 		}
@@ -100,7 +104,7 @@
 }
 
 // cost is the expected time of the request at a candidate, in nanoseconds.
-func (r *Routed) cost(known *tables.Known, near bool) float64 {
+func (r *Routed) cost(known *tables.Known, at place.Place) float64 {
 	limit := float64(known.Limit)
 	inFlight := float64(known.Outstanding)
 	usual := usualSlowdown
@@ -126,8 +130,5 @@
 	if known.FailureShare > failureFree {
 		cost += known.FailureShare * routedFailureCost * float64(r.Work)
 	}
-	if !near {
-		cost += float64(r.LeaveCost)
-	}
-	return cost
+	return cost + float64(r.LeaveCost[at])
 }
--- a/pkg/choose/routed_bench_test.go
+++ b/pkg/choose/routed_bench_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -24,7 +25,7 @@
 	} {
 		b.Run(name, func(b *testing.B) {
 			req := &Routed{
-				Now: now, Set: set, DataCentre: "here", LeaveCost: work, Work: work, Soft: true, SoftSlowdown: 1.8, Use: 0.8,
+				Now: now, Set: set, Here: place.Here{DataCentre: "here"}, LeaveCost: Costs{place.Region: work, place.Other: 2 * work}, Work: work, Soft: true, SoftSlowdown: 1.8, Use: 0.8,
 				Within: 4 * work, Left: 8 * work, Evacuated: evacuated,
 			}
 			b.ReportAllocs()
--- a/pkg/choose/routed_test.go
+++ b/pkg/choose/routed_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -39,7 +40,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			req := &Routed{Now: now, Set: s.set, DataCentre: "here", LeaveCost: 2 * work / 3, Work: work, Soft: true, SoftSlowdown: 1.8, Use: 0.8}
+			req := &Routed{Now: now, Set: s.set, Here: place.Here{DataCentre: "here"}, LeaveCost: Costs{place.Region: 2 * work / 3, place.Other: 2 * work}, Work: work, Soft: true, SoftSlowdown: 1.8, Use: 0.8}
 			for seed := range uint64(20) {
 				test.Eq(t, s.want, PickRouted(req, rand.New(rand.NewPCG(1, seed))).Index)
 			}
@@ -47,12 +48,49 @@
 	}
 }
 
+// TestACrossingIsPricedByHowFarItGoes: three backend servers that differ in how full
+// they are, and in place only.
+func TestACrossingIsPricedByHowFarItGoes(t *testing.T) {
+	now := int64(time.Hour)
+	server := func(dataCentre, region string, running uint32) tables.Candidate {
+		c := at(dataCentre, wire.Stamp{Limit: 10, Running: running, Slowdown: 100}, 0, now)
+		c.Route.Region = region
+		return c
+	}
+	for _, s := range []struct {
+		name                string
+		near, region, other uint32
+		want                int
+	}{
+		{"all idle: near", 0, 0, 0, 0},
+		{"near fuller than the cheap crossing is worth", 15, 0, 0, 1},
+		{"near fuller, the region too", 15, 15, 0, 0},
+		{"both fuller than the dear crossing is worth", 35, 35, 0, 2},
+	} {
+		req := &Routed{
+			Now: now, Set: []tables.Candidate{server("a", "r", s.near), server("b", "r", s.region), server("c", "x", s.other)},
+			Here: here("a", "r"), Work: work, LeaveCost: crossing(work/4, 2*work),
+		}
+		for seed := range uint64(20) {
+			test.Eq(t, s.want, PickRouted(req, rand.New(rand.NewPCG(1, seed))).Index, test.Sprint(s.name))
+		}
+	}
+}
+
+func here(dataCentre, region string) place.Here {
+	return place.Here{DataCentre: dataCentre, Region: region}
+}
+
+func crossing(region, other time.Duration) Costs {
+	return Costs{place.Region: region, place.Other: other}
+}
+
 func TestPickRoutedKeepsOutWhatMayNotBePicked(t *testing.T) {
 	now := int64(time.Hour)
 	idle := wire.Stamp{Limit: 10, Slowdown: 100}
 	req := &Routed{
 		Now: now, Set: []tables.Candidate{at("here", idle, 0, now), at("there", idle, 0, now), at("far", idle, 0, now)},
-		Excluded: Tried(0).With(0), Allowed: []string{"here", "far"}, DataCentre: "here", Work: work,
+		Excluded: Tried(0).With(0), Allowed: []string{"here", "far"}, Here: place.Here{DataCentre: "here"}, Work: work,
 	}
 	test.Eq(t, 2, PickRouted(req, Runtime{}).Index)
 	req.Evacuated = evacuation.Set{}.With(1, []evacuation.Change{{DataCentre: "far", Evacuated: true}})
@@ -65,7 +103,7 @@
 func TestPickRoutedSpreadsWhatIsAlike(t *testing.T) {
 	now := int64(time.Hour)
 	idle := wire.Stamp{Limit: 10, Slowdown: 100}
-	req := &Routed{Now: now, Set: []tables.Candidate{at("here", idle, 0, now), at("here", idle, 0, now)}, DataCentre: "here", Work: work}
+	req := &Routed{Now: now, Set: []tables.Candidate{at("here", idle, 0, now), at("here", idle, 0, now)}, Here: place.Here{DataCentre: "here"}, Work: work}
 	counts := [2]int{}
 	for range 200 {
 		counts[PickRouted(req, Runtime{}).Index]++
--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -9,6 +9,7 @@
 
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/measure"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/traffic"
 )
@@ -36,6 +37,11 @@
 	}
 }
 
+// Here is where the daemon stands.
+func (c *Common) Here() place.Here {
+	return place.Here{DataCentre: c.Settings.VM.DataCentre, Region: c.Settings.VM.Region}
+}
+
 // Now is the time since the daemon's start in nanoseconds, on a clock that
 // never jumps. It is never 0, which stands for "not yet" in the tables.
 func (c *Common) Now() int64 { return int64(time.Since(c.start)) + 1 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -110,7 +110,7 @@
 		{LinkBadFrame, Warn, "bad frame on link, link closed", false, "A peer sent bytes that are not a frame, or a frame over the bound.", "Check that both daemons run compatible releases."},
 		{LinkRefused, Debug, "link refused", false, "The peer did not accept a connection.", "Nothing, unless the peer should be live."},
 		{LinkSurplus, Debug, "link closed, not needed any more", false, "No subset of a service and no sample has held the peer for some seconds.", "Nothing."},
-		{LinkTraffic, Info, "traffic with other daemons", true, "Each ten seconds: links, and frames and bytes sent since the last such line, by kind and by whether they left the data centre.", "Nothing; compare it with docs/CAPACITY.md when a network or a processor is full."},
+		{LinkTraffic, Info, "traffic with other daemons", true, "Each ten seconds: links, and frames and bytes sent since the last such line, by kind and by how far they went: near (the own data centre), region (another one of the region), other (another region).", "Nothing; compare it with docs/CAPACITY.md when a network or a processor is full."},
 		{PlacementInForce, Info, "placement in force", false, "A newer placement version was taken over.", "Nothing."},
 		{PlacementRejected, Error, "placement version refused", false, "Its content does not match its hash, or it cannot be read.", "Check the object store; apply the placement again."},
 		{PlacementChanged, Info, "placement changed by operator", false, "An operator's change was accepted.", "Nothing; the line holds author and version."},
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -6,6 +6,7 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -14,7 +15,7 @@
 func (a *attempts) send(pick choose.RoutedPick, soft bool) call.Result {
 	to := &a.set[pick.Index]
 	began := a.owner.Now()
-	note := noteAttempt(began, to, soft, to.Route.DataCentre == a.owner.Settings.VM.DataCentre, pick.Refusing)
+	note := noteAttempt(began, to, soft, a.placeOf(to), pick.Refusing)
 	result := a.sendTo(to, soft)
 	note.end(&result, time.Duration(a.owner.Now()-began))
 	a.trail = append(a.trail, note)
@@ -122,7 +123,7 @@
 		Routed: wire.Routed{
 			ID: a.req.ID, Host: a.req.Host, Caller: a.owner.Settings.BackendServer.Service,
 			Repeatable: a.route.Repeatable, Priority: a.route.Priority, Soft: soft,
-			Near: to.Route.DataCentre == a.owner.Settings.VM.DataCentre, Target: a.target - elapsed,
+			Near: a.placeOf(to) == place.Near, Target: a.target - elapsed,
 		},
 	}
 }
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -138,9 +138,7 @@
 	a.renewRules()
 	req := choose.Routed{
 		Now: a.owner.Now(), Set: a.set, Allowed: a.rules.allowed, Evacuated: a.owner.view.Evacuation(),
-		DataCentre: a.owner.Settings.VM.DataCentre,
-		LeaveCost:  time.Duration(a.owner.Settings.Routing.LeaveCost * float64(a.target)),
-		Work:       a.work(),
+		Here: a.owner.Here(), LeaveCost: a.leaveCost(), Work: a.work(),
 		// What gates refuse by, so that the entry knows before it asks.
 		SoftSlowdown: a.owner.Settings.Routing.SoftSlowdown, Use: a.owner.Settings.Routing.Use,
 		Within: a.within(), Left: a.left(),
--- /dev/null
+++ b/pkg/forward/cost.go
@@ -0,0 +1,26 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/choose"
+	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+// leaveCost is what crossing to each place costs the request, as a time. Source:
+// docs/design/regions.md, "Regions as prices".
+func (a *attempts) leaveCost() choose.Costs {
+	routing := &a.owner.Settings.Routing
+	dearest := routing.LeaveCost * float64(a.target)
+	share := routing.RegionShare
+	if share == 0 {
+		share = a.owner.view.RegionShare()
+	}
+	return choose.Costs{place.Region: time.Duration(share * dearest), place.Other: time.Duration(dearest)}
+}
+
+// placeOf is how far a candidate is.
+func (a *attempts) placeOf(to *tables.Candidate) place.Place {
+	return a.owner.Here().Of(to.Route.DataCentre, to.Route.Region)
+}
--- a/pkg/forward/rules_test.go
+++ b/pkg/forward/rules_test.go
@@ -3,14 +3,18 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -91,3 +95,29 @@
 		test.Len(t, 0, other.calls)
 	})
 }
+
+// TestTheTrailSaysHowFarEachAttemptWent.
+func TestTheTrailSaysHowFarEachAttemptWent(t *testing.T) {
+	f := newForwarder(&fakeRunner{answer: answers(200)})
+	f.Settings.VM.Region = "r"
+	for region, want := range map[string]string{"r": "vm-1 region load=unknown -> x", "s": "vm-1 other load=unknown -> x"} {
+		to := &tables.Candidate{Route: &tables.Route{VM: "vm-1", DataCentre: "there", Region: region}, Load: tables.NewLoad(4)}
+		a := &attempts{owner: f}
+		note := noteAttempt(1, to, false, a.placeOf(to), 0)
+		note.outcome = "x"
+		test.Eq(t, want, note.String())
+	}
+}
+
+// TestACrossingWithinTheRegionCostsItsShare: what operators say goes before what the
+// links have measured.
+func TestACrossingWithinTheRegionCostsItsShare(t *testing.T) {
+	f := newForwarder(&fakeRunner{answer: answers(200)})
+	f.Settings.Routing.LeaveCost = 0.5
+	a := &attempts{owner: f, target: time.Second}
+	test.Eq(t, choose.Costs{place.Region: 500 * time.Millisecond, place.Other: 500 * time.Millisecond}, a.leaveCost(), test.Sprint("not measured"))
+	f.view.SetRegionShare(0.125)
+	test.Eq(t, 62500*time.Microsecond, a.leaveCost()[place.Region])
+	f.Settings.Routing.RegionShare = 0.25
+	test.Eq(t, choose.Costs{place.Region: 125 * time.Millisecond, place.Other: 500 * time.Millisecond}, a.leaveCost())
+}
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -7,6 +7,7 @@
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
@@ -15,7 +16,7 @@
 type attemptNote struct {
 	vm   string
 	soft bool
-	near bool
+	at   place.Place
 	// known is what the entry knew of the backend server, age how old it was; a
 	// negative age: nothing.
 	known tables.Known
@@ -28,8 +29,8 @@
 }
 
 // noteAttempt begins the note of an attempt.
-func noteAttempt(now int64, to *tables.Candidate, soft, near bool, refusing int) attemptNote {
-	out := attemptNote{vm: to.Route.VM, soft: soft, near: near, refusing: refusing, age: -1}
+func noteAttempt(now int64, to *tables.Candidate, soft bool, at place.Place, refusing int) attemptNote {
+	out := attemptNote{vm: to.Route.VM, soft: soft, at: at, refusing: refusing, age: -1}
 	to.Load.Read(now, &out.known)
 	if out.known.StampAt != 0 {
 		out.age = time.Duration(max(now-out.known.StampAt, 0))
@@ -59,7 +60,7 @@
 			continue
 		}
 		to := &a.set[i]
-		note := noteAttempt(now, to, false, to.Route.DataCentre == a.owner.Settings.VM.DataCentre, 0)
+		note := noteAttempt(now, to, false, a.placeOf(to), 0)
 		note.outcome = passedOver
 		a.trail = append(a.trail, note)
 	}
@@ -73,8 +74,8 @@
 	if n.soft {
 		out.WriteString(" soft")
 	}
-	if !n.near {
-		out.WriteString(" far")
+	if n.at != place.Near {
+		out.WriteString(" " + n.at.String())
 	}
 	if n.age >= 0 {
 		out.WriteString(" load=" + strconv.FormatInt(n.known.InFlight+n.known.SentSince, 10) + "/" + strconv.FormatInt(n.known.Limit, 10))
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -14,6 +14,7 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -37,8 +38,7 @@
 	*Peer
 	control Control
 	maxBody int
-	// dataCentre is this daemon's own.
-	dataCentre string
+	here    place.Here
 
 	mu sync.Mutex
 	// lastID is the id of the newest call.
@@ -72,7 +72,7 @@
 	}
 	cl := &Client{
 		Peer:    &Peer{Conn: newConn(ws, codec, c.Traffic, opts.Pace), Outgoing: true},
-		control: control, dataCentre: c.Settings.VM.DataCentre,
+		control: control, here: c.Here(),
 		maxBody: c.Settings.Limits.MaxBodyBytes,
 		pending: map[uint64]*pending{},
 	}
@@ -91,7 +91,7 @@
 // Run serves the link until it ends. The first frame must be the greeting.
 func (cl *Client) Run() {
 	_, err := cl.serve(func() {
-		cl.setPlace(cl.Hello.DataCentre == cl.dataCentre)
+		cl.setPlace(cl.here.Of(cl.Hello.DataCentre, cl.Hello.Region))
 		cl.ping()
 		cl.control.Up(cl.Peer)
 		cl.control.News(cl.Peer, &cl.Hello.State)
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -13,6 +13,7 @@
 	"github.com/gorilla/websocket"
 	"github.com/pkg/errors"
 
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/traffic"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -49,7 +50,7 @@
 	saidIdle time.Duration
 
 	account *traffic.Account
-	// place is a traffic.Place: where the peer stands, once it has greeted.
+	// place is a place.Place: how far the peer is, once it has greeted.
 	place atomic.Uint32
 
 	written counter
@@ -188,14 +189,11 @@
 	_ = c.ws.Close()
 }
 
-// setPlace notes whether the peer stands in this daemon's own data centre.
-func (c *Conn) setPlace(own bool) {
-	place := traffic.OtherDataCentre
-	if own {
-		place = traffic.OwnDataCentre
-	}
-	c.place.Store(uint32(place))
-}
+// setPlace notes how far the peer is.
+func (c *Conn) setPlace(p place.Place) { c.place.Store(uint32(p)) }
+
+// Place is how far the peer is; Unknown until it has greeted.
+func (c *Conn) Place() place.Place { return place.Place(c.place.Load()) }
 
 // HeartbeatDue is true when nothing was sent for the idle time. A longer one than
 // the peer was told of holds once it was: that heartbeat goes at the former pace.
@@ -271,7 +269,7 @@
 		if err := c.codec.Append(buf, frame); err != nil {
 			return err
 		}
-		c.account.Sent(traffic.Place(c.place.Load()), frame.Type(), buf.Len()-before)
+		c.account.Sent(c.Place(), frame.Type(), buf.Len()-before)
 		if buf.Len() < batchBytes && i < len(batch)-1 {
 			continue
 		}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -118,8 +118,10 @@
 	SoftSlowdown float64 `yaml:"soft_slowdown" validate:"min=1"`
 	// Share of a backend server's slots that its gate uses: work slows for all runs of one that is nearly full.
 	Use float64 `yaml:"use" validate:"min=0.1,max=1"`
-	// What leaving the own data centre costs, as a share of a request's target latency.
+	// What the dearest crossing of a request costs, as a share of its target latency: to another region or, in a deployment of one, to another data centre.
 	LeaveCost float64 `yaml:"leave_cost" validate:"min=0,max=10"`
+	// What a crossing to another data centre of the own region costs of that, as bytes there cost of bytes between regions; 0: told by the links, as the round trip there is of that to other regions.
+	RegionShare float64 `yaml:"region_share" validate:"min=0,max=1"`
 	// Region of each data centre, for placements that name regions. The own one is known from vm.
 	Regions map[string]string `yaml:"regions"`
 	// When callers that found all backend servers full are told to come back.
--- a/pkg/systems/account.go
+++ b/pkg/systems/account.go
@@ -7,6 +7,7 @@
 
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/traffic"
@@ -47,16 +48,14 @@
 			frames = append(frames, fmt.Sprintf("%s/%s:%d/%d", line.Kind, line.To, line.Frames-before.Frames, line.Bytes-before.Bytes))
 		}
 	}
-	opened, own := 0, 0
+	opened, at := 0, [place.Count]int{}
 	a.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
 		if peer.Outgoing {
 			opened++
 		}
-		if peer.Hello.DataCentre == a.World.DataCentre {
-			own++
-		}
+		at[a.placeOf(peer)]++
 	})
-	a.Log.Event(events.LinkTraffic, events.F("links", a.World.Peers.Len()), events.F("opened", opened), events.F("own_data_centre", own),
+	a.Log.Event(events.LinkTraffic, events.F("links", a.World.Peers.Len()), events.F("opened", opened), events.F("near", at[place.Near]), events.F("region", at[place.Region]), events.F("other", at[place.Other]),
 		events.F("members", a.World.Members.Len()), events.F("frames_and_bytes", strings.Join(frames, " ")))
 }
 
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -40,6 +40,7 @@
 		Incarnation: c.Incarnation(),
 		DataCentre:  c.Settings.VM.DataCentre,
 		State:       *c.State(),
+		Region:      c.Settings.VM.Region,
 	}
 }
 
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -77,10 +77,15 @@
 }
 
 func (l *links) noteDistances() {
+	var distances distances
 	for route, client := range l.open {
+		distances.note(l.Here().Of(route.DataCentre, route.Region), client.RoundTrip())
 		route.Load.SetDistance(client.RoundTrip())
 		client.MeasureAgain()
 	}
+	if share, ok := distances.regionShare(); ok {
+		l.World.View.SetRegionShare(share)
+	}
 }
 
 // closeSilent closes links on which calls wait and whose peers have owed a sign of
--- a/pkg/tables/members.go
+++ b/pkg/tables/members.go
@@ -18,6 +18,7 @@
 	VM         string
 	Service    string
 	DataCentre string
+	Region     string
 	Links      string
 	Callers    string
 	Load       *Load
@@ -199,7 +200,7 @@
 }
 
 func samePlace(a, b *wire.Member) bool {
-	return a.Started == b.Started && a.Links == b.Links && a.Service == b.Service && a.DataCentre == b.DataCentre
+	return a.Started == b.Started && a.Links == b.Links && a.Service == b.Service && a.DataCentre == b.DataCentre && a.Region == b.Region
 }
 
 func (me *Members) put(row int, said wire.Member) {
@@ -215,7 +216,7 @@
 	me.Missing[row] = 0
 	me.Since[row] = now
 	me.Route[row] = &Route{
-		VM: said.VM, Service: said.Service, DataCentre: said.DataCentre,
+		VM: said.VM, Service: said.Service, DataCentre: said.DataCentre, Region: said.Region,
 		Links: said.Links, Callers: said.Callers, Load: NewLoad(int(said.Slots)),
 	}
 	me.inUse[row] = true
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -1,6 +1,7 @@
 package tables
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,6 +67,8 @@
 	stale    atomic.Bool
 	// evacuation is nil while no set is known.
 	evacuation atomic.Pointer[evacuation.Set]
+	// regionShare holds the bits of a float; 0: it was not measured.
+	regionShare atomic.Uint64
 }
 
 // Placement returns the version in force, or nil.
@@ -114,6 +117,19 @@
 // SetEvacuation publishes which data centres are evacuated.
 func (vi *View) SetEvacuation(s evacuation.Set) { vi.evacuation.Store(&s) }
 
+// RegionShare is what a round trip to other data centres of the own region takes
+// of one to other regions, as the links have measured it last. It is 1 until there
+// was a link to another region: a deployment of one has no nearer crossing.
+func (vi *View) RegionShare() float64 {
+	if bits := vi.regionShare.Load(); bits != 0 {
+		return math.Float64frombits(bits)
+	}
+	return 1
+}
+
+// SetRegionShare publishes what was measured.
+func (vi *View) SetRegionShare(share float64) { vi.regionShare.Store(math.Float64bits(share)) }
+
 // Unsure is true while nobody can tell whether the placement is in force.
 func (vi *View) Unsure() bool { return vi.unsure.Load() }
 
--- a/pkg/traffic/account.go
+++ b/pkg/traffic/account.go
@@ -1,6 +1,6 @@
 // Package traffic accounts for what a daemon sends to other daemons: frames and
-// bytes by the kind of frame, and by whether they leave the data centre, where
-// bytes have a price. Source: docs/operators/metrics.md.
+// bytes by the kind of frame, and by how far they go, since bytes between data
+// centres have a price, and between regions a higher one. Source: docs/operators/metrics.md.
 package traffic
 
 import (
@@ -8,23 +8,10 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
-// Place says where the daemon at the other end of a link stands.
-type Place uint32
-
-// The places. A link's place is not known until its peer has greeted.
-const (
-	Unknown Place = iota
-	OwnDataCentre
-	OtherDataCentre
-	places
-)
-
-// String returns the place's label in metrics.
-func (p Place) String() string { return [...]string{"unknown", "own", "other"}[p] }
-
 // counters are those of one kind of frame in one place.
 type counters struct {
 	frames *metrics.Counter
@@ -33,19 +20,19 @@
 
 // Account is one daemon's account. It is safe for concurrent use.
 type Account struct {
-	sent [places][wire.TypeCount]counters
+	sent [place.Count][wire.TypeCount]counters
 }
 
 // NewAccount makes an account whose counters stand in a set of metrics.
 func NewAccount(set *metrics.Set) *Account {
 	a := &Account{}
-	for place := range places {
+	for to := range place.Count {
 		for kind := range wire.Type(wire.TypeCount) {
 			if kind == 0 {
 				continue
 			}
-			labels := fmt.Sprintf(`{kind=%q,data_centre=%q}`, kind, place)
-			a.sent[place][kind] = counters{
+			labels := fmt.Sprintf(`{kind=%q,place=%q}`, kind, to)
+			a.sent[to][kind] = counters{
 				frames: set.NewCounter("rushramp_link_frames_total" + labels),
 				bytes:  set.NewCounter("rushramp_link_bytes_total" + labels),
 			}
@@ -55,7 +42,7 @@
 }
 
 // Sent counts one frame of a kind and its size in bytes.
-func (a *Account) Sent(to Place, kind wire.Type, size int) {
+func (a *Account) Sent(to place.Place, kind wire.Type, size int) {
 	c := &a.sent[to][kind]
 	c.frames.Inc()
 	c.bytes.Add(size)
@@ -63,7 +50,7 @@
 
 // Line is what was sent of one kind of frame to one place.
 type Line struct {
-	To     Place
+	To     place.Place
 	Kind   wire.Type
 	Frames uint64
 	Bytes  uint64
@@ -72,12 +59,12 @@
 // Lines returns what was sent so far, without the kinds that were not.
 func (a *Account) Lines() []Line {
 	var out []Line
-	for place := range a.sent {
-		for kind, c := range a.sent[place] {
+	for to := range a.sent {
+		for kind, c := range a.sent[to] {
 			if c.frames == nil || c.frames.Get() == 0 {
 				continue
 			}
-			out = append(out, Line{To: Place(place), Kind: wire.Type(kind), Frames: c.frames.Get(), Bytes: c.bytes.Get()})
+			out = append(out, Line{To: place.Place(to), Kind: wire.Type(kind), Frames: c.frames.Get(), Bytes: c.bytes.Get()})
 		}
 	}
 	return out
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -96,6 +96,8 @@
 	Incarnation uint64
 	DataCentre  string
 	State       State
+	// Region is that of the data centre; empty: not known.
+	Region string
 }
 
 // State is the heartbeat, and news that cannot wait.
