Subsets prefer the own region over others

Cause: the few backend servers of other data centres were drawn over all of them, so that four in five stood in another region where a region has two data centres. Ruled out: none of other regions (a region whose backend servers are full or gone must find somebody at once); as many as of the region (idle links cross regions). Change: of other data centres those of the own region, and two of other regions; in a deployment of one region the subset is what it was. Conclusion: the tests of subsets in one region pass as they stand, one for regions.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -107,6 +107,7 @@
 		endWork: endWork,
 		left:    make(chan struct{}),
 	}
+	d.World.Region = s.VM.Region
 	claims := once.NewClaims(background, c, opts.Platform)
 	if err := d.newExecutor(claims); err != nil {
 		endWork()
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -79,7 +79,7 @@
 func (l *links) noteDistances() {
 	var distances distances
 	for route, client := range l.open {
-		distances.note(l.Here().Of(route.DataCentre, route.Region), client.RoundTrip())
+		distances.note(l.World.Here().Of(route.DataCentre, route.Region), client.RoundTrip())
 		route.Load.SetDistance(client.RoundTrip())
 		client.MeasureAgain()
 	}
--- a/pkg/systems/placeof.go
+++ b/pkg/systems/placeof.go
@@ -7,5 +7,5 @@
 
 // placeOf is how far a peer is, as it said itself.
 func (e *Env) placeOf(peer *link.Peer) place.Place {
-	return e.Here().Of(peer.Hello.DataCentre, peer.Hello.Region)
+	return e.World.Here().Of(peer.Hello.DataCentre, peer.Hello.Region)
 }
--- a/pkg/systems/subset.go
+++ b/pkg/systems/subset.go
@@ -1,6 +1,7 @@
 package systems
 
 import (
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/settings"
@@ -8,16 +9,23 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
+// otherRegions is how many backend servers of other regions an entry works with
+// beside those of its own: one, and one more for when that has ended. Each is a link
+// whose heartbeats cross regions.
+const otherRegions = 2
+
 // Subset returns the routes that this entry works with for a kind: all of them
 // in a small service. Of a large one it takes those of its own data centre, so
 // that each of them has the same entries and none is busier for the luck of a
-// hash, and a few of other data centres for when its own has no room. Where
-// there are more than it may take, rendezvous hashing on this daemon's name
-// decides, so that each entry has its own stable choice. Members that could not
-// be reached of late or whose data centre is evacuated are passed over. Source:
-// docs/design/members.md, "Links", and docs/design/regions.md.
+// hash, and a few of other data centres for when its own has no room: of its own
+// region, and fewer of others. Where there are more than it may take, rendezvous
+// hashing on this daemon's name decides, so that each entry has its own stable
+// choice. Members that could not be reached of late or whose data centre is
+// evacuated are passed over. Source: docs/design/members.md, "Links", and
+// docs/design/regions.md.
 func Subset(w *tables.World, choosing settings.Choosing, kind *placement.CompiledKind) []*tables.Route {
-	var near, far []*tables.Route
+	var at [place.Count][]*tables.Route
+	var all []*tables.Route
 	evacuated := w.View.Evacuation()
 	w.Members.Service(kind.Service, func(row int) {
 		takes := !w.Members.Leaving(row) && w.Members.Row[row].Backend == wire.BackendLive
@@ -28,18 +36,17 @@
 		if _, unreached := w.Unreached[route]; unreached {
 			return
 		}
-		if route.DataCentre == w.DataCentre {
-			near = append(near, route)
-		} else {
-			far = append(far, route)
-		}
+		where := w.Here().Of(route.DataCentre, route.Region)
+		at[where], all = append(at[where], route), append(all, route)
 	})
-	if len(near)+len(far) <= choosing.Subset {
-		return highest(w.VM, append(near, far...), choosing.Subset)
+	if len(all) <= choosing.Subset {
+		return highest(w.VM, all, choosing.Subset)
 	}
-	chosen := highest(w.VM, near, choosing.Near)
-	chosen = append(chosen, highest(w.VM, far, max(choosing.Far, choosing.Subset/2-len(chosen)))...)
-	return fillUp(w.VM, chosen, append(near, far...), kind.Limits, choosing.Subset)
+	least := choosing.Subset / 2
+	chosen := highest(w.VM, at[place.Near], choosing.Near)
+	chosen = append(chosen, highest(w.VM, at[place.Region], max(choosing.Far, least-len(chosen)))...)
+	chosen = append(chosen, highest(w.VM, at[place.Other], max(otherRegions, least-len(chosen)))...)
+	return fillUp(w.VM, chosen, all, kind.Limits, choosing.Subset)
 }
 
 // subsetMost bounds a subset that lists of data centres fill up: choosing marks
--- a/pkg/systems/subset_test.go
+++ b/pkg/systems/subset_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/settings"
@@ -61,6 +62,36 @@
 	}
 }
 
+// TestASubsetPrefersTheOwnRegion: the data centres a and b are of one region, c is of
+// another.
+func TestASubsetPrefersTheOwnRegion(t *testing.T) {
+	choosing := settings.Default().Choosing
+	for _, tc := range []struct {
+		name                string
+		each                []int
+		near, region, other int
+	}{
+		{"a small service is used whole", []int{4, 6, 6}, 4, 6, 6},
+		{"few of the region, fewer of others", []int{29, 58, 57}, 29, choosing.Far, otherRegions},
+		{"more of the region where the own data centre has few", []int{2, 20, 20}, 2, choosing.Subset/2 - 2, otherRegions},
+		{"the region has none left", []int{0, 0, 40}, 0, 0, choosing.Subset / 2},
+		{"the region has few", []int{1, 2, 40}, 1, 2, choosing.Subset/2 - 3},
+	} {
+		w, kind := subsetWorld(tc.each...)
+		w.Region = "r"
+		w.Members.Rows(func(row int) {
+			if route := w.Members.Route[row]; route.DataCentre != "c" {
+				route.Region = "r"
+			}
+		})
+		var counts [place.Count]int
+		for _, route := range Subset(w, choosing, kind) {
+			counts[w.Here().Of(route.DataCentre, route.Region)]++
+		}
+		test.Eq(t, [place.Count]int{place.Near: tc.near, place.Region: tc.region, place.Other: tc.other}, counts, test.Sprint(tc.name))
+	}
+}
+
 // TestASubsetHoldsEnoughOfTheAllowedDataCentres of a large service, also where
 // the own one is not among them.
 func TestASubsetHoldsEnoughOfTheAllowedDataCentres(t *testing.T) {
--- a/pkg/tables/world.go
+++ b/pkg/tables/world.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/placement"
 )
 
@@ -12,8 +13,10 @@
 	// VM and DataCentre are this daemon's own.
 	VM         string
 	DataCentre string
-	Members    *Members
-	Peers      *Peers
+	// Region is empty in a deployment without regions.
+	Region  string
+	Members *Members
+	Peers   *Peers
 	// Placement is the version in force, or nil. Hash is its digest.
 	Placement *placement.Document
 	Hash      string
@@ -58,6 +61,9 @@
 	}
 }
 
+// Here is where this daemon stands.
+func (w *World) Here() place.Here { return place.Here{DataCentre: w.DataCentre, Region: w.Region} }
+
 // Touch marks the view of a service as out of date.
 func (w *World) Touch(service string) { w.Dirty[service] = struct{}{} }
 
