Members, departures and the sample cross by region

Cause: rows crossed three times into each data centre of another region, departures over all links there, and the sample held one link to each of its data centres. Ruled out: relays by rank in a region (daemons of two data centres know each other too little); no rows of other regions within the region (each data centre would need its own crossing). Change: groups: a data centre of the own region, or another region whole. Conclusion: tables converge as before with regions in the test, and a region that was cut off joins by one question a side.

--- a/pkg/systems/converge_test.go
+++ b/pkg/systems/converge_test.go
@@ -28,9 +28,18 @@
 	s.VM = settings.VM{ID: vm, DataCentre: dataCentre}
 	c := common.NewCommon(events.Discard(), &s)
 	env := &Env{Common: c, World: tables.NewWorld(vm, dataCentre)}
+	env.World.Region = regionOf(dataCentre)
 	return &tableNode{spread: &spread{Env: env}, env: env, byPeer: map[*link.Peer]*tableNode{}}
 }
 
+// regionOf puts two data centres into each region.
+func regionOf(dataCentre string) string {
+	if dataCentre == "d0" || dataCentre == "d1" {
+		return "r0"
+	}
+	return "r1"
+}
+
 func (n *tableNode) members() *tables.Members { return n.env.World.Members }
 
 // connect opens a link between two daemons, with a row of peers at each end.
@@ -42,7 +51,7 @@
 }
 
 func peerOf(n *tableNode) *link.Peer {
-	return &link.Peer{Hello: wire.Hello{VM: n.env.World.VM, DataCentre: n.env.World.DataCentre}}
+	return &link.Peer{Hello: wire.Hello{VM: n.env.World.VM, DataCentre: n.env.World.DataCentre, Region: n.env.World.Region}}
 }
 
 // passOn hands on what is new at a daemon; some frames are lost. It returns
@@ -68,7 +77,7 @@
 		nodes := drawFleet(t)
 		lost := func() bool { return rapid.IntRange(0, 9).Draw(t, "lost") == 0 }
 		for _, n := range nodes {
-			n.members().Merge(1, nil, wire.Member{VM: n.env.World.VM, DataCentre: n.env.World.DataCentre, Service: "s", Incarnation: 1})
+			n.members().Merge(1, nil, wire.Member{VM: n.env.World.VM, DataCentre: n.env.World.DataCentre, Region: n.env.World.Region, Service: "s", Incarnation: 1})
 		}
 		for again := true; again; {
 			again = false
--- a/pkg/systems/departures.go
+++ b/pkg/systems/departures.go
@@ -11,6 +11,7 @@
 
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/utils"
@@ -33,6 +34,10 @@
 	// other data centres, beside the one that it was said to. With each daemon doing
 	// so, 82 of them sent 54,829 frames there for some forty departures.
 	departureRelays = 3
+	// departureCrossings is how many daemons of another region each of them tells. A
+	// departure binds the daemon beside the backend server; others keep it for when that
+	// one has forgotten, and it asks its own data centre first.
+	departureCrossings = 2
 )
 
 // departures keeps and passes on which processes of backend servers have said
@@ -91,14 +96,14 @@
 }
 
 // tell passes departures on that are new here: those that were said here to all
-// daemons that this one has links with, those heard of within the data centre, and
-// a few of them to others. Who knows them already passes nothing on, so news ends by
+// daemons of the region that this one has links with and to a few of others, those
+// heard of within the data centre, and a few of them to others. Who knows them already passes nothing on, so news ends by
 // itself.
 func (d *departures) tell(own, heard []string) {
 	if len(own)+len(heard) == 0 {
 		return
 	}
-	near, far := d.peersByDataCentre()
+	near, far := d.peersByGroup()
 	everywhere := slices.Concat(own, d.relayed(near, heard))
 	// A link that has closed leaves the table with its next event.
 	all := &wire.Departures{IDs: slices.Concat(own, heard)}
@@ -109,7 +114,10 @@
 		return
 	}
 	abroad := &wire.Departures{IDs: everywhere}
-	for _, peers := range far {
+	for to, peers := range far {
+		if to.at == place.Other {
+			peers = draw(peers, departureCrossings)
+		}
 		for _, peer := range peers {
 			_ = peer.Send(abroad)
 		}
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -131,7 +131,7 @@
 	ids := []string{"i-1", "i-2", "i-3", "i-4"}
 	for n := range daemons {
 		s.World.VM = fmt.Sprint("here", n)
-		near, _ := s.peersByDataCentre()
+		near, _ := s.peersByGroup()
 		d := &departures{Env: s.Env}
 		for _, id := range d.relayed(without(near, s.World.VM), ids) {
 			relays[id]++
--- a/pkg/systems/placements.go
+++ b/pkg/systems/placements.go
@@ -165,12 +165,9 @@
 	_ = best.Send(&wire.Pull{Have: have})
 }
 
-// isNearer is true when only the first of two peers is in the own data centre:
-// bytes between data centres have a price.
-func (pl *placements) isNearer(a, b *link.Peer) bool {
-	own := pl.World.DataCentre
-	return a.Hello.DataCentre == own && b.Hello.DataCentre != own
-}
+// isNearer is true when the first of two peers is the nearer one: bytes between data
+// centres have a price, and those between regions a higher one.
+func (pl *placements) isNearer(a, b *link.Peer) bool { return pl.placeOf(a) < pl.placeOf(b) }
 
 func (pl *placements) offered(peer *link.Peer) bool {
 	_, ok := pl.offers[peer.Hello.DataCentre]
--- /dev/null
+++ b/pkg/systems/regions_test.go
@@ -0,0 +1,140 @@
+package systems
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// TestTheSampleHoldsOneOfEachOtherRegion, and one of each data centre of the own one.
+func TestTheSampleHoldsOneOfEachOtherRegion(t *testing.T) {
+	l := &links{Env: regionFleet(10).Env}
+	l.World.Members.Merge(1, nil, wire.Member{VM: "old", DataCentre: "c1", Service: "s"})
+	l.drawSample()
+	counts := map[group]int{}
+	for _, route := range l.sample {
+		counts[l.groupOf(route.DataCentre, route.Region)]++
+	}
+	test.Eq(t, map[group]int{
+		{place.Near, "a1"}: sampleNear, {place.Region, "a2"}: 1, {place.Other, "b"}: 1, {place.Other, "c1"}: 1,
+	}, counts, test.Sprint("a VM that does not say its region stands for its data centre"))
+}
+
+// TestADocumentIsPulledFromTheNearestThatHasIt.
+func TestADocumentIsPulledFromTheNearestThatHasIt(t *testing.T) {
+	pl := &placements{Env: regionFleet(1).Env}
+	peer := func(dataCentre string) *link.Peer {
+		return &link.Peer{Hello: wire.Hello{VM: "x", DataCentre: dataCentre, Region: dataCentre[:1]}}
+	}
+	test.True(t, pl.isNearer(peer("a1"), peer("a2")))
+	test.True(t, pl.isNearer(peer("a2"), peer("b1")))
+	test.False(t, pl.isNearer(peer("b1"), peer("b2")))
+	test.False(t, pl.isNearer(peer("b1"), peer("a1")))
+}
+
+// TestARegionThatWasCutOffJoinsWithoutAStorm: both sides change while they are apart.
+// One question of one daemon a side is all that crosses: what was learnt by it goes on
+// within the region, and not back.
+func TestARegionThatWasCutOffJoinsWithoutAStorm(t *testing.T) {
+	const each = 6
+	var nodes []*tableNode
+	for _, dataCentre := range []string{"d0", "d1", "d2", "d3"} {
+		for n := range each {
+			nodes = append(nodes, newTableNode(fmt.Sprint(dataCentre, "v", n), dataCentre))
+		}
+	}
+	apart := func(a, b *tableNode) bool { return a.env.World.Region != b.env.World.Region }
+	for i, a := range nodes {
+		for _, b := range nodes[:i] {
+			if !apart(a, b) {
+				connect(a, b)
+			}
+		}
+	}
+	// Each side knows all of both from before, and then changes by itself.
+	for _, n := range nodes {
+		for _, other := range nodes {
+			n.members().Merge(1, nil, rowOf(other, 1))
+		}
+		n.members().TakeFresh()
+	}
+	settle := func() (crossed int) {
+		for again := true; again; {
+			again = false
+			for _, n := range nodes {
+				sent, over := n.passOnCounted(apart)
+				again, crossed = again || sent, crossed+over
+			}
+		}
+		return crossed
+	}
+	for _, n := range nodes {
+		n.members().Merge(2, nil, rowOf(n, 2))
+	}
+	must.Eq(t, 0, settle(), must.Sprint("they are apart"))
+	for _, n := range nodes {
+		for _, other := range nodes {
+			row, _ := n.members().Find(other.env.World.VM)
+			want := uint64(2)
+			if apart(n, other) {
+				want = 1
+			}
+			must.Eq(t, want, n.members().Row[row].Revision, must.Sprint("each side goes on by itself"))
+		}
+	}
+	// Links come back, one a daemon; one daemon of a side asks.
+	for i := range 2 * each {
+		connect(nodes[i], nodes[2*each+i])
+	}
+	ask(nodes[0], nodes[2*each])
+	ask(nodes[2*each], nodes[0])
+	crossed := settle()
+	// What chance kept from a daemon comes in by questions within its region.
+	for _, n := range nodes {
+		for _, peer := range nodes {
+			if !apart(n, peer) && n.members().Digest() != peer.members().Digest() {
+				ask(n, peer)
+			}
+		}
+	}
+	crossed += settle()
+	for _, n := range nodes {
+		must.Eq(t, nodes[0].members().Digest(), n.members().Digest())
+	}
+	test.Eq(t, 0, crossed, test.Sprint("the side that a row came from knows it"))
+}
+
+// rowOf is a daemon's own row at a revision.
+func rowOf(n *tableNode, revision uint64) wire.Member {
+	w := n.env.World
+	return wire.Member{VM: w.VM, DataCentre: w.DataCentre, Region: w.Region, Service: "s", Incarnation: 1, Revision: revision}
+}
+
+// ask has a daemon ask a peer for the rows in which their tables differ.
+func ask(n, from *tableNode) {
+	for _, row := range from.members().Differing(n.members().Buckets()) {
+		n.members().Merge(1, peerOf(from), row)
+	}
+}
+
+// passOnCounted is passOn without losses. It counts the rows that went to daemons for
+// which apart is true.
+func (n *tableNode) passOnCounted(apart func(a, b *tableNode) bool) (sent bool, crossed int) {
+	plan := n.spread.plan(n.spread.saidByDaemons(n.members().TakeFresh()))
+	for peer, rows := range plan {
+		to := n.byPeer[peer]
+		if apart(n, to) {
+			crossed += len(rows)
+		}
+		for _, row := range rows {
+			to.members().Merge(1, peerOf(n), row)
+		}
+	}
+	return len(plan) > 0, crossed
+}
--- a/pkg/systems/sample.go
+++ b/pkg/systems/sample.go
@@ -1,28 +1,32 @@
 package systems
 
-import "github.com/rushramp/rushramp/pkg/tables"
+import (
+	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
 
 // sampleNear is how many daemons of the own data centre the sample holds: links
 // drawn at random, three a daemon, connect a data centre of any size.
 const sampleNear = 3
 
 // drawSample picks the daemons that this one keeps a link with besides those
-// that calls need: the highest by rendezvous hash, some in the own data centre
-// and one in each other. They carry placement versions and news even where no
-// calls go.
+// that calls need: the highest by rendezvous hash, some in the own data centre,
+// one in each other of the region and one in each other region. They carry
+// placement versions and news even where no calls go.
 func (l *links) drawSample() {
-	byDataCentre := map[string][]*tables.Route{}
+	byGroup := map[group][]*tables.Route{}
 	l.World.Members.Rows(func(row int) {
 		route := l.World.Members.Route[row]
 		if route.VM == l.World.VM || l.World.Members.Leaving(row) {
 			return
 		}
-		byDataCentre[route.DataCentre] = append(byDataCentre[route.DataCentre], route)
+		in := l.groupOf(route.DataCentre, route.Region)
+		byGroup[in] = append(byGroup[in], route)
 	})
 	l.sample = l.sample[:0]
-	for dataCentre, routes := range byDataCentre {
+	for in, routes := range byGroup {
 		most := 1
-		if dataCentre == l.World.DataCentre {
+		if in.at == place.Near {
 			most = sampleNear
 		}
 		l.sample = append(l.sample, highest(l.World.VM, routes, most)...)
--- a/pkg/systems/spread.go
+++ b/pkg/systems/spread.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -21,8 +22,9 @@
 const spreadFanout = 4
 
 // spreadRelays is how many daemons of a data centre, in the mean, send a row of
-// one of its VMs to each other data centre; e^-3 of the rows are missed there
-// and found by the comparing of tables. Bytes between data centres have a price.
+// one of its VMs to each other data centre of the region and to each other region;
+// e^-3 of the rows are missed there and found by the comparing of tables. Bytes
+// between data centres have a price.
 const spreadRelays = 3
 
 // spreadEvery is the least time between two times of passing rows on. A single
@@ -78,13 +80,13 @@
 	if len(said) == 0 {
 		return out
 	}
-	near, far := s.peersByDataCentre()
+	near, far := s.peersByGroup()
 	for _, peer := range draw(near, spreadFanout) {
 		out[peer] = except(peer, said)
 	}
-	for _, peers := range far {
+	for to, peers := range far {
 		for _, peer := range draw(peers, 1) {
-			out[peer] = except(peer, s.relayed(said))
+			out[peer] = except(peer, s.relayed(to, said))
 		}
 	}
 	return out
@@ -113,32 +115,18 @@
 	return out
 }
 
-// peersByDataCentre returns one link to each daemon: those of the own data
-// centre, and the others by theirs.
-func (e *Env) peersByDataCentre() (near []*link.Peer, far map[string][]*link.Peer) {
-	seen := map[string]struct{}{}
-	far = map[string][]*link.Peer{}
-	e.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
-		if _, known := seen[peer.Hello.VM]; known || row.Leaving {
-			return
-		}
-		seen[peer.Hello.VM] = struct{}{}
-		if dataCentre := peer.Hello.DataCentre; dataCentre != e.World.DataCentre {
-			far[dataCentre] = append(far[dataCentre], peer)
-			return
-		}
-		near = append(near, peer)
-	})
-	return near, far
-}
-
-// relayed are the rows that this daemon sends to another data centre: those of
-// the own one, each with a chance by which spreadRelays daemons do so.
-func (s *spread) relayed(said []tables.Fresh) []tables.Fresh {
+// relayed are the rows that this daemon sends to a group, each with a chance by which
+// spreadRelays daemons of its data centre do so: those of the own data centre go to
+// all groups, those of other regions to the data centres of the own one, where a row
+// that crossed into one must reach the others. Rows of the own region's other data
+// centres are relayed by these.
+func (s *spread) relayed(to group, said []tables.Fresh) []tables.Fresh {
 	chance := spreadRelays / float64(max(s.World.Members.InDataCentre(s.World.DataCentre), 1))
 	var out []tables.Fresh
 	for _, f := range said {
-		if f.Row.DataCentre == s.World.DataCentre && rand.Float64() < chance {
+		from := s.World.Here().Of(f.Row.DataCentre, f.Row.Region)
+		relays := from == place.Near || from == place.Other && to.at == place.Region
+		if relays && rand.Float64() < chance {
 			out = append(out, f)
 		}
 	}
--- a/pkg/systems/spread_test.go
+++ b/pkg/systems/spread_test.go
@@ -73,6 +73,51 @@
 	test.Eq(t, 0, crossed["foreign"])
 }
 
+// regionFleet makes a daemon of a1, in the region a of two data centres, that has
+// links with some daemons of each data centre of the regions a and b.
+func regionFleet(each int) *spread {
+	env := testEnv()
+	env.World.DataCentre, env.World.Region = "a1", "a"
+	for _, dataCentre := range []string{"a1", "a2", "b1", "b2"} {
+		for n := range each {
+			vm, region := fmt.Sprint(dataCentre, n), dataCentre[:1]
+			env.World.Members.Merge(1, nil, wire.Member{VM: vm, DataCentre: dataCentre, Region: region, Service: "s"})
+			env.World.Peers.Put(&link.Peer{Hello: wire.Hello{VM: vm, DataCentre: dataCentre, Region: region}})
+		}
+	}
+	return &spread{Env: env}
+}
+
+// TestARowCrossesIntoAnotherRegionAFewTimes, however many data centres that has; there
+// it goes on to all of them, and not back.
+func TestARowCrossesIntoAnotherRegionAFewTimes(t *testing.T) {
+	const daemons, rounds = 20, 300
+	s := regionFleet(daemons)
+	from := &link.Peer{Hello: wire.Hello{VM: "a15", DataCentre: "a1", Region: "a"}}
+	crossed := map[string]int{}
+	for range daemons * rounds {
+		plan := s.plan([]tables.Fresh{
+			{Row: wire.Member{VM: "own", DataCentre: "a1", Region: "a"}, From: from},
+			{Row: wire.Member{VM: "region", DataCentre: "a2", Region: "a"}, From: from},
+			{Row: wire.Member{VM: "other", DataCentre: "b1", Region: "b"}, From: from},
+		})
+		for peer, rows := range plan {
+			for _, row := range rows {
+				crossed[row.VM+" to "+s.placeOf(peer).String()]++
+			}
+		}
+	}
+	few := func(what string) {
+		test.Between(t, rounds*spreadRelays*8/10, crossed[what], rounds*spreadRelays*12/10, test.Sprint(what))
+	}
+	few("own to region")
+	few("own to other")
+	few("other to region")
+	test.Eq(t, 0, crossed["region to other"], test.Sprint("its own data centre sends it there"))
+	test.Eq(t, 0, crossed["region to region"])
+	test.Eq(t, 0, crossed["other to other"])
+}
+
 // TestASmallDataCentreLosesNoRow: where a data centre has no more daemons than
 // relays are wanted, each sends each row on.
 func TestASmallDataCentreLosesNoRow(t *testing.T) {
