A crossing is priced by the bytes that it moves; large requests wait nearer

Ruled out: refusing what would cross (a price never refuses a request); a price of uploads by name or kind. Change: the entry follows the bytes of requests and answers by route; leave_cost is the price of a request of mean size. A pick in another region is taken only where waiting nearer is expected to cost more.

--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -65,6 +65,10 @@
 type RoutedPick struct {
 	// Index points into the set; None: no candidate is left.
 	Index int
+	// Place is how far the candidate is, Cost what it was expected to cost, as a time
+	// in nanoseconds.
+	Place place.Place
+	Cost  float64
 	// Refusing counts the candidates that were passed over because their gates
 	// have just shown that they would refuse the request.
 	Refusing int
@@ -75,7 +79,7 @@
 // refuse the request are passed over. Source: docs/design/platform.md, "The
 // first decisions".
 func PickRouted(req *Routed, rnd Random) RoutedPick {
-	out, bestCost := RoutedPick{Index: None}, math.Inf(1)
+	out := RoutedPick{Index: None, Cost: math.Inf(1)}
 	for i := range req.Set {
 		candidate := &req.Set[i]
 		if req.Excluded.Has(i) || !req.allows(candidate.Route.DataCentre) {
@@ -89,8 +93,8 @@
 			continue
 		}
 		cost := req.cost(&known, at) + tieShare*float64(req.Work)*rnd.Float64()
-		if cost < bestCost {
-			out.Index, bestCost = i, cost
+		if cost < out.Cost {
+			out.Index, out.Place, out.Cost = i, at, cost
 		}
 	}
 	return out
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -7,6 +7,7 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -132,7 +133,8 @@
 func (a *attempts) left() time.Duration { return time.Duration(a.deadline - a.owner.Now()) }
 
 // pick chooses the next candidate. While soft attempts are left it takes one
-// that has not refused softly; then any that is not closed, and may queue there.
+// that has not refused softly; then any that is not closed, and may queue there. One
+// that would cross to another region it takes only where waiting nearer costs more.
 func (a *attempts) pick() (pick choose.RoutedPick, soft bool) {
 	a.refresh()
 	a.renewRules()
@@ -146,13 +148,19 @@
 	if a.softLeft > 0 {
 		req.Soft = true
 		req.Excluded = a.softTried | a.closed
-		if pick = choose.PickRouted(&req, a.owner.random); pick.Index != choose.None {
+		if pick = choose.PickRouted(&req, a.owner.random); pick.Index != choose.None && pick.Place != place.Other {
 			return pick, true
 		}
 	}
-	req.Soft = false
-	req.Excluded = a.closed
-	return choose.PickRouted(&req, a.owner.random), false
+	earnest := req
+	earnest.Soft = false
+	earnest.Excluded = a.closed
+	waits := choose.PickRouted(&earnest, a.owner.random)
+	if req.Soft && pick.Index != choose.None && pick.Cost <= waits.Cost {
+		// It crosses to another region, and to wait nearer would cost more.
+		return pick, true
+	}
+	return waits, false
 }
 
 // within is the time in which the request must end to be worth its run: its
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -46,6 +46,7 @@
 	budgets *budgets
 	work    *worktime.Times
 	called  *calledRoutes
+	sizes   *sizes
 	// runs is nil on a daemon without a backend server.
 	runs Runs
 
@@ -61,6 +62,7 @@
 		budgets: newBudgets(c, view.Members),
 		work:    worktime.NewTimes(),
 		called:  newCalledRoutes(),
+		sizes:   newSizes(),
 		runs:    runs,
 	}
 }
--- a/pkg/forward/rules_test.go
+++ b/pkg/forward/rules_test.go
@@ -114,10 +114,67 @@
 func TestACrossingWithinTheRegionCostsItsShare(t *testing.T) {
 	f := newForwarder(&fakeRunner{answer: answers(200)})
 	f.Settings.Routing.LeaveCost = 0.5
-	a := &attempts{owner: f, target: time.Second}
+	a := &attempts{owner: f, target: time.Second, req: request("/read/1"), route: f.view.Placement().Routes.Match("h", "/read/1")}
 	test.Eq(t, choose.Costs{place.Region: 500 * time.Millisecond, place.Other: 500 * time.Millisecond}, a.leaveCost(), test.Sprint("not measured"))
 	f.view.SetRegionShare(0.125)
 	test.Eq(t, 62500*time.Microsecond, a.leaveCost()[place.Region])
 	f.Settings.Routing.RegionShare = 0.25
 	test.Eq(t, choose.Costs{place.Region: 125 * time.Millisecond, place.Other: 500 * time.Millisecond}, a.leaveCost())
 }
+
+// TestACrossingIsPricedByItsBytes: an upload of 60 kB beside lookups of 5.
+func TestACrossingIsPricedByItsBytes(t *testing.T) {
+	s := newSizes()
+	test.Eq(t, 1, s.share("lookup", 0), test.Sprint("nothing is known"))
+	for range 1000 {
+		for range 9 {
+			s.note("lookup", 0, 5000)
+		}
+		s.note("upload", 60000, 400)
+	}
+	test.Between(t, 0.4, s.share("lookup", 0), 0.6)
+	test.Between(t, 4.5, s.share("upload", 60000), 6.5)
+	test.Greater(t, s.share("upload", 60000), s.share("upload", 360000), test.Sprint("by the request's own body"))
+	test.Eq(t, 1, s.share("other", 0))
+}
+
+// crossable is a forwarder with a full backend server near, an idle one in another
+// region, and a size in which a request of no body is some share of the mean.
+func crossable(near, other *fakeRunner, share float64) *Forwarder {
+	f := newForwarder(near, other)
+	f.Settings.VM.Region = "r"
+	set := f.view.Service("s").Match("GET", "/read/").Ready
+	set[0].Route.Region = "r"
+	set[1].Route.DataCentre, set[1].Route.Region = "there", "x"
+	f.sizes.note("read", 0, 1000)
+	f.sizes.all.mean = (frameBytes + 1000) / share
+	full := wire.Stamp{Seq: 1, Limit: 4, Running: 4, Queued: 1, Slowdown: 100}
+	set[0].Load.Report(f.Now(), full)
+	set[1].Load.Report(f.Now(), wire.Stamp{Seq: 1, Limit: 4, Slowdown: 100})
+	return f
+}
+
+// TestWhatIsLargeWaitsNearerInsteadOfCrossingRegions: the near gate is full, and would
+// refuse a soft attempt.
+func TestWhatIsLargeWaitsNearerInsteadOfCrossingRegions(t *testing.T) {
+	for share, crosses := range map[float64]int{0.1: 1, 10: 0} {
+		near, other := &fakeRunner{answer: answers(200)}, &fakeRunner{answer: answers(200)}
+		f := crossable(near, other, share)
+		got := f.Forward(t.Context(), request("/read/1"))
+		must.NotNil(t, got.Answer)
+		test.Eq(t, crosses, len(other.calls), test.Sprint(share))
+		test.Eq(t, 1-crosses, len(near.calls))
+		if crosses == 0 {
+			test.False(t, near.calls[0].Routed.Soft, test.Sprint("it may queue there"))
+		}
+	}
+}
+
+// TestWhatIsLargeCrossesWhereNobodyNearerIsLeft: a price never refuses a request.
+func TestWhatIsLargeCrossesWhereNobodyNearerIsLeft(t *testing.T) {
+	near, other := &fakeRunner{answer: refuses(errkind.Overloaded, false)}, &fakeRunner{answer: answers(200)}
+	got := crossable(near, other, 10).Forward(t.Context(), request("/read/1"))
+	must.NotNil(t, got.Answer)
+	test.Len(t, 1, near.calls)
+	test.Len(t, 1, other.calls)
+}
