Followers of the feed are drawn by region where there are several

Ruled out: one follower and a stand-in (three cover a follower that is killed while its links are not known to be down); the group by region in deployments of one region (they keep three a data centre); rank by members without links (a dead one follows nothing). Change: readers, the group by which followers are ranked; Members counts regions. Conclusion: tests of systems green; one daemon too many follows where links are few.

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -214,7 +214,7 @@
 	HeadEvery time.Duration `yaml:"head_every" validate:"min=10ms"`
 	// Number of head readers per data centre.
 	HeadReaders int `yaml:"head_readers" validate:"min=1,max=10"`
-	// Number of daemons per data centre that follow a feed of placements, where the store has one.
+	// Number of daemons per data centre that follow a feed of placements, where the store has one; in a deployment of several regions, per region.
 	FeedReaders int `yaml:"feed_readers" validate:"min=1,max=1000"`
 	// Time without news of the store or of other data centres after which strict kinds are refused.
 	UnsureAfter time.Duration `yaml:"unsure_after" validate:"min=100ms"`
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -123,19 +123,20 @@
 // time. Few links are open by then, so daemons rank themselves among the members
 // that they know; all of them live.
 func (f *follower) mustFollowFirst(now int64) bool {
-	return now >= int64(firstFollowAfter) && f.aheadInDataCentre() < f.Settings.Placement.FeedReaders
+	return now >= int64(firstFollowAfter) && f.aheadIn(f.readers()) < f.Settings.Placement.FeedReaders
 }
 
-// ahead counts the daemons of this data centre that come before this one by
-// rendezvous hash. Only those with a link count: a member that is gone but not
-// forgotten follows nothing. Where links are few, more daemons follow, which
+// ahead counts the daemons with which this one shares the feed's readers that come
+// before it by rendezvous hash. Only those with a link count: a member that is gone
+// but not forgotten follows nothing. Where links are few, more daemons follow, which
 // costs calls and is never wrong.
 func (f *follower) ahead() int {
-	mine := utils.Rendezvous(f.World.DataCentre, f.World.VM)
+	group := f.readers()
+	mine := utils.Rendezvous(group.name, f.World.VM)
 	before := map[string]struct{}{}
 	f.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
 		hello := &peer.Hello
-		if hello.DataCentre == f.World.DataCentre && !row.Leaving && utils.Rendezvous(f.World.DataCentre, hello.VM) > mine {
+		if group.has(f.placeOf(peer)) && !row.Leaving && utils.Rendezvous(group.name, hello.VM) > mine {
 			before[hello.VM] = struct{}{}
 		}
 	})
--- a/pkg/systems/readers.go
+++ b/pkg/systems/readers.go
@@ -1,6 +1,9 @@
 package systems
 
-import "github.com/rushramp/rushramp/pkg/utils"
+import (
+	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/utils"
+)
 
 // isReader is true when this daemon is among its data centre's readers of the
 // platform. Each daemon works that out by itself from its table of members;
@@ -8,18 +11,42 @@
 // some time, and is never wrong.
 func (e *Env) isReader() bool { return e.aheadInDataCentre() < e.Settings.Placement.HeadReaders }
 
+// readers are the daemons among which a few read for all.
+type readers struct {
+	// name is what they are ranked by, upTo the farthest place of theirs.
+	name string
+	upTo place.Place
+}
+
+// has is true for daemons at a place.
+func (r readers) has(at place.Place) bool { return at != place.Unknown && at <= r.upTo }
+
+// readers are those among which the followers of the feed are drawn: the region where
+// there are several, since each region hears the others over its links and the store
+// stands in one of them; else the data centre.
+func (e *Env) readers() readers {
+	if e.World.Members.Regions() > 1 && e.World.Region != "" {
+		return readers{e.World.Region, place.Region}
+	}
+	return readers{e.World.DataCentre, place.Near}
+}
+
 // aheadInDataCentre counts the members of this data centre that come before this
 // daemon by rendezvous hash.
-func (e *Env) aheadInDataCentre() int {
-	mine := utils.Rendezvous(e.World.DataCentre, e.World.VM)
+func (e *Env) aheadInDataCentre() int { return e.aheadIn(readers{e.World.DataCentre, place.Near}) }
+
+// aheadIn counts the members among some readers that come before this daemon by
+// rendezvous hash.
+func (e *Env) aheadIn(group readers) int {
+	mine := utils.Rendezvous(group.name, e.World.VM)
 	ahead := 0
 	m := e.World.Members
 	m.Rows(func(row int) {
 		vm := &m.Row[row]
-		if vm.DataCentre != e.World.DataCentre || vm.VM == e.World.VM || m.Leaving(row) {
+		if !group.has(e.World.Here().Of(vm.DataCentre, vm.Region)) || vm.VM == e.World.VM || m.Leaving(row) {
 			return
 		}
-		if utils.Rendezvous(e.World.DataCentre, vm.VM) > mine {
+		if utils.Rendezvous(group.name, vm.VM) > mine {
 			ahead++
 		}
 	})
--- a/pkg/systems/regions_test.go
+++ b/pkg/systems/regions_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -141,3 +142,35 @@
 	}
 	return len(plan) > 0, crossed
 }
+
+// TestAFewDaemonsOfARegionFollowTheFeed, whichever of its data centres they stand in;
+// in a deployment of one region a few of each data centre do.
+func TestAFewDaemonsOfARegionFollowTheFeed(t *testing.T) {
+	const each = 20
+	following := func(region func(dataCentre string) string) (n int) {
+		for _, own := range []string{"a1", "a2"} {
+			for vm := range each {
+				env := regionFleet(0).Env
+				env.World.VM, env.World.DataCentre, env.World.Region = fmt.Sprint(own, vm), own, region(own)
+				for _, dataCentre := range []string{"a1", "a2", "b1"} {
+					for other := range each {
+						name := fmt.Sprint(dataCentre, other)
+						env.World.Members.Merge(1, nil, wire.Member{VM: name, DataCentre: dataCentre, Region: region(dataCentre), Service: "s"})
+						if name != env.World.VM {
+							env.World.Peers.Put(&link.Peer{Hello: wire.Hello{VM: name, DataCentre: dataCentre, Region: region(dataCentre)}})
+						}
+					}
+				}
+				env.World.Placement = &placement.Document{Version: 1}
+				if newFollower(env).mustFollow(1) {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	readers := testEnv().Settings.Placement.FeedReaders
+	test.Eq(t, readers, following(func(dataCentre string) string { return dataCentre[:1] }))
+	test.Eq(t, 2*readers, following(func(string) string { return "all" }))
+	test.Eq(t, 2*readers, following(func(string) string { return "" }))
+}
--- a/pkg/tables/members.go
+++ b/pkg/tables/members.go
@@ -70,9 +70,11 @@
 	serviceChanges map[string]uint64
 	// inDataCentre counts the rows of each data centre.
 	inDataCentre map[string]int
-	gone         map[string]tombstone
-	digests      [buckets]uint32
-	changes      uint64
+	// inRegion counts the rows of each region that is known.
+	inRegion map[string]int
+	gone     map[string]tombstone
+	digests  [buckets]uint32
+	changes  uint64
 	// fresh are rows that changed and were not passed on yet.
 	fresh []Fresh
 }
@@ -94,7 +96,7 @@
 func NewMembers() *Members {
 	return &Members{
 		byID: map[string]int{}, byService: map[string]map[int]struct{}{},
-		serviceChanges: map[string]uint64{}, inDataCentre: map[string]int{}, gone: map[string]tombstone{},
+		serviceChanges: map[string]uint64{}, inDataCentre: map[string]int{}, inRegion: map[string]int{}, gone: map[string]tombstone{},
 	}
 }
 
@@ -111,6 +113,9 @@
 // InDataCentre counts the members of a data centre.
 func (me *Members) InDataCentre(name string) int { return me.inDataCentre[name] }
 
+// Regions counts the regions that members stand in; one that is not known is one.
+func (me *Members) Regions() int { return len(me.inRegion) }
+
 // Find returns the row number of a VM; ok is false when it is not known.
 func (me *Members) Find(id string) (row int, ok bool) {
 	row, ok = me.byID[id]
@@ -227,6 +232,7 @@
 	}
 	me.byService[said.Service][row] = struct{}{}
 	me.inDataCentre[said.DataCentre]++
+	me.inRegion[said.Region]++
 	me.count(&said)
 }
 
@@ -255,6 +261,9 @@
 	delete(me.byID, id)
 	delete(me.byService[route.Service], row)
 	me.inDataCentre[route.DataCentre]--
+	if me.inRegion[route.Region]--; me.inRegion[route.Region] == 0 {
+		delete(me.inRegion, route.Region)
+	}
 	me.inUse[row] = false
 	me.Route[row] = nil
 	me.free = append(me.free, row)
