--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -164,7 +164,7 @@
 	Subset int `yaml:"subset" validate:"min=2,max=1000"`
 	// Most backend servers of its own data centre that an entry works with in a larger service.
 	Near int `yaml:"near" validate:"min=1,max=1000"`
-	// Number of backend servers of other data centres that it works with besides; more where the own one has few, so that there are half of choosing.subset in all.
+	// Number of backend servers of other data centres of the region that it works with besides; more where the own one has few, so that there are half of choosing.subset in all.
 	Far int `yaml:"far" validate:"min=0,max=1000"`
 	// Age at which a load report has lost most of its weight.
 	StampHalfLife time.Duration `yaml:"stamp_half_life" validate:"min=1ms"`
