A request waits nearer only where that ends in time

Ruled out: a bound on the price of large requests (it would hang on a figure of its own). Change: waiting nearer than another region needs the expected end, with the spread that gates allow for, within the target.

--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -66,9 +66,10 @@
 	// Index points into the set; None: no candidate is left.
 	Index int
 	// Place is how far the candidate is, Cost what it was expected to cost, as a time
-	// in nanoseconds.
-	Place place.Place
-	Cost  float64
+	// in nanoseconds, and Expected the part of that which is time, and no price.
+	Place    place.Place
+	Cost     float64
+	Expected float64
 	// Refusing counts the candidates that were passed over because their gates
 	// have just shown that they would refuse the request.
 	Refusing int
@@ -92,9 +93,10 @@
 			out.Refusing++
 			continue
 		}
-		cost := req.cost(&known, at) + tieShare*float64(req.Work)*rnd.Float64()
+		expected := req.time(&known)
+		cost := expected + float64(req.LeaveCost[at]) + tieShare*float64(req.Work)*rnd.Float64()
 		if cost < out.Cost {
-			out.Index, out.Place, out.Cost = i, at, cost
+			out.Index, out.Place, out.Cost, out.Expected = i, at, cost, expected
 		}
 	}
 	return out
@@ -107,8 +109,8 @@
 	return routing.Allows(r.Allowed, dataCentre)
 }
 
-// cost is the expected time of the request at a candidate, in nanoseconds.
-func (r *Routed) cost(known *tables.Known, at place.Place) float64 {
+// time is the expected time of the request at a candidate, in nanoseconds.
+func (r *Routed) time(known *tables.Known) float64 {
 	limit := float64(known.Limit)
 	inFlight := float64(known.Outstanding)
 	usual := usualSlowdown
@@ -134,5 +136,5 @@
 	if known.FailureShare > failureFree {
 		cost += known.FailureShare * routedFailureCost * float64(r.Work)
 	}
-	return cost + float64(r.LeaveCost[at])
+	return cost
 }
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -7,6 +7,7 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/gate"
 	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -134,7 +135,8 @@
 
 // pick chooses the next candidate. While soft attempts are left it takes one
 // that has not refused softly; then any that is not closed, and may queue there. One
-// that would cross to another region it takes only where waiting nearer costs more.
+// that would cross to another region it takes only where waiting nearer costs more, or
+// would end too late.
 func (a *attempts) pick() (pick choose.RoutedPick, soft bool) {
 	a.refresh()
 	a.renewRules()
@@ -156,13 +158,19 @@
 	earnest.Soft = false
 	earnest.Excluded = a.closed
 	waits := choose.PickRouted(&earnest, a.owner.random)
-	if req.Soft && pick.Index != choose.None && pick.Cost <= waits.Cost {
-		// It crosses to another region, and to wait nearer would cost more.
+	if req.Soft && pick.Index != choose.None && !waitsNearer(&pick, &waits, req.Within) {
 		return pick, true
 	}
 	return waits, false
 }
 
+// waitsNearer is true where a request had better wait nearer than cross to another
+// region: it costs less, and the request is expected to end in time all the same, with
+// the spread that gates allow for. The price of a crossing makes no request late.
+func waitsNearer(crosses, waits *choose.RoutedPick, within time.Duration) bool {
+	return waits.Index != choose.None && waits.Cost < crosses.Cost && gate.SpreadFactor*waits.Expected <= float64(within)
+}
+
 // within is the time in which the request must end to be worth its run: its
 // target, or, for calls that services make, its deadline.
 func (a *attempts) within() time.Duration {
