--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -26,6 +28,9 @@
 	routedFailureCost = 6
 )
 
+// Costs are what crossing to each place costs, as a time; nothing for Near.
+type Costs [place.Count]time.Duration
+
 // Routed is one decision's input for a routed request.
 type Routed struct {
 	// Now is the time of the decision in nanoseconds of a steady clock.
@@ -34,13 +39,13 @@
 	Set []tables.Candidate
 	// Excluded has a bit for each index of Set that may not be picked.
 	Excluded Tried
-	// Allowed is nil, or says in which data centres the request may be handled.
+	// Allowed says in which data centres the request may be handled; empty: anywhere.
 	Allowed []string
 	// Evacuated are the data centres whose backend servers get nothing new.
 	Evacuated evacuation.Set
-	// DataCentre is the entry's own, LeaveCost what leaving it costs.
-	DataCentre string
-	LeaveCost  time.Duration
+	// Here is where the entry stands, LeaveCost what crossing to each place costs.
+	Here      place.Here
+	LeaveCost Costs
 	// Soft is true for an attempt that a slowed backend server refuses at once.
 	Soft bool
 	// SoftSlowdown is the slowdown, 1 for none, above which gates refuse soft
@@ -60,6 +65,11 @@
 type RoutedPick struct {
 	// Index points into the set; None: no candidate is left.
 	Index int
+	// Place is how far the candidate is, Cost what it was expected to cost, as a time
+	// in nanoseconds, and Expected the part of that which is time, and no price.
+	Place    place.Place
+	Cost     float64
+	Expected float64
 	// Refusing counts the candidates that were passed over because their gates
 	// have just shown that they would refuse the request.
 	Refusing int
@@ -70,7 +80,7 @@
 // refuse the request are passed over. Source: docs/design/platform.md, "The
 // first decisions".
 func PickRouted(req *Routed, rnd Random) RoutedPick {
-	out, bestCost := RoutedPick{Index: None}, math.Inf(1)
+	out := RoutedPick{Index: None, Cost: math.Inf(1)}
 	for i := range req.Set {
 		candidate := &req.Set[i]
 		if req.Excluded.Has(i) || !req.allows(candidate.Route.DataCentre) {
@@ -78,14 +88,15 @@
 		}
 		var known tables.Known
 		candidate.Load.Read(req.Now, &known)
-		near := candidate.Route.DataCentre == req.DataCentre
-		if req.wouldBeRefused(&known, near) {
+		at := req.Here.Of(candidate.Route.DataCentre, candidate.Route.Region)
+		if req.wouldBeRefused(&known, at == place.Near) {
 			out.Refusing++
 			continue
 		}
-		cost := req.cost(&known, near) + tieShare*float64(req.Work)*rnd.Float64()
-		if cost < bestCost {
-			out.Index, bestCost = i, cost
+		expected := req.time(&known)
+		cost := expected + float64(req.LeaveCost[at]) + tieShare*float64(req.Work)*rnd.Float64()
+		if cost < out.Cost {
+			out.Index, out.Place, out.Cost, out.Expected = i, at, cost, expected
 		}
 	}
 	return out
@@ -95,19 +106,11 @@
 	if r.Evacuated.Has(dataCentre) {
 		return false
 	}
-	if len(r.Allowed) == 0 {
-		return true
-	}
-	for _, allowed := range r.Allowed {
-		if allowed == dataCentre {
-			return true
-		}
-	}
-	return false
+	return routing.Allows(r.Allowed, dataCentre)
 }
 
-// cost is the expected time of the request at a candidate, in nanoseconds.
-func (r *Routed) cost(known *tables.Known, near bool) float64 {
+// time is the expected time of the request at a candidate, in nanoseconds.
+func (r *Routed) time(known *tables.Known) float64 {
 	limit := float64(known.Limit)
 	inFlight := float64(known.Outstanding)
 	usual := usualSlowdown
@@ -133,8 +136,5 @@
 	if known.FailureShare > failureFree {
 		cost += known.FailureShare * routedFailureCost * float64(r.Work)
 	}
-	if !near {
-		cost += float64(r.LeaveCost)
-	}
 	return cost
 }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -6,6 +6,7 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -14,7 +15,7 @@
 func (a *attempts) send(pick choose.RoutedPick, soft bool) call.Result {
 	to := &a.set[pick.Index]
 	began := a.owner.Now()
-	note := noteAttempt(began, to, soft, to.Route.DataCentre == a.owner.Settings.VM.DataCentre, pick.Refusing)
+	note := noteAttempt(began, to, soft, a.placeOf(to), pick.Refusing)
 	result := a.sendTo(to, soft)
 	note.end(&result, time.Duration(a.owner.Now()-began))
 	a.trail = append(a.trail, note)
@@ -41,7 +42,7 @@
 		return false
 	}
 	for i := range a.set {
-		if other := &a.set[i]; other != from && !a.closed.Has(i) && other.Route.Runner() != nil {
+		if other := &a.set[i]; other != from && !a.closed.Has(i) && a.mayTake(other) && other.Route.Runner() != nil {
 			return true
 		}
 	}
@@ -98,6 +99,7 @@
 		to.Load.Answered(result.Answer.Status >= 500)
 		if result.Answer.Status < 500 {
 			a.owner.work.Note(a.route.Name, result.Answer.Run, result.Answer.Slowdown)
+			a.owner.sizes.note(a.route.Name, len(a.req.Body), len(result.Answer.Body))
 		}
 	case result.Refusal.Ran == errkind.RanMaybe:
 		result.Offered = true
@@ -115,14 +117,14 @@
 		Method:    a.req.Method,
 		URI:       a.req.URI,
 		Headers:   a.req.Headers,
-		Placement: a.version,
+		Placement: a.rules.version,
 		Remaining: a.left(),
 		WantStamp: true,
 		Claim:     wire.Claim{Generation: uint32(a.offered)},
 		Routed: wire.Routed{
 			ID: a.req.ID, Host: a.req.Host, Caller: a.owner.Settings.BackendServer.Service,
 			Repeatable: a.route.Repeatable, Priority: a.route.Priority, Soft: soft,
-			Near: to.Route.DataCentre == a.owner.Settings.VM.DataCentre, Target: a.target - elapsed,
+			Near: a.placeOf(to) == place.Near, Target: a.target - elapsed,
 		},
 	}
 }
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -7,6 +7,8 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/gate"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -32,6 +34,7 @@
 	req     *Request
 	route   *routing.Compiled
 	version uint64
+	rules   rules
 	service string
 	// began and deadline are in nanoseconds of the daemon's clock.
 	began    int64
@@ -57,7 +60,7 @@
 }
 
 func (a *attempts) run() call.Result {
-	last := call.Refused(errkind.NoBackendServer, "no backend server of service %s is known", a.service)
+	last := a.nobody()
 	a.earn()
 	for a.tries < mostTries {
 		if a.left() <= 0 {
@@ -131,14 +134,15 @@
 func (a *attempts) left() time.Duration { return time.Duration(a.deadline - a.owner.Now()) }
 
 // pick chooses the next candidate. While soft attempts are left it takes one
-// that has not refused softly; then any that is not closed, and may queue there.
+// that has not refused softly; then any that is not closed, and may queue there. One
+// that would cross to another region it takes only where waiting nearer costs more, or
+// would end too late.
 func (a *attempts) pick() (pick choose.RoutedPick, soft bool) {
 	a.refresh()
+	a.renewRules()
 	req := choose.Routed{
-		Now: a.owner.Now(), Set: a.set, Allowed: a.route.DataCentres, Evacuated: a.owner.view.Evacuation(),
-		DataCentre: a.owner.Settings.VM.DataCentre,
-		LeaveCost:  time.Duration(a.owner.Settings.Routing.LeaveCost * float64(a.target)),
-		Work:       a.work(),
+		Now: a.owner.Now(), Set: a.set, Allowed: a.rules.allowed, Evacuated: a.owner.view.Evacuation(),
+		Here: a.owner.Here(), LeaveCost: a.leaveCost(), Work: a.work(),
 		// What gates refuse by, so that the entry knows before it asks.
 		SoftSlowdown: a.owner.Settings.Routing.SoftSlowdown, Use: a.owner.Settings.Routing.Use,
 		Within: a.within(), Left: a.left(),
@@ -146,13 +150,25 @@
 	if a.softLeft > 0 {
 		req.Soft = true
 		req.Excluded = a.softTried | a.closed
-		if pick = choose.PickRouted(&req, a.owner.random); pick.Index != choose.None {
+		if pick = choose.PickRouted(&req, a.owner.random); pick.Index != choose.None && pick.Place != place.Other {
 			return pick, true
 		}
 	}
-	req.Soft = false
-	req.Excluded = a.closed
-	return choose.PickRouted(&req, a.owner.random), false
+	earnest := req
+	earnest.Soft = false
+	earnest.Excluded = a.closed
+	waits := choose.PickRouted(&earnest, a.owner.random)
+	if req.Soft && pick.Index != choose.None && !waitsNearer(&pick, &waits, req.Within) {
+		return pick, true
+	}
+	return waits, false
+}
+
+// waitsNearer is true where a request had better wait nearer than cross to another
+// region: it costs less, and the request is expected to end in time all the same, with
+// the spread that gates allow for. The price of a crossing makes no request late.
+func waitsNearer(crosses, waits *choose.RoutedPick, within time.Duration) bool {
+	return waits.Index != choose.None && waits.Cost < crosses.Cost && gate.SpreadFactor*waits.Expected <= float64(within)
 }
 
 // within is the time in which the request must end to be worth its run: its
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -46,6 +46,7 @@
 	budgets *budgets
 	work    *worktime.Times
 	called  *calledRoutes
+	sizes   *sizes
 	// runs is nil on a daemon without a backend server.
 	runs Runs
 
@@ -61,6 +62,7 @@
 		budgets: newBudgets(c, view.Members),
 		work:    worktime.NewTimes(),
 		called:  newCalledRoutes(),
+		sizes:   newSizes(),
 		runs:    runs,
 	}
 }
@@ -139,6 +141,7 @@
 	}
 	return &attempts{
 		owner: f, ctx: ctx, req: req, route: route, version: version, service: route.Next(),
+		rules: rules{version, route.DataCentres},
 		began: began, deadline: began + int64(timeout), target: target,
 		softLeft: f.Settings.Routing.SoftAttempts,
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -118,8 +118,12 @@
 	SoftSlowdown float64 `yaml:"soft_slowdown" validate:"min=1"`
 	// Share of a backend server's slots that its gate uses: work slows for all runs of one that is nearly full.
 	Use float64 `yaml:"use" validate:"min=0.1,max=1"`
-	// What leaving the own data centre costs, as a share of a request's target latency.
+	// What the dearest crossing of a request costs, as a share of its target latency: to another region or, in a deployment of one, to another data centre.
 	LeaveCost float64 `yaml:"leave_cost" validate:"min=0,max=10"`
+	// What a crossing to another data centre of the own region costs of that, as bytes there cost of bytes between regions; 0: told by the links, as the round trip there is of that to other regions.
+	RegionShare float64 `yaml:"region_share" validate:"min=0,max=1"`
+	// Region of each data centre, for placements that name regions. The own one is known from vm.
+	Regions map[string]string `yaml:"regions"`
 	// When callers that found all backend servers full are told to come back.
 	RetryAfter time.Duration `yaml:"retry_after" validate:"min=1ms"`
 	// Retries that reach a backend server, per request of the service.
@@ -160,7 +164,7 @@
 	Subset int `yaml:"subset" validate:"min=2,max=1000"`
 	// Most backend servers of its own data centre that an entry works with in a larger service.
 	Near int `yaml:"near" validate:"min=1,max=1000"`
-	// Number of backend servers of other data centres that it works with besides; more where the own one has few, so that there are half of choosing.subset in all.
+	// Number of backend servers of other data centres of the region that it works with besides; more where the own one has few, so that there are half of choosing.subset in all.
 	Far int `yaml:"far" validate:"min=0,max=1000"`
 	// Age at which a load report has lost most of its weight.
 	StampHalfLife time.Duration `yaml:"stamp_half_life" validate:"min=1ms"`
@@ -210,7 +214,7 @@
 	HeadEvery time.Duration `yaml:"head_every" validate:"min=10ms"`
 	// Number of head readers per data centre.
 	HeadReaders int `yaml:"head_readers" validate:"min=1,max=10"`
-	// Number of daemons per data centre that follow a feed of placements, where the store has one.
+	// Number of daemons per data centre that follow a feed of placements, where the store has one; in a deployment of several regions, per region.
 	FeedReaders int `yaml:"feed_readers" validate:"min=1,max=1000"`
 	// Time without news of the store or of other data centres after which strict kinds are refused.
 	UnsureAfter time.Duration `yaml:"unsure_after" validate:"min=100ms"`
--- a/pkg/systems/subset_test.go
+++ b/pkg/systems/subset_test.go
@@ -7,7 +7,9 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -60,6 +62,75 @@
 	}
 }
 
+// TestASubsetPrefersTheOwnRegion: the data centres a and b are of one region, c is of
+// another.
+func TestASubsetPrefersTheOwnRegion(t *testing.T) {
+	choosing := settings.Default().Choosing
+	for _, tc := range []struct {
+		name                string
+		each                []int
+		near, region, other int
+	}{
+		{"a small service is used whole", []int{4, 6, 6}, 4, 6, 6},
+		{"few of the region, fewer of others", []int{29, 58, 57}, 29, choosing.Far, otherRegions},
+		{"more of the region where the own data centre has few", []int{2, 20, 20}, 2, choosing.Subset/2 - 2, otherRegions},
+		{"the region has none left", []int{0, 0, 40}, 0, 0, choosing.Subset / 2},
+		{"the region has few", []int{1, 2, 40}, 1, 2, choosing.Subset/2 - 3},
+	} {
+		w, kind := subsetWorld(tc.each...)
+		w.Region = "r"
+		w.Members.Rows(func(row int) {
+			if route := w.Members.Route[row]; route.DataCentre != "c" {
+				route.Region = "r"
+			}
+		})
+		var counts [place.Count]int
+		for _, route := range Subset(w, choosing, kind) {
+			counts[w.Here().Of(route.DataCentre, route.Region)]++
+		}
+		test.Eq(t, [place.Count]int{place.Near: tc.near, place.Region: tc.region, place.Other: tc.other}, counts, test.Sprint(tc.name))
+	}
+}
+
+// TestASubsetHoldsEnoughOfTheAllowedDataCentres of a large service, also where
+// the own one is not among them.
+func TestASubsetHoldsEnoughOfTheAllowedDataCentres(t *testing.T) {
+	choosing := settings.Default().Choosing
+	for _, tc := range []struct {
+		name  string
+		each  []int
+		lists [][]string
+		// held is how many of the data centre c are known at least, most all.
+		held, most int
+	}{
+		{"no list", []int{29, 58, 57}, nil, 0, 29 + choosing.Far},
+		{"the own one alone needs no more", []int{29, 58, 57}, [][]string{{"a"}}, 0, 29 + choosing.Far},
+		{"another one", []int{29, 58, 57}, [][]string{{"c"}}, choosing.Subset, 29 + choosing.Far + choosing.Subset},
+		{"one with few", []int{29, 58, 5}, [][]string{{"c"}}, 5, 29 + choosing.Far + 5},
+		{"nowhere", []int{29, 58, 57}, [][]string{{routing.Nowhere}}, 0, 29 + choosing.Far},
+		{"many lists share the room", []int{100, 58, 57}, [][]string{{"b"}, {"b", "c"}, {"c"}, {"a", "c"}}, 7, subsetMost},
+		{"a small service is known whole", []int{4, 6, 6}, [][]string{{"c"}}, 6, 16},
+	} {
+		w, _ := subsetWorld(tc.each...)
+		doc := &placement.Document{}
+		for i, list := range tc.lists {
+			doc.Routes = append(doc.Routes, routing.Route{Host: "h", Prefix: fmt.Sprint("/", i, "/"), DataCentres: list, Parts: []routing.Part{{Service: "s"}}})
+		}
+		doc.Routes = append(doc.Routes, routing.Route{Host: "h", Prefix: "/free/", Parts: []routing.Part{{Service: "s"}}})
+		subset := Subset(w, choosing, placement.Compile(doc).Service("s").Kinds[0])
+		held, seen := 0, map[string]struct{}{}
+		for _, route := range subset {
+			seen[route.VM] = struct{}{}
+			if route.DataCentre == "c" {
+				held++
+			}
+		}
+		test.GreaterEq(t, tc.held, held, test.Sprint(tc.name))
+		test.LessEq(t, tc.most, len(subset), test.Sprint(tc.name))
+		test.MapLen(t, len(subset), seen, test.Sprint("each once: ", tc.name))
+	}
+}
+
 // TestEachServerOfADataCentreHasTheSameEntries: by hashing alone the busiest of
 // 29 backend servers stood in 1.3 times as many subsets as the mean.
 func TestEachServerOfADataCentreHasTheSameEntries(t *testing.T) {
