A caller that leaves behind more than is read ahead is noticed

Cause: with the bound on bytes read ahead reached, nobody reads, and the end of the connection stands behind the unread bytes. Ruled out: reading on without bound; waiting until there is room. Change: while the bound is reached the kernel is asked each 100 ms for the other end's close (poll, POLLRDHUP).

--- a/pkg/ingress/ending_test.go
+++ b/pkg/ingress/ending_test.go
@@ -19,8 +19,8 @@
 
 // onNetwork starts a server on a loopback socket, where resets and half-closes
 // are those of TCP.
-func onNetwork(t *testing.T) (w *pipelineWorld, dial func() *net.TCPConn) {
-	w = newWorld(t, manyBeside)
+func onNetwork(t *testing.T, bounds Pipelining) (w *pipelineWorld, dial func() *net.TCPConn) {
+	w = newWorld(t, bounds)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	w.server.listenOn(l)
@@ -61,7 +61,7 @@
 // TestAHalfCloseIsALeaving, as with the standard server: runs are cancelled, and
 // the caller is still told so.
 func TestAHalfCloseIsALeaving(t *testing.T) {
-	w, dial := onNetwork(t)
+	w, dial := onNetwork(t, manyBeside)
 	c := dial()
 	_, err := io.WriteString(c, get("a")+get("b"))
 	must.NoError(t, err)
@@ -74,7 +74,7 @@
 
 // TestAResetCancels, also of requests that are not read yet.
 func TestAResetCancels(t *testing.T) {
-	w, dial := onNetwork(t)
+	w, dial := onNetwork(t, manyBeside)
 	c := dial()
 	_, err := io.WriteString(c, get("a")+get("b")+post("p", "x"))
 	must.NoError(t, err)
@@ -85,10 +85,23 @@
 	test.Eq(t, "a b", w.backend.starts())
 }
 
+// TestALeavingBehindUnreadBytesIsNoticed: with more unread bytes than are read
+// ahead, the kernel is asked; nothing that waits starts any more.
+func TestALeavingBehindUnreadBytesIsNoticed(t *testing.T) {
+	w, dial := onNetwork(t, Pipelining{Requests: 8, Bytes: 4096})
+	c := dial()
+	_, err := io.WriteString(c, post("p", "x")+strings.Repeat(post("q", strings.Repeat("x", 900)), 30))
+	must.NoError(t, err)
+	until(t, "the first runs", func() bool { return w.backend.starts() == "p" })
+	must.NoError(t, c.Close())
+	until(t, "it is cancelled", func() bool { return w.backend.cancels() == 1 })
+	test.Eq(t, "p", w.backend.starts())
+}
+
 // TestUnreadBytesDestroyNoAnswer: a caller that has sent more behind the last
 // answer gets all answers whole, however late it reads them.
 func TestUnreadBytesDestroyNoAnswer(t *testing.T) {
-	w, dial := onNetwork(t)
+	w, dial := onNetwork(t, manyBeside)
 	c := dial()
 	_, err := io.WriteString(c, get("a")+get("b"))
 	must.NoError(t, err)
--- a/pkg/ingress/inbound.go
+++ b/pkg/ingress/inbound.go
@@ -219,8 +219,9 @@
 	go in.pump()
 }
 
-// pump reads until the connection ends. Over the bound it waits; once the
-// server reads no more it throws away what comes, and waits for the end only.
+// pump reads until the connection ends or the caller has left. Over the bound it
+// waits; once the server reads no more it throws away what comes, and waits for
+// the end only.
 func (in *inbound) pump() {
 	buf := make([]byte, readSize)
 	for {
@@ -240,10 +241,25 @@
 			return
 		}
 		in.changed.Broadcast()
-		for in.size >= in.most && !in.stopped {
-			in.changed.Wait()
-		}
+		in.waitForRoom()
+		over := in.err != nil
 		in.mu.Unlock()
+		if over {
+			return
+		}
+	}
+}
+
+// waitForRoom waits while the bytes read ahead reach the bound. The caller's
+// leaving would come behind what is not read then, so the kernel is asked.
+func (in *inbound) waitForRoom() {
+	for in.size >= in.most && !in.stopped && in.err == nil {
+		timer := time.AfterFunc(hangupEvery, in.wake)
+		in.changed.Wait()
+		timer.Stop()
+		if in.size >= in.most && hungUp(in.conn) {
+			in.fail(io.EOF)
+		}
 	}
 }
 
