--- a/pkg/ingress/framing_test.go
+++ b/pkg/ingress/framing_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -181,3 +182,35 @@
 		test.Eq(t, "a b c", c.answers())
 	})
 }
+
+// TestRefusalsStandInTheirPlace: what the daemon or the standard server answers
+// by itself comes behind all answers before it.
+func TestRefusalsStandInTheirPlace(t *testing.T) {
+	const end = "\r\nHost: h\r\nRushramp-Request-Id: x\r\n"
+	for name, s := range map[string]struct{ text, answers string }{
+		"no id":              {"GET /read/ HTTP/1.1\r\nHost: h\r\n\r\n", "a b 400"},
+		"no route":           {"GET /none/ HTTP/1.1" + end + "\r\n", "a b 404"},
+		"body too large":     {"POST /post/ HTTP/1.1" + end + "Content-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000), "a b 413(close) end"},
+		"chunks too large":   {"POST /post/ HTTP/1.1" + end + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + strings.Repeat("x", 2000) + "\r\n0\r\n\r\n", "a b 413(close) end"},
+		"head too large":     {"GET /read/ HTTP/1.1" + end + "X: " + strings.Repeat("x", 80_000) + "\r\n\r\n", "a b 431(close) end"},
+		"bad head":           {"GET /read/ HTTP/1.1" + end + "bad line\r\n\r\n", "a b 400(close) end"},
+		"two lengths":        {"POST /post/ HTTP/1.1" + end + "Content-Length: 1\r\nContent-Length: 2\r\n\r\n12", "a b 400(close) end"},
+		"unknown coding":     {"POST /post/ HTTP/1.1" + end + "Transfer-Encoding: gzip\r\n\r\n", "a b 501(close) end"},
+		"no host":            {"GET /read/ HTTP/1.1\r\nRushramp-Request-Id: x\r\n\r\n", "a b 400(close) end"},
+		"unknown version":    {"GET /read/ HTTP/3.0" + end + "\r\n", "a b 505(close) end"},
+		"unknown expectancy": {"GET /read/ HTTP/1.1" + end + "Expect: more\r\n\r\n", "a b 417(close) end"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+				c := w.caller()
+				c.send(get("a") + get("b") + s.text)
+				test.Eq(t, "", c.answers())
+				w.backend.answer(t, "b", "")
+				w.backend.answer(t, "a", "")
+				time.Sleep(time.Second)
+				test.Eq(t, s.answers, c.answers())
+				test.Eq(t, "a b", w.backend.starts())
+			})
+		})
+	}
+}
