--- /dev/null
+++ b/pkg/ingress/pipelined_test.go
@@ -0,0 +1,280 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+func TestRepeatableRequestsRunSideBySideAndAreAnsweredInOrder(t *testing.T) {
+	for name, send := range map[string]func(c *pipelineCaller){
+		"in one packet":          func(c *pipelineCaller) { c.send(get("a") + get("b") + get("c")) },
+		"one after the other":    func(c *pipelineCaller) { c.send(get("a")); c.send(get("b")); c.send(get("c")) },
+		"byte by byte":           func(c *pipelineCaller) { sendBytes(c, get("a")+get("b")+get("c")) },
+		"cut in the second head": func(c *pipelineCaller) { c.send(get("a") + get("b")[:20]); c.send(get("b")[20:] + get("c")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+				c := w.caller()
+				send(c)
+				test.Eq(t, "a b c", w.backend.starts())
+				w.backend.answer(t, "c", "3")
+				w.backend.answer(t, "b", "2")
+				test.Eq(t, "", c.answers())
+				w.backend.answer(t, "a", "1")
+				test.Eq(t, "a1 b2 c3", c.answers())
+				c.send(get("d"))
+				w.backend.answer(t, "d", "4")
+				test.Eq(t, "a1 b2 c3 d4", c.answers())
+			})
+		})
+	}
+}
+
+func sendBytes(c *pipelineCaller, text string) {
+	for i := range len(text) {
+		c.send(text[i : i+1])
+	}
+}
+
+// TestARequestThatRunsOnceRunsAlone: it waits for all before it, and nothing
+// behind it starts before its answer.
+func TestARequestThatRunsOnceRunsAlone(t *testing.T) {
+	withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+		c := w.caller()
+		c.send(get("a") + get("b") + post("p", "body") + get("c") + get("d") + post("q", ""))
+		test.Eq(t, "a b", w.backend.starts())
+		w.backend.answer(t, "b", "")
+		synctest.Wait()
+		test.Eq(t, "a b", w.backend.starts())
+		w.backend.answer(t, "a", "")
+		synctest.Wait()
+		test.Eq(t, "a b p", w.backend.starts())
+		w.backend.answer(t, "p", "")
+		synctest.Wait()
+		test.Eq(t, "a b c d p", w.backend.starts())
+		w.backend.answer(t, "d", "")
+		w.backend.answer(t, "c", "")
+		synctest.Wait()
+		w.backend.answer(t, "q", "")
+		test.Eq(t, "a b p c d q", c.answers())
+	})
+}
+
+// TestWhatIsBehindOneThatRunsOnceRunsSideBySide, also when all came in the
+// packet of its body.
+func TestWhatIsBehindOneThatRunsOnceRunsSideBySide(t *testing.T) {
+	withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+		c := w.caller()
+		c.send(post("p", "body") + get("a") + get("b"))
+		test.Eq(t, "p", w.backend.starts())
+		w.backend.answer(t, "p", "")
+		synctest.Wait()
+		test.Eq(t, "a b p", w.backend.starts())
+		w.backend.answer(t, "b", "")
+		w.backend.answer(t, "a", "")
+		test.Eq(t, "p a b", c.answers())
+	})
+}
+
+func TestRequestsBesideOthersAreBounded(t *testing.T) {
+	scenarios := map[string]struct {
+		bounds Pipelining
+		texts  []string
+		starts string
+	}{
+		"by number": {Pipelining{Requests: 2, Bytes: 64 << 10}, []string{get("a"), get("b"), get("c")}, "a b"},
+		"one":       {Pipelining{Requests: 1, Bytes: 64 << 10}, []string{get("a"), get("b")}, "a"},
+		"by bytes":  {Pipelining{Requests: 8, Bytes: 1000}, []string{big("a"), big("b"), big("c")}, "a b"},
+	}
+	for name, s := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			withPipeline(t, s.bounds, func(t *testing.T, w *pipelineWorld) {
+				c := w.caller()
+				c.send(strings.Join(s.texts, ""))
+				test.Eq(t, s.starts, w.backend.starts())
+				w.backend.answer(t, "a", "")
+				test.Eq(t, "a", c.answers())
+				test.Greater(t, len(s.starts), len(w.backend.starts()))
+			})
+		})
+	}
+}
+
+// big is a repeatable request of some 450 bytes.
+func big(id string) string {
+	return strings.Replace(get(id), "\r\n\r\n", "\r\nX-Pad: "+strings.Repeat("x", 430)+"\r\n\r\n", 1)
+}
+
+// TestAHeadCutInTheMiddleLosesNoAnswer: as with the standard server, a line
+// that was cut is answered by 400 once its time is over, a missing line by
+// nothing.
+func TestAHeadCutInTheMiddleLosesNoAnswer(t *testing.T) {
+	first := strings.Index(get("c"), "\n") + 1
+	for at, want := range map[int]string{first: "a b(close) end", first + 3: "a b 400(close) end"} {
+		withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+			c := w.caller()
+			c.send(get("a") + get("b") + get("c")[:at])
+			time.Sleep(defaultHeadTime + time.Second)
+			test.Eq(t, 0, w.backend.cancels())
+			w.backend.answer(t, "b", "")
+			w.backend.answer(t, "a", "")
+			test.Eq(t, want, c.answers())
+		})
+	}
+}
+
+// TestIdleTimeCountsFromTheLastAnswer: a pipeline that runs for longer than the
+// idle time is not idle.
+func TestIdleTimeCountsFromTheLastAnswer(t *testing.T) {
+	withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+		w.limits.Store(&routing.Limits{IdleTimeout: 5 * time.Second})
+		c := w.caller()
+		c.send(get("a") + get("b"))
+		time.Sleep(20 * time.Second)
+		w.backend.answer(t, "b", "")
+		w.backend.answer(t, "a", "")
+		test.Eq(t, "a b", c.answers())
+		time.Sleep(5 * time.Second)
+		test.Eq(t, "a b", c.answers())
+		time.Sleep(2 * boundSlack)
+		test.Eq(t, "a b end", c.answers())
+	})
+}
+
+// TestASlowReaderHoldsItsOwnRequestsOnly: answers wait, their bytes count, and
+// no further request starts.
+func TestASlowReaderHoldsItsOwnRequestsOnly(t *testing.T) {
+	withPipeline(t, Pipelining{Requests: 8, Bytes: 5000}, func(t *testing.T, w *pipelineWorld) {
+		slow := w.listen.dial()
+		go func() { _, _ = io.WriteString(slow.conn, get("a")+get("b")) }()
+		synctest.Wait()
+		w.backend.answer(t, "b", strings.Repeat("x", 6000))
+		synctest.Wait()
+		go func() { _, _ = io.WriteString(slow.conn, get("c")) }()
+		synctest.Wait()
+		test.Eq(t, "a b", w.backend.starts())
+		w.backend.answer(t, "a", "")
+		synctest.Wait()
+		test.Eq(t, "a b", w.backend.starts())
+		other := w.caller()
+		other.send(get("o"))
+		w.backend.answer(t, "o", "")
+		test.Eq(t, "o", other.answers())
+		for _, want := range []string{"a", "b" + strings.Repeat("x", 6000)} {
+			resp, err := http.ReadResponse(slow.reader, nil)
+			must.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			must.NoError(t, err)
+			test.Eq(t, want, string(body))
+		}
+		synctest.Wait()
+		test.Eq(t, "a b c o", w.backend.starts())
+		_ = slow.conn.Close()
+	})
+}
+
+// TestContinueIsSaidInItsPlace: a caller that asks before it sends its body is
+// told to once all before is answered.
+func TestContinueIsSaidInItsPlace(t *testing.T) {
+	withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+		c := w.listen.dial()
+		head := "POST /post/x HTTP/1.1\r\nHost: h\r\nRushramp-Request-Id: p\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+		go func() { _, _ = io.WriteString(c.conn, get("a")+get("b")+head) }()
+		synctest.Wait()
+		w.backend.answer(t, "b", "")
+		w.backend.answer(t, "a", "")
+		for _, want := range []int{200, 200, 100} {
+			resp, err := http.ReadResponse(c.reader, nil)
+			must.NoError(t, err)
+			test.Eq(t, want, resp.StatusCode)
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}
+		go func() { _, _ = io.WriteString(c.conn, "body") }()
+		synctest.Wait()
+		test.Eq(t, "a b p", w.backend.starts())
+		w.backend.answer(t, "p", "")
+		resp, err := http.ReadResponse(c.reader, nil)
+		must.NoError(t, err)
+		test.Eq(t, 200, resp.StatusCode)
+		_ = c.conn.Close()
+	})
+}
+
+// TestACallersCloseIsHeeded: its last request runs beside the others, and its
+// answer closes.
+func TestACallersCloseIsHeeded(t *testing.T) {
+	withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+		c := w.caller()
+		last := strings.Replace(get("b"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
+		c.send(get("a") + last + get("c"))
+		test.Eq(t, "a b", w.backend.starts())
+		w.backend.answer(t, "b", "")
+		w.backend.answer(t, "a", "")
+		test.Eq(t, "a b(close) end", c.answers())
+		test.Eq(t, "a b", w.backend.starts())
+	})
+}
+
+// TestWhatWaitedHasLessTimeLeft: a request's time counts from when it came.
+func TestWhatWaitedHasLessTimeLeft(t *testing.T) {
+	withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+		c := w.caller()
+		p := strings.Replace(post("p", ""), "Content-Length", "Rushramp-Timeout: 3000\r\nContent-Length", 1)
+		c.send(get("a") + p)
+		time.Sleep(4 * time.Second)
+		w.backend.answer(t, "a", "")
+		test.Eq(t, fmt.Sprintf("a %d", errkind.DeadlineBeforeRun.Row().Status), c.answers())
+		test.Eq(t, "a", w.backend.starts())
+	})
+}
+
+// TestARouteThatChangesWhileARequestWaits: it runs as the newer route says.
+func TestARouteThatChangesWhileARequestWaits(t *testing.T) {
+	withPipeline(t, Pipelining{Requests: 2, Bytes: 64 << 10}, func(t *testing.T, w *pipelineWorld) {
+		c := w.caller()
+		c.send(get("a") + get("b") + get("c"))
+		test.Eq(t, "a b", w.backend.starts())
+		w.view.SetPlacement(routesOf(routing.Limits{}, false))
+		w.backend.answer(t, "a", "")
+		synctest.Wait()
+		test.Eq(t, "a b", w.backend.starts())
+		w.backend.answer(t, "b", "")
+		synctest.Wait()
+		test.Eq(t, "a b c", w.backend.starts())
+		w.backend.answer(t, "c", "")
+		test.Eq(t, "a b c", c.answers())
+	})
+}
+
+// TestAFaultEndsItsConnectionOnly.
+func TestAFaultEndsItsConnectionOnly(t *testing.T) {
+	withPipeline(t, manyBeside, func(t *testing.T, w *pipelineWorld) {
+		c, other := w.caller(), w.caller()
+		c.send(get("a") + get("b"))
+		other.send(get("o"))
+		kind := w.view.Service("s").Match("GET", "/")
+		kind.Ready[0].Route.SetRunner(panicking{})
+		c.send(get("c"))
+		test.Eq(t, "end", c.answers())
+		test.Eq(t, 2, w.backend.cancels())
+		w.backend.answer(t, "o", "")
+		test.Eq(t, "o", other.answers())
+	})
+}
+
+type panicking struct{}
+
+func (panicking) Execute(*wire.Call, []byte, func(call.Result)) func() { panic("fault") }
