Cold times in a row: starts of a cold time count for a window, whatever word comes

Cause: after a cold time a word that the backend server is warm took all starts before it out of the count, also those of the cold time, so that one that is cold again within a second got up to twice what it bears in it. Weighed: the finding's mend, the cold rate for 1.05 s after each cold time; it holds a warm backend server to its cold rate. Cheaper and as strict: two kinds of starts count. Those at a known cold backend server, for a whole window, and those since the last warm word, until the next one. After a cold time each word then allows all that has left the window anew. Gate: one that no word would open (bearsNoStart) refuses soft jobs and asks for no word, as a cold one does.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -202,7 +202,7 @@
 	if job.Near {
 		most = g.slots
 	}
-	return g.tooSlowForSoft(now) || g.running+g.queue.len() >= most || g.cold.isCold(now) && !g.mayStart(now)
+	return g.tooSlowForSoft(now) || g.running+g.queue.len() >= most || g.bearsNoStart(now)
 }
 
 // expected is the expected time of one run of a job that starts now.
--- a/pkg/gate/report.go
+++ b/pkg/gate/report.go
@@ -37,7 +37,7 @@
 func (g *Gate) Doubt(now int64, job *Job) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.running >= g.limit(now) || g.cold.isCold(now) && !g.mayStart(now) {
+	if g.running >= g.limit(now) || g.bearsNoStart(now) {
 		return 0
 	}
 	return g.speed.Doubt(now, job.Work)
@@ -52,7 +52,7 @@
 	if g.queue.len() == 0 || g.running >= g.limit(now) {
 		return false
 	}
-	return !g.cold.isCold(now) || g.mayStart(now)
+	return !g.bearsNoStart(now)
 }
 
 // InFlight counts the jobs at the gate, running and waiting.
