--- a/pkg/worktime/worktime.go
+++ b/pkg/worktime/worktime.go
@@ -51,12 +51,12 @@
 }
 
 // OfOrGuess returns the work time of a route, or a guess from its target latency
-// while no run of it has ended here.
+// while no run of it has ended here; 0 where the target has passed.
 func (t *Times) OfOrGuess(route string, target time.Duration) time.Duration {
 	if work := t.Of(route); work > 0 {
 		return work
 	}
-	return min(time.Duration(guessShare*float64(target)), longestGuess)
+	return min(time.Duration(guessShare*float64(max(target, 0))), longestGuess)
 }
 
 // Note takes a run over. slowdown is what the backend server said of its speed,
--- a/pkg/worktime/worktime_test.go
+++ b/pkg/worktime/worktime_test.go
@@ -46,6 +46,7 @@
 	times := NewTimes()
 	test.Eq(t, 150*time.Millisecond, times.OfOrGuess("r", 500*time.Millisecond))
 	test.Eq(t, longestGuess, times.OfOrGuess("r", time.Hour))
+	test.Eq(t, 0, times.OfOrGuess("r", -time.Second))
 	times.Note("r", usual, 100)
 	test.Eq(t, usual, times.OfOrGuess("r", time.Hour))
 }
