Gate: a word in a slow spell looks at eight held jobs, not at all

Cause: with free slots each word on the backend server's speed took all held jobs out of the queue and weighed each anew, under the gate's lock. Ruled out: memory of the last look by time (a full look stays as dear), a cheaper weighing (200 of them are dear at any price). Change: a look for jobs to start ends after eight that stay held. Those behind the first are much like them, and a word comes with each answer; the end of the spell starts all as before (TestManyHeldStarts).

--- a/pkg/gate/hold_test.go
+++ b/pkg/gate/hold_test.go
@@ -162,3 +162,33 @@
 		}
 	}
 }
+
+// TestManyHeldStarts: a word in the spell looks at few of them, and the one that ends
+// it starts all that there are slots for, in their order.
+func TestManyHeldStarts(t *testing.T) {
+	const jobs, slots = 5 * mostHeldLooks, 4 * mostHeldLooks
+	g, now := holdingGate()
+	g.opts.QueueLength = jobs
+	g.SetSlots(slots)
+	var want []*Job
+	for range jobs {
+		job := &Job{Deadline: now + hour, EndBy: now + hour, Work: run}
+		_, refusal := g.Admit(now, job)
+		must.Nil(t, refusal)
+		want = append(want, job)
+	}
+	test.SliceEmpty(t, g.Report(now+50*ms, 5))
+	looked := 0
+	for _, job := range want {
+		job.held = false
+	}
+	test.SliceEmpty(t, g.Report(now+60*ms, 5))
+	for _, job := range want {
+		if job.held {
+			looked++
+		}
+	}
+	test.Eq(t, mostHeldLooks, looked)
+	test.Eq(t, want[:slots], g.Report(now+90*ms, 1))
+	test.Eq(t, want[slots:slots+1], g.Finish(now+300*ms, want[0], true))
+}
--- a/pkg/gate/waiting.go
+++ b/pkg/gate/waiting.go
@@ -33,10 +33,16 @@
 	return out
 }
 
+// mostHeldLooks is how many jobs that stay held are looked at for one that could
+// start. Backend servers of the users' sites have 6 to 18 slots, so that more than
+// these could hardly start at once; those behind the first are much like them, and a
+// word on the speed comes with each answer.
+const mostHeldLooks = 8
+
 func (g *Gate) startWaiting(now int64) []*Job {
 	var out, held []*Job
 	limit := g.limit(now)
-	for g.running < limit && g.mayStart(now) {
+	for g.running < limit && len(held) < mostHeldLooks && g.mayStart(now) {
 		job := g.queue.pop(now, g.estimate.service(now))
 		if job == nil {
 			break
