--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -108,6 +108,7 @@
 }
 
 func (a *attempts) frame(to *tables.Candidate, soft bool) *wire.Call {
+	elapsed := time.Duration(a.owner.Now() - a.began)
 	return &wire.Call{
 		Service:   a.service,
 		Kind:      a.route.Name,
@@ -121,7 +122,7 @@
 		Routed: wire.Routed{
 			ID: a.req.ID, Host: a.req.Host, Caller: a.owner.Settings.BackendServer.Service,
 			Repeatable: a.route.Repeatable, Priority: a.route.Priority, Soft: soft,
-			Near: to.Route.DataCentre == a.owner.Settings.VM.DataCentre, Target: a.targetLeft(),
+			Near: to.Route.DataCentre == a.owner.Settings.VM.DataCentre, Target: a.target - elapsed,
 		},
 	}
 }
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -37,9 +37,6 @@
 	began    int64
 	deadline int64
 	target   time.Duration
-	// age is how long before began the caller made its first try, as far as that is
-	// known. An answer has its full worth within the target from there on.
-	age time.Duration
 
 	set []tables.Candidate
 	// softLeft is how many attempts may still be refused softly; softTried are
@@ -164,13 +161,7 @@
 	if a.owner.called.has(a.route.Name) {
 		return a.left()
 	}
-	// One that is late already ends in time nowhere; 0 would stand for no bound.
-	return max(a.targetLeft(), 1)
-}
-
-// targetLeft is the time left in which an answer has its full worth.
-func (a *attempts) targetLeft() time.Duration {
-	return a.target - a.age - time.Duration(a.owner.Now()-a.began)
+	return a.target - time.Duration(a.owner.Now()-a.began)
 }
 
 // refresh takes the candidates once; a view that had none is looked at again.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -12,7 +12,6 @@
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
-	"github.com/rushramp/rushramp/pkg/firsttry"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -47,7 +46,6 @@
 	budgets *budgets
 	work    *worktime.Times
 	called  *calledRoutes
-	ages    *firsttry.Ages
 	// runs is nil on a daemon without a backend server.
 	runs Runs
 
@@ -63,7 +61,6 @@
 		budgets: newBudgets(c, view.Members),
 		work:    worktime.NewTimes(),
 		called:  newCalledRoutes(),
-		ages:    firsttry.NewAges(),
 		runs:    runs,
 	}
 }
@@ -142,7 +139,7 @@
 	}
 	return &attempts{
 		owner: f, ctx: ctx, req: req, route: route, version: version, service: route.Next(),
-		began: began, deadline: began + int64(timeout), target: target, age: f.ages.Take(route.Name, req.Timeout),
+		began: began, deadline: began + int64(timeout), target: target,
 		softLeft: f.Settings.Routing.SoftAttempts,
 	}
 }
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -116,7 +116,7 @@
 		fields = append(fields,
 			events.F("route", a.route.Name), events.F("service", a.service), events.F("version", a.version),
 			events.F("priority", a.route.Priority), events.F("target", events.Milliseconds(a.target)), events.F("timeout", events.Milliseconds(time.Duration(a.deadline-a.began))),
-			events.F("since_first_try", events.Milliseconds(a.age)), events.F("tries", a.tries), events.F("offered", a.offered), events.F("stopped", a.stopped), events.F("attempts", a.trailText()))
+			events.F("tries", a.tries), events.F("offered", a.offered), events.F("stopped", a.stopped), events.F("attempts", a.trailText()))
 	}
 	fields = append(fields, endFields(result)...)
 	f.Log.Event(id, fields...)
