--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -36,6 +36,9 @@
 type Runs interface {
 	// RepeatShare is the share of them that repeat a run elsewhere, from 0 to 1.
 	RepeatShare() float64
+	// Rank is the most urgent rank of those that callers asked for, 0 where there is
+	// none.
+	Rank() uint8
 }
 
 // Forwarder takes routed requests to an end. It is safe for concurrent use.
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -58,6 +58,7 @@
 	// running counts the runs at the backend server, repeating those of them that
 	// repeat a run elsewhere.
 	running, repeating atomic.Int64
+	ranks              *ranks
 	// askedAt is when a request last came, in nanoseconds.
 	askedAt atomic.Int64
 }
@@ -90,6 +91,7 @@
 		service:   deps.Service,
 		work:      worktime.NewTimes(),
 		origins:   newOrigins(),
+		ranks:     newRanks(),
 		checker:   deps.Checker,
 		transport: backend.NewTransport(backend.Options{
 			Address: s.BackendServer.Address, Headers: deps.Headers,
@@ -141,6 +143,10 @@
 	return min(float64(r.repeating.Load())/float64(running), 1)
 }
 
+// Rank is the most urgent rank of the runs at the backend server that callers asked
+// for, 0 where none is under way: a call that it makes belongs to one of them.
+func (r *Runner) Rank() uint8 { return r.ranks.first() }
+
 // countRun counts a run until the returned function is called.
 func (r *Runner) countRun(repeats bool) (ended func()) {
 	repeating := int64(0)
