Below: a share of requests whose runs fail on refused calls is not started

Ruled out: asking the called service first (a message a run, old when it counts). Change: pkg/below follows a route's runs that failed with a call of this backend server refused meanwhile, and lets in less: half after each, a tenth more after each that went well. The rest is refused at once, as not run.

--- a/pkg/forward/budget_test.go
+++ b/pkg/forward/budget_test.go
@@ -77,6 +77,7 @@
 
 func (r repeatingRuns) RepeatShare() float64 { return float64(r) }
 func (r repeatingRuns) Rank() uint8          { return 0 }
+func (r repeatingRuns) CallRefused()         {}
 
 // TestCallsOfRepeatedRunsAreChargedToTheBudget: a run that repeats one makes its
 // calls again, and at the called service they count as repeats. Without the
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -39,6 +39,8 @@
 	// Rank is the most urgent rank of those that callers asked for, 0 where there is
 	// none.
 	Rank() uint8
+	// CallRefused tells that a call which one of them made was refused.
+	CallRefused()
 }
 
 // Forwarder takes routed requests to an end. It is safe for concurrent use.
@@ -96,6 +98,7 @@
 	}
 	if result.Refusal != nil {
 		outcome = result.Refusal.Kind.String()
+		f.noteRefusedCall(a, result.Refusal)
 	}
 	f.Metrics.GetOrCreateCounter(`rushramp_routed_total{service="` + service + `",kind="` + kindOf(a) + `",outcome="` + outcome + `"}`).Inc()
 	f.observe(service, time.Duration(f.Now()-began), &result)
--- a/pkg/forward/rank_test.go
+++ b/pkg/forward/rank_test.go
@@ -13,6 +13,7 @@
 
 func (r rankedRuns) RepeatShare() float64 { return 0 }
 func (r rankedRuns) Rank() uint8          { return uint8(r) }
+func (r rankedRuns) CallRefused()         {}
 
 // TestACallIsNoMoreUrgentThanItsRequest: requests of rank 1 make calls on a route of
 // rank 0. Their service has first requests of rank 0 and, cold, too few starts for
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -4,6 +4,7 @@
 package runner
 
 import (
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/below"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
@@ -59,6 +61,9 @@
 	// repeat a run elsewhere.
 	running, repeating atomic.Int64
 	ranks              *ranks
+	below              *below.Shares
+	// random draws a number from 0 up to 1.
+	random func() float64
 	// askedAt is when a request last came, in nanoseconds.
 	askedAt atomic.Int64
 }
@@ -92,6 +97,8 @@
 		work:      worktime.NewTimes(),
 		origins:   newOrigins(),
 		ranks:     newRanks(),
+		below:     below.NewShares(),
+		random:    rand.Float64,
 		checker:   deps.Checker,
 		transport: backend.NewTransport(backend.Options{
 			Address: s.BackendServer.Address, Headers: deps.Headers,
@@ -250,6 +257,10 @@
 	}
 	run.origin = r.origins.note(c.Kind, c.Routed.Caller)
 	called := run.origin == wire.OriginService
+	if refusal := r.checkBelow(run); refusal != nil {
+		run.refuse(refusal)
+		return func() {}
+	}
 	run.job = gate.Job{
 		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
 		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: endBy(now, run, called), Start: run.start, SendBack: run.sendBack, Dismiss: run.dismiss,
