Origins: a route that two services call counts as called

Ruled out: forgetting after a time (callers' routes would be called ones by turns); asking who sends them (entries cannot tell). Change: executors know the share of VMs beside the services that were seen; a route is called by these where so many requests in a row would begin there by chance once in a thousand times, 46 for 86 in 100 of the VMs.

--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -59,6 +59,7 @@
 	var err error
 	r.runner, err = runner.NewRunner(d.Common, runner.Deps{
 		Headers: adapter.Backend, Lifecycle: r.lifecycle, Load: r.load, Checker: r.checker, Service: r.service,
+		ShareOf: d.World.View.ShareOf,
 	})
 	if err != nil {
 		return nil, err
--- a/pkg/runner/origins.go
+++ b/pkg/runner/origins.go
@@ -1,6 +1,8 @@
 package runner
 
 import (
+	"math"
+	"slices"
 	"sync"
 
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -12,25 +14,42 @@
 	// Callers from outside use all VMs alike, so that so many of theirs on the
 	// VMs of one service are unlikely.
 	originsEnough = 12
+	// originsOdds are the odds that so many requests of callers from outside begin
+	// beside the same few services by chance, below which the route counts as called
+	// by these. One that does wrongly is known for what it is from the next request
+	// on that begins beside another service.
+	originsOdds = 0.001
+	// mostCallers bounds the services that call one route.
+	mostCallers = 8
 	// mostOrigins bounds the routes that are followed.
 	mostOrigins = 4096
 )
 
 // origins tells routes that services call in the middle of a run from those
-// that callers from outside use, by where their requests begin.
+// that callers from outside use, by where their requests begin. The requests of a
+// route may be handled by two services, as while one takes over from the other, so
+// that the calls of their runs come from both.
 type origins struct {
+	// shareOf is which share of the VMs stands beside certain services.
+	shareOf func(services []string) float64
+
 	mu      sync.Mutex
 	byRoute map[string]*origin
 }
 
+// origin is what is known of one route.
 type origin struct {
-	service string
-	count   int
-	// mixed is true once requests began beside two services.
-	mixed bool
+	// services are those beside which its requests began, and count is how many
+	// began since the newest of them was first seen.
+	services []string
+	count    int
+	// enough is how many show that services call it; 0: none do.
+	enough int
 }
 
-func newOrigins() *origins { return &origins{byRoute: map[string]*origin{}} }
+func newOrigins(shareOf func(services []string) float64) *origins {
+	return &origins{shareOf: shareOf, byRoute: map[string]*origin{}}
+}
 
 // note takes one request of a route over, which began beside a service, and
 // returns what is believed of the route now.
@@ -42,18 +61,37 @@
 		if len(o.byRoute) >= mostOrigins {
 			return wire.OriginUnknown
 		}
-		found = &origin{service: service}
+		found = &origin{services: []string{service}, enough: originsEnough}
 		o.byRoute[route] = found
 	}
-	if found.service != service {
-		found.mixed = true
+	if !slices.Contains(found.services, service) {
+		found.add(service, o.shareOf)
 	}
 	found.count++
 	switch {
-	case found.mixed:
-		return wire.OriginCallers
-	case found.count > originsEnough:
+	case found.enough > 0 && found.count > found.enough:
 		return wire.OriginService
+	case len(found.services) > 1:
+		return wire.OriginCallers
 	}
 	return wire.OriginUnknown
 }
+
+// add takes over that requests begin beside another service, too.
+func (o *origin) add(service string, shareOf func([]string) float64) {
+	o.count, o.enough = 0, 0
+	if len(o.services) >= mostCallers {
+		return
+	}
+	o.services = append(o.services, service)
+	o.enough = enoughOf(shareOf(o.services))
+}
+
+// enoughOf is how many requests in a row begin beside a share of the VMs by chance
+// with the odds that are left to it; 0: any number may.
+func enoughOf(share float64) int {
+	if share <= 0 || share >= 1 {
+		return 0
+	}
+	return max(originsEnough, int(math.Ceil(math.Log(originsOdds)/math.Log(share))))
+}
--- /dev/null
+++ b/pkg/runner/origins_test.go
@@ -0,0 +1,79 @@
+package runner
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test"
+
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// shares are the shares of the VMs beside the services of a fleet.
+func shares(services []string) float64 {
+	of := map[string]float64{"desk": 0.52, "returns": 0.34, "field": 0.14}
+	share := 0.0
+	for _, name := range services {
+		share += of[name]
+	}
+	return share
+}
+
+// TestARouteThatTwoServicesCall: a version lets two services handle the requests whose
+// runs make the calls. They were taken for requests of callers from then on, which go
+// behind others and are refused where they would end after their target.
+func TestARouteThatTwoServicesCall(t *testing.T) {
+	o := newOrigins(shares)
+	for range originsEnough {
+		o.note("check", "returns")
+	}
+	test.Eq(t, wire.OriginService, o.note("check", "returns"))
+	test.Eq(t, wire.OriginCallers, o.note("check", "desk"), test.Sprint("not clear yet"))
+	var got wire.Origin
+	for i := range 60 {
+		got = o.note("check", []string{"returns", "desk"}[i%2])
+	}
+	test.Eq(t, wire.OriginService, got)
+	test.Eq(t, wire.OriginCallers, o.note("check", "field"))
+	for range 1000 {
+		got = o.note("check", "returns")
+	}
+	test.Eq(t, wire.OriginCallers, got, test.Sprint("all services have made some"))
+}
+
+// TestRequestsOfCallersAreNotTakenForCalls: they begin beside all services alike.
+func TestRequestsOfCallersAreNotTakenForCalls(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	wrong := 0
+	for range 1000 {
+		o := newOrigins(shares)
+		last := wire.OriginUnknown
+		for range 200 {
+			service := "field"
+			switch at := random.Float64(); {
+			case at < 0.52:
+				service = "desk"
+			case at < 0.86:
+				service = "returns"
+			}
+			last = o.note("load", service)
+			if last == wire.OriginService {
+				wrong++
+			}
+		}
+		test.Eq(t, wire.OriginCallers, last)
+	}
+	test.Less(t, 200, wrong, test.Sprint("of 200,000 requests"))
+}
+
+// TestServicesThatCallARouteAreBounded.
+func TestServicesThatCallARouteAreBounded(t *testing.T) {
+	o := newOrigins(func([]string) float64 { return 0.5 })
+	for i := range 3 * mostCallers {
+		o.note("check", string(rune('a'+i)))
+	}
+	for range 100 {
+		test.Eq(t, wire.OriginCallers, o.note("check", "a"))
+	}
+	test.SliceLen(t, mostCallers, o.byRoute["check"].services)
+}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -79,6 +79,17 @@
 	// Service is what the placement says of the backend server's service; ok is
 	// false while there is no placement.
 	Service func() (s routing.Service, ok bool)
+	// ShareOf is which share of the VMs stands beside certain services, from 0 to 1;
+	// nil: not known.
+	ShareOf func(services []string) float64
+}
+
+// shareOf takes all VMs for those of the services where nothing is known.
+func (d *Deps) shareOf() func([]string) float64 {
+	if d.ShareOf == nil {
+		return func([]string) float64 { return 1 }
+	}
+	return d.ShareOf
 }
 
 // NewRunner makes a runner.
@@ -95,7 +106,7 @@
 		load:      deps.Load,
 		service:   deps.Service,
 		work:      worktime.NewTimes(),
-		origins:   newOrigins(),
+		origins:   newOrigins(deps.shareOf()),
 		ranks:     newRanks(),
 		below:     below.NewShares(),
 		random:    rand.Float64,
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -200,7 +200,7 @@
 }
 
 func TestRoutesThatServicesCallAreTold(t *testing.T) {
-	o := newOrigins()
+	o := newOrigins((&Deps{}).shareOf())
 	for range originsEnough {
 		test.Eq(t, wire.OriginUnknown, o.note("called", "a"))
 		test.Eq(t, wire.OriginUnknown, o.note("outside", "a"))
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -1,6 +1,7 @@
 package tables
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -52,6 +53,15 @@
 	return s.kinds[kind]
 }
 
+// size is how many backend servers the service has, as far as they are known.
+func (s *ServiceView) size() int {
+	size := 0
+	for _, k := range s.kinds {
+		size = max(size, len(k.Ready)+len(k.Unlinked))
+	}
+	return size
+}
+
 // View is what the hot path reads. Each service is published by itself, so
 // that a change costs no more than the service it concerns.
 type View struct {
@@ -103,6 +113,24 @@
 	vi.services.Store(name, v)
 }
 
+// ShareOf is which share of the backend servers that are known belongs to certain
+// services, from 0 to 1; 0 where none is known.
+func (vi *View) ShareOf(services []string) float64 {
+	of, all := 0, 0
+	vi.services.Range(func(name, view any) bool {
+		size := view.(*ServiceView).size()
+		all += size
+		if slices.Contains(services, name.(string)) {
+			of += size
+		}
+		return true
+	})
+	if all == 0 {
+		return 0
+	}
+	return float64(of) / float64(all)
+}
+
 // Evacuation returns which data centres are evacuated.
 func (vi *View) Evacuation() evacuation.Set {
 	if s := vi.evacuation.Load(); s != nil {
