Revert: ranks of calls, a call is no more urgent than the requests that can have made it

Cause: it gains nothing. What it did change, status-checks behind submits, made 24 fewer of those end in time in 31.5 to 33 s.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -121,7 +121,7 @@
 		Claim:     wire.Claim{Generation: uint32(a.offered)},
 		Routed: wire.Routed{
 			ID: a.req.ID, Host: a.req.Host, Caller: a.owner.Settings.BackendServer.Service,
-			Repeatable: a.route.Repeatable, Priority: a.rank(), Soft: soft,
+			Repeatable: a.route.Repeatable, Priority: a.route.Priority, Soft: soft,
 			Near: to.Route.DataCentre == a.owner.Settings.VM.DataCentre, Target: a.target - elapsed,
 		},
 	}
--- a/pkg/forward/below_test.go
+++ b/pkg/forward/below_test.go
@@ -11,7 +11,7 @@
 
 // countingRuns count the refused calls that they are told of.
 type countingRuns struct {
-	rankedRuns
+	repeatingRuns
 	refused int
 }
 
--- a/pkg/forward/budget_test.go
+++ b/pkg/forward/budget_test.go
@@ -76,7 +76,6 @@
 type repeatingRuns float64
 
 func (r repeatingRuns) RepeatShare() float64 { return float64(r) }
-func (r repeatingRuns) Rank() uint8          { return 0 }
 func (r repeatingRuns) CallRefused()         {}
 
 // TestCallsOfRepeatedRunsAreChargedToTheBudget: a run that repeats one makes its
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -36,9 +36,6 @@
 type Runs interface {
 	// RepeatShare is the share of them that repeat a run elsewhere, from 0 to 1.
 	RepeatShare() float64
-	// Rank is the most urgent rank of those that callers asked for, 0 where there is
-	// none.
-	Rank() uint8
 	// CallRefused tells that a call which one of them made was refused.
 	CallRefused()
 }
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -111,9 +111,7 @@
 		return call.Refused(errkind.CallerGone, "the caller left before hand-over"), false
 	}
 	ended := r.countRun(run.call.Claim.Generation > 0)
-	uncounted := r.ranks.add(run.call.Routed.Priority, run.origin)
 	reply := r.transport.Do(ctx, run.request(instance))
-	uncounted()
 	ended()
 	r.note(&reply)
 	if reply.Refusal != nil {
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -60,7 +60,6 @@
 	// running counts the runs at the backend server, repeating those of them that
 	// repeat a run elsewhere.
 	running, repeating atomic.Int64
-	ranks              *ranks
 	below              *below.Shares
 	// random draws a number from 0 up to 1.
 	random func() float64
@@ -107,7 +106,6 @@
 		service:   deps.Service,
 		work:      worktime.NewTimes(),
 		origins:   newOrigins(deps.shareOf()),
-		ranks:     newRanks(),
 		below:     below.NewShares(),
 		random:    rand.Float64,
 		checker:   deps.Checker,
@@ -161,10 +159,6 @@
 	return min(float64(r.repeating.Load())/float64(running), 1)
 }
 
-// Rank is the most urgent rank of the runs at the backend server that callers asked
-// for, 0 where none is under way: a call that it makes belongs to one of them.
-func (r *Runner) Rank() uint8 { return r.ranks.first() }
-
 // countRun counts a run until the returned function is called.
 func (r *Runner) countRun(repeats bool) (ended func()) {
 	repeating := int64(0)
