--- a/pkg/forward/budget_test.go
+++ b/pkg/forward/budget_test.go
@@ -76,7 +76,6 @@
 type repeatingRuns float64
 
 func (r repeatingRuns) RepeatShare() float64 { return float64(r) }
-func (r repeatingRuns) CallRefused()         {}
 
 // TestCallsOfRepeatedRunsAreChargedToTheBudget: a run that repeats one makes its
 // calls again, and at the called service they count as repeats. Without the
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -36,8 +36,6 @@
 type Runs interface {
 	// RepeatShare is the share of them that repeat a run elsewhere, from 0 to 1.
 	RepeatShare() float64
-	// CallRefused tells that a call which one of them made was refused.
-	CallRefused()
 }
 
 // Forwarder takes routed requests to an end. It is safe for concurrent use.
@@ -95,7 +93,6 @@
 	}
 	if result.Refusal != nil {
 		outcome = result.Refusal.Kind.String()
-		f.noteRefusedCall(a, result.Refusal)
 	}
 	f.Metrics.GetOrCreateCounter(`rushramp_routed_total{service="` + service + `",kind="` + kindOf(a) + `",outcome="` + outcome + `"}`).Inc()
 	f.observe(service, time.Duration(f.Now()-began), &result)
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -121,7 +121,6 @@
 	reply.Answer.Queued = run.job.Queued()
 	reply.Answer.Run = took
 	reply.Answer.Slowdown = slowdown
-	r.noteBelow(run, began, reply.Answer.Status)
 	worked := reply.Answer.Status < 500
 	if worked {
 		r.work.Note(run.call.Kind, took, slowdown)
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -4,7 +4,6 @@
 package runner
 
 import (
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/backend"
-	"github.com/rushramp/rushramp/pkg/below"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
@@ -60,9 +58,6 @@
 	// running counts the runs at the backend server, repeating those of them that
 	// repeat a run elsewhere.
 	running, repeating atomic.Int64
-	below              *below.Shares
-	// random draws a number from 0 up to 1.
-	random func() float64
 	// askedAt is when a request last came, in nanoseconds.
 	askedAt atomic.Int64
 }
@@ -106,8 +101,6 @@
 		service:   deps.Service,
 		work:      worktime.NewTimes(),
 		origins:   newOrigins(deps.shareOf()),
-		below:     below.NewShares(),
-		random:    rand.Float64,
 		checker:   deps.Checker,
 		transport: backend.NewTransport(backend.Options{
 			Address: s.BackendServer.Address, Headers: deps.Headers,
@@ -262,10 +255,6 @@
 	}
 	run.origin = r.origins.note(c.Kind, c.Routed.Caller)
 	called := run.origin == wire.OriginService
-	if refusal := r.checkBelow(run); refusal != nil {
-		run.refuse(refusal)
-		return func() {}
-	}
 	run.job = gate.Job{
 		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
 		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: endBy(now, run, called), Start: run.start, SendBack: run.sendBack, Dismiss: run.dismiss,
