--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -25,7 +25,6 @@
 	job.seq = g.jobSeq
 	at := g.expect(now, job)
 	if refusal := g.check(now, job, at); refusal != nil {
-		g.noteRefused(now, job)
 		return false, refusal
 	}
 	g.inFlight.Add(1)
@@ -144,12 +143,11 @@
 // startWait is how long a job waits until the backend server bears its start,
 // behind those that go before it.
 func (g *Gate) startWait(now int64, job *Job) time.Duration {
-	yields := g.yields(now, job)
 	if g.cold.Most == 0 || g.queue.len() == 0 {
-		return max(yields, g.cold.wait(now, 0))
+		return g.cold.wait(now, 0)
 	}
 	ahead, _ := g.queue.workAhead(job, func(*Job) time.Duration { return 0 })
-	return max(yields, g.cold.wait(now, ahead))
+	return g.cold.wait(now, ahead)
 }
 
 // queueWait is how long a job waits for a slot while none is free. A routed job
@@ -204,7 +202,7 @@
 	if job.Near {
 		most = g.slots
 	}
-	return g.tooSlowForSoft(now) || g.running+g.queue.len() >= most || g.bearsNoStart(now) || g.yields(now, job) > 0
+	return g.tooSlowForSoft(now) || g.running+g.queue.len() >= most || g.bearsNoStart(now)
 }
 
 // expected is the expected time of one run of a job that starts now.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -56,7 +56,6 @@
 	probedAt int64
 	// cold bounds the starts at a cold backend server.
 	cold coldStarts
-	away turnedAway
 
 	stampSeq atomic.Uint64
 	// inFlight repeats running plus queued for readers without the lock.
--- a/pkg/gate/waiting.go
+++ b/pkg/gate/waiting.go
@@ -47,10 +47,6 @@
 		if job == nil {
 			break
 		}
-		if g.yields(now, job) > 0 {
-			held = append(held, job)
-			continue
-		}
 		if g.staysHeld(now, job) {
 			job.held = true
 			held = append(held, job)
--- a/pkg/runner/cold_test.go
+++ b/pkg/runner/cold_test.go
@@ -74,6 +74,24 @@
 	}
 }
 
+// TestCallsAreHeldToTheirTargetWhileColdStartsAreScarce, and to their deadline else.
+func TestCallsAreHeldToTheirTargetWhileColdStartsAreScarce(t *testing.T) {
+	r, lifecycle := newTestRunner(t, newHeld(), 10)
+	withColdService(r)
+	c := routedCall("call")
+	c.Routed.Target = 120 * time.Millisecond
+	const now = int64(time.Second)
+	run := &routedRun{owner: r, call: c, deadline: now + int64(time.Minute)}
+	test.Eq(t, run.deadline, r.endBy(now, run, true))
+	test.Eq(t, now+int64(120*time.Millisecond), r.endBy(now, run, false))
+	lifecycle.TakeCold(r.Now(), r.Now(), "i-1", 3*time.Second)
+	r.TakeCold()
+	test.Eq(t, now+int64(120*time.Millisecond), r.endBy(now, run, true))
+	lifecycle.TakeCold(r.Now(), r.Now(), "i-1", 0)
+	r.TakeCold()
+	test.Eq(t, run.deadline, r.endBy(now, run, true))
+}
+
 // TestWhatAColdBackendServerBearsIsKnownBeforeTheFirstStart: its word came before
 // the placement.
 func TestWhatAColdBackendServerBearsIsKnownBeforeTheFirstStart(t *testing.T) {
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -36,9 +36,13 @@
 
 // endBy is until when the request's run should have ended: within its target,
 // or, for calls that services make, within their deadline. A call that is
-// refused fails the request that made it, which has run already.
-func endBy(now int64, run *routedRun, called bool) int64 {
-	if called {
+// refused fails the request that made it, which has run already. While the backend
+// server is cold, calls are held to their target, too: what can wait for long takes
+// the scarce starts from requests that cannot, and a call that has waited makes its
+// request late. After a loss of power that was worth 0.01 to 0.03 of the day on the
+// users' sites with scarce starts.
+func (r *Runner) endBy(now int64, run *routedRun, called bool) int64 {
+	if called && !r.cold.Load() {
 		return run.deadline
 	}
 	return min(run.deadline, now+int64(run.call.Routed.Target))
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -257,7 +257,7 @@
 	called := run.origin == wire.OriginService
 	run.job = gate.Job{
 		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
-		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: endBy(now, run, called), Start: run.start, SendBack: run.sendBack, Dismiss: run.dismiss,
+		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: r.endBy(now, run, called), Start: run.start, SendBack: run.sendBack, Dismiss: run.dismiss,
 	}
 	if !r.looksFirst(now, run) {
 		run.admit()
