--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -77,6 +77,17 @@
 	// Route finds a request's route in the placement in force; nil where that has
 	// none.
 	Route func(host, path string) (route *routing.Compiled, version uint64)
+	// ShareOf is which share of the VMs stands beside certain services, from 0 to 1;
+	// nil: not known.
+	ShareOf func(services []string) float64
+}
+
+// shareOf takes all VMs for those of the services where nothing is known.
+func (d *Deps) shareOf() func([]string) float64 {
+	if d.ShareOf == nil {
+		return func([]string) float64 { return 1 }
+	}
+	return d.ShareOf
 }
 
 // NewRunner makes a runner.
@@ -94,7 +105,7 @@
 		service:   deps.Service,
 		route:     deps.Route,
 		work:      worktime.NewTimes(),
-		origins:   newOrigins(),
+		origins:   newOrigins(deps.shareOf()),
 		checker:   deps.Checker,
 		transport: backend.NewTransport(backend.Options{
 			Address: s.BackendServer.Address, Headers: deps.Headers,
@@ -251,7 +262,7 @@
 	called := run.origin == wire.OriginService
 	run.job = gate.Job{
 		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
-		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: endBy(now, run, called), Start: run.start, SendBack: run.sendBack, Dismiss: run.dismiss,
+		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: r.endBy(now, run, called), Start: run.start, SendBack: run.sendBack, Dismiss: run.dismiss,
 	}
 	if !r.looksFirst(now, run) {
 		run.admit()
