Backend servers' versions: from the heartbeat to the hot path

A roll-out needs to know which version of its service each backend server runs. Heartbeats carry it, and nothing read it. The lifecycle keeps it for the current incarnation, the own row tells it to all daemons, and tables.Route to the hot path (an atomic: another backend server may take the place). Ruled out: a version in the list of VMs; the list lags, and a VM's backend server may be replaced. Frames of rows with a field more or less are read (pkg/wire tests). Types for news and reports of roll-outs join the end of the list of frames.

--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -19,6 +19,9 @@
 	// downAfter is how many connections in a row must be refused before the
 	// backend server counts as down.
 	downAfter = 2
+	// mostVersions bounds the incarnations whose versions are remembered: one that is
+	// seen by its health path first has said its version before, or will soon.
+	mostVersions = 16
 )
 
 // State is what the daemon believes of its backend server.
@@ -49,6 +52,9 @@
 	Sequence uint64
 	Slots    int
 	Leaving  bool
+	// Version is the one of the service's program that it runs; empty: it does not
+	// say.
+	Version string
 	// ColdFor is how much longer it is cold from its start.
 	ColdFor time.Duration
 }
@@ -79,6 +85,8 @@
 	seenAt   int64
 	cold     Cold
 	sequence map[string]uint64
+	// versions are those that incarnations have said.
+	versions map[string]string
 	departed map[string]int64
 	// replaced are incarnations after which another one was seen at the address, and
 	// when. A heartbeat that a cut held back does not bring one of them back.
@@ -95,7 +103,7 @@
 	if changed == nil {
 		changed = func(string, State) {}
 	}
-	return &Lifecycle{informed: informed, changed: changed, sequence: map[string]uint64{}, departed: map[string]int64{}, replaced: map[string]int64{}}
+	return &Lifecycle{informed: informed, changed: changed, sequence: map[string]uint64{}, versions: map[string]string{}, departed: map[string]int64{}, replaced: map[string]int64{}}
 }
 
 // Accepting returns the incarnation that may get requests now; ok is false when
@@ -113,6 +121,29 @@
 	return l.instance, l.state
 }
 
+// Version returns the version that the current incarnation has said; empty: it has
+// said none yet.
+func (l *Lifecycle) Version() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.versions[l.instance]
+}
+
+// takeVersion remembers the version of an incarnation, which never changes.
+func (l *Lifecycle) takeVersion(h Heartbeat) {
+	if _, known := l.versions[h.Instance]; known || h.Version == "" {
+		return
+	}
+	if len(l.versions) >= mostVersions {
+		own, said := l.versions[l.instance]
+		clear(l.versions)
+		if said {
+			l.versions[l.instance] = own
+		}
+	}
+	l.versions[h.Instance] = h.Version
+}
+
 // Cold returns what the current incarnation said of its being cold.
 func (l *Lifecycle) Cold() Cold {
 	l.mu.Lock()
@@ -150,10 +181,10 @@
 // change runs do under the lock and tells of what changed for others.
 func (l *Lifecycle) change(do func()) {
 	l.mu.Lock()
-	oldInstance, oldState, oldInformed := l.instance, l.state, l.informed
+	oldInstance, oldState, oldInformed, oldVersion := l.instance, l.state, l.informed, l.versions[l.instance]
 	do()
 	instance, state := l.instance, l.state
-	same := instance == oldInstance && state == oldState && l.informed == oldInformed
+	same := instance == oldInstance && state == oldState && l.informed == oldInformed && l.versions[l.instance] == oldVersion
 	l.mu.Unlock()
 	if !same {
 		l.changed(instance, state)
@@ -166,6 +197,7 @@
 	l.change(func() {
 		late := h.Sequence <= l.sequence[h.Instance]
 		l.sequence[h.Instance] = max(h.Sequence, l.sequence[h.Instance])
+		l.takeVersion(h)
 		switch {
 		case h.Leaving:
 			departed = l.depart(now, h.Instance)
--- a/pkg/backend/lifecycle_test.go
+++ b/pkg/backend/lifecycle_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -153,3 +154,22 @@
 	l.TakeCold(2*second, 3*second, "a", 2*time.Second)
 	test.Eq(t, Cold{Till: 5 * second, TillLeast: 4 * second, ToldAt: 2 * second}, l.Cold())
 }
+
+// TestTheVersionIsThatOfTheCurrentIncarnation: its health path may show it before its
+// first heartbeat, and a late heartbeat of the one before changes nothing.
+func TestTheVersionIsThatOfTheCurrentIncarnation(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	l.Heartbeat(1, Heartbeat{Instance: "a", Sequence: 1, Version: "v1"})
+	test.Eq(t, "v1", l.Version())
+	l.Seen(2, "b")
+	test.Eq(t, "", l.Version())
+	l.Heartbeat(3, Heartbeat{Instance: "a", Sequence: 2, Version: "v1"})
+	test.Eq(t, "", l.Version())
+	l.Heartbeat(4, Heartbeat{Instance: "b", Sequence: 1, Version: "v2"})
+	test.Eq(t, "v2", l.Version())
+	for n := range 3 * mostVersions {
+		l.Heartbeat(5, Heartbeat{Instance: fmt.Sprint("late", n), Sequence: 1, Version: "v1"})
+	}
+	test.Eq(t, "v2", l.Version())
+	test.LessEq(t, mostVersions, len(l.versions))
+}
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -69,7 +69,7 @@
 
 // stateChanged logs the new belief and wakes the systems, which pass it on.
 func (r *routed) stateChanged(instance string, state backend.State) {
-	r.daemon.Log.Event(events.BackendState, events.F("instance", instance), events.F("state", state))
+	r.daemon.Log.Event(events.BackendState, events.F("instance", instance), events.F("state", state), events.F("version", r.lifecycle.Version()))
 	r.daemon.World.Inbox.Post(true, func(*tables.Mail) {})
 }
 
--- a/pkg/systems/backendwatch.go
+++ b/pkg/systems/backendwatch.go
@@ -19,10 +19,10 @@
 		return
 	}
 	said := b.World.Members.Row[row]
-	if said.Backend == b.backendState() || said.Incarnation != b.Control.Incarnation() {
+	if said.Backend == b.backendState() && said.Version == b.Backend.Version() || said.Incarnation != b.Control.Incarnation() {
 		return
 	}
-	said.Backend = b.backendState()
+	said.Backend, said.Version = b.backendState(), b.Backend.Version()
 	said.Revision++
 	if _, changed := b.World.Members.Merge(now, nil, said); changed {
 		b.World.Touch(said.Service)
--- a/pkg/systems/members.go
+++ b/pkg/systems/members.go
@@ -98,6 +98,7 @@
 		out.Incarnation = me.World.Members.Row[row].Incarnation
 		out.Revision = me.World.Members.Row[row].Revision
 		out.Backend = me.World.Members.Row[row].Backend
+		out.Version = me.World.Members.Row[row].Version
 	}
 	return out
 }
@@ -189,7 +190,7 @@
 	if me.Backend == nil {
 		return said
 	}
-	said.Backend = me.backendState()
+	said.Backend, said.Version = me.backendState(), me.Backend.Version()
 	return said
 }
 
--- a/pkg/tables/members.go
+++ b/pkg/tables/members.go
@@ -22,8 +22,21 @@
 	Callers    string
 	Load       *Load
 	runner     atomic.Pointer[call.Runner]
+	// version is the one of the backend server now: another one may take its place.
+	version atomic.Pointer[string]
 }
 
+// Version is the version that the backend server has said; empty: not known.
+func (ro *Route) Version() string {
+	if v := ro.version.Load(); v != nil {
+		return *v
+	}
+	return ""
+}
+
+// SetVersion notes the version that the backend server has said.
+func (ro *Route) SetVersion(version string) { ro.version.Store(&version) }
+
 // SetRunner says who runs calls of this route; nil when there is no link.
 func (ro *Route) SetRunner(r call.Runner) {
 	if r == nil {
@@ -205,6 +218,7 @@
 func (me *Members) put(row int, said wire.Member) {
 	me.count(&me.Row[row])
 	me.Row[row] = said
+	me.Route[row].SetVersion(said.Version)
 	me.count(&said)
 }
 
@@ -218,6 +232,7 @@
 		VM: said.VM, Service: said.Service, DataCentre: said.DataCentre,
 		Links: said.Links, Callers: said.Callers, Load: NewLoad(int(said.Slots)),
 	}
+	me.Route[row].SetVersion(said.Version)
 	me.inUse[row] = true
 	me.byID[said.VM] = row
 	delete(me.gone, said.VM)
@@ -286,7 +301,7 @@
 	for _, part := range []string{
 		m.VM, strconv.FormatUint(m.Started, 10), strconv.FormatUint(m.Incarnation, 10), strconv.Itoa(int(m.State)),
 		m.DataCentre, m.Service, m.Links, m.Callers, strconv.Itoa(int(m.Slots)),
-		strconv.FormatUint(m.Revision, 10), strconv.Itoa(int(m.Backend)),
+		strconv.FormatUint(m.Revision, 10), strconv.Itoa(int(m.Backend)), m.Version,
 	} {
 		// Writing to a digest has no error to give.
 		_, _ = d.WriteString(part)
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -60,6 +60,12 @@
 // Type implements Frame.
 func (*Departures) Type() Type { return TypeDepartures }
 
+// Type implements Frame.
+func (*RolloutNews) Type() Type { return TypeRolloutNews }
+
+// Type implements Frame.
+func (*RolloutReport) Type() Type { return TypeRolloutReport }
+
 // Codec encodes and decodes frames. It is safe for concurrent use.
 type Codec struct {
 	enc cbor.UserBufferEncMode
@@ -172,6 +178,10 @@
 		return &MembersAsk{}, nil
 	case TypeDepartures:
 		return &Departures{}, nil
+	case TypeRolloutNews:
+		return &RolloutNews{}, nil
+	case TypeRolloutReport:
+		return &RolloutReport{}, nil
 	}
 	return nil, errors.Errorf("unknown frame type %d", t)
 }
--- a/pkg/wire/fit_test.go
+++ b/pkg/wire/fit_test.go
@@ -37,8 +37,24 @@
 		Slots                                       uint32
 		Revision                                    uint64
 		Backend                                     BackendState
+		Version                                     string
 		Added                                       uint64
 	}
+	// earlierMember is a row of the release before versions were told.
+	earlierMember struct {
+		_                                           struct{} `cbor:",toarray"`
+		VM                                          string
+		Started, Incarnation                        uint64
+		State                                       MemberState
+		Region, DataCentre, Service, Links, Callers string
+		Slots                                       uint32
+		Revision                                    uint64
+		Backend                                     BackendState
+	}
+	earlierMembers struct {
+		_    struct{} `cbor:",toarray"`
+		Rows []earlierMember
+	}
 	laterMembers struct {
 		_    struct{} `cbor:",toarray"`
 		Rows []laterMember
@@ -97,8 +113,8 @@
 		ID: 3, Kind: 4, Detail: "d", Stamp: laterStamp{Seq: 9, Limit: 2, Added: []string{"x"}}, Offered: true, Added: map[string]int{"a": 1},
 	}))
 	test.Eq(t, &Refusal{ID: 3, Kind: 4, Detail: "d", Stamp: Stamp{Seq: 9, Limit: 2}, Offered: true}, refusal)
-	members := next[*Members](t, framed(t, TypeMembers, laterMembers{Rows: []laterMember{{VM: "a", Slots: 3, Added: 5}, {VM: "b"}}}))
-	test.Eq(t, []Member{{VM: "a", Slots: 3}, {VM: "b"}}, members.Rows)
+	members := next[*Members](t, framed(t, TypeMembers, laterMembers{Rows: []laterMember{{VM: "a", Slots: 3, Version: "v2", Added: 5}, {VM: "b"}}}))
+	test.Eq(t, []Member{{VM: "a", Slots: 3, Version: "v2"}, {VM: "b"}}, members.Rows)
 }
 
 func TestAFrameOfTheReleaseBeforeIsRead(t *testing.T) {
@@ -110,6 +126,11 @@
 	}, answer)
 }
 
+func TestAMemberOfTheReleaseBeforeHasNoVersion(t *testing.T) {
+	members := next[*Members](t, framed(t, TypeMembers, earlierMembers{Rows: []earlierMember{{VM: "a", Slots: 3, Backend: BackendAbsent}}}))
+	test.Eq(t, []Member{{VM: "a", Slots: 3, Backend: BackendAbsent}}, members.Rows)
+}
+
 func TestAStateOfTheReleaseBeforeIsRead(t *testing.T) {
 	state := next[*State](t, framed(t, TypeState, earlierState{Placement: 3, Heard: []Heard{{DataCentre: "a", AgeMS: 4}}}))
 	test.Eq(t, &State{Placement: 3, Heard: []Heard{{DataCentre: "a", AgeMS: 4}}}, state)
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/rollout"
 )
 
 // Type says which frame follows. Values stay below 24, so that the byte is a
@@ -27,6 +28,8 @@
 	TypeMembers
 	TypeMembersAsk
 	TypeDepartures
+	TypeRolloutNews
+	TypeRolloutReport
 	// TypeCount is one more than the highest type.
 	TypeCount
 )
@@ -35,7 +38,8 @@
 func (t Type) String() string {
 	return [...]string{
 		"none", "hello", "call", "chunk", "answer", "refusal", "cancel",
-		"state", "pull", "update", "members", "members_ask", "departures", "count",
+		"state", "pull", "update", "members", "members_ask", "departures",
+		"rollout_news", "rollout_report", "count",
 	}[min(t, TypeCount)]
 }
 
@@ -119,6 +123,8 @@
 	// IdleTenths is how long the sender may say nothing on an idle link from now on,
 	// in tenths of a second; 0: it does not say.
 	IdleTenths uint32
+	// Rollouts is the digest of what the sender knows of roll-outs; 0: nothing.
+	Rollouts uint64
 }
 
 // IdleTenth is the unit of State.IdleTenths.
@@ -316,6 +322,8 @@
 	Revision uint64
 	// Backend is the state of the backend server beside the daemon.
 	Backend BackendState
+	// Version is the one that the backend server has said; empty: not known.
+	Version string
 }
 
 // BackendState is what a daemon says of its backend server.
@@ -351,3 +359,16 @@
 	// a daemon that was just started may not.
 	Informed bool
 }
+
+// RolloutNews carries all that the sender knows of roll-outs.
+type RolloutNews struct {
+	_    struct{} `cbor:",toarray"`
+	News rollout.News
+}
+
+// RolloutReport carries what an executor has seen of its backend server to those
+// who watch its service's roll-out.
+type RolloutReport struct {
+	_      struct{} `cbor:",toarray"`
+	Report rollout.Report
+}
