Roll-outs: orders from the feed, the plan's row in the store, kinds and events

Operators order roll-outs by rows of the store, which the feed passed over, and plans need a row that one writer at a time wins. The feed tells orders as it tells evacuated data centres (all pages of the table are read anew where history is gone); the plan's row and the operators' state are one transaction under the plan's row version. The store's clock comes with the read. Ruled out: taking the row's new version from the answer of the write: it names the newest of the whole store.

--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -8,6 +8,7 @@
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/ingress"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/store"
 )
@@ -25,6 +26,8 @@
 	Backend backend.Headers
 	// Announcements makes the handler of backend servers' announcements.
 	Announcements func(backend.Announcer) http.Handler
+	// Rollouts is set where operators order roll-outs in the store.
+	Rollouts rollout.Register
 	// Bounds are what the platform holds all daemons to.
 	Bounds Bounds
 }
--- a/pkg/daemon/bounds.go
+++ b/pkg/daemon/bounds.go
@@ -1,6 +1,11 @@
 package daemon
 
-import "github.com/rushramp/rushramp/pkg/settings"
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/rollout"
+	"github.com/rushramp/rushramp/pkg/settings"
+)
 
 // Bounds are what the platform holds all daemons of a deployment to; 0: it names
 // no such bound, and the setting stays.
@@ -15,6 +20,16 @@
 	// second, and ColdSlack how many requests besides.
 	ColdFactor float64
 	ColdSlack  float64
+	// ExposeShare and ExposeSlack bound the requests that a bad version may get while it
+	// is rolled out, and StopWithin the time after which it must get none.
+	ExposeShare float64
+	ExposeSlack float64
+	StopWithin  time.Duration
+}
+
+// rollouts are the limits of roll-outs; the zero value: the platform has none.
+func (b Bounds) rollouts() rollout.Limits {
+	return rollout.Limits{Share: b.ExposeShare, Slack: int(b.ExposeSlack), StopWithin: b.StopWithin}
 }
 
 const (
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -47,6 +47,7 @@
 	Internal
 	// Kinds are told between releases by their number: a new one comes last.
 	DataCentreEvacuated
+	VersionHeld
 	kindCount
 )
 
@@ -125,6 +126,7 @@
 	BackendAbsent:        {Name: "backend_absent", Status: 503, Elsewhere: true, RetryAfterMS: 100, Advice: "The backend server beside the chosen daemon is leaving, down or not known yet; try again."},
 	HeaderTooLarge:       {Name: "header_too_large", Status: 431, Advice: "Send a smaller head."},
 	DataCentreEvacuated:  {Name: "data_centre_evacuated", Status: 503, Elsewhere: true, RetryAfterMS: 500, Advice: "Operators have evacuated the data centre of the chosen backend server; try again, or ask the operators to take it back."},
+	VersionHeld:          {Name: "version_held", Status: 503, Elsewhere: true, RetryAfterMS: 100, Advice: "A roll-out lets no request run at this version of the service now; try again."},
 	Internal:             {Name: "internal", Status: 500, Ran: RanMaybe, Advice: "A fault in rushramp; report it with the daemon's log."},
 }
 
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -77,6 +77,14 @@
 	DocumentRefused   ID = 705
 	DepartureNotKept  ID = 706
 	StoreCalls        ID = 707
+	RolloutRefused    ID = 780
+	RolloutOrdered    ID = 781
+	RolloutPhase      ID = 782
+	RolloutStopped    ID = 783
+	RolloutRowFailed  ID = 784
+	RolloutGuard      ID = 785
+	RolloutWatch      ID = 786
+	RolloutDecided    ID = 787
 )
 
 // Entry is the catalogue's row of one event.
@@ -146,6 +154,14 @@
 		{DocumentRefused, Error, "placement document refused", false, "The row in the store cannot be read; the version in force stays.", "Correct the document and write it again."},
 		{DepartureNotKept, Warn, "departure was not written to the store", false, "The store did not answer in time; peers were told.", "Look at the platform's store."},
 		{StoreCalls, Info, "calls to the platform's store", true, "Each ten seconds in which there were any: calls since the last such line, by purpose and result.", "Nothing; many while the store answers mean that links are few or end often."},
+		{RolloutRefused, Error, "order or news of a roll-out refused", false, "An order in the store, or what a peer told of roll-outs, cannot be read or is out of bounds; it is passed over.", "Correct the order as the line says and write it again; for a peer, check that both daemons run compatible releases."},
+		{RolloutOrdered, Info, "roll-out ordered", false, "Operators ordered that a service's requests move to another version, or took the order away (version is empty then).", "Nothing; event 782 tells how it goes on."},
+		{RolloutPhase, Info, "roll-out's phase changed", false, "A newer plan of a service's roll-out is in force here; cause says why its phase began.", "Nothing; for rolled_back see cause, and event 783 for the evidence."},
+		{RolloutStopped, Warn, "roll-out's version is bad, it gets nothing more", false, "A daemon that watches the roll-out told from the reports of executors that the version is worse than the old ones; cause names the route, figures and test.", "Look at the version's failures or times on that route."},
+		{RolloutRowFailed, Warn, "roll-out's row was not read or written", false, "The store did not answer, or another daemon wrote first (conflict); the row is read again before anything else is written.", "Look at the platform's store if it repeats."},
+		{RolloutGuard, Info, "backend server's part in a roll-out changed", false, "The executor now refuses, or takes again, requests for its backend server: the roll-out's plan says so, its version is new and its order may be on its way, or nobody who watches hears this daemon.", "Nothing; field why says which, revision the plan's."},
+		{RolloutWatch, Info, "watch of a roll-out changed", false, "This daemon is, or is no more, among the three that judge the roll-out of its service; rank 0 writes the plan.", "Nothing."},
+		{RolloutDecided, Info, "roll-out's next plan decided", false, "This daemon writes a plan to the store; the line holds the figures it was decided on.", "Nothing."},
 	}
 }
 
--- a/pkg/placement/feed.go
+++ b/pkg/placement/feed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/rollout"
 )
 
 // Feed tells of the documents and the evacuated data centres that a platform's
@@ -27,6 +28,11 @@
 	// Evacuations are those of all data centres that are evacuated, from Newest,
 	// and the changes since the cursor, in their order, from Next.
 	Evacuations []evacuation.Change
+	// Rollouts are the orders of all services that have one, from Newest, and the
+	// changes since the cursor, in their order, from Next. Refused are orders that
+	// cannot be read, and are passed over.
+	Rollouts []rollout.Change
+	Refused  []error
 	// Cursor is where Next goes on.
 	Cursor uint64
 }
--- /dev/null
+++ b/pkg/rollout/register.go
@@ -0,0 +1,49 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Register keeps the plans' rows in the platform's store, one a service, and beside
+// each the state that operators read.
+type Register interface {
+	// Read reads the plan of a service.
+	Read(ctx context.Context, service string) (Stored, error)
+	// Write writes the plan's row, and the state beside it, where the row still has the
+	// version that the plan names; else store.ErrConflict. Any other error leaves open
+	// whether the plan was written, or will be: the row must be read before anything
+	// else is written.
+	Write(ctx context.Context, plan Plan) error
+}
+
+// Stored is what a Register read.
+type Stored struct {
+	// Plan is the zero value where none was written yet.
+	Plan Plan
+	// Now is the store's steady clock at some moment while it was read.
+	Now time.Duration
+}
+
+// Encode makes the value of a plan's row. It is JSON, so that daemons of another
+// release read what they know of it.
+func (p Plan) Encode() ([]byte, error) {
+	value, err := json.Marshal(p)
+	return value, errors.Wrap(err, "plan")
+}
+
+// DecodePlan reads the value of a service's row, which has the given version.
+func DecodePlan(service string, value []byte, version uint64) (Plan, error) {
+	var out Plan
+	if err := json.Unmarshal(value, &out); err != nil {
+		return Plan{}, errors.Wrap(err, "plan")
+	}
+	out.Revision = version
+	if out.Service != service {
+		return Plan{}, errors.Errorf("the plan of service %q is one of %q", service, out.Service)
+	}
+	return out, out.check()
+}
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -13,6 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/utils"
@@ -75,6 +76,8 @@
 	cursor uint64
 	// evacuated is the set of evacuated data centres as it stood at the cursor.
 	evacuated evacuation.Set
+	// orders is the set of orders for roll-outs, likewise.
+	orders rollout.Orders
 }
 
 // after is the place after an update. The first one tells all of the set.
@@ -82,6 +85,7 @@
 	return feedPlace{
 		known: true, cursor: update.Cursor,
 		evacuated: at.evacuated.With(update.Cursor, update.Evacuations),
+		orders:    at.orders.With(update.Cursor, update.Rollouts),
 	}
 }
 
@@ -214,6 +218,12 @@
 	if !at.known || len(update.Evacuations) > 0 {
 		f.takeEvacuation(next.evacuated)
 	}
+	for _, refused := range update.Refused {
+		f.Log.Event(events.RolloutRefused, events.F("cause", refused))
+	}
+	if !at.known || len(update.Rollouts) > 0 {
+		f.World.Inbox.Post(true, func(m *tables.Mail) { m.Orders = &next.orders })
+	}
 	if update.Document != nil {
 		err = f.take(update.Document)
 	}
--- a/pkg/tables/inbox.go
+++ b/pkg/tables/inbox.go
@@ -6,6 +6,7 @@
 	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -44,6 +45,13 @@
 	// Evacuation is the newest set of evacuated data centres that this daemon read
 	// in the store; nil: it read none.
 	Evacuation *evacuation.Set
+	// Orders is the newest set of orders for roll-outs that this daemon read in the
+	// store; nil: it read none. RolloutNews and RolloutReports came from peers.
+	Orders         *rollout.Orders
+	RolloutNews    []PeerRollouts
+	RolloutReports []rollout.Report
+	// PlanRows are calls to the store about plans that have ended.
+	PlanRows []PlanRow
 	// Wanted are services that a call asked for and that have no view yet.
 	Wanted []string
 	// Departed are processes of backend servers that said here that they leave.
@@ -110,6 +118,23 @@
 	Said *wire.Departures
 }
 
+// PeerRollouts is what a peer told of roll-outs.
+type PeerRollouts struct {
+	Peer *link.Peer
+	News rollout.News
+}
+
+// PlanRow is how a call to the store about the plan of a service ended.
+type PlanRow struct {
+	Service string
+	// Wrote is true for a write, false for a read.
+	Wrote  bool
+	Stored rollout.Stored
+	Err    error
+	// Began is when the call began, in nanoseconds of the daemon's clock.
+	Began int64
+}
+
 // Version is a placement document with its digest, and the changes that led
 // to it where they are known.
 type Version struct {
