--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -54,14 +54,21 @@
 	Deadline time.Duration
 	// Cause says why the phase began, in a few words for operators.
 	Cause string
+	// Barred are versions of earlier orders that were left or have not proved
+	// themselves: they get nothing, whichever version this plan moves to.
+	Barred []string
 }
 
 // Supersedes is true when the plan goes before another one of the same service: it
-// carries out a later order, or was written later.
+// carries out a later order, has ended where the other one has not, or was written
+// later.
 func (p *Plan) Supersedes(other *Plan) bool {
 	if p.Order != other.Order {
 		return p.Order > other.Order
 	}
+	if p.Phase.Ended() != other.Phase.Ended() {
+		return p.Phase.Ended()
+	}
 	return p.Revision > other.Revision
 }
 
