--- a/pkg/rollout/check.go
+++ b/pkg/rollout/check.go
@@ -1,88 +1,57 @@
 package rollout
 
-import (
-	"time"
-
-	"github.com/pkg/errors"
-)
-
-// Bounds on what peers, operators and the store may tell of roll-outs.
+// Bounds on what peers and the store say, so that a damaged word fills no memory.
+// They are some ten times what the largest known deployments need.
 const (
-	// nameMost is the longest name or version, in bytes: the store's bound on texts.
-	nameMost = 200
-	// causeMost is the longest cause, in bytes.
-	causeMost = 1000
-	// servicesMost bounds the services that have an order, a plan or a stop at a time,
-	// and vmsMost the canaries of one.
-	servicesMost = 4096
-	vmsMost      = 4096
-	// versionsMost bounds the versions that served before.
-	versionsMost = 64
-	// routesMost bounds the routes in a report.
-	routesMost = 16384
-	// durationMost is the longest time that an order may take.
-	durationMost = 30 * 24 * time.Hour
+	mostServices = 256
+	mostVersions = 16
+	mostCanaries = 64
+	mostRoutes   = 64
+	mostName     = 256
+	mostCause    = 1024
 )
 
-// Check says what is wrong with an order; nil: nothing.
-func (o Order) Check() error {
-	switch {
-	case !isName(o.Service):
-		return errors.New("the order names no service, or one that is too long")
-	case !isName(o.Version):
-		return errors.Errorf("the order for service %q names no version, or one that is too long", o.Service)
-	case o.Duration <= 0 || o.Duration > durationMost:
-		return errors.Errorf("the order for service %q must be given more than no time and at most %v", o.Service, durationMost)
-	}
-	return nil
-}
+func isName(s string) bool { return s != "" && len(s) <= mostName }
 
-// Check says what is wrong with a peer's news; nil: nothing.
-func (n News) Check() error {
-	if max(len(n.Orders.List), len(n.Plans), len(n.Stops)) > servicesMost {
-		return errors.Errorf("news of more than %d services", servicesMost)
+func areNames(list []string, most int) bool {
+	if len(list) > most {
+		return false
 	}
-	before := ""
-	for _, o := range n.Orders.List {
-		if err := o.Check(); err != nil {
-			return err
-		}
-		if o.Service <= before {
-			return errors.New("orders are not in the order of their services")
+	for _, s := range list {
+		if !isName(s) {
+			return false
 		}
-		before = o.Service
 	}
-	for i := range n.Plans {
-		if err := n.Plans[i].check(); err != nil {
-			return err
-		}
+	return true
+}
+
+func (o *Order) valid() bool {
+	return isName(o.Service) && isName(o.Version) && o.Revision > 0 && o.Duration > 0
+}
+
+// valid is true for a set within bounds whose services are in order, each once.
+func (o Orders) valid() bool {
+	if len(o.List) > mostServices {
+		return false
 	}
-	for _, s := range n.Stops {
-		if !isName(s.Service) || len(s.Cause) > causeMost {
-			return errors.New("a stop with a text that is empty or too long")
+	for i := range o.List {
+		if !o.List[i].valid() || i > 0 && o.List[i-1].Service >= o.List[i].Service {
+			return false
 		}
 	}
-	return nil
+	return true
 }
 
-func (p *Plan) check() error {
-	switch {
-	case !isName(p.Service) || !isName(p.Target) || len(p.Cause) > causeMost:
-		return errors.Errorf("a plan of service %q with a text that is empty or too long", p.Service[:min(len(p.Service), nameMost)])
-	case p.Phase > RolledBack:
-		return errors.Errorf("the plan of service %q is in phase %d, which this release does not know", p.Service, p.Phase)
-	case p.PerMille > 1000 || len(p.Canaries) > vmsMost || len(p.Old) > versionsMost:
-		return errors.Errorf("the plan of service %q has a figure out of bounds", p.Service)
-	}
-	return nil
+// valid is true for a plan within bounds that stands in the store.
+func (p *Plan) valid() bool {
+	return isName(p.Service) && isName(p.Target) && p.Order > 0 && p.Revision > 0 &&
+		p.Phase <= RolledBack && p.PerMille <= 1000 && len(p.Cause) <= mostCause &&
+		areNames(p.Old, mostVersions) && areNames(p.Barred, mostVersions) && areNames(p.Canaries, mostCanaries)
 }
 
-// Check says what is wrong with a report; nil: nothing.
-func (r Report) Check() error {
-	if !isName(r.Service) || !isName(r.VM) || len(r.Version) > nameMost || len(r.Routes) > routesMost {
-		return errors.New("a report with a text that is empty or too long, or with too many routes")
-	}
-	return nil
+func (s *Stop) valid() bool {
+	return isName(s.Service) && s.Order > 0 && len(s.Cause) <= mostCause
 }
 
-func isName(text string) bool { return text != "" && len(text) <= nameMost }
+// shortened cuts a cause to what peers accept.
+func shortened(cause string) string { return cause[:min(len(cause), mostCause)] }
--- a/pkg/rollout/register.go
+++ b/pkg/rollout/register.go
@@ -45,5 +45,16 @@
 	if out.Service != service {
 		return Plan{}, errors.Errorf("the plan of service %q is one of %q", service, out.Service)
 	}
-	return out, out.check()
+	if !out.valid() {
+		return Plan{}, errors.Errorf("the plan of service %q has a value out of bounds, or is of a later release", service)
+	}
+	return out, nil
+}
+
+// Check says what an operator must correct in an order; nil: nothing.
+func (o Order) Check() error {
+	if o.valid() {
+		return nil
+	}
+	return errors.Errorf("the order for service %q must name a service and a version of at most %d bytes each, and a time above 0", o.Service[:min(len(o.Service), mostName)], mostName)
 }
