Roll-outs: the way of orders, plans, stops and reports

Nothing carried out a roll-out. Entries now draw a lane a request and leave out backend servers that may not run it; executors refuse what the plan denies, also what waits at the gate, record outcomes and report four times a second to three watchers (rendezvous among the service's daemons), which judge, stop over links, and write the plan's row under its version. A backend server of a version that its service did not have runs nothing for two seconds, and one on trial that no watcher hears for a second neither. Ruled out: bits of barred candidates at the entry (sets may be larger than a word); the executor's guard in the member's state (it would never count as ready).

--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -38,6 +39,10 @@
 	Allowed []string
 	// Evacuated are the data centres whose backend servers get nothing new.
 	Evacuated evacuation.Set
+	// Rollout is nil, or says which versions may run the requests of which lane, and
+	// Lane is the request's.
+	Rollout *rollout.Traffic
+	Lane    rollout.Lane
 	// DataCentre is the entry's own, LeaveCost what leaving it costs.
 	DataCentre string
 	LeaveCost  time.Duration
@@ -73,7 +78,7 @@
 	out, bestCost := RoutedPick{Index: None}, math.Inf(1)
 	for i := range req.Set {
 		candidate := &req.Set[i]
-		if req.Excluded.Has(i) || !req.allows(candidate.Route.DataCentre) {
+		if req.Excluded.Has(i) || !req.allows(candidate.Route) {
 			continue
 		}
 		var known tables.Known
@@ -91,10 +96,14 @@
 	return out
 }
 
-func (r *Routed) allows(dataCentre string) bool {
+func (r *Routed) allows(route *tables.Route) bool {
+	dataCentre := route.DataCentre
 	if r.Evacuated.Has(dataCentre) {
 		return false
 	}
+	if r.Rollout != nil && !r.Rollout.Takes(r.Lane, route.Version(), route.VM) {
+		return false
+	}
 	if len(r.Allowed) == 0 {
 		return true
 	}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -125,13 +125,14 @@
 		Sweep: claims.Sweep,
 		Leave: d.Leave,
 		Feed:  adapter.Feed, Registrar: adapter.Registrar,
-		Runner: d.runner(),
+		Runner:   d.runner(),
+		Rollouts: adapter.Rollouts, RolloutLimits: adapter.Bounds.rollouts(),
 	}
 	if adapter.Feed == nil {
 		d.env.Evacuation = evacuation.NewRegister(opts.Platform)
 	}
 	if d.routed != nil {
-		d.env.Routed, d.env.Backend = d.routed.runner, d.routed.lifecycle
+		d.env.Routed, d.env.Backend, d.env.Recorder = d.routed.runner, d.routed.lifecycle, d.routed.recorder
 	}
 	d.scheduler = systems.NewScheduler(d.env)
 	d.operators = d.newOperators()
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -13,6 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/forward"
 	"github.com/rushramp/rushramp/pkg/ingress"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/runner"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -34,6 +35,7 @@
 	lifecycle *backend.Lifecycle
 	load      *backend.Load
 	runner    *runner.Runner
+	recorder  *rollout.Recorder
 	forwarder *forward.Forwarder
 	prober    *backend.Prober
 	checker   *backend.Checker
@@ -50,7 +52,9 @@
 	}
 	r := &routed{
 		daemon: d, adapter: adapter, load: &backend.Load{},
-		prober: backend.NewProber(s.BackendServer.Address, adapter.Backend, probeTimeout),
+		// The wall clock tells the processes of one VM's daemon apart.
+		recorder: rollout.NewRecorder(s.VM.ID, s.BackendServer.Service, uint64(time.Now().UnixNano())),
+		prober:   backend.NewProber(s.BackendServer.Address, adapter.Backend, probeTimeout),
 	}
 	r.lifecycle = backend.NewLifecycle(s.Platform.FirstStart, r.stateChanged)
 	r.checker = backend.NewChecker(backend.CheckerOptions{
@@ -59,6 +63,7 @@
 	var err error
 	r.runner, err = runner.NewRunner(d.Common, runner.Deps{
 		Headers: adapter.Backend, Lifecycle: r.lifecycle, Load: r.load, Checker: r.checker, Service: r.service,
+		Recorder: r.recorder,
 	})
 	if err != nil {
 		return nil, err
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -40,8 +40,11 @@
 	if a.offered+1 >= a.route.Attempts || a.left() < leastLeft || a.owner.budgets.of(a.service).left() < 1 {
 		return false
 	}
+	traffic := a.owner.view.Rollout(a.service)
+	lane := traffic.Again(a.lane)
 	for i := range a.set {
-		if other := &a.set[i]; other != from && !a.closed.Has(i) && other.Route.Runner() != nil {
+		other := &a.set[i]
+		if other != from && !a.closed.Has(i) && traffic.Takes(lane, other.Route.Version(), other.Route.VM) && other.Route.Runner() != nil {
 			return true
 		}
 	}
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -7,6 +7,7 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -37,6 +38,8 @@
 	began    int64
 	deadline int64
 	target   time.Duration
+	// lane is the side of a roll-out that the request is on.
+	lane rollout.Lane
 
 	set []tables.Candidate
 	// softLeft is how many attempts may still be refused softly; softTried are
@@ -134,8 +137,25 @@
 // that has not refused softly; then any that is not closed, and may queue there.
 func (a *attempts) pick() (pick choose.RoutedPick, soft bool) {
 	a.refresh()
+	traffic := a.owner.view.Rollout(a.service)
+	if a.tries > 0 {
+		a.lane = traffic.Again(a.lane)
+	}
+	pick, soft = a.pickIn(traffic)
+	if next := traffic.Again(a.lane); pick.Index == choose.None && next != a.lane {
+		// Its lane's backend servers are gone, full or not linked here: a roll-out that
+		// tries a few requests refuses none for it.
+		a.lane = next
+		return a.pickIn(traffic)
+	}
+	return pick, soft
+}
+
+// pickIn chooses among the backend servers that the request's lane allows.
+func (a *attempts) pickIn(traffic *rollout.Traffic) (pick choose.RoutedPick, soft bool) {
 	req := choose.Routed{
 		Now: a.owner.Now(), Set: a.set, Allowed: a.route.DataCentres, Evacuated: a.owner.view.Evacuation(),
+		Rollout: traffic, Lane: a.lane,
 		DataCentre: a.owner.Settings.VM.DataCentre,
 		LeaveCost:  time.Duration(a.owner.Settings.Routing.LeaveCost * float64(a.target)),
 		Work:       a.work(),
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -137,8 +137,10 @@
 	if target == 0 {
 		target = timeout
 	}
+	service := route.Next()
 	return &attempts{
-		owner: f, ctx: ctx, req: req, route: route, version: version, service: route.Next(),
+		owner: f, ctx: ctx, req: req, route: route, version: version, service: service,
+		lane:  f.view.Rollout(service).Next(route.Name),
 		began: began, deadline: began + int64(timeout), target: target,
 		softLeft: f.Settings.Routing.SoftAttempts,
 	}
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -36,7 +36,11 @@
 func (q *quietControl) Members(*Peer, *wire.Members)       {}
 func (q *quietControl) MembersAsk(*Peer, *wire.MembersAsk) {}
 func (q *quietControl) Departures(*Peer, *wire.Departures) {}
-func (q *quietControl) Update(*Peer, *wire.Update)         {}
+
+func (q *quietControl) RolloutNews(*Peer, *wire.RolloutNews) {}
+
+func (q *quietControl) RolloutReport(*Peer, *wire.RolloutReport) {}
+func (q *quietControl) Update(*Peer, *wire.Update)               {}
 
 // runnerFunc makes a function a runner.
 type runnerFunc func(c *wire.Call, body []byte, done func(call.Result)) func()
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -27,6 +27,10 @@
 	MembersAsk(peer *Peer, ask *wire.MembersAsk)
 	// Departures takes the ids of backend servers' processes that leave.
 	Departures(peer *Peer, said *wire.Departures)
+	// RolloutNews takes what a peer knows of roll-outs, RolloutReport what its executor
+	// has seen under one.
+	RolloutNews(peer *Peer, news *wire.RolloutNews)
+	RolloutReport(peer *Peer, report *wire.RolloutReport)
 }
 
 // Peer is the daemon at the other end of a link.
@@ -72,6 +76,10 @@
 		c.MembersAsk(p, f)
 	case *wire.Departures:
 		c.Departures(p, f)
+	case *wire.RolloutNews:
+		c.RolloutNews(p, f)
+	case *wire.RolloutReport:
+		c.RolloutReport(p, f)
 	default:
 		return false
 	}
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -114,10 +114,11 @@
 	reply := r.transport.Do(ctx, run.request(instance))
 	ended()
 	r.note(&reply)
+	took := time.Duration(r.Now() - began)
+	run.record(&reply, took, int(slowdown))
 	if reply.Refusal != nil {
 		return call.Result{Refusal: reply.Refusal, Offered: reply.Offered}, false
 	}
-	took := time.Duration(r.Now() - began)
 	reply.Answer.Queued = run.job.Queued()
 	reply.Answer.Run = took
 	reply.Answer.Slowdown = slowdown
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -16,6 +16,7 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -47,6 +48,9 @@
 	leaving atomic.Bool
 	// evacuated is true while the data centre of this VM is.
 	evacuated atomic.Bool
+	// guard is nil while no roll-out concerns the backend server.
+	guard    atomic.Pointer[Guard]
+	recorder *rollout.Recorder
 	// cold is true while the backend server says that it is; coldTold once the gate
 	// knows what the backend server bears then.
 	cold, coldTold atomic.Bool
@@ -68,6 +72,8 @@
 	// Lifecycle and Load are kept by those who watch the backend server.
 	Lifecycle *backend.Lifecycle
 	Load      *backend.Load
+	// Recorder counts the outcomes of runs while a roll-out is under way; it may be nil.
+	Recorder *rollout.Recorder
 	// Checker asks the backend server's health path; it may be nil.
 	Checker *backend.Checker
 	// Service is what the placement says of the backend server's service; ok is
@@ -91,6 +97,7 @@
 		work:      worktime.NewTimes(),
 		origins:   newOrigins(),
 		checker:   deps.Checker,
+		recorder:  deps.Recorder,
 		transport: backend.NewTransport(backend.Options{
 			Address: s.BackendServer.Address, Headers: deps.Headers,
 			DialTimeout: s.BackendServer.DialTimeout, MaxBody: s.Limits.MaxBodyBytes,
@@ -122,6 +129,9 @@
 	if !ok {
 		return "", errkind.New(errkind.BackendAbsent, "the backend server takes no requests now")
 	}
+	if why := r.barred(instance); why != "" {
+		return "", errkind.New(errkind.VersionHeld, "%s", why)
+	}
 	return instance, nil
 }
 
--- a/pkg/systems/backendwatch.go
+++ b/pkg/systems/backendwatch.go
@@ -31,7 +31,7 @@
 
 // backendState is what others need to know of the backend server.
 func (e *Env) backendState() wire.BackendState {
-	if _, ok := e.Backend.Accepting(); ok {
+	if _, ok := e.Backend.Accepting(); ok && !e.heldBack {
 		return wire.BackendLive
 	}
 	return wire.BackendAbsent
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -109,6 +109,17 @@
 	c.World.Inbox.Post(true, func(m *tables.Mail) { m.PeerDepartures = append(m.PeerDepartures, d) })
 }
 
+// RolloutNews implements link.Control. It wakes the systems: a stop may be in it.
+func (c *Control) RolloutNews(peer *link.Peer, news *wire.RolloutNews) {
+	n := tables.PeerRollouts{Peer: peer, News: news.News}
+	c.World.Inbox.Post(true, func(m *tables.Mail) { m.RolloutNews = append(m.RolloutNews, n) })
+}
+
+// RolloutReport implements link.Control.
+func (c *Control) RolloutReport(_ *link.Peer, report *wire.RolloutReport) {
+	c.World.Inbox.Post(false, func(m *tables.Mail) { m.RolloutReports = append(m.RolloutReports, report.Report) })
+}
+
 // routeControl is the control of a link that this daemon opened for a route.
 type routeControl struct {
 	link.Control
--- a/pkg/systems/heartbeats.go
+++ b/pkg/systems/heartbeats.go
@@ -100,6 +100,7 @@
 		out.Placement = p.Version
 	}
 	out.Evacuation = view.Evacuation()
+	out.Rollouts = view.RolloutDigest()
 	out.Leaving = view.Leaving()
 	return &out
 }
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -62,6 +62,9 @@
 	again := l.dialing.leftOver
 	l.dialing.leftOver = false
 	l.openServices(now, retry || again)
+	if retry {
+		l.openAll(now, l.World.Watchers)
+	}
 	if again {
 		l.openAll(now, l.sample)
 	}
--- /dev/null
+++ b/pkg/systems/planrows.go
@@ -0,0 +1,157 @@
+package systems
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/rollout"
+	"github.com/rushramp/rushramp/pkg/store"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+const (
+	// planRest and planRestMost bound the rest after a call that failed.
+	planRest     = 100 * time.Millisecond
+	planRestMost = time.Second
+	// unplannedFor is how long an order must have had no plan here for this daemon to
+	// read the plan's row itself: watchers write it within a second, and tell. Each
+	// daemon waits up to as long again, so that one of them tells most.
+	unplannedFor = 1500 * time.Millisecond
+	// clockKeeps is how long the best reading of the store's clock is kept.
+	clockKeeps = time.Minute
+)
+
+// planRows makes the calls to the store about plans, one at a time, in the background.
+// After each write, whatever came of it, the row is read before anything else is
+// written: an answer may be lost, and a write may be done later.
+type planRows struct {
+	*Env
+	busy bool
+	// fresh is true where the row was read since the last write.
+	fresh     bool
+	rest      time.Duration
+	restUntil int64
+	clock     storeClock
+	// unplanned is since when orders have had no plan, by service.
+	unplanned map[string]int64
+}
+
+func newPlanRows(env *Env) *planRows {
+	return &planRows{Env: env, rest: planRest, unplanned: map[string]int64{}}
+}
+
+// take takes over how calls ended.
+func (p *planRows) take(now int64, ended []tables.PlanRow) {
+	for _, row := range ended {
+		p.busy = false
+		p.fresh = !row.Wrote && row.Err == nil && row.Service == p.Settings.BackendServer.Service
+		if row.Err == nil {
+			p.rest = planRest
+			if !row.Wrote {
+				p.clock.take(row.Began, row.Stored.Now)
+			}
+			continue
+		}
+		p.Log.Event(events.RolloutRowFailed, events.F("service", row.Service), events.F("write", row.Wrote),
+			events.F("conflict", errors.Is(row.Err, store.ErrConflict)), events.F("cause", row.Err))
+		if errors.Is(row.Err, store.ErrConflict) {
+			continue
+		}
+		p.restUntil = now + int64(p.rest)
+		p.rest = min(2*p.rest, planRestMost)
+	}
+}
+
+// forget has the row read again before anything is written.
+func (p *planRows) forget() { p.fresh = false }
+
+// ready is true where the row of the service was read since the last write; else it has
+// it read.
+func (p *planRows) ready(now int64, service string) bool {
+	if !p.fresh && !p.busy && now >= p.restUntil {
+		p.read(service)
+	}
+	return p.fresh && !p.busy
+}
+
+// storeNow is the store's steady clock.
+func (p *planRows) storeNow(now int64) time.Duration { return p.clock.at(now) }
+
+// readUnplanned reads the plans of orders that nobody tells of, as after all daemons
+// were away at once: without its plan an order lets its version run nothing.
+func (p *planRows) readUnplanned(now int64) {
+	if p.Rollouts == nil {
+		return
+	}
+	for _, order := range p.World.Rollouts.News().Orders.List {
+		plan, known := p.World.Rollouts.Plan(order.Service)
+		if known && plan.Order >= order.Revision {
+			delete(p.unplanned, order.Service)
+			continue
+		}
+		due, waits := p.unplanned[order.Service]
+		if !waits {
+			p.unplanned[order.Service] = p.unplannedDue(now)
+			continue
+		}
+		if now >= due && !p.busy && now >= p.restUntil {
+			p.unplanned[order.Service] = p.unplannedDue(now)
+			p.read(order.Service)
+		}
+	}
+}
+
+func (p *planRows) unplannedDue(now int64) int64 {
+	return now + int64(unplannedFor+rand.N(unplannedFor))
+}
+
+func (p *planRows) read(service string) {
+	p.call(service, false, func(ctx context.Context) (rollout.Stored, error) { return p.Rollouts.Read(ctx, service) })
+}
+
+// write writes a plan over the row of the version that it names.
+func (p *planRows) write(plan rollout.Plan) {
+	p.call(plan.Service, true, func(ctx context.Context) (rollout.Stored, error) {
+		return rollout.Stored{}, p.Rollouts.Write(ctx, plan)
+	})
+}
+
+func (p *planRows) call(service string, write bool, do func(context.Context) (rollout.Stored, error)) {
+	p.busy, p.fresh = true, false
+	began, purpose := p.Now(), "plan_read"
+	if write {
+		purpose = "plan_write"
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(p.Background, p.Settings.Platform.Timeout)
+		defer cancel()
+		at := time.Now()
+		stored, err := do(ctx)
+		store.Count(p.Metrics, purpose, at, err)
+		row := tables.PlanRow{Service: service, Wrote: write, Stored: stored, Err: err, Began: began}
+		p.World.Inbox.Post(true, func(m *tables.Mail) { m.PlanRows = append(m.PlanRows, row) })
+	}()
+}
+
+// storeClock follows the store's steady clock. An answer tells it for some moment after
+// its call began, so each reading is ahead by no more than the call took; the reading
+// that is ahead least is kept.
+type storeClock struct {
+	offset time.Duration
+	readAt int64
+	known  bool
+}
+
+func (c *storeClock) take(began int64, said time.Duration) {
+	offset := said - time.Duration(began)
+	if c.known && offset >= c.offset && began-c.readAt < int64(clockKeeps) {
+		return
+	}
+	c.offset, c.readAt, c.known = offset, began, true
+}
+
+func (c *storeClock) at(now int64) time.Duration { return time.Duration(now) + c.offset }
--- /dev/null
+++ b/pkg/systems/rollouts.go
@@ -0,0 +1,187 @@
+package systems
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/rollout"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// tellAgain is how long a peer whose digest stays another one is not sent the same
+// news again: it may be of a release that knows no roll-outs.
+const tellAgain = 2 * time.Second
+
+// rollouts keeps what is known of roll-outs, from the store and from peers, publishes
+// it, and passes each change on over all links. Source: docs/design/rollout.md.
+type rollouts struct {
+	*Env
+	// logged are the phases that stand in the log already, by service, and stopped the
+	// orders whose stops do.
+	logged  map[string]loggedPhase
+	stopped map[string]uint64
+	// synced is true once a peer knew the same as this daemon.
+	synced bool
+}
+
+type loggedPhase struct {
+	order uint64
+	phase rollout.Phase
+}
+
+func newRollouts(env *Env) *rollouts {
+	return &rollouts{Env: env, logged: map[string]loggedPhase{}, stopped: map[string]uint64{}}
+}
+
+// Tick implements System.
+func (ro *rollouts) Tick(now int64, mail *tables.Mail) {
+	if mail.Orders != nil {
+		ro.take(rollout.News{Orders: *mail.Orders}, nil)
+	}
+	for _, n := range mail.RolloutNews {
+		ro.take(n.News, n.Peer)
+	}
+	for _, row := range mail.PlanRows {
+		if row.Err == nil && row.Stored.Plan.Revision > 0 {
+			ro.take(rollout.News{Plans: []rollout.Plan{row.Stored.Plan}}, nil)
+		}
+	}
+	for _, e := range mail.Links {
+		if e.Up {
+			ro.compare(now, e.Peer, e.Peer.Hello.State.Rollouts)
+		}
+	}
+	for _, n := range mail.News {
+		ro.compare(now, n.Peer, n.State.Rollouts)
+	}
+}
+
+// take takes news over and passes on what changed; from is the peer that told it, or
+// nil.
+func (ro *rollouts) take(news rollout.News, from *link.Peer) {
+	book := ro.World.Rollouts
+	before, orders := book.Digest(), book.News().Orders
+	changed := book.Take(news)
+	if book.Digest() == before {
+		return
+	}
+	ro.publish()
+	if len(changed) == 0 {
+		// The same orders as of a later revision: heartbeats tell.
+		return
+	}
+	for _, service := range changed {
+		ro.World.Touch(service)
+		ro.logOrder(orders, service, from)
+		ro.logStop(service, from)
+		ro.logPlan(service, from)
+	}
+	say := &wire.RolloutNews{News: onlyOf(book.News(), changed)}
+	ro.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
+		if peer != from {
+			_ = peer.Send(say)
+		}
+	})
+}
+
+// onlyOf is the part of news that concerns some services. Orders are one set.
+func onlyOf(news rollout.News, services []string) rollout.News {
+	out := rollout.News{Orders: news.Orders}
+	for i := range news.Plans {
+		if slices.Contains(services, news.Plans[i].Service) {
+			out.Plans = append(out.Plans, news.Plans[i])
+		}
+	}
+	for _, s := range news.Stops {
+		if slices.Contains(services, s.Service) {
+			out.Stops = append(out.Stops, s)
+		}
+	}
+	return out
+}
+
+// publish gives the hot path, and the heartbeats, what is known now.
+func (ro *rollouts) publish() {
+	book := ro.World.Rollouts
+	known := &tables.Rollouts{Traffic: map[string]*rollout.Traffic{}}
+	news := book.News()
+	if len(news.Orders.List)+len(news.Plans)+len(news.Stops) > 0 {
+		known.Digest = book.Digest()
+	}
+	for _, o := range news.Orders.List {
+		known.Traffic[o.Service] = book.Traffic(o.Service)
+	}
+	for i := range news.Plans {
+		service := news.Plans[i].Service
+		known.Traffic[service] = book.Traffic(service)
+	}
+	ro.World.View.SetRollouts(known)
+}
+
+// compare sends a peer that knows something else all that is known here. One that
+// knows more does the same.
+func (ro *rollouts) compare(now int64, peer *link.Peer, theirs uint64) {
+	own := ro.World.View.RolloutDigest()
+	if theirs == own {
+		ro.synced = true
+		return
+	}
+	if own == 0 {
+		return
+	}
+	row := ro.World.Peers.Put(peer)
+	if row.RolloutsTold == own && now-row.RolloutsToldAt < int64(tellAgain) {
+		return
+	}
+	row.RolloutsTold, row.RolloutsToldAt = own, now
+	_ = peer.Send(&wire.RolloutNews{News: ro.World.Rollouts.News()})
+}
+
+func (ro *rollouts) logOrder(before rollout.Orders, service string, from *link.Peer) {
+	old, _ := before.Of(service)
+	order, _ := ro.World.Rollouts.Order(service)
+	if old == order {
+		return
+	}
+	ro.Log.Event(events.RolloutOrdered, events.F("service", service), events.F("version", order.Version),
+		events.F("order", order.Revision), events.F("duration", order.Duration), events.F("from", nameOf(from)))
+}
+
+// logStop writes one line a stop.
+func (ro *rollouts) logStop(service string, from *link.Peer) {
+	stop, ok := ro.World.Rollouts.Stopped(service)
+	if !ok || ro.stopped[service] == stop.Order {
+		return
+	}
+	ro.stopped[service] = stop.Order
+	ro.Log.Event(events.RolloutStopped, events.F("service", service), events.F("order", stop.Order), events.F("cause", stop.Cause), events.F("from", nameOf(from)))
+}
+
+// logPlan writes one line a phase.
+func (ro *rollouts) logPlan(service string, from *link.Peer) {
+	plan, ok := ro.World.Rollouts.Plan(service)
+	if !ok {
+		return
+	}
+	now := loggedPhase{order: plan.Order, phase: plan.Phase}
+	if had, known := ro.logged[service]; known && had == now {
+		return
+	}
+	ro.logged[service] = now
+	ro.Log.Event(events.RolloutPhase, events.F("service", service), events.F("phase", plan.Phase), events.F("version", plan.Target),
+		events.F("old", strings.Join(plan.Old, ",")), events.F("order", plan.Order), events.F("revision", plan.Revision),
+		events.F("canaries", strings.Join(plan.Canaries, ",")), events.F("per_mille", plan.PerMille),
+		events.F("since", plan.Since), events.F("deadline", plan.Deadline), events.F("cause", plan.Cause), events.F("from", nameOf(from)))
+}
+
+// nameOf is the VM of a peer in a log line, or the store where there is none.
+func nameOf(peer *link.Peer) string {
+	if peer == nil {
+		return "store"
+	}
+	return peer.Hello.VM
+}
--- /dev/null
+++ b/pkg/systems/rolloutwatch.go
@@ -0,0 +1,233 @@
+package systems
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/rollout"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/utils"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+const (
+	// watchersMost is how many daemons judge a roll-out: two may be gone at once.
+	watchersMost = 3
+	// rankStep is how much longer than was due a plan must have stood still for the
+	// next watcher to write it. A write takes some 10 ms of a store that is well.
+	rankStep = 400 * time.Millisecond
+	// judgeEvery is the time between two looks at the evidence: a report comes four
+	// times a second from each executor.
+	judgeEvery = 50 * time.Millisecond
+	// lostAfter is how long there must have been no link to a daemon for it to count
+	// as lost: longer than a restart takes to open links again.
+	lostAfter = 1500 * time.Millisecond
+)
+
+// rolloutWatch judges the roll-out of this VM's service where this daemon is one of
+// those that do, and writes its plan. Source: docs/design/rollout.md, "Who decides".
+type rolloutWatch struct {
+	*Env
+	known *rollouts
+	rows  *planRows
+	// rank is this daemon's place among the watchers; -1: it is none.
+	rank int
+	// order is the revision that judge and reports belong to.
+	order   uint64
+	judge   *rollout.Judge
+	reports map[string]rollout.Report
+	// linkedAt is when there last was a link to a VM of the service.
+	linkedAt map[string]int64
+	judgeDue due
+	// dueSince is since when another plan is due after the one of revision dueAfter.
+	dueSince int64
+	dueAfter uint64
+}
+
+func newRolloutWatch(env *Env, known *rollouts) *rolloutWatch {
+	return &rolloutWatch{
+		Env: env, known: known, rows: newPlanRows(env), rank: -1,
+		reports: map[string]rollout.Report{}, linkedAt: map[string]int64{},
+	}
+}
+
+// Tick implements System.
+func (w *rolloutWatch) Tick(now int64, mail *tables.Mail) {
+	w.rows.take(now, mail.PlanRows)
+	w.rows.readUnplanned(now)
+	if w.Rollouts == nil || w.Backend == nil {
+		return
+	}
+	service := w.Settings.BackendServer.Service
+	order, ok := w.World.Rollouts.Order(service)
+	plan, _ := w.World.Rollouts.Plan(service)
+	if !ok || plan.Order > order.Revision || plan.Order == order.Revision && plan.Phase.Ended() {
+		w.World.Watchers = nil
+		w.setRank(-1, order)
+		return
+	}
+	for _, r := range mail.RolloutReports {
+		w.note(now, r)
+	}
+	if !w.judgeDue.at(now, judgeEvery) {
+		return
+	}
+	w.choose(service, order)
+	if w.rank < 0 {
+		return
+	}
+	w.begin(order)
+	w.noteLinks(now)
+	w.decide(now, order, plan, w.verdict(now, order))
+}
+
+// choose works out who judges, in their order.
+func (w *rolloutWatch) choose(service string, order rollout.Order) {
+	var all []*tables.Route
+	w.World.Members.Service(service, func(row int) {
+		route := w.World.Members.Route[row]
+		_, unreached := w.World.Unreached[route]
+		if !w.World.Members.Leaving(row) && !unreached {
+			all = append(all, route)
+		}
+	})
+	slices.SortFunc(all, func(a, b *tables.Route) int {
+		return cmp.Compare(utils.Rendezvous(service, b.VM), utils.Rendezvous(service, a.VM))
+	})
+	all = all[:min(len(all), watchersMost)]
+	own := slices.IndexFunc(all, func(r *tables.Route) bool { return r.VM == w.World.VM })
+	w.setRank(own, order)
+	if own >= 0 {
+		all = slices.Delete(all, own, own+1)
+	}
+	w.World.Watchers = all
+}
+
+func (w *rolloutWatch) setRank(rank int, order rollout.Order) {
+	if rank == w.rank {
+		return
+	}
+	w.rank = rank
+	w.Log.Event(events.RolloutWatch, events.F("service", w.Settings.BackendServer.Service), events.F("rank", rank), events.F("order", order.Revision))
+}
+
+// begin begins anew for another order. What was reported of it before this daemon was
+// a watcher is lost, but counts are sums since the order.
+func (w *rolloutWatch) begin(order rollout.Order) {
+	if w.judge != nil && w.order == order.Revision {
+		return
+	}
+	w.order, w.judge = order.Revision, rollout.NewJudge(order)
+	w.dueSince = 0
+	clear(w.reports)
+	w.rows.forget()
+}
+
+// note takes a report over.
+func (w *rolloutWatch) note(now int64, r rollout.Report) {
+	if w.judge == nil || r.Order != w.order || r.Service != w.Settings.BackendServer.Service {
+		return
+	}
+	old := w.reports[r.VM]
+	if r.Process < old.Process || r.Process == old.Process && r.Seq <= old.Seq {
+		return
+	}
+	if _, known := w.World.Members.Find(r.VM); !known {
+		return
+	}
+	w.reports[r.VM] = r
+	w.judge.Take(now, r)
+}
+
+// verdict is what the evidence says, or the stop that another one has told. One of its
+// own goes to all daemons at once: it needs no store.
+func (w *rolloutWatch) verdict(now int64, order rollout.Order) rollout.Verdict {
+	service := order.Service
+	if stop, stopped := w.World.Rollouts.Stopped(service); stopped {
+		return stop.Verdict()
+	}
+	verdict := w.judge.Verdict(now)
+	if stop, bad := verdict.Stop(order); bad {
+		w.known.take(rollout.News{Stops: []rollout.Stop{stop}}, nil)
+	}
+	return verdict
+}
+
+// decide has the next plan written where one is due and it is this daemon's turn.
+func (w *rolloutWatch) decide(now int64, order rollout.Order, plan rollout.Plan, verdict rollout.Verdict) {
+	if !w.rows.ready(now, order.Service) {
+		return
+	}
+	servers := w.servers(now, order, plan)
+	next, changed := rollout.Decide(w.rows.storeNow(now), order, plan, verdict, servers, w.RolloutLimits)
+	if !changed {
+		w.dueSince = 0
+		return
+	}
+	if w.dueSince == 0 || w.dueAfter != plan.Revision {
+		w.dueSince, w.dueAfter = now, plan.Revision
+	}
+	if now-w.dueSince < int64(w.rank)*int64(rankStep) {
+		return
+	}
+	next.Revision = plan.Revision
+	w.logDecision(next, verdict, servers)
+	w.rows.write(next)
+}
+
+// servers is what is known of the service's backend servers.
+func (w *rolloutWatch) servers(now int64, order rollout.Order, plan rollout.Plan) []rollout.Server {
+	evacuated := w.World.View.Evacuation()
+	var out []rollout.Server
+	w.World.Members.Service(order.Service, func(row int) {
+		m := &w.World.Members.Row[row]
+		at, everLinked := w.linkedAt[m.VM]
+		linked := everLinked && at == now || m.VM == w.World.VM
+		report, reported := w.reports[m.VM]
+		out = append(out, rollout.Server{
+			VM: m.VM, Version: m.Version, Slots: int(m.Slots),
+			Ready: m.State == wire.MemberLive && m.Backend == wire.BackendLive && linked && !evacuated.Has(m.DataCentre),
+			Empty: reported && linked && plan.Order == order.Revision && report.Plan == plan.Revision && report.InFlight == 0,
+			Lost:  !linked && now-at > int64(lostAfter),
+		})
+	})
+	// Rows come in no order; two that decide on the same knowledge write the same.
+	slices.SortFunc(out, func(a, b rollout.Server) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+// noteLinks notes which daemons have a link with this one.
+func (w *rolloutWatch) noteLinks(now int64) {
+	w.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) { w.linkedAt[peer.Hello.VM] = now })
+	w.World.Members.Service(w.Settings.BackendServer.Service, func(row int) {
+		vm := w.World.Members.Row[row].VM
+		if _, known := w.linkedAt[vm]; !known {
+			// It has the same time to open a link as one that had one.
+			w.linkedAt[vm] = now - 1
+		}
+	})
+}
+
+func (w *rolloutWatch) logDecision(next rollout.Plan, verdict rollout.Verdict, servers []rollout.Server) {
+	ready, empty, lost, targets := 0, 0, 0, 0
+	for _, s := range servers {
+		ready += asInt(s.Ready)
+		empty += asInt(s.Empty)
+		lost += asInt(s.Lost)
+		targets += asInt(s.Version == next.Target)
+	}
+	w.Log.Event(events.RolloutDecided, events.F("service", next.Service), events.F("order", next.Order), events.F("after", next.Revision),
+		events.F("phase", next.Phase), events.F("rank", w.rank), events.F("servers", len(servers)), events.F("target_servers", targets),
+		events.F("ready", ready), events.F("empty", empty), events.F("lost", lost),
+		events.F("bad", verdict.Bad), events.F("enough", verdict.Enough), events.F("evidence", verdict.Cause), events.F("cause", next.Cause))
+}
+
+func asInt(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/pkg/systems/surplus.go
+++ b/pkg/systems/surplus.go
@@ -1,6 +1,7 @@
 package systems
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/events"
@@ -75,7 +76,7 @@
 // needed are the routes that this daemon keeps links to.
 func (l *links) needed() map[*tables.Route]struct{} {
 	out := map[*tables.Route]struct{}{}
-	for _, route := range l.sample {
+	for _, route := range slices.Concat(l.sample, l.World.Watchers) {
 		out[route] = struct{}{}
 	}
 	for service := range l.World.Wanted {
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -16,6 +16,7 @@
 	"github.com/rushramp/rushramp/pkg/executor"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/runner"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -43,6 +44,12 @@
 	Backend *backend.Lifecycle
 	// Evacuation is read beside rushramp's own head; nil where there is a feed.
 	Evacuation *evacuation.Register
+	// Rollouts keeps the plans of roll-outs in the store; nil: none are carried out here.
+	// RolloutLimits are what the platform holds them to, the zero value where it has
+	// none. Recorder counts the outcomes of runs while one is under way.
+	Rollouts      rollout.Register
+	RolloutLimits rollout.Limits
+	Recorder      *rollout.Recorder
 	// Feed tells of documents in the store; nil: rushramp's own head is read.
 	Feed placement.Feed
 	// Registrar is set where daemons write the list of VMs themselves.
@@ -56,6 +63,9 @@
 	// Leave begins the drain; it returns at once.
 	Leave func()
 
+	// heldBack is true while the backend server must not run anything yet, as its
+	// version is new to the service.
+	heldBack bool
 	// subsets are those worked out last, by service and kind.
 	subsets map[subsetKey]subsetRow
 }
@@ -63,16 +73,21 @@
 // order is the one list of systems, in the order in which they run: what came
 // from outside first, what is published last.
 func order(env *Env) []System {
+	known := newRollouts(env)
+	watch := newRolloutWatch(env, known)
 	return []System{
 		&vmListReader{Env: env, outage: events.NewOutage(env.Log, "list of VMs")},
 		versionReader(env),
 		&seeds{Env: env},
 		&register{Env: env, outage: events.NewOutage(env.Log, "own entry in the list of VMs")},
 		&departures{Env: env},
-		&backendWatch{Env: env},
 		&members{Env: env},
 		&news{Env: env},
 		&evacuations{Env: env},
+		known,
+		watch,
+		newRolloutGuard(env, known, watch),
+		&backendWatch{Env: env},
 		&compare{Env: env},
 		&placements{Env: env},
 		&links{Env: env},
--- a/pkg/tables/peers.go
+++ b/pkg/tables/peers.go
@@ -22,6 +22,10 @@
 	Heartbeats int
 	// Told is true once the peer was told which backend servers have departed.
 	Told bool
+	// RolloutsTold is the digest of the news of roll-outs that the peer was sent last,
+	// RolloutsToldAt when.
+	RolloutsTold   uint64
+	RolloutsToldAt int64
 	// PulledAt is when this daemon last asked the peer for its placement.
 	PulledAt int64
 }
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 )
 
 // Candidate is a backend server that the placement allows for a kind.
@@ -66,8 +67,38 @@
 	stale    atomic.Bool
 	// evacuation is nil while no set is known.
 	evacuation atomic.Pointer[evacuation.Set]
+	// rollouts is nil while no roll-out is known.
+	rollouts atomic.Pointer[Rollouts]
 }
 
+// Rollouts is what is known of roll-outs; it never changes.
+type Rollouts struct {
+	// Traffic is by service.
+	Traffic map[string]*rollout.Traffic
+	// Digest is what peers compare; 0: nothing is known.
+	Digest uint64
+}
+
+// Rollout returns how a roll-out divides the requests of a service, or nil.
+func (vi *View) Rollout(service string) *rollout.Traffic {
+	known := vi.rollouts.Load()
+	if known == nil {
+		return nil
+	}
+	return known.Traffic[service]
+}
+
+// RolloutDigest returns the digest of what is known of roll-outs; 0: nothing.
+func (vi *View) RolloutDigest() uint64 {
+	if known := vi.rollouts.Load(); known != nil {
+		return known.Digest
+	}
+	return 0
+}
+
+// SetRollouts publishes what is known of roll-outs.
+func (vi *View) SetRollouts(known *Rollouts) { vi.rollouts.Store(known) }
+
 // Placement returns the version in force, or nil.
 func (vi *View) Placement() *placement.Compiled { return vi.placement.Load() }
 
--- a/pkg/tables/world.go
+++ b/pkg/tables/world.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 )
 
 // World is all tables of one daemon. Only the goroutine that ticks touches it,
@@ -35,6 +36,10 @@
 	// pass them over; UnreachedChanges grows with each change of the set.
 	Unreached        map[*Route]struct{}
 	UnreachedChanges uint64
+	// Rollouts is what is known of roll-outs. Watchers are the daemons that judge the
+	// one of this VM's service, the first one writes its plan; none without a roll-out.
+	Rollouts *rollout.Book
+	Watchers []*Route
 	// Dirty are the services whose view must be published again.
 	Dirty map[string]struct{}
 	View  *View
@@ -52,6 +57,7 @@
 		Heard:      map[string]int64{},
 		Departures: map[string]int64{},
 		Unreached:  map[*Route]struct{}{},
+		Rollouts:   rollout.NewBook(rollout.Limits{}),
 		Dirty:      map[string]struct{}{},
 		View:       &View{},
 		Inbox:      NewInbox(),
