--- /dev/null
+++ b/pkg/runner/rollout_test.go
@@ -0,0 +1,95 @@
+package runner
+
+import (
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/rollout"
+)
+
+// switching is the traffic of a plan that moves all requests to version v2.
+func switching() *rollout.Traffic {
+	book := rollout.NewBook(rollout.Limits{})
+	book.Take(rollout.News{Plans: []rollout.Plan{{Service: "s", Target: "v2", Old: []string{"v1"}, Order: 5, Revision: 6, Phase: rollout.Switching}}})
+	return book.Traffic("s")
+}
+
+// TestAnOldBackendServerBecomesEmpty: what runs ends and counts until then, what waits
+// and what comes is refused as not run.
+func TestAnOldBackendServerBecomesEmpty(t *testing.T) {
+	h := newHeld()
+	r, lifecycle := newTestRunner(t, h, 1)
+	lifecycle.Heartbeat(2, backend.Heartbeat{Instance: "i-1", Sequence: 1, Version: "v1"})
+	runs, _ := execute(r, routedCall("runs"))
+	test.Eq(t, "runs", <-h.came)
+	waits, _ := execute(r, routedCall("waits"))
+	r.SetGuard(&Guard{Traffic: switching(), Revision: 6})
+	comes, _ := execute(r, routedCall("comes"))
+	r.Tick()
+	for _, refused := range []chan call.Result{waits, comes} {
+		got := <-refused
+		must.NotNil(t, got.Refusal)
+		test.Eq(t, errkind.VersionHeld, got.Refusal.Kind)
+		test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+		test.True(t, got.Refusal.RetryElsewhere())
+	}
+	test.Eq(t, 1, r.InFlight())
+	h.goOn <- struct{}{}
+	must.NotNil(t, (<-runs).Answer)
+	test.Eq(t, 0, len(h.came))
+}
+
+// TestWhoAGuardLetsRun is the table of the guard.
+func TestWhoAGuardLetsRun(t *testing.T) {
+	for name, c := range map[string]struct {
+		guard   *Guard
+		version string
+		runs    bool
+	}{
+		"no roll-out was ever known":        {nil, "", true},
+		"none of this service":              {&Guard{}, "v1", true},
+		"the new version while switching":   {&Guard{Traffic: switching()}, "v2", true},
+		"the old version while switching":   {&Guard{Traffic: switching()}, "v1", false},
+		"a version that is not known yet":   {&Guard{Traffic: switching()}, "", false},
+		"one that must wait":                {&Guard{Why: "it is new"}, "v2", false},
+		"the incarnation that was admitted": {&Guard{Instance: "i-1"}, "v1", true},
+		"one that has just taken its place": {&Guard{Instance: "i-0"}, "v1", false},
+	} {
+		r, lifecycle := newTestRunner(t, newHeld(), 1)
+		lifecycle.Heartbeat(2, backend.Heartbeat{Instance: "i-1", Sequence: 1, Version: c.version})
+		r.guard.Store(c.guard)
+		_, refusal := r.accepting()
+		test.Eq(t, c.runs, refusal == nil, test.Sprint(name))
+	}
+}
+
+// TestWhatTellsOfAVersion: an answer and what broke off do; what never ran, and what the
+// caller left, do not.
+func TestWhatTellsOfAVersion(t *testing.T) {
+	refused := func(kind errkind.Kind, offered bool) backend.Reply {
+		return backend.Reply{Refusal: errkind.New(kind, ""), Offered: offered}
+	}
+	for name, c := range map[string]struct {
+		reply          backend.Reply
+		failed, counts bool
+	}{
+		"answered":          {backend.Reply{Answer: &call.Answer{Status: 200}}, false, true},
+		"not found":         {backend.Reply{Answer: &call.Answer{Status: 404}}, false, true},
+		"failed":            {backend.Reply{Answer: &call.Answer{Status: 500}}, true, true},
+		"broke off":         {refused(errkind.BackendFailed, true), true, true},
+		"took too long":     {refused(errkind.DeadlineWhileRunning, true), true, true},
+		"left":              {refused(errkind.CallerGone, true), false, false},
+		"full":              {refused(errkind.BackendRefused, true), false, false},
+		"not reached":       {refused(errkind.BackendUnreachable, false), false, false},
+		"another one there": {refused(errkind.BackendReplaced, false), false, false},
+	} {
+		failed, counts := verdictOf(&c.reply)
+		test.Eq(t, c.failed, failed, test.Sprint(name))
+		test.Eq(t, c.counts, counts, test.Sprint(name))
+	}
+}
