--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -6,6 +6,7 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -15,6 +16,7 @@
 	to := &a.set[pick.Index]
 	began := a.owner.Now()
 	note := noteAttempt(began, to, soft, to.Route.DataCentre == a.owner.Settings.VM.DataCentre, pick.Refusing)
+	note.target = a.lane == rollout.LaneTarget
 	result := a.sendTo(to, soft)
 	note.end(&result, time.Duration(a.owner.Now()-began))
 	a.trail = append(a.trail, note)
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -16,6 +16,8 @@
 	vm   string
 	soft bool
 	near bool
+	// target is true for an attempt at the version that a roll-out moves to.
+	target bool
 	// known is what the entry knew of the backend server, age how old it was; a
 	// negative age: nothing.
 	known tables.Known
@@ -76,6 +78,9 @@
 	if !n.near {
 		out.WriteString(" far")
 	}
+	if n.target {
+		out.WriteString(" target")
+	}
 	if n.age >= 0 {
 		out.WriteString(" load=" + strconv.FormatInt(n.known.InFlight+n.known.SentSince, 10) + "/" + strconv.FormatInt(n.known.Limit, 10))
 		out.WriteString(" slowdown=" + strconv.FormatInt(n.known.Slowdown, 10))
--- a/pkg/runner/rollout.go
+++ b/pkg/runner/rollout.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/backend"
@@ -66,6 +67,9 @@
 	if !counts {
 		return
 	}
+	if g := r.guard.Load(); g != nil && g.Traffic != nil {
+		r.countOutcome(run.call.Service, failed)
+	}
 	r.recorder.Note(rollout.Outcome{
 		Route: run.call.Kind, Failed: failed, Run: took, Slowdown: uint32(max(slowdown, 0)), Cold: r.cold.Load(),
 	})
@@ -83,3 +87,22 @@
 	}
 	return false, false
 }
+
+// countOutcome counts a run of the backend server's version for the metrics.
+func (r *Runner) countOutcome(service string, failed bool) {
+	outcome := "worked"
+	if failed {
+		outcome = "failed"
+	}
+	version := strings.Map(labelRune, r.lifecycle.Version())
+	r.Metrics.GetOrCreateCounter(`rushramp_rollout_runs_total{service="` + service + `",version="` + version + `",outcome="` + outcome + `"}`).Inc()
+}
+
+// labelRune keeps a version, which the backend server says, from ending the label that
+// it stands in.
+func labelRune(c rune) rune {
+	if c == '"' || c == '\\' || c < ' ' {
+		return '_'
+	}
+	return c
+}
