Roll-outs: evidence a version and route, and the test that judges it

Cause: nothing counted runs by version, and nothing told a bad version from a bad minute. Ruled out: means of work time (hide a part of slow answers; the sums stay for logs), tests at fixed numbers of runs (late, or wrong more often than they say when looked at each time), a reference with a standard error on top (20 to 30 in 100 more runs). Added: RouteCounts.Times, Outcome.Worst.

--- a/pkg/rollout/book_test.go
+++ b/pkg/rollout/book_test.go
@@ -16,9 +16,9 @@
 
 func ordersOf(revision uint64, list ...Order) Orders { return Orders{Revision: revision, List: list} }
 
-// history is what the store held one after the other: orders and the plans that carry
+// storeHistory is what the store held one after the other: orders and the plans that carry
 // them out, each plan's phases in order. Each part is news that may be told at any time.
-func history(t *rapid.T) (all []News) {
+func storeHistory(t *rapid.T) (all []News) {
 	revision := uint64(0)
 	next := func() uint64 { revision += rapid.Uint64Range(1, 3).Draw(t, "gap"); return revision }
 	for range rapid.IntRange(1, 4).Draw(t, "orders") {
@@ -64,7 +64,7 @@
 // where one began anew midway and was told by the other.
 func TestBooksThatHeardTheSameHoldTheSame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		all := history(t)
+		all := storeHistory(t)
 		inOrder, mixed := NewBook(Limits{}), NewBook(Limits{})
 		for _, news := range all {
 			inOrder.Take(news)
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -2,7 +2,9 @@
 
 import "time"
 
-// Outcome is how one run at a backend server ended, as its executor saw it.
+// Outcome is how one run at a backend server ended, as its executor saw it. Runs that
+// the executor itself ended, since their caller had left or their time was over, are
+// none: they say nothing of the version.
 type Outcome struct {
 	Route string
 	// Failed is true for an answer of 500 or above and for one that broke off.
@@ -12,6 +14,10 @@
 	// Slowdown is how long work took at the backend server when the run began, in
 	// percent of what is usual there; 0: not known.
 	Slowdown uint32
+	// Worst is the highest slowdown that was told while it ran, in percent; 0: not
+	// known. Runs that a slow spell of a neighbour overtook are weighed by it, so that
+	// a spell's first runs, all at one backend server, are no evidence.
+	Worst uint32
 	// Cold is true for a run that began while the backend server was cold.
 	Cold bool
 }
@@ -41,28 +47,13 @@
 	Route    string
 	Runs     uint32
 	Failures uint32
-	// LogSum and LogSquares are sums over the runs that did not fail of the natural
-	// logarithm of their time in milliseconds at usual speed, and of its square.
+	// LogSum and LogSquares are sums over the runs that did not fail and did not begin
+	// cold of the natural logarithm of their time in milliseconds at usual speed, and of its square.
 	LogSum     float64
 	LogSquares float64
-}
-
-// Recorder counts the outcomes at one backend server while its service has an order.
-// It is safe for concurrent use.
-type Recorder struct{}
-
-// NewRecorder makes the recorder of the daemon process on a VM.
-func NewRecorder(vm, service string, process uint64) *Recorder { return &Recorder{} }
-
-// Begin starts the counts anew for an order; the same order again changes nothing.
-func (r *Recorder) Begin(order uint64, version string) {}
-
-// Note counts an outcome.
-func (r *Recorder) Note(o Outcome) {}
-
-// Report returns the counts; ok is false while there is no order.
-func (r *Recorder) Report(plan uint64, inFlight int64) (report Report, ok bool) {
-	return Report{}, false
+	// Times counts the same runs by that time, in the steps of timeStep. Part of the
+	// answers of a version may be slow, which a mean hides.
+	Times []uint32
 }
 
 // Verdict is what the evidence says of the new version.
@@ -74,15 +65,3 @@
 	// Cause names the route, the figures and the test, for the log and for operators.
 	Cause string
 }
-
-// Judge weighs the reports of one order. It is not safe for concurrent use.
-type Judge struct{}
-
-// NewJudge makes the judge of an order.
-func NewJudge(order Order) *Judge { return &Judge{} }
-
-// Take takes a report over; old ones of a process are passed over.
-func (j *Judge) Take(now int64, r Report) {}
-
-// Verdict weighs all that was taken. now is in nanoseconds of a steady clock.
-func (j *Judge) Verdict(now int64) Verdict { return Verdict{} }
--- /dev/null
+++ b/pkg/rollout/recorder_test.go
@@ -0,0 +1,64 @@
+package rollout
+
+import (
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+func TestARecorderCountsFromTheOrderOn(t *testing.T) {
+	r := NewRecorder("vm-1", "desk", 7)
+	r.Note(Outcome{Route: "a"})
+	_, ok := r.Report(1, 0)
+	test.False(t, ok)
+	r.Begin(5, "v2")
+	r.Note(Outcome{Route: "b", Run: 80 * time.Millisecond, Slowdown: 200})
+	r.Note(Outcome{Route: "a", Failed: true})
+	r.Note(Outcome{Route: "a", Run: time.Hour, Cold: true})
+	r.Begin(5, "v2")
+	got, ok := r.Report(9, 3)
+	must.True(t, ok)
+	must.Len(t, 2, got.Routes)
+	a, b := got.Routes[0], got.Routes[1]
+	test.Eq(t, []any{"vm-1", "v2", uint64(7), uint32(1), uint64(9), uint32(3)}, []any{got.VM, got.Version, got.Process, got.Seq, got.Plan, got.InFlight})
+	test.Eq(t, []any{"a", uint32(2), uint32(1), 0.0}, []any{a.Route, a.Runs, a.Failures, a.LogSum})
+	test.Eq(t, uint32(1), b.Times[timeStep(40*time.Millisecond)])
+	r.Begin(6, "v2")
+	got, _ = r.Report(9, 0)
+	test.SliceEmpty(t, got.Routes)
+	r.Begin(0, "")
+	_, ok = r.Report(9, 0)
+	test.False(t, ok)
+}
+
+func TestRoutesBeyondTheBoundShareOneCount(t *testing.T) {
+	r := NewRecorder("vm-1", "desk", 7)
+	r.Begin(5, "v2")
+	for i := range 5 * mostRoutes {
+		r.Note(Outcome{Route: strconv.Itoa(i)})
+	}
+	got, _ := r.Report(1, -1)
+	test.Len(t, mostRoutes, got.Routes)
+	test.Eq(t, 0, got.InFlight)
+}
+
+func TestARecorderIsSafeForConcurrentUse(t *testing.T) {
+	r := NewRecorder("vm-1", "desk", 7)
+	r.Begin(5, "v2")
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 1000 {
+				r.Note(Outcome{Route: "a", Run: time.Millisecond})
+				r.Report(1, 1)
+			}
+		})
+	}
+	all.Wait()
+	got, _ := r.Report(1, 0)
+	test.Eq(t, 8000, got.Routes[0].Runs)
+}
