--- a/pkg/rollout/plan.go
+++ b/pkg/rollout/plan.go
@@ -57,6 +57,9 @@
 	// Barred are versions of earlier orders that were left or have not proved
 	// themselves: they get nothing, whichever version this plan moves to.
 	Barred []string
+	// Slots are those of the target's ready backend servers when it was switched to it;
+	// it is not completed with far fewer.
+	Slots uint32
 }
 
 // Supersedes is true when the plan goes before another one of the same service: it
