Roll-outs: rows that cannot be read are never written, orders taken away, the peak load

Plans are checked before they are written, and backend servers without a known version are left out of the decision: their executors run nothing meanwhile. Ruled out: writing over a row that cannot be read; it may be of a later release. Also: plans whose order was taken away are decided, too; the peak of requests in flight goes to the decider, and the worst slowdown during a run to the judge.

--- a/pkg/rollout/register.go
+++ b/pkg/rollout/register.go
@@ -31,6 +31,12 @@
 // Encode makes the value of a plan's row. It is JSON, so that daemons of another
 // release read what they know of it.
 func (p Plan) Encode() ([]byte, error) {
+	written := p
+	written.Revision = max(p.Revision, 1)
+	if !written.valid() {
+		// Nobody could read it again, and nobody could write over it.
+		return nil, errors.Errorf("the plan of service %q has a value out of bounds; it is not written", p.Service)
+	}
 	value, err := json.Marshal(p)
 	return value, errors.Wrap(err, "plan")
 }
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -115,7 +115,7 @@
 	ended()
 	r.note(&reply)
 	took := time.Duration(r.Now() - began)
-	run.record(&reply, took, int(slowdown))
+	run.record(&reply, began, took, slowdown)
 	if reply.Refusal != nil {
 		return call.Result{Refusal: reply.Refusal, Offered: reply.Offered}, false
 	}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -51,6 +51,8 @@
 	// guard is nil while no roll-out concerns the backend server.
 	guard    atomic.Pointer[Guard]
 	recorder *rollout.Recorder
+	// slowdowns are kept while a roll-out is known.
+	slowdowns slowdowns
 	// cold is true while the backend server says that it is; coldTold once the gate
 	// knows what the backend server bears then.
 	cold, coldTold atomic.Bool
@@ -216,6 +218,9 @@
 	r.load.Take(r.Now(), text)
 	r.TakeSlots(r.load.Slots())
 	if slowdown := r.load.Slowdown(); slowdown > 0 {
+		if g := r.guard.Load(); g != nil && g.Traffic != nil {
+			r.slowdowns.note(r.Now(), slowdown)
+		}
 		r.noteSpeed(slowdown)
 		r.startAll(r.gate.Report(r.Now(), speed.Slowdown(int64(slowdown))))
 		r.lookForEnd()
--- a/pkg/systems/rolloutguard.go
+++ b/pkg/systems/rolloutguard.go
@@ -215,7 +215,11 @@
 	order, ok := g.World.Rollouts.Order(service)
 	plan, _ := g.World.Rollouts.Plan(service)
 	version := g.Backend.Version()
-	if !ok || g.Recorder == nil || version == "" || plan.Order >= order.Revision && plan.Phase.Ended() {
+	if g.Recorder == nil || version == "" {
+		return
+	}
+	if !ok || plan.Order > order.Revision || plan.Order == order.Revision && plan.Phase.Ended() {
+		g.Recorder.Begin(0, version)
 		return
 	}
 	obeyed := uint64(0)
--- a/pkg/systems/rolloutwatch.go
+++ b/pkg/systems/rolloutwatch.go
@@ -41,6 +41,8 @@
 	reports map[string]rollout.Report
 	// linkedAt is when there last was a link to a VM of the service.
 	linkedAt map[string]int64
+	// busy is how many requests were in flight at each VM of late.
+	busy     map[string]busy
 	judgeDue due
 	// dueSince is since when another plan is due after the one of revision dueAfter.
 	dueSince int64
@@ -50,7 +52,7 @@
 func newRolloutWatch(env *Env, known *rollouts) *rolloutWatch {
 	return &rolloutWatch{
 		Env: env, known: known, rows: newPlanRows(env), rank: -1,
-		reports: map[string]rollout.Report{}, linkedAt: map[string]int64{},
+		reports: map[string]rollout.Report{}, linkedAt: map[string]int64{}, busy: map[string]busy{},
 	}
 }
 
@@ -62,9 +64,9 @@
 		return
 	}
 	service := w.Settings.BackendServer.Service
-	order, ok := w.World.Rollouts.Order(service)
+	order, _ := w.World.Rollouts.Order(service)
 	plan, _ := w.World.Rollouts.Plan(service)
-	if !ok || plan.Order > order.Revision || plan.Order == order.Revision && plan.Phase.Ended() {
+	if !w.isUnderWay(order, plan) {
 		w.World.Watchers = nil
 		w.setRank(-1, order)
 		return
@@ -81,7 +83,16 @@
 	}
 	w.begin(order)
 	w.noteLinks(now)
-	w.decide(now, order, plan, w.verdict(now, order))
+	w.decide(now, service, order, plan, w.verdict(now, service, order))
+}
+
+// isUnderWay is true while something is left to decide: an order that has not ended, or
+// a plan whose order was taken away.
+func (w *rolloutWatch) isUnderWay(order rollout.Order, plan rollout.Plan) bool {
+	if order.Revision == 0 {
+		return plan.Order > 0 && !plan.Phase.Ended() && w.World.Rollouts.News().Orders.Revision >= plan.Order
+	}
+	return order.Revision > plan.Order || order.Revision == plan.Order && !plan.Phase.Ended()
 }
 
 // choose works out who judges, in their order.
@@ -123,6 +134,7 @@
 	w.order, w.judge = order.Revision, rollout.NewJudge(order)
 	w.dueSince = 0
 	clear(w.reports)
+	clear(w.busy)
 	w.rows.forget()
 }
 
@@ -139,29 +151,55 @@
 		return
 	}
 	w.reports[r.VM] = r
+	w.busy[r.VM] = w.busy[r.VM].with(now, int(r.InFlight))
 	w.judge.Take(now, r)
 }
 
+// busyKeeps is how long the most requests in flight that a backend server has told of
+// count: each second of a service with few requests has its peaks.
+const busyKeeps = 5 * time.Second
+
+// busy is the most requests in flight at a backend server of late, in two windows.
+type busy struct {
+	since        int64
+	now, earlier int
+}
+
+func (b busy) with(now int64, inFlight int) busy {
+	if now-b.since > int64(busyKeeps) {
+		b.since, b.earlier, b.now = now, b.now, 0
+	}
+	b.now = max(b.now, inFlight)
+	return b
+}
+
+// most is 0 where nothing was told of late.
+func (b busy) most(now int64) int {
+	if now-b.since > int64(2*busyKeeps) {
+		return 0
+	}
+	return max(b.now, b.earlier)
+}
+
 // verdict is what the evidence says, or the stop that another one has told. One of its
 // own goes to all daemons at once: it needs no store.
-func (w *rolloutWatch) verdict(now int64, order rollout.Order) rollout.Verdict {
-	service := order.Service
+func (w *rolloutWatch) verdict(now int64, service string, order rollout.Order) rollout.Verdict {
 	if stop, stopped := w.World.Rollouts.Stopped(service); stopped {
 		return stop.Verdict()
 	}
 	verdict := w.judge.Verdict(now)
-	if stop, bad := verdict.Stop(order); bad {
+	if stop, bad := verdict.Stop(order); bad && order.Revision > 0 {
 		w.known.take(rollout.News{Stops: []rollout.Stop{stop}}, nil)
 	}
 	return verdict
 }
 
 // decide has the next plan written where one is due and it is this daemon's turn.
-func (w *rolloutWatch) decide(now int64, order rollout.Order, plan rollout.Plan, verdict rollout.Verdict) {
-	if !w.rows.ready(now, order.Service) {
+func (w *rolloutWatch) decide(now int64, service string, order rollout.Order, plan rollout.Plan, verdict rollout.Verdict) {
+	if !w.rows.ready(now, service) {
 		return
 	}
-	servers := w.servers(now, order, plan)
+	servers := w.servers(now, service, plan)
 	next, changed := rollout.Decide(w.rows.storeNow(now), order, plan, verdict, servers, w.RolloutLimits)
 	if !changed {
 		w.dueSince = 0
@@ -179,19 +217,24 @@
 }
 
 // servers is what is known of the service's backend servers.
-func (w *rolloutWatch) servers(now int64, order rollout.Order, plan rollout.Plan) []rollout.Server {
+func (w *rolloutWatch) servers(now int64, service string, plan rollout.Plan) []rollout.Server {
 	evacuated := w.World.View.Evacuation()
 	var out []rollout.Server
-	w.World.Members.Service(order.Service, func(row int) {
+	w.World.Members.Service(service, func(row int) {
 		m := &w.World.Members.Row[row]
+		if m.Version == "" {
+			// Its executor runs nothing until it has said its version.
+			return
+		}
 		at, everLinked := w.linkedAt[m.VM]
 		linked := everLinked && at == now || m.VM == w.World.VM
 		report, reported := w.reports[m.VM]
 		out = append(out, rollout.Server{
 			VM: m.VM, Version: m.Version, Slots: int(m.Slots),
 			Ready: m.State == wire.MemberLive && m.Backend == wire.BackendLive && linked && !evacuated.Has(m.DataCentre),
-			Empty: reported && linked && plan.Order == order.Revision && report.Plan == plan.Revision && report.InFlight == 0,
+			Empty: reported && linked && plan.Revision > 0 && report.Plan == plan.Revision && report.InFlight == 0,
 			Lost:  !linked && now-at > int64(lostAfter),
+			Busy:  w.busy[m.VM].most(now),
 		})
 	})
 	// Rows come in no order; two that decide on the same knowledge write the same.
