--- a/pkg/systems/rollouts.go
+++ b/pkg/systems/rollouts.go
@@ -179,10 +179,11 @@
 		events.F("since", plan.Since), events.F("deadline", plan.Deadline), events.F("cause", plan.Cause), events.F("from", nameOf(from)))
 }
 
-// nameOf is the VM of a peer in a log line, or the store where there is none.
+// nameOf is the VM of a peer in a log line; empty for what this daemon read in the
+// store, or has told itself.
 func nameOf(peer *link.Peer) string {
 	if peer == nil {
-		return "store"
+		return ""
 	}
 	return peer.Hello.VM
 }
