Roll-outs: less news twice, clocks that step, parts of a route

Heartbeats on their way while a change spread were answered with the whole of the news; a peer that was just told is not told again within two seconds. Reports of a daemon whose clock stepped back before its restart were passed over for good, so that its backend server never counted as empty. Ruled out: ordering processes by their number, a wall clock's. The judge keeps each process's counts apart already. Test of a route of two parts with a roll-out of one.

--- a/pkg/forward/rollout_test.go
+++ b/pkg/forward/rollout_test.go
@@ -118,3 +118,25 @@
 	must.NotNil(t, f.Forward(t.Context(), request("/post/1")).Answer)
 	test.Eq(t, 1, total(target))
 }
+
+// TestEachPartOfARouteHasItsOwnRollOut: the other part's requests go where they went.
+func TestEachPartOfARouteHasItsOwnRollOut(t *testing.T) {
+	first, second := &fakeRunner{answer: answers(200)}, &fakeRunner{answer: answers(200)}
+	f, view := newWeighted(first, second)
+	for _, service := range []string{"first", "second"} {
+		view.Service(service).Match("GET", "/").Ready[0].Route.SetVersion("v1")
+	}
+	book := rollout.NewBook(rollout.Limits{})
+	book.Take(rollout.News{Plans: []rollout.Plan{{Service: "second", Target: "v2", Old: []string{"v1"}, Order: 5, Revision: 6, Phase: rollout.Switching}}})
+	view.SetRollouts(&tables.Rollouts{Traffic: map[string]*rollout.Traffic{"second": book.Traffic("second")}})
+	const requests = 100
+	refused := 0
+	for range requests {
+		if f.Forward(t.Context(), request("/read/1")).Refusal != nil {
+			refused++
+		}
+	}
+	test.Eq(t, 0, total(second))
+	test.Eq(t, requests-refused, total(first))
+	test.Between(t, requests/10-2, refused, requests/10+2)
+}
--- a/pkg/systems/rollouts.go
+++ b/pkg/systems/rollouts.go
@@ -24,6 +24,8 @@
 	// orders whose stops do.
 	logged  map[string]loggedPhase
 	stopped map[string]uint64
+	// now is the time of the tick.
+	now int64
 	// synced is true once a peer knew the same as this daemon.
 	synced bool
 }
@@ -39,6 +41,7 @@
 
 // Tick implements System.
 func (ro *rollouts) Tick(now int64, mail *tables.Mail) {
+	ro.now = now
 	if mail.Orders != nil {
 		ro.take(rollout.News{Orders: *mail.Orders}, nil)
 	}
@@ -52,11 +55,11 @@
 	}
 	for _, e := range mail.Links {
 		if e.Up {
-			ro.compare(now, e.Peer, e.Peer.Hello.State.Rollouts)
+			ro.compare(e.Peer, e.Peer.Hello.State.Rollouts)
 		}
 	}
 	for _, n := range mail.News {
-		ro.compare(now, n.Peer, n.State.Rollouts)
+		ro.compare(n.Peer, n.State.Rollouts)
 	}
 }
 
@@ -81,7 +84,9 @@
 		ro.logPlan(service, from)
 	}
 	say := &wire.RolloutNews{News: onlyOf(book.News(), changed)}
-	ro.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
+	ro.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
+		// Heartbeats that are on their way show the old digest, and need no answer.
+		row.RolloutsTold, row.RolloutsToldAt = book.Digest(), ro.now
 		if peer != from {
 			_ = peer.Send(say)
 		}
@@ -124,7 +129,7 @@
 
 // compare sends a peer that knows something else all that is known here. One that
 // knows more does the same.
-func (ro *rollouts) compare(now int64, peer *link.Peer, theirs uint64) {
+func (ro *rollouts) compare(peer *link.Peer, theirs uint64) {
 	own := ro.World.View.RolloutDigest()
 	if theirs == own {
 		ro.synced = true
@@ -134,10 +139,10 @@
 		return
 	}
 	row := ro.World.Peers.Put(peer)
-	if row.RolloutsTold == own && now-row.RolloutsToldAt < int64(tellAgain) {
+	if row.RolloutsTold == own && ro.now-row.RolloutsToldAt < int64(tellAgain) {
 		return
 	}
-	row.RolloutsTold, row.RolloutsToldAt = own, now
+	row.RolloutsTold, row.RolloutsToldAt = own, ro.now
 	_ = peer.Send(&wire.RolloutNews{News: ro.World.Rollouts.News()})
 }
 
--- a/pkg/systems/rolloutwatch.go
+++ b/pkg/systems/rolloutwatch.go
@@ -143,8 +143,8 @@
 	if w.judge == nil || r.Order != w.order || r.Service != w.Settings.BackendServer.Service {
 		return
 	}
-	old := w.reports[r.VM]
-	if r.Process < old.Process || r.Process == old.Process && r.Seq <= old.Seq {
+	// Clocks step: which of two processes is the newer one, their numbers do not tell.
+	if old := w.reports[r.VM]; r.Process == old.Process && r.Seq <= old.Seq {
 		return
 	}
 	if _, known := w.World.Members.Find(r.VM); !known {
