Roll-outs: slow runs are reckoned with half as often again as the old versions have them

Cause: 11 of 20,000 good roll-outs of a minute were told bad (TestErrorRates/good), in the two printed of 2,000 both for slow runs on one route. A trial's guess before that, a higher threshold for the little worse alternative, changed nothing: the same two. Ruled out: that threshold; a margin of 1.2 (5 of 20,000). Change: slowMargin 1.5. Conclusion: one false alarm in 10,000 roll-outs, with usual failures at the floor.

--- a/pkg/rollout/cusum.go
+++ b/pkg/rollout/cusum.go
@@ -37,6 +37,11 @@
 	// runs that a slow spell overtakes before the backend server tells of it.
 	failureFloor = 0.01
 	slowFloor    = 0.03
+	// slowMargin times the slow part of the old versions is reckoned with: slow runs come
+	// together, and at few canaries more unevenly than over all old backend servers. Of
+	// 20,000 good roll-outs 11 were told bad with 1, 5 with 1.2 and 2 with 1.5; a version
+	// slow three times in ten gets 28, 32 and 37 runs of a route (TestErrorRates).
+	slowMargin = 1.5
 	// blindFailures and blindSlow are reckoned with where the old versions run nothing at
 	// the time (while switching, or they are gone), so that nobody tells whether a fault
 	// strikes both.
--- a/pkg/rollout/judge_test.go
+++ b/pkg/rollout/judge_test.go
@@ -21,7 +21,7 @@
 		"fails three in ten":         {version: version{failing: 0.3}, runs: 22},
 		"fails one in ten":           {version: version{failing: 0.1}, runs: 150},
 		"takes three times as long":  {version: version{tardy: 1, times: 3}, runs: 20},
-		"three in ten take fourfold": {version: version{tardy: 0.3, times: 4}, runs: 40},
+		"three in ten take fourfold": {version: version{tardy: 0.3, times: 4}, runs: 45},
 		"bad after half a minute":    {version: version{failing: 0.3, from: 30 * time.Second}, runs: 22},
 		"bad on one route":           {version: version{failing: 0.3, route: "check"}, runs: 30},
 	} {
@@ -30,6 +30,9 @@
 			for seed := range *rollOuts {
 				p := newPlay(uint64(seed))
 				verdict, at := p.until(time.Minute, c.version)
+				if verdict.Bad && name == "good" {
+					t.Log(seed, at, verdict.Cause)
+				}
 				if !verdict.Bad {
 					test.True(t, verdict.Enough)
 					continue
--- a/pkg/rollout/reference.go
+++ b/pkg/rollout/reference.go
@@ -136,10 +136,11 @@
 
 // usual returns the bad parts to test against.
 func (r *reference) usual() (failures, slow float64) {
+	slow = slowMargin * r.slow
 	if r.blind {
-		return max(r.failures, blindFailures), max(r.slow, blindSlow)
+		return max(r.failures, blindFailures), max(slow, blindSlow)
 	}
-	return max(r.failures, failureFloor), max(r.slow, slowFloor)
+	return max(r.failures, failureFloor), max(slow, slowFloor)
 }
 
 // surely is a share of few runs, less one standard error: a fault that strikes both
