Roll-outs: the note says how a bad version is told, with its error rates

Cause: the note said that evidence decides, not which and how surely. Ruled out: figures of the first threshold and margin, which are not the code's. Change: times, shares, test, its error rates and delays, what it does not tell apart. Figures: those of TestErrorRates and TestDelays, -rollouts 2000 (20,000 for good ones).

--- a/pkg/rollout/cusum.go
+++ b/pkg/rollout/cusum.go
@@ -17,8 +17,8 @@
 // Two alternatives run beside each other: much worse (a bad part larger by 0.3), told
 // after few runs, and a little worse (by 0.1), told later.
 //
-// Measured by TestErrorRates with the reference at its floor, which is the worst case
-// for false alarms: see there for the runs that a bad version gets.
+// Error rates and delays are measured by TestErrorRates and TestDelays; the figures stand
+// in docs/design/rollout.md.
 const (
 	// trip is where a sum tells a bad version. The chance that a sum trips within n runs
 	// of a version as good as the reference is below n*exp(-trip).
