--- a/pkg/systems/rollouts.go
+++ b/pkg/systems/rollouts.go
@@ -43,7 +43,7 @@
 func (ro *rollouts) Tick(now int64, mail *tables.Mail) {
 	ro.now = now
 	if mail.Orders != nil {
-		ro.take(rollout.News{Orders: *mail.Orders}, nil)
+		ro.takeOrders(*mail.Orders)
 	}
 	for _, n := range mail.RolloutNews {
 		ro.take(n.News, n.Peer)
@@ -63,6 +63,15 @@
 	}
 }
 
+// takeOrders takes over what this daemon read in the store.
+func (ro *rollouts) takeOrders(orders rollout.Orders) {
+	ro.take(rollout.News{Orders: orders}, nil)
+	if ro.World.Rollouts.News().Orders.Revision < orders.Revision {
+		ro.Log.Event(events.RolloutRefused, events.F("orders", len(orders.List)), events.F("revision", orders.Revision),
+			events.F("cause", "more orders than a daemon keeps, or one with a value out of bounds"))
+	}
+}
+
 // take takes news over and passes on what changed; from is the peer that told it, or
 // nil.
 func (ro *rollouts) take(news rollout.News, from *link.Peer) {
--- a/pkg/systems/rollouts_test.go
+++ b/pkg/systems/rollouts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -46,6 +47,19 @@
 	test.Nil(t, env.World.View.Rollout("s"))
 }
 
+// TestMoreOrdersThanADaemonKeeps leave those in force that were there.
+func TestMoreOrdersThanADaemonKeeps(t *testing.T) {
+	env := testEnv()
+	system := newRollouts(env)
+	system.Tick(1, &tables.Mail{Orders: ordersOf(9, orderOf("s", 8))})
+	many := ordersOf(5000)
+	for n := range 1000 {
+		many.List = append(many.List, orderOf(fmt.Sprintf("s%04d", n), uint64(n+1)))
+	}
+	system.Tick(2, &tables.Mail{Orders: many})
+	test.Eq(t, []rollout.Order{orderOf("s", 8)}, env.World.Rollouts.News().Orders.List)
+}
+
 // TestTheOrdersOutliveAFeedThatLostItsHistory: one that was taken away in the gap is
 // gone, one that was written in it is there.
 func TestTheOrdersOutliveAFeedThatLostItsHistory(t *testing.T) {
