--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -6,6 +6,7 @@
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/speed"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -43,6 +44,10 @@
 	Allowed []string
 	// Evacuated are the data centres whose backend servers get nothing new.
 	Evacuated evacuation.Set
+	// Rollout is nil, or says which versions may run the requests of which lane, and
+	// Lane is the request's.
+	Rollout *rollout.Traffic
+	Lane    rollout.Lane
 	// Here is where the entry stands, LeaveCost what crossing to each place costs.
 	Here      place.Here
 	LeaveCost Costs
@@ -83,7 +88,7 @@
 	out := RoutedPick{Index: None, Cost: math.Inf(1)}
 	for i := range req.Set {
 		candidate := &req.Set[i]
-		if req.Excluded.Has(i) || !req.allows(candidate.Route.DataCentre) {
+		if req.Excluded.Has(i) || !req.allows(candidate.Route) {
 			continue
 		}
 		var known tables.Known
@@ -102,10 +107,14 @@
 	return out
 }
 
-func (r *Routed) allows(dataCentre string) bool {
+func (r *Routed) allows(route *tables.Route) bool {
+	dataCentre := route.DataCentre
 	if r.Evacuated.Has(dataCentre) {
 		return false
 	}
+	if r.Rollout != nil && !r.Rollout.Takes(r.Lane, route.Version(), route.VM) {
+		return false
+	}
 	return routing.Allows(r.Allowed, dataCentre)
 }
 
--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/ingress"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/store"
 )
@@ -25,6 +27,8 @@
 	Backend backend.Headers
 	// Announcements makes the handler of backend servers' announcements.
 	Announcements func(backend.Announcer) http.Handler
+	// Rollouts keeps the plans of roll-outs that operators order.
+	Rollouts rollout.Register
 	// Bounds are what the platform holds all daemons to.
 	Bounds Bounds
 }
@@ -55,5 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Adapter{Store: client, Callers: ingress.DefaultHeaders(), Backend: backend.DefaultHeaders()}, nil
+	// Its store tells no time; VMs keep theirs by the network's.
+	wall := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
+	return &Adapter{Store: client, Rollouts: rollout.NewTableRegister(client, wall), Callers: ingress.DefaultHeaders(), Backend: backend.DefaultHeaders()}, nil
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -81,6 +81,14 @@
 	DeparturesNotSwept ID = 708
 	PipelineCut        ID = 760
 	PipelineFault      ID = 761
+	RolloutRefused     ID = 780
+	RolloutOrdered     ID = 781
+	RolloutPhase       ID = 782
+	RolloutStopped     ID = 783
+	RolloutRowFailed   ID = 784
+	RolloutGuard       ID = 785
+	RolloutWatch       ID = 786
+	RolloutDecided     ID = 787
 )
 
 // Entry is the catalogue's row of one event.
@@ -153,6 +161,14 @@
 		{DeparturesNotSwept, Warn, "old departures were not deleted in the store", false, "The store did not answer in time, or refused.", "Nothing once: the next sweep makes up for it. If it repeats, look at the platform's store: the table departure grows."},
 		{PipelineCut, Info, "connection ended with requests behind one another", true, "A caller's connection ended while requests of it were unanswered, or bytes behind them unread: the caller left, could not be written to, or the connection was ended with the answers before.", "Nothing; many mean that callers leave early, or send requests to a daemon that is leaving."},
 		{PipelineFault, Error, "fault while handling a request beside others", false, "A fault in rushramp; the connection was closed without an answer.", "Report it with this line."},
+		{RolloutRefused, Error, "orders of roll-outs refused", false, "An order in the store cannot be read, or there are more orders than a daemon keeps (field orders); what was known before stays.", "Correct the order as the line says and write it again; take orders of roll-outs away that have ended."},
+		{RolloutOrdered, Info, "roll-out ordered", false, "Operators ordered that a service's requests move to another version, or took the order away (version is empty then).", "Nothing; event 782 tells how it goes on."},
+		{RolloutPhase, Info, "roll-out's phase changed", false, "A newer plan of a service's roll-out is in force here; cause says why its phase began.", "Nothing; for rolled_back see cause, and event 783 for the evidence."},
+		{RolloutStopped, Warn, "roll-out's version is bad, it gets nothing more", false, "A daemon that watches the roll-out told from the reports of executors that the version is worse than the old ones; cause names the route, figures and test.", "Look at the version's failures or times on that route."},
+		{RolloutRowFailed, Warn, "roll-out's row was not read or written", false, "The store did not answer, or another daemon wrote first (conflict); the row is read again before anything else is written.", "Look at the platform's store if it repeats."},
+		{RolloutGuard, Info, "backend server's part in a roll-out changed", false, "The executor now refuses, or takes again, requests for its backend server: the roll-out's plan says so, its version is new and its order may be on its way, or nobody who watches hears this daemon.", "Nothing; field why says which, revision the plan's."},
+		{RolloutWatch, Info, "watch of a roll-out changed", false, "This daemon is, or is no more, among the three that judge the roll-out of its service; rank 0 writes the plan.", "Nothing."},
+		{RolloutDecided, Info, "roll-out's next plan decided", false, "This daemon writes a plan to the store; the line holds the figures it was decided on.", "Nothing."},
 	}
 }
 
--- a/pkg/events/log_test.go
+++ b/pkg/events/log_test.go
@@ -162,7 +162,7 @@
 			log.Close(time.Second)
 			written := 0
 			for line := range strings.Lines(out.String()) {
-				if strings.Contains(line, "event=504") {
+				if strings.Contains(line, "event=504 ") {
 					written += len(line)
 					longest = max(longest, len(line))
 				}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -16,6 +17,7 @@
 	to := &a.set[pick.Index]
 	began := a.owner.Now()
 	note := noteAttempt(began, to, soft, a.placeOf(to), pick.Refusing)
+	note.target = a.lane == rollout.LaneTarget
 	result := a.sendTo(to, soft)
 	note.end(&result, time.Duration(a.owner.Now()-began))
 	a.trail = append(a.trail, note)
@@ -41,8 +43,11 @@
 	if a.offered+1 >= a.route.Attempts || a.left() < leastLeft || a.owner.budgets.of(a.service).left() < 1 {
 		return false
 	}
+	traffic := a.owner.view.Rollout(a.service)
+	lane := traffic.Again(a.lane)
 	for i := range a.set {
-		if other := &a.set[i]; other != from && !a.closed.Has(i) && a.mayTake(other) && other.Route.Runner() != nil {
+		other := &a.set[i]
+		if other != from && !a.closed.Has(i) && a.mayTake(other) && traffic.Takes(lane, other.Route.Version(), other.Route.VM) && other.Route.Runner() != nil {
 			return true
 		}
 	}
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -9,6 +9,7 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/gate"
 	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -40,6 +41,8 @@
 	began    int64
 	deadline int64
 	target   time.Duration
+	// lane is the side of a roll-out that the request is on.
+	lane rollout.Lane
 
 	set []tables.Candidate
 	// softLeft is how many attempts may still be refused softly; softTried are
@@ -140,8 +143,25 @@
 func (a *attempts) pick() (pick choose.RoutedPick, soft bool) {
 	a.refresh()
 	a.renewRules()
+	traffic := a.owner.view.Rollout(a.service)
+	if a.tries > 0 {
+		a.lane = traffic.Again(a.lane)
+	}
+	pick, soft = a.pickIn(traffic)
+	if next := traffic.Again(a.lane); pick.Index == choose.None && next != a.lane {
+		// Its lane's backend servers are gone, full or not linked here: a roll-out that
+		// tries a few requests refuses none for it.
+		a.lane = next
+		return a.pickIn(traffic)
+	}
+	return pick, soft
+}
+
+// pickIn chooses among the backend servers that the request's lane allows.
+func (a *attempts) pickIn(traffic *rollout.Traffic) (pick choose.RoutedPick, soft bool) {
 	req := choose.Routed{
 		Now: a.owner.Now(), Set: a.set, Allowed: a.rules.allowed, Evacuated: a.owner.view.Evacuation(),
+		Rollout: traffic, Lane: a.lane,
 		Here: a.owner.Here(), LeaveCost: a.leaveCost(), Work: a.work(),
 		// What gates refuse by, so that the entry knows before it asks.
 		SoftSlowdown: a.owner.Settings.Routing.SoftSlowdown, Use: a.owner.Settings.Routing.Use,
--- a/pkg/systems/subset.go
+++ b/pkg/systems/subset.go
@@ -1,8 +1,11 @@
 package systems
 
 import (
+	"slices"
+
 	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -20,13 +23,15 @@
 // hash, and a few of other data centres for when its own has no room: of its own
 // region, and fewer of others. Where there are more than it may take, rendezvous
 // hashing on this daemon's name decides, so that each entry has its own stable
-// choice. Members that could not be reached of late or whose data centre is
-// evacuated are passed over. Source: docs/design/members.md, "Links", and
-// docs/design/regions.md.
+// choice. Members that could not be reached of late, whose data centre is evacuated,
+// or whose version a roll-out lets run nothing are passed over. Those of a version that
+// a roll-out moves to are taken as if they were a service of their own, so that links to
+// them are open once all requests move, and those that try it are always among them, as
+// they are few. Source: docs/design/members.md, "Links", and docs/design/regions.md.
 func Subset(w *tables.World, choosing settings.Choosing, kind *placement.CompiledKind) []*tables.Route {
-	var at [place.Count][]*tables.Route
-	var all []*tables.Route
-	evacuated := w.View.Evacuation()
+	var others, targets side
+	var trying []*tables.Route
+	evacuated, traffic, target := w.View.Evacuation(), w.View.Rollout(kind.Service), movingTo(w, kind.Service)
 	w.Members.Service(kind.Service, func(row int) {
 		takes := !w.Members.Leaving(row) && w.Members.Row[row].Backend == wire.BackendLive
 		if !takes || !kind.Allows(w.Members.Row[row].DataCentre) || evacuated.Has(w.Members.Row[row].DataCentre) {
@@ -36,17 +41,57 @@
 		if _, unreached := w.Unreached[route]; unreached {
 			return
 		}
-		where := w.Here().Of(route.DataCentre, route.Region)
-		at[where], all = append(at[where], route), append(all, route)
+		version := route.Version()
+		switch {
+		case target != "" && version == target:
+			targets.add(w, route)
+			if !traffic.Takes(rollout.LaneOld, version, route.VM) && traffic.Takes(rollout.LaneTarget, version, route.VM) {
+				trying = append(trying, route)
+			}
+		case traffic.Takes(rollout.LaneOld, version, route.VM):
+			others.add(w, route)
+		}
 	})
-	if len(all) <= choosing.Subset {
-		return highest(w.VM, all, choosing.Subset)
+	out := others.choose(w, choosing, kind)
+	for _, route := range append(trying, targets.choose(w, choosing, kind)...) {
+		if len(out) < subsetMost && !slices.Contains(out, route) {
+			out = append(out, route)
+		}
+	}
+	return out
+}
+
+// movingTo is the version that a roll-out under way moves a service to, or empty.
+func movingTo(w *tables.World, service string) string {
+	order, ok := w.Rollouts.Order(service)
+	plan, _ := w.Rollouts.Plan(service)
+	_, stopped := w.Rollouts.Stopped(service)
+	if !ok || stopped || plan.Order > order.Revision || plan.Order == order.Revision && plan.Phase.Ended() {
+		return ""
+	}
+	return order.Version
+}
+
+// side is a set of routes to choose from, by how far they are.
+type side struct {
+	at  [place.Count][]*tables.Route
+	all []*tables.Route
+}
+
+func (s *side) add(w *tables.World, route *tables.Route) {
+	where := w.Here().Of(route.DataCentre, route.Region)
+	s.at[where], s.all = append(s.at[where], route), append(s.all, route)
+}
+
+func (s *side) choose(w *tables.World, choosing settings.Choosing, kind *placement.CompiledKind) []*tables.Route {
+	if len(s.all) <= choosing.Subset {
+		return highest(w.VM, s.all, choosing.Subset)
 	}
 	least := choosing.Subset / 2
-	chosen := highest(w.VM, at[place.Near], choosing.Near)
-	chosen = append(chosen, highest(w.VM, at[place.Region], max(choosing.Far, least-len(chosen)))...)
-	chosen = append(chosen, highest(w.VM, at[place.Other], max(otherRegions, least-len(chosen)))...)
-	return fillUp(w.VM, chosen, all, kind.Limits, choosing.Subset)
+	chosen := highest(w.VM, s.at[place.Near], choosing.Near)
+	chosen = append(chosen, highest(w.VM, s.at[place.Region], max(choosing.Far, least-len(chosen)))...)
+	chosen = append(chosen, highest(w.VM, s.at[place.Other], max(otherRegions, least-len(chosen)))...)
+	return fillUp(w.VM, chosen, s.all, kind.Limits, choosing.Subset)
 }
 
 // subsetMost bounds a subset that lists of data centres fill up: choosing marks
@@ -95,6 +140,7 @@
 		members   uint64
 		unreached uint64
 		evacuated uint64
+		rollout   *rollout.Traffic
 		routes    []*tables.Route
 	}
 )
@@ -107,10 +153,10 @@
 	}
 	key := subsetKey{kind.Service, kind.Name}
 	row, changes := e.subsets[key], e.World.Members.ServiceChanges(kind.Service)
-	evacuated := e.World.View.Evacuation().Revision
-	if row.kind != kind || row.members != changes || row.unreached != e.World.UnreachedChanges || row.evacuated != evacuated {
+	evacuated, traffic := e.World.View.Evacuation().Revision, e.World.View.Rollout(kind.Service)
+	if row.kind != kind || row.members != changes || row.unreached != e.World.UnreachedChanges || row.evacuated != evacuated || row.rollout != traffic {
 		row = subsetRow{
-			kind: kind, members: changes, unreached: e.World.UnreachedChanges, evacuated: evacuated,
+			kind: kind, members: changes, unreached: e.World.UnreachedChanges, evacuated: evacuated, rollout: traffic,
 			routes: Subset(e.World, e.Settings.Choosing, kind),
 		}
 		e.subsets[key] = row
