Runner: who may run stands in a file of its own

The runner's file had grown over 300 lines with the guard of roll-outs; what decides whether a request is taken is one thing.

--- /dev/null
+++ b/pkg/runner/accepting.go
@@ -0,0 +1,44 @@
+package runner
+
+import (
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// Leave makes the runner refuse new requests from now on.
+func (r *Runner) Leave() { r.leaving.Store(true) }
+
+// SetEvacuated makes the runner refuse new requests, and those that wait, while
+// its data centre is evacuated.
+func (r *Runner) SetEvacuated(evacuated bool) { r.evacuated.Store(evacuated) }
+
+// accepting returns the incarnation that requests may be handed to now, or why
+// there is none.
+func (r *Runner) accepting() (instance string, refusal *errkind.Error) {
+	if r.evacuated.Load() {
+		return "", errkind.New(errkind.DataCentreEvacuated, "%s is evacuated", r.Settings.VM.DataCentre)
+	}
+	instance, ok := r.lifecycle.Accepting()
+	if !ok {
+		return "", errkind.New(errkind.BackendAbsent, "the backend server takes no requests now")
+	}
+	if why := r.barred(instance); why != "" {
+		return "", errkind.New(errkind.VersionHeld, "%s", why)
+	}
+	return instance, nil
+}
+
+// check refuses what this runner must not take, whatever the entry believed.
+func (r *Runner) check(c *wire.Call) *errkind.Error {
+	if r.leaving.Load() {
+		return errkind.New(errkind.Leaving, "the daemon is leaving")
+	}
+	if !r.coldTold.Load() && !r.TakeCold() {
+		return errkind.New(errkind.PlacementUnknown, "the executor has no placement yet")
+	}
+	if c.Service != r.Settings.BackendServer.Service {
+		return errkind.New(errkind.BackendReplaced, "this backend server runs another service")
+	}
+	_, refusal := r.accepting()
+	return refusal
+}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -114,29 +114,6 @@
 	return r, nil
 }
 
-// Leave makes the runner refuse new requests from now on.
-func (r *Runner) Leave() { r.leaving.Store(true) }
-
-// SetEvacuated makes the runner refuse new requests, and those that wait, while
-// its data centre is evacuated.
-func (r *Runner) SetEvacuated(evacuated bool) { r.evacuated.Store(evacuated) }
-
-// accepting returns the incarnation that requests may be handed to now, or why
-// there is none.
-func (r *Runner) accepting() (instance string, refusal *errkind.Error) {
-	if r.evacuated.Load() {
-		return "", errkind.New(errkind.DataCentreEvacuated, "%s is evacuated", r.Settings.VM.DataCentre)
-	}
-	instance, ok := r.lifecycle.Accepting()
-	if !ok {
-		return "", errkind.New(errkind.BackendAbsent, "the backend server takes no requests now")
-	}
-	if why := r.barred(instance); why != "" {
-		return "", errkind.New(errkind.VersionHeld, "%s", why)
-	}
-	return instance, nil
-}
-
 // InFlight counts requests that were taken in and have not ended.
 func (r *Runner) InFlight() int64 { return r.inFlight.Load() }
 
@@ -269,21 +246,6 @@
 	return run.cancel
 }
 
-// check refuses what this runner must not take, whatever the entry believed.
-func (r *Runner) check(c *wire.Call) *errkind.Error {
-	if r.leaving.Load() {
-		return errkind.New(errkind.Leaving, "the daemon is leaving")
-	}
-	if !r.coldTold.Load() && !r.TakeCold() {
-		return errkind.New(errkind.PlacementUnknown, "the executor has no placement yet")
-	}
-	if c.Service != r.Settings.BackendServer.Service {
-		return errkind.New(errkind.BackendReplaced, "this backend server runs another service")
-	}
-	_, refusal := r.accepting()
-	return refusal
-}
-
 func (r *Runner) startAll(jobs []*gate.Job) {
 	for _, job := range jobs {
 		r.start(job)
