--- a/pkg/evacuation/register.go
+++ b/pkg/evacuation/register.go
@@ -9,14 +9,9 @@
 	"github.com/rushramp/rushramp/pkg/store"
 )
 
-const (
-	// row is where the set stands in the platform's table, where operators use
-	// rushramp's own calls.
-	row = "evacuation/set"
-	// mostTries bounds the tries of a change: each lost one means that another
-	// operator's change was made meanwhile.
-	mostTries = 8
-)
+// rowKey is where the set stands in the platform's table, where operators use
+// rushramp's own calls.
+const rowKey = "evacuation/set"
 
 // Register is the set in the platform's table. Its row is never removed, so that the
 // row's version orders all sets.
@@ -27,42 +22,43 @@
 
 // Read returns the newest set; the zero value where nothing was ever evacuated.
 func (r *Register) Read(ctx context.Context) (Set, error) {
-	found, err := r.table.Get(ctx, row)
+	found, err := r.table.Get(ctx, rowKey)
 	if errors.Is(err, store.ErrNotFound) {
 		return Set{}, nil
 	}
 	if err != nil {
 		return Set{}, err
 	}
-	out := Set{Revision: found.Version}
-	return out, errors.Wrap(json.Unmarshal(found.Value, &out.DataCentres), "evacuated data centres")
+	return decode(found)
 }
 
 // Change makes one change and returns the set after it. Changes of operators who
 // race are all made. An error leaves open whether this one was; to make it again
 // harms nothing.
 func (r *Register) Change(ctx context.Context, c Change) (Set, error) {
-	for range mostTries {
-		before, err := r.Read(ctx)
+	row, err := store.Change(ctx, r.table, rowKey, func(row store.Row) ([]byte, error) {
+		before, err := decode(row)
 		if err != nil {
-			return Set{}, err
+			return nil, err
 		}
 		after := before.With(before.Revision, []Change{c})
 		if after.Same(before) {
-			return before, nil
-		}
-		err = r.write(ctx, before.Revision, after)
-		if err != nil && !errors.Is(err, store.ErrConflict) {
-			return Set{}, err
+			return nil, nil
 		}
+		value, err := json.Marshal(after.DataCentres)
+		return value, errors.Wrap(err, "evacuated data centres")
+	})
+	if err != nil {
+		return Set{}, err
 	}
-	return Set{}, errors.New("other operators changed the set each time; try again")
+	return decode(row)
 }
 
-func (r *Register) write(ctx context.Context, revision uint64, set Set) error {
-	value, err := json.Marshal(set.DataCentres)
-	if err != nil {
-		return errors.Wrap(err, "evacuated data centres")
+// decode reads the row; one that does not exist is the zero value.
+func decode(row store.Row) (Set, error) {
+	if row.Version == 0 {
+		return Set{}, nil
 	}
-	return r.table.Transact(ctx, []store.Write{{Key: row, IfVersion: revision, Value: value}})
+	out := Set{Revision: row.Version}
+	return out, errors.Wrap(json.Unmarshal(row.Value, &out.DataCentres), "evacuated data centres")
 }
