--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -29,6 +29,9 @@
 	Announcements func(backend.Announcer) http.Handler
 	// Rollouts keeps the plans of roll-outs that operators order.
 	Rollouts rollout.Register
+	// Clock is the one that the deadlines of roll-outs stand on, where it is the VM's
+	// own; nil where it is the store's.
+	Clock func() time.Duration
 	// Bounds are what the platform holds all daemons to.
 	Bounds Bounds
 }
@@ -61,5 +64,8 @@
 	}
 	// Its store tells no time; VMs keep theirs by the network's.
 	wall := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
-	return &Adapter{Store: client, Rollouts: rollout.NewTableRegister(client, wall), Callers: ingress.DefaultHeaders(), Backend: backend.DefaultHeaders()}, nil
+	return &Adapter{
+		Store: client, Rollouts: rollout.NewTableRegister(client, wall), Clock: wall,
+		Callers: ingress.DefaultHeaders(), Backend: backend.DefaultHeaders(), Bounds: ownBounds(),
+	}, nil
 }
--- a/pkg/daemon/bounds.go
+++ b/pkg/daemon/bounds.go
@@ -27,6 +27,22 @@
 	StopWithin  time.Duration
 }
 
+const (
+	// ownExposeShare and ownExposeSlack are what rushramp's own form allows a bad version
+	// to get between order and deadline: the share and the number for which the times
+	// and shares of roll-outs were reckoned and tested (pkg/rollout).
+	ownExposeShare = 0.1
+	ownExposeSlack = 50
+	// ownStopWithin is how soon a bad version must get nothing more: the bound that the
+	// judge's tests hold (TestDelays).
+	ownStopWithin = 5 * time.Second
+)
+
+// ownBounds are those of rushramp's own form, whose platform names none.
+func ownBounds() Bounds {
+	return Bounds{ExposeShare: ownExposeShare, ExposeSlack: ownExposeSlack, StopWithin: ownStopWithin}
+}
+
 // rollouts are the limits of roll-outs; the zero value: the platform has none.
 func (b Bounds) rollouts() rollout.Limits {
 	return rollout.Limits{Share: b.ExposeShare, Slack: int(b.ExposeSlack), StopWithin: b.StopWithin}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/rushramp/rushramp/pkg/once"
 	"github.com/rushramp/rushramp/pkg/operators"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/systems"
@@ -54,6 +55,8 @@
 	policy    choose.Policy
 	control   *systems.Control
 	operators *operators.Server
+	// storeClock is the adapter's Clock.
+	storeClock func() time.Duration
 	// routed is nil on a daemon that takes no routed requests.
 	routed *routed
 	// endWork ends what runs in the background, after the drain.
@@ -99,9 +102,9 @@
 	opts.Platform = store.NewCounted(opts.Platform, c.Metrics)
 	background, endWork := context.WithCancel(context.Background())
 	d := &Daemon{
-		Common:  c,
-		World:   tables.NewWorld(s.VM.ID, s.VM.DataCentre),
-		certs:   reloader,
+		Common: c,
+		World:  tables.NewWorld(s.VM.ID, s.VM.DataCentre),
+		certs:  reloader, storeClock: adapter.Clock,
 		store:   placement.NewStore(opts.Platform, opts.Platform),
 		policy:  opts.Policy,
 		endWork: endWork,
@@ -130,6 +133,7 @@
 	}
 	if adapter.Feed == nil {
 		d.env.Evacuation = evacuation.NewRegister(opts.Platform)
+		d.env.Orders = rollout.NewOrderRegister(opts.Platform)
 	}
 	if d.routed != nil {
 		d.env.Routed, d.env.Backend, d.env.Recorder = d.routed.runner, d.routed.lifecycle, d.routed.recorder
@@ -217,8 +221,8 @@
 	return &operators.Server{
 		Common: d.Common, World: d.World, Store: d.store,
 		Policy: d.policy, Executor: d.Executor,
-		Evacuation: d.env.Evacuation,
-		Leave:      d.Leave, InFlight: d.InFlight,
+		Evacuation: d.env.Evacuation, Orders: d.env.Orders, StoreClock: d.storeClock,
+		Leave: d.Leave, InFlight: d.InFlight,
 	}
 }
 
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -77,6 +77,7 @@
 	DocumentRefused   ID = 705
 	DepartureNotKept  ID = 706
 	StoreCalls        ID = 707
+	RolloutAsked      ID = 774
 	RolloutRefused    ID = 780
 	RolloutOrdered    ID = 781
 	RolloutPhase      ID = 782
@@ -154,6 +155,7 @@
 		{DocumentRefused, Error, "placement document refused", false, "The row in the store cannot be read; the version in force stays.", "Correct the document and write it again."},
 		{DepartureNotKept, Warn, "departure was not written to the store", false, "The store did not answer in time; peers were told.", "Look at the platform's store."},
 		{StoreCalls, Info, "calls to the platform's store", true, "Each ten seconds in which there were any: calls since the last such line, by purpose and result.", "Nothing; many while the store answers mean that links are few or end often."},
+		{RolloutAsked, Info, "roll-out ordered or cancelled by operator", false, "An operator ordered a roll-out through this daemon, or took the order away (version is empty then).", "Nothing; the line holds author, change id and revision, event 782 tells how it goes on."},
 		{RolloutRefused, Error, "order or news of a roll-out refused", false, "An order in the store, or what a peer told of roll-outs, cannot be read or is out of bounds; it is passed over.", "Correct the order as the line says and write it again; for a peer, check that both daemons run compatible releases."},
 		{RolloutOrdered, Info, "roll-out ordered", false, "Operators ordered that a service's requests move to another version, or took the order away (version is empty then).", "Nothing; event 782 tells how it goes on."},
 		{RolloutPhase, Info, "roll-out's phase changed", false, "A newer plan of a service's roll-out is in force here; cause says why its phase began.", "Nothing; for rolled_back see cause, and event 783 for the evidence."},
--- a/pkg/operatorcli/placement.go
+++ b/pkg/operatorcli/placement.go
@@ -164,8 +164,7 @@
 			})
 		},
 	}
-	cmd.Flags().StringVar(&author, "author", defaultAuthor(), "your name; with TLS the name in your certificate goes before it")
-	cmd.Flags().StringVar(&changeID, "change-id", uuid.NewString(), "give the same id again to repeat a change whose outcome was unknown")
+	changeFlags(cmd, &author, &changeID)
 	return cmd
 }
 
--- a/pkg/operatorcli/status.go
+++ b/pkg/operatorcli/status.go
@@ -117,6 +117,9 @@
 	if len(s.GetEvacuated()) > 0 {
 		fmt.Fprintf(out, "evacuated: %s (revision %d)\n", strings.Join(s.GetEvacuated(), ", "), s.GetEvacuationRevision())
 	}
+	for _, r := range s.GetRollouts() {
+		printRollout(out, r)
+	}
 	fmt.Fprintf(out, "measuring: %.0f of %.0f bytes/s\n", s.GetMeasureBytesPerS(), s.GetMeasureBytesAgreed())
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "vm\tdata centre\tservice\tstate\tplacement")
@@ -181,6 +184,9 @@
 		fmt.Fprintf(out, "kind %s, allowed in %v\n", e.GetKind(), e.GetDataCentres())
 	}
 	fmt.Fprintln(out, e.GetVerdict())
+	if e.GetRollout() != nil {
+		printRollout(out, e.GetRollout())
+	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "vm\tdata centre\treason\tat gate\tours\trun ms\texpected ms")
 	for _, c := range e.GetCandidates() {
--- a/pkg/operators/server.go
+++ b/pkg/operators/server.go
@@ -23,6 +23,7 @@
 	"github.com/rushramp/rushramp/pkg/executor"
 	api "github.com/rushramp/rushramp/pkg/operatorsapi"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -40,6 +41,11 @@
 	Executor *executor.Executor
 	// Evacuation is nil where operators write to the platform's store themselves.
 	Evacuation *evacuation.Register
+	// Orders is nil where operators write orders of roll-outs to the platform's store
+	// themselves. StoreClock is the clock that deadlines of roll-outs stand on; nil where
+	// this daemon has no reading of it at hand.
+	Orders     *rollout.OrderRegister
+	StoreClock func() time.Duration
 	// Leave begins the drain; InFlight counts calls that have not ended.
 	Leave    func()
 	InFlight func() int64
--- a/pkg/operators/status.go
+++ b/pkg/operators/status.go
@@ -12,8 +12,10 @@
 	"github.com/rushramp/rushramp/pkg/link"
 	api "github.com/rushramp/rushramp/pkg/operatorsapi"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/systems"
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
 )
 
 // Status implements the call of the schema.
@@ -42,6 +44,7 @@
 	out.Placement = w.Version()
 	evacuated := w.View.Evacuation()
 	out.Evacuated, out.EvacuationRevision = evacuated.DataCentres, evacuated.Revision
+	out.Rollouts = se.rollouts(w)
 	if age, ok := w.StoreAge(se.Now()); ok {
 		out.StoreAgeMs = age.Milliseconds()
 	}
@@ -96,11 +99,12 @@
 		}
 	}
 	costs := se.costs(req)
+	out.Rollout = se.rollout(w, kind.Service)
 	w.Members.Service(kind.Service, func(row int) {
 		vm := &w.Members.Row[row]
-		c := &api.Candidate{Vm: vm.VM, DataCentre: vm.DataCentre, ExpectedUs: -1}
+		c := &api.Candidate{Vm: vm.VM, DataCentre: vm.DataCentre, ExpectedUs: -1, Version: vm.Version}
 		c.Reason = reason(w, row, kind, inSubset[vm.VM])
-		c.Eligible = c.Reason == eligible
+		c.Eligible = c.Reason == eligible || c.Reason == trying
 		known := w.Members.Route[row].Load.Known(req.Now)
 		c.InFlight, c.Outstanding, c.ServiceTimeUs = known.InFlight, known.Outstanding, known.Service.Microseconds()
 		if cost, ok := costs[vm.VM]; ok {
@@ -124,9 +128,16 @@
 	return out
 }
 
-const eligible = "a candidate"
+// The reasons of those that may get a call.
+const (
+	eligible = "a candidate"
+	trying   = "a candidate for the few calls that try its version"
+)
 
 func reason(w *tables.World, row int, kind *placement.CompiledKind, inSubset bool) string {
+	traffic, version := w.View.Rollout(kind.Service), w.Members.Row[row].Version
+	takes := traffic.Takes(rollout.LaneOld, version, w.Members.Row[row].VM)
+	tries := !takes && traffic.Takes(rollout.LaneTarget, version, w.Members.Row[row].VM)
 	switch {
 	case w.View.Evacuation().Has(w.Members.Row[row].DataCentre):
 		return "its data centre is evacuated"
@@ -134,10 +145,16 @@
 		return "the placement does not allow its data centre"
 	case w.Members.Leaving(row):
 		return "it is leaving"
+	case w.Members.Row[row].Backend != wire.BackendLive:
+		return "its backend server takes nothing now"
+	case !takes && !tries:
+		return "a roll-out lets its version " + version + " run nothing"
 	case !inSubset:
 		return "it is outside the subset of this entry (choosing.subset)"
 	case w.Members.Route[row].Runner() == nil:
 		return "there is no link to it yet"
+	case tries:
+		return trying
 	}
 	return eligible
 }
--- a/pkg/systems/head.go
+++ b/pkg/systems/head.go
@@ -9,15 +9,15 @@
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
-// headReader reads the placement's head and the evacuated data centres in the
-// platform's table. A few daemons a data centre do so about every second; a daemon
+// headReader reads the placement's head, the evacuated data centres and the orders of
+// roll-outs in the platform's table. A few daemons a data centre do so about every second; a daemon
 // without a placement does so until it has one. Source: docs/design/placement.md.
 type headReader struct {
 	*Env
 	due  due
 	busy atomic.Bool
-	// outage logs when the head cannot be read.
-	outage *events.Outage
+	// outage logs when the head cannot be read, ordersOutage when the orders cannot.
+	outage, ordersOutage *events.Outage
 }
 
 // Tick implements System.
@@ -47,6 +47,7 @@
 	if err != nil {
 		return
 	}
+	h.readOrders(ctx)
 	h.World.Inbox.Post(true, func(m *tables.Mail) {
 		m.HeadKnown, m.Head, m.StoreReadAt, m.Evacuation = true, head, began, &evacuated
 	})
@@ -61,6 +62,16 @@
 	h.World.Inbox.Post(true, func(m *tables.Mail) { m.Documents = append(m.Documents, version) })
 }
 
+// readOrders reads the orders of roll-outs. A row that cannot be read must not keep
+// this daemon from the placement.
+func (h *headReader) readOrders(ctx context.Context) {
+	orders, err := h.Orders.Read(ctx)
+	h.ordersOutage.Note(err)
+	if err == nil {
+		h.World.Inbox.Post(true, func(m *tables.Mail) { m.TakeOrders(orders) })
+	}
+}
+
 // fetch reads the changes since base, or the snapshot when that is shorter.
 func (h *headReader) fetch(ctx context.Context, head placement.Head, base *placement.Document) (tables.Version, error) {
 	if version, ok := h.fetchChanges(ctx, head, base); ok {
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -44,6 +44,9 @@
 	Backend *backend.Lifecycle
 	// Evacuation is read beside rushramp's own head; nil where there is a feed.
 	Evacuation *evacuation.Register
+	// Orders are those of roll-outs, read beside rushramp's own head; nil where there is
+	// a feed.
+	Orders *rollout.OrderRegister
 	// Rollouts keeps the plans of roll-outs in the store; nil: none are carried out here.
 	// RolloutLimits are what the platform holds them to, the zero value where it has
 	// none. Recorder counts the outcomes of runs while one is under way.
@@ -107,7 +110,7 @@
 	if env.Feed != nil {
 		return newFollower(env)
 	}
-	return &headReader{Env: env, outage: events.NewOutage(env.Log, "placement head")}
+	return &headReader{Env: env, outage: events.NewOutage(env.Log, "placement head"), ordersOutage: events.NewOutage(env.Log, "orders of roll-outs")}
 }
 
 // Scheduler runs the systems.
--- a/pkg/tables/inbox.go
+++ b/pkg/tables/inbox.go
@@ -64,6 +64,14 @@
 	Leave bool
 }
 
+// TakeOrders notes a set of orders that was read in the store, unless a newer one was
+// noted already: two that read it may end in any order.
+func (m *Mail) TakeOrders(orders rollout.Orders) {
+	if m.Orders == nil || orders.Revision > m.Orders.Revision {
+		m.Orders = &orders
+	}
+}
+
 // VMList is the platform's list of one data centre, or of all of them.
 type VMList struct {
 	DataCentre string
