Roll-outs: calls of rushramp's own form are divided, held back and counted

Cause: in rushramp's own form nothing announces a backend server's version, and roll-outs bound only requests that are routed by host and path, which no call of rushramp's own operators can place: an order would have moved nothing. Ruled out: a heartbeat for own backend servers (a protocol for one word); a copy of the runner's guard in the executor.

--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -45,11 +45,18 @@
 // ownForm is the platform.form of rushramp's own HTTP form.
 const ownForm = "http"
 
+// errVersionTold refuses a version in the settings of a daemon whose backend server
+// tells its own.
+var errVersionTold = errors.New("backend_server.version: backend servers of routed requests tell their version themselves. Leave it out, or leave out listen.routed.")
+
 // adapter makes the adapter that the settings name.
 func (a Adapters) adapter(s *settings.Settings) (*Adapter, error) {
 	if s.Platform.Form == ownForm {
 		return newOwnAdapter(s)
 	}
+	if s.BackendServer.Version != "" {
+		return nil, errVersionTold
+	}
 	build, ok := a[s.Platform.Form]
 	if !ok {
 		return nil, errors.Errorf("platform.form: this program knows no platform %q. Give %q, or use a program that was built with its adapter.", s.Platform.Form, ownForm)
@@ -64,8 +71,15 @@
 	}
 	// Its store tells no time; VMs keep theirs by the network's.
 	wall := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
-	return &Adapter{
+	if s.BackendServer.Version != "" && s.Listen.Routed != "" {
+		return nil, errVersionTold
+	}
+	out := &Adapter{
 		Store: client, Rollouts: rollout.NewTableRegister(client, wall), Clock: wall,
-		Callers: ingress.DefaultHeaders(), Backend: backend.DefaultHeaders(), Bounds: ownBounds(),
-	}, nil
+		Callers: ingress.DefaultHeaders(), Backend: backend.DefaultHeaders(),
+	}
+	if s.BackendServer.Version != "" {
+		out.Bounds = ownBounds()
+	}
+	return out, nil
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -169,6 +169,7 @@
 		owner: e, ctx: ctx, plan: plan, body: body,
 		budget: e.budgets.of(plan.Request.Service),
 		req:    choose.Request{Set: set},
+		lane:   e.view.Rollout(plan.Request.Service).Next(plan.View.Kind.Name),
 		claim:  wire.Claim{Generation: 1},
 		left:   e.Settings.Retries.Attempts,
 		soft:   e.Settings.Choosing.SoftFirst && len(set) > 1,
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -8,6 +8,7 @@
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/measure"
+	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -20,8 +21,14 @@
 	body   []byte
 	budget *budget
 	req    choose.Request
+	// tried are the candidates that refused this call, or were silent.
+	tried choose.Tried
+	// lane is the side of the service's roll-out on which the next attempt goes.
+	lane rollout.Lane
 	// claim is the generation of the key in which the next attempt may run.
 	claim wire.Claim
+	// attempts counts those that were begun.
+	attempts int
 	// left is how many attempts remain, a soft one not counted.
 	left int
 	// soft is true while the next attempt is refused at once by a gate that is
@@ -33,14 +40,14 @@
 	last := call.Refused(errkind.NoBackendServer, "no backend server in %v can take the call", t.plan.View.Kind.DataCentres)
 	for t.left > 0 {
 		t.req.Now = t.owner.Now()
-		pick := t.owner.policy.Choose(&t.req, t.owner.random)
+		pick := t.pick()
 		if pick.Index == choose.None {
 			return last
 		}
 		result := t.attempt(pick.Index, t.maxCost(pick))
 		if !result.Spoke {
 			// A server that is silent is not asked again.
-			t.req.Tried = t.req.Tried.With(pick.Index)
+			t.tried = t.tried.With(pick.Index)
 		}
 		result = t.settle(result)
 		if !t.again(pick.Index, result) {
@@ -52,6 +59,33 @@
 	return last
 }
 
+// pick chooses the next candidate in the call's lane. Where its lane has none left it
+// goes to the other one, so that a roll-out that tries a few calls refuses none for it.
+func (t *try) pick() choose.Pick {
+	traffic := t.owner.view.Rollout(t.plan.Request.Service)
+	if t.attempts > 0 {
+		t.lane = traffic.Again(t.lane)
+	}
+	t.attempts++
+	pick := t.pickIn(traffic)
+	if next := traffic.Again(t.lane); pick.Index == choose.None && next != t.lane {
+		t.lane = next
+		return t.pickIn(traffic)
+	}
+	return pick
+}
+
+// pickIn chooses among the candidates that the call's lane allows.
+func (t *try) pickIn(traffic *rollout.Traffic) choose.Pick {
+	t.req.Tried = t.tried
+	for i := range t.req.Set {
+		if route := t.req.Set[i].Route; traffic != nil && !traffic.Takes(t.lane, route.Version(), route.VM) {
+			t.req.Tried = t.req.Tried.With(i)
+		}
+	}
+	return t.owner.policy.Choose(&t.req, t.owner.random)
+}
+
 // again decides whether another attempt follows. Only what was not run is
 // tried again, whatever the kind of request.
 func (t *try) again(index int, result call.Result) bool {
@@ -76,7 +110,7 @@
 		return true
 	}
 	t.left--
-	t.req.Tried = t.req.Tried.With(index)
+	t.tried = t.tried.With(index)
 	if t.left == 0 || !t.budget.take() {
 		return false
 	}
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -17,6 +17,8 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
+	"github.com/rushramp/rushramp/pkg/trial"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -46,9 +48,11 @@
 	placement func() *placement.Compiled
 	leaving   atomic.Bool
 	evacuated atomic.Bool
-	down      atomic.Bool
-	callSeq   atomic.Uint64
-	inFlight  atomic.Int64
+	// trial is nil where the backend server takes part in no roll-outs.
+	trial    *trial.Trial
+	down     atomic.Bool
+	callSeq  atomic.Uint64
+	inFlight atomic.Int64
 }
 
 // NewExecutor makes the executor for the backend server in the settings.
@@ -90,6 +94,21 @@
 // evacuated.
 func (e *Executor) SetEvacuated(evacuated bool) { e.evacuated.Store(evacuated) }
 
+// SetTrial has the executor hold the backend server to its part in roll-outs. It is
+// called before the first call comes.
+func (e *Executor) SetTrial(t *trial.Trial) { e.trial = t }
+
+// barred refuses what a roll-out lets the backend server not run; nil: it lets it.
+func (e *Executor) barred() *errkind.Error {
+	if e.trial == nil {
+		return nil
+	}
+	if why := e.trial.Barred(); why != "" {
+		return errkind.New(errkind.VersionHeld, "%s", why)
+	}
+	return nil
+}
+
 // InFlight counts calls that were taken in and have not ended.
 func (e *Executor) InFlight() int64 { return e.inFlight.Load() }
 
@@ -162,6 +181,9 @@
 	if e.evacuated.Load() {
 		return nil, errkind.New(errkind.DataCentreEvacuated, "%s is evacuated", e.Settings.VM.DataCentre)
 	}
+	if refusal := e.barred(); refusal != nil {
+		return nil, refusal
+	}
 	current := e.placement()
 	if current == nil {
 		return nil, errkind.New(errkind.PlacementUnknown, "the executor has no placement yet")
@@ -221,6 +243,10 @@
 		// The process may have been paused since the gate said yes.
 		return call.Result{Refusal: errkind.New(errkind.DeadlineBeforeRun, "the time ran out before hand-over")}, false
 	}
+	if refusal := r.owner.barred(); refusal != nil {
+		// A roll-out's stop or switch came while the call waited.
+		return call.Result{Refusal: refusal}, false
+	}
 	if !r.kind.NeverRepeat || r.call.Key == "" {
 		return r.runBackend(left)
 	}
@@ -250,6 +276,7 @@
 	began := r.owner.Now()
 	answer, refusal := r.owner.backend.run(r.call, r.id, r.body, left, r.kind.NeverRepeat)
 	r.owner.noteBackend(refusal)
+	r.record(answer, refusal, time.Duration(r.owner.Now()-began))
 	if refusal != nil {
 		return call.Result{Refusal: refusal}, false
 	}
@@ -258,6 +285,18 @@
 	return call.Result{Answer: answer}, answer.Status < 500
 }
 
+// record counts how a run ended, as evidence on the version. A call that the backend
+// server was not reached with, or whose time was over, tells nothing of it.
+func (r *run) record(answer *call.Answer, refusal *errkind.Error, took time.Duration) {
+	switch {
+	case r.owner.trial == nil:
+	case refusal != nil && refusal.Kind != errkind.BackendFailed:
+	default:
+		failed := refusal != nil || answer.Status >= 500
+		r.owner.trial.Record(rollout.Outcome{Route: r.call.Kind, Failed: failed, Run: took})
+	}
+}
+
 // noteBackend logs when the backend server stops or starts accepting.
 func (e *Executor) noteBackend(refusal *errkind.Error) {
 	down := refusal != nil && refusal.Kind == errkind.BackendUnreachable
--- a/pkg/runner/rollout_test.go
+++ b/pkg/runner/rollout_test.go
@@ -28,7 +28,7 @@
 	runs, _ := execute(r, routedCall("runs"))
 	test.Eq(t, "runs", <-h.came)
 	waits, _ := execute(r, routedCall("waits"))
-	r.SetGuard(&Guard{Traffic: switching(), Revision: 6})
+	r.Trial().SetGuard(&rollout.Guard{Traffic: switching(), Revision: 6})
 	comes, _ := execute(r, routedCall("comes"))
 	r.Tick()
 	for _, refused := range []chan call.Result{waits, comes} {
@@ -47,22 +47,22 @@
 // TestWhoAGuardLetsRun is the table of the guard.
 func TestWhoAGuardLetsRun(t *testing.T) {
 	for name, c := range map[string]struct {
-		guard   *Guard
+		guard   *rollout.Guard
 		version string
 		runs    bool
 	}{
 		"no roll-out was ever known":        {nil, "", true},
-		"none of this service":              {&Guard{}, "v1", true},
-		"the new version while switching":   {&Guard{Traffic: switching()}, "v2", true},
-		"the old version while switching":   {&Guard{Traffic: switching()}, "v1", false},
-		"a version that is not known yet":   {&Guard{Traffic: switching()}, "", false},
-		"one that must wait":                {&Guard{Why: "it is new"}, "v2", false},
-		"the incarnation that was admitted": {&Guard{Instance: "i-1"}, "v1", true},
-		"one that has just taken its place": {&Guard{Instance: "i-0"}, "v1", false},
+		"none of this service":              {&rollout.Guard{}, "v1", true},
+		"the new version while switching":   {&rollout.Guard{Traffic: switching()}, "v2", true},
+		"the old version while switching":   {&rollout.Guard{Traffic: switching()}, "v1", false},
+		"a version that is not known yet":   {&rollout.Guard{Traffic: switching()}, "", false},
+		"one that must wait":                {&rollout.Guard{Why: "it is new"}, "v2", false},
+		"the incarnation that was admitted": {&rollout.Guard{Instance: "i-1"}, "v1", true},
+		"one that has just taken its place": {&rollout.Guard{Instance: "i-0"}, "v1", false},
 	} {
 		r, lifecycle := newTestRunner(t, newHeld(), 1)
 		lifecycle.Heartbeat(2, backend.Heartbeat{Instance: "i-1", Sequence: 1, Version: c.version})
-		r.guard.Store(c.guard)
+		r.Trial().SetGuard(c.guard)
 		_, refusal := r.accepting()
 		test.Eq(t, c.runs, refusal == nil, test.Sprint(name))
 	}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -19,6 +19,7 @@
 	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/speed"
+	"github.com/rushramp/rushramp/pkg/trial"
 	"github.com/rushramp/rushramp/pkg/wire"
 	"github.com/rushramp/rushramp/pkg/worktime"
 )
@@ -48,9 +49,8 @@
 	leaving atomic.Bool
 	// evacuated is true while the data centre of this VM is.
 	evacuated atomic.Bool
-	// guard is nil while no roll-out concerns the backend server.
-	guard    atomic.Pointer[Guard]
-	recorder *rollout.Recorder
+	// trial is the backend server's part in a roll-out.
+	trial *trial.Trial
 	// slowdowns are kept while a roll-out is known.
 	slowdowns slowdowns
 	// cold is true while the backend server says that it is; coldTold once the gate
@@ -99,7 +99,7 @@
 		work:      worktime.NewTimes(),
 		origins:   newOrigins(),
 		checker:   deps.Checker,
-		recorder:  deps.Recorder,
+		trial:     trial.New(c, deps.Lifecycle, deps.Recorder),
 		transport: backend.NewTransport(backend.Options{
 			Address: s.BackendServer.Address, Headers: deps.Headers,
 			DialTimeout: s.BackendServer.DialTimeout, MaxBody: s.Limits.MaxBodyBytes,
@@ -121,6 +121,9 @@
 // its data centre is evacuated.
 func (r *Runner) SetEvacuated(evacuated bool) { r.evacuated.Store(evacuated) }
 
+// Trial is the backend server's part in a roll-out.
+func (r *Runner) Trial() *trial.Trial { return r.trial }
+
 // accepting returns the incarnation that requests may be handed to now, or why
 // there is none.
 func (r *Runner) accepting() (instance string, refusal *errkind.Error) {
@@ -131,7 +134,7 @@
 	if !ok {
 		return "", errkind.New(errkind.BackendAbsent, "the backend server takes no requests now")
 	}
-	if why := r.barred(instance); why != "" {
+	if why := r.trial.Bars(instance); why != "" {
 		return "", errkind.New(errkind.VersionHeld, "%s", why)
 	}
 	return instance, nil
@@ -218,7 +221,7 @@
 	r.load.Take(r.Now(), text)
 	r.TakeSlots(r.load.Slots())
 	if slowdown := r.load.Slowdown(); slowdown > 0 {
-		if g := r.guard.Load(); g != nil && g.Traffic != nil {
+		if _, is := r.trial.UnderWay(); is {
 			r.slowdowns.note(r.Now(), slowdown)
 		}
 		r.noteSpeed(slowdown)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -82,6 +82,8 @@
 	Service string `yaml:"service" validate:"required_with=Address"`
 	// Address of the backend server; empty for a daemon that is an entry only.
 	Address string `yaml:"address" validate:"omitempty,ip_port"`
+	// Version of the service's program that the backend server runs, as operators name it in roll-outs; empty: it takes part in none. Only with platform.form "http" and without listen.routed: elsewhere backend servers announce their version.
+	Version string `yaml:"version" validate:"max=256"`
 	// Number of calls that the backend server runs at once.
 	Slots int `yaml:"slots" validate:"min=1,max=10000"`
 	// Largest number of connections that the daemon opens to it.
--- a/pkg/systems/rolloutguard.go
+++ b/pkg/systems/rolloutguard.go
@@ -7,7 +7,6 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/rollout"
-	"github.com/rushramp/rushramp/pkg/runner"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -42,7 +41,7 @@
 	since   int64
 	// heardAt is when there last was a link to a watcher.
 	heardAt   int64
-	inForce   runner.Guard
+	inForce   rollout.Guard
 	barred    string
 	reportDue due
 }
@@ -52,9 +51,9 @@
 
 func newRolloutGuard(env *Env, known *rollouts, watch *rolloutWatch) *rolloutGuard {
 	g := &rolloutGuard{Env: env, known: known, watch: watch, seen: map[string]int64{}}
-	if env.Routed != nil && env.RolloutLimits.StopWithin > 0 {
+	if env.Trial != nil && env.RolloutLimits.StopWithin > 0 {
 		g.inForce.Why, g.barred = notLookedAt, notLookedAt
-		env.Routed.SetGuard(&runner.Guard{Why: notLookedAt})
+		env.Trial.SetGuard(&rollout.Guard{Why: notLookedAt})
 	}
 	return g
 }
@@ -64,7 +63,7 @@
 
 // Tick implements System.
 func (g *rolloutGuard) Tick(now int64, _ *tables.Mail) {
-	if g.Routed == nil || g.Backend == nil {
+	if g.Trial == nil || g.Backend == nil {
 		return
 	}
 	service := g.Settings.BackendServer.Service
@@ -75,25 +74,25 @@
 	if why == "" {
 		why = g.unheard(now, service)
 	}
-	g.enforce(runner.Guard{Traffic: g.World.Rollouts.Traffic(service), Revision: plan.Revision, Why: why, Instance: g.admitted.name})
+	g.enforce(rollout.Guard{Traffic: g.World.Rollouts.Traffic(service), Revision: plan.Revision, Why: why, Instance: g.admitted.name})
 	if g.reportDue.at(now, reportEvery) {
 		g.report(now, service)
 	}
 }
 
 // enforce puts a guard in force where it is another one, and logs what it changes.
-func (g *rolloutGuard) enforce(guard runner.Guard) {
+func (g *rolloutGuard) enforce(guard rollout.Guard) {
 	if guard != g.inForce {
 		g.inForce = guard
-		g.Routed.SetGuard(&guard)
+		g.Trial.SetGuard(&guard)
 	}
-	barred := g.Routed.Barred()
+	barred := g.Trial.Barred()
 	if barred == g.barred {
 		return
 	}
 	g.barred = barred
 	g.Log.Event(events.RolloutGuard, events.F("refuses", barred != ""), events.F("why", barred),
-		events.F("version", g.Backend.Version()), events.F("revision", guard.Revision), events.F("in_flight", g.Routed.InFlight()))
+		events.F("version", g.Backend.Version()), events.F("revision", guard.Revision), events.F("in_flight", g.runsInFlight()))
 }
 
 // newcomer says why the backend server must wait, as its version is new to the service
@@ -227,7 +226,7 @@
 		obeyed = plan.Revision
 	}
 	g.Recorder.Begin(order.Revision, version)
-	report, ok := g.Recorder.Report(obeyed, g.Routed.InFlight())
+	report, ok := g.Recorder.Report(obeyed, g.runsInFlight())
 	if !ok {
 		return
 	}
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -20,6 +20,7 @@
 	"github.com/rushramp/rushramp/pkg/runner"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/trial"
 )
 
 // System is one system. now is in nanoseconds of the daemon's steady clock.
@@ -39,8 +40,10 @@
 	Runner call.Runner
 	// Routed runs routed requests; nil: none are taken.
 	Routed *runner.Runner
-	// Backend knows whether the backend server of routed requests lives; nil: it
-	// is not watched.
+	// Trial is the backend server's part in a roll-out; nil: it has none.
+	Trial *trial.Trial
+	// Backend knows which backend server stands beside the daemon, its version, and
+	// whether it lives; nil: it is not watched.
 	Backend *backend.Lifecycle
 	// Evacuation is read beside rushramp's own head; nil where there is a feed.
 	Evacuation *evacuation.Register
@@ -73,6 +76,17 @@
 	subsets map[subsetKey]subsetRow
 }
 
+// runsInFlight counts the requests at the backend server and its gates.
+func (e *Env) runsInFlight() (out int64) {
+	if e.Executor != nil {
+		out += e.Executor.InFlight()
+	}
+	if e.Routed != nil {
+		out += e.Routed.InFlight()
+	}
+	return out
+}
+
 // order is the one list of systems, in the order in which they run: what came
 // from outside first, what is published last.
 func order(env *Env) []System {
--- /dev/null
+++ b/pkg/trial/trial.go
@@ -0,0 +1,82 @@
+// Package trial is the part that one backend server has in its service's roll-out: the
+// executor beside it refuses what the roll-out lets it not run, and counts how its runs
+// end. Source: docs/design/rollout.md.
+package trial
+
+import (
+	"strings"
+	"sync/atomic"
+
+	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/rollout"
+)
+
+// Trial is safe for concurrent use.
+type Trial struct {
+	common    *common.Common
+	lifecycle *backend.Lifecycle
+	// recorder is nil where nothing is counted.
+	recorder *rollout.Recorder
+	// guard is nil while no roll-out concerns the backend server.
+	guard atomic.Pointer[rollout.Guard]
+}
+
+// New makes the trial of the backend server that a lifecycle follows. recorder may be
+// nil.
+func New(c *common.Common, lifecycle *backend.Lifecycle, recorder *rollout.Recorder) *Trial {
+	return &Trial{common: c, lifecycle: lifecycle, recorder: recorder}
+}
+
+// SetGuard puts a guard in force, at once for all that is not handed over yet: what
+// was handed over before counts as in flight from here on, until it has ended.
+func (t *Trial) SetGuard(g *rollout.Guard) { t.guard.Store(g) }
+
+// Barred says why a roll-out lets the backend server run nothing; empty: it lets it.
+func (t *Trial) Barred() string {
+	instance, _ := t.lifecycle.Current()
+	return t.Bars(instance)
+}
+
+// Bars says why a roll-out lets an incarnation run nothing; empty: it lets it.
+func (t *Trial) Bars(instance string) string {
+	return t.guard.Load().Bars(instance, t.lifecycle.Version(), t.common.Settings.VM.ID)
+}
+
+// UnderWay is true while a roll-out of the service is known, and the revision is that of
+// its plan.
+func (t *Trial) UnderWay() (revision uint64, is bool) {
+	g := t.guard.Load()
+	if g == nil || g.Traffic == nil {
+		return 0, false
+	}
+	return g.Revision, true
+}
+
+// Record counts how a run ended, as evidence on its version.
+func (t *Trial) Record(o rollout.Outcome) {
+	if _, is := t.UnderWay(); !is || t.recorder == nil {
+		return
+	}
+	t.count(o.Failed)
+	t.recorder.Note(o)
+}
+
+// count counts a run of the backend server's version for the metrics.
+func (t *Trial) count(failed bool) {
+	outcome := "worked"
+	if failed {
+		outcome = "failed"
+	}
+	service, version := t.common.Settings.BackendServer.Service, strings.Map(labelRune, t.lifecycle.Version())
+	t.common.Metrics.GetOrCreateCounter(`rushramp_rollout_runs_total{service="` + service + `",version="` + version + `",outcome="` + outcome + `"}`).Inc()
+}
+
+// labelRune keeps a version, which the backend server says, from ending the label that
+// it stands in.
+func labelRune(c rune) rune {
+	if c == '"' || c == '\\' || c < ' ' {
+		return '_'
+	}
+	return c
+}
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -36,7 +36,7 @@
 const workerSettings = `
 vm: {id: %s, region: test, data_centre: %s}
 listen: {callers: %q, links: %q, operators: %q, metrics: %q}
-backend_server: {service: %s, address: %q, slots: 4, cancel_path: /standin/cancel/}
+backend_server: {service: %s, version: %q, address: %q, slots: 4, cancel_path: /standin/cancel/}
 platform: {address: %q, vm_list_every: 100ms, timeout: 500ms}
 placement: {head_every: 200ms, unsure_after: 3s}
 once: {timeout: 300ms}
@@ -45,7 +45,7 @@
 
 // cmdWorker starts a daemon and its backend server. A settings file may follow.
 func cmdWorker(ts *testscript.TestScript, neg bool, args []string) {
-	need(ts, neg, args, 3, "worker NAME SERVICE DATA_CENTRE [SETTINGS_FILE]")
+	need(ts, neg, args, 3, "worker NAME SERVICE DATA_CENTRE [version=V] [SETTINGS_FILE]")
 	w := worldOf(ts)
 	n := w.workers[args[0]]
 	if n == nil {
@@ -58,12 +58,16 @@
 		Links: a.Address(portProxy), Callers: a.Address(loopback.PortCallers), Slots: 4,
 		Started: uint64(time.Now().UnixNano()),
 	}
-	extra := ""
-	if len(args) > 3 {
-		extra = strings.ReplaceAll(ts.ReadFile(args[3]), "$WORK", ts.Getenv("WORK"))
+	extra, version := "", ""
+	for _, word := range args[3:] {
+		if said, ok := strings.CutPrefix(word, "version="); ok {
+			version = said
+			continue
+		}
+		extra = strings.ReplaceAll(ts.ReadFile(word), "$WORK", ts.Getenv("WORK"))
 	}
 	text := fmt.Sprintf(workerSettings, args[0], args[2], n.vm.Callers, a.Address(loopback.PortLinks), a.Address(loopback.PortOperators),
-		a.Address(loopback.PortMetrics), args[1], a.Address(loopback.PortBackend), w.platform, extra)
+		a.Address(loopback.PortMetrics), args[1], version, a.Address(loopback.PortBackend), w.platform, extra)
 	file := ts.MkAbs(args[0] + ".yaml")
 	ts.Check(os.WriteFile(file, []byte(text), 0o644))
 	if n.backend == nil || n.backend.ended() {
