--- a/pkg/operators/rollout.go
+++ b/pkg/operators/rollout.go
@@ -183,10 +183,12 @@
 		se.fillPlan(out, &plan)
 		if !ordered && !plan.Phase.Ended() && w.Rollouts.News().Orders.Revision >= plan.Order {
 			out.Phase, out.Cause = phaseCancelled, "the order was taken away; the version gets nothing more"
+			out.Canaries, out.PerMille, out.DeadlineKnown, out.DeadlineLeftMs = nil, 0, false, 0
 		}
 	}
 	if stop, stopped := w.Rollouts.Stopped(service); stopped {
 		out.Stopped, out.StopCause = true, stop.Cause
+		out.Canaries, out.PerMille = nil, 0
 	}
 	countServers(w, out)
 	return out
--- a/pkg/runner/look.go
+++ b/pkg/runner/look.go
@@ -63,7 +63,6 @@
 	r.Metrics.GetOrCreateGauge("rushramp_routed_runs_allowed", func() float64 { return float64(r.gate.Usable()) })
 	r.Metrics.GetOrCreateGauge("rushramp_routed_cold", func() float64 { return asNumber(r.cold.Load()) })
 	r.Metrics.GetOrCreateGauge("rushramp_routed_evacuated", func() float64 { return asNumber(r.evacuated.Load()) })
-	r.Metrics.GetOrCreateGauge("rushramp_rollout_barred", func() float64 { return asNumber(r.trial.Barred() != "") })
 	return counters{
 		looks: r.Metrics.GetOrCreateCounter("rushramp_routed_looks_total"),
 		held:  r.Metrics.GetOrCreateCounter("rushramp_routed_held_total"),
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -25,7 +25,16 @@
 // New makes the trial of the backend server that a lifecycle follows. recorder may be
 // nil.
 func New(c *common.Common, lifecycle *backend.Lifecycle, recorder *rollout.Recorder) *Trial {
-	return &Trial{common: c, lifecycle: lifecycle, recorder: recorder}
+	t := &Trial{common: c, lifecycle: lifecycle, recorder: recorder}
+	c.Metrics.GetOrCreateGauge("rushramp_rollout_barred", t.barredGauge)
+	return t
+}
+
+func (t *Trial) barredGauge() float64 {
+	if t.Barred() != "" {
+		return 1
+	}
+	return 0
 }
 
 // SetGuard puts a guard in force, at once for all that is not handed over yet: what
--- a/test/expect_test.go
+++ b/test/expect_test.go
@@ -66,6 +66,9 @@
 		return got == args[3], got
 	case "metric":
 		got = strconv.FormatFloat(w.worker(ts, args[1]).metric(args[2]), 'g', -1, 64)
+		if args[3] == ">" {
+			return compare(ts, w.worker(ts, args[1]).metric(args[2]), args[3:]), got
+		}
 		return got == args[3], got
 	case "load":
 		return expectLoad(ts, w, args[1:])
@@ -79,16 +82,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	counts := map[string]int{"answered": l.answered, "refused": l.refused, "unknown": l.unknown}
-	want, err := strconv.Atoi(args[3])
+	return compare(ts, float64(counts[args[1]]), args[2:]), fmt.Sprintf("%+v", counts)
+}
+
+// compare holds a number against "= N" or "> N".
+func compare(ts *testscript.TestScript, got float64, words []string) bool {
+	want, err := strconv.Atoi(words[1])
 	ts.Check(err)
-	got := counts[args[1]]
-	text := fmt.Sprintf("%+v", counts)
-	switch args[2] {
+	switch words[0] {
 	case "=":
-		return got == want, text
+		return got == float64(want)
 	case ">":
-		return got > want, text
+		return got > float64(want)
 	}
 	ts.Fatalf("compare with = or >")
-	return false, ""
+	return false
 }
