Roll-outs: tests of the orders' read and of the version's setting

Cause: that a row which cannot be read keeps nobody from the placement, that an older set takes no newer one's place, and that a version is refused where backend servers tell theirs, had no test. Ruled out: one outage for head and orders: each would end the other's. Change: the tests; the executor's and the daemon's parts in a trial in files of their own. Check: go test ./pkg/systems ./pkg/daemon ./pkg/executor and make check pass.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -10,7 +10,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/callers"
 	"github.com/rushramp/rushramp/pkg/certs"
@@ -29,7 +28,6 @@
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/systems"
 	"github.com/rushramp/rushramp/pkg/tables"
-	"github.com/rushramp/rushramp/pkg/trial"
 )
 
 // Options replace parts in tests and in the bench. Each may be nil.
@@ -171,19 +169,6 @@
 	return err
 }
 
-// beginTrial lets the backend server of the settings take part in roll-outs of its
-// service. Its version is the settings' word, so that another one comes with another
-// process of the daemon; whether it lives, the executor learns by itself.
-func (d *Daemon) beginTrial() {
-	s := d.Settings
-	lifecycle := backend.NewLifecycle(true, nil)
-	lifecycle.Heartbeat(d.Now(), backend.Heartbeat{Instance: s.VM.ID, Sequence: 1, Version: s.BackendServer.Version})
-	// The wall clock tells the processes of one VM's daemon apart.
-	recorder := rollout.NewRecorder(s.VM.ID, s.BackendServer.Service, uint64(time.Now().UnixNano()))
-	d.env.Backend, d.env.Recorder, d.env.Trial = lifecycle, recorder, trial.New(d.Common, lifecycle, recorder)
-	d.Executor.SetTrial(d.env.Trial)
-}
-
 // Start opens the listeners and starts the systems.
 func (d *Daemon) Start() error {
 	if err := d.listen(); err != nil {
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -17,7 +17,6 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
 	"github.com/rushramp/rushramp/pkg/placement"
-	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/trial"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -94,21 +93,6 @@
 // evacuated.
 func (e *Executor) SetEvacuated(evacuated bool) { e.evacuated.Store(evacuated) }
 
-// SetTrial has the executor hold the backend server to its part in roll-outs. It is
-// called before the first call comes.
-func (e *Executor) SetTrial(t *trial.Trial) { e.trial = t }
-
-// barred refuses what a roll-out lets the backend server not run; nil: it lets it.
-func (e *Executor) barred() *errkind.Error {
-	if e.trial == nil {
-		return nil
-	}
-	if why := e.trial.Barred(); why != "" {
-		return errkind.New(errkind.VersionHeld, "%s", why)
-	}
-	return nil
-}
-
 // InFlight counts calls that were taken in and have not ended.
 func (e *Executor) InFlight() int64 { return e.inFlight.Load() }
 
@@ -285,18 +269,6 @@
 	return call.Result{Answer: answer}, answer.Status < 500
 }
 
-// record counts how a run ended, as evidence on the version. A call that the backend
-// server was not reached with, or whose time was over, tells nothing of it.
-func (r *run) record(answer *call.Answer, refusal *errkind.Error, took time.Duration) {
-	switch {
-	case r.owner.trial == nil:
-	case refusal != nil && refusal.Kind != errkind.BackendFailed:
-	default:
-		failed := refusal != nil || answer.Status >= 500
-		r.owner.trial.Record(rollout.Outcome{Route: r.call.Kind, Failed: failed, Run: took})
-	}
-}
-
 // noteBackend logs when the backend server stops or starts accepting.
 func (e *Executor) noteBackend(refusal *errkind.Error) {
 	down := refusal != nil && refusal.Kind == errkind.BackendUnreachable
--- /dev/null
+++ b/pkg/systems/head_test.go
@@ -0,0 +1,60 @@
+package systems
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/rollout"
+	"github.com/rushramp/rushramp/pkg/standin/fakestore"
+	"github.com/rushramp/rushramp/pkg/store"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+// headOf makes a reader of rushramp's own head over a platform.
+func headOf(t *testing.T, platform *fakestore.Store) *headReader {
+	env := testEnv()
+	env.Background, env.Store = t.Context(), placement.NewStore(platform, platform)
+	env.Evacuation, env.Orders = evacuation.NewRegister(platform), rollout.NewOrderRegister(platform)
+	return &headReader{Env: env, outage: events.NewOutage(env.Log, "head"), ordersOutage: events.NewOutage(env.Log, "orders")}
+}
+
+func TestOrdersAreReadBesideTheHead(t *testing.T) {
+	platform := fakestore.New()
+	h := headOf(t, platform)
+	h.read(1, 0, nil)
+	mail := h.World.Inbox.Take()
+	test.Eq(t, &rollout.Orders{}, mail.Orders)
+	made, err := h.Orders.Change(t.Context(), rollout.Asked{ID: "1", Service: "s", Version: "v2", Duration: time.Minute})
+	must.NoError(t, err)
+	h.read(1, 0, nil)
+	mail = h.World.Inbox.Take()
+	test.Eq(t, &made, mail.Orders)
+}
+
+// TestOrdersThatCannotBeReadKeepNobodyFromThePlacement, nor from evacuations.
+func TestOrdersThatCannotBeReadKeepNobodyFromThePlacement(t *testing.T) {
+	platform := fakestore.New()
+	must.NoError(t, platform.Transact(t.Context(), []store.Write{{Key: "rollout-orders/set", Value: []byte("no JSON")}}))
+	h := headOf(t, platform)
+	h.read(1, 0, nil)
+	mail := h.World.Inbox.Take()
+	test.Nil(t, mail.Orders)
+	test.True(t, mail.HeadKnown)
+	test.NotNil(t, mail.Evacuation)
+}
+
+// TestOlderOrdersTakeNoNewerOnesPlace: an operator's call and a read may end in any
+// order within one tick.
+func TestOlderOrdersTakeNoNewerOnesPlace(t *testing.T) {
+	var mail tables.Mail
+	for _, revision := range []uint64{3, 5, 4} {
+		mail.TakeOrders(rollout.Orders{Revision: revision})
+	}
+	test.Eq(t, 5, mail.Orders.Revision)
+}
