--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -29,6 +29,9 @@
 	Announcements func(backend.Announcer) http.Handler
 	// Rollouts keeps the plans of roll-outs that operators order.
 	Rollouts rollout.Register
+	// Clock is the one that the deadlines of roll-outs stand on, where it is the VM's
+	// own; nil where it is the store's.
+	Clock func() time.Duration
 	// Bounds are what the platform holds all daemons to.
 	Bounds Bounds
 }
@@ -42,11 +45,18 @@
 // ownForm is the platform.form of rushramp's own HTTP form.
 const ownForm = "http"
 
+// errVersionTold refuses a version in the settings of a daemon whose backend server
+// tells its own.
+var errVersionTold = errors.New("backend_server.version: backend servers of routed requests tell their version themselves. Leave it out, or leave out listen.routed.")
+
 // adapter makes the adapter that the settings name.
 func (a Adapters) adapter(s *settings.Settings) (*Adapter, error) {
 	if s.Platform.Form == ownForm {
 		return newOwnAdapter(s)
 	}
+	if s.BackendServer.Version != "" {
+		return nil, errVersionTold
+	}
 	build, ok := a[s.Platform.Form]
 	if !ok {
 		return nil, errors.Errorf("platform.form: this program knows no platform %q. Give %q, or use a program that was built with its adapter.", s.Platform.Form, ownForm)
@@ -61,5 +71,15 @@
 	}
 	// Its store tells no time; VMs keep theirs by the network's.
 	wall := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
-	return &Adapter{Store: client, Rollouts: rollout.NewTableRegister(client, wall), Callers: ingress.DefaultHeaders(), Backend: backend.DefaultHeaders()}, nil
+	if s.BackendServer.Version != "" && s.Listen.Routed != "" {
+		return nil, errVersionTold
+	}
+	out := &Adapter{
+		Store: client, Rollouts: rollout.NewTableRegister(client, wall), Clock: wall,
+		Callers: ingress.DefaultHeaders(), Backend: backend.DefaultHeaders(),
+	}
+	if s.BackendServer.Version != "" {
+		out.Bounds = ownBounds()
+	}
+	return out, nil
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -89,6 +89,7 @@
 	RolloutGuard       ID = 785
 	RolloutWatch       ID = 786
 	RolloutDecided     ID = 787
+	RolloutAsked       ID = 774
 )
 
 // Entry is the catalogue's row of one event.
@@ -162,6 +163,7 @@
 		{PipelineCut, Info, "connection ended with requests behind one another", true, "A caller's connection ended while requests of it were unanswered, or bytes behind them unread: the caller left, could not be written to, or the connection was ended with the answers before.", "Nothing; many mean that callers leave early, or send requests to a daemon that is leaving."},
 		{PipelineFault, Error, "fault while handling a request beside others", false, "A fault in rushramp; the connection was closed without an answer.", "Report it with this line."},
 		{RolloutRefused, Error, "orders of roll-outs refused", false, "An order in the store cannot be read, or there are more orders than a daemon keeps (field orders); what was known before stays.", "Correct the order as the line says and write it again; take orders of roll-outs away that have ended."},
+		{RolloutAsked, Info, "roll-out ordered or cancelled by operator", false, "An operator ordered a roll-out through this daemon, or took the order away (version is empty then).", "Nothing; the line holds author, change id and revision, event 782 tells how it goes on."},
 		{RolloutOrdered, Info, "roll-out ordered", false, "Operators ordered that a service's requests move to another version, or took the order away (version is empty then).", "Nothing; event 782 tells how it goes on."},
 		{RolloutPhase, Info, "roll-out's phase changed", false, "A newer plan of a service's roll-out is in force here; cause says why its phase began.", "Nothing; for rolled_back see cause, and event 783 for the evidence."},
 		{RolloutStopped, Warn, "roll-out's version is bad, it gets nothing more", false, "A daemon that watches the roll-out told from the reports of executors that the version is worse than the old ones; cause names the route, figures and test.", "Look at the version's failures or times on that route."},
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -17,6 +17,7 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/trial"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -46,9 +47,11 @@
 	placement func() *placement.Compiled
 	leaving   atomic.Bool
 	evacuated atomic.Bool
-	down      atomic.Bool
-	callSeq   atomic.Uint64
-	inFlight  atomic.Int64
+	// trial is nil where the backend server takes part in no roll-outs.
+	trial    *trial.Trial
+	down     atomic.Bool
+	callSeq  atomic.Uint64
+	inFlight atomic.Int64
 }
 
 // NewExecutor makes the executor for the backend server in the settings.
@@ -162,6 +165,9 @@
 	if e.evacuated.Load() {
 		return nil, errkind.New(errkind.DataCentreEvacuated, "%s is evacuated", e.Settings.VM.DataCentre)
 	}
+	if refusal := e.barred(); refusal != nil {
+		return nil, refusal
+	}
 	current := e.placement()
 	if current == nil {
 		return nil, errkind.New(errkind.PlacementUnknown, "the executor has no placement yet")
@@ -221,6 +227,10 @@
 		// The process may have been paused since the gate said yes.
 		return call.Result{Refusal: errkind.New(errkind.DeadlineBeforeRun, "the time ran out before hand-over")}, false
 	}
+	if refusal := r.owner.barred(); refusal != nil {
+		// A roll-out's stop or switch came while the call waited.
+		return call.Result{Refusal: refusal}, false
+	}
 	if !r.kind.NeverRepeat || r.call.Key == "" {
 		return r.runBackend(left)
 	}
@@ -250,6 +260,7 @@
 	began := r.owner.Now()
 	answer, refusal := r.owner.backend.run(r.call, r.id, r.body, left, r.kind.NeverRepeat)
 	r.owner.noteBackend(refusal)
+	r.record(answer, refusal, time.Duration(r.owner.Now()-began))
 	if refusal != nil {
 		return call.Result{Refusal: refusal}, false
 	}
--- a/pkg/runner/accepting.go
+++ b/pkg/runner/accepting.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/trial"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -12,6 +13,9 @@
 // its data centre is evacuated.
 func (r *Runner) SetEvacuated(evacuated bool) { r.evacuated.Store(evacuated) }
 
+// Trial is the backend server's part in a roll-out.
+func (r *Runner) Trial() *trial.Trial { return r.trial }
+
 // accepting returns the incarnation that requests may be handed to now, or why
 // there is none.
 func (r *Runner) accepting() (instance string, refusal *errkind.Error) {
@@ -22,7 +26,7 @@
 	if !ok {
 		return "", errkind.New(errkind.BackendAbsent, "the backend server takes no requests now")
 	}
-	if why := r.barred(instance); why != "" {
+	if why := r.trial.Bars(instance); why != "" {
 		return "", errkind.New(errkind.VersionHeld, "%s", why)
 	}
 	return instance, nil
