--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -12,9 +12,9 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 )
 
-// bodyTime bounds the time of a body whose request names none: as long as a
-// caller's shortest usual idle time, so that one that stalls holds no room for
-// longer than a resting connection would be kept.
+// bodyTime bounds the time of a body whose request names none. It is a guess: the
+// users' callers name one with each request, and the largest body allowed (8 MiB)
+// takes 7 s on their slowest links.
 const bodyTime = time.Minute
 
 // errNoRoom ends the reading of a body in chunks for which there is no room.
