Feed: a rest does not come on top of the time for which a request hung

Change: the time that a request hung counts as rest; the first follower of a data centre rests a second at most.

--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -34,9 +34,12 @@
 	firstWaitLeast = 1800 * time.Millisecond
 	firstWaitMost  = 2300 * time.Millisecond
 	firstSlack     = 700 * time.Millisecond
-	// feedRest and feedRestMost bound the rest after a failure.
-	feedRest     = 100 * time.Millisecond
-	feedRestMost = 2 * time.Second
+	// feedRest and feedRestMost bound the rest after a failure, firstRestMost that of
+	// the first follower: with the spread of rests it asks 1.5 s after the store's
+	// return at the latest, for one call a second and data centre while it is away.
+	feedRest      = 100 * time.Millisecond
+	feedRestMost  = 2 * time.Second
+	firstRestMost = time.Second
 	// feedLook is the time between two looks whether this daemon must follow.
 	feedLook = 300 * time.Millisecond
 	// firstFollowAfter is when the first daemons begin to follow at the first
@@ -165,6 +168,7 @@
 			f.sleep(feedLook)
 			continue
 		}
+		began := time.Now()
 		next, err := f.step(at)
 		f.outage.Note(err)
 		if err == nil {
@@ -180,11 +184,20 @@
 			f.Log.Event(events.FeedBehind, events.F("cursor", at.cursor))
 			at = feedPlace{}
 		}
-		f.sleep(rest)
-		rest = min(2*rest, feedRestMost)
+		// A request that hung has rested already.
+		f.sleep(max(rest-time.Since(began), feedRest))
+		rest = min(2*rest, f.restMost())
 	}
 }
 
+// restMost is how long this follower rests at most.
+func (f *follower) restMost() time.Duration {
+	if f.first.Load() {
+		return firstRestMost
+	}
+	return feedRestMost
+}
+
 // sleep rests for around a time, so that daemons do not come back as one.
 func (f *follower) sleep(rest time.Duration) {
 	timer := time.NewTimer(rest/2 + rand.N(rest))
--- a/pkg/systems/follower_test.go
+++ b/pkg/systems/follower_test.go
@@ -125,6 +125,28 @@
 	})
 }
 
+// TestTheFirstFollowerAsksAgainSoonAfterTwoOutages: the store refuses for a while, so
+// that rests grow, is silent then, and answers again. The rest does not come on top of
+// the time for which a request has hung.
+func TestTheFirstFollowerAsksAgainSoonAfterTwoOutages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &scriptedFeed{steps: []func(uint64) (placement.FeedUpdate, error){tells(4, 10)}}
+		const refusals = 8
+		for range refusals {
+			feed.steps = append(feed.steps, fails(errors.New("down")))
+		}
+		env, tick := follow(t, feed)
+		for len(feed.asked) < 2+refusals {
+			tick(feedLook)
+		}
+		feed.mu.Lock()
+		feed.steps = append(feed.steps, tells(5, 11))
+		feed.mu.Unlock()
+		tick(firstWaitMost + firstSlack + 2*feedRest)
+		test.Eq(t, 5, env.World.Version())
+	})
+}
+
 func TestAFeedThatFailsIsAskedSeldom(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		feed := &scriptedFeed{}
