FAILBACK: late heartbeats and early words no longer hide starts at a cold backend server

Cause: a heartbeat that was held back moved the beginning of the cold time to its arrival, so that starts since the last warm word of the health path dropped out of the count; and the starts that the process before may have made were counted only when the bound changed, which the first word of any kind used up. Ruled out: the window and the bound themselves; with words in time both hold. Change: a cold time that only a heartbeat tells began, as far as is known, when the health path was last asked; each word that reaches back before the process counts the starts of the one before, once. Conclusion: both cases keep the bound; a heartbeat that comes before any answer of the health path now reaches back to the process's start.

--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -69,6 +69,9 @@
 	// ToldAt is when its health path was last asked for what it then said. Heartbeats may come seconds late,
 	// so that none proves that a backend server is warm.
 	ToldAt int64
+	// ByHeartbeat is true where a heartbeat told the longest time: it may have been on
+	// its way for seconds, so that the cold time may have begun at any time since ToldAt.
+	ByHeartbeat bool
 }
 
 // Lifecycle knows which incarnation of the backend server may get requests.
@@ -213,7 +216,7 @@
 // longer.
 func (l *Lifecycle) takeColdHeartbeat(till int64) {
 	if till > l.cold.Till {
-		l.cold.Till, l.cold.TillLeast = till, till
+		l.cold.Till, l.cold.TillLeast, l.cold.ByHeartbeat = till, till, true
 	}
 }
 
--- a/pkg/backend/lifecycle_test.go
+++ b/pkg/backend/lifecycle_test.go
@@ -121,7 +121,7 @@
 func TestHowLongABackendServerIsCold(t *testing.T) {
 	l := NewLifecycle(true, nil)
 	l.Heartbeat(1*second, Heartbeat{Instance: "a", Sequence: 1, ColdFor: 3 * time.Second})
-	test.Eq(t, Cold{Till: 4 * second, TillLeast: 4 * second}, l.Cold())
+	test.Eq(t, Cold{Till: 4 * second, TillLeast: 4 * second, ByHeartbeat: true}, l.Cold())
 	l.TakeCold(2*second, 2*second, "a", time.Second)
 	test.Eq(t, Cold{Till: 3 * second, TillLeast: 3 * second, ToldAt: 2 * second}, l.Cold())
 	l.TakeCold(2*second, 2*second, "other", 9*time.Second)
--- a/pkg/gate/cold_starts.go
+++ b/pkg/gate/cold_starts.go
@@ -25,6 +25,8 @@
 	// cold is true where the backend server is known to have been cold then. It
 	// counts for a whole window, whatever words come after it.
 	cold bool
+	// assumed is true for one that the process before may have made.
+	assumed bool
 }
 
 // coldStarts counts the starts that a cold backend server may have got within the
@@ -49,10 +51,9 @@
 
 // set takes over what is known now.
 func (c *coldStarts) set(now int64, cold Cold, before predecessor) {
-	changed := c.Most != cold.Most
 	c.Cold = cold
 	c.forget(now)
-	if changed && before.was && cold.Since < -before.gone {
+	if before.was && cold.Since < -before.gone {
 		c.assumeFull(-before.gone)
 	}
 	if c.isCold(now) {
@@ -62,9 +63,16 @@
 	}
 }
 
-// assumeFull counts as many starts at a time as a window may have.
+// assumeFull counts as many starts of the process before as a window may have. Words
+// may come in any order, so that each of them that reaches back so far does.
 func (c *coldStarts) assumeFull(at int64) {
-	c.starts = slices.Insert(c.starts, 0, slices.Repeat([]coldStart{{at: at}}, c.Most)...)
+	missing := c.Most
+	for _, s := range c.starts {
+		if s.assumed {
+			missing--
+		}
+	}
+	c.starts = slices.Insert(c.starts, 0, slices.Repeat([]coldStart{{at: at, assumed: true}}, max(missing, 0))...)
 }
 
 // markCold notes which starts came in the cold time.
--- a/pkg/runner/cold.go
+++ b/pkg/runner/cold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
 )
@@ -26,7 +27,7 @@
 	}
 	now := r.Now()
 	if now < said.Till {
-		cold.Since = coldSince(now, said.TillLeast, service.ColdFor) - coldSlack
+		cold.Since = coldSince(now, &said, service.ColdFor) - coldSlack
 	}
 	r.noteCold(now, cold)
 	r.startAll(r.gate.SetCold(now, cold))
@@ -34,12 +35,16 @@
 	return true
 }
 
-// coldSince is since when a backend server is cold that is so until till. One that
-// has longer to go than the placement tells may have been so at any time.
-func coldSince(now, till int64, coldFor time.Duration) int64 {
-	since := till - int64(coldFor)
+// coldSince is since when a backend server may be cold that said so. One that has
+// longer to go than the placement tells may have been so at any time; one of which
+// only a heartbeat tells, which may have been held back, since it was last asked.
+func coldSince(now int64, said *backend.Cold, coldFor time.Duration) int64 {
+	since := said.TillLeast - int64(coldFor)
 	if since > now {
-		return now - int64(time.Second)
+		since = now - int64(time.Second)
+	}
+	if said.ByHeartbeat {
+		since = min(since, said.ToldAt)
 	}
 	return since
 }
--- /dev/null
+++ b/pkg/runner/cold_words_test.go
@@ -0,0 +1,61 @@
+package runner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/routing"
+)
+
+// coldRate is how many starts a second the services below bear while they are cold.
+const coldRate = 20
+
+func withColdRate(r *Runner) (most int) {
+	r.service = func() (routing.Service, bool) {
+		return routing.Service{ColdFor: 3 * time.Second, ColdRate: coldRate}, true
+	}
+	return int(r.Settings.Routing.ColdFactor*coldRate + r.Settings.Routing.ColdSlack)
+}
+
+// executeMany hands requests over that go on until the test ends.
+func executeMany(t *testing.T, r *Runner, n int) {
+	for range n {
+		_, cancel := execute(r, routedCall("a"))
+		t.Cleanup(cancel)
+	}
+}
+
+// TestAHeartbeatHeldBackCountsWhatStartedMeanwhile: a backend server becomes cold, and
+// a few requests start on its last warm word, too few for the next question. Its first
+// heartbeat of the cold time comes late.
+func TestAHeartbeatHeldBackCountsWhatStartedMeanwhile(t *testing.T) {
+	r, lifecycle := newTestRunner(t, newHeld(), 100)
+	most := withColdRate(r)
+	const longerThanSlack = 2 * time.Duration(coldSlack)
+	time.Sleep(longerThanSlack) // what the process before started is out of the question
+	lifecycle.TakeCold(r.Now(), r.Now(), "i-1", 0)
+	r.TakeCold()
+	executeMany(t, r, most/2)
+	time.Sleep(longerThanSlack)
+	lifecycle.Heartbeat(r.Now(), backend.Heartbeat{Instance: "i-1", Sequence: 1, ColdFor: 3 * time.Second})
+	r.TakeCold()
+	executeMany(t, r, 3*most)
+	test.Eq(t, uint32(most), r.gate.Stamp(r.Now()).Running)
+}
+
+// TestStartsOfTheProcessBeforeCountWhateverComesFirst: a daemon that was started again
+// hears the cold word after another one, as of a request that came before any word.
+func TestStartsOfTheProcessBeforeCountWhateverComesFirst(t *testing.T) {
+	for _, early := range []int{0, 1} {
+		r, lifecycle := newTestRunner(t, newHeld(), 100)
+		withColdRate(r)
+		executeMany(t, r, early) // it takes over that nothing was said yet
+		lifecycle.TakeCold(r.Now(), r.Now(), "i-1", 2*time.Second)
+		r.TakeCold()
+		executeMany(t, r, 100)
+		test.LessEq(t, uint32(early), r.gate.Stamp(r.Now()).Running, test.Sprint("the process before may have started all that a second bears"))
+	}
+}
