A body that stalls, or whose reading panics, gives its room back

Cause: the time of a body was what the caller's own header said, up to an hour; and only ended reads and runs gave room back. A bound on all bodies below the bound on one was accepted, so that the largest bodies were refused for good. Change: the route's timeout and one minute bound the time of a body, too; the handler gives room back unless the request was handed over; limits.bodies_bytes below limits.max_body_bytes is refused with what to do. Conclusion: one caller keeps room for a minute at most. A body that takes longer than a minute is refused, also where its caller would wait.

--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -155,15 +155,27 @@
 	f.Metrics.GetOrCreateHistogram("rushramp_routed_elsewhere_seconds" + label).Update((took - answer.Queued - answer.Run).Seconds())
 }
 
-// newAttempts begins the attempts of a request whose route is known.
-func (f *Forwarder) newAttempts(ctx context.Context, req *Request, route *routing.Compiled, version uint64, began int64) *attempts {
-	timeout := route.Timeout
+// Timeout is how long a request may take, its body included.
+func (f *Forwarder) Timeout(req *Request) time.Duration { return f.timeout(req, f.Match(req).route) }
+
+// timeout is the shorter one of what the route and the caller allow; route may be nil.
+func (f *Forwarder) timeout(req *Request, route *routing.Compiled) time.Duration {
+	timeout := time.Duration(0)
+	if route != nil {
+		timeout = route.Timeout
+	}
 	if req.Timeout > 0 && (timeout == 0 || req.Timeout < timeout) {
 		timeout = req.Timeout
 	}
 	if timeout == 0 {
 		timeout = f.Settings.Retries.DefaultTimeout
 	}
+	return timeout
+}
+
+// newAttempts begins the attempts of a request whose route is known.
+func (f *Forwarder) newAttempts(ctx context.Context, req *Request, route *routing.Compiled, version uint64, began int64) *attempts {
+	timeout := f.timeout(req, route)
 	target := route.Target
 	if target == 0 {
 		target = timeout
--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -10,18 +10,19 @@
 
 	"github.com/rushramp/rushramp/pkg/bodies"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/forward"
 )
 
-// bodyTime bounds the time of a body whose request names none. It is a guess: the
-// users' callers name one with each request, and the largest body allowed (8 MiB)
-// takes 7 s on their slowest links.
+// bodyTime bounds the time of any body, so that a caller which states a large one and
+// sends nothing does not keep its room for as long as it likes. It is a guess: the
+// largest body allowed (8 MiB) takes 7 s on the users' slowest links.
 const bodyTime = time.Minute
 
 // errNoRoom ends the reading of a body in chunks for which there is no room.
 var errNoRoom = errors.New("no room for the body")
 
 // body takes a body in, within its bounds and where there is room for it.
-func (s *Server) body(w http.ResponseWriter, r *http.Request, timeout time.Duration, held *bodies.Hold) ([]byte, *errkind.Error) {
+func (s *Server) body(w http.ResponseWriter, r *http.Request, req *forward.Request, held *bodies.Hold) ([]byte, *errkind.Error) {
 	bound := s.bodyBound()
 	if r.ContentLength > bound {
 		w.Header().Set("Connection", "close")
@@ -33,9 +34,7 @@
 	if !held.Grow(r.ContentLength) {
 		return nil, s.noRoom(w)
 	}
-	if timeout <= 0 {
-		timeout = bodyTime
-	}
+	timeout := min(s.forwarder.Timeout(req), bodyTime)
 	// A connection without deadlines has none that could be exceeded.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 	data, err := readBody(http.MaxBytesReader(w, r.Body, bound), r.ContentLength, held)
--- a/pkg/ingress/body_test.go
+++ b/pkg/ingress/body_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -81,3 +84,44 @@
 		test.Eq(t, "a", w.backend.starts())
 	})
 }
+
+func timed(id, body string, ms int) string {
+	return strings.Replace(post(id, body), "Content-Length", fmt.Sprintf("Rushramp-Timeout: %d\r\nContent-Length", ms), 1)
+}
+
+// TestAStallingCallerTakesTheRoomForAMinuteAtMost: one that states a large body and an hour, and sends nothing, takes all the
+// room for an hour.
+func TestAStallingCallerTakesTheRoomForAMinuteAtMost(t *testing.T) {
+	withRoom(t, 1000, func(t *testing.T, w *pipelineWorld) {
+		staller := w.caller()
+		whole := timed("a", strings.Repeat("x", 1000), 3600_000)
+		staller.send(whole[:len(whole)-1000])
+		time.Sleep(2 * bodyTime)
+		small := w.caller()
+		small.send(post("b", "x"))
+		test.Eq(t, "b", w.backend.starts())
+		test.Eq(t, 0, w.server.Bodies.Held()-1, test.Sprint("after two minutes"))
+		w.backend.answer(t, "b", "")
+		test.Eq(t, "b", small.answers())
+		staller.leave()
+	})
+}
+
+// panics is a body whose reading panics.
+type panics struct{}
+
+func (panics) Read([]byte) (int, error) { panic(http.ErrAbortHandler) }
+
+// TestAPanicKeepsNoRoom: whatever goes wrong before a request runs.
+func TestAPanicKeepsNoRoom(t *testing.T) {
+	withRoom(t, 1000, func(t *testing.T, w *pipelineWorld) {
+		r := httptest.NewRequest(http.MethodPost, "http://h/post/a", io.NopCloser(panics{}))
+		r.ContentLength = 600
+		r.Header.Set(w.server.headers.RequestID, "a")
+		func() {
+			defer func() { test.NotNil(t, recover()) }()
+			w.server.ServeHTTP(httptest.NewRecorder(), r)
+		}()
+		test.Eq(t, 0, w.server.Bodies.Held())
+	})
+}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -97,13 +97,24 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	held := s.Bodies.NewHold()
+	held, handed := s.Bodies.NewHold(), false
+	defer func() {
+		// A request that ran frees its room when it ends, which may be later.
+		if !handed {
+			held.Release()
+		}
+	}()
 	req, refusal := s.read(w, r, held)
 	if refusal != nil {
-		held.Release()
 		s.refuse(w, refusal, 0)
 		return
 	}
+	s.serve(w, r, req, held)
+	handed = true
+}
+
+// serve runs a request that was read.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, req *forward.Request, held *bodies.Hold) {
 	if c := connOf(r); c != nil {
 		s.serveInTurn(c, w, r, req, held)
 		return
@@ -131,7 +142,7 @@
 		return nil, refusal
 	}
 	out.Headers = s.requestHeaders(r.Header)
-	out.Body, refusal = s.body(w, r, out.Timeout, held)
+	out.Body, refusal = s.body(w, r, out, held)
 	return out, refusal
 }
 
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -35,6 +35,9 @@
 	if err := out.checkPlainText(); err != nil {
 		return Settings{}, err
 	}
+	if err := out.checkBodies(); err != nil {
+		return Settings{}, err
+	}
 	return out, nil
 }
 
@@ -132,6 +135,14 @@
 	return check, errors.Wrap(err, "settings checks")
 }
 
+// checkBodies refuses a bound of bodies that keeps the largest one allowed out for good.
+func (s *Settings) checkBodies() error {
+	if l := &s.Limits; l.BodiesBytes < l.MaxBodyBytes {
+		return errors.Errorf("limits.bodies_bytes: %d is less than limits.max_body_bytes, %d, so that the largest bodies would never be taken. Raise the one or lower the other.", l.BodiesBytes, l.MaxBodyBytes)
+	}
+	return nil
+}
+
 // checkPlainText refuses listeners for daemons and operators that are open to
 // the network without TLS, unless the settings say so in plain words.
 // Source: docs/design/keeping-others-out.md.
--- a/pkg/settings/load_test.go
+++ b/pkg/settings/load_test.go
@@ -41,3 +41,11 @@
 		})
 	}
 }
+
+// TestRoomForBodiesThatTheLargestDoesNotFitInIsRefused, with what to do.
+func TestRoomForBodiesThatTheLargestDoesNotFitInIsRefused(t *testing.T) {
+	_, err := Parse([]byte(good + "limits:\n  max_body_bytes: 4096\n  bodies_bytes: 4095\n"))
+	must.ErrorContains(t, err, "Raise the one or lower the other")
+	_, err = Parse([]byte(good + "limits:\n  max_body_bytes: 4096\n  bodies_bytes: 4096\n"))
+	must.NoError(t, err)
+}
