The executor's guard of regions sees targets in absolute form

Cause: entries match routes by the escaped path of the URL, the guard matched by the target as it came, with scheme and host before the path where a proxy sent it so. Ruled out: a target of two slashes, which both read as a path. Change: the guard reads the target as entries do. Figures: the new row ran in the wrong region before and is refused after; the cost of reading the target was not measured. Conclusion: entry and executor match the same path.

--- a/pkg/runner/place.go
+++ b/pkg/runner/place.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"net/url"
 	"strings"
 
 	"github.com/rushramp/rushramp/pkg/errkind"
@@ -11,11 +12,20 @@
 // entry believed. An entry that decided on a newer version knows better. Source:
 // docs/design/regions.md.
 func (r *Runner) misplaced(c *wire.Call) *errkind.Error {
-	path, _, _ := strings.Cut(c.URI, "?")
-	route, version := r.route(c.Routed.Host, path)
+	route, version := r.route(c.Routed.Host, pathOf(c.URI))
 	vm := &r.Settings.VM
 	if route == nil || c.Placement > version || route.AllowsHere(vm.DataCentre, vm.Region) {
 		return nil
 	}
 	return errkind.New(errkind.PlacementStale, "version %d does not let route %s be handled in %s (region %q); the entry had version %d", version, route.Name, vm.DataCentre, vm.Region, c.Placement)
 }
+
+// pathOf is the path of a request's target as entries match routes by it. Proxies
+// send absolute ones, with a scheme and a host before the path.
+func pathOf(target string) string {
+	if u, err := url.ParseRequestURI(target); err == nil {
+		return u.EscapedPath()
+	}
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
--- a/pkg/runner/place_test.go
+++ b/pkg/runner/place_test.go
@@ -33,6 +33,9 @@
 	}{
 		{"the own region", north, []string{"n1"}, "/bound/x?y=/", 5, true},
 		{"another region", south, []string{"s1"}, "/bound/x?y=/", 5, false},
+		{"a target in absolute form", south, []string{"s1"}, "http://h/bound/x?y=/", 5, false},
+		{"a target in absolute form, and another route", south, []string{"s1"}, "http://h/free/bound/x", 5, true},
+		{"a path that begins with two slashes", south, []string{"s1"}, "//bound/x", 5, true},
 		{"nowhere", []string{"west"}, []string{routing.Nowhere}, "/bound/x", 5, false},
 		{"a translation by a wrong map", south, []string{"n1", "s1"}, "/bound/x", 5, false},
 		{"data centres without regions", nil, []string{"s1"}, "/bound/x", 5, false},
