The store's reading of a version replaces a peer's that differs

Cause: a peer of another release leaves out rules that it does not know and hands the rest on under the same version; the store's own document came later and was passed over, as its version was not higher. Ruled out: giving way to peers as well: two readings would replace each other. Change: a document of the version in force that the store itself gave replaces one that came from a peer and whose hash differs; what was packed for peers is packed anew. Conclusion: daemons that read the store themselves get its rules. Those that only hear of versions from peers keep what they have until the next one.

--- a/pkg/systems/placements.go
+++ b/pkg/systems/placements.go
@@ -27,6 +27,8 @@
 	// packed is the document of packedVersion as peers get it.
 	packed        []byte
 	packedVersion uint64
+	// fromPeer is true while the version in force came from a peer.
+	fromPeer bool
 }
 
 // Tick implements System.
@@ -56,7 +58,7 @@
 }
 
 func (pl *placements) take(v tables.Version) {
-	if pl.World.Placement != nil && v.Document.Version <= pl.World.Version() {
+	if pl.World.Placement != nil && v.Document.Version <= pl.World.Version() && !pl.corrects(v) {
 		return
 	}
 	if pl.World.Placement == nil && !v.FromStore {
@@ -68,6 +70,12 @@
 	pl.force(v)
 }
 
+// corrects is true for the store's own reading of the version in force where a peer
+// read that otherwise: one of another release leaves out rules that it does not know.
+func (pl *placements) corrects(v tables.Version) bool {
+	return pl.fromPeer && v.FromStore && v.Document.Version == pl.World.Version() && v.Hash != pl.World.Hash
+}
+
 // weigh decides on a peer's version while this daemon has none and the store
 // has not answered: the highest of peers in more than one data centre, so that
 // a data centre that is cut off by itself does not start new daemons on an old
@@ -109,6 +117,7 @@
 	}
 	pl.touchChanged(old, v.Document)
 	pl.World.Placement, pl.World.Hash = v.Document, v.Hash
+	pl.fromPeer, pl.packed = !v.FromStore, nil
 	pl.keepLog(old, v)
 	pl.offers = nil
 	pl.World.View.SetPlacement(compiled)
