A route of regions without data centres is handled nowhere

Cause: entries go by data centres, and none meant no rule to them, so that they sent the body anywhere; only the executor refused it. Ruled out: completing the list at load: only the translation of a platform's rules knows the region of each data centre. Change: the compiled route gets the list that allows nobody. Conclusion: such a route is refused at the entry, its own region included.

--- a/pkg/forward/rules_test.go
+++ b/pkg/forward/rules_test.go
@@ -197,3 +197,18 @@
 		test.Eq(t, s.want, waitsNearer(&crosses, &s.waits, s.within), test.Sprint(s.name))
 	}
 }
+
+// TestARouteOfRegionsAloneSendsNoBodyElsewhere: a route that names regions and no data centres (rushramp's own form allows it): the
+// entry sends the request, with its body, anywhere; only the executor says no.
+func TestARouteOfRegionsAloneSendsNoBodyElsewhere(t *testing.T) {
+	here := &fakeRunner{answer: refuses(errkind.PlacementStale, false)}
+	f := newForwarder(here)
+	doc := *f.view.Placement().Document
+	doc.Version, doc.Routes = 4, append([]routing.Route(nil), doc.Routes...)
+	for i := range doc.Routes {
+		doc.Routes[i].Regions = []string{"south"}
+	}
+	f.view.SetPlacement(placement.Compile(&doc))
+	f.Forward(t.Context(), request("/read/1"))
+	test.Len(t, 0, here.calls)
+}
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -47,6 +47,10 @@
 
 func compileRoute(r Route) *Compiled {
 	out := &Compiled{Route: r}
+	if len(r.Regions) > 0 && len(r.DataCentres) == 0 {
+		// Entries go by data centres: none would be no rule for them.
+		out.DataCentres = []string{Nowhere}
+	}
 	out.Attempts = max(r.Attempts, 1)
 	for _, p := range r.Parts {
 		out.total += uint64(p.Weight)
