Shares of services are those of all their VMs

Cause: the share of VMs beside a service was counted from the backend servers that the entry works with, about as many of each large service; and the first service of a route counted as its caller after twelve requests, whatever its share and before any was known. Change: the table of members counts VMs by service and publishes that when it changed; the share of the first service counts, too, and one that is not known is asked again. A share of 0 made a route called from its 13th request on and does not now; of 15,000 and 5000 VMs the share is 0.75. Conclusion: what callers from outside use is rarely taken for called in large fleets.

--- a/pkg/runner/origins.go
+++ b/pkg/runner/origins.go
@@ -43,8 +43,11 @@
 	// began since the newest of them was first seen.
 	services []string
 	count    int
-	// enough is how many show that services call it; 0: none do.
+	// enough is how many show that services call it; 0: none do, or their share of the
+	// VMs is not known yet.
 	enough int
+	// many is true once its requests began beside more services than are followed.
+	many bool
 }
 
 func newOrigins(shareOf func(services []string) float64) *origins {
@@ -61,11 +64,14 @@
 		if len(o.byRoute) >= mostOrigins {
 			return wire.OriginUnknown
 		}
-		found = &origin{services: []string{service}, enough: originsEnough}
+		found = &origin{services: []string{service}}
 		o.byRoute[route] = found
 	}
 	if !slices.Contains(found.services, service) {
-		found.add(service, o.shareOf)
+		found.add(service)
+	}
+	if found.enough == 0 {
+		found.learn(o.shareOf)
 	}
 	found.count++
 	switch {
@@ -78,13 +84,27 @@
 }
 
 // add takes over that requests begin beside another service, too.
-func (o *origin) add(service string, shareOf func([]string) float64) {
+func (o *origin) add(service string) {
 	o.count, o.enough = 0, 0
 	if len(o.services) >= mostCallers {
+		o.many = true
 		return
 	}
 	o.services = append(o.services, service)
-	o.enough = enoughOf(shareOf(o.services))
+}
+
+// learn works out how many requests are enough. The VMs beside the services may not be
+// known yet, so that it is asked again until they are.
+func (o *origin) learn(shareOf func([]string) float64) {
+	if o.many {
+		return
+	}
+	share := shareOf(o.services)
+	if len(o.services) == 1 && share >= 1 {
+		o.enough = originsEnough
+		return
+	}
+	o.enough = enoughOf(share)
 }
 
 // enoughOf is how many requests in a row begin beside a share of the VMs by chance
--- a/pkg/runner/origins_test.go
+++ b/pkg/runner/origins_test.go
@@ -77,3 +77,44 @@
 	}
 	test.SliceLen(t, mostCallers, o.byRoute["check"].services)
 }
+
+// TestOutsideCallersOfALargeFleet: its services differ much in size, and a route that
+// callers from outside use alike is rarely taken for a called one.
+func TestOutsideCallersOfALargeFleet(t *testing.T) {
+	vms := map[string]float64{"a": 15, "b": 5, "c": 1}
+	random := rand.New(rand.NewPCG(1, 2))
+	wrong, runs := 0, 0
+	for range 300 {
+		o := newOrigins(func(services []string) float64 {
+			sum := 0.0
+			for _, s := range services {
+				sum += vms[s]
+			}
+			return sum / 21
+		})
+		for range 60 {
+			service := "a"
+			if at := random.IntN(21_000); at < 1000 {
+				service = "c"
+			} else if at < 6000 {
+				service = "b"
+			}
+			runs++
+			if o.note("r", service) == wire.OriginService {
+				wrong++
+			}
+		}
+	}
+	test.Less(t, runs/100, wrong, test.Sprint("of ", runs))
+}
+
+// TestAShareThatIsNotKnownMakesNoRouteCalled, and once it is known, it counts.
+func TestAShareThatIsNotKnownMakesNoRouteCalled(t *testing.T) {
+	share := 0.0
+	o := newOrigins(func([]string) float64 { return share })
+	for range 3 * originsEnough {
+		test.Eq(t, wire.OriginUnknown, o.note("r", "a"))
+	}
+	share = 0.1
+	test.Eq(t, wire.OriginService, o.note("r", "a"))
+}
--- a/pkg/systems/publish.go
+++ b/pkg/systems/publish.go
@@ -11,11 +11,19 @@
 const maxRedirects = 3
 
 // publish gives the hot path a new view of each service that changed.
-type publish struct{ *Env }
+type publish struct {
+	*Env
+	// members are the changes of the table of members that were published.
+	members uint64
+}
 
 // Tick implements System.
 func (p *publish) Tick(_ int64, _ *tables.Mail) {
 	p.World.View.SetMembers(p.World.Members.Len())
+	if changes := p.World.Members.Changes(); changes != p.members {
+		p.members = changes
+		p.World.View.SetServiceVMs(p.World.Members.VMsByService())
+	}
 	p.becomeReady()
 	if len(p.World.Dirty) == 0 {
 		return
--- a/pkg/tables/members.go
+++ b/pkg/tables/members.go
@@ -129,6 +129,17 @@
 // Regions counts the regions that members stand in; one that is not known is one.
 func (me *Members) Regions() int { return len(me.inRegion) }
 
+// VMsByService counts the VMs beside each service.
+func (me *Members) VMsByService() map[string]int {
+	out := make(map[string]int, len(me.byService))
+	for service, rows := range me.byService {
+		if len(rows) > 0 {
+			out[service] = len(rows)
+		}
+	}
+	return out
+}
+
 // Find returns the row number of a VM; ok is false when it is not known.
 func (me *Members) Find(id string) (row int, ok bool) {
 	row, ok = me.byID[id]
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,13 +54,10 @@
 	return s.kinds[kind]
 }
 
-// size is how many backend servers the service has, as far as they are known.
-func (s *ServiceView) size() int {
-	size := 0
-	for _, k := range s.kinds {
-		size = max(size, len(k.Ready)+len(k.Unlinked))
-	}
-	return size
+// serviceVMs is how many VMs stand beside each service, and beside any.
+type serviceVMs struct {
+	of  map[string]int
+	all int
 }
 
 // View is what the hot path reads. Each service is published by itself, so
@@ -76,6 +72,8 @@
 	ready    atomic.Bool
 	members  atomic.Int64
 	stale    atomic.Bool
+	// serviceVMs is nil while no member is known.
+	serviceVMs atomic.Pointer[serviceVMs]
 	// evacuation is nil while no set is known.
 	evacuation atomic.Pointer[evacuation.Set]
 	// regionShare holds the bits of a float; 0: it was not measured.
@@ -147,22 +145,30 @@
 	vi.services.Store(name, v)
 }
 
-// ShareOf is which share of the backend servers that are known belongs to certain
-// services, from 0 to 1; 0 where none is known.
-func (vi *View) ShareOf(services []string) float64 {
-	of, all := 0, 0
-	vi.services.Range(func(name, view any) bool {
-		size := view.(*ServiceView).size()
-		all += size
-		if slices.Contains(services, name.(string)) {
-			of += size
+// SetServiceVMs publishes how many VMs stand beside each service; the map is not
+// changed any more.
+func (vi *View) SetServiceVMs(of map[string]int) {
+	known := serviceVMs{of: of}
+	for service, n := range of {
+		if service != "" {
+			known.all += n
 		}
-		return true
-	})
-	if all == 0 {
+	}
+	vi.serviceVMs.Store(&known)
+}
+
+// ShareOf is which share of the VMs that stand beside any service belongs to certain
+// ones, from 0 to 1; 0 where none is known.
+func (vi *View) ShareOf(services []string) float64 {
+	known := vi.serviceVMs.Load()
+	if known == nil || known.all == 0 {
 		return 0
 	}
-	return float64(of) / float64(all)
+	of := 0
+	for _, service := range services {
+		of += known.of[service]
+	}
+	return float64(of) / float64(known.all)
 }
 
 // Evacuation returns which data centres are evacuated.
--- a/pkg/tables/view_test.go
+++ b/pkg/tables/view_test.go
@@ -1,24 +1,33 @@
 package tables
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test"
 
-	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/wire"
 )
 
-// TestTheShareOfServices counts those that have no link yet, too.
+// TestTheShareOfServices is that of all their VMs, whether an entry works with these or
+// not; VMs beside no service do not count.
 func TestTheShareOfServices(t *testing.T) {
 	view := &View{}
 	test.Eq(t, 0.0, view.ShareOf([]string{"a"}))
-	add := func(name string, ready, unlinked int) {
-		kind := &KindView{Kind: &placement.CompiledKind{}, Ready: make([]Candidate, ready), Unlinked: make([]*Route, unlinked)}
-		view.SetService(name, NewServiceView(nil, []*KindView{kind}))
-	}
-	add("a", 2, 1)
-	add("b", 1, 0)
+	view.SetServiceVMs(map[string]int{"": 7})
+	test.Eq(t, 0.0, view.ShareOf([]string{"a"}))
+	view.SetServiceVMs(map[string]int{"a": 15_000, "b": 5000, "": 7})
 	test.Eq(t, 0.75, view.ShareOf([]string{"a"}))
 	test.Eq(t, 1.0, view.ShareOf([]string{"a", "b"}))
 	test.Eq(t, 0.0, view.ShareOf([]string{"gone"}))
 }
+
+// TestVMsAreCountedByService, whatever else of them changes.
+func TestVMsAreCountedByService(t *testing.T) {
+	w := NewWorld("vm", "a")
+	for i := range 40 {
+		w.Members.Merge(1, nil, wire.Member{VM: fmt.Sprint(i), DataCentre: "a", Service: []string{"a", "b"}[i%4/3], Slots: 1})
+	}
+	w.Members.Merge(2, nil, wire.Member{VM: "0", DataCentre: "a", Service: "a", Slots: 2, Revision: 1})
+	test.Eq(t, map[string]int{"a": 30, "b": 10}, w.Members.VMsByService())
+}
