--- a/pkg/forward/rules_test.go
+++ b/pkg/forward/rules_test.go
@@ -181,18 +181,19 @@
 
 // TestThePriceOfACrossingMakesNoRequestLate.
 func TestThePriceOfACrossingMakesNoRequestLate(t *testing.T) {
-	crosses := choose.RoutedPick{Index: 1, Cost: 1000, Expected: 100}
+	crosses := choose.RoutedPick{Index: 1, Place: place.Other, Cost: 1000, Expected: 100}
 	for _, s := range []struct {
 		name   string
 		waits  choose.RoutedPick
 		within time.Duration
 		want   bool
 	}{
-		{"cheaper and in time", choose.RoutedPick{Cost: 500, Expected: 500}, 800, true},
-		{"cheaper, and too late with the spread of runs", choose.RoutedPick{Cost: 500, Expected: 500}, 600, false},
-		{"dearer", choose.RoutedPick{Cost: 1500, Expected: 1500}, 9000, false},
+		{"cheaper and in time", choose.RoutedPick{Place: place.Region, Cost: 500, Expected: 500}, 800, true},
+		{"cheaper, and too late with the spread of runs", choose.RoutedPick{Place: place.Region, Cost: 500, Expected: 500}, 600, false},
+		{"dearer", choose.RoutedPick{Place: place.Region, Cost: 1500, Expected: 1500}, 9000, false},
+		{"cheaper and no nearer", choose.RoutedPick{Place: place.Other, Cost: 500, Expected: 500}, 800, false},
 		{"nobody to wait at", choose.RoutedPick{Index: choose.None}, 9000, false},
-		{"late already", choose.RoutedPick{Cost: 500, Expected: 500}, -1, false},
+		{"late already", choose.RoutedPick{Place: place.Region, Cost: 500, Expected: 500}, -1, false},
 	} {
 		test.Eq(t, s.want, waitsNearer(&crosses, &s.waits, s.within), test.Sprint(s.name))
 	}
