Tables converge: regions of three and four data centres are drawn, too

Cause: since tables cross by region, the test drew regions of two data centres alone. Ruled out: nothing; no fault was found by it. Change: six ways of dividing four data centres, those of before among them, and no region at all. Conclusion: the test is as strict as before regions were drawn.

--- a/pkg/systems/converge_test.go
+++ b/pkg/systems/converge_test.go
@@ -23,23 +23,15 @@
 	byPeer map[*link.Peer]*tableNode
 }
 
-func newTableNode(vm, dataCentre string) *tableNode {
+func newTableNode(vm, dataCentre, region string) *tableNode {
 	s := settings.Default()
 	s.VM = settings.VM{ID: vm, DataCentre: dataCentre}
 	c := common.NewCommon(events.Discard(), &s)
 	env := &Env{Common: c, World: tables.NewWorld(vm, dataCentre)}
-	env.World.Region = regionOf(dataCentre)
+	env.World.Region = region
 	return &tableNode{spread: &spread{Env: env}, env: env, byPeer: map[*link.Peer]*tableNode{}}
 }
 
-// regionOf puts two data centres into each region.
-func regionOf(dataCentre string) string {
-	if dataCentre == "d0" || dataCentre == "d1" {
-		return "r0"
-	}
-	return "r1"
-}
-
 func (n *tableNode) members() *tables.Members { return n.env.World.Members }
 
 // connect opens a link between two daemons, with a row of peers at each end.
@@ -110,10 +102,15 @@
 func drawFleet(t *rapid.T) []*tableNode {
 	var nodes []*tableNode
 	var first *tableNode
+	// One region of all, two of two each, one alone beside the rest, or each its own.
+	regions := rapid.SampledFrom([][]string{
+		{"r0", "r0", "r0", "r0"}, {"r0", "r0", "r1", "r1"}, {"r0", "r0", "r0", "r1"}, {"r0", "r1", "r1", "r1"},
+		{"r0", "r1", "r2", "r3"}, {"", "", "", ""},
+	}).Draw(t, "regions")
 	for d := range rapid.IntRange(1, 4).Draw(t, "data centres") {
 		var before *tableNode
 		for v := range rapid.IntRange(1, 8).Draw(t, "daemons") {
-			n := newTableNode(fmt.Sprint("d", d, "v", v), fmt.Sprint("d", d))
+			n := newTableNode(fmt.Sprint("d", d, "v", v), fmt.Sprint("d", d), regions[d])
 			switch {
 			case before != nil:
 				connect(n, before)
--- a/pkg/systems/regions_test.go
+++ b/pkg/systems/regions_test.go
@@ -13,6 +13,14 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
+// regionOf puts two data centres into each region.
+func regionOf(dataCentre string) string {
+	if dataCentre == "d0" || dataCentre == "d1" {
+		return "r0"
+	}
+	return "r1"
+}
+
 // TestTheSampleHoldsOneOfEachOtherRegion, and one of each data centre of the own one.
 func TestTheSampleHoldsOneOfEachOtherRegion(t *testing.T) {
 	l := &links{Env: regionFleet(10).Env}
@@ -47,7 +55,7 @@
 	var nodes []*tableNode
 	for _, dataCentre := range []string{"d0", "d1", "d2", "d3"} {
 		for n := range each {
-			nodes = append(nodes, newTableNode(fmt.Sprint(dataCentre, "v", n), dataCentre))
+			nodes = append(nodes, newTableNode(fmt.Sprint(dataCentre, "v", n), dataCentre, regionOf(dataCentre)))
 		}
 	}
 	apart := func(a, b *tableNode) bool { return a.env.World.Region != b.env.World.Region }
