Lists of data centres keep room in a subset, whatever choosing.near is

Cause: backend servers of the own data centre took 32 of 64 places with many lists, and all of them where choosing.near is 64 or more, so that lists had nobody. Ruled out: dividing the room in another way; each list gets one already while there is room. Change: where routes of a service name data centres, 32 of the own one at most, and down to 16 with more than 25 lists. Conclusion: with the default of 32 nothing changes up to 26 lists.

--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -164,7 +164,7 @@
 	SoftFirst bool `yaml:"soft_first"`
 	// Number of backend servers up to which an entry works with all of a service.
 	Subset int `yaml:"subset" validate:"min=2,max=1000"`
-	// Most backend servers of its own data centre that an entry works with in a larger service.
+	// Most backend servers of its own data centre that an entry works with in a larger service; 32 at most, and fewer with many lists, where routes of the service name data centres.
 	Near int `yaml:"near" validate:"min=1,max=1000"`
 	// Number of backend servers of other data centres of the region that it works with besides; more where the own one has few, so that there are half of choosing.subset in all.
 	Far int `yaml:"far" validate:"min=0,max=1000"`
@@ -234,7 +234,7 @@
 type Limits struct {
 	// Largest body of a request or an answer, in bytes.
 	MaxBodyBytes int `yaml:"max_body_bytes" validate:"min=1024"`
-	// Bytes of request bodies that this daemon holds at once, those of its entry and of its executor together. Requests beyond are refused as not run.
+	// Bytes of request bodies that this daemon holds at once, those of its entry and of its executor together; at least limits.max_body_bytes. Requests beyond are refused as not run.
 	BodiesBytes int `yaml:"bodies_bytes" validate:"min=1024"`
 	// Largest head of a request, in bytes.
 	MaxHeaderBytes int `yaml:"max_header_bytes" validate:"min=1024"`
--- a/pkg/systems/subset.go
+++ b/pkg/systems/subset.go
@@ -88,12 +88,23 @@
 		return highest(w.VM, s.all, choosing.Subset)
 	}
 	least := choosing.Subset / 2
-	chosen := highest(w.VM, s.at[place.Near], choosing.Near)
+	chosen := highest(w.VM, s.at[place.Near], nearMost(choosing, len(kind.Limits)))
 	chosen = append(chosen, highest(w.VM, s.at[place.Region], max(choosing.Far, least-len(chosen)))...)
 	chosen = append(chosen, highest(w.VM, s.at[place.Other], max(otherRegions, least-len(chosen)))...)
 	return fillUp(w.VM, chosen, s.all, kind.Limits, choosing.Subset)
 }
 
+// nearMost is how many backend servers of its own data centre an entry works with, so
+// that each of some lists of data centres can have one: half of what it may mark, and
+// with many lists no less than a quarter.
+func nearMost(choosing settings.Choosing, lists int) int {
+	if lists == 0 {
+		return choosing.Near
+	}
+	left := subsetMost - choosing.Far - otherRegions - lists
+	return min(choosing.Near, max(subsetMost/4, min(subsetMost/2, left)))
+}
+
 // subsetMost bounds a subset that lists of data centres fill up: choosing marks
 // whom it has asked in a word of 64 bits.
 const subsetMost = 64
--- a/pkg/systems/subset_test.go
+++ b/pkg/systems/subset_test.go
@@ -204,3 +204,49 @@
 		})
 	}
 }
+
+// TestAllowedOnesAreKnownWhateverNearIs: operators may raise it so far that no room
+// would be left for the data centre that a route is bound to.
+func TestAllowedOnesAreKnownWhateverNearIs(t *testing.T) {
+	for _, near := range []int{32, 60, 62, 64, 100, 1000} {
+		choosing := settings.Default().Choosing
+		choosing.Near = near
+		w, kind := subsetWorld(100, 100, 100)
+		kind.Limits = [][]string{{"c"}}
+		subset := Subset(w, choosing, kind)
+		test.GreaterEq(t, 8, allowedIn(subset, kind.Limits[0]), test.Sprintf("near %d", near))
+		test.LessEq(t, subsetMost, len(subset))
+	}
+}
+
+// TestEachOfManyListsHasSomebody, while there is room: each list allows one data centre
+// besides the own one.
+func TestEachOfManyListsHasSomebody(t *testing.T) {
+	for _, lists := range []int{25, 30, 38} {
+		each := []int{32}
+		doc := &placement.Document{}
+		for i := range lists {
+			each = append(each, 1)
+			dataCentre := string(rune('a' + i + 1))
+			doc.Routes = append(doc.Routes, routing.Route{Host: "h", Prefix: fmt.Sprintf("/%d/", i), Parts: []routing.Part{{Service: "s", Weight: 1}}, DataCentres: []string{dataCentre}})
+		}
+		w, _ := subsetWorld(each...)
+		kind := placement.Compile(doc).Service("s").Kinds[0]
+		must.Len(t, lists, kind.Limits)
+		subset := Subset(w, settings.Default().Choosing, kind)
+		for _, list := range kind.Limits {
+			test.Positive(t, allowedIn(subset, list), test.Sprint(lists, " lists: ", list))
+		}
+	}
+}
+
+// allowedIn counts the backend servers of a subset that a list of data centres allows.
+func allowedIn(subset []*tables.Route, list []string) int {
+	allowed := 0
+	for _, route := range subset {
+		if routing.Allows(list, route.DataCentre) {
+			allowed++
+		}
+	}
+	return allowed
+}
