Roll-outs bar no version that is the only one of its service

Cause: an order barred its target wherever it was not known to be proved, also where no other version served: an order for the running version shut the service for two seconds (for good with a time too short to switch), a stop or a lost link with no old versions did the same, and versions that a completed roll-out left stayed shut when they were all that was left. Ruled out: judging by links or by leases that lapsed. A data centre that is cut off would then take a rolled-back version for the only one. The platform's list of members decides, after it has stood for two seconds. Change: plans without old versions bar nothing; the target is what serves then, also for the next order; an order for the only version is complete with its first plan; each daemon lets the only version of a service run. TestAVersionThatRunsAlone said that such an order waits two seconds; it now holds it to complete at once where all versions are known, and to the former course where one is not. Conclusion: no order, stop or removal leaves a service without a version.

--- a/pkg/rollout/book.go
+++ b/pkg/rollout/book.go
@@ -16,6 +16,9 @@
 	plans   map[string]Plan
 	stops   map[string]Stop
 	traffic map[string]*Traffic
+	// lone is the only version that a service has, by service; none where it has more,
+	// or where that is not known.
+	lone map[string]string
 	// news and digest are made anew where something changed.
 	news   News
 	digest uint64
@@ -23,7 +26,7 @@
 
 // NewBook makes an empty book.
 func NewBook(Limits) *Book {
-	b := &Book{plans: map[string]Plan{}, stops: map[string]Stop{}, traffic: map[string]*Traffic{}}
+	b := &Book{plans: map[string]Plan{}, stops: map[string]Stop{}, traffic: map[string]*Traffic{}, lone: map[string]string{}}
 	b.seal()
 	return b
 }
@@ -158,8 +161,36 @@
 // Traffic is what the hot path needs for a service; nil: no roll-out of it is known.
 func (b *Book) Traffic(service string) *Traffic { return b.traffic[service] }
 
-// makeTraffic puts together what is known of a service.
+// SetLone says which version is the only one that a service has; empty: it has more,
+// or that is not known. It is what this daemon sees, no news for peers. changed is true
+// where it lets another version run.
+func (b *Book) SetLone(service, version string) (changed bool) {
+	if b.lone[service] == version {
+		return false
+	}
+	b.lone[service] = version
+	if version == "" {
+		delete(b.lone, service)
+	}
+	if b.traffic[service] == nil {
+		return false
+	}
+	b.traffic[service] = b.makeTraffic(service)
+	return true
+}
+
+// makeTraffic puts together what is known of a service. No roll-out bars the only
+// version that there is: nobody else would run the requests.
 func (b *Book) makeTraffic(service string) *Traffic {
+	t := b.ordered(service)
+	if lone := b.lone[service]; t != nil && lone != "" && !t.carries(lone) {
+		return newTraffic(open, "", without(t.shut, lone), nil, 0)
+	}
+	return t
+}
+
+// ordered is the traffic by the orders, plans and stops.
+func (b *Book) ordered(service string) *Traffic {
 	order, ordered := b.orders.Of(service)
 	plan, planned := b.plans[service]
 	switch {
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -19,7 +19,8 @@
 
 // Server is what the decider knows of one backend server of the service.
 type Server struct {
-	VM      string
+	VM string
+	// Version is empty where it has not said it yet: it runs nothing until then.
 	Version string
 	Slots   int
 	// Ready is true for one that takes requests: it lives, has a link, and is not in an
@@ -105,6 +106,9 @@
 		d.inherit(&before)
 	}
 	d.learnOld()
+	if d.alone() {
+		return d.to(Completed, "the version is the only one that runs"), true
+	}
 	if before.Order > 0 && before.serves(d.order.Version) && d.slots(d.isTarget) > 0 {
 		return d.toSwitching("the version runs the requests already"), true
 	}
@@ -112,10 +116,21 @@
 	return next, true
 }
 
+// alone is true where no backend server of another version is known, also none that
+// has not said its version yet.
+func (d *decision) alone() bool {
+	for i := range d.servers {
+		if !d.isTarget(&d.servers[i]) {
+			return false
+		}
+	}
+	return len(d.plan.Old) == 0 && d.slots(d.isTarget) > 0
+}
+
 // inherit takes over from the plan before which versions served and which may not.
 func (d *decision) inherit(before *Plan) {
 	served, left := before.Old, []string{before.Target}
-	if before.Phase == Completed {
+	if before.Phase == Completed || len(before.Old) == 0 {
 		served, left = []string{before.Target}, before.Old
 	}
 	for _, version := range served {
@@ -137,7 +152,7 @@
 	old := slices.Clone(d.plan.Old)
 	for _, s := range d.servers {
 		known := d.isTarget(&s) || slices.Contains(old, s.Version) || slices.Contains(d.plan.Barred, s.Version)
-		if !known && !s.Lost && len(old) < mostVersions {
+		if !known && !s.Lost && s.Version != "" && len(old) < mostVersions {
 			old = append(old, s.Version)
 		}
 	}
--- a/pkg/rollout/decide_test.go
+++ b/pkg/rollout/decide_test.go
@@ -155,11 +155,17 @@
 	test.Eq(t, Completed, next.Phase)
 }
 
-// TestAVersionThatRunsAlone is switched to once no other one has shown itself.
+// TestAVersionThatRunsAlone: the order is complete at once where all have said their
+// versions; else it is switched to once no other one has shown itself.
 func TestAVersionThatRunsAlone(t *testing.T) {
 	next, changed := Decide(100*time.Second, orderOf(5, "v2"), Plan{}, Verdict{}, fleet("v2", 3), usualLimits)
 	test.True(t, changed)
+	test.Eq(t, Completed, next.Phase)
+	test.SliceEmpty(t, next.Old)
+	next, changed = Decide(100*time.Second, orderOf(5, "v2"), Plan{}, Verdict{}, append(fleet("v2", 3), fleet("", 1)...), usualLimits)
+	test.True(t, changed)
 	test.Eq(t, Waiting, next.Phase)
+	test.SliceEmpty(t, next.Old)
 	_, changed = Decide(101*time.Second, orderOf(5, "v2"), next, Verdict{}, fleet("v2", 3), usualLimits)
 	test.False(t, changed)
 	next, _ = Decide(102*time.Second, orderOf(5, "v2"), next, Verdict{}, fleet("v2", 3), usualLimits)
--- a/pkg/rollout/fleet.go
+++ b/pkg/rollout/fleet.go
@@ -68,7 +68,7 @@
 func (d *decision) others() (running, lost int) {
 	for i := range d.servers {
 		switch s := &d.servers[i]; {
-		case d.isTarget(s) || s.Empty:
+		case d.isTarget(s) || s.Version == "" || s.Empty:
 		case s.Lost:
 			lost++
 		default:
--- a/pkg/rollout/traffic.go
+++ b/pkg/rollout/traffic.go
@@ -75,9 +75,28 @@
 		return newTraffic(moved, p.Target, slices.Concat(p.Barred, p.Old), nil, 0)
 	case Completed:
 		return newTraffic(open, "", slices.Concat(p.Barred, p.Old), nil, 0)
-	default:
-		return newTraffic(open, "", slices.Concat(p.Barred, []string{p.Target}), nil, 0)
 	}
+	if len(p.Old) == 0 {
+		// No other version is known to run the requests.
+		return newTraffic(open, "", p.Barred, nil, 0)
+	}
+	return newTraffic(open, "", slices.Concat(p.Barred, []string{p.Target}), nil, 0)
+}
+
+// carries is true where a version may run all requests.
+func (t *Traffic) carries(version string) bool {
+	switch {
+	case slices.Contains(t.shut, version):
+		return false
+	case t.mode == moved:
+		return version == t.target
+	}
+	return t.mode == open || version != t.target
+}
+
+// without is a list of versions less one.
+func without(versions []string, version string) []string {
+	return slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return v == version })
 }
 
 // trafficLeft is the traffic of a plan that is stopped, or whose order was taken away:
@@ -106,7 +125,7 @@
 // serves is true for a version that ran the requests under a plan that was left or has
 // ended.
 func (p *Plan) serves(version string) bool {
-	if p.Phase == Completed {
+	if p.Phase == Completed || len(p.Old) == 0 {
 		return version == p.Target
 	}
 	return slices.Contains(p.Old, version)
--- a/pkg/systems/rollouts.go
+++ b/pkg/systems/rollouts.go
@@ -28,20 +28,38 @@
 	now int64
 	// synced is true once a peer knew the same as this daemon.
 	synced bool
+	// lone is which version is the only one of a service, by service.
+	lone map[string]loneVersion
+	// began is the time of the first tick.
+	began int64
 }
 
+// loneVersion is the only version of a service's members, since when.
+type loneVersion struct {
+	changes uint64
+	version string
+	since   int64
+}
+
+// loneFor is how long a version must have been the only one before a roll-out bars it
+// no more: a daemon that was started anew learns the other ones within that time.
+const loneFor = newcomerFor
+
 type loggedPhase struct {
 	order uint64
 	phase rollout.Phase
 }
 
 func newRollouts(env *Env) *rollouts {
-	return &rollouts{Env: env, logged: map[string]loggedPhase{}, stopped: map[string]uint64{}}
+	return &rollouts{Env: env, logged: map[string]loggedPhase{}, stopped: map[string]uint64{}, lone: map[string]loneVersion{}}
 }
 
 // Tick implements System.
 func (ro *rollouts) Tick(now int64, mail *tables.Mail) {
 	ro.now = now
+	if ro.began == 0 {
+		ro.began = now
+	}
 	if mail.Orders != nil {
 		ro.takeOrders(*mail.Orders)
 	}
@@ -61,6 +79,72 @@
 	for _, n := range mail.News {
 		ro.compare(n.Peer, n.State.Rollouts)
 	}
+	ro.noteLone(now)
+}
+
+// noteLone tells the book which versions are the only ones of their services.
+func (ro *rollouts) noteLone(now int64) {
+	changed := false
+	for service := range ro.services() {
+		changed = ro.World.Rollouts.SetLone(service, ro.loneOf(now, service)) || changed
+	}
+	if changed {
+		ro.publish()
+	}
+}
+
+// services are those that an order or a plan is known of, and this daemon's own.
+func (ro *rollouts) services() map[string]struct{} {
+	out := map[string]struct{}{ro.Settings.BackendServer.Service: {}}
+	news := ro.World.Rollouts.News()
+	for i := range news.Orders.List {
+		out[news.Orders.List[i].Service] = struct{}{}
+	}
+	for i := range news.Plans {
+		out[news.Plans[i].Service] = struct{}{}
+	}
+	return out
+}
+
+// loneOf is the only version of a service, where it has been for loneFor. Members that
+// do not answer count as long as the platform lists them: who is cut off from them must
+// not take its own version for the only one.
+func (ro *rollouts) loneOf(now int64, service string) string {
+	had, known := ro.lone[service]
+	changes := ro.World.Members.ServiceChanges(service)
+	if !known || had.changes != changes {
+		version := ro.onlyVersion(service)
+		if !known || version != had.version {
+			had.version, had.since = version, now
+		}
+		had.changes = changes
+		ro.lone[service] = had
+	}
+	since := had.since
+	if service != ro.Settings.BackendServer.Service {
+		// Executors hold their own to it; an entry that looks only since the order was
+		// written must not refuse requests meanwhile.
+		since = ro.began
+	}
+	if now-since < int64(loneFor) {
+		return ""
+	}
+	return had.version
+}
+
+// onlyVersion is the version of all members of a service; empty where they have more
+// than one, or one of them has not said it.
+func (ro *rollouts) onlyVersion(service string) (version string) {
+	first, same := true, true
+	ro.World.Members.Service(service, func(row int) {
+		said := ro.World.Members.Row[row].Version
+		same = same && (first || said == version)
+		version, first = said, false
+	})
+	if !same {
+		return ""
+	}
+	return version
 }
 
 // takeOrders takes over what this daemon read in the store.
--- a/pkg/systems/rolloutwatch.go
+++ b/pkg/systems/rolloutwatch.go
@@ -222,8 +222,7 @@
 	var out []rollout.Server
 	w.World.Members.Service(service, func(row int) {
 		m := &w.World.Members.Row[row]
-		if m.Version == "" {
-			// Its executor runs nothing until it has said its version.
+		if m.Version == "" && m.Backend != wire.BackendLive {
 			return
 		}
 		at, everLinked := w.linkedAt[m.VM]
