A watcher decides nothing for want of its own links

Cause: switching ended, and canaries were written away, on what the watcher's links showed in one instant. One that had just started, or whose links were cut or reset with the store in reach, rolled a good version back in 200 ms. Ruled out: waiting a second before each order's first plan, which would put off the deadline and the canaries of an order of 12 s. Change: an executor whose link goes counts as ready for lostAfter (1.5 s); a watcher that has no link to another VM of the service, or has taken an order over within linksStood (1 s), changes no plan that is under way before its deadline, but for a finding and an order taken away. A first plan that would find no old version waits up to linksStood while versions are still to come. Conclusion: a watcher that sees nothing leaves the decision to others.

--- a/pkg/systems/rolloutwatch.go
+++ b/pkg/systems/rolloutwatch.go
@@ -25,6 +25,10 @@
 	// lostAfter is how long there must have been no link to a daemon for it to count
 	// as lost: longer than a restart takes to open links again.
 	lostAfter = 1500 * time.Millisecond
+	// linksStood is how long a watcher must have had links with others of the service
+	// before it decides: greetings with versions come over all of them within a tenth of
+	// that, and links that were reset stand again.
+	linksStood = time.Second
 )
 
 // rolloutWatch judges the roll-out of this VM's service where this daemon is one of
@@ -41,6 +45,13 @@
 	reports map[string]rollout.Report
 	// linkedAt is when there last was a link to a VM of the service.
 	linkedAt map[string]int64
+	// wasLinked are the VMs that there ever was a link to.
+	wasLinked map[string]bool
+	// blindAt is when there last was no link to another VM of the service, while there
+	// are others.
+	blindAt int64
+	// begunAt is when order began here.
+	begunAt int64
 	// busy is how many requests were in flight at each VM of late.
 	busy     map[string]busy
 	judgeDue due
@@ -52,7 +63,7 @@
 func newRolloutWatch(env *Env, known *rollouts) *rolloutWatch {
 	return &rolloutWatch{
 		Env: env, known: known, rows: newPlanRows(env), rank: -1,
-		reports: map[string]rollout.Report{}, linkedAt: map[string]int64{}, busy: map[string]busy{},
+		reports: map[string]rollout.Report{}, linkedAt: map[string]int64{}, wasLinked: map[string]bool{}, busy: map[string]busy{},
 	}
 }
 
@@ -81,7 +92,7 @@
 	if w.rank < 0 {
 		return
 	}
-	w.begin(order)
+	w.begin(now, order, plan)
 	w.noteLinks(now)
 	w.decide(now, service, order, plan, w.verdict(now, service, order))
 }
@@ -127,12 +138,16 @@
 
 // begin begins anew for another order. What was reported of it before this daemon was
 // a watcher is lost, but counts are sums since the order.
-func (w *rolloutWatch) begin(order rollout.Order) {
+func (w *rolloutWatch) begin(now int64, order rollout.Order, plan rollout.Plan) {
 	if w.judge != nil && w.order == order.Revision {
 		return
 	}
 	w.order, w.judge = order.Revision, rollout.NewJudge(order)
-	w.dueSince = 0
+	w.dueSince, w.begunAt = 0, now
+	if plan.Order == order.Revision {
+		// It goes on from where others are: what it does not see yet may stand.
+		w.blindAt = now
+	}
 	clear(w.reports)
 	clear(w.busy)
 	w.rows.forget()
@@ -201,7 +216,7 @@
 	}
 	servers := w.servers(now, service, plan)
 	next, changed := rollout.Decide(w.rows.storeNow(now), order, plan, verdict, servers, w.RolloutLimits)
-	if !changed {
+	if !changed || w.mustWait(now, order, &plan, &next, verdict) {
 		w.dueSince = 0
 		return
 	}
@@ -216,6 +231,31 @@
 	w.rows.write(next)
 }
 
+// mustWait is true for a decision that only tells that this watcher's own links do not
+// stand, as after a restart or a cut: another watcher sees more, and decides. A finding
+// and an order taken away need no links, nor does the deadline, at which a roll-out must
+// end whoever is left; the first plan of an order and the first canaries do no harm, but
+// where versions are still to come.
+func (w *rolloutWatch) mustWait(now int64, order rollout.Order, plan, next *rollout.Plan, verdict rollout.Verdict) bool {
+	switch {
+	case order.Revision == 0 || verdict.Bad:
+		return false
+	case plan.Phase == rollout.Waiting && next.Phase == rollout.Canary:
+		return false
+	case order.Revision > plan.Order:
+		return len(next.Old) == 0 && w.areVersionsUnknown() && now-w.begunAt < int64(linksStood)
+	}
+	return now-w.blindAt < int64(linksStood) && w.rows.storeNow(now) < plan.Deadline
+}
+
+// areVersionsUnknown is true where a member of the service has not said its version.
+func (w *rolloutWatch) areVersionsUnknown() (unknown bool) {
+	w.World.Members.Service(w.Settings.BackendServer.Service, func(row int) {
+		unknown = unknown || w.World.Members.Row[row].Version == ""
+	})
+	return unknown
+}
+
 // servers is what is known of the service's backend servers.
 func (w *rolloutWatch) servers(now int64, service string, plan rollout.Plan) []rollout.Server {
 	evacuated := w.World.View.Evacuation()
@@ -227,10 +267,12 @@
 		}
 		at, everLinked := w.linkedAt[m.VM]
 		linked := everLinked && at == now || m.VM == w.World.VM
+		// A link that was reset stands again within the time that one has for it.
+		reached := linked || w.wasLinked[m.VM] && now-at <= int64(lostAfter)
 		report, reported := w.reports[m.VM]
 		out = append(out, rollout.Server{
 			VM: m.VM, Version: m.Version, Slots: int(m.Slots),
-			Ready: m.State == wire.MemberLive && m.Backend == wire.BackendLive && linked && !evacuated.Has(m.DataCentre),
+			Ready: m.State == wire.MemberLive && m.Backend == wire.BackendLive && reached && !evacuated.Has(m.DataCentre),
 			Empty: reported && linked && plan.Revision > 0 && report.Plan == plan.Revision && report.InFlight == 0,
 			Lost:  !linked && now-at > int64(lostAfter),
 			Busy:  w.busy[m.VM].most(now),
@@ -243,14 +285,22 @@
 
 // noteLinks notes which daemons have a link with this one.
 func (w *rolloutWatch) noteLinks(now int64) {
-	w.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) { w.linkedAt[peer.Hello.VM] = now })
+	w.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
+		w.linkedAt[peer.Hello.VM], w.wasLinked[peer.Hello.VM] = now, true
+	})
+	others, linked := false, false
 	w.World.Members.Service(w.Settings.BackendServer.Service, func(row int) {
 		vm := w.World.Members.Row[row].VM
+		others = others || vm != w.World.VM
+		linked = linked || vm != w.World.VM && w.wasLinked[vm] && w.linkedAt[vm] == now
 		if _, known := w.linkedAt[vm]; !known {
 			// It has the same time to open a link as one that had one.
 			w.linkedAt[vm] = now - 1
 		}
 	})
+	if others && !linked {
+		w.blindAt = now
+	}
 }
 
 func (w *rolloutWatch) logDecision(next rollout.Plan, verdict rollout.Verdict, servers []rollout.Server) {
