Few daemons read the plan's row, with rests that grow

Cause: each daemon that knew an order without a plan read the plan's row each 1.5 to 3 s without end: some 9,000 reads a second of 21,000 daemons for an order of a service nobody runs, or for a row that cannot be read. Ruled out: leaving it to watchers alone, as a service nobody runs has none. Change: where somebody runs the service its watchers read; else the first three daemons of the fleet by the service's name, with rests from 1.5 to 30 s (and up to as long again). After a row that cannot be read the rest grows to 30 s: rollout.ErrUnreadable tells it from a store that is away. Conclusion: six reads a minute at most in the long run, whatever the fleet.

--- a/pkg/rollout/register.go
+++ b/pkg/rollout/register.go
@@ -20,6 +20,10 @@
 	Write(ctx context.Context, plan Plan) error
 }
 
+// ErrUnreadable is of a row that no read makes sense of: it is damaged, or of a later
+// release.
+var ErrUnreadable = errors.New("the plan's row cannot be read; it stays as it is until it is written by hand")
+
 // Stored is what a Register read.
 type Stored struct {
 	// Plan is the zero value where none was written yet.
@@ -45,14 +49,14 @@
 func DecodePlan(service string, value []byte, version uint64) (Plan, error) {
 	var out Plan
 	if err := json.Unmarshal(value, &out); err != nil {
-		return Plan{}, errors.Wrap(err, "plan")
+		return Plan{}, errors.Wrapf(ErrUnreadable, "plan of service %q: %s", service, err)
 	}
 	out.Revision = version
 	if out.Service != service {
-		return Plan{}, errors.Errorf("the plan of service %q is one of %q", service, out.Service)
+		return Plan{}, errors.Wrapf(ErrUnreadable, "the plan of service %q is one of %q", service, out.Service)
 	}
 	if !out.valid() {
-		return Plan{}, errors.Errorf("the plan of service %q has a value out of bounds, or is of a later release", service)
+		return Plan{}, errors.Wrapf(ErrUnreadable, "the plan of service %q has a value out of bounds, or is of a later release", service)
 	}
 	return out, nil
 }
--- a/pkg/systems/planrows.go
+++ b/pkg/systems/planrows.go
@@ -11,16 +11,24 @@
 	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/utils"
 )
 
 const (
 	// planRest and planRestMost bound the rest after a call that failed.
 	planRest     = 100 * time.Millisecond
 	planRestMost = time.Second
-	// unplannedFor is how long an order must have had no plan here for this daemon to
-	// read the plan's row itself: watchers write it within a second, and tell. Each
-	// daemon waits up to as long again, so that one of them tells most.
-	unplannedFor = 1500 * time.Millisecond
+	// unreadableMost bounds the rest after a row that cannot be read: it is of a later
+	// release, or damaged, and stays so until an operator writes it.
+	unreadableMost = 30 * time.Second
+	// unplannedFor is how long the order of a service that nobody runs must have had no
+	// plan here for this daemon to read the plan's row itself, and up to as long again,
+	// so that one of those that do tells the others. Each further read waits
+	// unplannedGrowth times as long, up to unplannedMost: with three daemons reading,
+	// six reads a minute at most in the long run, whatever the fleet's size.
+	unplannedFor    = 1500 * time.Millisecond
+	unplannedGrowth = 4
+	unplannedMost   = 30 * time.Second
 	// clockKeeps is how long the best reading of the store's clock is kept.
 	clockKeeps = time.Minute
 )
@@ -36,12 +44,27 @@
 	rest      time.Duration
 	restUntil int64
 	clock     storeClock
-	// unplanned is since when orders have had no plan, by service.
-	unplanned map[string]int64
+	// unplanned is when the rows of orders without a plan are read, by service.
+	unplanned map[string]unplanned
+}
+
+// unplanned is when a row is due to be read, after a rest.
+type unplanned struct {
+	due  int64
+	rest time.Duration
+}
+
+// next is the same after one more rest.
+func (u unplanned) next(now int64) unplanned {
+	rest := unplannedFor
+	if u.rest > 0 {
+		rest = min(u.rest*unplannedGrowth, unplannedMost)
+	}
+	return unplanned{due: now + int64(rest+rand.N(rest)), rest: rest}
 }
 
 func newPlanRows(env *Env) *planRows {
-	return &planRows{Env: env, rest: planRest, unplanned: map[string]int64{}}
+	return &planRows{Env: env, rest: planRest, unplanned: map[string]unplanned{}}
 }
 
 // take takes over how calls ended.
@@ -62,8 +85,16 @@
 			continue
 		}
 		p.restUntil = now + int64(p.rest)
-		p.rest = min(2*p.rest, planRestMost)
+		p.rest = min(2*p.rest, p.restMost(row.Err))
+	}
+}
+
+// restMost is the longest rest after a call that failed.
+func (p *planRows) restMost(err error) time.Duration {
+	if errors.Is(err, rollout.ErrUnreadable) {
+		return unreadableMost
 	}
+	return planRestMost
 }
 
 // forget has the row read again before anything is written.
@@ -81,8 +112,9 @@
 // storeNow is the store's steady clock.
 func (p *planRows) storeNow(now int64) time.Duration { return p.clock.at(now) }
 
-// readUnplanned reads the plans of orders that nobody tells of, as after all daemons
-// were away at once: without its plan an order lets its version run nothing.
+// readUnplanned reads the plans of orders for services that nobody runs, as after all
+// daemons beside them were away at once: without its plan an order lets its version run
+// nothing. Where somebody runs the service, its watchers read the row and tell.
 func (p *planRows) readUnplanned(now int64) {
 	if p.Rollouts == nil {
 		return
@@ -93,20 +125,37 @@
 			delete(p.unplanned, order.Service)
 			continue
 		}
-		due, waits := p.unplanned[order.Service]
+		at, waits := p.unplanned[order.Service]
 		if !waits {
-			p.unplanned[order.Service] = p.unplannedDue(now)
+			p.unplanned[order.Service] = at.next(now)
 			continue
 		}
-		if now >= due && !p.busy && now >= p.restUntil {
-			p.unplanned[order.Service] = p.unplannedDue(now)
-			p.read(order.Service)
+		if now >= at.due && !p.busy && now >= p.restUntil {
+			p.unplanned[order.Service] = at.next(now)
+			if p.isReader(order.Service) {
+				p.read(order.Service)
+			}
 		}
 	}
 }
 
-func (p *planRows) unplannedDue(now int64) int64 {
-	return now + int64(unplannedFor+rand.N(unplannedFor))
+// isReader is true where nobody runs the service, and this daemon is one of the first
+// of the fleet for it.
+func (p *planRows) isReader(service string) bool {
+	run, ahead := false, 0
+	own := utils.Rendezvous(service, p.World.VM)
+	p.World.Members.Rows(func(row int) {
+		route := p.World.Members.Route[row]
+		_, unreached := p.World.Unreached[route]
+		if p.World.Members.Leaving(row) || unreached {
+			return
+		}
+		run = run || route.Service == service
+		if utils.Rendezvous(service, route.VM) > own {
+			ahead++
+		}
+	})
+	return !run && ahead < watchersMost
 }
 
 func (p *planRows) read(service string) {
