A plan's row that was deleted is written anew

Cause: a write names the row's version from the plan that the daemon holds. With the row deleted, or put back to an older state, each write conflicted, the row was read, and the next one followed at once: 600 writes and 600 reads a minute, without end. Ruled out: always naming the version read last; a plan told by a peer since the last read would then cost a conflict and a read more each time. Change: a write that conflicts rests as any that fails, with rests growing (0.1 to 1 s) until one goes well; after a conflict the write names what was read since. Before: TestARowThatIsDeletedIsWrittenAnew failed. Conclusion: a roll-out whose row is gone ends, and the store is left alone.

--- a/pkg/systems/planrows.go
+++ b/pkg/systems/planrows.go
@@ -40,10 +40,14 @@
 	*Env
 	busy bool
 	// fresh is true where the row was read since the last write.
-	fresh     bool
-	rest      time.Duration
-	restUntil int64
-	clock     storeClock
+	fresh bool
+	// conflicted is true from a write that met another version of the row until one
+	// goes well, and revision is the row's version when it was read last.
+	conflicted bool
+	revision   uint64
+	rest       time.Duration
+	restUntil  int64
+	clock      storeClock
 	// unplanned is when the rows of orders without a plan are read, by service.
 	unplanned map[string]unplanned
 }
@@ -73,22 +77,43 @@
 		p.busy = false
 		p.fresh = !row.Wrote && row.Err == nil && row.Service == p.Settings.BackendServer.Service
 		if row.Err == nil {
-			p.rest = planRest
-			if !row.Wrote {
-				p.clock.take(row.Began, row.Stored.Now)
-			}
+			p.took(&row)
 			continue
 		}
 		p.Log.Event(events.RolloutRowFailed, events.F("service", row.Service), events.F("write", row.Wrote),
 			events.F("conflict", errors.Is(row.Err, store.ErrConflict)), events.F("cause", row.Err))
-		if errors.Is(row.Err, store.ErrConflict) {
-			continue
-		}
+		p.conflicted = p.conflicted || row.Wrote && errors.Is(row.Err, store.ErrConflict)
 		p.restUntil = now + int64(p.rest)
 		p.rest = min(2*p.rest, p.restMost(row.Err))
 	}
 }
 
+// took takes over a call that went well. Rests grow on while writes conflict, though
+// the reads between them go well.
+func (p *planRows) took(row *tables.PlanRow) {
+	p.conflicted = p.conflicted && !row.Wrote
+	if !p.conflicted {
+		p.rest = planRest
+	}
+	if row.Wrote {
+		return
+	}
+	p.clock.take(row.Began, row.Stored.Now)
+	if row.Service == p.Settings.BackendServer.Service {
+		p.revision = row.Stored.Plan.Revision
+	}
+}
+
+// condition is the version of the row that a plan is written over: the one that the
+// book's plan had. Where that has met another one, it is the one that was read since, so
+// that a row that was deleted, or put back to an older state, is written anew.
+func (p *planRows) condition(plan rollout.Plan) uint64 {
+	if p.conflicted {
+		return p.revision
+	}
+	return plan.Revision
+}
+
 // restMost is the longest rest after a call that failed.
 func (p *planRows) restMost(err error) time.Duration {
 	if errors.Is(err, rollout.ErrUnreadable) {
@@ -98,7 +123,7 @@
 }
 
 // forget has the row read again before anything is written.
-func (p *planRows) forget() { p.fresh = false }
+func (p *planRows) forget() { p.fresh, p.conflicted = false, false }
 
 // ready is true where the row of the service was read since the last write; else it has
 // it read.
--- a/pkg/systems/planrows_test.go
+++ b/pkg/systems/planrows_test.go
@@ -77,3 +77,33 @@
 		test.LessEq(t, 3, register.reads)
 	})
 }
+
+// clockedRegister is a fakeRegister with a clock that goes on.
+type clockedRegister struct {
+	fakeRegister
+	began time.Time
+}
+
+func (c *clockedRegister) Read(ctx context.Context, s string) (rollout.Stored, error) {
+	out, err := c.fakeRegister.Read(ctx, s)
+	out.Now += time.Since(c.began)
+	return out, err
+}
+
+// The plan's row is deleted (or the table restored from a copy) while the roll-out runs:
+// the watcher must not write in vain for good, and the roll-out must end.
+func TestARowThatIsDeletedIsWrittenAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		register := &clockedRegister{began: time.Now()}
+		env, known, watch := watched(t, &register.fakeRegister)
+		env.Rollouts = register
+		play(env, known, watch, tables.Mail{Orders: ordersOf(9, orderOf("s", 8))}, time.Second)
+		register.row = rollout.Plan{}
+		play(env, known, watch, tables.Mail{}, 70*time.Second)
+		writes, reads := register.writes, register.reads
+		play(env, known, watch, tables.Mail{}, 60*time.Second)
+		t.Log("calls in a minute after the deadline:", register.writes-writes, "writes,", register.reads-reads, "reads; row:", register.row.Phase, register.row.Order)
+		test.LessEq(t, 10, register.writes-writes)
+		test.True(t, register.row.Phase.Ended() && register.row.Order == 8)
+	})
+}
--- a/pkg/systems/rolloutwatch.go
+++ b/pkg/systems/rolloutwatch.go
@@ -170,32 +170,6 @@
 	w.judge.Take(now, r)
 }
 
-// busyKeeps is how long the most requests in flight that a backend server has told of
-// count: each second of a service with few requests has its peaks.
-const busyKeeps = 5 * time.Second
-
-// busy is the most requests in flight at a backend server of late, in two windows.
-type busy struct {
-	since        int64
-	now, earlier int
-}
-
-func (b busy) with(now int64, inFlight int) busy {
-	if now-b.since > int64(busyKeeps) {
-		b.since, b.earlier, b.now = now, b.now, 0
-	}
-	b.now = max(b.now, inFlight)
-	return b
-}
-
-// most is 0 where nothing was told of late.
-func (b busy) most(now int64) int {
-	if now-b.since > int64(2*busyKeeps) {
-		return 0
-	}
-	return max(b.now, b.earlier)
-}
-
 // verdict is what the evidence says, or the stop that another one has told. One of its
 // own goes to all daemons at once: it needs no store.
 func (w *rolloutWatch) verdict(now int64, service string, order rollout.Order) rollout.Verdict {
@@ -226,7 +200,7 @@
 	if now-w.dueSince < int64(w.rank)*int64(rankStep) {
 		return
 	}
-	next.Revision = plan.Revision
+	next.Revision = w.rows.condition(plan)
 	w.logDecision(next, verdict, servers)
 	w.rows.write(next)
 }
