An executor that runs requests again does not count as empty

Cause: one of an old version that heard a stop while switching runs requests again, yet it went on reporting the plan's revision. With nothing in flight for a moment it counted as empty, and a watcher that had not heard the stop could complete the roll-out. Ruled out: looking for the stop only. Versions that no plan names run while switching too, and an executor that holds its backend server back runs nothing: what counts is whether the guard in force bars it. Change: the revision is reported where the guard bars, or by the target. Before: TestWhoRunsAgainIsNotEmpty failed. After: it passes, with the guard in force and with one that holds the backend server. go test of pkg/systems: pass. Conclusion: completed means that no other version runs.

--- a/pkg/systems/rolloutguard.go
+++ b/pkg/systems/rolloutguard.go
@@ -208,6 +208,12 @@
 	return out
 }
 
+// bars is true where the guard in force lets the backend server run nothing.
+func (g *rolloutGuard) bars(version string) bool {
+	name, _ := g.Backend.Current()
+	return g.inForce.Bars(name, version, g.World.VM) != ""
+}
+
 // report tells those who judge the roll-out what was seen here. The guard in force
 // stands before requests in flight are counted, so that none is missed.
 func (g *rolloutGuard) report(now int64, service string) {
@@ -222,7 +228,9 @@
 		return
 	}
 	obeyed := uint64(0)
-	if plan.Order == order.Revision {
+	if plan.Order == order.Revision && (version == plan.Target || g.bars(version)) {
+		// One that runs requests again, as after a stop while switching, obeys no plan
+		// to run none: it is not empty, whatever is in flight now.
 		obeyed = plan.Revision
 	}
 	g.Recorder.Begin(order.Revision, version)
--- /dev/null
+++ b/pkg/systems/rolloutguard_test.go
@@ -0,0 +1,34 @@
+package systems
+
+import (
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/rollout"
+	"github.com/rushramp/rushramp/pkg/runner"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// An old version's executor that heard a stop while switching runs requests again: it
+// must not report that it obeys the plan and is empty.
+func TestWhoRunsAgainIsNotEmpty(t *testing.T) {
+	g := guardOf(false, "v1", "v2")
+	order := orderOf("s", 8)
+	g.known.take(rollout.News{Orders: *ordersOf(9, order), Plans: []rollout.Plan{planOf("s", 8, 10, rollout.Switching)}}, nil)
+	must.False(t, g.World.Rollouts.Traffic("s").Admits("v1", "vm"))
+	g.known.take(rollout.News{Stops: []rollout.Stop{{Service: "s", Order: 8, Cause: "bad"}}}, nil)
+	must.True(t, g.World.Rollouts.Traffic("s").Admits("v1", "vm"))
+	g.inForce.Traffic = g.World.Rollouts.Traffic("s")
+	g.Recorder = rollout.NewRecorder("vm", "s", 1)
+	g.Routed = &runner.Runner{}
+	g.World.Members.Merge(1, nil, wire.Member{VM: "vm", Service: "s", Version: "v1"})
+	g.watch.rank = 0
+	g.watch.begin(1, order, rollout.Plan{})
+	g.report(1, "s")
+	test.NotEq(t, 10, g.watch.reports["vm"].Plan, test.Sprintf("%+v", g.watch.reports["vm"]))
+	g.inForce.Why = "held"
+	g.report(2, "s")
+	test.Eq(t, 10, g.watch.reports["vm"].Plan, test.Sprint("one that runs nothing obeys the plan"))
+}
