Names from outside are made fit for the labels of metrics

Cause: a service's name with a quote, from the store or a peer, stood as it was in the name of a metric; the metrics library panics at such a name, on the daemon's main loop. Requests and retry budgets had the same names. Ruled out: refusing such names where they come in; the users' names are theirs, and each way in would need it. pkg/entry quotes with %q, which the library takes. Before: TestAServiceNameWithAQuote failed (panic). Conclusion: no name ends a daemon by way of its metrics.

--- a/pkg/forward/budget.go
+++ b/pkg/forward/budget.go
@@ -5,6 +5,7 @@
 
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/utils"
 )
 
 // budget holds one service's retries at this entry. All daemons together may
@@ -99,7 +100,7 @@
 		s := b.Settings.Routing
 		found = &budget{ratio: s.RetryRatio, slack: float64(s.RetrySlack), daemons: b.daemons}
 		b.byName[service] = found
-		b.Metrics.GetOrCreateGauge(`rushramp_retry_budget{service="`+service+`"}`, found.left)
+		b.Metrics.GetOrCreateGauge(`rushramp_retry_budget{service="`+utils.Label(service)+`"}`, found.left)
 	}
 	return found
 }
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/utils"
 	"github.com/rushramp/rushramp/pkg/wire"
 	"github.com/rushramp/rushramp/pkg/worktime"
 )
@@ -125,7 +126,7 @@
 	if result.Refusal != nil {
 		outcome = result.Refusal.Kind.String()
 	}
-	f.Metrics.GetOrCreateCounter(`rushramp_routed_total{service="` + service + `",kind="` + kindOf(a) + `",outcome="` + outcome + `"}`).Inc()
+	f.Metrics.GetOrCreateCounter(`rushramp_routed_total{service="` + utils.Label(service) + `",kind="` + kindOf(a) + `",outcome="` + outcome + `"}`).Inc()
 	f.observe(service, time.Duration(f.Now()-began), &result)
 	f.logEnd(req, a, began, &result)
 	return result
@@ -144,7 +145,7 @@
 
 // observe adds a request's times to the histograms of its service.
 func (f *Forwarder) observe(service string, took time.Duration, result *call.Result) {
-	label := `{service="` + service + `"}`
+	label := `{service="` + utils.Label(service) + `"}`
 	f.Metrics.GetOrCreateHistogram("rushramp_routed_seconds" + label).Update(took.Seconds())
 	answer := result.Answer
 	if answer == nil {
--- a/pkg/systems/rollouts.go
+++ b/pkg/systems/rollouts.go
@@ -9,6 +9,7 @@
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/utils"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -270,7 +271,7 @@
 		return
 	}
 	ro.logged[service] = now
-	ro.Metrics.GetOrCreateGauge(`rushramp_rollout_phase{service="`+service+`"}`, nil).Set(float64(plan.Phase))
+	ro.Metrics.GetOrCreateGauge(`rushramp_rollout_phase{service="`+utils.Label(service)+`"}`, nil).Set(float64(plan.Phase))
 	ro.Log.Event(events.RolloutPhase, events.F("service", service), events.F("phase", plan.Phase), events.F("version", plan.Target),
 		events.F("old", strings.Join(plan.Old, ",")), events.F("order", plan.Order), events.F("revision", plan.Revision),
 		events.F("canaries", strings.Join(plan.Canaries, ",")), events.F("per_mille", plan.PerMille),
--- a/pkg/systems/rollouts_test.go
+++ b/pkg/systems/rollouts_test.go
@@ -275,3 +275,10 @@
 	test.Eq(t, third, w.World.Watchers[1])
 	test.Eq(t, -1, w.rank)
 }
+
+// TestAServiceNameWithAQuote from the store or a peer ends no process.
+func TestAServiceNameWithAQuote(t *testing.T) {
+	known := newRollouts(testEnv())
+	defer func() { test.Nil(t, recover()) }()
+	known.take(rollout.News{Plans: []rollout.Plan{planOf(`a"b`, 8, 10, rollout.Canary)}}, nil)
+}
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -4,12 +4,12 @@
 package trial
 
 import (
-	"strings"
 	"sync/atomic"
 
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/rollout"
+	"github.com/rushramp/rushramp/pkg/utils"
 )
 
 // Trial is safe for concurrent use.
@@ -77,15 +77,6 @@
 	if failed {
 		outcome = "failed"
 	}
-	service, version := t.common.Settings.BackendServer.Service, strings.Map(labelRune, t.lifecycle.Version())
+	service, version := utils.Label(t.common.Settings.BackendServer.Service), utils.Label(t.lifecycle.Version())
 	t.common.Metrics.GetOrCreateCounter(`rushramp_rollout_runs_total{service="` + service + `",version="` + version + `",outcome="` + outcome + `"}`).Inc()
 }
-
-// labelRune keeps a version, which the backend server says, from ending the label that
-// it stands in.
-func labelRune(c rune) rune {
-	if c == '"' || c == '\\' || c < ' ' {
-		return '_'
-	}
-	return c
-}
