A canary known to be full is passed over for the old version

Cause: a request of the canaries' lane that found their gates refusing soft attempts, by what the entry knew, was asked in earnest there, and might queue, before any backend server of the old version was asked softly. Ruled out: passing over full canaries while choosing the lane; lanes are drawn evenly by sequence, and the draw must not hang on load. Change: where soft attempts are left and the lane offers none, the request goes on in the old lane; where nobody is there either, it queues at the canary as before. Before: the new test found 10 of 100 requests asked in earnest at the canary. After: 0, and the old version answers all 100. go test -count=3 of pkg/forward: pass.

--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -148,12 +148,18 @@
 		a.lane = traffic.Again(a.lane)
 	}
 	pick, soft = a.pickIn(traffic)
-	if next := traffic.Again(a.lane); pick.Index == choose.None && next != a.lane {
-		// Its lane's backend servers are gone, full or not linked here: a roll-out that
-		// tries a few requests refuses none for it.
-		a.lane = next
-		return a.pickIn(traffic)
+	next := traffic.Again(a.lane)
+	if next == a.lane || pick.Index != choose.None && (soft || a.softLeft == 0) {
+		return pick, soft
 	}
+	// Its lane's backend servers are gone, not linked here, or full by what is known: a
+	// roll-out that tries a few requests refuses none for it, nor lets one queue.
+	first := a.lane
+	a.lane = next
+	if other, otherSoft := a.pickIn(traffic); other.Index != choose.None || pick.Index == choose.None {
+		return other, otherSoft
+	}
+	a.lane = first
 	return pick, soft
 }
 
--- a/pkg/forward/rollout_test.go
+++ b/pkg/forward/rollout_test.go
@@ -140,3 +140,35 @@
 	test.Eq(t, requests-refused, total(first))
 	test.Between(t, requests/10-2, refused, requests/10+2)
 }
+
+// TestACanaryKnownToBeFullIsPassedOver for the old version before anything is queued
+// there, and asked where the old version has nobody.
+func TestACanaryKnownToBeFullIsPassedOver(t *testing.T) {
+	hard := 0
+	old := &fakeRunner{answer: answers(200)}
+	target := &fakeRunner{answer: func(c *wire.Call) (call.Result, bool) {
+		if !c.Routed.Soft {
+			hard++
+		}
+		return refuses(errkind.GateBusier, false)(c)
+	}}
+	full := func() *Forwarder {
+		f := rollingOut(rollout.Canary, old, target)
+		canary := f.view.Service("s").Match("GET", "/").Ready[1]
+		canary.Load.Report(f.Now(), wire.Stamp{Seq: 1, Limit: 8, Running: 8, Queued: 0, Slowdown: 100})
+		return f
+	}
+	f := full()
+	for range 100 {
+		f.Forward(t.Context(), request("/read/1"))
+	}
+	test.Eq(t, 0, hard)
+	test.Eq(t, 100, total(old))
+
+	f = full()
+	f.view.Service("s").Match("GET", "/").Ready[0].Route.SetVersion("v2")
+	for range 100 {
+		f.Forward(t.Context(), request("/read/1"))
+	}
+	test.Positive(t, hard, test.Sprint("nobody else may run those of its lane"))
+}
