A newcomer that spoke before the others were known is found one

Cause: the first look at a backend server admitted it for good. At the first start of all its heartbeat may come before the members of its service, or their versions, are known: a version new to the service then ran requests before its order came. Ruled out: holding each backend server at the first start until members are known; a service whose only daemon it is would be refused for two seconds. Change: within those two seconds a backend server is admitted for good only where the others' versions are known; else it runs, and the next looks decide. The guard names the incarnation that was looked at, as before. Before: TestANewcomerBeforeTheMembersAreKnown failed. After: it passes, and the newcomer is let go after two seconds. go test of pkg/systems, pkg/daemon: pass. Conclusion: at a first start with two versions and no order both wait for up to two seconds from when they were first seen, as newcomers do otherwise.

--- a/pkg/systems/rolloutguard.go
+++ b/pkg/systems/rolloutguard.go
@@ -30,8 +30,10 @@
 	*Env
 	known *rollouts
 	watch *rolloutWatch
-	// admitted is the version that was found to be no newcomer.
+	// admitted is the version that was found to be no newcomer, and passed the one that
+	// runs requests, though others may still show that it is one.
 	admitted instance
+	passed   instance
 	// seen is when each version of the service was first seen, and at the state of the
 	// members seenAt.
 	seen   map[string]int64
@@ -74,7 +76,7 @@
 	if why == "" {
 		why = g.unheard(now, service)
 	}
-	g.enforce(rollout.Guard{Traffic: g.World.Rollouts.Traffic(service), Revision: plan.Revision, Why: why, Instance: g.admitted.name})
+	g.enforce(rollout.Guard{Traffic: g.World.Rollouts.Traffic(service), Revision: plan.Revision, Why: why, Instance: g.passed.name})
 	if g.reportDue.at(now, reportEvery) {
 		g.report(now, service)
 	}
@@ -103,6 +105,7 @@
 	own := instance{name: name, version: g.Backend.Version()}
 	switch {
 	case g.RolloutLimits.StopWithin <= 0 || name != "" && own == g.admitted:
+		g.passed = g.admitted
 		return ""
 	case name == "":
 		return notLookedAt
@@ -115,7 +118,8 @@
 	if first, known := g.seen[own.version]; known && own.version != "" {
 		since = min(since, first)
 	}
-	if now-since < int64(newcomerFor) && !g.isNamed(service, own.version) {
+	early := now-since < int64(newcomerFor) && !g.isNamed(service, own.version)
+	if early {
 		if g.othersLive(service, own.version) {
 			return "its version is new to the service, and its order may be on its way"
 		}
@@ -123,10 +127,26 @@
 			return "no other daemon has told yet which roll-outs there are"
 		}
 	}
-	g.admitted = own
+	g.passed = own
+	if !early || !g.areOthersUnknown(service) {
+		g.admitted = own
+	}
 	return ""
 }
 
+// areOthersUnknown is true while this daemon does not know the versions of the service's
+// other members: it has heard of none, or one of them has not said its version.
+func (g *rolloutGuard) areOthersUnknown(service string) bool {
+	others, unknown := 0, false
+	g.World.Members.Service(service, func(row int) {
+		if m := &g.World.Members.Row[row]; m.VM != g.World.VM {
+			others++
+			unknown = unknown || m.Version == ""
+		}
+	})
+	return others == 0 || unknown
+}
+
 // noteSeen notes which versions the service has.
 func (g *rolloutGuard) noteSeen(now int64, service string) {
 	changes := g.World.Members.ServiceChanges(service)
--- a/pkg/systems/rolloutguard_test.go
+++ b/pkg/systems/rolloutguard_test.go
@@ -32,3 +32,13 @@
 	g.report(2, "s")
 	test.Eq(t, 10, g.watch.reports["vm"].Plan, test.Sprint("one that runs nothing obeys the plan"))
 }
+
+// A first start whose backend server speaks before the members are known.
+func TestANewcomerBeforeTheMembersAreKnown(t *testing.T) {
+	g := guardOf(true, "v2")
+	first := g.newcomer(1, "s")
+	g.World.Members.Merge(2, nil, wire.Member{VM: "a", Service: "s", Version: "v1"})
+	g.known.synced = true
+	test.NotEq(t, "", g.newcomer(3, "s"), test.Sprintf("first look: %q", first))
+	test.Eq(t, "", g.newcomer(1+int64(newcomerFor), "s"), test.Sprint("but for no longer than a newcomer"))
+}
