Roll-outs: what nothing reads is gone

Cause: Limits.Slack, Orders.Same, the parameters of NewBook and Again, and the sums of logarithms in reports (16 bytes a route and report) were read by no code. Ruled out: planning with the slack. It is the reserve for requests that come unevenly (schedule.go); TestTheExposureOfABadVersion keeps it as its bound. TestARecorderCountsFromTheOrderOn checked a zero sum of logarithms; it now checks that failed and cold runs tell no time at all.

--- a/pkg/daemon/bounds.go
+++ b/pkg/daemon/bounds.go
@@ -21,7 +21,8 @@
 	ColdFactor float64
 	ColdSlack  float64
 	// ExposeShare and ExposeSlack bound the requests that a bad version may get while it
-	// is rolled out, and StopWithin the time after which it must get none.
+	// is rolled out: a share, with which roll-outs are planned, and a number besides, which
+	// they leave in reserve. StopWithin is the time after which it must get none.
 	ExposeShare float64
 	ExposeSlack float64
 	StopWithin  time.Duration
@@ -45,7 +46,7 @@
 
 // rollouts are the limits of roll-outs; the zero value: the platform has none.
 func (b Bounds) rollouts() rollout.Limits {
-	return rollout.Limits{Share: b.ExposeShare, Slack: int(b.ExposeSlack), StopWithin: b.StopWithin}
+	return rollout.Limits{Share: b.ExposeShare, StopWithin: b.StopWithin}
 }
 
 const (
--- a/pkg/entry/lane_test.go
+++ b/pkg/entry/lane_test.go
@@ -22,7 +22,7 @@
 	for i, c := range e.view.Service("s").Match("GET", "/a").Ready {
 		c.Route.SetVersion([]string{"v1", "v2"}[i])
 	}
-	book := rollout.NewBook(rollout.Limits{})
+	book := rollout.NewBook()
 	book.Take(rollout.News{Plans: []rollout.Plan{{
 		Service: "s", Target: "v2", Old: []string{"v1"}, Order: 5, Revision: 6, Phase: phase,
 		Canaries: []string{"server-1"}, PerMille: perMille,
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -64,11 +64,11 @@
 func (t *try) pick() choose.Pick {
 	traffic := t.owner.view.Rollout(t.plan.Request.Service)
 	if t.attempts > 0 {
-		t.lane = traffic.Again(t.lane)
+		t.lane = traffic.Again()
 	}
 	t.attempts++
 	pick := t.pickIn(traffic)
-	if next := traffic.Again(t.lane); pick.Index == choose.None && next != t.lane {
+	if next := traffic.Again(); pick.Index == choose.None && next != t.lane {
 		t.lane = next
 		return t.pickIn(traffic)
 	}
--- a/pkg/executor/trial_test.go
+++ b/pkg/executor/trial_test.go
@@ -28,7 +28,7 @@
 
 // trafficIn is the traffic of a roll-out from v1 to v2 in a phase.
 func trafficIn(phase rollout.Phase) *rollout.Traffic {
-	book := rollout.NewBook(rollout.Limits{})
+	book := rollout.NewBook()
 	book.Take(rollout.News{Plans: []rollout.Plan{{Service: "glyphserve", Target: "v2", Old: []string{"v1"}, Order: 5, Revision: 6, Phase: phase}}})
 	return book.Traffic("glyphserve")
 }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -44,7 +44,7 @@
 		return false
 	}
 	traffic := a.owner.view.Rollout(a.service)
-	lane := traffic.Again(a.lane)
+	lane := traffic.Again()
 	for i := range a.set {
 		other := &a.set[i]
 		if other != from && !a.closed.Has(i) && a.mayTake(other) && traffic.Takes(lane, other.Route.Version(), other.Route.VM) && other.Route.Runner() != nil {
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -145,10 +145,10 @@
 	a.renewRules()
 	traffic := a.owner.view.Rollout(a.service)
 	if a.tries > 0 {
-		a.lane = traffic.Again(a.lane)
+		a.lane = traffic.Again()
 	}
 	pick, soft = a.pickIn(traffic)
-	next := traffic.Again(a.lane)
+	next := traffic.Again()
 	if next == a.lane || pick.Index != choose.None && (soft || a.softLeft == 0) {
 		return pick, soft
 	}
--- a/pkg/forward/rollout_test.go
+++ b/pkg/forward/rollout_test.go
@@ -26,7 +26,7 @@
 }
 
 func setPlan(view *tables.View, phase rollout.Phase) {
-	book := rollout.NewBook(rollout.Limits{})
+	book := rollout.NewBook()
 	book.Take(rollout.News{
 		Orders: rollout.Orders{Revision: 5, List: []rollout.Order{{Service: "s", Version: "v2", Revision: 5, Duration: 1}}},
 		Plans: []rollout.Plan{{
@@ -126,7 +126,7 @@
 	for _, service := range []string{"first", "second"} {
 		view.Service(service).Match("GET", "/").Ready[0].Route.SetVersion("v1")
 	}
-	book := rollout.NewBook(rollout.Limits{})
+	book := rollout.NewBook()
 	book.Take(rollout.News{Plans: []rollout.Plan{{Service: "second", Target: "v2", Old: []string{"v1"}, Order: 5, Revision: 6, Phase: rollout.Switching}}})
 	view.SetRollouts(&tables.Rollouts{Traffic: map[string]*rollout.Traffic{"second": book.Traffic("second")}})
 	const requests = 100
--- a/pkg/operators/rollout_test.go
+++ b/pkg/operators/rollout_test.go
@@ -154,7 +154,7 @@
 		"orders unknown": {rollout.News{Plans: []rollout.Plan{plan}}, "canary", "v2", 1, 60_000, false},
 	} {
 		se, _ := newServer(t, "v1", "v2")
-		book := rollout.NewBook(rollout.Limits{})
+		book := rollout.NewBook()
 		book.Take(c.news)
 		w := tables.NewWorld("vm", "here")
 		w.Rollouts = book
--- a/pkg/rollout/book.go
+++ b/pkg/rollout/book.go
@@ -25,7 +25,7 @@
 }
 
 // NewBook makes an empty book.
-func NewBook(Limits) *Book {
+func NewBook() *Book {
 	b := &Book{plans: map[string]Plan{}, stops: map[string]Stop{}, traffic: map[string]*Traffic{}, lone: map[string]string{}}
 	b.seal()
 	return b
--- a/pkg/rollout/book_test.go
+++ b/pkg/rollout/book_test.go
@@ -65,7 +65,7 @@
 func TestBooksThatHeardTheSameHoldTheSame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := storeHistory(t)
-		inOrder, mixed := NewBook(Limits{}), NewBook(Limits{})
+		inOrder, mixed := NewBook(), NewBook()
 		for _, news := range all {
 			inOrder.Take(news)
 		}
@@ -74,7 +74,7 @@
 		ended := map[uint64]Phase{}
 		for i, news := range order {
 			if i == restart {
-				fresh := NewBook(Limits{})
+				fresh := NewBook()
 				fresh.Take(mixed.News())
 				test.Eq(t, mixed.Digest(), fresh.Digest())
 				mixed = fresh
@@ -109,7 +109,7 @@
 // not struck by it.
 func TestAStopHoldsForItsOrder(t *testing.T) {
 	order := orderOf(5, "v2")
-	b := NewBook(Limits{})
+	b := NewBook()
 	test.Eq(t, []string{"desk"}, b.Take(News{Orders: ordersOf(5, order), Plans: []Plan{planOf(order, 6, Canary)}}))
 	test.True(t, b.Traffic("desk").Admits("v2", "vm-1"))
 	b.Take(News{Stops: []Stop{{Service: "desk", Order: 5, Cause: "failures"}}})
@@ -130,7 +130,7 @@
 // TestAStopThatComesBeforeItsOrder holds once the order is heard of.
 func TestAStopThatComesBeforeItsOrder(t *testing.T) {
 	order := orderOf(5, "v2")
-	b := NewBook(Limits{})
+	b := NewBook()
 	b.Take(News{Stops: []Stop{{Service: "desk", Order: 5}}})
 	b.Take(News{Plans: []Plan{planOf(order, 7, Canary)}})
 	test.False(t, b.Traffic("desk").Admits("v2", "vm-1"))
@@ -143,7 +143,7 @@
 		{planOf(order, 8, RolledBack), planOf(order, 12, Canary)},
 		{planOf(order, 12, Canary), planOf(order, 8, RolledBack)},
 	} {
-		b := NewBook(Limits{})
+		b := NewBook()
 		b.Take(News{Plans: plans[:1]})
 		b.Take(News{Plans: plans[1:]})
 		plan, _ := b.Plan("desk")
@@ -159,7 +159,7 @@
 	plan := planOf(order, 6, Canary)
 	unwritten, phase, share, name := plan, plan, plan, plan
 	unwritten.Revision, phase.Phase, share.PerMille, name.Target = 0, RolledBack+1, 1001, long
-	b := NewBook(Limits{})
+	b := NewBook()
 	empty := b.Digest()
 	b.Take(News{
 		Orders: unsorted, Plans: []Plan{unwritten, phase, share, name},
@@ -179,7 +179,7 @@
 // older one says nothing of it.
 func TestNewsOfAnOrderTakenAway(t *testing.T) {
 	order := orderOf(5, "v2")
-	b := NewBook(Limits{})
+	b := NewBook()
 	b.Take(News{Plans: []Plan{planOf(order, 7, Canary)}})
 	test.SliceEmpty(t, b.Take(News{Orders: ordersOf(4)}))
 	test.True(t, b.Traffic("desk").Admits("v2", "vm-1"))
@@ -188,7 +188,7 @@
 }
 
 func BenchmarkNext(b *testing.B) {
-	book := NewBook(Limits{})
+	book := NewBook()
 	order := orderOf(5, "v2")
 	book.Take(News{Orders: ordersOf(5, order), Plans: []Plan{planOf(order, 6, Canary)}})
 	traffic := book.Traffic("desk")
--- a/pkg/rollout/decide.go
+++ b/pkg/rollout/decide.go
@@ -8,10 +8,10 @@
 
 // Limits are what the platform holds a roll-out to, and what settings say.
 type Limits struct {
-	// Share and Slack bound what a bad version may get between order and deadline: a
-	// share of the service's requests, and a number of requests besides.
+	// Share bounds what a bad version may get between order and deadline, as a share of
+	// the service's requests. Platforms allow a number of requests besides; nothing is
+	// planned with it (mostShare).
 	Share float64
-	Slack int
 	// StopWithin is how soon a version must get nothing more after it has shown itself
 	// bad.
 	StopWithin time.Duration
--- a/pkg/rollout/decide_property_test.go
+++ b/pkg/rollout/decide_property_test.go
@@ -229,7 +229,7 @@
 		}
 		test.Eq(t, RolledBack, plan.Phase)
 		test.Positive(t, switched)
-		test.LessEq(t, usualLimits.Share*float64(service.all)+float64(usualLimits.Slack), float64(service.target),
+		test.LessEq(t, usualLimits.Share*float64(service.all)+float64(usualSlack), float64(service.target),
 			test.Sprintf("%d of %d requests", service.target, service.all))
 	})
 }
--- a/pkg/rollout/decide_test.go
+++ b/pkg/rollout/decide_test.go
@@ -10,7 +10,10 @@
 	"github.com/shoenig/test/must"
 )
 
-var usualLimits = Limits{Share: 0.1, Slack: 50, StopWithin: 5 * time.Second}
+// usualSlack is the number of requests that a bad version may get besides the share.
+const usualSlack = 50
+
+var usualLimits = Limits{Share: 0.1, StopWithin: 5 * time.Second}
 
 // fleet is n ready backend servers of a version with twelve slots each.
 func fleet(version string, n int) (out []Server) {
--- a/pkg/rollout/evidence.go
+++ b/pkg/rollout/evidence.go
@@ -47,11 +47,8 @@
 	Route    string
 	Runs     uint32
 	Failures uint32
-	// LogSum and LogSquares are sums over the runs that did not fail and did not begin
-	// cold of the natural logarithm of their time in milliseconds at usual speed, and of its square.
-	LogSum     float64
-	LogSquares float64
-	// Times counts the same runs by that time, in the steps of timeStep. Part of the
+	// Times counts the runs that did not fail and did not begin cold by their time at
+	// usual speed, in the steps of timeStep. Part of the
 	// answers of a version may be slow, which a mean hides.
 	Times []uint32
 }
--- a/pkg/rollout/lone_test.go
+++ b/pkg/rollout/lone_test.go
@@ -10,7 +10,7 @@
 
 // An order for the version that runs already, the only one, must never bar it.
 func TestAnOrderForTheOnlyVersionBarsNothing(t *testing.T) {
-	b := NewBook(Limits{})
+	b := NewBook()
 	b.SetLone("desk", "v1")
 	order := orderOf(5, "v1")
 	b.Take(News{Orders: Orders{Revision: 5, List: []Order{order}}})
@@ -27,7 +27,7 @@
 func TestAShortOrderForTheOnlyVersionBarsNothing(t *testing.T) {
 	order := orderOf(5, "v1")
 	order.Duration = time.Second
-	b := NewBook(Limits{})
+	b := NewBook()
 	b.Take(News{Orders: Orders{Revision: 5, List: []Order{order}}})
 	plan, _ := Decide(100*time.Second, order, Plan{}, Verdict{}, fleet("v1", 3), usualLimits)
 	must.Eq(t, Completed, plan.Phase)
@@ -42,7 +42,7 @@
 // Found bad, the only version that there is: it must go on.
 func TestAStopOfTheOnlyVersionLetsItGoOn(t *testing.T) {
 	order := orderOf(5, "v1")
-	b := NewBook(Limits{})
+	b := NewBook()
 	b.Take(News{Orders: Orders{Revision: 5, List: []Order{order}},
 		Plans: []Plan{{Service: "desk", Target: "v1", Order: 5, Revision: 6, Phase: Switching}}})
 	must.True(t, b.Traffic("desk").Admits("v1", "x"))
@@ -56,7 +56,7 @@
 	servers := with(both(3), "v1", notReady)
 	plan, _ := Decide(300*time.Second, order, at(RolledBack), Verdict{}, servers, usualLimits)
 	plan.Revision = 10
-	b := NewBook(Limits{})
+	b := NewBook()
 	b.Take(News{Orders: Orders{Revision: 9, List: []Order{order}}, Plans: []Plan{plan}})
 	test.True(t, b.Traffic("desk").Admits("v1", "x") || b.Traffic("desk").Admits("v2", "x"), test.Sprintf("phase %s old %v barred %v", plan.Phase, plan.Old, plan.Barred))
 }
@@ -64,7 +64,7 @@
 // All old backend servers are gone while the canary runs: who serves?
 func TestTheCanaryGoesOnWhenTheOldVersionIsGone(t *testing.T) {
 	servers := with(both(3), "v1", lost)
-	b := NewBook(Limits{})
+	b := NewBook()
 	b.SetLone("desk", "v2")
 	p := at(Canary)
 	b.Take(News{Orders: Orders{Revision: 5, List: []Order{orderOf(5, "v2")}}, Plans: []Plan{p}})
@@ -76,7 +76,7 @@
 
 // Versions that a roll-out left behind come back without an order, as the only ones.
 func TestGoingBackWithoutAnOrder(t *testing.T) {
-	b := NewBook(Limits{})
+	b := NewBook()
 	b.Take(News{Orders: Orders{Revision: 9}, Plans: []Plan{at(Completed)}})
 	must.False(t, b.Traffic("desk").Admits("v1", "x"), must.Sprint("beside the new one"))
 	must.True(t, b.SetLone("desk", "v1"))
--- a/pkg/rollout/order.go
+++ b/pkg/rollout/order.go
@@ -68,9 +68,6 @@
 	return o.List[at], true
 }
 
-// Same is true when two sets hold the same orders.
-func (o Orders) Same(other Orders) bool { return slices.Equal(o.List, other.List) }
-
 func (o Orders) find(service string) (at int, found bool) {
 	return slices.BinarySearchFunc(o.List, service, func(have Order, want string) int { return strings.Compare(have.Service, want) })
 }
--- a/pkg/rollout/recorder.go
+++ b/pkg/rollout/recorder.go
@@ -79,12 +79,7 @@
 	return counts
 }
 
-func (c *RouteCounts) addTime(d time.Duration) {
-	log := math.Log(max(float64(d)/float64(time.Millisecond), 1e-3))
-	c.LogSum += log
-	c.LogSquares += log * log
-	c.Times[timeStep(d)]++
-}
+func (c *RouteCounts) addTime(d time.Duration) { c.Times[timeStep(d)]++ }
 
 // Report returns the counts; ok is false while there is no order.
 func (r *Recorder) Report(plan uint64, inFlight int64) (report Report, ok bool) {
--- a/pkg/rollout/recorder_test.go
+++ b/pkg/rollout/recorder_test.go
@@ -25,7 +25,8 @@
 	must.Len(t, 2, got.Routes)
 	a, b := got.Routes[0], got.Routes[1]
 	test.Eq(t, []any{"vm-1", "v2", uint64(7), uint32(1), uint64(9), uint32(3)}, []any{got.VM, got.Version, got.Process, got.Seq, got.Plan, got.InFlight})
-	test.Eq(t, []any{"a", uint32(2), uint32(1), 0.0}, []any{a.Route, a.Runs, a.Failures, a.LogSum})
+	test.Eq(t, []any{"a", uint32(2), uint32(1)}, []any{a.Route, a.Runs, a.Failures})
+	test.Eq(t, make([]uint32, timeSteps), a.Times, test.Sprint("failed and cold runs tell no time"))
 	test.Eq(t, uint32(1), b.Times[timeStep(40*time.Millisecond)])
 	r.Begin(6, "v2")
 	got, _ = r.Report(9, 0)
--- a/pkg/rollout/traffic.go
+++ b/pkg/rollout/traffic.go
@@ -148,8 +148,8 @@
 	return LaneOld
 }
 
-// Again is the lane for a further attempt of a request that had the given one.
-func (t *Traffic) Again(Lane) Lane {
+// Again is the lane for a further attempt of a request, whichever lane it had.
+func (t *Traffic) Again() Lane {
 	if t != nil && t.mode == moved {
 		return LaneTarget
 	}
--- a/pkg/rollout/traffic_test.go
+++ b/pkg/rollout/traffic_test.go
@@ -52,7 +52,7 @@
 		"order after a left canary": {news: after(canary3, order), old: "u", target: "u", admits: "u"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := NewBook(Limits{})
+			b := NewBook()
 			b.Take(c.news)
 			traffic := b.Traffic("desk")
 			who := func(may func(version, vm string) bool) (out string) {
@@ -66,7 +66,7 @@
 			test.Eq(t, c.old, who(func(v, vm string) bool { return traffic.Takes(LaneOld, v, vm) }))
 			test.Eq(t, c.target, who(func(v, vm string) bool { return traffic.Takes(LaneTarget, v, vm) }))
 			test.Eq(t, c.admits, who(traffic.Admits))
-			test.Eq(t, c.again, traffic.Again(LaneTarget))
+			test.Eq(t, c.again, traffic.Again())
 			if traffic == nil || traffic.mode != divided {
 				test.Eq(t, c.next, traffic.Next("r"))
 			}
@@ -115,7 +115,7 @@
 		test.Eq(t, 0, testing.AllocsPerRun(100, func() {
 			lane := traffic.Next("form-load")
 			_ = traffic.Takes(lane, "v2", "vm-1") && traffic.Admits("v1", "vm-2")
-			_ = traffic.Again(lane)
+			_ = traffic.Again()
 		}))
 	}
 }
--- a/pkg/runner/rollout_test.go
+++ b/pkg/runner/rollout_test.go
@@ -14,7 +14,7 @@
 
 // switching is the traffic of a plan that moves all requests to version v2.
 func switching() *rollout.Traffic {
-	book := rollout.NewBook(rollout.Limits{})
+	book := rollout.NewBook()
 	book.Take(rollout.News{Plans: []rollout.Plan{{Service: "s", Target: "v2", Old: []string{"v1"}, Order: 5, Revision: 6, Phase: rollout.Switching}}})
 	return book.Traffic("s")
 }
--- a/pkg/systems/rolloutlinks_test.go
+++ b/pkg/systems/rolloutlinks_test.go
@@ -20,7 +20,7 @@
 	env := testEnv()
 	env.Background = t.Context()
 	env.Rollouts = register
-	env.RolloutLimits = rollout.Limits{Share: 0.1, Slack: 50, StopWithin: 5 * time.Second}
+	env.RolloutLimits = rollout.Limits{Share: 0.1, StopWithin: 5 * time.Second}
 	env.Settings.BackendServer.Service = "s"
 	env.Backend = backend.NewLifecycle(true, nil)
 	env.Backend.Heartbeat(1, backend.Heartbeat{Instance: "i", Sequence: 1, Version: "v1"})
--- a/pkg/tables/world.go
+++ b/pkg/tables/world.go
@@ -60,7 +60,7 @@
 		Heard:      map[string]int64{},
 		Departures: map[string]int64{},
 		Unreached:  map[*Route]struct{}{},
-		Rollouts:   rollout.NewBook(rollout.Limits{}),
+		Rollouts:   rollout.NewBook(),
 		Dirty:      map[string]struct{}{},
 		View:       &View{},
 		Inbox:      NewInbox(),
