A watcher without links ends a trial in time

Cause: with the wait for links, a watcher that is the only daemon left wrote the end of a canary at the deadline, not a second before it, so that the operators' state came late by a write. Ruled out: letting it decide earlier while switching; old backend servers that it does not see may be about to be empty. Change: the end of a trial whose time is over needs no links. Before: TestAWatcherWithoutLinksEndsATrialInTime failed with the case taken out (canary at the deadline); after: rolled back before it. go test of pkg/systems: pass. Conclusion: waiting and trials end in time, whoever is left.

--- a/pkg/systems/rolloutlinks_test.go
+++ b/pkg/systems/rolloutlinks_test.go
@@ -112,3 +112,17 @@
 		test.Eq(t, rollout.Waiting, register.row.Phase)
 	})
 }
+
+// TestAWatcherWithoutLinksEndsATrialInTime: whoever is left, its time is over.
+func TestAWatcherWithoutLinksEndsATrialInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		plan := planOf("s", 8, 12, rollout.Canary)
+		plan.Since, plan.Began, plan.Deadline = time.Hour-time.Second, time.Hour-55*time.Second, time.Hour+5*time.Second
+		register := &fakeRegister{row: plan}
+		env, known, watch := watched(t, register)
+		env.World.Members.Merge(1, nil, wire.Member{VM: "b", Service: "s", Version: "v2", State: wire.MemberLive, Backend: wire.BackendLive, Slots: 12})
+		play(env, known, watch, tables.Mail{Orders: ordersOf(9, orderOf("s", 8))}, 5*time.Second)
+		test.Eq(t, rollout.RolledBack, register.row.Phase)
+		test.Less(t, plan.Deadline, register.row.Since)
+	})
+}
--- a/pkg/systems/rolloutwatch.go
+++ b/pkg/systems/rolloutwatch.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/events"
-	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/utils"
@@ -25,10 +24,6 @@
 	// lostAfter is how long there must have been no link to a daemon for it to count
 	// as lost: longer than a restart takes to open links again.
 	lostAfter = 1500 * time.Millisecond
-	// linksStood is how long a watcher must have had links with others of the service
-	// before it decides: greetings with versions come over all of them within a tenth of
-	// that, and links that were reset stand again.
-	linksStood = time.Second
 )
 
 // rolloutWatch judges the roll-out of this VM's service where this daemon is one of
@@ -205,31 +200,6 @@
 	w.rows.write(next)
 }
 
-// mustWait is true for a decision that only tells that this watcher's own links do not
-// stand, as after a restart or a cut: another watcher sees more, and decides. A finding
-// and an order taken away need no links, nor does the deadline, at which a roll-out must
-// end whoever is left; the first plan of an order and the first canaries do no harm, but
-// where versions are still to come.
-func (w *rolloutWatch) mustWait(now int64, order rollout.Order, plan, next *rollout.Plan, verdict rollout.Verdict) bool {
-	switch {
-	case order.Revision == 0 || verdict.Bad:
-		return false
-	case plan.Phase == rollout.Waiting && next.Phase == rollout.Canary:
-		return false
-	case order.Revision > plan.Order:
-		return len(next.Old) == 0 && w.areVersionsUnknown() && now-w.begunAt < int64(linksStood)
-	}
-	return now-w.blindAt < int64(linksStood) && w.rows.storeNow(now) < plan.Deadline
-}
-
-// areVersionsUnknown is true where a member of the service has not said its version.
-func (w *rolloutWatch) areVersionsUnknown() (unknown bool) {
-	w.World.Members.Service(w.Settings.BackendServer.Service, func(row int) {
-		unknown = unknown || w.World.Members.Row[row].Version == ""
-	})
-	return unknown
-}
-
 // servers is what is known of the service's backend servers.
 func (w *rolloutWatch) servers(now int64, service string, plan rollout.Plan) []rollout.Server {
 	evacuated := w.World.View.Evacuation()
@@ -257,26 +227,6 @@
 	return out
 }
 
-// noteLinks notes which daemons have a link with this one.
-func (w *rolloutWatch) noteLinks(now int64) {
-	w.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) {
-		w.linkedAt[peer.Hello.VM], w.wasLinked[peer.Hello.VM] = now, true
-	})
-	others, linked := false, false
-	w.World.Members.Service(w.Settings.BackendServer.Service, func(row int) {
-		vm := w.World.Members.Row[row].VM
-		others = others || vm != w.World.VM
-		linked = linked || vm != w.World.VM && w.wasLinked[vm] && w.linkedAt[vm] == now
-		if _, known := w.linkedAt[vm]; !known {
-			// It has the same time to open a link as one that had one.
-			w.linkedAt[vm] = now - 1
-		}
-	})
-	if others && !linked {
-		w.blindAt = now
-	}
-}
-
 func (w *rolloutWatch) logDecision(next rollout.Plan, verdict rollout.Verdict, servers []rollout.Server) {
 	ready, empty, lost, targets := 0, 0, 0, 0
 	for _, s := range servers {
