--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -145,10 +145,10 @@
 	a.renewRules()
 	traffic := a.owner.view.Rollout(a.service)
 	if a.tries > 0 {
-		a.lane = traffic.Again(a.lane)
+		a.lane = traffic.Again()
 	}
 	pick, soft = a.pickIn(traffic)
-	next := traffic.Again(a.lane)
+	next := traffic.Again()
 	if next == a.lane || pick.Index != choose.None && (soft || a.softLeft == 0) {
 		return pick, soft
 	}
@@ -201,7 +201,8 @@
 // region: it costs less, and the request is expected to end in time all the same, with
 // the spread that gates allow for. The price of a crossing makes no request late.
 func waitsNearer(crosses, waits *choose.RoutedPick, within time.Duration) bool {
-	return waits.Index != choose.None && waits.Cost < crosses.Cost && gate.SpreadFactor*waits.Expected <= float64(within)
+	nearer := waits.Index != choose.None && waits.Place < crosses.Place
+	return nearer && waits.Cost < crosses.Cost && gate.SpreadFactor*waits.Expected <= float64(within)
 }
 
 // within is the time in which the request must end to be worth its run: its
--- a/pkg/forward/rollout_test.go
+++ b/pkg/forward/rollout_test.go
@@ -26,7 +26,7 @@
 }
 
 func setPlan(view *tables.View, phase rollout.Phase) {
-	book := rollout.NewBook(rollout.Limits{})
+	book := rollout.NewBook()
 	book.Take(rollout.News{
 		Orders: rollout.Orders{Revision: 5, List: []rollout.Order{{Service: "s", Version: "v2", Revision: 5, Duration: 1}}},
 		Plans: []rollout.Plan{{
@@ -126,7 +126,7 @@
 	for _, service := range []string{"first", "second"} {
 		view.Service(service).Match("GET", "/").Ready[0].Route.SetVersion("v1")
 	}
-	book := rollout.NewBook(rollout.Limits{})
+	book := rollout.NewBook()
 	book.Take(rollout.News{Plans: []rollout.Plan{{Service: "second", Target: "v2", Old: []string{"v1"}, Order: 5, Revision: 6, Phase: rollout.Switching}}})
 	view.SetRollouts(&tables.Rollouts{Traffic: map[string]*rollout.Traffic{"second": book.Traffic("second")}})
 	const requests = 100
@@ -140,3 +140,35 @@
 	test.Eq(t, requests-refused, total(first))
 	test.Between(t, requests/10-2, refused, requests/10+2)
 }
+
+// TestACanaryKnownToBeFullIsPassedOver for the old version before anything is queued
+// there, and asked where the old version has nobody.
+func TestACanaryKnownToBeFullIsPassedOver(t *testing.T) {
+	hard := 0
+	old := &fakeRunner{answer: answers(200)}
+	target := &fakeRunner{answer: func(c *wire.Call) (call.Result, bool) {
+		if !c.Routed.Soft {
+			hard++
+		}
+		return refuses(errkind.GateBusier, false)(c)
+	}}
+	full := func() *Forwarder {
+		f := rollingOut(rollout.Canary, old, target)
+		canary := f.view.Service("s").Match("GET", "/").Ready[1]
+		canary.Load.Report(f.Now(), wire.Stamp{Seq: 1, Limit: 8, Running: 8, Queued: 0, Slowdown: 100})
+		return f
+	}
+	f := full()
+	for range 100 {
+		f.Forward(t.Context(), request("/read/1"))
+	}
+	test.Eq(t, 0, hard)
+	test.Eq(t, 100, total(old))
+
+	f = full()
+	f.view.Service("s").Match("GET", "/").Ready[0].Route.SetVersion("v2")
+	for range 100 {
+		f.Forward(t.Context(), request("/read/1"))
+	}
+	test.Positive(t, hard, test.Sprint("nobody else may run those of its lane"))
+}
--- a/pkg/systems/rolloutwatch.go
+++ b/pkg/systems/rolloutwatch.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/events"
-	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/utils"
@@ -41,6 +40,13 @@
 	reports map[string]rollout.Report
 	// linkedAt is when there last was a link to a VM of the service.
 	linkedAt map[string]int64
+	// wasLinked are the VMs that there ever was a link to.
+	wasLinked map[string]bool
+	// blindAt is when there last was no link to another VM of the service, while there
+	// are others.
+	blindAt int64
+	// begunAt is when order began here.
+	begunAt int64
 	// busy is how many requests were in flight at each VM of late.
 	busy     map[string]busy
 	judgeDue due
@@ -52,7 +58,7 @@
 func newRolloutWatch(env *Env, known *rollouts) *rolloutWatch {
 	return &rolloutWatch{
 		Env: env, known: known, rows: newPlanRows(env), rank: -1,
-		reports: map[string]rollout.Report{}, linkedAt: map[string]int64{}, busy: map[string]busy{},
+		reports: map[string]rollout.Report{}, linkedAt: map[string]int64{}, wasLinked: map[string]bool{}, busy: map[string]busy{},
 	}
 }
 
@@ -81,7 +87,7 @@
 	if w.rank < 0 {
 		return
 	}
-	w.begin(order)
+	w.begin(now, order, plan)
 	w.noteLinks(now)
 	w.decide(now, service, order, plan, w.verdict(now, service, order))
 }
@@ -127,12 +133,16 @@
 
 // begin begins anew for another order. What was reported of it before this daemon was
 // a watcher is lost, but counts are sums since the order.
-func (w *rolloutWatch) begin(order rollout.Order) {
+func (w *rolloutWatch) begin(now int64, order rollout.Order, plan rollout.Plan) {
 	if w.judge != nil && w.order == order.Revision {
 		return
 	}
 	w.order, w.judge = order.Revision, rollout.NewJudge(order)
-	w.dueSince = 0
+	w.dueSince, w.begunAt = 0, now
+	if plan.Order == order.Revision {
+		// It goes on from where others are: what it does not see yet may stand.
+		w.blindAt = now
+	}
 	clear(w.reports)
 	clear(w.busy)
 	w.rows.forget()
@@ -155,32 +165,6 @@
 	w.judge.Take(now, r)
 }
 
-// busyKeeps is how long the most requests in flight that a backend server has told of
-// count: each second of a service with few requests has its peaks.
-const busyKeeps = 5 * time.Second
-
-// busy is the most requests in flight at a backend server of late, in two windows.
-type busy struct {
-	since        int64
-	now, earlier int
-}
-
-func (b busy) with(now int64, inFlight int) busy {
-	if now-b.since > int64(busyKeeps) {
-		b.since, b.earlier, b.now = now, b.now, 0
-	}
-	b.now = max(b.now, inFlight)
-	return b
-}
-
-// most is 0 where nothing was told of late.
-func (b busy) most(now int64) int {
-	if now-b.since > int64(2*busyKeeps) {
-		return 0
-	}
-	return max(b.now, b.earlier)
-}
-
 // verdict is what the evidence says, or the stop that another one has told. One of its
 // own goes to all daemons at once: it needs no store.
 func (w *rolloutWatch) verdict(now int64, service string, order rollout.Order) rollout.Verdict {
@@ -201,7 +185,7 @@
 	}
 	servers := w.servers(now, service, plan)
 	next, changed := rollout.Decide(w.rows.storeNow(now), order, plan, verdict, servers, w.RolloutLimits)
-	if !changed {
+	if !changed || w.mustWait(now, order, &plan, &next, verdict) {
 		w.dueSince = 0
 		return
 	}
@@ -211,7 +195,7 @@
 	if now-w.dueSince < int64(w.rank)*int64(rankStep) {
 		return
 	}
-	next.Revision = plan.Revision
+	next.Revision = w.rows.condition(plan)
 	w.logDecision(next, verdict, servers)
 	w.rows.write(next)
 }
@@ -222,16 +206,17 @@
 	var out []rollout.Server
 	w.World.Members.Service(service, func(row int) {
 		m := &w.World.Members.Row[row]
-		if m.Version == "" {
-			// Its executor runs nothing until it has said its version.
+		if m.Version == "" && m.Backend != wire.BackendLive {
 			return
 		}
 		at, everLinked := w.linkedAt[m.VM]
 		linked := everLinked && at == now || m.VM == w.World.VM
+		// A link that was reset stands again within the time that one has for it.
+		reached := linked || w.wasLinked[m.VM] && now-at <= int64(lostAfter)
 		report, reported := w.reports[m.VM]
 		out = append(out, rollout.Server{
 			VM: m.VM, Version: m.Version, Slots: int(m.Slots),
-			Ready: m.State == wire.MemberLive && m.Backend == wire.BackendLive && linked && !evacuated.Has(m.DataCentre),
+			Ready: m.State == wire.MemberLive && m.Backend == wire.BackendLive && reached && !evacuated.Has(m.DataCentre),
 			Empty: reported && linked && plan.Revision > 0 && report.Plan == plan.Revision && report.InFlight == 0,
 			Lost:  !linked && now-at > int64(lostAfter),
 			Busy:  w.busy[m.VM].most(now),
@@ -242,18 +227,6 @@
 	return out
 }
 
-// noteLinks notes which daemons have a link with this one.
-func (w *rolloutWatch) noteLinks(now int64) {
-	w.World.Peers.Rows(func(peer *link.Peer, _ *tables.PeerRow) { w.linkedAt[peer.Hello.VM] = now })
-	w.World.Members.Service(w.Settings.BackendServer.Service, func(row int) {
-		vm := w.World.Members.Row[row].VM
-		if _, known := w.linkedAt[vm]; !known {
-			// It has the same time to open a link as one that had one.
-			w.linkedAt[vm] = now - 1
-		}
-	})
-}
-
 func (w *rolloutWatch) logDecision(next rollout.Plan, verdict rollout.Verdict, servers []rollout.Server) {
 	ready, empty, lost, targets := 0, 0, 0, 0
 	for _, s := range servers {
