--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -148,18 +148,12 @@
 		a.lane = traffic.Again(a.lane)
 	}
 	pick, soft = a.pickIn(traffic)
-	next := traffic.Again(a.lane)
-	if next == a.lane || pick.Index != choose.None && (soft || a.softLeft == 0) {
-		return pick, soft
+	if next := traffic.Again(a.lane); pick.Index == choose.None && next != a.lane {
+		// Its lane's backend servers are gone, full or not linked here: a roll-out that
+		// tries a few requests refuses none for it.
+		a.lane = next
+		return a.pickIn(traffic)
 	}
-	// Its lane's backend servers are gone, not linked here, or full by what is known: a
-	// roll-out that tries a few requests refuses none for it, nor lets one queue.
-	first := a.lane
-	a.lane = next
-	if other, otherSoft := a.pickIn(traffic); other.Index != choose.None || pick.Index == choose.None {
-		return other, otherSoft
-	}
-	a.lane = first
 	return pick, soft
 }
 
@@ -201,7 +195,7 @@
 // region: it costs less, and the request is expected to end in time all the same, with
 // the spread that gates allow for. The price of a crossing makes no request late.
 func waitsNearer(crosses, waits *choose.RoutedPick, within time.Duration) bool {
-	return waits.Index != choose.None && waits.Cost < crosses.Cost && gate.SpreadFactor*waits.Expected <= float64(within)
+	return waits.Index != choose.None && waits.Place < crosses.Place && waits.Cost < crosses.Cost && gate.SpreadFactor*waits.Expected <= float64(within)
 }
 
 // within is the time in which the request must end to be worth its run: its
