Framing's fuzz target: long inputs are cut, none is passed over

Cause: inputs over 8 KB were skipped, so that nothing was held of them. Change: their first 8 KB are played, as those of shorter ones. Measured: go test of pkg/ingress passes with the committed corpus; a minute of fuzzing was not run.

--- a/pkg/ingress/framing_test.go
+++ b/pkg/ingress/framing_test.go
@@ -138,9 +138,7 @@
 		f.Add([]byte(text), []byte{0, 1, 70, 0, 2, 69, 71, 3})
 	}
 	f.Fuzz(func(t *testing.T, data, cuts []byte) {
-		if len(data) > 8<<10 {
-			t.Skip()
-		}
+		data = data[:min(len(data), 8<<10)]
 		want := play(t, split(data, nil), serveStandard)
 		got := play(t, split(data, cuts), servePipelined)
 		test.Eq(t, want.calls, got.calls)
