Choice: a small request that crosses is not chosen for twice

Cause: a request of up to the mean size takes a free gate of another region at once, and a second choice among all candidates was made and thrown away before it did. Change: the second choice is made for large requests only; what is decided is the same. Measured: the tests of pkg/forward pass unchanged (go test); no play was made of it.

--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -180,11 +180,15 @@
 			return pick, true
 		}
 	}
+	crosses := req.Soft && pick.Index != choose.None
+	if crosses && !a.isLarge() {
+		return pick, true
+	}
 	earnest := req
 	earnest.Soft = false
 	earnest.Excluded = a.closed
 	waits := choose.PickRouted(&earnest, a.owner.random)
-	if req.Soft && pick.Index != choose.None && !(a.isLarge() && waitsNearer(&pick, &waits, req.Within)) {
+	if crosses && !waitsNearer(&pick, &waits, req.Within) {
 		return pick, true
 	}
 	return waits, false
