Sight: which requests ran when a backend server's process ended

Cause: the lines of a run name the caller's id alone, which is new with each try, so that logs can't tell whether two backend servers ended under the same content. Ruled out: naming paths in logs (they may hold what callers keep to themselves). Change: a fingerprint of method, host, target, caller and body; runs that broke off while nobody listens and no other run goes on are told as one end of the process (event 517, rushramp_backend_crashes_total); events 504 and 507 of failed requests name the fingerprint.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -68,6 +68,7 @@
 	ChecksResumed      ID = 514
 	LimitChanged       ID = 515
 	BackendCold        ID = 516
+	BackendEnded       ID = 517
 	ClaimLost          ID = 601
 	ClaimVoided        ID = 602
 	ClaimUnknown       ID = 603
@@ -149,6 +150,7 @@
 		{ChecksResumed, Info, "health path answers again", false, "A check succeeded after event 513.", "Nothing."},
 		{LimitChanged, Info, "number of runs at once changed", false, "The gate has learnt from runs above which number work slows, or that it does not.", "Nothing."},
 		{BackendCold, Info, "backend server became cold, or is warm again", false, "It has started or come back; while it is cold, no more than most_starts requests start there in a second (0: any number).", "Nothing; requests that cannot start in time go elsewhere, or are refused."},
+		{BackendEnded, Warn, "backend server's process ended under requests", false, "Its connections broke while it ran requests, and it refuses new ones; contents names each request that ran, with the fingerprint of its content.", "Look at the backend server's own log. A content that stands in several such lines ends each backend server that runs it: find its request by the id in event 504."},
 		{ClaimLost, Info, "claim taken by another executor", false, "Two executors tried the same never-repeat call; only one may run it.", "Nothing."},
 		{ClaimVoided, Info, "abandoned claim voided", false, "This executor held a claim that it had not handed over.", "Nothing."},
 		{ClaimUnknown, Warn, "claim outcome unknown", false, "The store answered neither the write nor the read-back in time; the call was not run.", "Look at the platform's table service."},
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/utils"
@@ -39,6 +40,11 @@
 	Waited time.Duration
 }
 
+// fingerprint stands for the request's content.
+func (r *Request) fingerprint() quarantine.Fingerprint {
+	return wire.FingerprintOf(r.Method, r.Host, r.URI, r.Headers, r.Body)
+}
+
 // Matched is the route of a request under the placement that was in force when
 // it was looked for.
 type Matched struct {
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -128,6 +128,9 @@
 			events.F("tries", a.tries), events.F("offered", a.offered), events.F("stopped", a.stopped), events.F("attempts", a.trailText()))
 	}
 	fields = append(fields, endFields(result)...)
+	if a != nil && result.Refusal != nil {
+		fields = append(fields, events.F("content", req.fingerprint()))
+	}
 	f.Log.Event(id, fields...)
 }
 
--- a/pkg/runner/log.go
+++ b/pkg/runner/log.go
@@ -30,6 +30,9 @@
 	}
 	if refusal := result.Refusal; refusal != nil {
 		fields = append(fields, events.F("outcome", refusal.Kind), events.F("ran", refusal.Ran), events.F("detail", refusal.Detail))
+		if result.Offered {
+			fields = append(fields, events.F("content", c.Fingerprint(run.body)))
+		}
 	}
 	if answer := result.Answer; answer != nil {
 		fields = append(fields, events.F("outcome", "answered"), events.F("status", answer.Status),
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -120,6 +120,7 @@
 	}
 	ended := r.countRun(run.call.Claim.Generation > 0)
 	reply := r.transport.Do(ctx, run.request(instance))
+	r.crashes.endedUnder(run, &reply)
 	ended()
 	r.note(&reply)
 	took := time.Duration(r.Now() - began)
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -62,6 +62,7 @@
 	// slowed is true while the backend server is too slow for soft attempts.
 	slowed   atomic.Bool
 	inFlight atomic.Int64
+	crashes  crashes
 	// running counts the runs at the backend server, repeating those of them that
 	// repeat a run elsewhere.
 	running, repeating atomic.Int64
@@ -127,6 +128,7 @@
 		}),
 	}
 	r.counters = newCounters(r)
+	r.crashes.owner = r
 	return r, nil
 }
 
