--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -328,6 +328,16 @@
 	})
 }
 
+// Ended notes that the process of an incarnation has ended: it is down until something
+// shows itself at the address.
+func (l *Lifecycle) Ended(instance string) {
+	l.change(func() {
+		if l.instance == instance && l.state == Live {
+			l.state = Down
+		}
+	})
+}
+
 // Unreachable notes a refused connection.
 func (l *Lifecycle) Unreachable() {
 	l.change(func() {
--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -11,6 +11,7 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/measure"
 	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/traffic"
 )
@@ -25,6 +26,8 @@
 	Traffic *traffic.Account
 	// Bodies bounds what bodies of requests hold.
 	Bodies *bodies.Budget
+	// Quarantine remembers which requests ended backend servers.
+	Quarantine *quarantine.Table
 	// start makes Now a steady clock: wall time may jump, this may not.
 	start time.Time
 }
@@ -38,6 +41,8 @@
 		Traffic: traffic.NewAccount(set),
 		Bodies:  bodies.NewBudget(s.Limits.BodiesBytes, set),
 		start:   time.Now(),
+
+		Quarantine: quarantine.NewTable(),
 	}
 }
 
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -48,6 +48,7 @@
 	// Kinds are told between releases by their number: a new one comes last.
 	DataCentreEvacuated
 	VersionHeld
+	RequestHeld
 	kindCount
 )
 
@@ -127,6 +128,7 @@
 	HeaderTooLarge:       {Name: "header_too_large", Status: 431, Advice: "Send a smaller head."},
 	DataCentreEvacuated:  {Name: "data_centre_evacuated", Status: 503, Elsewhere: true, RetryAfterMS: 500, Advice: "Operators have evacuated the data centre of the chosen backend server; try again, or ask the operators to take it back."},
 	VersionHeld:          {Name: "version_held", Status: 503, Elsewhere: true, RetryAfterMS: 100, Advice: "A roll-out lets no request run at this version of the service now; try again."},
+	RequestHeld:          {Name: "request_held", Status: 503, RetryAfterMS: 60000, Advice: "Each backend server that ran a request of this content ended; it is held back. Do not send it again before the stated time, and tell the operators its id."},
 	Internal:             {Name: "internal", Status: 500, Ran: RanMaybe, Advice: "A fault in rushramp; report it with the daemon's log."},
 }
 
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -29,68 +29,71 @@
 // 4xx members, 5xx calls, 6xx never-repeat calls, 7xx platform and, from 760
 // on, requests behind one another on a connection.
 const (
-	DaemonStarted      ID = 101
-	DaemonReady        ID = 102
-	DaemonDraining     ID = 103
-	DaemonStopped      ID = 104
-	ListenerFailed     ID = 105
-	SettingsRead       ID = 106
-	SettingsRefused    ID = 107
-	LinesLeftOut       ID = 108
-	LinkUp             ID = 201
-	LinkDown           ID = 202
-	LinkBadFrame       ID = 203
-	LinkRefused        ID = 204
-	LinkSurplus        ID = 205
-	LinkTraffic        ID = 206
-	PlacementInForce   ID = 301
-	PlacementRejected  ID = 302
-	PlacementChanged   ID = 303
-	PlacementUnsure    ID = 304
-	EvacuationChanged  ID = 305
-	EvacuationOrdered  ID = 306
-	MemberJoined       ID = 401
-	MemberLeaving      ID = 402
-	MemberGone         ID = 403
-	CallFault          ID = 501
-	BackendDown        ID = 502
-	BackendUp          ID = 503
-	RequestFailed      ID = 504
-	BackendState       ID = 505
-	RequestAnswered    ID = 506
-	RunEnded           ID = 507
-	RunRefused         ID = 508
-	RunAbandoned       ID = 509
-	SpeedChanged       ID = 510
-	SlotsChanged       ID = 511
-	RetryBudgetEmpty   ID = 512
-	ChecksPaused       ID = 513
-	ChecksResumed      ID = 514
-	LimitChanged       ID = 515
-	BackendCold        ID = 516
-	BackendEnded       ID = 517
-	ClaimLost          ID = 601
-	ClaimVoided        ID = 602
-	ClaimUnknown       ID = 603
-	PlatformDown       ID = 701
-	PlatformUp         ID = 702
-	FeedReopened       ID = 703
-	FeedBehind         ID = 704
-	DocumentRefused    ID = 705
-	DepartureNotKept   ID = 706
-	StoreCalls         ID = 707
-	DeparturesNotSwept ID = 708
-	PipelineCut        ID = 760
-	PipelineFault      ID = 761
-	RolloutRefused     ID = 780
-	RolloutOrdered     ID = 781
-	RolloutPhase       ID = 782
-	RolloutStopped     ID = 783
-	RolloutRowFailed   ID = 784
-	RolloutGuard       ID = 785
-	RolloutWatch       ID = 786
-	RolloutDecided     ID = 787
-	RolloutAsked       ID = 774
+	DaemonStarted     ID = 101
+	DaemonReady       ID = 102
+	DaemonDraining    ID = 103
+	DaemonStopped     ID = 104
+	ListenerFailed    ID = 105
+	SettingsRead      ID = 106
+	SettingsRefused   ID = 107
+	LinesLeftOut      ID = 108
+	LinkUp            ID = 201
+	LinkDown          ID = 202
+	LinkBadFrame      ID = 203
+	LinkRefused       ID = 204
+	LinkSurplus       ID = 205
+	LinkTraffic       ID = 206
+	PlacementInForce  ID = 301
+	PlacementRejected ID = 302
+	PlacementChanged  ID = 303
+	PlacementUnsure   ID = 304
+	EvacuationChanged ID = 305
+	EvacuationOrdered ID = 306
+	MemberJoined      ID = 401
+	MemberLeaving     ID = 402
+	MemberGone        ID = 403
+	CallFault         ID = 501
+	BackendDown       ID = 502
+	BackendUp         ID = 503
+	RequestFailed     ID = 504
+	BackendState      ID = 505
+	RequestAnswered   ID = 506
+	RunEnded          ID = 507
+	RunRefused        ID = 508
+	RunAbandoned      ID = 509
+	SpeedChanged      ID = 510
+	SlotsChanged      ID = 511
+	RetryBudgetEmpty  ID = 512
+	ChecksPaused      ID = 513
+	ChecksResumed     ID = 514
+	LimitChanged      ID = 515
+	BackendCold       ID = 516
+	BackendEnded      ID = 517
+	ContentHeld       ID = 518
+	ContentFreed      ID = 519
+	ClaimLost         ID = 601
+	ClaimVoided       ID = 602
+	ClaimUnknown      ID = 603
+	PlatformDown      ID = 701
+	PlatformUp        ID = 702
+	FeedReopened      ID = 703
+	FeedBehind        ID = 704
+	DocumentRefused   ID = 705
+	DepartureNotKept  ID = 706
+	StoreCalls        ID = 707
+	RowsNotSwept      ID = 708
+	HeldNotKept       ID = 709
+	PipelineCut       ID = 760
+	PipelineFault     ID = 761
+	RolloutRefused    ID = 780
+	RolloutOrdered    ID = 781
+	RolloutPhase      ID = 782
+	RolloutStopped    ID = 783
+	RolloutRowFailed  ID = 784
+	RolloutGuard      ID = 785
+	RolloutWatch      ID = 786
+	RolloutDecided    ID = 787
+	RolloutAsked      ID = 774
 )
 
 // Entry is the catalogue's row of one event.
@@ -151,6 +154,8 @@
 		{LimitChanged, Info, "number of runs at once changed", false, "The gate has learnt from runs above which number work slows, or that it does not.", "Nothing."},
 		{BackendCold, Info, "backend server became cold, or is warm again", false, "It has started or come back; while it is cold, no more than most_starts requests start there in a second (0: any number).", "Nothing; requests that cannot start in time go elsewhere, or are refused."},
 		{BackendEnded, Warn, "backend server's process ended under requests", false, "Its connections broke while it ran requests, and it refuses new ones; contents names each request that ran, with the fingerprint of its content.", "Look at the backend server's own log. A content that stands in several such lines ends each backend server that runs it: find its request by the id in event 504."},
+		{ContentHeld, Warn, "requests of one content are held back", false, "Each backend server that ran a request of this content ended, and none has run one to its end since.", "Find such a request by the content in events 517 and 504, and mend what ends the backend server; the content may run again when left is over."},
+		{ContentFreed, Info, "requests of one content run again", false, "The time is over, or a backend server has run one to its end; why says which.", "Nothing."},
 		{ClaimLost, Info, "claim taken by another executor", false, "Two executors tried the same never-repeat call; only one may run it.", "Nothing."},
 		{ClaimVoided, Info, "abandoned claim voided", false, "This executor held a claim that it had not handed over.", "Nothing."},
 		{ClaimUnknown, Warn, "claim outcome unknown", false, "The store answered neither the write nor the read-back in time; the call was not run.", "Look at the platform's table service."},
@@ -161,7 +166,8 @@
 		{DocumentRefused, Error, "placement document refused", false, "The row in the store cannot be read; the version in force stays.", "Correct the document and write it again."},
 		{DepartureNotKept, Warn, "departure was not written to the store", false, "The store did not answer in time; peers were told.", "Look at the platform's store."},
 		{StoreCalls, Info, "calls to the platform's store", true, "Each ten seconds in which there were any: calls since the last such line, by purpose and result.", "Nothing; many while the store answers mean that links are few or end often."},
-		{DeparturesNotSwept, Warn, "old departures were not deleted in the store", false, "The store did not answer in time, or refused.", "Nothing once: the next sweep makes up for it. If it repeats, look at the platform's store: the table departure grows."},
+		{RowsNotSwept, Warn, "old rows were not deleted in the store", false, "The store did not answer in time, or refused; rows names which.", "Nothing once: the next sweep makes up for it. If it repeats, look at the platform's store: the table named there grows."},
+		{HeldNotKept, Warn, "held request was not written to the store", false, "The store did not answer in time, or a row there cannot be read; peers were told.", "Nothing once: it is written again. If it repeats, look at the platform's store: daemons that all restart at once would let the content run again."},
 		{PipelineCut, Info, "connection ended with requests behind one another", true, "A caller's connection ended while requests of it were unanswered, or bytes behind them unread: the caller left, could not be written to, or the connection was ended with the answers before.", "Nothing; many mean that callers leave early, or send requests to a daemon that is leaving."},
 		{PipelineFault, Error, "fault while handling a request beside others", false, "A fault in rushramp; the connection was closed without an answer.", "Report it with this line."},
 		{RolloutRefused, Error, "orders of roll-outs refused", false, "An order in the store cannot be read, or there are more orders than a daemon keeps (field orders); what was known before stays.", "Correct the order as the line says and write it again; take orders of roll-outs away that have ended."},
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -9,6 +9,7 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/gate"
 	"github.com/rushramp/rushramp/pkg/place"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -53,6 +54,9 @@
 	// tries counts all attempts, offered those that reached a backend server.
 	tries   int
 	offered int
+	// content is the request's, once it is fingerprinted.
+	content       quarantine.Fingerprint
+	fingerprinted bool
 	// trail holds the attempts for the log.
 	trail []attemptNote
 	// stopped is why no further attempt was made, for the log.
@@ -73,6 +77,10 @@
 			// A process that stood still may learn of both at once.
 			return a.conclude(call.Refused(errkind.CallerGone, "the caller left before the request was sent"))
 		}
+		if refusal := a.heldBack(); refusal != nil {
+			a.stopped = stoppedByQuarantine
+			return a.conclude(*refusal)
+		}
 		pick, soft := a.pick()
 		if pick.Refusing > 0 {
 			last = call.Refused(errkind.Overloaded, "%d gates have just shown that they would refuse it", pick.Refusing)
@@ -269,6 +277,8 @@
 	stoppedByTime     = "time_used"
 	stoppedByBudget   = "retry_budget_empty"
 	stoppedByChoice   = "nobody_left"
+
+	stoppedByQuarantine = "content_held_back"
 )
 
 // whyNotAgain decides whether a request that reached a backend server and did
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -39,6 +39,8 @@
 
 func (q *quietControl) RolloutNews(*Peer, *wire.RolloutNews) {}
 
+func (q *quietControl) Quarantine(*Peer, *wire.Quarantine) {}
+
 func (q *quietControl) RolloutReport(*Peer, *wire.RolloutReport) {}
 func (q *quietControl) Update(*Peer, *wire.Update)               {}
 
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -31,6 +31,8 @@
 	// has seen under one.
 	RolloutNews(peer *Peer, news *wire.RolloutNews)
 	RolloutReport(peer *Peer, report *wire.RolloutReport)
+	// Quarantine takes what a peer knows of requests that end backend servers.
+	Quarantine(peer *Peer, said *wire.Quarantine)
 }
 
 // Peer is the daemon at the other end of a link.
@@ -80,6 +82,8 @@
 		c.RolloutNews(p, f)
 	case *wire.RolloutReport:
 		c.RolloutReport(p, f)
+	case *wire.Quarantine:
+		c.Quarantine(p, f)
 	default:
 		return false
 	}
--- a/pkg/runner/accepting.go
+++ b/pkg/runner/accepting.go
@@ -32,8 +32,24 @@
 	return instance, nil
 }
 
+// heldBack refuses a request whose content ends the backend servers that run it: the
+// entry may not have heard of it yet.
+func (r *Runner) heldBack(c *wire.Call, body []byte) *errkind.Error {
+	if !r.Quarantine.AnySuspects() {
+		return nil
+	}
+	if _, held := r.Quarantine.Held(r.Now(), c.Fingerprint(body)); !held {
+		return nil
+	}
+	return r.heldRefusal(c, body)
+}
+
+func (r *Runner) heldRefusal(c *wire.Call, body []byte) *errkind.Error {
+	return errkind.New(errkind.RequestHeld, "requests of content %s end the backend servers that run them", c.Fingerprint(body))
+}
+
 // check refuses what this runner must not take, whatever the entry believed.
-func (r *Runner) check(c *wire.Call) *errkind.Error {
+func (r *Runner) check(c *wire.Call, body []byte) *errkind.Error {
 	if r.leaving.Load() {
 		return errkind.New(errkind.Leaving, "the daemon is leaving")
 	}
@@ -46,6 +62,9 @@
 	if refusal := r.misplaced(c); refusal != nil {
 		return refusal
 	}
+	if refusal := r.heldBack(c, body); refusal != nil {
+		return refusal
+	}
 	_, refusal := r.accepting()
 	return refusal
 }
--- a/pkg/runner/crash.go
+++ b/pkg/runner/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 )
 
 const (
@@ -65,11 +67,26 @@
 	c.broken, c.look = nil, nil
 	c.mu.Unlock()
 	if look.ended {
-		c.log(runs)
+		c.tell(runs)
 	}
 	close(look.done)
 }
 
+// tell lets all daemons know what ran, before the runs' ends are told: their entries may
+// send them to other backend servers.
+func (c *crashes) tell(runs []*routedRun) {
+	r := c.owner
+	contents := make([]quarantine.Fingerprint, 0, len(runs))
+	for _, run := range runs {
+		contents = append(contents, run.call.Fingerprint(run.body))
+	}
+	r.crashed.Inc()
+	r.Quarantine.Crashed(r.Now(), rand.Uint64(), contents)
+	c.log(runs, contents)
+	instance, _ := r.lifecycle.Current()
+	r.lifecycle.Ended(instance)
+}
+
 // processEnded asks the address, and then waits for the other runs. One that said that
 // it leaves has ended as planned.
 func (c *crashes) processEnded() bool {
@@ -92,19 +109,18 @@
 func (c *crashes) allBroke() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return int64(len(c.broken)) >= c.owner.running.Load()
+	return len(c.broken) >= c.owner.runs.count()
 }
 
 // log names what ran when the process ended: the request that ended it is among them.
-func (c *crashes) log(runs []*routedRun) {
+func (c *crashes) log(runs []*routedRun, contents []quarantine.Fingerprint) {
 	r := c.owner
-	r.crashed.Inc()
 	if !r.Log.Wants(events.BackendEnded) {
 		return
 	}
 	parts := make([]string, 0, mostLogged)
-	for _, run := range runs[:min(len(runs), mostLogged)] {
-		parts = append(parts, run.call.Routed.ID+"="+run.call.Fingerprint(run.body).String())
+	for i := range min(len(runs), mostLogged) {
+		parts = append(parts, runs[i].call.Routed.ID+"="+contents[i].String())
 	}
 	instance, _ := r.lifecycle.Current()
 	r.Log.Event(events.BackendEnded, events.F("instance", instance), events.F("runs", len(runs)), events.F("contents", strings.Join(parts, " ")))
--- a/pkg/runner/crash_test.go
+++ b/pkg/runner/crash_test.go
@@ -12,7 +12,9 @@
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/settings"
 )
@@ -110,3 +112,95 @@
 	must.NotNil(t, (<-e.results).Refusal)
 	test.Eq(t, 0, e.crashes())
 }
+
+// begin begins a request of a content without waiting for it.
+func (e *endable) begin(id, uri string, repeatable bool) {
+	c := routedCall(id)
+	c.URI, c.Routed.Repeatable = uri, repeatable
+	e.runner.Execute(c, nil, func(r call.Result) { e.results <- r })
+}
+
+func contentOf(uri string) quarantine.Fingerprint {
+	c := routedCall("")
+	c.URI = uri
+	return c.Fingerprint(nil)
+}
+
+// TestACrashIsTold with each content that ran, before the ends of the runs are, and the
+// backend server counts as down at once.
+func TestACrashIsTold(t *testing.T) {
+	e := newEndable(t)
+	for _, uri := range []string{"/a", "/a", "/b"} {
+		e.begin("id"+uri, uri, true)
+		<-e.came
+	}
+	e.endProcess()
+	<-e.results
+	told := e.runner.Quarantine.TakeOwn()
+	must.Len(t, 1, told.Crashes)
+	test.SliceContainsAll(t, told.Crashes[0].Requests, []quarantine.Fingerprint{contentOf("/a"), contentOf("/b")})
+	_, state := e.lifecycle.Current()
+	test.Eq(t, backend.Down, state)
+	<-e.results
+	<-e.results
+	test.Len(t, 0, e.runner.Quarantine.TakeOwn().Crashes)
+}
+
+// TestAHeldContentIsNotRun: neither one that comes, nor one that waits, and one that runs
+// already is ended where it may be repeated.
+func TestAHeldContentIsNotRun(t *testing.T) {
+	e := newEndable(t)
+	e.begin("repeatable", "/held", true)
+	<-e.came
+	e.begin("once", "/held", false)
+	<-e.came
+	e.begin("other", "/other", true)
+	<-e.came
+	for id := range uint64(2) {
+		e.runner.Quarantine.Crashed(e.runner.Now(), id+1, []quarantine.Fingerprint{contentOf("/held")})
+	}
+	e.runner.Tick()
+	got := <-e.results
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.RequestHeld, got.Refusal.Kind)
+	test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+	test.True(t, got.Offered)
+	test.Eq(t, "repeatable", <-e.left)
+
+	e.begin("comes", "/held", true)
+	got = <-e.results
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.RequestHeld, got.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+	test.False(t, got.Refusal.RetryElsewhere())
+
+	e.goOn <- struct{}{}
+	e.goOn <- struct{}{}
+	must.NotNil(t, (<-e.results).Answer)
+	must.NotNil(t, (<-e.results).Answer)
+	test.Eq(t, 0, len(e.came))
+	e.begin("free", "/held", true)
+	test.Eq(t, "free", <-e.came, test.Sprint("the one that must run once has ended well"))
+}
+
+// TestWhatWaitsIsNotRunOnceItIsHeld at the gate.
+func TestWhatWaitsIsNotRunOnceItIsHeld(t *testing.T) {
+	e := newEndable(t)
+	e.runner.gate.SetSlots(1)
+	e.begin("first", "/first", true)
+	<-e.came
+	e.begin("waits", "/held", true)
+	for id := range uint64(2) {
+		e.runner.Quarantine.Crashed(e.runner.Now(), id+1, []quarantine.Fingerprint{contentOf("/held")})
+	}
+	e.goOn <- struct{}{}
+	refused := 0
+	for range 2 {
+		if got := <-e.results; got.Refusal != nil {
+			test.Eq(t, errkind.RequestHeld, got.Refusal.Kind)
+			refused++
+		}
+	}
+	test.Eq(t, 1, refused)
+	test.Eq(t, 0, len(e.came))
+}
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -28,10 +28,11 @@
 	ended    atomic.Bool
 
 	mu sync.Mutex
-	// gone is true once nobody waits for the request any more; stop ends its
-	// run at the backend server.
-	gone bool
-	stop context.CancelFunc
+	// gone is true once nobody waits for the request any more, recalled once its
+	// content is held back; stop ends its run at the backend server.
+	gone     bool
+	recalled bool
+	stop     context.CancelFunc
 }
 
 // endBy is until when the request's run should have ended: within its target,
@@ -111,6 +112,9 @@
 	if refusal := r.misplaced(run.call); refusal != nil {
 		return call.Result{Refusal: refusal}, false
 	}
+	if refusal := r.heldBack(run.call, run.body); refusal != nil {
+		return call.Result{Refusal: refusal}, false
+	}
 	run.instance = instance
 	slowdown := r.load.Slowdown()
 	ctx, stop := context.WithTimeout(context.Background(), left)
@@ -118,10 +122,13 @@
 	if !run.begin(stop) {
 		return call.Refused(errkind.CallerGone, "the caller left before hand-over"), false
 	}
-	ended := r.countRun(run.call.Claim.Generation > 0)
+	ended := r.runs.add(run, run.call.Claim.Generation > 0)
 	reply := r.transport.Do(ctx, run.request(instance))
 	r.crashes.endedUnder(run, &reply)
 	ended()
+	if reply.Answer == nil && run.wasRecalled() {
+		reply.Refusal = r.heldRefusal(run.call, run.body).Maybe()
+	}
 	r.note(&reply)
 	took := time.Duration(r.Now() - began)
 	run.record(&reply, began, took, slowdown)
@@ -133,11 +140,20 @@
 	reply.Answer.Slowdown = slowdown
 	worked := reply.Answer.Status < 500
 	if worked {
+		run.completed()
 		r.work.Note(run.call.Kind, took, slowdown)
 	}
 	return call.Result{Answer: reply.Answer, Offered: true}, worked
 }
 
+// completed tells that the content did not end its backend server: it may only have run
+// beside one that does.
+func (run *routedRun) completed() {
+	if r := run.owner; r.Quarantine.AnySuspects() {
+		r.Quarantine.Completed(r.Now(), run.call.Fingerprint(run.body))
+	}
+}
+
 func (run *routedRun) request(instance string) *backend.Request {
 	c := run.call
 	return &backend.Request{
@@ -206,3 +222,20 @@
 		stop()
 	}
 }
+
+// recall ends the run at the backend server.
+func (run *routedRun) recall() {
+	run.mu.Lock()
+	run.recalled = true
+	stop := run.stop
+	run.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+func (run *routedRun) wasRecalled() bool {
+	run.mu.Lock()
+	defer run.mu.Unlock()
+	return run.recalled
+}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -62,10 +62,11 @@
 	// slowed is true while the backend server is too slow for soft attempts.
 	slowed   atomic.Bool
 	inFlight atomic.Int64
-	crashes  crashes
-	// running counts the runs at the backend server, repeating those of them that
-	// repeat a run elsewhere.
-	running, repeating atomic.Int64
+	// quarantineSeen is what the runs under way were last held against; only Tick
+	// touches it.
+	quarantineSeen uint64
+	runs           runs
+	crashes        crashes
 	// askedAt is when a request last came, in nanoseconds.
 	askedAt atomic.Int64
 }
@@ -138,30 +139,6 @@
 // IdleFor is how long no request has come.
 func (r *Runner) IdleFor(now int64) time.Duration { return time.Duration(now - r.askedAt.Load()) }
 
-// RepeatShare is the share of the runs at the backend server that repeat a run
-// elsewhere: calls that these make count as repeats at the service they call.
-func (r *Runner) RepeatShare() float64 {
-	running := r.running.Load()
-	if running <= 0 {
-		return 0
-	}
-	return min(float64(r.repeating.Load())/float64(running), 1)
-}
-
-// countRun counts a run until the returned function is called.
-func (r *Runner) countRun(repeats bool) (ended func()) {
-	repeating := int64(0)
-	if repeats {
-		repeating = 1
-	}
-	r.running.Add(1)
-	r.repeating.Add(repeating)
-	return func() {
-		r.repeating.Add(-repeating)
-		r.running.Add(-1)
-	}
-}
-
 // Close frees the pool and the connections.
 func (r *Runner) Close() {
 	r.pool.Release()
@@ -177,6 +154,7 @@
 // Tick starts waiting requests when there are more slots than before, and refuses
 // all that wait when the backend server takes no more.
 func (r *Runner) Tick() {
+	r.recallHeld()
 	if _, refusal := r.accepting(); refusal != nil {
 		r.dismiss(refusal)
 		return
@@ -248,7 +226,7 @@
 	now := r.Now()
 	r.askedAt.Store(now)
 	run := &routedRun{owner: r, call: c, body: body, done: done, deadline: now + int64(c.Remaining)}
-	if refusal := r.check(c); refusal != nil {
+	if refusal := r.check(c, body); refusal != nil {
 		run.refuse(refusal)
 		return func() {}
 	}
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -121,6 +121,13 @@
 	c.World.Inbox.Post(false, func(m *tables.Mail) { m.RolloutReports = append(m.RolloutReports, report.Report) })
 }
 
+// Quarantine implements link.Control. It wakes the systems: each run of a content that is
+// to be held back may cost a backend server.
+func (c *Control) Quarantine(peer *link.Peer, said *wire.Quarantine) {
+	q := tables.PeerQuarantine{Peer: peer, Said: said}
+	c.World.Inbox.Post(true, func(m *tables.Mail) { m.PeerQuarantines = append(m.PeerQuarantines, q) })
+}
+
 // routeControl is the control of a link that this daemon opened for a route.
 type routeControl struct {
 	link.Control
--- a/pkg/systems/departures.go
+++ b/pkg/systems/departures.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -11,18 +10,14 @@
 
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
-	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
-	"github.com/rushramp/rushramp/pkg/utils"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
 const (
 	// departurePrefix begins the keys of departures in the store.
 	departurePrefix = "departure/"
-	// departuresRead is how many rows of departures are read at a time.
-	departuresRead = 500
 	// departuresFor is how long a departure is remembered, in nanoseconds.
 	departuresFor = 5 * 60 * int64(time.Second)
 	// informedAfter is how long a daemon that was started again waits for the
@@ -30,14 +25,6 @@
 	informedAfter = 4 * time.Second
 	// departuresEvery is the time between two tries to read them.
 	departuresEvery = 500 * time.Millisecond
-	// departureRelays is how many daemons of a data centre pass a departure on to
-	// other data centres, beside the one that it was said to. With each daemon doing
-	// so, 82 of them sent 54,829 frames there for some forty departures.
-	departureRelays = 3
-	// departureCrossings is how many daemons of another region each of them tells. A
-	// departure binds the daemon beside the backend server; others keep it for when that
-	// one has forgotten, and it asks its own data centre first.
-	departureCrossings = 2
 )
 
 // departures keeps and passes on which processes of backend servers have said
@@ -95,52 +82,13 @@
 	return fresh
 }
 
-// tell passes departures on that are new here: those that were said here to all
-// daemons of the region that this one has links with and to a few of others, those
-// heard of within the data centre, and a few of them to others. Who knows them already passes nothing on, so news ends by
-// itself.
+// tell passes departures on that are new here. A departure binds the daemon beside the
+// backend server; others keep it for when that one has forgotten, and it asks its own
+// data centre first.
 func (d *departures) tell(own, heard []string) {
-	if len(own)+len(heard) == 0 {
-		return
-	}
-	near, far := d.peersByGroup()
-	everywhere := slices.Concat(own, d.relayed(near, heard))
-	// A link that has closed leaves the table with its next event.
-	all := &wire.Departures{IDs: slices.Concat(own, heard)}
-	for _, peer := range near {
-		_ = peer.Send(all)
-	}
-	if len(everywhere) == 0 {
-		return
-	}
-	abroad := &wire.Departures{IDs: everywhere}
-	for to, peers := range far {
-		if to.at == place.Other {
-			peers = draw(peers, departureCrossings)
-		}
-		for _, peer := range peers {
-			_ = peer.Send(abroad)
-		}
-	}
-}
-
-// relayed are the departures that this daemon passes on to other data centres: those
-// for which it is among the first of its own by rendezvous hash. Only daemons with a
-// link count, so that where links are few there are more relays, never fewer.
-func (d *departures) relayed(near []*link.Peer, heard []string) []string {
-	var out []string
-	for _, id := range heard {
-		mine, ahead := utils.Rendezvous(id, d.World.VM), 0
-		for _, peer := range near {
-			if utils.Rendezvous(id, peer.Hello.VM) > mine {
-				ahead++
-			}
-		}
-		if ahead < departureRelays {
-			out = append(out, id)
-		}
-	}
-	return out
+	flood(d.Env, own, heard, func(id string) string { return id }, func(ids []string) wire.Frame {
+		return &wire.Departures{IDs: ids}
+	})
 }
 
 // greet sends the whole set over each new link, once this daemon is informed.
@@ -179,19 +127,11 @@
 	ctx, cancel := context.WithTimeout(d.Background, d.Settings.Platform.Timeout)
 	defer cancel()
 	said := &wire.Departures{Informed: true}
-	after := departurePrefix
-	for {
-		rows, err := d.Platform.Scan(ctx, departurePrefix, after, departuresRead)
-		if err != nil {
-			return
-		}
-		for _, row := range rows {
-			said.IDs = append(said.IDs, strings.TrimPrefix(row.Key, departurePrefix))
-			after = row.Key
-		}
-		if len(rows) < departuresRead {
-			break
-		}
+	err := scanAll(ctx, d.Platform, departurePrefix, func(row store.Row) {
+		said.IDs = append(said.IDs, strings.TrimPrefix(row.Key, departurePrefix))
+	})
+	if err != nil {
+		return
 	}
 	d.World.Inbox.Post(true, func(m *tables.Mail) {
 		m.PeerDepartures = append(m.PeerDepartures, tables.PeerDepartures{Said: said})
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -122,7 +122,7 @@
 }
 
 // TestADepartureCrossesIntoOtherDataCentresAFewTimes: of sixty daemons that hear of
-// it, departureRelays pass it on, whichever departure it is; with no link inside the
+// it, floodRelays pass it on, whichever departure it is; with no link inside the
 // data centre each does.
 func TestADepartureCrossesIntoOtherDataCentresAFewTimes(t *testing.T) {
 	const daemons = 60
@@ -132,18 +132,18 @@
 	for n := range daemons {
 		s.World.VM = fmt.Sprint("here", n)
 		near, _ := s.peersByGroup()
-		d := &departures{Env: s.Env}
-		for _, id := range d.relayed(without(near, s.World.VM), ids) {
+		for _, id := range relayed(s.Env, without(near, s.World.VM), ids, itself) {
 			relays[id]++
 		}
 	}
 	for _, id := range ids {
-		test.Eq(t, departureRelays, relays[id])
+		test.Eq(t, floodRelays, relays[id])
 	}
-	alone := &departures{Env: testEnv()}
-	test.Eq(t, ids, alone.relayed(nil, ids))
+	test.Eq(t, ids, relayed(testEnv(), nil, ids, itself))
 }
 
+func itself(id string) string { return id }
+
 func without(peers []*link.Peer, vm string) (out []*link.Peer) {
 	for _, peer := range peers {
 		if peer.Hello.VM != vm {
--- a/pkg/systems/departuresweep_test.go
+++ b/pkg/systems/rowsweep_test.go
@@ -14,10 +14,10 @@
 )
 
 // sweptEnv is a daemon that sweeps a stand-in of the store.
-func sweptEnv(t *testing.T) (*departureSweep, *fakestore.Store) {
+func sweptEnv(t *testing.T) (*rowSweep, *fakestore.Store) {
 	env, platform := testEnv(), fakestore.New()
 	env.Background, env.Platform, env.Backend = t.Context(), platform, backend.NewLifecycle(true, nil)
-	return &departureSweep{Env: env}, platform
+	return newDepartureSweep(env), platform
 }
 
 func rowsOfDepartures(t *testing.T, platform *fakestore.Store) int {
@@ -65,7 +65,7 @@
 // are lost, and go afterwards.
 func TestASweepThatFailsIsMadeUpFor(t *testing.T) {
 	s, platform := sweptEnv(t)
-	const rows = 3 * departuresSwept
+	const rows = 3 * rowsSwept
 	for n := range rows {
 		s.KeepDeparture(t.Context(), fmt.Sprint("i-", n))
 	}
--- a/pkg/tables/inbox.go
+++ b/pkg/tables/inbox.go
@@ -58,6 +58,8 @@
 	Departed []string
 	// PeerDepartures are those that peers told of.
 	PeerDepartures []PeerDepartures
+	// PeerQuarantines are what peers told of requests that end backend servers.
+	PeerQuarantines []PeerQuarantine
 	// Queries are questions about the tables, asked by operators.
 	Queries []func(*World)
 	// Leave is true when this daemon was told to leave.
@@ -126,6 +128,13 @@
 	Said *wire.Departures
 }
 
+// PeerQuarantine is what a peer, or the store where Peer is nil, told of requests that
+// end backend servers.
+type PeerQuarantine struct {
+	Peer *link.Peer
+	Said *wire.Quarantine
+}
+
 // PeerRollouts is what a peer told of roll-outs.
 type PeerRollouts struct {
 	Peer *link.Peer
--- a/pkg/tables/peers.go
+++ b/pkg/tables/peers.go
@@ -22,6 +22,8 @@
 	Heartbeats int
 	// Told is true once the peer was told which backend servers have departed.
 	Told bool
+	// ToldHeld is true once the peer was told which requests end backend servers.
+	ToldHeld bool
 	// RolloutsTold is the digest of the news of roll-outs that the peer was sent last,
 	// RolloutsToldAt when.
 	RolloutsTold   uint64
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -66,6 +66,9 @@
 // Type implements Frame.
 func (*RolloutReport) Type() Type { return TypeRolloutReport }
 
+// Type implements Frame.
+func (*Quarantine) Type() Type { return TypeQuarantine }
+
 // Codec encodes and decodes frames. It is safe for concurrent use.
 type Codec struct {
 	enc cbor.UserBufferEncMode
@@ -182,6 +185,8 @@
 		return &RolloutNews{}, nil
 	case TypeRolloutReport:
 		return &RolloutReport{}, nil
+	case TypeQuarantine:
+		return &Quarantine{}, nil
 	}
 	return nil, errors.Errorf("unknown frame type %d", t)
 }
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/rollout"
 )
 
@@ -30,6 +31,7 @@
 	TypeDepartures
 	TypeRolloutNews
 	TypeRolloutReport
+	TypeQuarantine
 	// TypeCount is one more than the highest type.
 	TypeCount
 )
@@ -39,7 +41,7 @@
 	return [...]string{
 		"none", "hello", "call", "chunk", "answer", "refusal", "cancel",
 		"state", "pull", "update", "members", "members_ask", "departures",
-		"rollout_news", "rollout_report", "count",
+		"rollout_news", "rollout_report", "quarantine", "count",
 	}[min(t, TypeCount)]
 }
 
@@ -374,3 +376,18 @@
 	_      struct{} `cbor:",toarray"`
 	Report rollout.Report
 }
+
+// Quarantine carries what daemons saw of requests that end backend servers.
+type Quarantine struct {
+	_           struct{} `cbor:",toarray"`
+	Crashes     []quarantine.Crash
+	Completions []quarantine.Completion
+	// Informed is true when the sender knows all that could matter: a daemon that was
+	// just started may not.
+	Informed bool
+}
+
+// News is what the frame tells.
+func (q *Quarantine) News() quarantine.News {
+	return quarantine.News{Crashes: q.Crashes, Completions: q.Completions}
+}
