Requests that end backend servers: rushramp's own interface, too

Ruled out: a second look of its own: the watch moved to pkg/crash, which both use. Change: executor and entry hold back what the table holds; one refusal and one note of completions in pkg/quarantine for both. Conclusion: both paths of a request keep the rule.

--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -204,15 +203,6 @@
 	return c, nil
 }
 
-// RefusesConnections is true where nobody listens at the backend server's address.
-func (t *Transport) RefusesConnections(ctx context.Context) bool {
-	c, err := netdial.New(t.opts.DialTimeout, unacknowledgedFor).DialContext(ctx, "tcp", t.opts.Address)
-	if err == nil {
-		_ = c.Close()
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
 // popIdle takes the connection that was used last; those that rested for too
 // long are closed.
 func (t *Transport) popIdle(repeatable bool) *conn {
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -245,3 +246,21 @@
 	t.Logf("%d calls reached the bottom for %d offered", reached, offered)
 	test.LessEq(t, offered*11/10, reached)
 }
+
+// TestACallThatEndsBackendServersIsHeldBack: nobody is asked, and the caller is told when
+// it may come again.
+func TestACallThatEndsBackendServersIsHeldBack(t *testing.T) {
+	one := answers(0)
+	e := newEntry(placement.Kind{}, nil, one)
+	must.NotNil(t, run(t, e, "").Answer)
+	content := (&wire.Call{Service: "s", Method: "GET", URI: "/a"}).Fingerprint(nil)
+	for id := range uint64(2) {
+		e.Quarantine.Crashed(e.Now(), id+1, []quarantine.Fingerprint{content})
+	}
+	got := run(t, e, "")
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.RequestHeld, got.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+	test.Greater(t, 9*time.Minute, got.RetryAfter)
+	test.Eq(t, 1, one.calls)
+}
--- a/pkg/entry/try.go
+++ b/pkg/entry/try.go
@@ -8,6 +8,7 @@
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/measure"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -40,6 +41,11 @@
 	last := call.Refused(errkind.NoBackendServer, "no backend server in %v can take the call", t.plan.View.Kind.DataCentres)
 	for t.left > 0 {
 		t.req.Now = t.owner.Now()
+		// It may have become known between two attempts that the call's content ends the
+		// backend servers that run it.
+		if refusal, left := t.owner.Quarantine.Refusal(t.req.Now, t.content); refusal != nil {
+			return call.Result{Refusal: refusal, RetryAfter: left}
+		}
 		pick := t.pick()
 		if pick.Index == choose.None {
 			return last
@@ -59,6 +65,9 @@
 	return last
 }
 
+// content is that of the call.
+func (t *try) content() quarantine.Fingerprint { return t.frame(0, 0).Fingerprint(t.body) }
+
 // pick chooses the next candidate in the call's lane. Where its lane has none left it
 // goes to the other one, so that a roll-out that tries a few calls refuses none for it.
 func (t *try) pick() choose.Pick {
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -13,10 +13,12 @@
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/crash"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
 	"github.com/rushramp/rushramp/pkg/placement"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/trial"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -48,8 +50,11 @@
 	leaving   atomic.Bool
 	evacuated atomic.Bool
 	// trial is nil where the backend server takes part in no roll-outs.
-	trial    *trial.Trial
-	down     atomic.Bool
+	trial   *trial.Trial
+	down    atomic.Bool
+	crashes *crash.Watch
+	// running counts the calls at the backend server.
+	running  atomic.Int64
 	callSeq  atomic.Uint64
 	inFlight atomic.Int64
 }
@@ -80,6 +85,12 @@
 			Adaptive:    s.Gate.Adaptive,
 		}),
 	}
+	e.crashes = crash.NewWatch(c, crash.Deps{
+		Running: func() int { return int(e.running.Load()) },
+		// This backend server says neither which incarnation it is nor that it leaves.
+		Instance: func() (string, bool) { return s.VM.ID, false },
+		Ended:    func(string) {},
+	})
 	return e, nil
 }
 
@@ -227,6 +238,9 @@
 		// The process may have been paused since the gate said yes.
 		return call.Result{Refusal: errkind.New(errkind.DeadlineBeforeRun, "the time ran out before hand-over")}, false
 	}
+	if refusal, _ := r.owner.Quarantine.Refusal(r.owner.Now(), r.content); refusal != nil {
+		return call.Result{Refusal: refusal}, false
+	}
 	if refusal := r.owner.barred(); refusal != nil {
 		// A roll-out's stop or switch came while the call waited.
 		return call.Result{Refusal: refusal}, false
@@ -258,7 +272,7 @@
 func (r *run) runBackend(left time.Duration) (call.Result, bool) {
 	r.handed.Store(true)
 	began := r.owner.Now()
-	answer, refusal := r.owner.backend.run(r.call, r.id, r.body, left, r.kind.NeverRepeat)
+	answer, refusal := r.runWatched(left)
 	r.owner.noteBackend(refusal)
 	r.record(answer, refusal, time.Duration(r.owner.Now()-began))
 	if refusal != nil {
@@ -269,6 +283,24 @@
 	return call.Result{Answer: answer}, answer.Status < 500
 }
 
+// runWatched runs the call and tells how its content went with the backend server.
+func (r *run) runWatched(left time.Duration) (*call.Answer, *errkind.Error) {
+	e := r.owner
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	answer, refusal := e.backend.run(r.call, r.id, r.body, left, r.kind.NeverRepeat)
+	switch {
+	case refusal == nil:
+		e.Quarantine.Ran(e.Now(), r.content, answer.Status)
+	case refusal.Kind == errkind.BackendFailed:
+		e.crashes.BrokeOff(crash.Run{ID: r.id, Content: r.content()})
+	}
+	return answer, refusal
+}
+
+// content is that of the call.
+func (r *run) content() quarantine.Fingerprint { return r.call.Fingerprint(r.body) }
+
 // noteBackend logs when the backend server stops or starts accepting.
 func (e *Executor) noteBackend(refusal *errkind.Error) {
 	down := refusal != nil && refusal.Kind == errkind.BackendUnreachable
--- a/pkg/forward/heldback.go
+++ b/pkg/forward/heldback.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/rushramp/rushramp/pkg/call"
-	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 )
 
 // heldBack refuses a request whose content ends the backend servers that run it. It is
@@ -10,18 +10,17 @@
 // The caller is told when it may run again, which is far beyond its time: each further
 // try would be refused.
 func (a *attempts) heldBack() *call.Result {
-	table := a.owner.Quarantine
-	if !table.AnySuspects() {
+	refusal, left := a.owner.Quarantine.Refusal(a.owner.Now(), a.fingerprint)
+	if refusal == nil {
 		return nil
 	}
+	return &call.Result{Refusal: refusal, RetryAfter: left}
+}
+
+// fingerprint stands for the request's content; it is worked out once.
+func (a *attempts) fingerprint() quarantine.Fingerprint {
 	if !a.fingerprinted {
 		a.content, a.fingerprinted = a.req.fingerprint(), true
 	}
-	left, held := table.Held(a.owner.Now(), a.content)
-	if !held {
-		return nil
-	}
-	out := call.Refused(errkind.RequestHeld, "requests of content %s end the backend servers that run them", a.content)
-	out.RetryAfter = left
-	return &out
+	return a.content
 }
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -129,7 +129,7 @@
 	}
 	fields = append(fields, endFields(result)...)
 	if a != nil && result.Refusal != nil {
-		fields = append(fields, events.F("content", req.fingerprint()))
+		fields = append(fields, events.F("content", a.fingerprint()))
 	}
 	f.Log.Event(id, fields...)
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -6,6 +6,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rushramp/rushramp/pkg/errkind"
 )
 
 const (
@@ -193,6 +195,31 @@
 	return t.heldFor(now, request)
 }
 
+// Refusal is that of a request whose content is held back, with the time until it may
+// run again; nil: it may run. content is asked for only while there are suspects.
+func (t *Table) Refusal(now int64, content func() Fingerprint) (refusal *errkind.Error, left time.Duration) {
+	if !t.any.Load() {
+		return nil, 0
+	}
+	request := content()
+	left, held := t.Held(now, request)
+	if !held {
+		return nil, 0
+	}
+	return errkind.New(errkind.RequestHeld, "requests of content %s end the backend servers that run them", request), left
+}
+
+// Ran notes that a request has run to its end where its content is a suspect, with what
+// its answer said: one that failed tells nothing.
+func (t *Table) Ran(now int64, content func() Fingerprint, status int) {
+	if t.any.Load() && status < leastFailure {
+		t.Completed(now, content())
+	}
+}
+
+// leastFailure is the least status that says that the backend server failed.
+const leastFailure = 500
+
 // CountHeld is how many contents are held back.
 func (t *Table) CountHeld(now int64) (count int) {
 	t.mu.Lock()
--- a/pkg/runner/accepting.go
+++ b/pkg/runner/accepting.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/trial"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -35,17 +36,8 @@
 // heldBack refuses a request whose content ends the backend servers that run it: the
 // entry may not have heard of it yet.
 func (r *Runner) heldBack(c *wire.Call, body []byte) *errkind.Error {
-	if !r.Quarantine.AnySuspects() {
-		return nil
-	}
-	if _, held := r.Quarantine.Held(r.Now(), c.Fingerprint(body)); !held {
-		return nil
-	}
-	return r.heldRefusal(c, body)
-}
-
-func (r *Runner) heldRefusal(c *wire.Call, body []byte) *errkind.Error {
-	return errkind.New(errkind.RequestHeld, "requests of content %s end the backend servers that run them", c.Fingerprint(body))
+	refusal, _ := r.Quarantine.Refusal(r.Now(), func() quarantine.Fingerprint { return c.Fingerprint(body) })
+	return refusal
 }
 
 // check refuses what this runner must not take, whatever the entry believed.
--- a/pkg/runner/crash_test.go
+++ b/pkg/runner/crash_test.go
@@ -71,7 +71,9 @@
 	e.server.CloseClientConnections()
 }
 
-func (e *endable) crashes() uint64 { return e.runner.crashed.Get() }
+func (e *endable) crashes() uint64 {
+	return e.runner.Metrics.GetOrCreateCounter("rushramp_backend_crashes_total").Get()
+}
 
 // TestAnEndOfTheProcessIsToldFromABreak: all runs broke and nobody listens.
 func TestAnEndOfTheProcessIsToldFromABreak(t *testing.T) {
@@ -121,7 +123,7 @@
 }
 
 func contentOf(uri string) quarantine.Fingerprint {
-	c := routedCall("")
+	c := routedCall("any")
 	c.URI = uri
 	return c.Fingerprint(nil)
 }
--- a/pkg/runner/look.go
+++ b/pkg/runner/look.go
@@ -48,8 +48,6 @@
 	looks *metrics.Counter
 	// held counts the starts that waited for the end of a slow spell.
 	held *metrics.Counter
-	// crashed counts the ends of the backend server's process under requests.
-	crashed *metrics.Counter
 }
 
 // asNumber is 1 for true, as metrics have it.
@@ -68,7 +66,5 @@
 	return counters{
 		looks: r.Metrics.GetOrCreateCounter("rushramp_routed_looks_total"),
 		held:  r.Metrics.GetOrCreateCounter("rushramp_routed_held_total"),
-
-		crashed: r.Metrics.GetOrCreateCounter("rushramp_backend_crashes_total"),
 	}
 }
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -8,8 +8,10 @@
 
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/crash"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/gate"
+	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -28,10 +30,10 @@
 	ended    atomic.Bool
 
 	mu sync.Mutex
-	// gone is true once nobody waits for the request any more, recalled once its
+	// gone is true once nobody waits for the request any more, recalled is set once its
 	// content is held back; stop ends its run at the backend server.
 	gone     bool
-	recalled bool
+	recalled *errkind.Error
 	stop     context.CancelFunc
 }
 
@@ -124,10 +126,12 @@
 	}
 	ended := r.runs.add(run, run.call.Claim.Generation > 0)
 	reply := r.transport.Do(ctx, run.request(instance))
-	r.crashes.endedUnder(run, &reply)
+	if reply.Refusal != nil && reply.Refusal.Kind == errkind.BackendFailed {
+		r.crashes.BrokeOff(crash.Run{ID: run.call.Routed.ID, Content: run.content()})
+	}
 	ended()
-	if reply.Answer == nil && run.wasRecalled() {
-		reply.Refusal = r.heldRefusal(run.call, run.body).Maybe()
+	if why := run.recalledFor(); why != nil && reply.Answer == nil {
+		reply.Refusal = why.Maybe()
 	}
 	r.note(&reply)
 	took := time.Duration(r.Now() - began)
@@ -138,22 +142,14 @@
 	reply.Answer.Queued = run.job.Queued()
 	reply.Answer.Run = took
 	reply.Answer.Slowdown = slowdown
+	r.Quarantine.Ran(r.Now(), run.content, reply.Answer.Status)
 	worked := reply.Answer.Status < 500
 	if worked {
-		run.completed()
 		r.work.Note(run.call.Kind, took, slowdown)
 	}
 	return call.Result{Answer: reply.Answer, Offered: true}, worked
 }
 
-// completed tells that the content did not end its backend server: it may only have run
-// beside one that does.
-func (run *routedRun) completed() {
-	if r := run.owner; r.Quarantine.AnySuspects() {
-		r.Quarantine.Completed(r.Now(), run.call.Fingerprint(run.body))
-	}
-}
-
 func (run *routedRun) request(instance string) *backend.Request {
 	c := run.call
 	return &backend.Request{
@@ -224,9 +220,9 @@
 }
 
 // recall ends the run at the backend server.
-func (run *routedRun) recall() {
+func (run *routedRun) recall(why *errkind.Error) {
 	run.mu.Lock()
-	run.recalled = true
+	run.recalled = why
 	stop := run.stop
 	run.mu.Unlock()
 	if stop != nil {
@@ -234,8 +230,11 @@
 	}
 }
 
-func (run *routedRun) wasRecalled() bool {
+func (run *routedRun) recalledFor() *errkind.Error {
 	run.mu.Lock()
 	defer run.mu.Unlock()
 	return run.recalled
 }
+
+// content is that of the request.
+func (run *routedRun) content() quarantine.Fingerprint { return run.call.Fingerprint(run.body) }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/crash"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
@@ -66,7 +67,7 @@
 	// touches it.
 	quarantineSeen uint64
 	runs           runs
-	crashes        crashes
+	crashes        *crash.Watch
 	// askedAt is when a request last came, in nanoseconds.
 	askedAt atomic.Int64
 }
@@ -129,10 +130,16 @@
 		}),
 	}
 	r.counters = newCounters(r)
-	r.crashes.owner = r
+	r.crashes = crash.NewWatch(c, crash.Deps{Running: r.runs.count, Instance: r.incarnation, Ended: r.lifecycle.Ended})
 	return r, nil
 }
 
+// incarnation is the backend server's, and whether it has said that it leaves.
+func (r *Runner) incarnation() (instance string, leaving bool) {
+	instance, state := r.lifecycle.Current()
+	return instance, state == backend.Leaving
+}
+
 // InFlight counts requests that were taken in and have not ended.
 func (r *Runner) InFlight() int64 { return r.inFlight.Load() }
 
--- a/pkg/runner/runs.go
+++ b/pkg/runner/runs.go
@@ -72,8 +72,8 @@
 	}
 	r.quarantineSeen = version
 	for _, run := range r.runs.list() {
-		if run.call.Routed.Repeatable && r.heldBack(run.call, run.body) != nil {
-			run.recall()
+		if why := r.heldBack(run.call, run.body); why != nil && run.call.Routed.Repeatable {
+			run.recall(why)
 		}
 	}
 }
--- a/pkg/systems/quarantines.go
+++ b/pkg/systems/quarantines.go
@@ -53,9 +53,6 @@
 
 // Tick implements System.
 func (q *quarantines) Tick(now int64, mail *tables.Mail) {
-	if q.Routed == nil {
-		return
-	}
 	own := q.Quarantine.TakeOwn()
 	var heard quarantine.News
 	for _, p := range mail.PeerQuarantines {
--- a/pkg/systems/rowsweep.go
+++ b/pkg/systems/rowsweep.go
@@ -52,9 +52,6 @@
 
 // Tick implements System.
 func (s *rowSweep) Tick(now int64, _ *tables.Mail) {
-	if s.Backend == nil {
-		return
-	}
 	if s.due.next == 0 {
 		s.due.next = now + int64(s.every)
 	}
--- a/pkg/wire/fingerprint.go
+++ b/pkg/wire/fingerprint.go
@@ -24,7 +24,12 @@
 	return content.Fingerprint()
 }
 
-// Fingerprint is that of the routed request which the call carries.
+// Fingerprint is that of the request which the call carries. One that is not routed by
+// its host names its service in the host's place.
 func (c *Call) Fingerprint(body []byte) quarantine.Fingerprint {
-	return FingerprintOf(c.Method, c.Routed.Host, c.URI, c.Headers, body)
+	host := c.Routed.Host
+	if c.Routed.ID == "" {
+		host = c.Service
+	}
+	return FingerprintOf(c.Method, host, c.URI, c.Headers, body)
 }
