Backend servers that start again under their id; words of other writers

Cause: all that is known of a backend server was keyed by its id. One that had said it leaves and started again stayed unused for five minutes; heartbeats of the new life were taken for late ones; a late departure of the life before ended the new one. Heartbeats that lack fields, or name a state or service that is none, made their sender live. Change: backend.Incarnation, id and start, through adapter, lifecycle, departures, runner, roll-outs and logs; the text id@start in frames and rows. Conclusion: clocks that count suspension, and orders and other rows of other writers, are left.

--- a/pkg/backend/announcer.go
+++ b/pkg/backend/announcer.go
@@ -7,5 +7,7 @@
 type Announcer interface {
 	Heartbeat(ctx context.Context, h Heartbeat)
 	// Depart says that an incarnation leaves, or has ended.
-	Depart(ctx context.Context, instance string)
+	Depart(ctx context.Context, of Incarnation)
+	// Foreign takes an announcement that cannot be understood: who it names, and why.
+	Foreign(id string, why error)
 }
--- /dev/null
+++ b/pkg/backend/incarnation.go
@@ -0,0 +1,51 @@
+package backend
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Incarnation is one life of a backend server's process. A process may start again under
+// the id that it had; it then knows nothing of the life before. Source:
+// docs/design/incarnations.md.
+type Incarnation struct {
+	ID string
+	// Born is the Unix millisecond of its start, which tells the lives under one id
+	// apart; 0: not known, as of one that only an answer has named.
+	Born int64
+}
+
+// bornMark stands between id and start in the text of an incarnation.
+const bornMark = "@"
+
+// String is the incarnation as it stands in log lines, frames and keys of the store: the
+// id alone where the start is not known, as daemons of the release before have it.
+func (i Incarnation) String() string {
+	if i.Born == 0 {
+		return i.ID
+	}
+	return i.ID + bornMark + strconv.FormatInt(i.Born, 10)
+}
+
+// ParseIncarnation reads the text of an incarnation. One whose end is no start is an id.
+func ParseIncarnation(text string) Incarnation {
+	at := strings.LastIndex(text, bornMark)
+	if at < 0 {
+		return Incarnation{ID: text}
+	}
+	born, err := strconv.ParseInt(text[at+len(bornMark):], 10, 64)
+	if err != nil || born <= 0 {
+		return Incarnation{ID: text}
+	}
+	return Incarnation{ID: text[:at], Born: born}
+}
+
+// mayBe is true where two words may be of one life: one that says no start may be of any.
+func (i Incarnation) mayBe(other Incarnation) bool {
+	return i.ID == other.ID && (i.Born == other.Born || i.Born == 0 || other.Born == 0)
+}
+
+// startedAfter is true for a life under the same id that is known to have begun later.
+func (i Incarnation) startedAfter(other Incarnation) bool {
+	return i.ID == other.ID && other.Born != 0 && i.Born > other.Born
+}
--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -19,9 +19,14 @@
 	// downAfter is how many connections in a row must be refused before the
 	// backend server counts as down.
 	downAfter = 2
-	// mostVersions bounds the incarnations whose versions are remembered: one that is
+	// mostLives bounds the incarnations whose heartbeats are remembered: one that is
 	// seen by its health path first has said its version before, or will soon.
-	mostVersions = 16
+	mostLives = 16
+	// steppedAfter is how long a life must have said nothing for another one under its id
+	// to be taken for newer, though its start is earlier by its clock, and that has said
+	// so more than once: the clock was set back. It is over twice the time between two
+	// heartbeats on the users' sites.
+	steppedAfter = 4 * time.Second
 )
 
 // State is what the daemon believes of its backend server.
@@ -47,6 +52,8 @@
 // Heartbeat is a backend server's announcement of itself.
 type Heartbeat struct {
 	Instance string
+	// Born is the Unix millisecond of the incarnation's start; 0: it does not say.
+	Born int64
 	// Sequence rises with each call of one incarnation, so that a late one is
 	// known.
 	Sequence uint64
@@ -59,6 +66,9 @@
 	ColdFor time.Duration
 }
 
+// Incarnation is the one that the heartbeat is of.
+func (h *Heartbeat) Incarnation() Incarnation { return Incarnation{ID: h.Instance, Born: h.Born} }
+
 // Cold is what the current incarnation said of its being cold.
 type Cold struct {
 	// Till is until when it is cold at the latest; in the past for one that is warm.
@@ -78,50 +88,68 @@
 // Times are nanoseconds of a steady clock, handed in. It is safe for
 // concurrent use.
 type Lifecycle struct {
-	mu       sync.Mutex
-	instance string
-	state    State
+	mu      sync.Mutex
+	current Incarnation
+	state   State
 	// informed is true once all departures that could matter are known: a
 	// daemon that was started again may have acknowledged one before.
 	informed bool
-	// seenAt is the last sign of life of instance.
-	seenAt   int64
-	cold     Cold
-	sequence map[string]uint64
-	// versions are those that incarnations have said.
-	versions map[string]string
-	departed map[string]int64
-	// replaced are incarnations after which another one was seen at the address, and
-	// when. A heartbeat that a cut held back does not bring one of them back.
-	replaced map[string]int64
+	// seenAt is the last sign of life of the current incarnation.
+	seenAt int64
+	cold   Cold
+	// lives are the incarnations that have sent heartbeats.
+	lives map[Incarnation]*life
+	// departed and replaced are by id. The first have said that they leave; after the
+	// others another id was seen at the address, and a heartbeat that a cut held back
+	// does not bring one of them back.
+	departed map[string]end
+	replaced map[string]end
 	refusals int
 	// changed is called without the lock after each change of the belief.
-	changed func(instance string, state State)
+	changed func(of Incarnation, state State)
+}
+
+// life is what an incarnation has said of itself.
+type life struct {
+	sequence uint64
+	version  string
+	// firstAt and heardAt are when its first and its newest heartbeat came.
+	firstAt, heardAt int64
+}
+
+// end is that of the lives under an id, up to the one that began at born; 0: of any of
+// them.
+type end struct {
+	born int64
+	at   int64
 }
 
+// has is true for an incarnation that may be one of those which have ended.
+func (e end) has(i Incarnation) bool { return e.born == 0 || i.Born == 0 || i.Born <= e.born }
+
 // NewLifecycle makes the lifecycle of a backend server that has not been seen.
 // informed is true when no departure can have been acknowledged before, as at
 // the first start of the whole system. changed may be nil.
-func NewLifecycle(informed bool, changed func(instance string, state State)) *Lifecycle {
+func NewLifecycle(informed bool, changed func(of Incarnation, state State)) *Lifecycle {
 	if changed == nil {
-		changed = func(string, State) {}
+		changed = func(Incarnation, State) {}
 	}
-	return &Lifecycle{informed: informed, changed: changed, sequence: map[string]uint64{}, versions: map[string]string{}, departed: map[string]int64{}, replaced: map[string]int64{}}
+	return &Lifecycle{informed: informed, changed: changed, lives: map[Incarnation]*life{}, departed: map[string]end{}, replaced: map[string]end{}}
 }
 
 // Accepting returns the incarnation that may get requests now; ok is false when
 // there is none.
-func (l *Lifecycle) Accepting() (instance string, ok bool) {
+func (l *Lifecycle) Accepting() (current Incarnation, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.instance, l.informed && l.state == Live
+	return l.current, l.informed && l.state == Live
 }
 
 // Current returns the incarnation and what is believed of it.
-func (l *Lifecycle) Current() (instance string, state State) {
+func (l *Lifecycle) Current() (current Incarnation, state State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.instance, l.state
+	return l.current, l.state
 }
 
 // Version returns the version that the current incarnation has said; empty: it has
@@ -129,22 +157,49 @@
 func (l *Lifecycle) Version() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.versions[l.instance]
+	return l.version()
+}
+
+func (l *Lifecycle) version() string {
+	if known := l.lives[l.current]; known != nil {
+		return known.version
+	}
+	return ""
+}
+
+// hear notes a heartbeat, and is true for a late one. The version of an incarnation never
+// changes.
+func (l *Lifecycle) hear(now int64, h *Heartbeat) (late bool) {
+	of := h.Incarnation()
+	known := l.lives[of]
+	if known == nil {
+		l.makeRoom()
+		known = &life{firstAt: now}
+		l.lives[of] = known
+	}
+	late = h.Sequence <= known.sequence
+	known.sequence = max(h.Sequence, known.sequence)
+	if !late {
+		known.heardAt = now
+	}
+	if known.version == "" {
+		known.version = h.Version
+	}
+	return late
 }
 
-// takeVersion remembers the version of an incarnation, which never changes.
-func (l *Lifecycle) takeVersion(h Heartbeat) {
-	if _, known := l.versions[h.Instance]; known || h.Version == "" {
+// makeRoom forgets the life that said nothing for the longest time.
+func (l *Lifecycle) makeRoom() {
+	if len(l.lives) < mostLives {
 		return
 	}
-	if len(l.versions) >= mostVersions {
-		own, said := l.versions[l.instance]
-		clear(l.versions)
-		if said {
-			l.versions[l.instance] = own
+	oldest, found := Incarnation{}, false
+	for of, known := range l.lives {
+		if of != l.current && (!found || known.heardAt < l.lives[oldest].heardAt) {
+			oldest, found = of, true
 		}
 	}
-	l.versions[h.Instance] = h.Version
+	delete(l.lives, oldest)
 }
 
 // Cold returns what the current incarnation said of its being cold.
@@ -156,10 +211,10 @@
 
 // TakeCold takes over what the health path of an incarnation says of its being
 // cold, which goes before any heartbeat. asked is when it was asked.
-func (l *Lifecycle) TakeCold(asked, now int64, instance string, coldFor time.Duration) {
+func (l *Lifecycle) TakeCold(asked, now int64, id string, coldFor time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if instance == l.instance {
+	if id == l.current.ID {
 		l.cold = Cold{Till: coldTill(now, coldFor), TillLeast: coldTill(asked, coldFor), ToldAt: asked}
 	}
 }
@@ -184,13 +239,13 @@
 // change runs do under the lock and tells of what changed for others.
 func (l *Lifecycle) change(do func()) {
 	l.mu.Lock()
-	oldInstance, oldState, oldInformed, oldVersion := l.instance, l.state, l.informed, l.versions[l.instance]
+	was, oldState, oldInformed, oldVersion := l.current, l.state, l.informed, l.version()
 	do()
-	instance, state := l.instance, l.state
-	same := instance == oldInstance && state == oldState && l.informed == oldInformed && l.versions[l.instance] == oldVersion
+	current, state := l.current, l.state
+	same := current == was && state == oldState && l.informed == oldInformed && l.version() == oldVersion
 	l.mu.Unlock()
 	if !same {
-		l.changed(instance, state)
+		l.changed(current, state)
 	}
 }
 
@@ -198,14 +253,13 @@
 // for the first time that the incarnation leaves.
 func (l *Lifecycle) Heartbeat(now int64, h Heartbeat) (departed bool) {
 	l.change(func() {
-		late := h.Sequence <= l.sequence[h.Instance]
-		l.sequence[h.Instance] = max(h.Sequence, l.sequence[h.Instance])
-		l.takeVersion(h)
+		of := h.Incarnation()
+		late := l.hear(now, &h)
 		switch {
 		case h.Leaving:
-			departed = l.depart(now, h.Instance)
-		case !late && l.mayShow(now, h.Instance):
-			l.show(now, h.Instance)
+			departed = l.depart(now, of)
+		case !late && l.mayShow(now, of):
+			l.show(now, of)
 			l.takeColdHeartbeat(coldTill(now, h.ColdFor))
 		}
 	})
@@ -221,12 +275,26 @@
 }
 
 // mayShow is true where a heartbeat may make its sender the current incarnation.
-func (l *Lifecycle) mayShow(now int64, instance string) bool {
-	if instance == l.instance {
+func (l *Lifecycle) mayShow(now int64, of Incarnation) bool {
+	switch {
+	case of.mayBe(l.current):
+		// A word without a start does not make that of the current one unknown.
+		return of.Born != 0 || l.current.Born == 0
+	case of.startedAfter(l.current):
 		return true
+	case of.ID == l.current.ID:
+		return l.isStepped(now, of)
 	}
-	_, replaced := l.replaced[instance]
-	return !replaced && !l.confirmed(now)
+	gone, replaced := l.replaced[of.ID]
+	return !(replaced && gone.has(of)) && !l.confirmed(now)
+}
+
+// isStepped is true for a life under the current one's id that goes on sending heartbeats
+// while the current one says nothing: it began later, by a clock that was set back.
+func (l *Lifecycle) isStepped(now int64, of Incarnation) bool {
+	current, other := l.lives[l.current], l.lives[of]
+	silent := current == nil || now-current.heardAt > int64(steppedAfter)
+	return silent && other != nil && now-other.firstAt > int64(confirmedFor)
 }
 
 // confirmed is true while the current incarnation has shown itself lately.
@@ -235,35 +303,50 @@
 }
 
 // show notes a sign of life. An incarnation that said it leaves stays so.
-func (l *Lifecycle) show(now int64, instance string) {
-	if instance == "" {
+func (l *Lifecycle) show(now int64, of Incarnation) {
+	if of.ID == "" {
 		return
 	}
-	if _, gone := l.departed[instance]; gone {
-		if l.instance == "" || l.instance == instance {
-			l.instance, l.state = instance, Leaving
+	if gone, known := l.departed[of.ID]; known && gone.has(of) {
+		if l.current.ID == "" || l.current.ID == of.ID {
+			l.current, l.state = of, Leaving
 		}
 		return
 	}
-	if instance != l.instance {
+	if !of.mayBe(l.current) {
 		l.cold = Cold{}
 	}
-	l.instance, l.state, l.seenAt, l.refusals = instance, Live, now, 0
+	l.current, l.state, l.seenAt, l.refusals = of, Live, now, 0
 }
 
-// replace notes a first-hand sign of life, which ends any other incarnation at the
-// address.
-func (l *Lifecycle) replace(now int64, instance string) {
-	if instance != "" && instance != l.instance {
-		l.replaced[l.instance] = now
+// replace notes a first-hand sign of life, which ends any other id at the address. It
+// names an id only: the life under it is the newest that was heard of.
+func (l *Lifecycle) replace(now int64, id string) {
+	if id == l.current.ID {
+		l.show(now, l.current)
+		return
+	}
+	if id != "" {
+		l.replaced[l.current.ID] = end{born: l.current.Born, at: now}
+	}
+	l.show(now, l.newestOf(id))
+}
+
+// newestOf is the life under an id that began last, of those that were heard of.
+func (l *Lifecycle) newestOf(id string) Incarnation {
+	out := Incarnation{ID: id}
+	for of := range l.lives {
+		if of.ID == id {
+			out.Born = max(out.Born, of.Born)
+		}
 	}
-	l.show(now, instance)
+	return out
 }
 
-// Seen takes an answer that names the incarnation, as that of the health path
+// Seen takes an answer that names the incarnation's id, as that of the health path
 // does: it is first-hand, so it goes before any heartbeat.
-func (l *Lifecycle) Seen(now int64, instance string) {
-	l.change(func() { l.replace(now, instance) })
+func (l *Lifecycle) Seen(now int64, id string) {
+	l.change(func() { l.replace(now, id) })
 }
 
 // Answered notes a sign of life of the current incarnation.
@@ -275,46 +358,38 @@
 
 // Depart takes the word that an incarnation leaves, from itself or from a peer
 // that knows. It returns true the first time.
-func (l *Lifecycle) Depart(now int64, instance string) (first bool) {
-	l.change(func() { first = l.depart(now, instance) })
+func (l *Lifecycle) Depart(now int64, of Incarnation) (first bool) {
+	l.change(func() { first = l.depart(now, of) })
 	return first
 }
 
-func (l *Lifecycle) depart(now int64, instance string) (first bool) {
+// depart notes that the lives under an id up to one have said that they leave. A word
+// without a start is of the current one, where that has the id.
+func (l *Lifecycle) depart(now int64, of Incarnation) (first bool) {
 	l.forgetOld(now)
-	if _, known := l.departed[instance]; known {
+	if of.Born == 0 && of.ID == l.current.ID {
+		of = l.current
+	}
+	known, was := l.departed[of.ID]
+	if was && (known.born == 0 || of.Born != 0 && of.Born <= known.born) {
 		return false
 	}
-	l.departed[instance] = now
-	if l.instance == instance {
+	gone := end{born: of.Born, at: now}
+	l.departed[of.ID] = gone
+	if l.current.ID == of.ID && gone.has(l.current) {
 		l.state = Leaving
 	}
 	return true
 }
 
 func (l *Lifecycle) forgetOld(now int64) {
-	for id, at := range l.departed {
-		if now-at > int64(rememberDepartures) {
-			delete(l.departed, id)
-			delete(l.sequence, id)
+	for _, ends := range []map[string]end{l.departed, l.replaced} {
+		for id, gone := range ends {
+			if now-gone.at > int64(rememberDepartures) {
+				delete(ends, id)
+			}
 		}
 	}
-	for id, at := range l.replaced {
-		if now-at > int64(rememberDepartures) {
-			delete(l.replaced, id)
-		}
-	}
-}
-
-// Departures lists the ids that are remembered.
-func (l *Lifecycle) Departures() []string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	out := make([]string, 0, len(l.departed))
-	for id := range l.departed {
-		out = append(out, id)
-	}
-	return out
 }
 
 // Replaced notes that another incarnation answers at the address.
@@ -330,9 +405,9 @@
 
 // Ended notes that the process of an incarnation has ended: it is down until something
 // shows itself at the address.
-func (l *Lifecycle) Ended(instance string) {
+func (l *Lifecycle) Ended(of Incarnation) {
 	l.change(func() {
-		if l.instance == instance && l.state == Live {
+		if l.current == of && l.state == Live {
 			l.state = Down
 		}
 	})
--- a/pkg/backend/lifecycle_test.go
+++ b/pkg/backend/lifecycle_test.go
@@ -21,7 +21,7 @@
 		return
 	}
 	test.True(t, ok)
-	test.Eq(t, want, got)
+	test.Eq(t, want, got.String())
 }
 
 func TestAnIncarnationThatSaidItLeavesGetsNothingMore(t *testing.T) {
@@ -36,14 +36,14 @@
 	l.Heartbeat(30*second, Heartbeat{Instance: "a", Sequence: 4})
 	l.Seen(31*second, "a")
 	accepting(t, l, "")
-	must.False(t, l.Depart(32*second, "a"))
+	must.False(t, l.Depart(32*second, Incarnation{ID: "a"}))
 	l.Seen(33*second, "b")
 	accepting(t, l, "b")
 }
 
 func TestADepartureIsBindingBeforeTheIncarnationIsSeen(t *testing.T) {
 	l := NewLifecycle(true, nil)
-	must.True(t, l.Depart(1, "a"))
+	must.True(t, l.Depart(1, Incarnation{ID: "a"}))
 	l.Heartbeat(2, Heartbeat{Instance: "a", Sequence: 9})
 	l.Seen(3, "a")
 	accepting(t, l, "")
@@ -51,7 +51,7 @@
 
 func TestARestartedDaemonWaitsUntilItIsInformed(t *testing.T) {
 	var told []State
-	l := NewLifecycle(false, func(_ string, s State) { told = append(told, s) })
+	l := NewLifecycle(false, func(_ Incarnation, s State) { told = append(told, s) })
 	l.Seen(1, "a")
 	accepting(t, l, "")
 	l.Informed()
@@ -167,9 +167,9 @@
 	test.Eq(t, "", l.Version())
 	l.Heartbeat(4, Heartbeat{Instance: "b", Sequence: 1, Version: "v2"})
 	test.Eq(t, "v2", l.Version())
-	for n := range 3 * mostVersions {
+	for n := range 3 * mostLives {
 		l.Heartbeat(5, Heartbeat{Instance: fmt.Sprint("late", n), Sequence: 1, Version: "v1"})
 	}
 	test.Eq(t, "v2", l.Version())
-	test.LessEq(t, mostVersions, len(l.versions))
+	test.LessEq(t, mostLives, len(l.lives))
 }
--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -32,6 +32,9 @@
 	// Clock is the one that the deadlines of roll-outs stand on, where it is the VM's
 	// own; nil where it is the store's.
 	Clock func() time.Duration
+	// OnForeign sets who is told of rows of the store that cannot be understood; nil where
+	// none but daemons and operators write there.
+	OnForeign func(told func(what string, why error))
 	// Bounds are what the platform holds all daemons to.
 	Bounds Bounds
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -142,11 +142,20 @@
 	} else if d.Executor != nil && s.BackendServer.Version != "" {
 		d.beginTrial()
 	}
+	if adapter.OnForeign != nil {
+		adapter.OnForeign(d.noteForeign)
+	}
 	d.scheduler = systems.NewScheduler(d.env)
 	d.operators = d.newOperators()
 	return d, nil
 }
 
+// noteForeign logs a word of another writer, which was passed over.
+func (d *Daemon) noteForeign(what string, why error) {
+	d.Metrics.GetOrCreateCounter("rushramp_foreign_words_total").Inc()
+	d.Log.Event(events.ForeignWord, events.F("what", what), events.F("cause", why))
+}
+
 // dialFrom dials from the IP number that the daemon listens on, so that others
 // see which VM a link comes from.
 func dialFrom(listen string) link.Dial {
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -74,7 +74,7 @@
 }
 
 // stateChanged logs the new belief and wakes the systems, which pass it on.
-func (r *routed) stateChanged(instance string, state backend.State) {
+func (r *routed) stateChanged(instance backend.Incarnation, state backend.State) {
 	r.daemon.Log.Event(events.BackendState, events.F("instance", instance), events.F("state", state), events.F("version", r.lifecycle.Version()))
 	r.daemon.World.Inbox.Post(true, func(*tables.Mail) {})
 }
@@ -160,22 +160,25 @@
 	departed := r.lifecycle.Heartbeat(r.daemon.Now(), h)
 	r.runner.TakeCold()
 	if departed {
-		r.keep(ctx, h.Instance)
+		r.keep(ctx, h.Incarnation())
 	}
 }
 
 // Depart implements backend.Announcer.
-func (r *routed) Depart(ctx context.Context, instance string) {
-	if r.lifecycle.Depart(r.daemon.Now(), instance) {
-		r.keep(ctx, instance)
+func (r *routed) Depart(ctx context.Context, of backend.Incarnation) {
+	if r.lifecycle.Depart(r.daemon.Now(), of) {
+		r.keep(ctx, of)
 	}
 }
 
+// Foreign implements backend.Announcer.
+func (r *routed) Foreign(id string, why error) { r.daemon.noteForeign("announcement of "+id, why) }
+
 // keep makes a departure outlive this process before it is acknowledged.
-func (r *routed) keep(ctx context.Context, instance string) {
+func (r *routed) keep(ctx context.Context, of backend.Incarnation) {
 	ctx, cancel := context.WithTimeout(ctx, ackWithin)
 	defer cancel()
-	r.daemon.env.KeepDeparture(ctx, instance)
+	r.daemon.env.KeepDeparture(ctx, of)
 }
 
 // drain is a planned stop: readiness falls at once, and requests go on being
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -71,6 +71,7 @@
 	BackendEnded      ID = 517
 	ContentHeld       ID = 518
 	ContentFreed      ID = 519
+	ForeignWord       ID = 520
 	ClaimLost         ID = 601
 	ClaimVoided       ID = 602
 	ClaimUnknown      ID = 603
@@ -156,6 +157,7 @@
 		{BackendEnded, Warn, "backend server's process ended under requests", false, "Its connections broke while it ran requests, and it refuses new ones; contents names each request that ran, with the fingerprint of its content.", "Look at the backend server's own log. A content that stands in several such lines ends each backend server that runs it: find its request by the id in event 504."},
 		{ContentHeld, Warn, "requests of one content are held back", false, "Each backend server that ran a request of this content ended, and none has run one to its end since.", "Find such a request by the content in events 517 and 504, and mend what ends the backend server; the content may run again when left is over."},
 		{ContentFreed, Info, "requests of one content run again", false, "The time is over, or a backend server has run one to its end; why says which.", "Nothing."},
+		{ForeignWord, Warn, "word of another writer passed over", false, "An announcement, or a row of the store, lacks fields, holds some of another type, names a state or service that is not one here, or cannot be read.", "Find who writes it: what names the sender or the row. It names no backend server to use; the others hold."},
 		{ClaimLost, Info, "claim taken by another executor", false, "Two executors tried the same never-repeat call; only one may run it.", "Nothing."},
 		{ClaimVoided, Info, "abandoned claim voided", false, "This executor held a claim that it had not handed over.", "Nothing."},
 		{ClaimUnknown, Warn, "claim outcome unknown", false, "The store answered neither the write nor the read-back in time; the call was not run.", "Look at the platform's table service."},
--- a/pkg/runner/accepting.go
+++ b/pkg/runner/accepting.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/trial"
@@ -19,16 +20,16 @@
 
 // accepting returns the incarnation that requests may be handed to now, or why
 // there is none.
-func (r *Runner) accepting() (instance string, refusal *errkind.Error) {
+func (r *Runner) accepting() (instance backend.Incarnation, refusal *errkind.Error) {
 	if r.evacuated.Load() {
-		return "", errkind.New(errkind.DataCentreEvacuated, "%s is evacuated", r.Settings.VM.DataCentre)
+		return backend.Incarnation{}, errkind.New(errkind.DataCentreEvacuated, "%s is evacuated", r.Settings.VM.DataCentre)
 	}
 	instance, ok := r.lifecycle.Accepting()
 	if !ok {
-		return "", errkind.New(errkind.BackendAbsent, "the backend server takes no requests now")
+		return backend.Incarnation{}, errkind.New(errkind.BackendAbsent, "the backend server takes no requests now")
 	}
-	if why := r.trial.Bars(instance); why != "" {
-		return "", errkind.New(errkind.VersionHeld, "%s", why)
+	if why := r.trial.Bars(instance.String()); why != "" {
+		return backend.Incarnation{}, errkind.New(errkind.VersionHeld, "%s", why)
 	}
 	return instance, nil
 }
--- a/pkg/runner/log_test.go
+++ b/pkg/runner/log_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/shoenig/test"
 
+	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -48,7 +49,7 @@
 	other.Service = "other"
 	_, _ = execute(r, other)
 	expect("event=508", "request=other", "outcome=backend_replaced")
-	lifecycle.Depart(2, "i-1")
+	lifecycle.Depart(2, backend.Incarnation{ID: "i-1"})
 	_, _ = execute(r, routedCall("late"))
 	expect("event=508", "request=late", "outcome=backend_absent")
 	r.TakeLoad("1,0,2,400")
--- a/pkg/runner/look_test.go
+++ b/pkg/runner/look_test.go
@@ -115,7 +115,7 @@
 // it goes elsewhere while it has time.
 func TestAHeldStartIsRefusedWhenItsBackendServerLeaves(t *testing.T) {
 	r, lifecycle, h, results := holding(t)
-	lifecycle.Depart(2, "i-1")
+	lifecycle.Depart(2, backend.Incarnation{ID: "i-1"})
 	r.Tick()
 	got := <-results
 	must.NotNil(t, got.Refusal)
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -23,7 +23,7 @@
 	deadline int64
 	origin   wire.Origin
 	// instance is the incarnation that the request was handed to.
-	instance string
+	instance backend.Incarnation
 	job      gate.Job
 	done     func(call.Result)
 	expiry   atomic.Pointer[time.Timer]
@@ -150,11 +150,11 @@
 	return call.Result{Answer: reply.Answer, Offered: true}, worked
 }
 
-func (run *routedRun) request(instance string) *backend.Request {
+func (run *routedRun) request(instance backend.Incarnation) *backend.Request {
 	c := run.call
 	return &backend.Request{
 		ID: c.Routed.ID, Method: c.Method, URI: c.URI, Host: c.Routed.Host, Headers: c.Headers, Body: run.body,
-		Instance: instance, Caller: c.Routed.Caller, Repeatable: c.Routed.Repeatable,
+		Instance: instance.ID, Caller: c.Routed.Caller, Repeatable: c.Routed.Repeatable,
 	}
 }
 
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -130,16 +130,19 @@
 		}),
 	}
 	r.counters = newCounters(r)
-	r.crashes = crash.NewWatch(c, crash.Deps{Running: r.runs.count, Instance: r.incarnation, Ended: r.lifecycle.Ended})
+	r.crashes = crash.NewWatch(c, crash.Deps{Running: r.runs.count, Instance: r.incarnation, Ended: r.ended})
 	return r, nil
 }
 
 // incarnation is the backend server's, and whether it has said that it leaves.
 func (r *Runner) incarnation() (instance string, leaving bool) {
-	instance, state := r.lifecycle.Current()
-	return instance, state == backend.Leaving
+	current, state := r.lifecycle.Current()
+	return current.String(), state == backend.Leaving
 }
 
+// ended notes that the process of an incarnation has ended.
+func (r *Runner) ended(instance string) { r.lifecycle.Ended(backend.ParseIncarnation(instance)) }
+
 // InFlight counts requests that were taken in and have not ended.
 func (r *Runner) InFlight() int64 { return r.inFlight.Load() }
 
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -119,7 +119,7 @@
 	other := routedCall("a")
 	other.Service = "other"
 	refused(other, errkind.BackendReplaced)
-	lifecycle.Depart(2, "i-1")
+	lifecycle.Depart(2, backend.Incarnation{ID: "i-1"})
 	refused(routedCall("b"), errkind.BackendAbsent)
 	r.Leave()
 	refused(routedCall("c"), errkind.Leaving)
@@ -133,7 +133,7 @@
 	first, _ := execute(r, routedCall("a"))
 	test.Eq(t, "a", <-h.came)
 	second, _ := execute(r, routedCall("b"))
-	lifecycle.Depart(2, "i-1")
+	lifecycle.Depart(2, backend.Incarnation{ID: "i-1"})
 	h.goOn <- struct{}{}
 	must.NotNil(t, (<-first).Answer)
 	got := <-second
--- a/pkg/systems/departures.go
+++ b/pkg/systems/departures.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/store"
@@ -73,7 +74,7 @@
 
 func (d *departures) takeOver(now int64, fresh []string, said *wire.Departures) []string {
 	for _, id := range said.IDs {
-		d.Backend.Depart(now, id)
+		d.Backend.Depart(now, backend.ParseIncarnation(id))
 		fresh = d.add(now, fresh, id)
 	}
 	if said.Informed {
@@ -141,7 +142,8 @@
 // KeepDeparture notes that a process of the backend server beside this daemon
 // leaves: here and with the peers at once, and in the store, which it waits for
 // until ctx ends. Only then may the announcement be acknowledged.
-func (e *Env) KeepDeparture(ctx context.Context, instance string) {
+func (e *Env) KeepDeparture(ctx context.Context, of backend.Incarnation) {
+	instance := of.String()
 	e.World.Inbox.Post(true, func(m *tables.Mail) { m.Departed = append(m.Departed, instance) })
 	err := e.Platform.Transact(ctx, []store.Write{{Key: departurePrefix + instance, Value: []byte(e.Settings.VM.ID)}})
 	if err != nil && !errors.Is(err, store.ErrConflict) {
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -33,7 +33,7 @@
 func TestARestartedDaemonLearnsADepartureFromTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		first, platform, tick := departuresEnv(t, true)
-		first.KeepDeparture(t.Context(), "i-1")
+		first.KeepDeparture(t.Context(), backend.Incarnation{ID: "i-1"})
 		tick()
 		test.MapContainsKey(t, first.World.Departures, "i-1")
 
@@ -87,7 +87,7 @@
 func TestADepartureIsKeptAlthoughTheAnswerIsLost(t *testing.T) {
 	env, platform, tick := departuresEnv(t, true)
 	platform.SetFaults(fakestore.Faults{LoseAnswers: 1})
-	env.KeepDeparture(t.Context(), "i-1")
+	env.KeepDeparture(t.Context(), backend.Incarnation{ID: "i-1"})
 	tick()
 	test.MapContainsKey(t, env.World.Departures, "i-1")
 	platform.SetFaults(fakestore.Faults{})
--- a/pkg/systems/rolloutguard.go
+++ b/pkg/systems/rolloutguard.go
@@ -101,13 +101,13 @@
 // and its order may be on its way. It is no newcomer where the service has no backend
 // server of another version, nor where a roll-out names it: its traffic decides.
 func (g *rolloutGuard) newcomer(now int64, service string) string {
-	name, _ := g.Backend.Current()
-	own := instance{name: name, version: g.Backend.Version()}
+	current, _ := g.Backend.Current()
+	own := instance{name: current.String(), version: g.Backend.Version()}
 	switch {
-	case g.RolloutLimits.StopWithin <= 0 || name != "" && own == g.admitted:
+	case g.RolloutLimits.StopWithin <= 0 || own.name != "" && own == g.admitted:
 		g.passed = g.admitted
 		return ""
-	case name == "":
+	case own.name == "":
 		return notLookedAt
 	}
 	if own != g.current {
@@ -230,8 +230,8 @@
 
 // bars is true where the guard in force lets the backend server run nothing.
 func (g *rolloutGuard) bars(version string) bool {
-	name, _ := g.Backend.Current()
-	return g.inForce.Bars(name, version, g.World.VM) != ""
+	current, _ := g.Backend.Current()
+	return g.inForce.Bars(current.String(), version, g.World.VM) != ""
 }
 
 // report tells those who judge the roll-out what was seen here. The guard in force
--- a/pkg/systems/selfrow_test.go
+++ b/pkg/systems/selfrow_test.go
@@ -50,7 +50,7 @@
 	now := run()
 	test.Eq(t, wire.BackendLive, now.Backend)
 	test.Greater(t, own.Revision, now.Revision)
-	env.Backend.Depart(2, "i-1")
+	env.Backend.Depart(2, backend.Incarnation{ID: "i-1"})
 	test.Eq(t, wire.BackendAbsent, run().Backend)
 }
 
--- a/pkg/trial/trial.go
+++ b/pkg/trial/trial.go
@@ -44,7 +44,7 @@
 // Barred says why a roll-out lets the backend server run nothing; empty: it lets it.
 func (t *Trial) Barred() string {
 	instance, _ := t.lifecycle.Current()
-	return t.Bars(instance)
+	return t.Bars(instance.String())
 }
 
 // Bars says why a roll-out lets an incarnation run nothing; empty: it lets it.
