A clock that counts the time for which a VM was suspended

Cause: every age, lease and deadline came from the steady clock, which leaves a suspension out: after ten seconds of it a held request still had its time. Ruled out: asking CLOCK_BOOTTIME at each reading (a system call each); at each tick (a request could be sent before the first). Change: pkg/clock compares the time of day with the steady clock at each reading and asks only where they part; Common.Now and resting connections use it; links that peers have given up are closed on waking; an attempt whose answer is there returns it, also where its time is over (a process that stood still found both and picked one by chance).

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 )
@@ -36,7 +35,7 @@
 	reader   *bufio.Reader
 	idHeader string
 	maxBody  int64
-	lastUsed time.Time
+	lastUsed int64
 
 	mu      sync.Mutex
 	current *exchange
@@ -44,7 +43,7 @@
 }
 
 func newConn(c net.Conn, idHeader string, maxBody int) *conn {
-	out := &conn{Conn: c, reader: bufio.NewReader(c), idHeader: idHeader, maxBody: int64(maxBody), lastUsed: time.Now()}
+	out := &conn{Conn: c, reader: bufio.NewReader(c), idHeader: idHeader, maxBody: int64(maxBody)}
 	go out.readLoop()
 	return out
 }
--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -41,6 +41,9 @@
 	DialTimeout time.Duration
 	// MaxBody bounds the body of an answer, in bytes.
 	MaxBody int
+	// Now is the daemon's clock, in nanoseconds: a connection rests on while the VM is
+	// suspended.
+	Now func() int64
 }
 
 // Transport hands requests to the backend server, one at a time a connection.
@@ -197,6 +200,7 @@
 	t.opened++
 	t.mu.Unlock()
 	c := newConn(raw, t.opts.Headers.RequestID, t.opts.MaxBody)
+	c.lastUsed = t.opts.Now()
 	if !c.begin(ex) {
 		return nil, errors.New("the backend server closed the new connection")
 	}
@@ -211,7 +215,7 @@
 	for len(t.idle) > 0 {
 		last := len(t.idle) - 1
 		c := t.idle[last]
-		rested := time.Since(c.lastUsed)
+		rested := time.Duration(t.opts.Now() - c.lastUsed)
 		if rested > keepIdle || !c.usable() {
 			t.idle[last] = nil
 			t.idle = t.idle[:last]
@@ -234,7 +238,7 @@
 	select {
 	case err := <-written:
 		if err == nil && c.usable() {
-			c.lastUsed = time.Now()
+			c.lastUsed = t.opts.Now()
 			t.mu.Lock()
 			t.idle = append(t.idle, c)
 			t.mu.Unlock()
--- a/pkg/backend/transport_test.go
+++ b/pkg/backend/transport_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/rushramp/rushramp/pkg/clock"
 	"github.com/rushramp/rushramp/pkg/errkind"
 )
 
@@ -51,7 +52,7 @@
 }
 
 func newTestTransport(address string) *Transport {
-	return NewTransport(Options{Address: address, Headers: DefaultHeaders(), DialTimeout: time.Second, MaxBody: 1 << 20})
+	return NewTransport(Options{Address: address, Headers: DefaultHeaders(), DialTimeout: time.Second, MaxBody: 1 << 20, Now: clock.New().Now})
 }
 
 func get(id string) *Request {
@@ -238,7 +239,7 @@
 	tr := newTestTransport(address)
 	must.NotNil(t, do(t, tr, get("r1")).Answer)
 	tr.mu.Lock()
-	tr.idle[0].lastUsed = time.Now().Add(-2 * freshFor)
+	tr.idle[0].lastUsed -= int64(2 * freshFor)
 	tr.mu.Unlock()
 	once := get("r2")
 	once.Repeatable = false
--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/rushramp/rushramp/pkg/bodies"
+	"github.com/rushramp/rushramp/pkg/clock"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/measure"
 	"github.com/rushramp/rushramp/pkg/place"
@@ -28,8 +29,8 @@
 	Bodies *bodies.Budget
 	// Quarantine remembers which requests ended backend servers.
 	Quarantine *quarantine.Table
-	// start makes Now a steady clock: wall time may jump, this may not.
-	start time.Time
+	// Clock is that of Now.
+	Clock *clock.Clock
 }
 
 // NewCommon makes the shared dependencies of one daemon.
@@ -40,7 +41,7 @@
 		Measure: measure.NewBudget(s.Measurement, set),
 		Traffic: traffic.NewAccount(set),
 		Bodies:  bodies.NewBudget(s.Limits.BodiesBytes, set),
-		start:   time.Now(),
+		Clock:   clock.New(),
 
 		Quarantine: quarantine.NewTable(),
 	}
@@ -51,6 +52,10 @@
 	return place.Here{DataCentre: c.Settings.VM.DataCentre, Region: c.Settings.VM.Region}
 }
 
-// Now is the time since the daemon's start in nanoseconds, on a clock that
-// never jumps. It is never 0, which stands for "not yet" in the tables.
-func (c *Common) Now() int64 { return int64(time.Since(c.start)) + 1 }
+// Now is the time since the daemon's start in nanoseconds, on a clock that never jumps
+// back and counts the time for which the VM was suspended. It is never 0, which stands
+// for "not yet" in the tables.
+func (c *Common) Now() int64 { return c.Clock.Now() + 1 }
+
+// Suspended is for how long the VM has been suspended since the daemon's start.
+func (c *Common) Suspended() time.Duration { return c.Clock.Suspended() }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -37,6 +37,7 @@
 	SettingsRead      ID = 106
 	SettingsRefused   ID = 107
 	LinesLeftOut      ID = 108
+	Suspended         ID = 109
 	LinkUp            ID = 201
 	LinkDown          ID = 202
 	LinkBadFrame      ID = 203
@@ -123,6 +124,7 @@
 		{SettingsRead, Info, "settings file read again", false, "SIGHUP, or the file changed.", "Sections named in changed come into force at the daemon's next start."},
 		{SettingsRefused, Error, "settings file refused", false, "The file cannot be read or a value is not allowed; the settings in force stay.", "Correct the file as the line says."},
 		{LinesLeftOut, Warn, "log lines left out", false, "More lines than log.lines_per_second or log.bytes_per_second allow, or a reader of the log that stands still.", "by_event tells how many of each event; raise the bounds in log if failures are among them."},
+		{Suspended, Warn, "VM was suspended", false, "The clock that counts suspension moved on while the process stood still; total is since its start.", "Nothing once; look at the platform's VMs if it repeats. Requests whose time was over are refused, and links that peers have given up are opened anew."},
 		{LinkUp, Debug, "link up", false, "A link to another daemon was opened or accepted.", "Nothing."},
 		{LinkDown, Info, "link down", false, "The other daemon ended, or the network between the two broke.", "If it repeats for one peer, look at that VM and the network."},
 		{LinkBadFrame, Warn, "bad frame on link, link closed", false, "A peer sent bytes that are not a frame, or a frame over the bound.", "Check that both daemons run compatible releases."},
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -75,6 +75,12 @@
 				return a.unheard(errkind.New(errkind.LinkLost, "%s gives no sign of life", to.Route.VM))
 			}
 		case <-bound.C:
+			select {
+			case result := <-ends:
+				// A process that stood still finds both; what has come goes out.
+				return result
+			default:
+			}
 			cancel()
 			return a.unheard(errkind.New(errkind.DeadlineWhileRunning, "no word of %s in time", to.Route.VM))
 		case <-a.ctx.Done():
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/clock"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
@@ -292,3 +293,21 @@
 	}
 	test.Eq(t, map[uint32]int{0: 1, 1: 1}, generations)
 }
+
+// TestARequestThatWaitedThroughASuspensionIsNotSent: its time is over, though the steady
+// clock did not move.
+func TestARequestThatWaitedThroughASuspensionIsNotSent(t *testing.T) {
+	var vm *clock.Manual
+	suspends := func(*wire.Call) (call.Result, bool) {
+		vm.Suspend(10 * time.Second)
+		return refuses(errkind.BackendAbsent, false)(nil)
+	}
+	one, two := &fakeRunner{answer: suspends}, &fakeRunner{answer: suspends}
+	f := newForwarder(one, two)
+	f.Clock, vm = clock.NewManual()
+	got := f.Forward(t.Context(), request("/post/1"))
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.DeadlineBeforeRun, got.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+	test.Eq(t, 1, total(one, two))
+}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -121,7 +121,7 @@
 		trial:     trial.New(c, deps.Lifecycle, deps.Recorder),
 		transport: backend.NewTransport(backend.Options{
 			Address: s.BackendServer.Address, Headers: deps.Headers,
-			DialTimeout: s.BackendServer.DialTimeout, MaxBody: s.Limits.MaxBodyBytes,
+			DialTimeout: s.BackendServer.DialTimeout, MaxBody: s.Limits.MaxBodyBytes, Now: c.Now,
 		}),
 		gate: gate.New(gate.Options{
 			Slots: s.BackendServer.Slots, QueueLength: s.Gate.QueueLength, QueueTime: s.Gate.QueueTime,
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -93,6 +93,7 @@
 	known := newRollouts(env)
 	watch := newRolloutWatch(env, known)
 	return []System{
+		&suspension{Env: env},
 		&vmListReader{Env: env, outage: events.NewOutage(env.Log, "list of VMs")},
 		versionReader(env),
 		&seeds{Env: env},
