Few daemons read what is held back; the look after a crash is bounded

Cause: each daemon that starts read the rows of held contents: after a loss of power a quarter more calls to the store, which have a price. A question whether somebody listens could wait as long as a dial, where a full queue drops it. Ruled out: leaving it to peers alone (after a loss of power nobody knows).

--- a/pkg/crash/watch.go
+++ b/pkg/crash/watch.go
@@ -26,6 +26,9 @@
 	// system closes them all at once; what takes time is to read that of each.
 	othersBreakWithin = 30 * time.Millisecond
 	othersBreakEvery  = 2 * time.Millisecond
+	// refusedWithin bounds the question whether somebody listens: on one VM the system
+	// says so at once, and where it does not, somebody is there who is too busy to accept.
+	refusedWithin = 50 * time.Millisecond
 	// mostLogged bounds the runs that the line of a crash names.
 	mostLogged = 16
 )
@@ -106,8 +109,7 @@
 
 // refusesConnections is true where nobody listens at the backend server's address.
 func (w *Watch) refusesConnections() bool {
-	s := w.Settings.BackendServer
-	c, err := netdial.New(s.DialTimeout, 0).DialContext(context.Background(), "tcp", s.Address)
+	c, err := netdial.New(refusedWithin, 0).DialContext(context.Background(), "tcp", w.Settings.BackendServer.Address)
 	if err == nil {
 		_ = c.Close()
 	}
--- a/pkg/systems/heldrows.go
+++ b/pkg/systems/heldrows.go
@@ -25,6 +25,13 @@
 	// at once share two thousand reads a second.
 	heldReadRest     = 500 * time.Millisecond
 	heldReadRestMost = 8 * time.Second
+	// heldReaders is how many daemons of a data centre read the rows as soon as links may
+	// be open, heldReadFirst after their start; all others hear it from them, and read only
+	// where they have heard nothing by heldReadAnyway. With each of 295 daemons reading
+	// after a loss of power, that would be a quarter of their calls to the store then.
+	heldReaders    = 2
+	heldReadFirst  = 300 * time.Millisecond
+	heldReadAnyway = 2 * time.Second
 	// heldKeepRest is the time between two tries to write a row.
 	heldKeepRest = time.Second
 )
@@ -163,6 +170,9 @@
 
 // inform reads the rows while neither the store nor a peer has told them.
 func (q *quarantines) inform(now int64) {
+	if now < int64(heldReadFirst) || now < int64(heldReadAnyway) && q.aheadInDataCentre() >= heldReaders {
+		return
+	}
 	if !q.readDue.at(now, q.readRest/2+rand.N(q.readRest)) || !q.reading.CompareAndSwap(false, true) {
 		return
 	}
--- a/pkg/systems/quarantines_test.go
+++ b/pkg/systems/quarantines_test.go
@@ -1,6 +1,7 @@
 package systems
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,6 +81,9 @@
 		time.Sleep(time.Minute)
 		third := newHolding(t, platform, false)
 		third.tick()
+		test.False(t, third.system.informed, test.Sprint("links may open first"))
+		time.Sleep(heldReadFirst)
+		third.tick()
 		third.tick()
 		test.True(t, third.system.informed)
 		test.True(t, third.holds(7))
@@ -157,6 +161,7 @@
 			must.NoError(t, platform.Transact(t.Context(), []store.Write{{Key: key, Value: []byte(value)}}))
 		}
 		other := newHolding(t, platform, false)
+		time.Sleep(heldReadFirst)
 		other.tick()
 		other.tick()
 		test.True(t, other.holds(7))
@@ -164,6 +169,37 @@
 	})
 }
 
+// TestAFewDaemonsReadWhatIsHeld and the others hear it from them; one that hears nothing
+// reads it all the same.
+func TestAFewDaemonsReadWhatIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons = 12
+		platform := fakestore.New()
+		readers := 0
+		for n := range daemons {
+			h := newHolding(t, platform, false)
+			h.World.VM = fmt.Sprint("here", n)
+			for other := range daemons {
+				if other != n {
+					h.World.Members.Merge(1, nil, wire.Member{VM: fmt.Sprint("here", other), Started: 1, DataCentre: "here", Service: "s"})
+				}
+			}
+			time.Sleep(heldReadFirst)
+			h.tick()
+			h.tick()
+			if h.system.informed {
+				readers++
+				continue
+			}
+			time.Sleep(heldReadAnyway)
+			h.tick()
+			h.tick()
+			test.True(t, h.system.informed)
+		}
+		test.Eq(t, heldReaders, readers)
+	})
+}
+
 // TestEachNewLinkIsToldWhatIsHeldOnce by daemons that know.
 func TestEachNewLinkIsToldWhatIsHeldOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
