--- a/pkg/backend/headers.go
+++ b/pkg/backend/headers.go
@@ -15,6 +15,8 @@
 	Expected string
 	// Caller names the service on whose VM the request began.
 	Caller string
+	// Team names the team whose key the request carried.
+	Team string
 	// Instance is how a backend server names its incarnation in answers.
 	Instance string
 	// Load carries running, waiting and slots, and the slowdown in percent.
@@ -29,7 +31,7 @@
 func DefaultHeaders() Headers {
 	return Headers{
 		RequestID: "Rushramp-Request-Id", DeadlineMS: "Rushramp-Timeout", Expected: "Rushramp-Expected-Instance",
-		Caller: "Rushramp-Caller", Instance: "Rushramp-Instance", Load: "Rushramp-Load", NotExecuted: "Rushramp-Not-Run",
+		Caller: "Rushramp-Caller", Team: "Rushramp-Team", Instance: "Rushramp-Instance", Load: "Rushramp-Load", NotExecuted: "Rushramp-Not-Run",
 		ColdMS: "Rushramp-Cold-Ms",
 	}
 }
--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -72,6 +72,8 @@
 	Instance string
 	// Caller is the service on whose VM the request began.
 	Caller string
+	// Team is the one whose key the request carried; empty: it carried none.
+	Team string
 	// Repeatable allows a connection that has rested for long.
 	Repeatable bool
 }
@@ -144,6 +146,10 @@
 	}
 	header.Set(h.RequestID, req.ID)
 	header.Set(h.Caller, req.Caller)
+	header.Del(h.Team)
+	if req.Team != "" {
+		header.Set(h.Team, req.Team)
+	}
 	header.Del(h.Expected)
 	if req.Instance != "" {
 		header.Set(h.Expected, req.Instance)
--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -13,6 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/measure"
 	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/quarantine"
+	"github.com/rushramp/rushramp/pkg/quota"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/traffic"
 )
@@ -29,6 +30,8 @@
 	Bodies *bodies.Budget
 	// Quarantine remembers which requests ended backend servers.
 	Quarantine *quarantine.Table
+	// Quota counts the requests of teams; nil on a daemon that takes no routed requests.
+	Quota *quota.Node
 	// Clock is that of Now.
 	Clock *clock.Clock
 }
--- a/pkg/daemon/bounds.go
+++ b/pkg/daemon/bounds.go
@@ -26,6 +26,12 @@
 	ExposeShare float64
 	ExposeSlack float64
 	StopWithin  time.Duration
+	// QuotaSlack is how many requests beyond its limit a team may send in QuotaWindow.
+	QuotaSlack  float64
+	QuotaWindow time.Duration
+	// RevokeWithin is after how long a key that was taken away must let nothing in
+	// anywhere, also at a VM that is cut off; 0: there it may.
+	RevokeWithin time.Duration
 }
 
 const (
@@ -82,3 +88,13 @@
 		r.ColdSlack = coldShare * b.ColdSlack
 	}
 }
+
+// applyTeams does so for those on teams.
+func (b Bounds) applyTeams(t *settings.Teams) {
+	if b.QuotaWindow > 0 {
+		t.LimitSlack, t.LimitWindow = b.QuotaSlack, b.QuotaWindow
+	}
+	if b.RevokeWithin > 0 {
+		t.RevokeWithin = b.RevokeWithin
+	}
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -77,6 +77,7 @@
 	// The file's own settings stay as they are: the reloader compares them.
 	inForce := *s
 	adapter.Bounds.apply(&inForce.Routing)
+	adapter.Bounds.applyTeams(&inForce.Teams)
 	s = &inForce
 	if opts.Platform == nil {
 		opts.Platform = adapter.Store
@@ -111,6 +112,9 @@
 		left:    make(chan struct{}),
 	}
 	d.World.Region = s.VM.Region
+	if s.Listen.Routed != "" {
+		c.Quota = newQuota(s, d.World.View)
+	}
 	claims := once.NewClaims(background, c, opts.Platform)
 	if err := d.newExecutor(claims); err != nil {
 		endWork()
--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -49,6 +49,10 @@
 	DataCentreEvacuated
 	VersionHeld
 	RequestHeld
+	KeyUnknown
+	KeysUnsure
+	LimitUsed
+	LimitUnsure
 	kindCount
 )
 
@@ -129,6 +133,10 @@
 	DataCentreEvacuated:  {Name: "data_centre_evacuated", Status: 503, Elsewhere: true, RetryAfterMS: 500, Advice: "Operators have evacuated the data centre of the chosen backend server; try again, or ask the operators to take it back."},
 	VersionHeld:          {Name: "version_held", Status: 503, Elsewhere: true, RetryAfterMS: 100, Advice: "A roll-out lets no request run at this version of the service now; try again."},
 	RequestHeld:          {Name: "request_held", Status: 503, RetryAfterMS: 60000, Advice: "Each backend server that ran a request of this content ended; it is held back. Do not send it again before the stated time, and tell the operators its id."},
+	KeyUnknown:           {Name: "key_unknown", Status: 401, Advice: "No team of the placement in force holds the key that came with the request; send a key that the operators have given you."},
+	KeysUnsure:           {Name: "keys_unsure", Status: 503, RetryAfterMS: 500, Advice: "This daemon cannot tell whether keys are still in force; send it through a daemon elsewhere, or come back later."},
+	LimitUsed:            {Name: "limit_used", Status: 429, RetryAfterMS: 200, Advice: "The team has used its limit of requests; come back after the stated time, or ask the operators to raise the limit."},
+	LimitUnsure:          {Name: "limit_unsure", Status: 503, RetryAfterMS: 300, Advice: "The daemon that counts the team's requests has not answered; come back after the stated time."},
 	Internal:             {Name: "internal", Status: 500, Ran: RanMaybe, Advice: "A fault in rushramp; report it with the daemon's log."},
 }
 
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -73,6 +73,7 @@
 	ContentHeld       ID = 518
 	ContentFreed      ID = 519
 	ForeignWord       ID = 520
+	TeamsCounter      ID = 521
 	ClaimLost         ID = 601
 	ClaimVoided       ID = 602
 	ClaimUnknown      ID = 603
@@ -160,6 +161,7 @@
 		{ContentHeld, Warn, "requests of one content are held back", false, "Each backend server that ran a request of this content ended, and none has run one to its end since.", "Find such a request by the content in events 517 and 504, and mend what ends the backend server; the content may run again when left is over."},
 		{ContentFreed, Info, "requests of one content run again", false, "The time is over, or a backend server has run one to its end; why says which.", "Nothing."},
 		{ForeignWord, Warn, "word of another writer passed over", false, "An announcement, or a row of the store, lacks fields, holds some of another type, names a state or service that is not one here, or cannot be read.", "Find who writes it: what names the sender or the row. It names no backend server to use; the others hold."},
+		{TeamsCounter, Debug, "another daemon counts teams", false, "The daemon that counted the requests of a group of teams cannot be reached, or one that should count before it is back; counter names its VM and process.", "Nothing. While it repeats within seconds, teams may be refused within their limit: look at the network between the named VMs."},
 		{ClaimLost, Info, "claim taken by another executor", false, "Two executors tried the same never-repeat call; only one may run it.", "Nothing."},
 		{ClaimVoided, Info, "abandoned claim voided", false, "This executor held a claim that it had not handed over.", "Nothing."},
 		{ClaimUnknown, Warn, "claim outcome unknown", false, "The store answered neither the write nor the read-back in time; the call was not run.", "Look at the platform's table service."},
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -122,7 +122,7 @@
 
 func (a *attempts) frame(to *tables.Candidate, soft bool) *wire.Call {
 	elapsed := time.Duration(a.owner.Now() - a.began)
-	return &wire.Call{
+	out := &wire.Call{
 		Service:   a.service,
 		Kind:      a.route.Name,
 		Method:    a.req.Method,
@@ -138,4 +138,8 @@
 			Near: a.placeOf(to) == place.Near, Target: a.target - elapsed,
 		},
 	}
+	if a.team != nil {
+		out.Routed.Team, out.Routed.TeamPriority = a.team.Name, a.team.Priority
+	}
+	return out
 }
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -13,6 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/rollout"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/teams"
 )
 
 const (
@@ -42,6 +43,8 @@
 	began    int64
 	deadline int64
 	target   time.Duration
+	// team is the one whose key the request carries; nil: it carries none.
+	team *teams.Team
 	// lane is the side of a roll-out that the request is on.
 	lane rollout.Lane
 
@@ -77,6 +80,10 @@
 			// A process that stood still may learn of both at once.
 			return a.conclude(call.Refused(errkind.CallerGone, "the caller left before the request was sent"))
 		}
+		if refusal := a.revoked(); refusal != nil {
+			a.stopped = stoppedByKind
+			return a.conclude(*refusal)
+		}
 		if refusal := a.heldBack(); refusal != nil {
 			a.stopped = stoppedByQuarantine
 			return a.conclude(*refusal)
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -31,6 +31,8 @@
 	Path    string
 	Headers []wire.Header
 	Body    []byte
+	// Key is the one that came with the request.
+	Key Key
 	// Timeout is what the caller allows; 0: not said.
 	Timeout time.Duration
 	// Behind is how many requests of its connection were unanswered when it was
@@ -121,8 +123,18 @@
 	if to.route == nil {
 		return f.ended(req, nil, began, call.Refused(errkind.UnknownRoute, "version %d has no route for this host and path", to.placement.Version))
 	}
+	team, refusal := f.identify(to, req)
+	if refusal != nil {
+		return f.ended(req, nil, began, call.Result{Refusal: refusal})
+	}
 	a := f.newAttempts(ctx, req, to.route, to.placement.Version, began)
-	return f.ended(req, a, began, a.run())
+	a.team = team
+	if refused := f.count(ctx, a); refused != nil {
+		return f.ended(req, a, began, *refused)
+	}
+	result := a.run()
+	f.giveBack(a, &result)
+	return f.ended(req, a, began, result)
 }
 
 // ended counts and logs how a request ended.
--- a/pkg/forward/trail.go
+++ b/pkg/forward/trail.go
@@ -121,6 +121,9 @@
 	if req.Behind > 0 {
 		fields = append(fields, events.F("behind", req.Behind), events.F("waited", events.Milliseconds(req.Waited)))
 	}
+	if a != nil && a.team != nil {
+		fields = append(fields, events.F("team", a.team.Name))
+	}
 	if a != nil {
 		fields = append(fields,
 			events.F("route", a.route.Name), events.F("service", a.service), events.F("version", a.version),
--- a/pkg/gate/hold_test.go
+++ b/pkg/gate/hold_test.go
@@ -55,7 +55,7 @@
 func TestHeldStartsKeepTheirOrder(t *testing.T) {
 	g, now := holdingGate()
 	var want []*Job
-	for _, rank := range []uint8{2, 2, 2, 0, 1} {
+	for _, rank := range []uint16{2, 2, 2, 0, 1} {
 		job := &Job{Rank: rank, Deadline: now + hour, EndBy: now + hour, Work: run}
 		_, refusal := g.Admit(now, job)
 		must.Nil(t, refusal)
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -34,7 +34,7 @@
 	// the sender accepts. Zero or less: no bound.
 	MaxCost time.Duration
 	// Rank orders jobs of routed requests, 0 first; it goes before the deadline.
-	Rank uint8
+	Rank uint16
 	// Called jobs go first among those of one rank: a service waits for each in
 	// the middle of a run, with its slot held.
 	Called bool
--- a/pkg/gate/routed_property_test.go
+++ b/pkg/gate/routed_property_test.go
@@ -27,7 +27,7 @@
 
 func (w *routedWorld) admit(t *rapid.T) {
 	job := &Job{
-		Rank: uint8(rapid.IntRange(0, 2).Draw(t, "rank")), Soft: rapid.Bool().Draw(t, "soft"),
+		Rank: uint16(rapid.IntRange(0, 2).Draw(t, "rank")), Soft: rapid.Bool().Draw(t, "soft"),
 		Work:     time.Duration(rapid.IntRange(0, 300).Draw(t, "work")) * time.Millisecond,
 		EndBy:    w.now + rapid.Int64Range(1, 900).Draw(t, "end by")*ms,
 		Deadline: w.now + rapid.Int64Range(1, 2000).Draw(t, "deadline")*ms,
--- /dev/null
+++ b/pkg/ingress/key_test.go
@@ -0,0 +1,37 @@
+package ingress
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/teams"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+func TestKeysOfHeaders(t *testing.T) {
+	for _, values := range [][]string{{"Bearer k"}, {"bearer  k "}, {"BEARER k"}} {
+		got := keyOf(http.Header{"Authorization": values})
+		test.True(t, got.Given)
+		test.Eq(t, teams.DigestOf("k"), got.Digest, test.Sprint(values))
+	}
+	for _, values := range [][]string{nil, {""}, {"Bearer"}, {"Bearer "}, {"Basic k"}, {"k"}, {"Bearer k", "Bearer k"}} {
+		test.False(t, keyOf(http.Header{"Authorization": values}).Given, test.Sprint(values))
+	}
+}
+
+// TestACallersTeamGoesNoFurther in any spelling, however often it is sent.
+func TestACallersTeamGoesNoFurther(t *testing.T) {
+	var seen wire.Call
+	_, address := newServer(t, func(c *wire.Call, _ []byte) call.Result {
+		seen = *c
+		return call.Result{Answer: &call.Answer{Status: 200}}
+	})
+	resp, _ := raw(t, address, "GET /p/ HTTP/1.1\r\nHost: h\r\nRushramp-Request-Id: i\r\n"+
+		"rushramp-team: a\r\nRUSHRAMP-TEAM: b\r\nRushramp_Team: c\r\nrushramp_Caller: d\r\nX-Own: v\r\n\r\n")
+	must.Eq(t, 200, resp.StatusCode)
+	test.Eq(t, []wire.Header{{Name: "X-Own", Value: "v"}}, seen.Headers)
+}
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -33,11 +34,14 @@
 	// Caller names the service on whose VM a request began; what callers send
 	// in it goes no further.
 	Caller string
+	// Team names the team whose key a request carried; what callers send in it goes no
+	// further.
+	Team string
 }
 
 // DefaultHeaders are the names that the product itself uses.
 func DefaultHeaders() Headers {
-	return Headers{RequestID: "Rushramp-Request-Id", DeadlineMS: "Rushramp-Timeout", Caller: "Rushramp-Caller"}
+	return Headers{RequestID: "Rushramp-Request-Id", DeadlineMS: "Rushramp-Timeout", Caller: "Rushramp-Caller", Team: "Rushramp-Team"}
 }
 
 // Server is the listener for routed requests.
@@ -141,6 +145,7 @@
 	if out.Timeout, refusal = timeoutOf(r.Header.Get(s.headers.DeadlineMS)); refusal != nil {
 		return nil, refusal
 	}
+	out.Key = keyOf(r.Header)
 	out.Headers = s.requestHeaders(r.Header)
 	out.Body, refusal = s.body(w, r, out, held)
 	return out, refusal
@@ -206,6 +211,9 @@
 	header.Set("Rushramp-Error", row.Name)
 	header.Set("Rushramp-Ran", refusal.Ran.String())
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", keyScheme)
+	}
 	if refusal.Ran == errkind.RanNo && retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 	}
@@ -218,8 +226,9 @@
 // ownHeader is true for headers that the executor sets itself, so that they
 // need not travel to it.
 func (s *Server) ownHeader(name string) bool {
-	switch name {
-	case http.CanonicalHeaderKey(s.headers.Caller), http.CanonicalHeaderKey(s.headers.RequestID), http.CanonicalHeaderKey(s.headers.DeadlineMS):
+	// Backend servers may read an underscore as a hyphen, as CGI does the other way.
+	switch http.CanonicalHeaderKey(strings.ReplaceAll(name, "_", "-")) {
+	case http.CanonicalHeaderKey(s.headers.Caller), http.CanonicalHeaderKey(s.headers.Team), http.CanonicalHeaderKey(s.headers.RequestID), http.CanonicalHeaderKey(s.headers.DeadlineMS):
 		return true
 	}
 	return false
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -41,6 +41,10 @@
 
 func (q *quietControl) Quarantine(*Peer, *wire.Quarantine) {}
 
+func (q *quietControl) QuotaAsk(*Peer, *wire.QuotaAsk) {}
+
+func (q *quietControl) QuotaGrant(*Peer, *wire.QuotaGrant) {}
+
 func (q *quietControl) RolloutReport(*Peer, *wire.RolloutReport) {}
 func (q *quietControl) Update(*Peer, *wire.Update)               {}
 
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -33,6 +33,9 @@
 	RolloutReport(peer *Peer, report *wire.RolloutReport)
 	// Quarantine takes what a peer knows of requests that end backend servers.
 	Quarantine(peer *Peer, said *wire.Quarantine)
+	// QuotaAsk answers a peer that asks for tokens of teams, QuotaGrant takes the answer.
+	QuotaAsk(peer *Peer, ask *wire.QuotaAsk)
+	QuotaGrant(peer *Peer, grant *wire.QuotaGrant)
 }
 
 // Peer is the daemon at the other end of a link.
@@ -84,6 +87,10 @@
 		c.RolloutReport(p, f)
 	case *wire.Quarantine:
 		c.Quarantine(p, f)
+	case *wire.QuotaAsk:
+		c.QuotaAsk(p, f)
+	case *wire.QuotaGrant:
+		c.QuotaGrant(p, f)
 	default:
 		return false
 	}
--- a/pkg/placement/compiled.go
+++ b/pkg/placement/compiled.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/teams"
 )
 
 // Compiled is a version made ready for the hot path. It never changes.
@@ -14,7 +15,9 @@
 	// Document is what was compiled.
 	Document *Document
 	// Routes are the routes by host and path; empty where a version has none.
-	Routes   *routing.Table
+	Routes *routing.Table
+	// Teams finds the team of a request's key.
+	Teams    *teams.Directory
 	services map[string]*CompiledService
 }
 
@@ -47,6 +50,7 @@
 	for _, s := range doc.Services {
 		out.services[s.Name] = compileService(doc.Version, s)
 	}
+	out.Teams = teams.NewDirectory(doc.Teams)
 	out.Routes = routing.Compile(doc.Routes, doc.BackendServices, doc.Limits)
 	out.addRouted()
 	return out
--- a/pkg/placement/document.go
+++ b/pkg/placement/document.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/teams"
 )
 
 // Class orders the calls that wait at a gate.
@@ -77,6 +78,8 @@
 	BackendServices []routing.Service `cbor:"4,keyasint,omitempty" yaml:"backend_services,omitempty" validate:"dive"`
 	// Limits bound what callers of routed requests may send.
 	Limits routing.Limits `cbor:"5,keyasint,omitempty" yaml:"limits,omitempty"`
+	// Teams are those whose requests are let in; none: requests carry no key.
+	Teams []teams.Team `cbor:"6,keyasint,omitempty" yaml:"teams,omitempty" validate:"dive"`
 }
 
 // Hash returns a digest of the content. Two documents with the same services
--- /dev/null
+++ b/pkg/quota/node.go
@@ -0,0 +1,327 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Options say how a daemon counts.
+type Options struct {
+	// Self names this daemon's VM.
+	Self string
+	// Slack is how many requests beyond its limit a team may send in the platform's
+	// window, over all daemons.
+	Slack float64
+	// Window is the platform's.
+	Window time.Duration
+	// LentBefore is for how long the process before this one may still have lent the
+	// daemon's part.
+	LentBefore time.Duration
+	// Limit tells the limits in force.
+	Limit LimitOf
+}
+
+// Peer is a daemon that may count.
+type Peer struct {
+	// Process tells the processes of one VM apart.
+	Process string
+	// Send sends a question; nil for this daemon itself.
+	Send func(*Ask)
+}
+
+// Node is one daemon's part in counting: it asks for tokens, lends its part of the limits,
+// and counts the groups that others ask it for. It is safe for concurrent use. Times are
+// nanoseconds of the daemon's clock.
+type Node struct {
+	opts Options
+
+	mu       sync.Mutex
+	pools    [Groups]*pool
+	accounts map[string]*account
+	lendings [Groups]lending
+	// counters are the processes that are asked now, ranked the daemons that may count,
+	// first choice first.
+	counters [Groups]Peer
+	ranked   [Groups][]Peer
+	known    map[string]*knownPeer
+	members  members
+	does     [Groups]step
+	renewAt  int64
+	sweepAt  int64
+	stats    Stats
+}
+
+// knownPeer is what is known of a process that was asked.
+type knownPeer struct {
+	stamp int64
+	// askedAt is when it was first asked since it last answered; 0: it owes nothing.
+	askedAt  int64
+	probedAt int64
+	seenAt   int64
+}
+
+// silent is true for a process that owes an answer for too long.
+func (k *knownPeer) silent(now int64) bool {
+	return k.askedAt != 0 && now-k.askedAt > int64(silentAfter)
+}
+
+// members is how many daemons share the limits.
+type members struct {
+	count uint32
+	// lowAt is when a smaller count than this was first told.
+	lowAt int64
+}
+
+// note takes a count over; a smaller one only once it has held for a while.
+func (m *members) note(now int64, count uint32) {
+	if count >= m.count {
+		m.count, m.lowAt = count, 0
+		return
+	}
+	if m.lowAt == 0 {
+		m.lowAt = now
+	}
+	if now-m.lowAt >= int64(membersFor) {
+		m.count, m.lowAt = count, 0
+	}
+}
+
+// Stats counts what a node did since its start.
+type Stats struct {
+	// Asked counts questions, Granted tokens that requests took here, Refused requests
+	// over a limit, Unsure those that nobody answered for, Back tokens given back.
+	Asked, Granted, Refused, Unsure, Back uint64
+}
+
+// NewNode makes a node.
+func NewNode(opts Options) *Node {
+	n := &Node{opts: opts, accounts: map[string]*account{}, known: map[string]*knownPeer{}}
+	for g := range Groups {
+		n.pools[g] = newPool(opts.Slack)
+		n.lendings[g].until = int64(opts.LentBefore)
+	}
+	return n
+}
+
+// Stats returns the counts.
+func (n *Node) Stats() Stats {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stats
+}
+
+// Counters are the processes that count each group, as far as this daemon knows.
+func (n *Node) Counters() (out [Groups]string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for g := range Groups {
+		out[g] = n.counters[g].Process
+	}
+	return out
+}
+
+// Holds is for how many daemons' parts this daemon counts a group now, as a share of all.
+func (n *Node) Holds(now int64, group int) float64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pools[group].advance(now)
+	return n.pools[group].sum
+}
+
+// Take asks for a token of a team that has a limit, and waits for it, for as long as
+// patience at the most.
+func (n *Node) Take(ctx context.Context, now int64, team string, patience time.Duration) Verdict {
+	w, verdict := n.begin(now, team)
+	if w == nil {
+		return verdict
+	}
+	timer := time.NewTimer(min(patience, mostPatience))
+	defer timer.Stop()
+	select {
+	case verdict = <-w.verdict:
+		return verdict
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return n.giveUp(team, w)
+}
+
+// begin takes a token that lies here, or makes the request wait for one.
+func (n *Node) begin(now int64, team string) (*waiter, Verdict) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.accountOf(team)
+	a.recent++
+	if len(a.waiting) == 0 && a.spend(now) {
+		n.stats.Granted++
+		return nil, Verdict{Granted: true}
+	}
+	if now < a.shutUntil {
+		n.stats.Refused++
+		return nil, Verdict{Wait: time.Duration(a.shutUntil - now)}
+	}
+	w := &waiter{verdict: make(chan Verdict, 1)}
+	a.waiting = append(a.waiting, w)
+	if len(a.waiting) > int(a.asked) && now >= a.laterUntil {
+		n.ask(now, a.group, []Want{a.want(now)})
+	}
+	select {
+	case verdict := <-w.verdict:
+		// This daemon counts the team itself.
+		return nil, n.counted(verdict)
+	default:
+		return w, Verdict{}
+	}
+}
+
+func (n *Node) counted(v Verdict) Verdict {
+	switch {
+	case v.Granted:
+		n.stats.Granted++
+	case v.Unsure:
+		n.stats.Unsure++
+	default:
+		n.stats.Refused++
+	}
+	return v
+}
+
+// giveUp ends the wait of a request whose time is over. A token that came in the same
+// moment is given back.
+func (n *Node) giveUp(team string, w *waiter) Verdict {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.accountOf(team).leave(w) {
+		return n.counted(Verdict{Unsure: true})
+	}
+	return n.counted(<-w.verdict)
+}
+
+// GiveBack returns the token of a request that was not run.
+func (n *Node) GiveBack(team string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	a := n.accountOf(team)
+	a.back++
+	// The next request may have it.
+	a.shutUntil = 0
+	n.stats.Back++
+}
+
+func (n *Node) accountOf(team string) *account {
+	a := n.accounts[team]
+	if a == nil {
+		a = &account{team: team, group: GroupOf(team)}
+		n.accounts[team] = a
+	}
+	return a
+}
+
+// ask sends a question without a part to the counter of a group.
+func (n *Node) ask(now int64, group int, wants []Want) {
+	counter := n.counters[group]
+	if counter.Process == "" {
+		return
+	}
+	n.stats.Asked++
+	n.send(now, counter, &Ask{Group: uint8(group), Wants: wants})
+}
+
+// send sends a question; this daemon answers itself at once.
+func (n *Node) send(now int64, to Peer, ask *Ask) {
+	if to.Send == nil {
+		ask.Stamp = now
+		grant := n.answer(now, n.opts.Self, ask)
+		n.takeOver(now, to.Process, &grant)
+		return
+	}
+	peer := n.peerOf(now, to.Process)
+	if peer.askedAt == 0 {
+		peer.askedAt = now
+	}
+	ask.Stamp = peer.stamp
+	to.Send(ask)
+}
+
+func (n *Node) peerOf(now int64, process string) *knownPeer {
+	k := n.known[process]
+	if k == nil {
+		k = &knownPeer{}
+		n.known[process] = k
+	}
+	k.seenAt = now
+	return k
+}
+
+// Answer answers the question of another daemon.
+func (n *Node) Answer(now int64, vm string, ask *Ask) Grant {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.answer(now, vm, ask)
+}
+
+func (n *Node) answer(now int64, vm string, ask *Ask) Grant {
+	out := Grant{Group: ask.Group, Stamp: now, Members: n.members.count}
+	if int(ask.Group) >= Groups {
+		return out
+	}
+	p := n.pools[ask.Group]
+	if ask.Release > 0 {
+		p.release(now, vm)
+		out.Released = ask.Release
+	}
+	if ask.Members > 0 && ask.Stamp > 0 {
+		size := 1 / float64(max(ask.Members, n.members.count))
+		p.lend(now, offer{vm: vm, size: size, stamp: ask.Stamp, fresh: ask.Fresh})
+	}
+	for _, want := range ask.Wants {
+		granted := Granted{Team: want.Team, Asked: want.Count, At: want.At}
+		if limit, ok := n.opts.Limit(want.Team); ok && limit.Limited() {
+			count, wait := p.take(now, want.Team, limit, want)
+			granted.Count, granted.WaitMS = count, uint32(wait.Milliseconds())
+			granted.Later = count == 0 && p.sum == 0
+		} else if ok {
+			granted.Count = want.Count
+		} else {
+			granted.WaitMS = uint32(renewEvery.Milliseconds())
+		}
+		out.Grants = append(out.Grants, granted)
+	}
+	return out
+}
+
+// TakeOver takes the answer of a process over.
+func (n *Node) TakeOver(now int64, process string, grant *Grant) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.takeOver(now, process, grant)
+}
+
+func (n *Node) takeOver(now int64, process string, grant *Grant) {
+	peer := n.peerOf(now, process)
+	first := peer.stamp == 0
+	peer.stamp, peer.askedAt = max(peer.stamp, grant.Stamp), 0
+	if grant.Members > n.members.count {
+		n.members.note(now, grant.Members)
+	}
+	current := int(grant.Group) < Groups && n.counters[grant.Group].Process == process
+	for i := range grant.Grants {
+		granted := &grant.Grants[i]
+		if a := n.accounts[granted.Team]; a != nil {
+			a.grant(now, granted, current)
+		}
+	}
+	if !current {
+		return
+	}
+	if grant.Released > 0 {
+		// The next choice lends it elsewhere.
+		n.lendings[grant.Group].back(now, process, grant.Released)
+		n.choose(now, int(grant.Group), n.ranked[grant.Group])
+	}
+	if first {
+		// Only now can the part be lent there.
+		n.renew(now, int(grant.Group), nil)
+	}
+}
--- /dev/null
+++ b/pkg/quota/quota.go
@@ -0,0 +1,116 @@
+// Package quota counts the requests of teams over all daemons together, without an
+// election and without the store: each daemon owns an equal part of every limit and lends
+// it, for less than a second at a time, to the daemon that counts a group of teams. What
+// was lent twice cannot be spent twice, whoever is cut off, killed or started again. The
+// package needs no network. Source: docs/design/teams.md, "Quotas".
+package quota
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rushramp/rushramp/pkg/teams"
+)
+
+// Groups is how many groups of teams there are. Each has a counter of its own, so that
+// the work is spread, and each costs a daemon one exchange of frames a renewal.
+const Groups = 4
+
+// GroupOf is the group of a team.
+func GroupOf(team string) int { return int(xxhash.Sum64String(team) % Groups) }
+
+const (
+	// Lease is for how long a part of the limits is lent. A counter that is lost takes
+	// the parts that it had with it for as long.
+	Lease = 500 * time.Millisecond
+	// renewEvery is the time between two renewals: two may be lost before a part ends.
+	renewEvery = 150 * time.Millisecond
+	// silentAfter is for how long a counter may leave a question unanswered until
+	// another one is asked: a round trip between regions and a pause of its process.
+	silentAfter = 300 * time.Millisecond
+	// probeEvery is the time between two questions to a counter that was silent.
+	probeEvery = 500 * time.Millisecond
+	// tokenLife is for how long a daemon may keep a token that it has no request for.
+	// What all daemons keep comes on top of what a team may send in any window.
+	tokenLife = 300 * time.Millisecond
+	// mostPatience is the longest that a request waits for the word of a counter: another
+	// one has the parts of one that was lost after a Lease.
+	mostPatience = 400 * time.Millisecond
+	// membersFor is for how long a larger count of members is held to after it fell: parts
+	// that were lent by it are still out.
+	membersFor = time.Second
+)
+
+const (
+	// depthShare is the share of the platform's slack by which a team may exceed its
+	// burst, so that tokens which lie unused at daemons cost it nothing.
+	depthShare = 0.5
+	// startShare is the share of the slack that a team gets at once where its parts come
+	// to a new counter after one that was lost, with the tokens that it had saved.
+	// mostStarts is how often a daemon's part may bring that within one window, so that
+	// both shares together keep to the slack.
+	startShare = 0.25
+	mostStarts = 2
+)
+
+// Ask is what a daemon says to the counter of a group.
+type Ask struct {
+	_ struct{} `cbor:",toarray"`
+	// Group is the group that is meant.
+	Group uint8
+	// Stamp is the newest one that the counter has sent; it says until when the part that
+	// is lent with the question may be used. 0: none is known.
+	Stamp int64
+	// Members is how many daemons share the limits, as far as the asking one knows; 0: it
+	// lends nothing.
+	Members uint32
+	// Fresh is true where the counter that had the part before was lost.
+	Fresh bool
+	// Release takes the part back, as another daemon is to count the group: it is the asking
+	// daemon's own time. 0: it does not.
+	Release int64
+	// Wants are the tokens that it asks for.
+	Wants []Want
+}
+
+// Want asks for tokens of one team.
+type Want struct {
+	_    struct{} `cbor:",toarray"`
+	Team string
+	// Count is how many are wanted, Back how many are given back unused.
+	Count uint32
+	Back  uint32
+	// At is the asking daemon's own time, which comes back with the answer.
+	At int64
+}
+
+// Grant is a counter's answer.
+type Grant struct {
+	_ struct{} `cbor:",toarray"`
+	// Group, Members as in Ask; Members is the counter's.
+	Group   uint8
+	Members uint32
+	// Stamp is the counter's time.
+	Stamp int64
+	// Released repeats the question's Release: the part is not used here any more.
+	Released int64
+	Grants   []Granted
+}
+
+// Granted answers one Want.
+type Granted struct {
+	_    struct{} `cbor:",toarray"`
+	Team string
+	// Asked and At repeat the question, Count is how many tokens were granted.
+	Asked uint32
+	Count uint32
+	At    int64
+	// WaitMS is after how many milliseconds there may be a token again.
+	WaitMS uint32
+	// Later is true where no part has come to the counter yet: it is worth asking again.
+	Later bool
+}
+
+// LimitOf tells the limit of a team; ok is false where there is no such team.
+type LimitOf func(team string) (limit teams.Limit, ok bool)
--- /dev/null
+++ b/pkg/quota/tick.go
@@ -0,0 +1,174 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/teams"
+)
+
+// Tick chooses who counts each group and renews what is lent. members is how many daemons
+// share the limits, 0 while that is not known. ranked are the daemons that this one can
+// reach, itself included, those that should count a group first at the front.
+func (n *Node) Tick(now int64, members uint32, ranked *[Groups][]Peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if members > 0 {
+		n.members.note(now, members)
+	}
+	n.ranked = *ranked
+	for g := range Groups {
+		n.choose(now, g, ranked[g])
+	}
+	if now >= n.renewAt {
+		n.renewAt = now + int64(renewEvery)
+		n.renewAll(now)
+	}
+	if now >= n.sweepAt {
+		n.sweepAt = now + int64(time.Minute)
+		n.sweep(now)
+	}
+}
+
+// choose decides who counts a group from now on.
+func (n *Node) choose(now int64, group int, ranked []Peer) {
+	usable := map[string]Peer{}
+	best := Peer{}
+	for _, p := range ranked {
+		if n.isSilent(now, p) {
+			n.probe(now, group, p)
+			continue
+		}
+		usable[p.Process] = p
+		if best.Process == "" {
+			best = p
+		}
+	}
+	if best.Process == "" {
+		n.counters[group], n.does[group] = Peer{}, waits
+		return
+	}
+	chosen, does := n.lendings[group].next(now, int64(n.opts.Window), best.Process, func(process string) bool { return usable[process].Process != "" })
+	changes := does != n.does[group]
+	n.does[group] = does
+	if before := n.counters[group].Process; before != chosen {
+		n.counters[group] = usable[chosen]
+		n.askAnew(now, group)
+		changes = true
+	}
+	if changes {
+		n.renew(now, group, nil)
+	}
+}
+
+func (n *Node) isSilent(now int64, p Peer) bool {
+	known := n.known[p.Process]
+	return p.Send != nil && known != nil && known.silent(now)
+}
+
+// probe asks a process that was silent now and then whether it answers again.
+func (n *Node) probe(now int64, group int, p Peer) {
+	known := n.known[p.Process]
+	if now-known.probedAt < int64(probeEvery) {
+		return
+	}
+	known.probedAt = now
+	n.send(now, p, &Ask{Group: uint8(group)})
+}
+
+// askAnew puts the questions of requests that wait to a new counter: the former one may
+// never answer.
+func (n *Node) askAnew(now int64, group int) {
+	var wants []Want
+	for _, a := range n.accounts {
+		if a.group != group {
+			continue
+		}
+		a.asked, a.shutUntil, a.laterUntil = 0, 0, 0
+		if len(a.waiting) > 0 {
+			wants = append(wants, a.want(now))
+		}
+	}
+	if len(wants) > 0 {
+		n.ask(now, group, wants)
+	}
+}
+
+// renewAll renews what is lent, and gives back what has lain here unused.
+func (n *Node) renewAll(now int64) {
+	var wants [Groups][]Want
+	for _, a := range n.accounts {
+		a.expire(now)
+		a.before, a.recent = a.recent, 0
+		if a.back > 0 || len(a.waiting) > int(a.asked) {
+			wants[a.group] = append(wants[a.group], a.want(now))
+		}
+	}
+	for g := range Groups {
+		n.renew(now, g, wants[g])
+	}
+}
+
+// renew lends this daemon's part to the counter of a group for one more Lease, or asks
+// for it back.
+func (n *Node) renew(now int64, group int, wants []Want) {
+	counter, does := n.counters[group], n.does[group]
+	if counter.Process == "" || does == waits && len(wants) == 0 {
+		return
+	}
+	ask := &Ask{Group: uint8(group), Wants: wants}
+	if does == releases {
+		ask.Release = now
+	}
+	if does == lends && !n.owes(now, counter) {
+		l := &n.lendings[group]
+		ask.Members, ask.Fresh = n.members.count, l.fresh
+		l.lend(now)
+	}
+	n.send(now, counter, ask)
+}
+
+// owes is true for a counter that has not answered the last renewal: one that is lost
+// should not take the part with it for longer.
+func (n *Node) owes(now int64, counter Peer) bool {
+	known := n.known[counter.Process]
+	return counter.Send != nil && known != nil && known.askedAt != 0 && now-known.askedAt >= int64(renewEvery)
+}
+
+// sweep drops what has not been used for long.
+func (n *Node) sweep(now int64) {
+	for g := range Groups {
+		n.pools[g].forget(now)
+	}
+	for team, a := range n.accounts {
+		if a.idle() {
+			delete(n.accounts, team)
+		}
+	}
+	for process, k := range n.known {
+		if now-k.seenAt > int64(bucketFor) {
+			delete(n.known, process)
+		}
+	}
+}
+
+// Use is how much of its limit a team has left at this daemon, where it counts the team.
+type Use struct {
+	Team  string
+	Limit teams.Limit
+	// Tokens are those left, Parts the share of the limit that is lent here.
+	Tokens, Parts float64
+}
+
+// Uses lists the teams that were counted here lately.
+func (n *Node) Uses(now int64) (out []Use) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.pools {
+		for team := range p.buckets {
+			if limit, ok := n.opts.Limit(team); ok && limit.Limited() {
+				out = append(out, Use{Team: team, Limit: limit, Tokens: p.bucketOf(now, team, limit).tokens, Parts: p.sum})
+			}
+		}
+	}
+	return out
+}
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -38,6 +38,8 @@
 	// operators named regions. An executor asks for its own among them besides: it
 	// knows that at first hand, and who translated may have had another map.
 	Regions []string `cbor:"11,keyasint,omitempty" yaml:"regions,omitempty"`
+	// KeyExempt lets requests in that carry no key, where the placement has teams.
+	KeyExempt bool `cbor:"12,keyasint,omitempty" yaml:"key_exempt,omitempty"`
 }
 
 // Service is what operators say of a service's backend servers.
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -245,7 +245,7 @@
 	run.origin = r.origins.note(c.Kind, c.Routed.Caller)
 	called := run.origin == wire.OriginService
 	run.job = gate.Job{
-		Rank: c.Routed.Priority, Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
+		Rank: rankOf(c), Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
 		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: r.endBy(now, run, called), Start: run.start, SendBack: run.sendBack, Dismiss: run.dismiss,
 	}
 	if !r.looksFirst(now, run) {
@@ -254,6 +254,12 @@
 	return run.cancel
 }
 
+// rankOf puts the priority of the team before that of the route. Calls of backend servers
+// have no team and go first: a run waits for each of them with its slot held.
+func rankOf(c *wire.Call) uint16 {
+	return uint16(c.Routed.TeamPriority)<<8 | uint16(c.Routed.Priority)
+}
+
 func (r *Runner) startAll(jobs []*gate.Job) {
 	for _, job := range jobs {
 		r.start(job)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -22,6 +22,8 @@
 	Choosing Choosing `yaml:"choosing"`
 	// Requests that are routed by host and path.
 	Routing Routing `yaml:"routing"`
+	// Teams, their keys and limits.
+	Teams Teams `yaml:"teams"`
 	// Links between daemons.
 	Links Links `yaml:"links"`
 	// The gate in front of the backend server.
@@ -148,6 +150,16 @@
 	Linger time.Duration `yaml:"linger" validate:"min=0"`
 }
 
+// Teams holds the settings of teams, whose keys and limits the placement names.
+type Teams struct {
+	// Requests by which a team may exceed its limit in limit_window, over all daemons together. Half of it lets tokens lie unused at daemons, half makes up for those that are lost with the daemon that counts.
+	LimitSlack float64 `yaml:"limit_slack" validate:"min=0"`
+	// The window in which that holds.
+	LimitWindow time.Duration `yaml:"limit_window" validate:"min=1s"`
+	// Time after which a key that was taken away lets no request in anywhere. A daemon that cannot tell for so long whether keys are in force refuses requests with keys; 0: it goes on letting them in.
+	RevokeWithin time.Duration `yaml:"revoke_within" validate:"min=0"`
+}
+
 // Links holds the settings of links between daemons.
 type Links struct {
 	// Time without traffic after which a link carries a heartbeat; three missed ones end it. Above 32 VMs both are stretched with the fleet, up to four times.
@@ -301,6 +313,7 @@
 			HealthEvery: 150 * time.Millisecond, LookCost: 4 * time.Millisecond, LookWithin: 8 * time.Millisecond,
 			LooksPerSecond: 40, ColdFactor: 1, Linger: 2500 * time.Millisecond,
 		},
+		Teams: Teams{LimitSlack: 20, LimitWindow: 5 * time.Second},
 		Links: Links{Heartbeat: time.Second},
 		Gate:  Gate{QueueLength: 200, QueueTime: time.Second, Order: "edf", Adaptive: true},
 		Retries: Retries{
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -128,6 +128,23 @@
 	c.World.Inbox.Post(true, func(m *tables.Mail) { m.PeerQuarantines = append(m.PeerQuarantines, q) })
 }
 
+// QuotaAsk implements link.Control. It is answered at once: requests wait for it.
+func (c *Control) QuotaAsk(peer *link.Peer, ask *wire.QuotaAsk) {
+	if c.Quota == nil {
+		return
+	}
+	grant := c.Quota.Answer(c.Now(), peer.Hello.VM, &ask.Ask)
+	// A link that has closed leaves the table with its next event.
+	_ = peer.Send(&wire.QuotaGrant{Grant: grant})
+}
+
+// QuotaGrant implements link.Control.
+func (c *Control) QuotaGrant(peer *link.Peer, grant *wire.QuotaGrant) {
+	if c.Quota != nil {
+		c.Quota.TakeOver(c.Now(), processOf(peer), &grant.Grant)
+	}
+}
+
 // routeControl is the control of a link that this daemon opened for a route.
 type routeControl struct {
 	link.Control
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -219,6 +219,7 @@
 	f.mu.Lock()
 	f.cancel = cancel
 	f.mu.Unlock()
+	began := f.Now()
 	update, err := f.ask(ctx, at, wait)
 	var damaged *placement.DamagedError
 	if errors.As(err, &damaged) {
@@ -241,9 +242,18 @@
 	if update.Document != nil {
 		err = f.take(update.Document)
 	}
+	if err == nil && damaged == nil {
+		f.noteRead(began)
+	}
 	return next, err
 }
 
+// noteRead notes that the store has told all that it knew when the request began. What it
+// told is in force first: it was posted before.
+func (f *follower) noteRead(began int64) {
+	f.World.Inbox.Post(false, func(m *tables.Mail) { m.StoreReadAt = max(m.StoreReadAt, began) })
+}
+
 // takeEvacuation hands the set of evacuated data centres to the systems, before
 // any document that came with it: both are then in force at once.
 func (f *follower) takeEvacuation(set evacuation.Set) {
@@ -254,9 +264,15 @@
 func (f *follower) waits() (wait, bound time.Duration) {
 	if f.first.Load() {
 		wait = firstWaitLeast + rand.N(firstWaitMost-firstWaitLeast)
+		if proof := f.proofWait(); proof > 0 {
+			wait = min(wait, proof)
+		}
 		return wait, wait + firstSlack
 	}
 	wait = feedWaitLeast + rand.N(feedWaitMost-feedWaitLeast)
+	if proof := f.proofWait(); proof > 0 {
+		wait = min(wait, proof)
+	}
 	return wait, wait + feedSlack
 }
 
@@ -281,9 +297,7 @@
 	if doc.Version > f.told.Load() {
 		f.told.Store(doc.Version)
 	}
-	now := f.Now()
 	f.World.Inbox.Post(true, func(m *tables.Mail) {
-		m.StoreReadAt = now
 		m.Documents = append(m.Documents, tables.Version{Document: doc, Hash: hash, FromStore: true})
 	})
 	return nil
--- a/pkg/systems/heartbeats.go
+++ b/pkg/systems/heartbeats.go
@@ -20,6 +20,8 @@
 	due     due
 	leaving bool
 	pace    pace
+	// proofDue is when all peers are told again how old the proof of the version is.
+	proofDue due
 }
 
 // keepPace sets how often idle links carry a heartbeat. The number of links
@@ -36,13 +38,14 @@
 // Tick implements System.
 func (h *heartbeats) Tick(now int64, _ *tables.Mail) {
 	leftNow := h.World.View.Leaving() && !h.leaving
-	if !leftNow && !h.due.at(now, h.Settings.Links.Heartbeat/4) {
+	proves := h.Settings.Teams.RevokeWithin > 0 && h.proofDue.at(now, h.Settings.Teams.RevokeWithin/proofStates)
+	if !leftNow && !proves && !h.due.at(now, h.Settings.Links.Heartbeat/4) {
 		return
 	}
 	h.leaving = h.World.View.Leaving()
 	h.keepPace(now)
 	h.refresh(now)
-	h.send(time.Now(), leftNow, h.Control.State(), h.heard(now))
+	h.send(time.Now(), leftNow || proves, h.Control.State(), h.heard(now))
 }
 
 // send sends the state on links without traffic, and on all when it must not
@@ -85,6 +88,11 @@
 	if age, ok := h.World.StoreAge(now); ok {
 		state.StoreAgeMS = uint64(age.Milliseconds())
 	}
+	if proven := h.World.View.ProvenAt(); proven > 0 && h.Settings.Teams.RevokeWithin > 0 {
+		// The state is told until it is made again.
+		age := time.Duration(now-proven) + h.Settings.Links.Heartbeat/4
+		state.ProofMS = uint64(age.Milliseconds()) + 1
+	}
 	h.Control.state.set(state)
 }
 
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -64,6 +64,7 @@
 	l.openServices(now, retry || again)
 	if retry {
 		l.openAll(now, l.World.Watchers)
+		l.openAll(now, l.World.Counters)
 	}
 	if again {
 		l.openAll(now, l.sample)
--- /dev/null
+++ b/pkg/systems/proof.go
@@ -0,0 +1,39 @@
+package systems
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+// proof follows how old the newest proof is that the version in force is the operators'
+// newest: a read of the store, by this daemon or by a peer that holds no newer version.
+// A key that was taken away lets nothing in once that is too old. It runs after the
+// versions of the same mail are in force. Source: docs/design/teams.md, "Keys".
+type proof struct{ *Env }
+
+// Tick implements System.
+func (p *proof) Tick(_ int64, mail *tables.Mail) {
+	at := p.World.View.ProvenAt()
+	// A head that is newer than the version in force is read before that version is.
+	if behind := mail.HeadKnown && mail.Head.Version > p.World.Version(); p.World.Placement != nil && !behind {
+		at = max(at, mail.StoreReadAt)
+	}
+	for _, n := range mail.News {
+		if n.State.ProofMS > 0 && n.State.Placement <= p.World.Version() {
+			at = max(at, n.At-int64(time.Duration(n.State.ProofMS)*time.Millisecond))
+		}
+	}
+	p.World.View.SetProvenAt(at)
+}
+
+const (
+	// proofReads is how many times within teams.revoke_within a follower of the feed reads
+	// the store, and proofStates how often each daemon tells all peers how old its proof is:
+	// with two such hops a proof is under half of that time old.
+	proofReads  = 6
+	proofStates = 8
+)
+
+// proofWait is how long a request to the feed may hang; 0: proofs are not needed.
+func (e *Env) proofWait() time.Duration { return e.Settings.Teams.RevokeWithin / proofReads }
--- /dev/null
+++ b/pkg/systems/quotas.go
@@ -0,0 +1,182 @@
+package systems
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/quota"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/utils"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+const (
+	// countersLinked is how many daemons that should count a group each daemon keeps a link
+	// with: the first choice, and those that take its place when it is lost with another.
+	countersLinked = 3
+	// membersKnownAfter is when daemons know each other at the first start of the whole
+	// system: each has read the list of VMs by then, or been told of it.
+	membersKnownAfter = 3 * time.Second
+)
+
+// quotas tells the counting of teams' requests which daemons there are, and which of them
+// should count which group: those first by rendezvous hash. Source: docs/design/teams.md.
+type quotas struct {
+	*Env
+	// counted is true once this daemon knows how many share the limits.
+	counted bool
+	// members and unreached are the state of the tables that the first choices were drawn
+	// from, drawn whether they were.
+	members, unreached uint64
+	drawn              bool
+	// links and peers are the state of the links that ranked was made from.
+	links  uint64
+	peers  int
+	ranked [quota.Groups][]quota.Peer
+	// told are the counters that the log was told of.
+	told [quota.Groups]string
+}
+
+func newQuotas(env *Env) *quotas { return &quotas{Env: env} }
+
+// groupNames are the keys by which daemons are ranked for each group.
+var groupNames = func() (out [quota.Groups]string) {
+	for g := range out {
+		out[g] = "teams " + strconv.Itoa(g)
+	}
+	return out
+}()
+
+// Tick implements System.
+func (q *quotas) Tick(now int64, mail *tables.Mail) {
+	wholeList := mail.List != nil && mail.List.DataCentre == ""
+	q.counted = q.counted || wholeList || q.Settings.Platform.FirstStart && now > int64(membersKnownAfter)
+	if q.Quota == nil || q.World.Placement == nil || len(q.World.Placement.Teams) == 0 {
+		return
+	}
+	q.drawCounters()
+	q.rank(len(mail.Links) > 0 || len(mail.News) > 0)
+	count := uint32(0)
+	if q.counted {
+		count = q.liveMembers()
+	}
+	q.Quota.Tick(now, count, &q.ranked)
+	q.note()
+}
+
+// liveMembers counts the daemons that share the limits. One that can not be reached may
+// live and use its part.
+func (q *quotas) liveMembers() (count uint32) {
+	q.World.Members.Rows(func(row int) {
+		if !q.World.Members.Leaving(row) {
+			count++
+		}
+	})
+	return count
+}
+
+// drawCounters works out which daemons should count, to keep links with them.
+func (q *quotas) drawCounters() {
+	changes := q.World.Members.Changes()
+	if q.drawn && changes == q.members && q.unreached == q.World.UnreachedChanges {
+		return
+	}
+	q.drawn, q.members, q.unreached = true, changes, q.World.UnreachedChanges
+	var routes []*tables.Route
+	q.World.Members.Rows(func(row int) {
+		route := q.World.Members.Route[row]
+		if _, unreached := q.World.Unreached[route]; !unreached && !q.World.Members.Leaving(row) {
+			routes = append(routes, route)
+		}
+	})
+	q.World.Counters = q.World.Counters[:0]
+	for g := range quota.Groups {
+		for _, route := range highest(groupNames[g], routes, countersLinked) {
+			if !slices.Contains(q.World.Counters, route) {
+				q.World.Counters = append(q.World.Counters, route)
+			}
+		}
+	}
+}
+
+// processOf tells the processes of one VM's daemon apart.
+func processOf(peer *link.Peer) string {
+	return peer.Hello.VM + "/" + strconv.FormatUint(peer.Hello.Incarnation, 16)
+}
+
+// candidate is a daemon that may count.
+type candidate struct {
+	vm      string
+	leaving bool
+	peer    quota.Peer
+	// incarnation tells which of two links leads to the newer process.
+	incarnation uint64
+}
+
+// rank orders the daemons that this one has links with, and itself, by who should count
+// each group. Those that leave come last: parts that are lent to them are asked back.
+func (q *quotas) rank(news bool) {
+	if !news && q.links == q.World.Peers.Added() && q.peers == q.World.Peers.Len() {
+		return
+	}
+	q.links, q.peers = q.World.Peers.Added(), q.World.Peers.Len()
+	candidates := q.candidates()
+	for g := range quota.Groups {
+		q.ranked[g] = rankedFor(groupNames[g], candidates)
+	}
+}
+
+func (q *quotas) candidates() []candidate {
+	own := candidate{vm: q.World.VM, leaving: q.World.View.Leaving(), peer: quota.Peer{Process: q.World.VM}}
+	byVM := map[string]candidate{}
+	q.World.Peers.Rows(func(peer *link.Peer, row *tables.PeerRow) {
+		vm, incarnation := peer.Hello.VM, peer.Hello.Incarnation
+		if known, ok := byVM[vm]; ok && known.incarnation >= incarnation || vm == q.World.VM {
+			return
+		}
+		byVM[vm] = candidate{vm: vm, leaving: row.Leaving, incarnation: incarnation, peer: quota.Peer{
+			Process: processOf(peer),
+			Send: func(ask *quota.Ask) {
+				// A link that has closed leaves the table with its next event.
+				_ = peer.Send(&wire.QuotaAsk{Ask: *ask})
+			},
+		}}
+	})
+	out := []candidate{own}
+	for _, c := range byVM {
+		out = append(out, c)
+	}
+	return out
+}
+
+func rankedFor(key string, candidates []candidate) []quota.Peer {
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		if a.leaving != b.leaving {
+			if a.leaving {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(utils.Rendezvous(key, b.vm), utils.Rendezvous(key, a.vm))
+	})
+	out := make([]quota.Peer, 0, len(candidates))
+	for _, c := range candidates {
+		out = append(out, c.peer)
+	}
+	return out
+}
+
+// note logs which daemons count from now on.
+func (q *quotas) note() {
+	counters := q.Quota.Counters()
+	for g, process := range counters {
+		if process != q.told[g] {
+			q.told[g] = process
+			q.Log.Event(events.TeamsCounter, events.F("group", g), events.F("counter", process))
+		}
+	}
+}
--- a/pkg/systems/surplus.go
+++ b/pkg/systems/surplus.go
@@ -76,7 +76,7 @@
 // needed are the routes that this daemon keeps links to.
 func (l *links) needed() map[*tables.Route]struct{} {
 	out := map[*tables.Route]struct{}{}
-	for _, route := range slices.Concat(l.sample, l.World.Watchers) {
+	for _, route := range slices.Concat(l.sample, l.World.Watchers, l.World.Counters) {
 		out[route] = struct{}{}
 	}
 	for service := range l.World.Wanted {
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -9,6 +9,7 @@
 	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/rollout"
+	"github.com/rushramp/rushramp/pkg/teams"
 )
 
 // Candidate is a backend server that the placement allows for a kind.
@@ -80,6 +81,7 @@
 	regionShare atomic.Uint64
 	// rollouts is nil while no roll-out is known.
 	rollouts atomic.Pointer[Rollouts]
+	provenAt atomic.Int64
 }
 
 // Rollouts is what is known of roll-outs; it never changes.
@@ -113,6 +115,15 @@
 // Placement returns the version in force, or nil.
 func (vi *View) Placement() *placement.Compiled { return vi.placement.Load() }
 
+// LimitOf returns the limit of a team under the version in force; ok is false where that
+// names no such team.
+func (vi *View) LimitOf(team string) (limit teams.Limit, ok bool) {
+	if p := vi.placement.Load(); p != nil {
+		return p.Teams.LimitOf(team)
+	}
+	return teams.Limit{}, false
+}
+
 // SetPlacement publishes a version.
 func (vi *View) SetPlacement(c *placement.Compiled) {
 	now := time.Now()
@@ -195,6 +206,13 @@
 // SetRegionShare publishes what was measured.
 func (vi *View) SetRegionShare(share float64) { vi.regionShare.Store(math.Float64bits(share)) }
 
+// ProvenAt is when the store had no newer version than the one in force, as far as this
+// daemon knows, in nanoseconds of its clock; 0: never.
+func (vi *View) ProvenAt() int64 { return vi.provenAt.Load() }
+
+// SetProvenAt publishes it.
+func (vi *View) SetProvenAt(at int64) { vi.provenAt.Store(at) }
+
 // Unsure is true while nobody can tell whether the placement is in force.
 func (vi *View) Unsure() bool { return vi.unsure.Load() }
 
--- a/pkg/tables/world.go
+++ b/pkg/tables/world.go
@@ -43,6 +43,9 @@
 	// one of this VM's service, the first one writes its plan; none without a roll-out.
 	Rollouts *rollout.Book
 	Watchers []*Route
+	// Counters are the daemons that should count the requests of teams, to which this one
+	// keeps links.
+	Counters []*Route
 	// Dirty are the services whose view must be published again.
 	Dirty map[string]struct{}
 	View  *View
--- /dev/null
+++ b/pkg/teams/directory_test.go
@@ -0,0 +1,96 @@
+package teams_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/goccy/go-yaml"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/teams"
+)
+
+func TestAKeyIsHeldByOneTeam(t *testing.T) {
+	d := teams.NewDirectory([]teams.Team{
+		{Name: "red", Keys: []teams.KeyDigest{teams.DigestOf("r1"), teams.DigestOf("moved")}},
+		{Name: "blue", Keys: []teams.KeyDigest{teams.DigestOf("moved")}, Limit: teams.Limit{Rate: 5, Burst: 2}},
+	})
+	test.Eq(t, "red", d.Holder(teams.DigestOf("r1")).Name)
+	test.Eq(t, "blue", d.Holder(teams.DigestOf("moved")).Name)
+	test.Nil(t, d.Holder(teams.DigestOf("R1")))
+	test.Nil(t, d.Holder(teams.DigestOf("")))
+	limit, ok := d.LimitOf("blue")
+	test.True(t, ok && limit.Limited())
+	_, ok = d.LimitOf("green")
+	test.False(t, ok)
+}
+
+// TestADigestSurvivesItsForms: those of documents between daemons and of operators' files.
+func TestADigestSurvivesItsForms(t *testing.T) {
+	was := teams.Team{Name: "red", Keys: []teams.KeyDigest{teams.DigestOf("secret")}}
+	packed, err := cbor.Marshal(was)
+	must.NoError(t, err)
+	var unpacked teams.Team
+	must.NoError(t, cbor.Unmarshal(packed, &unpacked))
+	test.Eq(t, was, unpacked)
+	text, err := yaml.Marshal(was)
+	must.NoError(t, err)
+	test.StrNotContains(t, string(text), "secret")
+	var read teams.Team
+	must.NoError(t, yaml.Unmarshal(text, &read))
+	test.Eq(t, was, read)
+	err = yaml.Unmarshal([]byte("name: red\nkeys: [secret]"), &read)
+	must.Error(t, err)
+}
+
+// manyTeams are 1,000 teams of 100 keys each.
+func manyTeams() []teams.Team {
+	var out []teams.Team
+	for i := range 1000 {
+		team := teams.Team{Name: fmt.Sprint("team-", i)}
+		for k := range 100 {
+			team.Keys = append(team.Keys, teams.DigestOf(fmt.Sprint("key-", i, "-", k)))
+		}
+		out = append(out, team)
+	}
+	return out
+}
+
+// TestAHundredThousandKeysAreSmall: a directory of them takes under 16 MB, its digests
+// included.
+func TestAHundredThousandKeysAreSmall(t *testing.T) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	d := teams.NewDirectory(manyTeams())
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	test.Eq(t, 100_000, d.Keys())
+	test.Less(t, 16<<20, int64(after.HeapAlloc)-int64(before.HeapAlloc))
+	runtime.KeepAlive(d)
+}
+
+// TestALookUpAllocatesNothing: it is on the way of each request.
+func TestALookUpAllocatesNothing(t *testing.T) {
+	d := teams.NewDirectory([]teams.Team{{Name: "red", Keys: []teams.KeyDigest{teams.DigestOf("r1")}}})
+	test.Eq(t, 0, testing.AllocsPerRun(100, func() { _ = d.Holder(teams.DigestOf("r1")) }))
+}
+
+func BenchmarkHolder(b *testing.B) {
+	d := teams.NewDirectory(manyTeams())
+	for b.Loop() {
+		if d.Holder(teams.DigestOf("key-500-50")) == nil {
+			b.Fatal("the key is not held")
+		}
+	}
+}
+
+func BenchmarkNewDirectory(b *testing.B) {
+	many := manyTeams()
+	for b.Loop() {
+		_ = teams.NewDirectory(many)
+	}
+}
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -69,6 +69,12 @@
 // Type implements Frame.
 func (*Quarantine) Type() Type { return TypeQuarantine }
 
+// Type implements Frame.
+func (*QuotaAsk) Type() Type { return TypeQuotaAsk }
+
+// Type implements Frame.
+func (*QuotaGrant) Type() Type { return TypeQuotaGrant }
+
 // Codec encodes and decodes frames. It is safe for concurrent use.
 type Codec struct {
 	enc cbor.UserBufferEncMode
@@ -187,6 +193,10 @@
 		return &RolloutReport{}, nil
 	case TypeQuarantine:
 		return &Quarantine{}, nil
+	case TypeQuotaAsk:
+		return &QuotaAsk{}, nil
+	case TypeQuotaGrant:
+		return &QuotaGrant{}, nil
 	}
 	return nil, errors.Errorf("unknown frame type %d", t)
 }
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -8,6 +8,7 @@
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
 	"github.com/rushramp/rushramp/pkg/quarantine"
+	"github.com/rushramp/rushramp/pkg/quota"
 	"github.com/rushramp/rushramp/pkg/rollout"
 )
 
@@ -32,6 +33,8 @@
 	TypeRolloutNews
 	TypeRolloutReport
 	TypeQuarantine
+	TypeQuotaAsk
+	TypeQuotaGrant
 	// TypeCount is one more than the highest type.
 	TypeCount
 )
@@ -41,7 +44,7 @@
 	return [...]string{
 		"none", "hello", "call", "chunk", "answer", "refusal", "cancel",
 		"state", "pull", "update", "members", "members_ask", "departures",
-		"rollout_news", "rollout_report", "quarantine", "count",
+		"rollout_news", "rollout_report", "quarantine", "quota_ask", "quota_grant", "count",
 	}[min(t, TypeCount)]
 }
 
@@ -129,6 +132,9 @@
 	IdleTenths uint32
 	// Rollouts is the digest of what the sender knows of roll-outs; 0: nothing.
 	Rollouts uint64
+	// ProofMS is one more than the age of the newest proof that Placement is the operators'
+	// newest version, in milliseconds; 0: the sender does not say.
+	ProofMS uint64
 }
 
 // IdleTenth is the unit of State.IdleTenths.
@@ -193,6 +199,10 @@
 	Near bool
 	// Target is the time left in which an answer has its full worth.
 	Target time.Duration
+	// Team is the one whose key the request carried; empty: it carried none.
+	Team string
+	// TeamPriority goes before Priority.
+	TeamPriority uint8
 }
 
 // Claim is a place in the history of an Idempotency-Key. The executor may run
@@ -393,3 +403,16 @@
 func (q *Quarantine) News() quarantine.News {
 	return quarantine.News{Crashes: q.Crashes, Completions: q.Completions}
 }
+
+// QuotaAsk asks the daemon that counts a group of teams for tokens, and lends it a part of
+// their limits.
+type QuotaAsk struct {
+	_   struct{} `cbor:",toarray"`
+	Ask quota.Ask
+}
+
+// QuotaGrant answers a QuotaAsk.
+type QuotaGrant struct {
+	_     struct{} `cbor:",toarray"`
+	Grant quota.Grant
+}
