A daemon that was started again asks its peers before the store

Ruled out: entries written in batches at the first start of all: there daemons know nobody and find each other by that one call each. Change: where a seed answers with a version within 150 ms, peers have until 500 ms to tell; peers of the own data centre also tell the row of the former process, whose entry stands in the list then. Where seeds know nothing, the store is asked after 150 ms at the latest. Not measured on the fleet yet.

--- a/pkg/systems/departures.go
+++ b/pkg/systems/departures.go
@@ -118,7 +118,7 @@
 		d.Backend.Informed()
 		return
 	}
-	if d.due.at(now, departuresEvery) && d.busy.CompareAndSwap(false, true) {
+	if !d.peersFirst(now) && d.due.at(now, departuresEvery) && d.busy.CompareAndSwap(false, true) {
 		go d.read()
 	}
 }
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -63,6 +63,8 @@
 	resting atomic.Bool
 	// first is true for the first follower of this data centre.
 	first atomic.Bool
+	// waitsForPeers is true while peers are asked first.
+	waitsForPeers atomic.Bool
 	// told is the highest version that the feed has told, aheadSince since when
 	// a peer has told more; 0: it has not.
 	told       atomic.Uint64
@@ -98,7 +100,8 @@
 
 // Tick implements System.
 func (f *follower) Tick(now int64, _ *tables.Mail) {
-	if f.lookDue.at(now, feedLook) {
+	waited := f.waitsForPeers.Swap(f.peersFirst(now))
+	if f.lookDue.at(now, feedLook) || waited && !f.waitsForPeers.Load() {
 		f.resting.Store(!f.mustFollow(now))
 		f.first.Store(f.ahead() == 0)
 	}
@@ -160,6 +163,7 @@
 }
 
 func (f *follower) run() {
+	f.awaitPeers()
 	at, rest := feedPlace{}, feedRest
 	for f.Background.Err() == nil {
 		if f.resting.Load() {
@@ -190,6 +194,14 @@
 	}
 }
 
+// awaitPeers returns once peers have been asked first.
+func (f *follower) awaitPeers() {
+	const look = 10 * time.Millisecond
+	for f.waitsForPeers.Load() && f.Background.Err() == nil {
+		time.Sleep(look)
+	}
+}
+
 // restMost is how long this follower rests at most.
 func (f *follower) restMost() time.Duration {
 	if f.first.Load() {
--- a/pkg/systems/heldrows.go
+++ b/pkg/systems/heldrows.go
@@ -170,7 +170,7 @@
 
 // inform reads the rows while neither the store nor a peer has told them.
 func (q *quarantines) inform(now int64) {
-	if now < int64(heldReadFirst) || now < int64(heldReadAnyway) && q.aheadInDataCentre() >= heldReaders {
+	if now < int64(heldReadFirst) || q.peersFirst(now) || now < int64(heldReadAnyway) && q.aheadInDataCentre() >= heldReaders {
 		return
 	}
 	if !q.readDue.at(now, q.readRest/2+rand.N(q.readRest)) || !q.reading.CompareAndSwap(false, true) {
--- a/pkg/systems/linkevents.go
+++ b/pkg/systems/linkevents.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/place"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -11,6 +12,7 @@
 func (l *links) take(now int64, e tables.LinkEvent) {
 	if e.Up {
 		l.World.Peers.Put(e.Peer)
+		l.tellFormer(e.Peer)
 		l.newProcess(now, e)
 		l.greet(now, e.Peer)
 	} else {
@@ -75,6 +77,19 @@
 	l.Log.Event(events.LinkUp, events.F("peer", e.Route.VM))
 }
 
+// tellFormer tells a daemon that was started again the row of its former process: its
+// entry stands in the list of VMs if that has written it. Bytes to other data centres have
+// a price, so those of its own tell it.
+func (l *links) tellFormer(peer *link.Peer) {
+	row, ok := l.World.Members.Find(peer.Hello.VM)
+	if !ok || peer.Outgoing || l.placeOf(peer) != place.Near {
+		return
+	}
+	if former := l.World.Members.Row[row]; former.Incarnation > 0 && former.Incarnation < peer.Hello.Incarnation {
+		send(peer, []wire.Member{former})
+	}
+}
+
 // newProcess takes over that another process answers for a known VM: what was
 // known of the old one's load is void, and that it left does not bind this one.
 func (l *links) newProcess(now int64, e tables.LinkEvent) {
--- /dev/null
+++ b/pkg/systems/peersfirst.go
@@ -0,0 +1,38 @@
+package systems
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/link"
+	"github.com/rushramp/rushramp/pkg/tables"
+)
+
+const (
+	// peersAnswer is how long a daemon that was started again waits for a link to a seed
+	// before it asks the store: three round trips between data centres and the dial of
+	// a second seed, which is a tenth of a second after the first one's.
+	peersAnswer = 150 * time.Millisecond
+	// peersTell is how long it waits for what such a peer knows.
+	peersTell = 500 * time.Millisecond
+)
+
+// peersFirst is true while a daemon that was started again had better hear from its peers
+// what it would else read in the store: the version, who departed, what is held back, the
+// members. Each start costs seven calls less, in a fleet that replaces thousands of VMs a
+// day. Where its seeds know nothing either, as after a loss of power of all, the store is
+// asked at once.
+func (e *Env) peersFirst(now int64) bool {
+	if e.Settings.Platform.FirstStart || len(e.Settings.Links.Seeds) == 0 || now >= int64(peersTell) {
+		return false
+	}
+	linked, knows := e.World.Peers.Len() > 0, e.hasKnowingPeer()
+	return knows || !linked && now < int64(peersAnswer)
+}
+
+// hasKnowingPeer is true while there is a link to a daemon that has a version in force.
+func (e *Env) hasKnowingPeer() (has bool) {
+	e.World.Peers.Rows(func(_ *link.Peer, row *tables.PeerRow) {
+		has = has || row.Placement > 0 && !row.Leaving
+	})
+	return has
+}
--- a/pkg/systems/register.go
+++ b/pkg/systems/register.go
@@ -8,6 +8,7 @@
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
 )
 
 // registerEvery is the time between two tries to write the own entry.
@@ -33,11 +34,11 @@
 	if r.Registrar == nil || r.done.Load() {
 		return
 	}
-	if mail.List != nil && r.isListed(mail.List) {
+	if mail.List != nil && r.isListed(mail.List) || r.isKnownFromBefore(mail) {
 		r.done.Store(true)
 		return
 	}
-	waits := !r.Settings.Platform.FirstStart && mail.List == nil && now < int64(listFirst)
+	waits := !r.Settings.Platform.FirstStart && mail.List == nil && (now < int64(listFirst) || r.peersFirst(now))
 	if waits || !r.due.at(now, registerEvery) {
 		return
 	}
@@ -66,6 +67,28 @@
 	}
 }
 
+// isKnownFromBefore is true when a peer tells of a former process of this VM with the same
+// entry: that process has written it.
+func (r *register) isKnownFromBefore(mail *tables.Mail) bool {
+	own := r.entry()
+	for _, told := range mail.Members {
+		for i := range told.Rows {
+			if row := &told.Rows[i]; row.VM == own.ID && row.Incarnation > 0 && row.Incarnation < r.Control.Incarnation() && entryOf(row) == own {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// entryOf is the entry that the daemon of a row writes.
+func entryOf(row *wire.Member) store.VM {
+	return store.VM{
+		ID: row.VM, Region: row.Region, DataCentre: row.DataCentre, Service: row.Service,
+		State: store.VMLive, Links: row.Links, Callers: row.Callers, Slots: int(row.Slots),
+	}
+}
+
 // isListed is true when a list holds this daemon's entry as it would write it.
 func (r *register) isListed(list *tables.VMList) bool {
 	for _, vm := range list.VMs {
--- a/pkg/systems/vmlist.go
+++ b/pkg/systems/vmlist.go
@@ -79,9 +79,13 @@
 // tooEarly is true at the first start until this daemon's time to read the first
 // list has come.
 func (v *vmListReader) tooEarly(now int64) bool {
-	if !v.Settings.Platform.FirstStart || v.began.Load() {
+	if v.began.Load() {
 		return false
 	}
+	if !v.Settings.Platform.FirstStart {
+		v.toldByPeers(now)
+		return v.peersFirst(now)
+	}
 	if v.firstAt == 0 {
 		v.firstAt = int64(firstListAfter + rand.N(firstListWithin))
 	}
@@ -91,6 +95,15 @@
 	return now < v.firstAt
 }
 
+// toldByPeers spares a daemon that was started again its first read, where peers have told
+// it of the members while it waited for them.
+func (v *vmListReader) toldByPeers(now int64) {
+	if v.hasKnowingPeer() && v.World.Members.Len() > toldEnough {
+		v.due.next = now + int64(v.Settings.Platform.VMListEvery)
+		v.began.Store(true)
+	}
+}
+
 // nextPart is the own data centre, and now and then the one after it.
 func (v *vmListReader) nextPart() string {
 	v.reads++
