A store that comes back from an older copy

Cause: versions of the store were taken for rising, and what was written for lasting. A condition on a version that is given out again holds by accident, a follower whose place was passed again hears nothing of what came between, departures that the copy lacks are known to nobody after a kill (docs/design/store-restores.md). Ruled out: reading the whole list by all, a comparing daemon a data centre. Open: claims of rushramp's own interface.

--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -35,6 +35,9 @@
 	// OnForeign sets who is told of rows of the store that cannot be understood; nil where
 	// none but daemons and operators write there.
 	OnForeign func(told func(what string, why error))
+	// OnRestored sets who is told when the store has come back from an older copy, which
+	// has lost what was written last; nil where a store never does.
+	OnRestored func(told func())
 	// Bounds are what the platform holds all daemons to.
 	Bounds Bounds
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -149,6 +149,9 @@
 	if adapter.OnForeign != nil {
 		adapter.OnForeign(d.noteForeign)
 	}
+	if adapter.OnRestored != nil {
+		adapter.OnRestored(d.noteRestored)
+	}
 	d.scheduler = systems.NewScheduler(d.env)
 	d.operators = d.newOperators()
 	return d, nil
@@ -160,6 +163,12 @@
 	d.Log.Event(events.ForeignWord, events.F("what", what), events.F("cause", why))
 }
 
+// noteRestored has the systems write again what the store has lost.
+func (d *Daemon) noteRestored() {
+	d.Log.Event(events.StoreRestored)
+	d.World.Inbox.Post(true, func(m *tables.Mail) { m.Restored = true })
+}
+
 // dialFrom dials from the IP number that the daemon listens on, so that others
 // see which VM a link comes from.
 func dialFrom(listen string) link.Dial {
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -86,6 +86,7 @@
 	StoreCalls        ID = 707
 	RowsNotSwept      ID = 708
 	HeldNotKept       ID = 709
+	StoreRestored     ID = 710
 	PipelineCut       ID = 760
 	PipelineFault     ID = 761
 	RolloutRefused    ID = 780
@@ -174,6 +175,7 @@
 		{StoreCalls, Info, "calls to the platform's store", true, "Each ten seconds in which there were any: calls since the last such line, by purpose and result.", "Nothing; many while the store answers mean that links are few or end often."},
 		{RowsNotSwept, Warn, "old rows were not deleted in the store", false, "The store did not answer in time, or refused; rows names which.", "Nothing once: the next sweep makes up for it. If it repeats, look at the platform's store: the table named there grows."},
 		{HeldNotKept, Warn, "held request was not written to the store", false, "The store did not answer in time, or a row there cannot be read; peers were told.", "Nothing once: it is written again. If it repeats, look at the platform's store: daemons that all restart at once would let the content run again."},
+		{StoreRestored, Warn, "store came back from an older copy", false, "The era in the store's answers has risen: what was written after the copy is gone.", "Write again what operators had written since. Daemons write their entries, departures and held requests again, and keep the placement that they have in force."},
 		{PipelineCut, Info, "connection ended with requests behind one another", true, "A caller's connection ended while requests of it were unanswered, or bytes behind them unread: the caller left, could not be written to, or the connection was ended with the answers before.", "Nothing; many mean that callers leave early, or send requests to a daemon that is leaving."},
 		{PipelineFault, Error, "fault while handling a request beside others", false, "A fault in rushramp; the connection was closed without an answer.", "Report it with this line."},
 		{RolloutRefused, Error, "orders of roll-outs refused", false, "An order in the store cannot be read, or there are more orders than a daemon keeps (field orders); what was known before stays.", "Correct the order as the line says and write it again; take orders of roll-outs away that have ended."},
--- a/pkg/systems/departures.go
+++ b/pkg/systems/departures.go
@@ -36,6 +36,8 @@
 	*Env
 	due  due
 	busy atomic.Bool
+	// own are the departures that this daemon has acknowledged, and when.
+	own map[string]int64
 	// greeted is how many links had ever come up when all were told.
 	greeted uint64
 }
@@ -45,9 +47,16 @@
 	if d.Backend == nil {
 		return
 	}
+	if d.own == nil {
+		d.own = map[string]int64{}
+	}
 	var own, heard []string
 	for _, id := range mail.Departed {
 		own = d.add(now, own, id)
+		d.own[id] = now
+	}
+	if mail.Restored {
+		d.keepAgain(now)
 	}
 	for _, p := range mail.PeerDepartures {
 		heard = d.takeOver(now, heard, p.Said)
@@ -83,6 +92,18 @@
 	return fresh
 }
 
+// keepAgain writes the departures that were acknowledged here once more: the copy that the
+// store came back from may lack them, and this daemon may be killed at any time.
+func (d *departures) keepAgain(now int64) {
+	for id, at := range d.own {
+		if now-at > departuresFor {
+			delete(d.own, id)
+			continue
+		}
+		go d.writeDeparture(d.Background, id)
+	}
+}
+
 // tell passes departures on that are new here. A departure binds the daemon beside the
 // backend server; others keep it for when that one has forgotten, and it asks its own
 // data centre first.
@@ -145,6 +166,13 @@
 func (e *Env) KeepDeparture(ctx context.Context, of backend.Incarnation) {
 	instance := of.String()
 	e.World.Inbox.Post(true, func(m *tables.Mail) { m.Departed = append(m.Departed, instance) })
+	e.writeDeparture(ctx, instance)
+}
+
+// writeDeparture writes the row of a departure; one that is there is as good.
+func (e *Env) writeDeparture(ctx context.Context, instance string) {
+	ctx, cancel := context.WithTimeout(ctx, e.Settings.Platform.Timeout)
+	defer cancel()
 	err := e.Platform.Transact(ctx, []store.Write{{Key: departurePrefix + instance, Value: []byte(e.Settings.VM.ID)}})
 	if err != nil && !errors.Is(err, store.ErrConflict) {
 		e.Log.Event(events.DepartureNotKept, events.F("instance", instance), events.F("cause", err))
--- a/pkg/systems/follower.go
+++ b/pkg/systems/follower.go
@@ -99,7 +99,11 @@
 }
 
 // Tick implements System.
-func (f *follower) Tick(now int64, _ *tables.Mail) {
+func (f *follower) Tick(now int64, mail *tables.Mail) {
+	if mail.Restored {
+		// It hangs on a version that is void.
+		f.reopen()
+	}
 	waited := f.waitsForPeers.Swap(f.peersFirst(now))
 	if f.lookDue.at(now, feedLook) || waited && !f.waitsForPeers.Load() {
 		f.resting.Store(!f.mustFollow(now))
--- a/pkg/systems/quarantines.go
+++ b/pkg/systems/quarantines.go
@@ -62,6 +62,11 @@
 	q.tell(own, heard)
 	q.greet(now)
 	q.noteHeld(now, &own, &heard)
+	if mail.Restored {
+		for _, row := range q.rows {
+			row.saved = 0
+		}
+	}
 	q.keep(now, &own)
 	if !q.informed {
 		q.inform(now)
--- a/pkg/systems/register.go
+++ b/pkg/systems/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -18,10 +19,12 @@
 // write that list themselves. Links say all the rest.
 type register struct {
 	*Env
-	due    due
-	busy   atomic.Bool
-	done   atomic.Bool
-	outage *events.Outage
+	due  due
+	busy atomic.Bool
+	done atomic.Bool
+	// wroteAt is when the entry was written, in nanoseconds; 0: it was not, by this process.
+	wroteAt atomic.Int64
+	outage  *events.Outage
 }
 
 // listFirst is how long a daemon that was started again waits for the list: its
@@ -31,6 +34,9 @@
 
 // Tick implements System.
 func (r *register) Tick(now int64, mail *tables.Mail) {
+	if mail.Restored {
+		r.writeAgain(now)
+	}
 	if r.Registrar == nil || r.done.Load() {
 		return
 	}
@@ -55,7 +61,28 @@
 	err := r.Registrar.Register(ctx, r.entry())
 	store.Count(r.Metrics, "register", began, err)
 	r.outage.Note(err)
-	r.done.Store(err == nil)
+	if err == nil {
+		r.wroteAt.Store(r.Now())
+		r.done.Store(true)
+	}
+}
+
+const (
+	// copyMost is how old a copy may be that the store comes back from: platforms' copies
+	// are some seconds old. What was written before then is in it.
+	copyMost = time.Minute
+	// againWithin is the time over which daemons write again, so that a fleet that has just
+	// started does not come as one.
+	againWithin = time.Second
+)
+
+// writeAgain has the entry written once more that a copy of the store may lack.
+func (r *register) writeAgain(now int64) {
+	if at := r.wroteAt.Load(); at == 0 || now-at > int64(copyMost) {
+		return
+	}
+	r.done.Store(false)
+	r.due.next = now + rand.Int64N(int64(againWithin))
 }
 
 // entry is this daemon's own.
--- a/pkg/tables/inbox.go
+++ b/pkg/tables/inbox.go
@@ -60,6 +60,8 @@
 	PeerDepartures []PeerDepartures
 	// PeerQuarantines are what peers told of requests that end backend servers.
 	PeerQuarantines []PeerQuarantine
+	// Restored is true when the store has come back from an older copy.
+	Restored bool
 	// Queries are questions about the tables, asked by operators.
 	Queries []func(*World)
 	// Leave is true when this daemon was told to leave.
