Each daemon keeps links to those that follow the feed for its data centre

Cause: who follows the store's feed is told by the links that a daemon has. With links to a part of a large data centre, daemons that have none to the first three take themselves for followers: 13 of 50, 8 of 200, 12 of 400 in the test's model, each with a call at every change and every ten seconds. Ruled out: ranking by the table of members (a follower that is dead and not forgotten would keep all others from following). Change: the sample holds the three that should follow, within the data centre. Seen: TestFollowersOfTheFeedDoNotGrowWithTheFleet fails before with these figures and passes now (3 each). What it is worth on the fleet is not measured yet.

--- a/pkg/systems/sample.go
+++ b/pkg/systems/sample.go
@@ -13,6 +13,9 @@
 // that calls need: the highest by rendezvous hash, some in the own data centre,
 // one in each other of the region and one in each other region. They carry
 // placement versions and news even where no calls go.
+//
+// It keeps links to those besides that should follow the store's feed for it: each daemon
+// that has no link to them takes itself for one of them, and asks the store too.
 func (l *links) drawSample() {
 	byGroup := map[group][]*tables.Route{}
 	l.World.Members.Rows(func(row int) {
@@ -23,7 +26,7 @@
 		in := l.groupOf(route.DataCentre, route.Region)
 		byGroup[in] = append(byGroup[in], route)
 	})
-	l.sample = l.sample[:0]
+	l.sample = append(l.sample[:0], l.firstFollowers()...)
 	for in, routes := range byGroup {
 		most := 1
 		if in.at == place.Near {
@@ -32,3 +35,23 @@
 		l.sample = append(l.sample, highest(l.World.VM, routes, most)...)
 	}
 }
+
+// firstFollowers are the daemons that should follow the feed of the store for this one's
+// data centre. Where they follow for a region, a link more to each would cross between data
+// centres, which costs more than a call.
+func (l *links) firstFollowers() []*tables.Route {
+	group := l.readers()
+	if l.Feed == nil || group.upTo != place.Near {
+		return nil
+	}
+	var routes []*tables.Route
+	l.World.Members.Rows(func(row int) {
+		route := l.World.Members.Route[row]
+		_, unreached := l.World.Unreached[route]
+		if !unreached && !l.World.Members.Leaving(row) && group.has(l.World.Here().Of(route.DataCentre, route.Region)) {
+			routes = append(routes, route)
+		}
+	})
+	// This daemon may be one of them, which openOne passes over.
+	return highest(group.name, routes, l.Settings.Placement.FeedReaders)
+}
