--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -114,6 +114,7 @@
 	d.World.Region = s.VM.Region
 	if s.Listen.Routed != "" {
 		c.Quota = newQuota(s, d.World.View)
+		measureQuota(c.Metrics, c.Quota)
 	}
 	claims := once.NewClaims(background, c, opts.Platform)
 	if err := d.newExecutor(claims); err != nil {
--- a/pkg/operatorcli/command.go
+++ b/pkg/operatorcli/command.go
@@ -58,7 +58,7 @@
 	flags.StringVar(&o.tls.Cert, "cert", "", "certificate file of the operator")
 	flags.StringVar(&o.tls.Key, "key", "", "private key file of the operator")
 	flags.StringVar(&o.tls.CA, "ca", "", "file of the authorities' certificates")
-	root.AddCommand(placementCommand(o), statusCommand(o), explainCommand(o), evacuateCommand(o), rolloutCommand(o), drainCommand(o), traceCommand(o), settingsCommand())
+	root.AddCommand(placementCommand(o), statusCommand(o), explainCommand(o), evacuateCommand(o), rolloutCommand(o), teamsCommand(o), keyCommand(), drainCommand(o), traceCommand(o), settingsCommand())
 	return root
 }
 
