Gates share their slots out among teams

Cause: among requests of one rank the earlier deadline went first, so that a team which sends twelve times its usual, within its limit, took the slots of all others. Ruled out: deficit round robin (its rounds do not go with ranks and deadlines), a queue a team (memory). Change: start-time fair queueing among jobs of teams; jobs without a team as before. Deployments without teams: the order is the same, all turns are equal.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -23,11 +23,13 @@
 	job.index = notQueued
 	g.jobSeq++
 	job.seq = g.jobSeq
+	g.turns.give(job)
 	at := g.expect(now, job)
 	if refusal := g.check(now, job, at); refusal != nil {
 		return false, refusal
 	}
 	g.inFlight.Add(1)
+	g.turns.admitted(job)
 	if at.free && !at.held {
 		g.begin(now, job)
 		return true, nil
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -54,6 +54,8 @@
 	speed *speed.Model
 	// probedAt is when a job was last admitted that was expected to be late.
 	probedAt int64
+	// turns shares the slots out among teams.
+	turns fairTurns
 	// cold bounds the starts at a cold backend server.
 	cold coldStarts
 
@@ -95,6 +97,7 @@
 
 func (g *Gate) begin(now int64, job *Job) {
 	g.running++
+	g.turns.started(job)
 	g.cold.note(now)
 	job.started = now
 	job.atOnce = g.running
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -35,6 +35,8 @@
 	MaxCost time.Duration
 	// Rank orders jobs of routed requests, 0 first; it goes before the deadline.
 	Rank uint16
+	// Team shares the slots with other teams of one rank evenly; empty: the job has none.
+	Team string
 	// Called jobs go first among those of one rank: a service waits for each in
 	// the middle of a run, with its slot held.
 	Called bool
@@ -58,6 +60,8 @@
 
 	arrived int64
 	started int64
+	// turn is the job's place among those of other teams.
+	turn float64
 	// startBy is until when a waiting job is worth starting.
 	startBy int64
 	seq     uint64
@@ -139,6 +143,9 @@
 			if a.Called != b.Called {
 				return a.Called
 			}
+			if a.turn != b.turn {
+				return a.turn < b.turn
+			}
 			if a.Deadline != b.Deadline {
 				return a.Deadline < b.Deadline
 			}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -245,7 +245,7 @@
 	run.origin = r.origins.note(c.Kind, c.Routed.Caller)
 	called := run.origin == wire.OriginService
 	run.job = gate.Job{
-		Rank: rankOf(c), Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
+		Rank: rankOf(c), Team: c.Routed.Team, Called: called, Deadline: run.deadline, Work: r.work.OfOrGuess(c.Kind, c.Routed.Target),
 		Soft: c.Routed.Soft, Near: c.Routed.Near, EndBy: r.endBy(now, run, called), Start: run.start, SendBack: run.sendBack, Dismiss: run.dismiss,
 	}
 	if !r.looksFirst(now, run) {
