--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -86,7 +86,7 @@
 func (p *pool) lend(now int64, o offer) {
 	p.advance(now)
 	until := o.stamp + int64(Lease)
-	if until <= now || o.stamp <= p.released[o.vm] {
+	if until <= now || o.stamp > now || o.stamp <= p.released[o.vm] {
 		return
 	}
 	was, known := p.parts[o.vm]
--- a/pkg/wire/codec_test.go
+++ b/pkg/wire/codec_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/quota"
 )
 
 func sampleCall(bodySize int) (*Call, []*Chunk) {
@@ -84,11 +86,28 @@
 	test.Error(t, err, test.Sprint("a body over the bound"))
 }
 
+// sampleAsk and sampleGrant are what daemons say when they count the requests of teams.
+var (
+	sampleAsk   = &QuotaAsk{Ask: quota.Ask{Group: 3, Stamp: 1 << 40, Members: 62, Wants: []quota.Want{{Team: "red", Count: 2, Back: 1, At: 1 << 39}}}}
+	sampleGrant = &QuotaGrant{Grant: quota.Grant{Group: 3, Members: 62, Stamp: 1 << 40, Grants: []quota.Granted{{Team: "red", Asked: 2, Count: 1, At: 1 << 39, WaitMS: 40}}}}
+)
+
+// TestFramesOfTheCountingAreSmall: a renewal goes to each counter some seven times a second.
+func TestFramesOfTheCountingAreSmall(t *testing.T) {
+	codec, err := NewCodec()
+	must.NoError(t, err)
+	for _, frame := range []Frame{&QuotaAsk{Ask: quota.Ask{Group: 3, Stamp: 1 << 40, Members: 62}}, &QuotaGrant{Grant: quota.Grant{Group: 3, Members: 62, Stamp: 1 << 40}}} {
+		var buf bytes.Buffer
+		must.NoError(t, codec.Append(&buf, frame))
+		test.LessEq(t, 24, buf.Len())
+	}
+}
+
 func FuzzNext(f *testing.F) {
 	codec, err := NewCodec()
 	must.NoError(f, err)
 	call, _ := sampleCall(64)
-	for _, frame := range []Frame{call, &Answer{ID: 1, Status: 200}, &Refusal{ID: 2}, &Hello{VM: "a"}, &Update{Version: 1}} {
+	for _, frame := range []Frame{call, &Answer{ID: 1, Status: 200}, &Refusal{ID: 2}, &Hello{VM: "a"}, &Update{Version: 1}, sampleAsk, sampleGrant} {
 		var buf bytes.Buffer
 		must.NoError(f, codec.Append(&buf, frame))
 		f.Add(buf.Bytes())
