Counting: the number of daemons falls with the fleet

Cause: each daemon told the largest number that it had heard of, and took over what was larger, so that a fleet held itself at the most it had ever been and limits at too little. Change: daemons tell what they count themselves.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -11,8 +11,7 @@
 	// that ends first at the front.
 	tokens  []int64
 	waiting []*waiter
-	// asked is how many tokens were asked for and not answered, since askedFrom, the time
-	// at which the counter that is asked was chosen.
+	// asked is how many tokens the counter was asked for and has not answered.
 	asked uint32
 	// back are tokens to give back with the next question.
 	back uint32
--- a/pkg/quota/model_test.go
+++ b/pkg/quota/model_test.go
@@ -74,10 +74,13 @@
 	runs            []int64
 	asked, let      int
 	delay, mostSlow time.Duration
+	// members is how many daemons each believes in.
+	members func(daemon int) uint32
 }
 
 func newWorld(n int, limit teams.Limit, seed uint64) *world {
 	w := &world{random: rand.New(rand.NewPCG(seed, 1)), limit: limit, team: "red", side: make([]int, n), delay: 2 * time.Millisecond}
+	w.members = func(int) uint32 { return uint32(n) }
 	for i := range n {
 		d := &daemonModel{vm: fmt.Sprint("vm-", i), startedAt: -int64(5 * time.Second)}
 		w.daemons = append(w.daemons, d)
@@ -155,7 +158,7 @@
 	for g := range Groups {
 		ranked[g] = w.ranked(i, g)
 	}
-	d.node.Tick(d.now(w.now), uint32(len(w.daemons)), &ranked)
+	d.node.Tick(d.now(w.now), w.members(i), &ranked)
 	still := d.waiting[:0]
 	for _, waits := range d.waiting {
 		select {
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -46,6 +46,8 @@
 	ranked   [Groups][]Peer
 	known    map[string]*knownPeer
 	members  members
+	// ownCount is how many members this daemon counts itself; 0: it does not know.
+	ownCount uint32
 	does     [Groups]step
 	renewAt  int64
 	sweepAt  int64
@@ -262,7 +264,7 @@
 }
 
 func (n *Node) answer(now int64, vm string, ask *Ask) Grant {
-	out := Grant{Group: ask.Group, Stamp: now, Members: n.members.count}
+	out := Grant{Group: ask.Group, Stamp: now, Members: n.ownCount}
 	if int(ask.Group) >= Groups {
 		return out
 	}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -87,9 +87,10 @@
 
 // Grant is a counter's answer.
 type Grant struct {
-	_ struct{} `cbor:",toarray"`
-	// Group, Members as in Ask; Members is the counter's.
-	Group   uint8
+	_     struct{} `cbor:",toarray"`
+	Group uint8
+	// Members is how many the counter counts itself, and not what others have told it: they
+	// would hold each other at the largest number there ever was. 0: it does not know.
 	Members uint32
 	// Stamp is the counter's time.
 	Stamp int64
--- a/pkg/quota/tick.go
+++ b/pkg/quota/tick.go
@@ -12,7 +12,7 @@
 func (n *Node) Tick(now int64, members uint32, ranked *[Groups][]Peer) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if members > 0 {
+	if n.ownCount = members; members > 0 {
 		n.members.note(now, members)
 	}
 	n.ranked = *ranked
