Counting: a daemon that did not read the list counts once it knows as many as it was told

Cause: a daemon that was started again and heard of the members from peers never counted them itself. With all daemons started again in turn nobody would have been left who could tell how many share the limits, and limited teams would have been refused.

--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -113,6 +113,14 @@
 	return n.stats
 }
 
+// Members is how many daemons share the limits, as far as this one has counted or was told;
+// 0: it does not know.
+func (n *Node) Members() uint32 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.count
+}
+
 // Counters are the processes that count each group, as far as this daemon knows.
 func (n *Node) Counters() (out [Groups]string) {
 	n.mu.Lock()
--- a/pkg/systems/quotas.go
+++ b/pkg/systems/quotas.go
@@ -60,14 +60,25 @@
 	}
 	q.drawCounters()
 	q.rank(len(mail.Links) > 0 || len(mail.News) > 0)
-	count := uint32(0)
-	if q.counted {
-		count = q.liveMembers()
-	}
-	q.Quota.Tick(now, count, &q.ranked)
+	q.Quota.Tick(now, q.countMembers(), &q.ranked)
 	q.note()
 }
 
+// countMembers is how many daemons share the limits; 0 while this one cannot tell. One that
+// was started again and has not read the list can, once it knows as many as a daemon that
+// counts has told: else a fleet whose daemons were all started again in turn would have
+// nobody left who can.
+func (q *quotas) countMembers() uint32 {
+	live := q.liveMembers()
+	if told := q.Quota.Members(); told > 0 && live >= told {
+		q.counted = true
+	}
+	if !q.counted {
+		return 0
+	}
+	return live
+}
+
 // liveMembers counts the daemons that share the limits. One that can not be reached may
 // live and use its part.
 func (q *quotas) liveMembers() (count uint32) {
