--- a/pkg/systems/quotas.go
+++ b/pkg/systems/quotas.go
@@ -33,10 +33,9 @@
 	// from, drawn whether they were.
 	members, unreached uint64
 	drawn              bool
-	// links and peers are the state of the links that ranked was made from.
-	links  uint64
-	peers  int
-	ranked [quota.Groups][]quota.Peer
+	// madeFrom is the state of the links that ranked was made from.
+	madeFrom linkState
+	ranked   [quota.Groups][]quota.Peer
 	// told are the counters that the log was told of.
 	told [quota.Groups]string
 }
@@ -59,7 +58,7 @@
 		return
 	}
 	q.drawCounters()
-	q.rank(len(mail.Links) > 0 || len(mail.News) > 0)
+	q.rank()
 	q.Quota.Tick(now, q.countMembers(), &q.ranked)
 	q.note()
 }
@@ -128,13 +127,31 @@
 	incarnation uint64
 }
 
+// linkState is what the ranking of daemons hangs on.
+type linkState struct {
+	added         uint64
+	links, leaves int
+	leaving       bool
+}
+
+func (q *quotas) linkState() linkState {
+	out := linkState{added: q.World.Peers.Added(), links: q.World.Peers.Len(), leaving: q.World.View.Leaving()}
+	q.World.Peers.Rows(func(_ *link.Peer, row *tables.PeerRow) {
+		if row.Leaving {
+			out.leaves++
+		}
+	})
+	return out
+}
+
 // rank orders the daemons that this one has links with, and itself, by who should count
 // each group. Those that leave come last: parts that are lent to them are asked back.
-func (q *quotas) rank(news bool) {
-	if !news && q.links == q.World.Peers.Added() && q.peers == q.World.Peers.Len() {
+func (q *quotas) rank() {
+	now := q.linkState()
+	if now == q.madeFrom && q.ranked[0] != nil {
 		return
 	}
-	q.links, q.peers = q.World.Peers.Added(), q.World.Peers.Len()
+	q.madeFrom = now
 	candidates := q.candidates()
 	for g := range quota.Groups {
 		q.ranked[g] = rankedFor(groupNames[g], candidates)
