--- a/pkg/forward/team.go
+++ b/pkg/forward/team.go
@@ -7,7 +7,6 @@
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
-	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/teams"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -32,7 +31,7 @@
 	// The key itself goes no further than here.
 	req.Headers = slices.DeleteFunc(req.Headers, func(h wire.Header) bool { return h.Name == KeyHeader })
 	team := holderOf(directory, req.Key)
-	if team == nil && !mayLackKey(to.route) {
+	if team == nil && !to.route.KeyExempt {
 		return nil, errkind.New(errkind.KeyUnknown, "version %d has no team that holds the request's key", to.placement.Version)
 	}
 	if team != nil && f.keysAreOld() {
@@ -48,8 +47,6 @@
 	return directory.Holder(key.Digest)
 }
 
-func mayLackKey(route *routing.Compiled) bool { return route.KeyExempt }
-
 // count takes a token of the request's team, where that has a limit.
 func (f *Forwarder) count(ctx context.Context, a *attempts) *call.Result {
 	if a.team == nil || !a.team.Limit.Limited() {
