--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -1,8 +1,8 @@
 // Package quota counts the requests of teams over all daemons together, without an
 // election and without the store: each daemon owns an equal part of every limit and lends
-// it, for less than a second at a time, to the daemon that counts a group of teams. What
-// was lent twice cannot be spent twice, whoever is cut off, killed or started again. The
-// package needs no network. Source: docs/design/teams.md, "Quotas".
+// it, for a short time each, to the daemon that counts a group of teams. No part is ever in
+// two hands, whoever is cut off, killed or started again. The package needs no network.
+// Source: docs/design/teams.md, "Limits".
 package quota
 
 import (
