Gates: calls keep the order of their deadlines beside teams

Cause: a job without a team got the turn of the job that started last, so that in a placement with teams calls of backend servers ran in the order of their coming, against the comment. Ruled out: comparing turns of jobs with teams only (the order would not be transitive). Change: a job without a team has the first turn. Conclusion: deployments without teams are not touched: all turns were and are equal.

--- a/pkg/gate/fair.go
+++ b/pkg/gate/fair.go
@@ -6,7 +6,8 @@
 // equal shares. A team that sends many times its usual, within its limit, so waits behind
 // itself and not in front of others. Weighed against deficit round robin, whose rounds a
 // rank and a deadline cannot be mixed into, and against a queue a team, which costs memory
-// for each. Jobs without a team keep the order of their deadlines.
+// for each. Jobs without a team go before those of teams of their rank, in the order of
+// their deadlines.
 type fairTurns struct {
 	// virtual is the turn of the job that started last.
 	virtual float64
@@ -19,9 +20,9 @@
 // with 24 bytes each and their names some 100 kB.
 const mostTeams = 1024
 
-// give gives a job its turn.
+// give gives a job its turn; one without a team has the first.
 func (f *fairTurns) give(job *Job) {
-	job.turn = f.virtual
+	job.turn = 0
 	if job.Team != "" {
 		job.turn = max(f.virtual, f.ends[job.Team])
 	}
--- a/pkg/gate/fair_test.go
+++ b/pkg/gate/fair_test.go
@@ -107,3 +107,15 @@
 	}
 	test.LessEq(t, mostTeams+1, len(f.ends))
 }
+
+// TestCallsKeepTheOrderOfTheirDeadlines although turns of teams go on between them.
+func TestCallsKeepTheOrderOfTheirDeadlines(t *testing.T) {
+	var f fairTurns
+	less := lessOf(Ranked)
+	late, early := &Job{Called: true, Deadline: 9, seq: 1}, &Job{Called: true, Deadline: 5, seq: 2}
+	f.give(late)
+	f.started(&Job{Team: "red", turn: 3})
+	f.give(early)
+	test.True(t, less(early, late))
+	test.False(t, less(late, early))
+}
