--- a/pkg/systems/peersfirst.go
+++ b/pkg/systems/peersfirst.go
@@ -18,9 +18,9 @@
 
 // peersFirst is true while a daemon that was started again had better hear from its peers
 // what it would else read in the store: the version, who departed, what is held back, the
-// members. Each start costs seven calls less, in a fleet that replaces thousands of VMs a
-// day. Where its seeds know nothing either, as after a loss of power of all, the store is
-// asked at once.
+// members. In a fleet that replaces thousands of VMs a day each start would else be up to
+// seven calls. Where its seeds know nothing either, as after a loss of power of all, the
+// store is asked at once, and after peersAnswer where no seed answers.
 func (e *Env) peersFirst(now int64) bool {
 	if e.Settings.Platform.FirstStart || len(e.Settings.Links.Seeds) == 0 || now >= int64(peersTell) {
 		return false
