Frames, settings and interfaces for granted bodies, acks and return times

Change: Hello announces features and uptime; Grant and Ack frames; fields of Call, TokenRequest and TokenGrant; Offerer in pkg/call; four settings. Nothing uses them yet.

--- a/pkg/call/call.go
+++ b/pkg/call/call.go
@@ -66,3 +66,27 @@
 	// goroutine. The caller invokes cancel when it no longer needs the result.
 	Execute(c *wire.Call, body []byte, done func(Result)) (cancel func())
 }
+
+// Offerer is implemented by a Runner that decides whether to admit a call before its body
+// has been transferred.
+type Offerer interface {
+	// Offer decides on a call whose body has not arrived. If it refuses the call, it invokes
+	// done with the refusal and returns nil. Otherwise done is invoked exactly once later,
+	// also if the call ends without having started. transfer is the expected time until the
+	// whole body has arrived.
+	Offer(c *wire.Call, transfer time.Duration, done func(Result)) Offered
+}
+
+// Offered is a call that holds a place at its gate while its body is on the way.
+type Offered interface {
+	// Rank orders calls at the gate, lowest first. StartBy is the latest time at which it is
+	// worth starting the run, in nanoseconds of the daemon's clock.
+	Rank() uint16
+	StartBy() int64
+	// Start passes the whole body to the gate, which starts the call, lets it wait or refuses
+	// it. The caller invokes cancel when the result is no longer needed.
+	Start(body []byte) (cancel func())
+	// Withdraw gives the place back and ends the call with a refusal, which says that it did
+	// not run. It has no effect after Start.
+	Withdraw(refusal *errkind.Error)
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -102,6 +102,8 @@
 	Returned uint32
 	// AskedAt is the sender's time in nanoseconds; the TokenGrant repeats it.
 	AskedAt int64
+	// Refused is the number of callers over the limit for which return times are requested.
+	Refused uint32
 }
 
 // Grant is a counter's answer to an Ask.
@@ -133,6 +135,12 @@
 	// NoShareYet is true if nothing was granted because no share is leased to the counter
 	// now. The sender should ask again.
 	NoShareYet bool
+	// Returns is the number of return times that the counter has set tokens aside for: the
+	// first is ReturnMS milliseconds after the grant, each later one ReturnStepUS
+	// microseconds after the one before.
+	Returns      uint32
+	ReturnMS     uint32
+	ReturnStepUS uint32
 }
 
 // leaseDuration returns how long a share is leased in a fleet of this size.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -146,6 +146,10 @@
 	ColdFactor float64 `yaml:"cold_factor" validate:"min=0"`
 	// Number of requests per second that the gate may start at a cold backend server in addition to those of cold_factor.
 	ColdSlack float64 `yaml:"cold_slack" validate:"min=0"`
+	// Whether repeatable requests that backend servers make during a run are acknowledged by executors, and sent to another backend server if they are not acknowledged in time.
+	AcknowledgeCalls bool `yaml:"acknowledge_calls"`
+	// Whether callers that are refused because a service is short of capacity get return times of their own, along the rate at which the service accepts requests. Otherwise each gets retry_after.
+	ScheduleReturns bool `yaml:"schedule_returns"`
 	// Time for which a draining daemon still accepts routed requests, so that callers notice that it is not ready.
 	Linger time.Duration `yaml:"linger" validate:"min=0"`
 }
@@ -158,6 +162,8 @@
 	LimitWindow time.Duration `yaml:"limit_window" validate:"min=1s"`
 	// Time after which a revoked key is refused by all daemons. A daemon that could not confirm for this time that its placement is in force refuses all requests with keys. 0: it continues to accept the keys that it knows.
 	RevokeWithin time.Duration `yaml:"revoke_within" validate:"min=0"`
+	// Whether callers of a team over its limit get return times of their own, for which tokens are set aside. Otherwise each is told the time of the next token.
+	ScheduleReturns bool `yaml:"schedule_returns"`
 }
 
 // Links holds the settings of links between daemons.
@@ -166,6 +172,8 @@
 	Heartbeat time.Duration `yaml:"heartbeat" validate:"min=50ms"`
 	// VMs whose daemons a new daemon asks for the members and the placement, each as an IP address and a port. The port is ignored: links use the port of listen.links, which is the same on all VMs.
 	Seeds []string `yaml:"seeds" validate:"dive,ip_port"`
+	// Size in bytes above which the body of a call is sent to another daemon only as far as that daemon grants it, after its gate has admitted the call. Smaller bodies travel with their call. 0: no body waits for a grant.
+	GrantBodiesAbove int `yaml:"grant_bodies_above" validate:"min=0"`
 }
 
 // Choosing holds the settings of the policy that picks a backend server.
@@ -311,9 +319,10 @@
 			RetryAfter: 300 * time.Millisecond, RetryRatio: 0.15, RetrySlack: 50,
 			HealthEvery: 150 * time.Millisecond, LookCost: 4 * time.Millisecond, LookWithin: 8 * time.Millisecond,
 			LooksPerSecond: 40, ColdFactor: 1, Linger: 2500 * time.Millisecond,
+			AcknowledgeCalls: true, ScheduleReturns: true,
 		},
-		Teams: Teams{LimitSlack: 20, LimitWindow: 5 * time.Second},
-		Links: Links{Heartbeat: time.Second},
+		Teams: Teams{LimitSlack: 20, LimitWindow: 5 * time.Second, ScheduleReturns: true},
+		Links: Links{Heartbeat: time.Second, GrantBodiesAbove: 32 << 10},
 		Gate:  Gate{QueueLength: 200, QueueTime: time.Second, Order: "edf", Adaptive: true},
 		Retries: Retries{
 			Attempts: 3, Budget: 0.2, BudgetFloor: 10,
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -13,9 +13,11 @@
 	// MaxMessage is the maximum size of a received WebSocket message, in bytes.
 	MaxMessage = 4 << 20
 	// ChunkSize is how many bytes of a body one frame contains at most.
-	ChunkSize       = 32 << 10
-	maxArrayLen     = 1 << 16
-	maxNestedLevels = 8
+	ChunkSize = 32 << 10
+	// GrantedChunkSize is how many bytes of a granted body one frame contains at most.
+	GrantedChunkSize = 8 << 10
+	maxArrayLen      = 1 << 16
+	maxNestedLevels  = 8
 )
 
 // Frame is implemented by all frames of this package.
@@ -75,6 +77,12 @@
 // Type implements Frame.
 func (*QuotaGrant) Type() Type { return TypeQuotaGrant }
 
+// Type implements Frame.
+func (*Grant) Type() Type { return TypeGrant }
+
+// Type implements Frame.
+func (*Ack) Type() Type { return TypeAck }
+
 // Codec encodes and decodes frames. It is safe for concurrent use.
 type Codec struct {
 	enc cbor.UserBufferEncMode
@@ -198,6 +206,10 @@
 		return &QuotaAsk{}, nil
 	case TypeQuotaGrant:
 		return &QuotaGrant{}, nil
+	case TypeGrant:
+		return &Grant{}, nil
+	case TypeAck:
+		return &Ack{}, nil
 	}
 	return nil, errors.Errorf("unknown frame type %d", t)
 }
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -33,6 +33,8 @@
 	TypeQuarantine
 	TypeQuotaAsk
 	TypeQuotaGrant
+	TypeGrant
+	TypeAck
 	// TypeCount is one more than the highest type.
 	TypeCount
 )
@@ -42,7 +44,7 @@
 	return [...]string{
 		"none", "hello", "call", "chunk", "answer", "refusal", "cancel",
 		"state", "pull", "update", "members", "members_ask", "departures",
-		"rollout_news", "rollout_report", "quarantine", "quota_ask", "quota_grant", "count",
+		"rollout_news", "rollout_report", "quarantine", "quota_ask", "quota_grant", "grant", "ack", "count",
 	}[min(t, TypeCount)]
 }
 
@@ -107,8 +109,27 @@
 	State       State
 	// Region is the region of the data centre; empty: not known.
 	Region string
+	// Features holds the features that the sender supports on this link.
+	Features Features
+	// UptimeMS is one more than the time in whole milliseconds since the sender's process
+	// started; 0: not stated.
+	UptimeMS uint64
 }
 
+// Features is a set of optional features of a link. A side uses a feature only if the peer
+// has announced it.
+type Features uint64
+
+const (
+	// FeatureGrants: the sender grants and obeys grants of bodies (Grant).
+	FeatureGrants Features = 1 << iota
+	// FeatureAcks: the sender acknowledges calls that ask for it (Ack).
+	FeatureAcks
+)
+
+// Has reports whether all features of other are in the set.
+func (f Features) Has(other Features) bool { return f&other == other }
+
 // State is the state of the sending daemon. It is sent as the heartbeat, and at once after
 // a change that must not wait for the next heartbeat.
 type State struct {
@@ -184,9 +205,18 @@
 	// gate accepts this attempt; it refuses the attempt at once if it expects more. 0: no
 	// limit.
 	MaxCost time.Duration
-	Body    Body
+	// Body is the first part of the body. If its Size is above 0 and First is empty, the call
+	// offers its body, and the entry sends it as far as Grant frames allow.
+	Body Body
 	// Routed holds further fields of a request that is routed by host and path.
 	Routed Routed
+	// WantAck asks the executor to acknowledge the call if it sends no other frame about it
+	// in time.
+	WantAck bool
+	// SentUS is one more than the time on the sender's clock in microseconds when the call
+	// was queued; 0: not stated. Clocks of VMs differ: only differences between calls of one
+	// link have a meaning.
+	SentUS uint64
 }
 
 // Routed holds the fields of a routed request that other calls do not have.
@@ -306,6 +336,20 @@
 	ID uint64
 }
 
+// Grant allows the entry to send the body of a call up to Offset, in bytes from its start.
+// Offset never falls.
+type Grant struct {
+	_      struct{} `cbor:",toarray"`
+	ID     uint64
+	Offset uint64
+}
+
+// Ack tells the entry that all calls up to ID have been received.
+type Ack struct {
+	_  struct{} `cbor:",toarray"`
+	ID uint64
+}
+
 // Pull asks a peer for the placement versions after Have.
 type Pull struct {
 	_    struct{} `cbor:",toarray"`
