Receiver-driven bodies: scheduler, places at gates, offered calls on links

Cause: entries send bodies of up to 360 kB together with their calls, so a refusal costs the whole body on the link, and other frames wait behind it.

Change: pkg/grants decides which body may be sent up to which offset. Gates reserve places for calls whose bodies are on the way. Links offer bodies above links.grant_bodies_above to peers that announce FeatureGrants. Calls whose body was not handed to a link that ended are reported as not run.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -44,6 +44,8 @@
 	LinkRefused         ID = 204
 	LinkSurplus         ID = 205
 	LinkTraffic         ID = 206
+	GrantStalled        ID = 207
+	BodyNotReceived     ID = 208
 	PlacementInForce    ID = 301
 	PlacementRejected   ID = 302
 	PlacementChanged    ID = 303
@@ -133,6 +135,8 @@
 		{LinkRefused, Debug, "link refused", false, "The peer did not accept a connection.", "Nothing, unless the peer should be live."},
 		{LinkSurplus, Debug, "link closed, no longer needed", false, "For some seconds, the peer was in no subset of a service and in no sample.", "Nothing."},
 		{LinkTraffic, Info, "traffic with other daemons", true, "Every ten seconds: the number of links, and the frames and bytes sent since the last such line, by kind and distance: near (the same data centre), region (another data centre of the region), other (another region).", "Nothing; compare it with docs/CAPACITY.md when a network or a processor is saturated."},
+		{GrantStalled, Warn, "granted body does not arrive", true, "The sender of a large body was allowed to send a part of it, and the part did not arrive within a few times the expected time. Other senders get its share of the link until it sends again.", "If one peer repeats, check that VM, its processor and its network. If many do, the link of this VM is overloaded by other traffic or has become slower."},
+		{BodyNotReceived, Info, "call ended before its body arrived", true, "The gate had admitted the call, but it ended before its whole body had arrived: outcome says why. arrived and granted are bytes of size. The call did not run.", "outcome deadline_before_run with granted far below size: bodies waited for the link of this VM (metric rushramp_bodies_waiting_bytes); with arrived below granted: its sender did not send (event 207). caller_gone: the caller left. leaving or backend_absent: the body goes elsewhere."},
 		{PlacementInForce, Info, "placement in force", false, "The daemon has applied a newer placement version.", "Nothing."},
 		{PlacementRejected, Error, "placement version refused", false, "The content of the version does not match its hash, or cannot be read.", "Check the object store, and apply the placement again."},
 		{PlacementChanged, Info, "placement changed by operator", false, "A change by an operator was accepted.", "Nothing; the line holds author and version."},
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -102,8 +102,11 @@
 // Gate returns the executor's gate.
 func (e *Executor) Gate() *gate.Gate { return e.gate }
 
-// Leave makes the executor refuse all new calls.
-func (e *Executor) Leave() { e.leaving.Store(true) }
+// Leave makes the executor refuse all new calls, and those whose bodies are on the way.
+func (e *Executor) Leave() {
+	e.leaving.Store(true)
+	e.releasePlaces()
+}
 
 // SetEvacuated makes the executor refuse new calls while evacuated is true: operators
 // have evacuated its data centre.
@@ -150,20 +153,45 @@
 
 // Execute implements call.Runner. It calls done exactly once.
 func (e *Executor) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
+	r := e.newRun(c, done)
+	r.body = body
+	if refusal := r.setJob(); refusal != nil {
+		r.refuse(refusal)
+		return func() {}
+	}
+	r.passToGate()
+	return r.cancel
+}
+
+// newRun returns the run of a call that has just arrived.
+func (e *Executor) newRun(c *wire.Call, done func(call.Result)) *run {
 	e.inFlight.Add(1)
-	now := e.Now()
-	r := &run{
-		executor: e, call: c, body: body, done: done,
+	return &run{
+		executor: e, call: c, done: done,
 		id:       fmt.Sprintf("%s-%d", e.Settings.VM.ID, e.callSeq.Add(1)),
-		deadline: now + int64(c.Remaining),
+		deadline: e.Now() + int64(c.Remaining),
 	}
-	kind, refusal := e.checkCall(c)
+}
+
+// setJob sets the kind and the job of a run, or returns an error if this executor must not
+// run the call.
+func (r *run) setJob() *errkind.Error {
+	kind, refusal := r.executor.checkCall(r.call)
 	if refusal != nil {
-		r.refuse(refusal)
-		return func() {}
+		return refusal
 	}
 	r.kind = kind
-	r.job = gate.Job{Class: kind.Class, Deadline: r.deadline, MaxCost: c.MaxCost, Start: r.start, RefuseOverMaxCost: r.refuseOverMaxCost}
+	r.job = gate.Job{
+		Class: kind.Class, Deadline: r.deadline, MaxCost: r.call.MaxCost,
+		Start: r.start, RefuseOverMaxCost: r.refuseOverMaxCost, RefuseDrained: r.refuse,
+	}
+	return nil
+}
+
+// passToGate has the gate start, queue or refuse the call.
+func (r *run) passToGate() {
+	e := r.executor
+	now := e.Now()
 	admitted, refusal := e.gate.Admit(now, &r.job)
 	switch {
 	case refusal != nil:
@@ -171,16 +199,16 @@
 	case admitted:
 		e.start(&r.job)
 	default:
-		r.queueTimer.Store(time.AfterFunc(c.Remaining, func() { r.withdraw(errkind.DeadlineBeforeRun) }))
+		left := time.Duration(r.deadline - now)
+		r.queueTimer.Store(time.AfterFunc(left, func() { r.withdraw(errkind.DeadlineBeforeRun) }))
 	}
-	return r.cancel
 }
 
 // checkCall returns the kind of the call, or an error if this executor must not run it.
 // The entry may have another version of the placement.
 func (e *Executor) checkCall(c *wire.Call) (*placement.CompiledKind, *errkind.Error) {
 	if e.leaving.Load() {
-		return nil, errkind.New(errkind.Leaving, "the executor is leaving")
+		return nil, errLeaving()
 	}
 	if e.evacuated.Load() {
 		return nil, errkind.New(errkind.DataCentreEvacuated, "data centre %s is evacuated", e.Settings.VM.DataCentre)
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -17,32 +17,52 @@
 // Admit lets a job start or wait, or refuses it. run is true when the owner must start
 // the job now. When run is false and refusal is nil, the job waits until Finish, Tick,
 // ObserveSlowdown or SetColdState returns it. The kind of a refusal is GateBusier,
-// Overloaded or DeadlineBeforeRun.
+// Overloaded or DeadlineBeforeRun. A job that Reserve has admitted gives up its place, and
+// is refused only if it would end too late.
 func (g *Gate) Admit(now int64, job *Job) (run bool, refusal *errkind.Error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	job.arrived = now
-	job.index = notQueued
-	g.jobSeq++
-	job.seq = g.jobSeq
-	g.fairness.assignStartTag(job)
+	if job.reserved {
+		return g.admitReserved(now, job)
+	}
+	g.enter(now, job)
 	fc := g.forecastFor(now, job)
 	if refusal := g.refusalFor(now, job, fc); refusal != nil {
 		return false, refusal
 	}
 	g.inFlight.Add(1)
 	g.fairness.charge(job)
+	return g.startOrQueue(now, job, fc), nil
+}
+
+// enter sets the fields of a job that has just arrived.
+func (g *Gate) enter(now int64, job *Job) {
+	job.arrived = now
+	job.index = notQueued
+	g.jobSeq++
+	job.seq = g.jobSeq
+	g.fairness.assignStartTag(job)
+}
+
+// startOrQueue starts an admitted job, or adds it to the queue. It returns true if the
+// owner must start the job now.
+func (g *Gate) startOrQueue(now int64, job *Job, fc forecast) (run bool) {
 	if fc.canStart && !fc.held {
 		g.recordStart(now, job)
-		return true, nil
+		return true
 	}
 	job.held = fc.held
-	job.startBy = job.Deadline
-	if job.EndBy > 0 {
-		job.startBy = min(job.Deadline, job.EndBy-withMargin(fc.runTime))
-	}
+	job.startBy = startBy(job, fc)
 	g.queue.push(job)
-	return false, nil
+	return false
+}
+
+// startBy returns the latest time at which it is worth starting a waiting job.
+func startBy(job *Job, fc forecast) int64 {
+	if job.EndBy == 0 {
+		return job.Deadline
+	}
+	return min(job.Deadline, job.EndBy-withMargin(fc.runTime))
 }
 
 // forecast is what a job can expect that is admitted now.
@@ -59,6 +79,10 @@
 	onTimeProbability float64
 }
 
+// startsIn returns the expected time until the start of a job, which may wait for a slot
+// and for its body at the same time.
+func (fc *forecast) startsIn(job *Job) time.Duration { return max(fc.wait, job.transfer) }
+
 // forecastFor estimates the wait and the run time of a job.
 func (g *Gate) forecastFor(now int64, job *Job) forecast {
 	limit := g.limit(now)
@@ -80,7 +104,7 @@
 	fc.held, fc.wait, fc.onTimeProbability = true, hold.Wait, hold.OnTimeProbability
 	fc.runTime = g.runTimeAfterSlowPeriod(job)
 	// Other held jobs may fill the slots when the slow period ends.
-	ahead, work := g.queue.workAhead(job, g.runTimeAfterSlowPeriod)
+	ahead, work := g.workAhead(job, g.runTimeAfterSlowPeriod)
 	if ahead >= limit-g.running {
 		fc.wait += work / time.Duration(limit)
 	}
@@ -111,13 +135,16 @@
 	if job.EndBy == 0 {
 		return false
 	}
-	if fc.held {
+	endsAtOnce := now + int64(job.transfer) + int64(fc.runTime)
+	switch {
+	case fc.held && job.transfer == 0:
 		return fc.onTimeProbability < minOnTimeProbability
+	case fc.held:
+		return fc.onTimeProbability < minOnTimeProbability || endsAtOnce > job.EndBy
+	case fc.canStart:
+		return endsAtOnce > job.EndBy
 	}
-	if fc.canStart {
-		return now+int64(fc.runTime) > job.EndBy
-	}
-	return now+int64(fc.wait)+withMargin(fc.runTime) > job.EndBy
+	return now+int64(fc.startsIn(job))+withMargin(fc.runTime) > job.EndBy
 }
 
 // refusalFor returns the error with which a job is refused; nil: it is admitted.
@@ -126,23 +153,28 @@
 	case job.Soft && g.refusesSoft(now, job):
 		return errkind.New(errkind.GateBusier, "")
 	case endsTooLate(now, job, fc) && !g.admitsLate(now, job, fc):
-		return errkind.New(errkind.Overloaded, "with an expected wait of %v and an expected run time of %v the request would end too late", fc.wait.Round(time.Millisecond), fc.runTime.Round(time.Millisecond))
+		return errTooLate(job, fc)
 	case job.Deadline <= now:
 		return errkind.New(errkind.DeadlineBeforeRun, "the deadline had passed when the request reached the gate")
-	case job.MaxCost > 0 && fc.wait+fc.runTime > job.MaxCost:
+	case job.MaxCost > 0 && fc.startsIn(job)+fc.runTime > job.MaxCost:
 		return errkind.New(errkind.GateBusier, "the expected time until the end of the run is longer than the sender accepts")
-	case fc.canStart && !fc.held:
+	case fc.canStart && !fc.held && job.transfer == 0:
 		return nil
-	case g.queue.len() >= g.opts.QueueLength:
+	case g.waiting() >= g.opts.QueueLength:
 		return errkind.New(errkind.Overloaded, "the queue is full")
 	case fc.wait > g.opts.QueueTime:
 		return errkind.New(errkind.Overloaded, "the expected wait of %v is longer than the longest wait allowed", fc.wait)
-	case now+int64(fc.wait) >= job.Deadline:
-		return errkind.New(errkind.Overloaded, "the expected wait of %v is longer than the time left until the deadline", fc.wait)
+	case now+int64(fc.startsIn(job)) >= job.Deadline:
+		return errkind.New(errkind.Overloaded, "the expected wait of %v is longer than the time left until the deadline", fc.startsIn(job))
 	}
 	return nil
 }
 
+// errTooLate returns the error for a job that is expected to end after its EndBy.
+func errTooLate(job *Job, fc forecast) *errkind.Error {
+	return errkind.New(errkind.Overloaded, "with an expected wait of %v and an expected run time of %v the request would end too late", fc.startsIn(job).Round(time.Millisecond), fc.runTime.Round(time.Millisecond))
+}
+
 // withMargin returns the time, in nanoseconds, that a waiting job with an expected run
 // time must have left when it starts.
 func withMargin(runTime time.Duration) int64 { return int64(RunTimeMargin * float64(runTime)) }
@@ -150,10 +182,10 @@
 // coldStartWait returns how long a job waits until the limit on cold starts allows it
 // to start, behind the waiting jobs that start before it.
 func (g *Gate) coldStartWait(now int64, job *Job) time.Duration {
-	if g.coldStarts.MaxStartsPerSecond == 0 || g.queue.len() == 0 {
+	if g.coldStarts.MaxStartsPerSecond == 0 || g.waiting() == 0 {
 		return g.coldStarts.wait(now, 0)
 	}
-	ahead, _ := g.queue.workAhead(job, func(*Job) time.Duration { return 0 })
+	ahead, _ := g.workAhead(job, func(*Job) time.Duration { return 0 })
 	return g.coldStarts.wait(now, ahead)
 }
 
@@ -161,9 +193,9 @@
 // waits only for the jobs that start before it in the queue's order.
 func (g *Gate) slotWait(now int64, job *Job, runTime time.Duration, limit int) time.Duration {
 	if job.EndBy == 0 {
-		return runTime * time.Duration(g.queue.len()+1) / time.Duration(limit)
+		return runTime * time.Duration(g.waiting()+1) / time.Duration(limit)
 	}
-	_, ahead := g.queue.workAhead(job, func(other *Job) time.Duration { return g.expectedRunTime(now, other) })
+	_, ahead := g.workAhead(job, func(other *Job) time.Duration { return g.expectedRunTime(now, other) })
 	return (ahead + runTime) / time.Duration(limit)
 }
 
@@ -181,7 +213,7 @@
 // admitsLate decides whether a job that is expected to end after its EndBy runs anyway:
 // because it ends before its deadline and enough slots are free, or as a probe.
 func (g *Gate) admitsLate(now int64, job *Job, fc forecast) bool {
-	if fc.canStart && AcceptsLateRuns(int64(g.running), int64(g.usableSlots())) && now+int64(fc.wait)+int64(fc.runTime) < job.Deadline {
+	if fc.canStart && AcceptsLateRuns(int64(g.running), int64(g.usableSlots())) && now+int64(fc.startsIn(job))+int64(fc.runTime) < job.Deadline {
 		return true
 	}
 	return g.admitsLateProbe(now, fc.canStart)
@@ -212,7 +244,7 @@
 	if job.SameDataCentre {
 		maxJobs = g.slots
 	}
-	return g.tooSlowForSoft(now) || g.running+g.queue.len() >= maxJobs || g.coldStartsExhausted(now)
+	return g.tooSlowForSoft(now) || g.running+g.waiting() >= maxJobs || g.coldStartsExhausted(now)
 }
 
 // expectedRunTime returns the expected run time of a job that starts now.
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -45,9 +45,12 @@
 type Gate struct {
 	opts Options
 
-	mu          sync.Mutex
-	running     int
-	queue       *queue
+	mu      sync.Mutex
+	running int
+	queue   *queue
+	// places are the jobs whose bodies are on the way, in the order of their arrival. They
+	// count as waiting jobs but cannot start.
+	places      []*Job
 	serviceTime serviceTimeEstimator
 	jobSeq      uint64
 	// slots is the number of slots that the backend server reported last, at first that
@@ -65,7 +68,7 @@
 	coldStarts coldStartLimiter
 
 	stampSeq atomic.Uint64
-	// inFlight is the number of running and waiting jobs, readable without mu.
+	// inFlight is the number of running and waiting jobs and of places, readable without mu.
 	inFlight atomic.Int64
 }
 
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -76,6 +76,11 @@
 	startBy int64
 	seq     uint64
 	index   int
+	// transfer is the expected time until the body of a job with a reserved place has
+	// arrived, at least 1; 0 for other jobs.
+	transfer time.Duration
+	// reserved is true once Reserve has admitted the job.
+	reserved bool
 	// held is true once the job had to wait for the end of a slow period although a slot
 	// was free.
 	held bool
@@ -199,20 +204,6 @@
 	return &q.main
 }
 
-// workAhead returns the number of waiting jobs that start before a job, and the sum of
-// their run times as runTime gives them.
-func (q *queue) workAhead(job *Job, runTime func(*Job) time.Duration) (jobs int, work time.Duration) {
-	for _, h := range []*jobHeap{&q.main, &q.background} {
-		for _, other := range h.jobs {
-			if h.less(other, job) {
-				jobs++
-				work += runTime(other)
-			}
-		}
-	}
-	return jobs, work
-}
-
 func (q *queue) push(job *Job) { heap.Push(q.heapFor(job), job) }
 
 // remove removes a job, and returns false if it is not in the queue.
--- a/pkg/gate/status.go
+++ b/pkg/gate/status.go
@@ -14,7 +14,7 @@
 	return wire.Stamp{
 		Seq:            g.stampSeq.Add(1),
 		Running:        uint32(g.running),
-		Queued:         uint32(g.queue.len()),
+		Queued:         uint32(g.waiting()),
 		Limit:          uint32(g.limit(now)),
 		ServiceUS:      uint32(min(g.serviceTime.current(now).Microseconds(), 1<<31)),
 		Slowdown:       speed.ToPercent(g.speed.Slowdown()),
@@ -55,7 +55,8 @@
 	return !g.coldStartsExhausted(now)
 }
 
-// InFlight returns the number of jobs at the gate, running and waiting.
+// InFlight returns the number of jobs at the gate: running, waiting and with a reserved
+// place.
 func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
 
 // Slowed reports whether runs now take notably longer than on average.
@@ -84,6 +85,10 @@
 // withdraw it.
 func (j *Job) MaxWait(now int64) time.Duration { return time.Duration(max(j.startBy-now, 0)) }
 
+// StartBy returns the latest time at which it is worth starting a job that waits or has a
+// reserved place, in nanoseconds.
+func (j *Job) StartBy() int64 { return j.startBy }
+
 // Held reports whether the job had to wait for the end of a slow period although a slot
 // was free.
 func (j *Job) Held() bool { return j.held }
--- a/pkg/gate/waiting.go
+++ b/pkg/gate/waiting.go
@@ -27,7 +27,7 @@
 // their MaxCost by more than maxCostExcess.
 func (g *Gate) removeOverMaxCost(now int64) []*Job {
 	runTime := g.serviceTime.current(now)
-	wait := runTime * time.Duration(g.queue.len()) / time.Duration(g.limit(now))
+	wait := runTime * time.Duration(g.waiting()) / time.Duration(g.limit(now))
 	out := g.queue.removeIf(func(j *Job) bool {
 		return j.MaxCost > 0 && float64(wait+runTime) > maxCostExcess*float64(j.MaxCost)
 	})
@@ -120,21 +120,24 @@
 	return g.speed.InSlowPeriod() && endsTooLate(now, job, fc) && !g.admitsLate(now, job, fc)
 }
 
-// DrainQueue removes and returns all waiting jobs, for a backend server that accepts no
-// more jobs; the owner must refuse them by Job.RefuseDrained.
+// DrainQueue removes and returns all waiting jobs and those with a reserved place, for a
+// backend server that accepts no more jobs; the owner must refuse them by
+// Job.RefuseDrained.
 func (g *Gate) DrainQueue() []*Job {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := g.queue.removeIf(func(*Job) bool { return true })
+	out := append(g.queue.removeIf(func(*Job) bool { return true }), g.places...)
+	g.places = nil
 	g.inFlight.Add(-int64(len(out)))
 	return out
 }
 
-// Withdraw removes a waiting job. It returns false if the job does not wait.
+// Withdraw removes a waiting job, or releases the place of one whose body is on the way. It
+// returns false if the job is neither.
 func (g *Gate) Withdraw(job *Job) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.queue.remove(job) {
+	if !g.queue.remove(job) && !g.removePlace(job) {
 		return false
 	}
 	g.inFlight.Add(-1)
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -40,6 +40,9 @@
 	handler Handler
 	// maxBody is the maximum size of an answer's body, in bytes.
 	maxBody int
+	// grantBodiesAbove is the size in bytes above which the executor decides when a body is
+	// sent; 0: never.
+	grantBodiesAbove int
 	// location is where this daemon runs.
 	location proximity.Location
 
@@ -54,6 +57,8 @@
 // pendingCall is a call that has not ended.
 type pendingCall struct {
 	done func(call.Result)
+	// body is nil if the body fits in the call frame.
+	body *outgoingBody
 	// answer is nil until the answer frame has arrived. Then assembly assembles its body.
 	answer   *wire.Answer
 	assembly *wire.Assembly
@@ -79,7 +84,7 @@
 	cl := &Client{
 		Peer:    &Peer{Conn: newConn(ws, codec, c.Traffic, opts.HeartbeatTiming), Outgoing: true},
 		handler: handler, location: c.Location(),
-		maxBody: c.Settings.Limits.MaxBodyBytes,
+		maxBody: c.Settings.Limits.MaxBodyBytes, grantBodiesAbove: c.Settings.Links.GrantBodiesAbove,
 		pending: map[uint64]*pendingCall{},
 	}
 	if opener, ok := handler.(Opener); ok {
@@ -110,20 +115,21 @@
 // Execute implements call.Runner. It sends the call to the executor at the other end.
 func (cl *Client) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
 	callFrame := *c
+	pending := &pendingCall{done: done}
 	var chunks []*wire.Chunk
-	callFrame.Body, chunks = wire.Split(body)
-	if refusal := cl.sendCall(&callFrame, chunks, done); refusal != nil {
+	callFrame.Body, chunks, pending.body = cl.prepare(body)
+	if refusal := cl.sendCall(&callFrame, chunks, pending); refusal != nil {
 		done(*refusal)
 		return func() {}
 	}
-	return func() { _ = cl.Send(&wire.Cancel{ID: callFrame.ID}) }
+	return func() { cl.cancel(callFrame.ID) }
 }
 
 // sendCall assigns an id to a call, queues its frames and adds it to the pending calls. The
 // peer requires ids in rising order, so that none is used twice. Therefore the id is
 // assigned and the frames are queued under one lock. If sendCall returns a refusal, nothing
 // of the call was written, so that it certainly did not run.
-func (cl *Client) sendCall(callFrame *wire.Call, chunks []*wire.Chunk, done func(call.Result)) *call.Result {
+func (cl *Client) sendCall(callFrame *wire.Call, chunks []*wire.Chunk, pending *pendingCall) *call.Result {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if cl.pending == nil {
@@ -140,7 +146,7 @@
 	if err := cl.Send(frames...); err != nil {
 		return linkUnavailable("the link closed before the call was sent")
 	}
-	cl.pending[callFrame.ID] = &pendingCall{done: done}
+	cl.pending[callFrame.ID] = pending
 	return nil
 }
 
@@ -156,6 +162,9 @@
 		return cl.receiveAnswer(f)
 	case *wire.Chunk:
 		return cl.receiveChunk(f)
+	case *wire.Grant:
+		cl.receiveGrant(f)
+		return nil
 	case *wire.Refusal:
 		refusal := &errkind.Error{Kind: errkind.Parse(f.Kind), Ran: errkind.Ran(f.Ran), Detail: f.Detail}
 		cl.finish(f.ID, call.Result{Refusal: refusal, FromExecutor: true, Stamp: f.Stamp, NextClaim: f.NextClaim, Offered: f.Offered, Origin: f.Origin})
@@ -243,17 +252,19 @@
 		cl.lateFrames.Add(1)
 		return
 	}
+	cl.stopBody(id, pending.body)
 	pending.done(result)
 }
 
-// failAll ends all pending calls with LinkLost when the link has ended. They may have run.
+// failAll ends all pending calls when the link has ended. They may have run, except those
+// whose body was not handed over.
 func (cl *Client) failAll() {
 	cl.mu.Lock()
 	calls := cl.pending
 	cl.pending = nil
 	cl.mu.Unlock()
-	for _, pending := range calls {
-		pending.done(call.Refused(errkind.LinkLost, "the link to the executor ended"))
+	for id, pending := range calls {
+		pending.done(cl.resultOfLostLink(id, pending))
 	}
 }
 
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -48,7 +48,7 @@
 	wake *sync.Cond
 	// chunks holds the queued Chunk frames, and frames all other queued frames.
 	frames   []wire.Frame
-	chunks   []wire.Frame
+	chunks   chunkQueue
 	closed   bool
 	lastSent time.Time
 	// statedIdle is the longest idle time that this side has last stated to the peer; 0:
@@ -171,7 +171,7 @@
 	if c.closed {
 		return ErrClosed
 	}
-	if len(c.frames)+len(c.chunks) > maxQueuedFrames {
+	if len(c.frames)+c.chunks.len() > maxQueuedFrames {
 		c.closeLocked()
 		return ErrClosed
 	}
@@ -179,8 +179,8 @@
 		if idle := statedIdleOf(frame); idle > 0 {
 			c.statedIdle = idle
 		}
-		if frame.Type() == wire.TypeChunk {
-			c.chunks = append(c.chunks, frame)
+		if chunk, ok := frame.(*wire.Chunk); ok {
+			c.chunks.push(chunk)
 		} else {
 			c.frames = append(c.frames, frame)
 		}
@@ -202,7 +202,8 @@
 		return
 	}
 	c.closed = true
-	c.frames, c.chunks = nil, nil
+	c.frames = nil
+	c.chunks.discard()
 	c.wake.Broadcast()
 	_ = c.ws.Close()
 }
@@ -249,7 +250,7 @@
 func (c *Conn) nextBatch(batch []wire.Frame) []wire.Frame {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(c.frames) == 0 && len(c.chunks) == 0 && !c.closed {
+	for len(c.frames) == 0 && c.chunks.len() == 0 && !c.closed {
 		c.wake.Wait()
 	}
 	if c.closed {
@@ -258,10 +259,8 @@
 	batch = append(batch, c.frames...)
 	clear(c.frames)
 	c.frames = c.frames[:0]
-	if len(c.chunks) > 0 {
-		batch = append(batch, c.chunks[0])
-		c.chunks[0] = nil
-		c.chunks = c.chunks[1:]
+	if chunk := c.chunks.pop(); chunk != nil {
+		batch = append(batch, chunk)
 	}
 	c.lastSent = time.Now()
 	return batch
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -25,9 +25,16 @@
 const testIdle = time.Minute
 
 // nopHandler is a Handler that ignores all frames. Up sends the peer to the channel.
-type nopHandler struct{ up chan *Peer }
+type nopHandler struct {
+	up chan *Peer
+	// features are those that it announces.
+	features wire.Features
+}
+
+func (h *nopHandler) Hello() *wire.Hello {
+	return &wire.Hello{VM: "test", DataCentre: "here", Features: h.features}
+}
 
-func (h *nopHandler) Hello() *wire.Hello                 { return &wire.Hello{VM: "test", DataCentre: "here"} }
 func (h *nopHandler) State() *wire.State                 { return &wire.State{} }
 func (h *nopHandler) Up(peer *Peer)                      { h.up <- peer }
 func (h *nopHandler) Down(*Peer, error)                  {}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -15,6 +15,7 @@
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/grants"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -26,6 +27,7 @@
 	handler Handler
 	// runner is nil on a daemon that is only an entry.
 	runner   call.Runner
+	grants   *granter
 	timing   *HeartbeatTiming
 	upgrader websocket.Upgrader
 	http     *http.Server
@@ -40,7 +42,7 @@
 // the calls of peers and is nil on a daemon that is only an entry. tlsConfig is nil for plain
 // text.
 func Listen(c *common.Common, handler Handler, runner call.Runner, listener net.Listener, tlsConfig *tls.Config, timing *HeartbeatTiming) *Server {
-	s := &Server{Common: c, handler: handler, runner: runner, timing: timing, peers: map[*Peer]struct{}{}, address: listener.Addr().String()}
+	s := &Server{Common: c, handler: handler, runner: runner, timing: timing, peers: map[*Peer]struct{}{}, address: listener.Addr().String(), grants: newGranter(c)}
 	mux := http.NewServeMux()
 	mux.HandleFunc(linkPath, s.accept)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: tlsConfig}
@@ -57,6 +59,7 @@
 // Close closes the listener, and all accepted links whose hello frame has arrived.
 func (s *Server) Close() {
 	_ = s.http.Close()
+	s.grants.close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for peer := range s.peers {
@@ -95,6 +98,7 @@
 	sess := &session{
 		server: s,
 		Peer:   &Peer{Conn: newConn(ws, codec, s.Traffic, s.timing)},
+		sender: s.grants.newSender(),
 		calls:  map[uint64]*incomingCall{},
 	}
 	sess.run()
@@ -104,6 +108,8 @@
 type session struct {
 	*Peer
 	server *Server
+	// sender identifies the link to the scheduler of grants.
+	sender grants.Sender
 
 	mu    sync.Mutex
 	calls map[uint64]*incomingCall
@@ -118,6 +124,8 @@
 	assembly *wire.Assembly
 	// reservation is the reserved memory of the body.
 	reservation *bodies.Reservation
+	// offer is nil if the body is not sent by grants.
+	offer *offeredCall
 	// cancel is nil until the call has started.
 	cancel func()
 	// cancelled is true once the peer has cancelled the call or the link has ended.
@@ -131,6 +139,7 @@
 	}
 	helloReceived, err := s.serve(s.register, s.receive)
 	s.cancelAll()
+	s.server.grants.removeSender(s.sender)
 	var badFrame *BadFrameError
 	if errors.As(err, &badFrame) {
 		s.server.Log.Event(events.LinkBadFrame, events.F("peer", s.Hello.VM), events.F("cause", err))
@@ -192,6 +201,10 @@
 	s.mu.Lock()
 	s.calls[f.ID] = in
 	s.mu.Unlock()
+	if f.Body.Offered() {
+		s.receiveOffer(in)
+		return nil
+	}
 	s.startIfComplete(in)
 	return nil
 }
@@ -204,10 +217,12 @@
 		return nil
 	}
 	if err := in.assembly.Add(f); err != nil {
-		s.remove(f.ID)
-		s.sendRefusal(f.ID, call.Refused(errkind.BodyCut, "%v", err))
+		s.refuseBody(in, err)
 		return nil
 	}
+	if err := s.receiveArrival(in, f); err != nil {
+		return err
+	}
 	s.startIfComplete(in)
 	return nil
 }
@@ -220,20 +235,18 @@
 	id := in.call.ID
 	body, err := in.assembly.Body()
 	if err != nil {
-		s.remove(id)
-		s.sendRefusal(id, call.Refused(errkind.BodyCut, "%v", err))
+		s.refuseBody(in, err)
 		return
 	}
 	if s.server.runner == nil {
 		s.remove(id)
-		s.sendRefusal(id, call.Refused(errkind.NoBackendServer, "this daemon has no backend server"))
+		s.sendRefusal(id, noBackendServer())
+		return
+	}
+	cancel, started := s.start(in, body)
+	if !started {
 		return
 	}
-	cancel := s.server.runner.Execute(in.call, body, func(result call.Result) {
-		s.remove(id)
-		result.Stamp = s.stamps.filter(s.server.Common, in.call.WantStamp, result.Stamp)
-		s.sendAnswer(id, result)
-	})
 	s.mu.Lock()
 	in.cancel = cancel
 	cancelled := in.cancelled
@@ -251,13 +264,17 @@
 		in.cancelled = true
 		cancel = in.cancel
 	}
-	if in != nil && cancel == nil {
+	offered := in != nil && in.offer != nil && cancel == nil
+	if in != nil && cancel == nil && !offered {
 		// The call was not started because its body is incomplete. It cannot start
 		// meanwhile, since calls are started by this same goroutine.
 		delete(s.calls, id)
 		in.reservation.Release()
 	}
 	s.mu.Unlock()
+	if offered {
+		s.cancelOffer(in)
+	}
 	if cancel != nil {
 		cancel()
 	}
@@ -312,6 +329,10 @@
 			cancels = append(cancels, in.cancel)
 			continue
 		}
+		if in.offer != nil {
+			cancels = append(cancels, func() { s.cancelOffer(in) })
+			continue
+		}
 		// The call was not started, so no other code releases its body.
 		in.reservation.Release()
 	}
--- a/pkg/link/slow_bench_test.go
+++ b/pkg/link/slow_bench_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -23,6 +24,30 @@
 type rateLimitedNetwork struct {
 	serverAddress  string
 	bytesPerSecond int
+	// shared is true if all connections share the bandwidth.
+	shared bool
+
+	mu sync.Mutex
+	// sharedFreeAt is when the shared link has sent what was forwarded so far.
+	sharedFreeAt time.Time
+}
+
+// nextFreeAt returns when n bytes have been sent, after those of one connection until freeAt
+// or after those of all connections.
+func (s *rateLimitedNetwork) nextFreeAt(freeAt time.Time, n int) time.Time {
+	if s.shared {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		freeAt = s.sharedFreeAt
+	}
+	if now := time.Now(); now.After(freeAt) {
+		freeAt = now
+	}
+	freeAt = freeAt.Add(time.Duration(n) * time.Second / time.Duration(s.bytesPerSecond))
+	if s.shared {
+		s.sharedFreeAt = freeAt
+	}
+	return freeAt
 }
 
 func (s *rateLimitedNetwork) dial(ctx context.Context, network, _ string) (net.Conn, error) {
@@ -70,10 +95,7 @@
 	freeAt := time.Now()
 	for {
 		n, err := clientConn.Read(buf)
-		if now := time.Now(); now.After(freeAt) {
-			freeAt = now
-		}
-		freeAt = freeAt.Add(time.Duration(n) * time.Second / time.Duration(s.bytesPerSecond))
+		freeAt = s.nextFreeAt(freeAt, n)
 		time.Sleep(time.Until(freeAt))
 		if _, writeErr := serverConn.Write(buf[:n]); err != nil || writeErr != nil {
 			_ = serverConn.Close()
@@ -99,10 +121,16 @@
 	<-handler.up
 	stop := sendLargeBodies(client)
 	defer stop()
+	measureSmallCalls(b, client)
+}
+
+// measureSmallCalls makes a small call every 5 ms and reports the latencies. It uses the
+// clients in turn.
+func measureSmallCalls(b *testing.B, clients ...*Client) {
 	var latencies []time.Duration
 	for b.Loop() {
 		startedAt := time.Now()
-		if result := execute(client, "/small", nil); result.Refusal != nil {
+		if result := execute(clients[len(latencies)%len(clients)], "/small", nil); result.Refusal != nil {
 			b.Fatal(result.Refusal)
 		}
 		latencies = append(latencies, time.Since(startedAt))
@@ -114,6 +142,67 @@
 	b.ReportMetric(0, "ns/op")
 }
 
+// BenchmarkSmallCallsBesideLargeBodiesOf60Senders measures the latency of small calls of 60
+// senders to a receiver with a link of 10 Mbit/s, each of which sends one body of 360 kB after
+// the other. "whole" sends them as to a daemon of the previous release.
+func BenchmarkSmallCallsBesideLargeBodiesOf60Senders(b *testing.B) {
+	for name, features := range map[string]wire.Features{"granted": wire.FeatureGrants, "whole": 0} {
+		b.Run(name, func(b *testing.B) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(b, err)
+			server := Listen(testCommon(), &nopHandler{up: make(chan *Peer, 60), features: features}, runnerFunc(discard), listener, nil, NewHeartbeatTiming(testIdle))
+			defer server.Close()
+			network := &rateLimitedNetwork{serverAddress: listener.Addr().String(), bytesPerSecond: 10_000_000 / 8, shared: true}
+			var clients []*Client
+			for range 60 {
+				handler := &nopHandler{up: make(chan *Peer, 1)}
+				client, err := DialClient(context.Background(), testCommon(), handler, listener.Addr().String(), DialOptions{Dial: network.dial, HeartbeatTiming: NewHeartbeatTiming(testIdle)})
+				must.NoError(b, err)
+				go client.Run()
+				defer client.Close()
+				<-handler.up
+				clients = append(clients, client)
+			}
+			bodies := sendBodiesInTurn(clients)
+			measureSmallCalls(b, clients...)
+			b.ReportMetric(float64(bodies.Load())*largeBodyBytes/b.Elapsed().Seconds()/1000, "kB/s-of-bodies")
+		})
+	}
+}
+
+const largeBodyBytes = 360_000
+
+// sendBodiesInTurn makes each client send one body after the other until its link ends. It
+// returns the number of bodies that have arrived.
+func sendBodiesInTurn(clients []*Client) *atomic.Int64 {
+	var arrived atomic.Int64
+	for _, client := range clients {
+		go func() {
+			for {
+				result := client.executeAndWait(&wire.Call{URI: "/large", Remaining: time.Minute}, make([]byte, largeBodyBytes))
+				if result.Refusal != nil {
+					return
+				}
+				arrived.Add(1)
+			}
+		}()
+	}
+	return &arrived
+}
+
+// discard answers without a body.
+func discard(_ *wire.Call, _ []byte, done func(call.Result)) func() {
+	go done(call.Result{Answer: &call.Answer{Status: 200}})
+	return func() {}
+}
+
+// executeAndWait runs one call and returns its result.
+func (cl *Client) executeAndWait(c *wire.Call, body []byte) call.Result {
+	done := make(chan call.Result, 1)
+	cl.Execute(c, body, func(r call.Result) { done <- r })
+	return <-done
+}
+
 // sendLargeBodies sends a body of 360 kB every 600 ms until stop is called.
 func sendLargeBodies(client *Client) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/runner/accepting.go
+++ b/pkg/runner/accepting.go
@@ -8,9 +8,12 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
-// StopAccepting makes the runner refuse new requests from now on. Requests that wait or
-// run already are not affected.
-func (r *Runner) StopAccepting() { r.leaving.Store(true) }
+// StopAccepting makes the runner refuse new requests from now on, and those whose bodies are
+// on the way. Requests that wait or run already are not affected.
+func (r *Runner) StopAccepting() {
+	r.leaving.Store(true)
+	r.releasePlaces(errkind.New(errkind.Leaving, "the daemon is leaving"))
+}
 
 // SetEvacuated sets whether the data centre is evacuated. While it is, the runner
 // refuses new and waiting requests.
@@ -46,6 +49,18 @@
 // checkCall returns the refusal of a call that this runner must not take, or nil. The
 // entry that chose this backend server may have decided on older data.
 func (r *Runner) checkCall(c *wire.Call, body []byte) *errkind.Error {
+	if refusal := r.checkHead(c); refusal != nil {
+		return refusal
+	}
+	if refusal := r.quarantineRefusal(c, body); refusal != nil {
+		return refusal
+	}
+	_, refusal := r.acceptingIncarnation()
+	return refusal
+}
+
+// checkHead makes the checks of checkCall before that of the body.
+func (r *Runner) checkHead(c *wire.Call) *errkind.Error {
 	if r.leaving.Load() {
 		return errkind.New(errkind.Leaving, "the daemon is leaving")
 	}
@@ -55,12 +70,5 @@
 	if c.Service != r.Settings.BackendServer.Service {
 		return errkind.New(errkind.BackendReplaced, "this backend server runs another service")
 	}
-	if refusal := r.placementRefusal(c); refusal != nil {
-		return refusal
-	}
-	if refusal := r.quarantineRefusal(c, body); refusal != nil {
-		return refusal
-	}
-	_, refusal := r.acceptingIncarnation()
-	return refusal
+	return r.placementRefusal(c)
 }
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -20,7 +20,8 @@
 	runner *Runner
 	call   *wire.Call
 	body   []byte
-	// deadline is in nanoseconds of the daemon's clock.
+	// arrived and deadline are in nanoseconds of the daemon's clock.
+	arrived  int64
 	deadline int64
 	origin   wire.Origin
 	// incarnation is the one that the request was sent to.
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -241,31 +241,42 @@
 
 // Execute implements call.Runner.
 func (r *Runner) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
-	r.inFlight.Add(1)
-	now := r.Now()
-	r.lastRequestAt.Store(now)
-	run := &routedRun{runner: r, call: c, body: body, done: done, deadline: now + int64(c.Remaining)}
+	run := r.newRun(c, done)
+	run.body = body
 	if refusal := r.checkCall(c, body); refusal != nil {
 		run.refuse(refusal)
 		return func() {}
 	}
+	run.setJob()
+	run.passToGate()
+	return run.cancel
+}
+
+// newRun returns the run of a call that has just arrived.
+func (r *Runner) newRun(c *wire.Call, done func(call.Result)) *routedRun {
+	r.inFlight.Add(1)
+	now := r.Now()
+	r.lastRequestAt.Store(now)
+	return &routedRun{runner: r, call: c, done: done, arrived: now, deadline: now + int64(c.Remaining)}
+}
+
+// setJob sets the job of a run that has passed the checks of its call.
+func (run *routedRun) setJob() {
+	r, c := run.runner, run.call
 	run.origin = r.origins.record(c.Kind, c.Routed.Caller)
 	nested := run.origin == wire.OriginService
 	run.job = gate.Job{
-		Rank: rankOf(c), Team: c.Routed.Team, Nested: nested, Deadline: run.deadline, Work: r.workTimes.LookupOrEstimate(c.Kind, c.Routed.TargetRemaining),
-		Soft: c.Routed.Soft, SameDataCentre: c.Routed.Near, EndBy: r.latestEnd(now, run, nested), Start: run.start, RefuseOverMaxCost: run.refuseOverMaxCost, RefuseDrained: run.refuseDrained,
-	}
-	if !r.checkSpeedFirst(now, run) {
-		run.admit()
+		Rank: c.Routed.Rank(), Team: c.Routed.Team, Nested: nested, Deadline: run.deadline, Work: r.workTimes.LookupOrEstimate(c.Kind, c.Routed.TargetRemaining),
+		Soft: c.Routed.Soft, SameDataCentre: c.Routed.Near, EndBy: r.latestEnd(run.arrived, run, nested), Start: run.start, RefuseOverMaxCost: run.refuseOverMaxCost, RefuseDrained: run.refuseDrained,
 	}
-	return run.cancel
 }
 
-// rankOf returns the rank of a call at the gate, lowest first: the priority of its team,
-// then that of its route. Calls made by backend servers have no team and come first: a
-// run that occupies a slot waits for each of them.
-func rankOf(c *wire.Call) uint16 {
-	return uint16(c.Routed.TeamPriority)<<8 | uint16(c.Routed.Priority)
+// passToGate has a run admitted, after a check of the backend server's speed if that is
+// needed.
+func (run *routedRun) passToGate() {
+	if !run.runner.checkSpeedFirst(run.runner.Now(), run) {
+		run.admit()
+	}
 }
 
 func (r *Runner) startAll(jobs []*gate.Job) {
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -37,13 +37,15 @@
 
 // Hello implements link.Handler.
 func (c *Control) Hello() *wire.Hello {
-	return &wire.Hello{
+	hello := &wire.Hello{
 		VM:          c.Settings.VM.ID,
 		Incarnation: c.Incarnation(),
 		DataCentre:  c.Settings.VM.DataCentre,
 		State:       *c.State(),
 		Region:      c.Settings.VM.Region,
 	}
+	hello.Features |= wire.FeatureGrants
+	return hello
 }
 
 // State implements link.Handler.
--- a/pkg/wire/body.go
+++ b/pkg/wire/body.go
@@ -22,6 +22,12 @@
 	return body, chunks
 }
 
+// Offer returns the Body of a Call frame that offers data without sending any of it.
+func Offer(data []byte) Body { return Body{Size: uint64(len(data)), Hash: xxhash.Sum64(data)} }
+
+// Offered reports whether the body is sent only as far as Grant frames allow.
+func (b *Body) Offered() bool { return b.Size > 0 && len(b.First) == 0 }
+
 // Assembly assembles a body from its Body and its chunks. It returns the body only if all
 // parts have arrived in order and the size and hash match.
 type Assembly struct {
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -245,6 +245,11 @@
 	TeamPriority uint8
 }
 
+// Rank returns the rank of the request at the gate, lowest first: the priority of its team,
+// then that of its route. Calls made by backend servers have no team and come first: a run
+// that occupies a slot waits for each of them.
+func (r *Routed) Rank() uint16 { return uint16(r.TeamPriority)<<8 | uint16(r.Priority) }
+
 // Claim identifies one run of a call that has an Idempotency-Key. The executor may run the
 // call only after it has replaced exactly this version of the key's row in the store.
 type Claim struct {
