Round-trip times from pings, per-sender pieces, tests of offered bodies on links

Change: the round-trip time comes from pings of the accepted link; the window follows from it and the learnt rate, and a pace limits grants.

--- a/pkg/grants/grants.go
+++ b/pkg/grants/grants.go
@@ -18,7 +18,11 @@
 	// them, a piece is what arrives in pieceTime.
 	maxPiece  = 8 << 10
 	minPiece  = 2 << 10
-	pieceTime = 3 * time.Millisecond
+	pieceTime = 2 * time.Millisecond
+	// maxUplinkTime bounds the time of a piece on a sender's own link, in nanoseconds, that
+	// counts towards the mean round-trip time: a sender that shares the receiver's link with
+	// others may seem slower than it is.
+	maxUplinkTime = float64(pieceTime)
 	// firstPiece is the size of a piece while no rate has been learnt.
 	firstPiece = 4 << 10
 	// maxCreditPieces is how many pieces may be granted at once. Timers are late by up to some
@@ -67,7 +71,6 @@
 type piece struct {
 	// left is the number of its bytes that have not arrived.
 	left int64
-	size int64
 	// due is the time at which its sender counts as stalled.
 	due int64
 	// returned is true once its credit has returned to the shared pipe.
@@ -111,14 +114,24 @@
 
 // Add adds a transfer.
 func (s *Scheduler) Add(t Transfer) ID {
-	from := s.senders[t.Sender]
+	s.lastID++
+	s.transfers = append(s.transfers, &transfer{Transfer: t, id: s.lastID, sender: s.sender(t.Sender)})
+	return s.lastID
+}
+
+// SetRoundTrip sets the shortest round-trip time measured on the link of a sender.
+func (s *Scheduler) SetRoundTrip(id Sender, roundTrip time.Duration) {
+	s.sender(id).roundTrip = float64(roundTrip)
+}
+
+// sender returns the state of a sender.
+func (s *Scheduler) sender(id Sender) *sender {
+	from := s.senders[id]
 	if from == nil {
 		from = &sender{pipe: pipe{gain: senderGain}}
-		s.senders[t.Sender] = from
+		s.senders[id] = from
 	}
-	s.lastID++
-	s.transfers = append(s.transfers, &transfer{Transfer: t, id: s.lastID, sender: from})
-	return s.lastID
+	return from
 }
 
 // Arrived records that the next n bytes of a transfer have arrived. whole is true if they
@@ -162,10 +175,6 @@
 	t.pieces = t.pieces[1:]
 	t.sender.measure(now, &p.own)
 	s.shared.measure(now, &p.shared)
-	if !p.returned {
-		t.sender.measureDelay(float64(now-p.own.at), p.size, &p.own, &p.shared)
-		s.shared.followDelay(t.sender.delayFor(p.size), p.size)
-	}
 	return n
 }
 
@@ -210,10 +219,10 @@
 	piece := s.pieceSize()
 	s.shared.countTrips(now, piece)
 	for _, from := range s.senders {
-		from.countTrips(now, piece)
+		from.countTrips(now, from.pieceSize(piece))
 	}
 	s.addCredit(now, piece)
-	for !s.shared.isOverfull(piece) {
+	for !s.shared.isFull(piece) {
 		t := s.next(now, piece)
 		if t == nil {
 			s.shared.noteLimit()
@@ -222,7 +231,7 @@
 		if s.credit < float64(piece) {
 			break
 		}
-		s.grantPiece(now, t, piece)
+		s.grantPiece(now, t, t.sender.pieceSize(piece))
 		if last := len(grants) - 1; last >= 0 && grants[last].ID == t.id {
 			grants[last].Offset = t.granted
 			continue
@@ -230,7 +239,7 @@
 		grants = append(grants, Grant{ID: t.id, Offset: t.granted})
 	}
 	for _, from := range s.senders {
-		if !from.isFull(piece) {
+		if !from.isFull(from.pieceSize(piece)) {
 			from.noteLimit()
 		}
 	}
@@ -249,15 +258,22 @@
 	s.creditAt = now
 }
 
-// pieceSize returns how many bytes are granted at a time. The shared pipe may be overfull by
-// one piece and a single sender may not, so that a slow sender leaves room for others, whose
-// bytes show that the receiver's link is faster.
+// pieceSize returns how many bytes are granted at a time, as far as the rate of the sender
+// allows.
 func (s *Scheduler) pieceSize() int64 {
-	rate := s.shared.rate()
-	if rate == 0 {
+	if s.shared.rate() == 0 {
 		return firstPiece
 	}
-	return min(max(int64(rate*pieceTime.Seconds()), minPiece), maxPiece)
+	return s.shared.pieceSize(maxPiece)
+}
+
+// pieceSize returns how many bytes are granted to a sender at a time, at most limit.
+func (p *pipe) pieceSize(limit int64) int64 {
+	rate := p.rate()
+	if rate == 0 {
+		return limit
+	}
+	return min(max(int64(rate*pieceTime.Seconds()), minPiece), limit)
 }
 
 // returnOverdue returns the credit of overdue pieces to the shared pipe and marks their
@@ -279,11 +295,24 @@
 	return stalled
 }
 
-// next returns the transfer that gets the next piece; nil: none may get one.
+// next returns the transfer that gets the next piece; nil: none may get one. In a round trip
+// that probes for a higher rate, senders that are not busy get the additional pieces: a slow
+// sender, however urgent its transfers are, cannot show that the receiver's link is faster.
 func (s *Scheduler) next(now, piece int64) *transfer {
+	if s.shared.probes() {
+		if t := s.nextOf(now, func(from *sender) bool { return !from.isBusy(from.pieceSize(piece)) }); t != nil {
+			return t
+		}
+	}
+	return s.nextOf(now, func(from *sender) bool { return !from.isFull(from.pieceSize(piece)) })
+}
+
+// nextOf returns the most urgent transfer of the senders for which mayGrant returns true; nil:
+// none.
+func (s *Scheduler) nextOf(now int64, mayGrant func(*sender) bool) *transfer {
 	var best *transfer
 	for _, t := range s.transfers {
-		if t.granted == t.Size || t.sender.stalled || t.sender.isFull(piece) {
+		if t.granted == t.Size || t.sender.stalled || !mayGrant(t.sender) {
 			continue
 		}
 		if best == nil || before(now, &t.Transfer, &best.Transfer) {
@@ -308,17 +337,18 @@
 	n = min(n, t.Size-t.granted)
 	t.granted += n
 	s.credit -= float64(n)
-	p := &piece{left: n, size: n, own: t.sender.grant(now, n), shared: s.shared.grant(now, n)}
+	s.shared.followRoundTrip(t.sender.roundTrip + min(t.sender.timeFor(n), maxUplinkTime))
+	p := &piece{left: n, own: t.sender.grant(now, n), shared: s.shared.grant(now, n)}
 	p.due = now + int64(s.stallBound(t.sender))
 	t.pieces = append(t.pieces, p)
 }
 
 // stallBound returns the time within which all that a sender was granted must arrive.
 func (s *Scheduler) stallBound(from *sender) time.Duration {
-	if s.shared.delay == 0 {
+	if s.shared.rate() == 0 {
 		return unknownStallBound
 	}
-	expected := max(s.shared.delay+s.shared.timeFor(s.shared.outstanding), from.delay+from.timeFor(from.outstanding))
+	expected := max(s.shared.delay(s.shared.outstanding), from.delay(from.outstanding))
 	return max(time.Duration(stallFactor*expected), minStallBound)
 }
 
@@ -342,7 +372,7 @@
 	piece := s.pieceSize()
 	missing := float64(piece) - s.credit
 	pace := s.shared.pace()
-	if pace == 0 || missing <= 0 || s.shared.isOverfull(piece) || s.next(s.creditAt, piece) == nil {
+	if pace == 0 || missing <= 0 || s.shared.isFull(piece) || s.next(s.creditAt, piece) == nil {
 		return 0, false
 	}
 	return s.creditAt + int64(math.Ceil(missing/pace*float64(time.Second))), true
--- a/pkg/grants/simulation_test.go
+++ b/pkg/grants/simulation_test.go
@@ -74,6 +74,7 @@
 }
 
 func (s *simulation) add(t Transfer) ID {
+	s.SetRoundTrip(t.Sender, time.Duration(2*s.uplinks[t.Sender].oneWay))
 	id := s.Add(t)
 	s.bodies[id] = &simulatedBody{sender: t.Sender}
 	s.step()
@@ -183,7 +184,7 @@
 			s.maxQueued = 0
 			s.runUntil(4 * second)
 			used := float64(s.deliveredBytes-before) / (2 * sc.mbits * mbit)
-			t.Logf("used %.3f of the link, learnt %.2f Mbit/s, delay %v, queue %d bytes", used, s.Load().Rate/mbit, time.Duration(s.shared.delay), s.maxQueued)
+			t.Logf("used %.3f of the link, learnt %.2f Mbit/s, queue %d bytes", used, s.Load().Rate/mbit, s.maxQueued)
 			test.GreaterEq(t, sc.minUsedShare, used)
 			queueTime := time.Duration(transmission(s.maxQueued, s.bytesPerSecond))
 			test.True(t, queueTime <= 20*time.Millisecond || s.maxQueued <= 4*minPiece, test.Sprintf("%v, %d bytes", queueTime, s.maxQueued))
--- a/pkg/link/granter.go
+++ b/pkg/link/granter.go
@@ -58,6 +58,21 @@
 	return g.scheduler.Load()
 }
 
+// maxRTTPings is the number of pings on an accepted link, one for each body at most, after
+// which no more are sent. The shortest round-trip time counts, since a ping may wait behind
+// bodies.
+const maxRTTPings = 16
+
+// updateRoundTrip tells the scheduler the round-trip time of a link and measures it again.
+func (g *granter) updateRoundTrip(id grants.Sender, peer *Peer) {
+	if peer.pingsSent.Load() < maxRTTPings {
+		go peer.ping()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.scheduler.SetRoundTrip(id, peer.MinRTT())
+}
+
 // newSender returns the sender of a link that was accepted.
 func (g *granter) newSender() grants.Sender {
 	g.mu.Lock()
--- a/pkg/link/offered.go
+++ b/pkg/link/offered.go
@@ -36,6 +36,7 @@
 		s.sendRefusal(id, noBackendServer())
 		return
 	}
+	s.server.grants.updateRoundTrip(s.sender, s.Peer)
 	now := s.server.Now()
 	t := grants.Transfer{
 		Sender: s.sender, Size: int64(in.call.Body.Size),
--- /dev/null
+++ b/pkg/link/offered_test.go
@@ -0,0 +1,494 @@
+package link
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
+	"pgregory.net/rapid"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/settings"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+const testBodySize = 200_000
+
+// placesRunner is a call.Offerer with any number of places, which answers at once with the
+// body of the call. It refuses offered calls to "/refused".
+type placesRunner struct {
+	mu      sync.Mutex
+	places  map[*testPlace]struct{}
+	started []string
+	// offered is the number of calls that were offered.
+	offered int
+}
+
+func newPlacesRunner() *placesRunner { return &placesRunner{places: map[*testPlace]struct{}{}} }
+
+// testPlace is the place of one call.
+type testPlace struct {
+	runner *placesRunner
+	call   *wire.Call
+	done   func(call.Result)
+}
+
+func (r *placesRunner) Execute(c *wire.Call, body []byte, done func(call.Result)) func() {
+	r.mu.Lock()
+	r.started = append(r.started, c.URI)
+	r.mu.Unlock()
+	return echo(c, body, done)
+}
+
+func (r *placesRunner) Offer(c *wire.Call, _ time.Duration, done func(call.Result)) call.Offered {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.offered++
+	if strings.HasPrefix(c.URI, "/refused") {
+		go done(call.Refused(errkind.Overloaded, "no place"))
+		return nil
+	}
+	place := &testPlace{r, c, done}
+	r.places[place] = struct{}{}
+	return place
+}
+
+// take removes a place, and returns false if it was removed before.
+func (p *testPlace) take() bool {
+	p.runner.mu.Lock()
+	defer p.runner.mu.Unlock()
+	_, ok := p.runner.places[p]
+	delete(p.runner.places, p)
+	return ok
+}
+
+func (p *testPlace) Rank() uint16   { return p.call.Routed.Rank() }
+func (p *testPlace) StartBy() int64 { return 0 }
+
+func (p *testPlace) Start(body []byte) func() {
+	if !p.take() {
+		return func() {}
+	}
+	return p.runner.Execute(p.call, body, p.done)
+}
+
+func (p *testPlace) Withdraw(refusal *errkind.Error) {
+	if p.take() {
+		p.done(call.Result{Refusal: refusal})
+	}
+}
+
+// drain releases all places, as when the executor stops.
+func (r *placesRunner) drain() {
+	r.mu.Lock()
+	places := r.places
+	r.places = map[*testPlace]struct{}{}
+	r.mu.Unlock()
+	for p := range places {
+		p.done(call.Refused(errkind.Leaving, "the daemon is leaving"))
+	}
+}
+
+func (r *placesRunner) startedCalls() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.started...)
+}
+
+func (r *placesRunner) placeCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.places)
+}
+
+// newGrantingServer returns a server that grants bodies.
+func newGrantingServer(t *testing.T, runner call.Runner, bodiesBytes int) *Server {
+	s := settings.Default()
+	s.Limits.BodiesBytes = bodiesBytes
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := Listen(common.NewCommon(events.Discard(), &s), &nopHandler{up: make(chan *Peer, 100), features: wire.FeatureGrants}, runner, listener, nil, NewHeartbeatTiming(testIdle))
+	t.Cleanup(server.Close)
+	return server
+}
+
+// dialServer opens a link to a server.
+func dialServer(t *testing.T, server *Server) *Client {
+	handler := &nopHandler{up: make(chan *Peer, 1), features: wire.FeatureGrants}
+	client, err := DialClient(context.Background(), testCommon(), handler, server.address, DialOptions{HeartbeatTiming: NewHeartbeatTiming(testIdle)})
+	must.NoError(t, err)
+	ended := make(chan struct{})
+	go func() {
+		client.Run()
+		close(ended)
+	}()
+	<-handler.up
+	t.Cleanup(func() {
+		client.Close()
+		<-ended
+	})
+	return client
+}
+
+// waitFor waits until cond returns true.
+func waitFor(t must.T, cond func() bool) {
+	t.Helper()
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(cond), wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
+}
+
+// waitUntilIdle waits until a server holds no bodies and no credit.
+func waitUntilIdle(t must.T, server *Server) {
+	t.Helper()
+	waitFor(t, func() bool {
+		load := server.grants.load()
+		server.grants.mu.Lock()
+		transfers := len(server.grants.transfers)
+		server.grants.mu.Unlock()
+		return server.Bodies.Reserved() == 0 && load.Outstanding == 0 && load.Waiting == 0 && transfers == 0
+	})
+}
+
+// TestOfferedBodiesArrive checks that large bodies arrive whole with runners that decide on
+// heads and with others, also beside bodies that are sent with their calls.
+func TestOfferedBodiesArrive(t *testing.T) {
+	for name, runner := range map[string]call.Runner{"an offerer": newPlacesRunner(), "a runner of whole bodies": runnerFunc(echo)} {
+		t.Run(name, func(t *testing.T) {
+			server := newGrantingServer(t, runner, 100<<20)
+			var workers sync.WaitGroup
+			for range 4 {
+				client := dialServer(t, server)
+				for worker := range 8 {
+					workers.Go(func() {
+						body := bytes.Repeat([]byte{byte(worker)}, worker*40_000+worker)
+						result := client.executeAndWait(&wire.Call{URI: "/x", Remaining: time.Minute}, body)
+						if test.Nil(t, result.Refusal); result.Answer != nil {
+							test.Eq(t, "/x "+string(body), string(result.Answer.Body))
+						}
+					})
+				}
+			}
+			workers.Wait()
+			waitUntilIdle(t, server)
+			test.Positive(t, server.grants.granted.Get())
+		})
+	}
+}
+
+// TestRefusedHeadSendsNoBody checks that a refusal costs the head of the call only.
+func TestRefusedHeadSendsNoBody(t *testing.T) {
+	server := newGrantingServer(t, newPlacesRunner(), 100<<20)
+	client := dialServer(t, server)
+	sentBefore := client.Traffic().BytesOut
+	result := client.executeAndWait(&wire.Call{URI: "/refused", Remaining: time.Minute}, make([]byte, testBodySize))
+	must.NotNil(t, result.Refusal)
+	test.Eq(t, errkind.Overloaded, result.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, result.Refusal.Ran)
+	test.Less(t, 300, client.Traffic().BytesOut-sentBefore)
+	test.Eq(t, 1, server.grants.refusedHeads.Get())
+	waitUntilIdle(t, server)
+}
+
+// TestPreviousReleaseGetsWholeBodies checks that a peer that does not announce FeatureGrants
+// gets bodies with their calls.
+func TestPreviousReleaseGetsWholeBodies(t *testing.T) {
+	runner := newPlacesRunner()
+	client, server := connect(t, runner)
+	result := client.executeAndWait(&wire.Call{URI: "/x", Remaining: time.Minute}, make([]byte, testBodySize))
+	test.Nil(t, result.Refusal)
+	test.Zero(t, runner.offered)
+	test.Zero(t, server.grants.granted.Get())
+}
+
+// TestHeadIsRefusedWithoutRoomForItsBody checks that a head is refused as not run when the
+// memory budget has no room for its body.
+func TestHeadIsRefusedWithoutRoomForItsBody(t *testing.T) {
+	server := newGrantingServer(t, newPlacesRunner(), testBodySize/2)
+	client := dialServer(t, server)
+	result := client.executeAndWait(&wire.Call{URI: "/x", Remaining: time.Minute}, make([]byte, testBodySize))
+	must.NotNil(t, result.Refusal)
+	test.Eq(t, errkind.Overloaded, result.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, result.Refusal.Ran)
+}
+
+// silentEntry is an entry that offers a body and ignores grants.
+type silentEntry struct {
+	*websocket.Conn
+	codec *wire.Codec
+}
+
+func dialSilentEntry(t *testing.T, server *Server) *silentEntry {
+	ws, resp, err := websocket.DefaultDialer.Dial("ws://"+server.address+linkPath, nil)
+	must.NoError(t, err)
+	_ = resp.Body.Close()
+	t.Cleanup(func() { _ = ws.Close() })
+	codec, err := wire.NewCodec()
+	must.NoError(t, err)
+	e := &silentEntry{ws, codec}
+	e.send(t, &wire.Hello{VM: "silent", Features: wire.FeatureGrants})
+	return e
+}
+
+func (e *silentEntry) send(t *testing.T, f wire.Frame) {
+	var buf bytes.Buffer
+	must.NoError(t, e.codec.Append(&buf, f))
+	must.NoError(t, e.WriteMessage(websocket.BinaryMessage, buf.Bytes()))
+}
+
+// receive returns the next frame of the given type.
+func (e *silentEntry) receive(t *testing.T, frameType wire.Type) wire.Frame {
+	for {
+		_, data, err := e.ReadMessage()
+		must.NoError(t, err)
+		for len(data) > 0 {
+			frame, rest, err := e.codec.Next(data)
+			must.NoError(t, err)
+			data = rest
+			if frame.Type() == frameType {
+				return frame
+			}
+		}
+	}
+}
+
+// TestStalledSenderLosesItsPlaceAndCredit checks that a sender that stalls after a grant does
+// not hold up others, and that its place is released when the call's time is used up.
+func TestStalledSenderLosesItsPlaceAndCredit(t *testing.T) {
+	for name, runner := range map[string]call.Runner{"an offerer": newPlacesRunner(), "a runner of whole bodies": runnerFunc(echo)} {
+		t.Run(name, func(t *testing.T) {
+			server := newGrantingServer(t, runner, 100<<20)
+			silent := dialSilentEntry(t, server)
+			silent.send(t, &wire.Call{ID: 1, URI: "/stalled", Remaining: 2 * time.Second, Body: wire.Offer(make([]byte, testBodySize))})
+			silent.receive(t, wire.TypeGrant)
+			result := dialServer(t, server).executeAndWait(&wire.Call{URI: "/x", Remaining: time.Minute}, make([]byte, testBodySize))
+			test.Nil(t, result.Refusal)
+			waitFor(t, func() bool { return server.grants.stalled.Get() == 1 })
+			test.Zero(t, server.grants.load().Outstanding)
+			refusal := silent.receive(t, wire.TypeRefusal).(*wire.Refusal)
+			test.Eq(t, errkind.DeadlineBeforeRun, errkind.Parse(refusal.Kind))
+			test.Eq(t, errkind.RanNo, errkind.Ran(refusal.Ran))
+			waitUntilIdle(t, server)
+		})
+	}
+}
+
+// TestBodyIsDroppedWhenItsCallEnds checks that a cancel and a broken link release the place,
+// the memory and the credit of a body on its way.
+func TestBodyIsDroppedWhenItsCallEnds(t *testing.T) {
+	for name, end := range map[string]func(t *testing.T, e *silentEntry){
+		"a cancel":      func(t *testing.T, e *silentEntry) { e.send(t, &wire.Cancel{ID: 1}) },
+		"a broken link": func(_ *testing.T, e *silentEntry) { _ = e.Close() },
+		"a chunk beyond the grant": func(t *testing.T, e *silentEntry) {
+			e.send(t, &wire.Chunk{ID: 1, Data: make([]byte, testBodySize)})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runner := newPlacesRunner()
+			server := newGrantingServer(t, runner, 100<<20)
+			silent := dialSilentEntry(t, server)
+			silent.send(t, &wire.Call{ID: 1, Remaining: time.Minute, Body: wire.Offer(make([]byte, testBodySize))})
+			granted := silent.receive(t, wire.TypeGrant).(*wire.Grant)
+			silent.send(t, &wire.Chunk{ID: 1, Data: make([]byte, granted.Offset)})
+			end(t, silent)
+			waitUntilIdle(t, server)
+			waitFor(t, func() bool { return runner.placeCount() == 0 })
+			test.Len(t, 0, runner.startedCalls())
+		})
+	}
+}
+
+// TestStoppedExecutorReleasesItsPlaces checks that calls whose bodies are on the way end as
+// not run when the executor stops.
+func TestStoppedExecutorReleasesItsPlaces(t *testing.T) {
+	runner := newPlacesRunner()
+	server := newGrantingServer(t, runner, 100<<20)
+	silent := dialSilentEntry(t, server)
+	silent.send(t, &wire.Call{ID: 1, Remaining: time.Minute, Body: wire.Offer(make([]byte, testBodySize))})
+	silent.receive(t, wire.TypeGrant)
+	runner.drain()
+	refusal := silent.receive(t, wire.TypeRefusal).(*wire.Refusal)
+	test.Eq(t, errkind.Leaving, errkind.Parse(refusal.Kind))
+	test.Eq(t, errkind.RanNo, errkind.Ran(refusal.Ran))
+	waitUntilIdle(t, server)
+}
+
+// silentExecutor accepts one link and grants nothing. It returns the dialled client.
+func dialSilentExecutor(t *testing.T, features wire.Features) (client *Client, executor *Conn) {
+	accepted := make(chan *Conn, 1)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := Listen(testCommon(), &acceptHandler{nopHandler{up: make(chan *Peer, 1), features: features}, accepted}, newPlacesRunner(), listener, nil, NewHeartbeatTiming(testIdle))
+	t.Cleanup(server.Close)
+	client = dialServer(t, server)
+	return client, <-accepted
+}
+
+// acceptHandler passes on the connections of accepted links.
+type acceptHandler struct {
+	nopHandler
+	accepted chan *Conn
+}
+
+func (h *acceptHandler) Up(peer *Peer) { h.accepted <- peer.Conn }
+
+// stopWriter makes the writer of a connection wait. Frames stay queued until the returned
+// function is called.
+func stopWriter(c *Conn) (resume func()) {
+	c.mu.Lock()
+	return c.mu.Unlock
+}
+
+// TestBrokenLinkBeforeTheLastByte checks that a call ends as not run when its link breaks
+// before the whole body was handed to the writer, and may have run otherwise.
+func TestBrokenLinkBeforeTheLastByte(t *testing.T) {
+	scenarios := []struct {
+		name string
+		body *outgoingBody
+		// queued is the number of chunks in the queue.
+		queued int
+		want   errkind.Kind
+	}{
+		{"no body beyond the call frame", nil, 0, errkind.LinkLost},
+		{"nothing granted", &outgoingBody{data: make([]byte, 100)}, 0, errkind.LinkUnavailable},
+		{"granted in part", &outgoingBody{data: make([]byte, 100), queued: 99}, 0, errkind.LinkUnavailable},
+		{"the last chunk is queued", &outgoingBody{data: make([]byte, 100), queued: 100}, 1, errkind.LinkUnavailable},
+		{"all handed over", &outgoingBody{data: make([]byte, 100), queued: 100}, 0, errkind.LinkLost},
+		{"chunks of a body sent with its call are queued", &outgoingBody{}, 2, errkind.LinkUnavailable},
+		{"a body sent with its call is handed over", &outgoingBody{}, 0, errkind.LinkLost},
+	}
+	for _, s := range scenarios {
+		for _, closed := range []bool{true, false} {
+			conn := &Conn{}
+			for range s.queued {
+				conn.chunks.push(&wire.Chunk{ID: 7})
+			}
+			if closed {
+				conn.chunks.discard()
+			}
+			var got call.Result
+			cl := &Client{Peer: &Peer{Conn: conn}, pending: map[uint64]*pendingCall{7: {body: s.body, done: func(r call.Result) { got = r }}}}
+			cl.failAll()
+			must.NotNil(t, got.Refusal, must.Sprint(s.name))
+			test.Eq(t, s.want, got.Refusal.Kind, test.Sprint(s.name))
+			test.Eq(t, s.want == errkind.LinkLost, got.Refusal.Ran == errkind.RanMaybe, test.Sprint(s.name))
+		}
+	}
+}
+
+// TestGrantsEndWithTheirLink checks on two real link ends that a call whose body was granted
+// in part ends as not run when the link breaks.
+func TestGrantsEndWithTheirLink(t *testing.T) {
+	client, executor := dialSilentExecutor(t, wire.FeatureGrants)
+	resume := stopWriter(executor)
+	done := make(chan call.Result, 1)
+	client.Execute(&wire.Call{URI: "/x", Remaining: time.Minute}, make([]byte, testBodySize), func(r call.Result) { done <- r })
+	client.Close()
+	result := <-done
+	resume()
+	test.Eq(t, errkind.LinkUnavailable, result.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, result.Refusal.Ran)
+}
+
+// TestCancelDropsQueuedChunks checks that the chunks of a cancelled call are not sent any
+// more, granted or not, that the call ends once, and that those of other calls are sent.
+func TestCancelDropsQueuedChunks(t *testing.T) {
+	for name, body := range map[string]*outgoingBody{"granted": {data: make([]byte, 100), queued: 50}, "sent with the call": {}} {
+		t.Run(name, func(t *testing.T) {
+			conn := NewClosedConn()
+			conn.chunks.push(&wire.Chunk{ID: 1})
+			conn.chunks.push(&wire.Chunk{ID: 2})
+			conn.chunks.push(&wire.Chunk{ID: 1})
+			var results []call.Result
+			cl := &Client{Peer: &Peer{Conn: conn}, pending: map[uint64]*pendingCall{1: {body: body, done: func(r call.Result) { results = append(results, r) }}}}
+			cl.cancel(1)
+			cl.cancel(1)
+			must.Len(t, 1, results)
+			test.Eq(t, errkind.CallerGone, results[0].Refusal.Kind)
+			test.Eq(t, errkind.RanNo, results[0].Refusal.Ran)
+			test.Eq(t, 1, conn.chunks.len())
+			test.Eq(t, 2, conn.chunks.pop().ID)
+			cl.receiveGrant(&wire.Grant{ID: 1, Offset: 100})
+			test.Zero(t, conn.chunks.len())
+		})
+	}
+}
+
+// TestRefusalDropsQueuedChunks checks that the chunks of a refused call are not sent any more.
+func TestRefusalDropsQueuedChunks(t *testing.T) {
+	conn := NewClosedConn()
+	conn.chunks.push(&wire.Chunk{ID: 1})
+	cl := &Client{Peer: &Peer{Conn: conn}, pending: map[uint64]*pendingCall{1: {body: &outgoingBody{}, done: ignore}}}
+	must.NoError(t, cl.receive(&wire.Refusal{ID: 1}))
+	test.Zero(t, conn.chunks.len())
+}
+
+// TestNoByteIsLostAndEndedCallsDoNotStart plays random calls over real links, of which some
+// are cancelled, refused or drained. Bodies arrive whole and once, the credit of all calls
+// returns, and a call that its entry reports as not run has not started.
+func TestNoByteIsLostAndEndedCallsDoNotStart(t *testing.T) {
+	runner := newPlacesRunner()
+	server := newGrantingServer(t, runner, 100<<20)
+	clients := []*Client{dialServer(t, server), dialServer(t, server), dialServer(t, server)}
+	rapid.Check(t, func(rt *rapid.T) {
+		runner.mu.Lock()
+		runner.started = nil
+		runner.mu.Unlock()
+		var calls []*playedCall
+		count := rapid.IntRange(1, 10).Draw(rt, "calls")
+		for i := range count {
+			p := &playedCall{
+				uri: "/" + string(rune('a'+i)), body: bytes.Repeat([]byte{byte(i)}, rapid.IntRange(0, 120_000).Draw(rt, "size")),
+				client: clients[rapid.IntRange(0, len(clients)-1).Draw(rt, "client")], done: make(chan call.Result, 2),
+			}
+			if rapid.IntRange(0, 4).Draw(rt, "refused") == 0 {
+				p.uri = "/refused" + p.uri
+			}
+			p.start()
+			calls = append(calls, p)
+			if rapid.IntRange(0, 2).Draw(rt, "cancelled") == 0 {
+				calls[rapid.IntRange(0, i).Draw(rt, "which")].cancel()
+			}
+			if rapid.IntRange(0, 9).Draw(rt, "drained") == 0 {
+				runner.drain()
+			}
+		}
+		for _, p := range calls {
+			p.check(rt, runner)
+		}
+		waitUntilIdle(rt, server)
+	})
+}
+
+// playedCall is a call of TestNoByteIsLostAndEndedCallsDoNotStart.
+type playedCall struct {
+	uri    string
+	body   []byte
+	client *Client
+	done   chan call.Result
+	cancel func()
+}
+
+func (p *playedCall) start() {
+	p.cancel = p.client.Execute(&wire.Call{URI: p.uri, Remaining: time.Minute}, p.body, func(r call.Result) { p.done <- r })
+}
+
+func (p *playedCall) check(t *rapid.T, runner *placesRunner) {
+	result := <-p.done
+	if result.Answer != nil {
+		must.Eq(t, p.uri+" "+string(p.body), string(result.Answer.Body))
+		return
+	}
+	must.Eq(t, errkind.RanNo, result.Refusal.Ran)
+	must.SliceNotContains(t, runner.startedCalls(), p.uri, must.Sprint(result.Refusal))
+	must.Zero(t, len(p.done))
+}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -155,6 +155,9 @@
 	s.server.mu.Lock()
 	s.server.peers[s.Peer] = struct{}{}
 	s.server.mu.Unlock()
+	if s.Hello.Features.Has(wire.FeatureGrants) {
+		go s.ping()
+	}
 	s.server.handler.Up(s.Peer)
 	s.server.handler.PeerState(s.Peer, &s.Hello.State)
 }
