--- a/pkg/link/slow_bench_test.go
+++ b/pkg/link/slow_bench_test.go
@@ -144,7 +144,8 @@
 
 // BenchmarkSmallCallsBesideLargeBodiesOf60Senders measures the latency of small calls of 60
 // senders to a receiver with a link of 10 Mbit/s, each of which sends one body of 360 kB after
-// the other. "whole" sends them as to a daemon of the previous release.
+// the other. "whole" sends them as to a daemon of the previous release; each small call then
+// takes seconds, so give it a few calls only (-benchtime 20x).
 func BenchmarkSmallCallsBesideLargeBodiesOf60Senders(b *testing.B) {
 	for name, features := range map[string]wire.Features{"granted": wire.FeatureGrants, "whole": 0} {
 		b.Run(name, func(b *testing.B) {
