Acknowledged calls: decisions, links and the entry

Cause: a call that waits behind a slow link gets no response until its caller leaves, although its backend server is idle and others are free; heartbeats of the executor's daemon still arrive. Change: pkg/acks decides bounds and the delay in transit; pkg/link announces FeatureAcks, sends and tracks acks, and drops calls that are cancelled in the same message or whose time is used up; pkg/forward sends repeatable calls of backend servers elsewhere and uses the answer that arrives first.

--- /dev/null
+++ b/pkg/acks/transit.go
@@ -0,0 +1,57 @@
+package acks
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// transitWindow is how long the smallest difference between the clocks of the two ends
+	// of a link is remembered. It is divided into buckets, of which the oldest is forgotten
+	// as a whole.
+	transitWindow  = 30 * time.Second
+	transitBuckets = 6
+	bucketLength   = transitWindow / transitBuckets
+)
+
+// Transit estimates how long the calls of one link were in transit, from the time that each
+// states on its sender's clock. The clocks differ, so the difference between the receiver's
+// and the sender's time is compared with the smallest recent one: the result is the delay
+// beyond that of the fastest call. It is not safe for concurrent use.
+type Transit struct {
+	// smallest holds the smallest difference of each bucket, in nanoseconds; numbers holds
+	// the number of the bucket since the clock's start, plus one; 0: empty.
+	smallest [transitBuckets]int64
+	numbers  [transitBuckets]int64
+}
+
+// Delay returns how long a call was in transit. now is the receiver's time in nanoseconds,
+// sentUS is wire.Call.SentUS; if it is 0 or invalid, Delay returns 0.
+func (t *Transit) Delay(now int64, sentUS uint64) time.Duration {
+	if sentUS == 0 || sentUS > math.MaxInt64/uint64(time.Microsecond) {
+		return 0
+	}
+	difference := now - int64(sentUS-1)*int64(time.Microsecond)
+	t.record(now/int64(bucketLength)+1, difference)
+	return time.Duration(difference - t.minimum(now/int64(bucketLength)+1))
+}
+
+// record updates the bucket of a given number.
+func (t *Transit) record(number, difference int64) {
+	i := number % transitBuckets
+	if t.numbers[i] != number || difference < t.smallest[i] {
+		t.numbers[i], t.smallest[i] = number, difference
+	}
+}
+
+// minimum returns the smallest difference in the buckets of the window that ends with the
+// bucket of a given number.
+func (t *Transit) minimum(number int64) int64 {
+	out := int64(math.MaxInt64)
+	for i, n := range t.numbers {
+		if n > 0 && number-n < transitBuckets {
+			out = min(out, t.smallest[i])
+		}
+	}
+	return out
+}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -19,9 +19,9 @@
 	startedAt := a.forwarder.Now()
 	record := newAttemptRecord(startedAt, candidate, soft, a.proximityOf(candidate), pick.PassedOver)
 	record.toTargetVersion = a.lane == rollout.LaneTarget
-	result := a.execute(candidate, soft)
-	record.setEnd(&result, time.Duration(a.forwarder.Now()-startedAt))
 	a.records = append(a.records, record)
+	result := a.execute(candidate, soft)
+	a.records[len(a.records)-1].setEnd(&result, time.Duration(a.forwarder.Now()-startedAt))
 	return result
 }
 
@@ -33,9 +33,11 @@
 	}
 	now := a.forwarder.Now()
 	candidate.Load.RecordSent(now)
-	ends := make(chan call.Result, 1)
-	cancel := runner.Execute(a.frame(candidate, soft), a.req.Body, func(r call.Result) { ends <- a.recordEnd(candidate, r) })
-	return a.await(candidate, runner, cancel, ends)
+	number := a.tries
+	watch := a.newAckWatch(runner)
+	defer watch.stop()
+	cancel := watch.execute(a.frame(candidate, soft), a.req.Body, func(r call.Result) { a.ends <- attemptEnd{number, a.recordEnd(candidate, r)} })
+	return a.await(candidate, runner, cancel, watch)
 }
 
 // canGoElsewhere reports whether the request could be sent to another candidate if the
@@ -56,18 +58,25 @@
 	return false
 }
 
-// await waits for the executor's result. It stops waiting when answerGrace has passed after
-// the deadline, when the caller disconnects, or when the executor's daemon is unresponsive
-// and the request is repeatable and can go elsewhere.
-func (a *attempts) await(candidate *tables.Candidate, runner call.Runner, cancel func(), ends <-chan call.Result) call.Result {
+// await waits for the executor's result, or for a usable answer of an attempt that was left
+// before. It stops waiting when answerGrace has passed after the deadline, when the caller
+// disconnects, or when the executor's daemon is unresponsive or has not acknowledged the
+// call, and the request is repeatable and can go elsewhere.
+func (a *attempts) await(candidate *tables.Candidate, runner call.Runner, cancel func(), acks *ackWatch) call.Result {
 	timeout := time.NewTimer(a.timeLeft() + answerGrace)
 	defer timeout.Stop()
 	watch := newLivenessWatch(runner)
 	defer watch.stop()
 	for {
 		select {
-		case result := <-ends:
-			return result
+		case end := <-a.ends:
+			if result, ended := a.handleEnd(&end, cancel); ended {
+				return result
+			}
+		case <-acks.due():
+			if acks.checkLate() && len(a.ends) == 0 && a.mayLeave(acks, candidate) {
+				return a.leave(candidate, cancel)
+			}
 		case <-watch.due():
 			if !watch.checkUnresponsive() {
 				continue
@@ -78,11 +87,12 @@
 				return a.unanswered(errkind.New(errkind.LinkLost, "the daemon on %s does not respond", candidate.Endpoint.VM))
 			}
 		case <-timeout.C:
-			select {
-			case result := <-ends:
-				// After a pause of this process both channels may be ready.
-				return result
-			default:
+			// After a pause of this process both channels may be ready.
+			for len(a.ends) > 0 {
+				end := <-a.ends
+				if result, ended := a.handleEnd(&end, cancel); ended {
+					return result
+				}
 			}
 			cancel()
 			return a.unanswered(errkind.New(errkind.DeadlineWhileRunning, "%s did not answer before the deadline", candidate.Endpoint.VM))
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -68,6 +68,10 @@
 	// hasFingerprint is true.
 	cachedFingerprint quarantine.Fingerprint
 	hasFingerprint    bool
+	// ends receives the ends of all attempts, and left holds the attempts that were left
+	// for want of an ack and have not ended.
+	ends chan attemptEnd
+	left []leftAttempt
 	// records describes the attempts for the log.
 	records []attemptRecord
 	// stopReason says why no further attempt was made, for the log.
@@ -133,8 +137,10 @@
 }
 
 // finalResult turns the result of the last attempt into the result for the caller: it
-// prefers the fallback to a refusal, and sets RetryAfter on an overload.
+// waits for the attempts that were left where there is no better result, prefers the
+// fallback to a refusal, and sets RetryAfter on an overload.
 func (a *attempts) finalResult(result call.Result) call.Result {
+	result = a.awaitLeft(result)
 	if result.Answer == nil && a.fallback != nil {
 		result = *a.fallback
 	}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/acks"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/common"
@@ -80,13 +81,16 @@
 	sizes        *requestSizes
 	// localRuns is nil on a daemon without a backend server.
 	localRuns LocalRuns
+	// acks decides when a call counts as not acknowledged.
+	acks *acks.Entry
 
 	inFlight atomic.Int64
 }
 
 // NewForwarder returns the forwarder of one daemon; localRuns may be nil.
 func NewForwarder(c *common.Common, view *tables.View, localRuns LocalRuns) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
+		acks:         acks.NewEntry(),
 		Common:       c,
 		view:         view,
 		random:       choose.RuntimeRandom{},
@@ -96,6 +100,8 @@
 		sizes:        newRequestSizes(),
 		localRuns:    localRuns,
 	}
+	c.Metrics.GetOrCreateGauge("rushramp_ack_widening", func() float64 { return float64(f.acks.Widening()) })
+	return f
 }
 
 // InFlight returns the number of requests that have not ended.
@@ -231,5 +237,6 @@
 		lane:      f.view.RolloutTraffic(service).AssignLane(route.Name),
 		startedAt: startedAt, deadline: startedAt + int64(timeout), target: target,
 		softLeft: f.Settings.Routing.SoftAttempts,
+		ends:     make(chan attemptEnd, maxTries),
 	}
 }
--- /dev/null
+++ b/pkg/forward/left_attempts.go
@@ -0,0 +1,175 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/acks"
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/utils"
+)
+
+// attemptEnd is the end of one attempt of a request.
+type attemptEnd struct {
+	// number is the value of attempts.tries when the attempt was sent.
+	number int
+	result call.Result
+}
+
+// leftAttempt is an attempt that was not acknowledged in time, so that the request went
+// elsewhere. It is cancelled once the request has ended, because its executor may still be
+// the first to answer.
+type leftAttempt struct {
+	number int
+	cancel func()
+	// record is the index of its record, and sentAt when it was sent.
+	record int
+	sentAt int64
+	// refusal stands in attempts.fallback for the result of the attempt.
+	refusal *errkind.Error
+}
+
+// mayLeave reports whether the request goes elsewhere because the attempt at candidate is
+// not acknowledged.
+func (a *attempts) mayLeave(watch *ackWatch, candidate *tables.Candidate) bool {
+	hasTime := watch.bound.MayLeave && acks.HasTimeForRun(a.timeLeft(), a.runTime(), watch.acknowledger.AckEstimate())
+	leaves := hasTime && a.canGoElsewhere(candidate)
+	decision := "waits"
+	if leaves {
+		decision = "goes_elsewhere"
+	}
+	a.forwarder.Metrics.GetOrCreateCounter(`rushramp_unacknowledged_total{service="` + utils.Label(a.service) + `",decision="` + decision + `"}`).Inc()
+	return leaves
+}
+
+// leave ends the wait for an attempt that is not acknowledged, without cancelling it. The
+// result counts as offered, so that isLast takes a retry from the budget for it.
+func (a *attempts) leave(candidate *tables.Candidate, cancel func()) call.Result {
+	candidate.Load.MarkUnresponsive(a.forwarder.Now())
+	refusal := errkind.New(errkind.LinkLost, "the daemon on %s did not acknowledge the call", candidate.Endpoint.VM)
+	record := len(a.records) - 1
+	a.records[record].outcome = outcomeUnacknowledged
+	a.left = append(a.left, leftAttempt{number: a.tries, cancel: cancel, record: record, sentAt: a.records[record].sentAt, refusal: refusal})
+	return a.unanswered(refusal)
+}
+
+// handleEnd handles the end of an attempt while the latest one is awaited. ended is true if
+// result ends the wait: it is that of the latest attempt, or a usable answer of one that was
+// left, and then cancel is called for the latest one.
+func (a *attempts) handleEnd(end *attemptEnd, cancel func()) (result call.Result, ended bool) {
+	if end.number == a.tries {
+		return end.result, true
+	}
+	if !a.settle(end) {
+		return call.Result{}, false
+	}
+	a.records[len(a.records)-1].outcome = outcomeNotNeeded
+	cancel()
+	return end.result, true
+}
+
+// settle takes over the result of an attempt that was left, and reports whether it is a
+// usable answer. It ignores the ends of other attempts, which were cancelled.
+func (a *attempts) settle(end *attemptEnd) (usable bool) {
+	for i, left := range a.left {
+		if left.number != end.number {
+			continue
+		}
+		a.left = append(a.left[:i], a.left[i+1:]...)
+		record := &a.records[left.record]
+		record.laterOutcome, record.laterTook = outcomeOf(&end.result), time.Duration(a.forwarder.Now()-left.sentAt)
+		if isUsable(&end.result) {
+			return true
+		}
+		a.replaceFallback(left.refusal, &end.result)
+		return false
+	}
+	return false
+}
+
+// isUsable reports whether a result is an answer that ends the request.
+func isUsable(result *call.Result) bool { return result.Answer != nil && result.Answer.Status < 500 }
+
+// replaceFallback puts the result of an attempt that was left in the place of the refusal
+// that stood for it: a failure that may have run, or nothing if the attempt did not run.
+func (a *attempts) replaceFallback(refusal *errkind.Error, result *call.Result) {
+	if !a.dropFallback(refusal) {
+		return
+	}
+	if result.Answer != nil || result.Refusal.Ran == errkind.RanMaybe {
+		a.fallback = result
+	}
+}
+
+// dropFallback drops the fallback if it is that refusal.
+func (a *attempts) dropFallback(refusal *errkind.Error) (dropped bool) {
+	if a.fallback == nil || a.fallback.Refusal != refusal {
+		return false
+	}
+	a.fallback = nil
+	return true
+}
+
+// awaitLeft waits for the attempts that were left, unless result is a usable answer. It
+// returns their first usable answer, or else result. The attempts that have not ended are
+// cancelled.
+func (a *attempts) awaitLeft(result call.Result) call.Result {
+	defer a.cancelLeft()
+	if len(a.left) == 0 || isUsable(&result) {
+		return result
+	}
+	for len(a.left) > 0 {
+		end, refusal := a.nextEnd()
+		if refusal != nil {
+			return a.endLeft(result, refusal)
+		}
+		if a.settle(&end) {
+			a.stopReason = stoppedByAnswer
+			return end.result
+		}
+	}
+	return result
+}
+
+// nextEnd waits for the next end of an attempt. It returns a refusal when answerGrace has
+// passed after the deadline, or the caller has disconnected, and no attempt has ended.
+func (a *attempts) nextEnd() (end attemptEnd, refusal *errkind.Error) {
+	timeout := time.NewTimer(a.timeLeft() + answerGrace)
+	defer timeout.Stop()
+	select {
+	case end = <-a.ends:
+		return end, nil
+	case <-timeout.C:
+		refusal = errkind.New(errkind.DeadlineWhileRunning, "no executor answered before the deadline")
+	case <-a.ctx.Done():
+		refusal = errkind.New(errkind.CallerGone, "the caller disconnected before the result arrived").WithRanMaybe()
+	}
+	select {
+	case end = <-a.ends:
+		// After a pause of this process both channels may be ready.
+		return end, nil
+	default:
+		return attemptEnd{}, refusal
+	}
+}
+
+// endLeft returns the result of a request whose left attempts are no longer awaited: result
+// if it is an answer, or if there is a fallback, and otherwise refusal.
+func (a *attempts) endLeft(result call.Result, refusal *errkind.Error) call.Result {
+	for _, left := range a.left {
+		a.dropFallback(left.refusal)
+	}
+	if result.Answer != nil || a.fallback != nil {
+		return result
+	}
+	return a.unanswered(refusal)
+}
+
+// cancelLeft cancels the attempts that were left and have not ended.
+func (a *attempts) cancelLeft() {
+	for _, left := range a.left {
+		left.cancel()
+	}
+	a.left = nil
+}
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -15,7 +15,9 @@
 // attempt, and how the attempt ended. One log line holds all attempts of a request, so
 // that the request's id finds them.
 type attemptRecord struct {
-	vm        string
+	vm string
+	// sentAt is in nanoseconds of the daemon's clock.
+	sentAt    int64
 	soft      bool
 	proximity proximity.Level
 	// toTargetVersion is true for an attempt at the version to which a roll-out moves.
@@ -30,12 +32,16 @@
 	outcome    string
 	offered    bool
 	took       time.Duration
+	// laterOutcome is the outcome of an attempt that was left, and laterTook when it
+	// arrived; empty: none arrived in time.
+	laterOutcome string
+	laterTook    time.Duration
 }
 
 // newAttemptRecord returns the record of an attempt that begins at now, in nanoseconds of
 // the daemon's clock.
 func newAttemptRecord(now int64, candidate *tables.Candidate, soft bool, at proximity.Level, passedOver int) attemptRecord {
-	out := attemptRecord{vm: candidate.Endpoint.VM, soft: soft, proximity: at, passedOver: passedOver, loadAge: -1}
+	out := attemptRecord{vm: candidate.Endpoint.VM, sentAt: now, soft: soft, proximity: at, passedOver: passedOver, loadAge: -1}
 	candidate.Load.SnapshotInto(now, &out.load)
 	if out.load.StampReceivedAt != 0 {
 		out.loadAge = time.Duration(max(now-out.load.StampReceivedAt, 0))
@@ -46,15 +52,28 @@
 // setEnd records how the attempt ended and how long it took.
 func (r *attemptRecord) setEnd(result *call.Result, took time.Duration) {
 	r.took, r.offered = took, result.Offered
+	if r.outcome == "" {
+		r.outcome = outcomeOf(result)
+	}
+}
+
+// outcomeOf returns the status of an answer or the kind of a refusal.
+func outcomeOf(result *call.Result) string {
 	if result.Refusal != nil {
-		r.outcome = result.Refusal.Kind.String()
-		return
+		return result.Refusal.Kind.String()
 	}
-	r.outcome = strconv.Itoa(result.Answer.Status)
+	return strconv.Itoa(result.Answer.Status)
 }
 
-// outcomePassedOver is the outcome in the record of a candidate that was not tried.
-const outcomePassedOver = "passed_over"
+// The outcomes in the records of attempts that have no result of their own.
+const (
+	// outcomePassedOver: the candidate was not tried.
+	outcomePassedOver = "passed_over"
+	// outcomeUnacknowledged: the attempt was left for want of an ack.
+	outcomeUnacknowledged = "unacknowledged"
+	// outcomeNotNeeded: an attempt that was left before was answered first.
+	outcomeNotNeeded = "not_needed"
+)
 
 // recordPassedOver records the remaining candidates that were not tried, each with the
 // load because of which the request is refused.
@@ -100,6 +119,9 @@
 	if r.took > 0 {
 		out.WriteString(" " + events.Milliseconds(r.took))
 	}
+	if r.laterOutcome != "" {
+		out.WriteString(" then " + r.laterOutcome + " " + events.Milliseconds(r.laterTook))
+	}
 	return out.String()
 }
 
--- /dev/null
+++ b/pkg/link/acks_client.go
@@ -0,0 +1,116 @@
+package link
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/acks"
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+var _ call.Acknowledger = (*Client)(nil)
+
+// ackTracker is the entry's side of acknowledgements on one link. It is safe for concurrent
+// use.
+type ackTracker struct {
+	// now is the daemon's clock, in nanoseconds.
+	now func() int64
+	// enabled is true if the peer acknowledges calls.
+	enabled atomic.Bool
+	times   acks.Link
+
+	mu sync.Mutex
+	// acknowledgedID is the highest acknowledged id.
+	acknowledgedID uint64
+	// waiting holds the calls that wait for an ack, in the order of their ids.
+	waiting []waitingCall
+}
+
+// waitingCall is a call that has not been acknowledged.
+type waitingCall struct {
+	id           uint64
+	acknowledged func()
+}
+
+// setFeatures takes over the features that the peer has announced.
+func (t *ackTracker) setFeatures(features wire.Features) {
+	t.enabled.Store(features.Has(wire.FeatureAcks))
+}
+
+// prepare sets the fields of a call frame about acknowledgements. acknowledged is nil if the
+// caller does not need an ack.
+func (t *ackTracker) prepare(callFrame *wire.Call, acknowledged func()) {
+	callFrame.WantAck, callFrame.SentUS = false, 0
+	if !t.enabled.Load() {
+		return
+	}
+	callFrame.SentUS = uint64(t.now()/int64(time.Microsecond)) + 1
+	callFrame.WantAck = acknowledged != nil
+}
+
+// add lets a call wait for its ack. Ids must rise, and the call must not have been sent, so
+// that its ack cannot arrive before.
+func (t *ackTracker) add(id uint64, acknowledged func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiting = append(t.waiting, waitingCall{id: id, acknowledged: acknowledged})
+}
+
+// received handles a frame of the executor, which may acknowledge calls.
+func (t *ackTracker) received(frame wire.Frame) {
+	id, ok := acknowledgedID(frame)
+	if !ok {
+		return
+	}
+	for _, waiting := range t.take(id) {
+		waiting.acknowledged()
+	}
+}
+
+// take removes the calls up to an id from those that wait, and returns them.
+func (t *ackTracker) take(id uint64) []waitingCall {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if id <= t.acknowledgedID {
+		return nil
+	}
+	t.acknowledgedID = id
+	count := 0
+	for count < len(t.waiting) && t.waiting[count].id <= id {
+		count++
+	}
+	taken := t.waiting[:count:count]
+	t.waiting = t.waiting[count:]
+	return taken
+}
+
+// acknowledgedID returns the id up to which a frame of the executor acknowledges all calls.
+func acknowledgedID(frame wire.Frame) (id uint64, ok bool) {
+	switch f := frame.(type) {
+	case *wire.Ack:
+		return f.ID, true
+	case *wire.Answer:
+		return f.ID, true
+	case *wire.Refusal:
+		return f.ID, true
+	case *wire.Grant:
+		return f.ID, true
+	}
+	return 0, false
+}
+
+// Acknowledges implements call.Acknowledger.
+func (cl *Client) Acknowledges() bool { return cl.acks.enabled.Load() }
+
+// AckTimes implements call.Acknowledger.
+func (cl *Client) AckTimes() *acks.Link { return &cl.acks.times }
+
+// AckEstimate implements call.Acknowledger.
+func (cl *Client) AckEstimate() acks.Estimate { return cl.acks.times.Estimate(cl.MinRTT()) }
+
+// ExecuteAcknowledged implements call.Acknowledger.
+func (cl *Client) ExecuteAcknowledged(c *wire.Call, body []byte, acknowledged func(), done func(call.Result)) (cancel func()) {
+	return cl.execute(c, body, acknowledged, done)
+}
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -49,6 +49,7 @@
 	// pending holds the calls that have not ended, by id; nil once the link has ended.
 	pending    map[uint64]*pendingCall
 	lateFrames atomic.Int64
+	acks       ackTracker
 }
 
 // pendingCall is a call that has not ended.
@@ -82,6 +83,7 @@
 		maxBody: c.Settings.Limits.MaxBodyBytes,
 		pending: map[uint64]*pendingCall{},
 	}
+	cl.acks.now = c.Now
 	if opener, ok := handler.(Opener); ok {
 		opener.Opened(cl)
 	}
@@ -100,6 +102,7 @@
 	_, err := cl.serve(func() {
 		cl.setProximity(cl.location.LevelTo(cl.Hello.DataCentre, cl.Hello.Region))
 		cl.ping()
+		cl.acks.setFeatures(cl.Hello.Features)
 		cl.handler.Up(cl.Peer)
 		cl.handler.PeerState(cl.Peer, &cl.Hello.State)
 	}, cl.receive)
@@ -109,10 +112,16 @@
 
 // Execute implements call.Runner. It sends the call to the executor at the other end.
 func (cl *Client) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
+	return cl.execute(c, body, nil, done)
+}
+
+// execute sends a call. acknowledged is nil if the caller does not need an ack.
+func (cl *Client) execute(c *wire.Call, body []byte, acknowledged func(), done func(call.Result)) (cancel func()) {
 	callFrame := *c
+	cl.acks.prepare(&callFrame, acknowledged)
 	var chunks []*wire.Chunk
 	callFrame.Body, chunks = wire.Split(body)
-	if refusal := cl.sendCall(&callFrame, chunks, done); refusal != nil {
+	if refusal := cl.sendCall(&callFrame, chunks, acknowledged, done); refusal != nil {
 		done(*refusal)
 		return func() {}
 	}
@@ -123,7 +132,7 @@
 // peer requires ids in rising order, so that none is used twice. Therefore the id is
 // assigned and the frames are queued under one lock. If sendCall returns a refusal, nothing
 // of the call was written, so that it certainly did not run.
-func (cl *Client) sendCall(callFrame *wire.Call, chunks []*wire.Chunk, done func(call.Result)) *call.Result {
+func (cl *Client) sendCall(callFrame *wire.Call, chunks []*wire.Chunk, acknowledged func(), done func(call.Result)) *call.Result {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if cl.pending == nil {
@@ -137,6 +146,9 @@
 		chunk.ID = callFrame.ID
 		frames = append(frames, chunk)
 	}
+	if callFrame.WantAck {
+		cl.acks.add(callFrame.ID, acknowledged)
+	}
 	if err := cl.Send(frames...); err != nil {
 		return linkUnavailable("the link closed before the call was sent")
 	}
@@ -151,7 +163,10 @@
 }
 
 func (cl *Client) receive(frame wire.Frame) error {
+	cl.acks.received(frame)
 	switch f := frame.(type) {
+	case *wire.Ack:
+		return nil
 	case *wire.Answer:
 		return cl.receiveAnswer(f)
 	case *wire.Chunk:
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -73,6 +73,10 @@
 	// peerIdle is the longest idle time that the peer has last stated, in nanoseconds; 0:
 	// none.
 	peerIdle atomic.Int64
+	// decoded holds the frames of the message that is being handled, cancelledIDs the ids
+	// of the calls that it cancels. Only the reading goroutine uses them.
+	decoded      []wire.Frame
+	cancelledIDs []uint64
 }
 
 // newConn returns a connection over ws and starts its writer.
@@ -340,16 +344,9 @@
 
 // readMessage decodes the frames of one message and calls receive with each.
 func (c *Conn) readMessage(data []byte, receive func(wire.Frame) error) error {
-	for len(data) > 0 {
-		frame, rest, err := c.codec.Next(data)
-		if err != nil {
-			return &BadFrameError{Cause: err}
-		}
-		data = rest
-		if frame == nil {
-			// A later release has added this type of frame.
-			continue
-		}
+	frames, decodeErr := c.decodeMessage(data)
+	defer clear(frames)
+	for _, frame := range frames {
 		if idle := statedIdleOf(frame); idle > 0 {
 			c.peerIdle.Store(int64(min(idle, maxStatedIdle)))
 		}
@@ -357,5 +354,5 @@
 			return err
 		}
 	}
-	return nil
+	return decodeErr
 }
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/websocket"
 	"github.com/pkg/errors"
 
+	"github.com/rushramp/rushramp/pkg/acks"
 	"github.com/rushramp/rushramp/pkg/bodies"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
@@ -97,6 +98,7 @@
 		Peer:   &Peer{Conn: newConn(ws, codec, s.Traffic, s.timing)},
 		calls:  map[uint64]*incomingCall{},
 	}
+	sess.acks.send = sess.Send
 	sess.run()
 }
 
@@ -110,6 +112,9 @@
 	// lastID is the highest id of a call so far. Ids of one link are never reused.
 	lastID uint64
 	stamps stampFilter
+	acks   ackSender
+	// transit is used only by the goroutine that reads messages.
+	transit acks.Transit
 }
 
 // incomingCall is a call of the peer that has not ended.
@@ -179,6 +184,10 @@
 		return &BadFrameError{Cause: errors.Errorf("the call id %d is not higher than that of an earlier call", f.ID)}
 	}
 	s.lastID = f.ID
+	s.acks.received(f)
+	if s.dropUnneeded(f) {
+		return nil
+	}
 	assembly, err := wire.NewAssembly(f.Body, s.server.Settings.Limits.MaxBodyBytes)
 	if err != nil {
 		s.sendRefusal(f.ID, call.Refused(errkind.BodyTooLarge, "%v", err))
@@ -304,6 +313,7 @@
 // cancelAll cancels the calls of a link that has ended, and releases the memory of bodies
 // that have not arrived completely.
 func (s *session) cancelAll() {
+	s.acks.stop()
 	s.mu.Lock()
 	var cancels []func()
 	for _, in := range s.calls {
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -43,6 +43,7 @@
 		DataCentre:  c.Settings.VM.DataCentre,
 		State:       *c.State(),
 		Region:      c.Settings.VM.Region,
+		Features:    wire.FeatureAcks,
 	}
 }
 
