--- /dev/null
+++ b/pkg/forward/acks_test.go
@@ -0,0 +1,370 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/acks"
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+const (
+	// never is a delay after which nothing follows.
+	never = time.Duration(-1)
+	// testPing is the round-trip time of pings on the links of the tests.
+	testPing = 4 * time.Millisecond
+)
+
+// ackRunner is the link to an executor that acknowledges and ends calls after given times.
+type ackRunner struct {
+	// ackAfter and endAfter may be never. A call is also acknowledged when it ends.
+	ackAfter, endAfter time.Duration
+	result             call.Result
+	// oldRelease is true for an executor that does not acknowledge calls.
+	oldRelease bool
+	times      acks.Link
+
+	mu        sync.Mutex
+	calls     []wire.Call
+	cancelled int
+	asked     int
+}
+
+func (r *ackRunner) Acknowledges() bool         { return !r.oldRelease }
+func (r *ackRunner) AckTimes() *acks.Link       { return &r.times }
+func (r *ackRunner) AckEstimate() acks.Estimate { return r.times.Estimate(testPing) }
+
+func (r *ackRunner) Execute(c *wire.Call, _ []byte, done func(call.Result)) (cancel func()) {
+	return r.run(c, func() {}, done)
+}
+
+func (r *ackRunner) ExecuteAcknowledged(c *wire.Call, _ []byte, acknowledged func(), done func(call.Result)) (cancel func()) {
+	r.mu.Lock()
+	r.asked++
+	r.mu.Unlock()
+	return r.run(c, acknowledged, done)
+}
+
+func (r *ackRunner) run(c *wire.Call, acknowledged func(), done func(call.Result)) (cancel func()) {
+	r.mu.Lock()
+	r.calls = append(r.calls, *c)
+	r.mu.Unlock()
+	once := sync.OnceFunc(acknowledged)
+	if r.ackAfter != never {
+		time.AfterFunc(r.ackAfter, once)
+	}
+	if r.endAfter != never {
+		time.AfterFunc(r.endAfter, func() {
+			once()
+			done(r.result)
+		})
+	}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.cancelled++
+	}
+}
+
+// answered is an answer with a status.
+func answered(status int) call.Result {
+	return call.Result{Answer: &call.Answer{Status: status, Body: []byte("x")}, Offered: true}
+}
+
+// zeroRandom makes a choice among equal candidates take the first one.
+type zeroRandom struct{}
+
+func (zeroRandom) IntN(int) int     { return 0 }
+func (zeroRandom) Float64() float64 { return 0 }
+
+// newAckForwarder returns a forwarder whose routes are called by services. Of backend
+// servers with the same load, it prefers the first.
+func newAckForwarder(runners ...call.Runner) *Forwarder {
+	f := newForwarder(make([]*fakeRunner, len(runners))...)
+	for i, candidate := range f.view.Service("s").Match("GET", "/").LinkedCandidates {
+		candidate.Endpoint.VM = string(rune('a' + i))
+		candidate.Endpoint.SetRunner(runners[i])
+	}
+	f.random = zeroRandom{}
+	for _, route := range []string{"read", "post"} {
+		f.calledRoutes.record(route, wire.OriginService)
+	}
+	return f
+}
+
+// spent returns how many retries were taken from the budget of service s, which was full.
+func spent(f *Forwarder) float64 {
+	budget := f.budgets.forService("s")
+	return budget.capacity() - budget.balance()
+}
+
+// TestAnUnacknowledgedCallIsAnsweredElsewhere, takes one retry, and the first executor's run
+// is cancelled.
+func TestAnUnacknowledgedCallIsAnsweredElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := &ackRunner{ackAfter: never, endAfter: never}
+		quick := &ackRunner{ackAfter: testPing, endAfter: 30 * time.Millisecond, result: answered(200)}
+		f := newAckForwarder(slow, quick)
+		var log bytes.Buffer
+		f.Log = events.NewLog(&log, events.Debug)
+		f.budgets.forService("s").addRequest()
+		startedAt := time.Now()
+		got := f.Forward(t.Context(), newRequest("/read/"))
+		must.NotNil(t, got.Answer)
+		test.Eq(t, "b", got.Server)
+		test.Less(t, 400*time.Millisecond, time.Since(startedAt))
+		test.Len(t, 1, slow.calls)
+		test.Len(t, 1, quick.calls)
+		test.Eq(t, 1, slow.cancelled)
+		test.Eq(t, 0, quick.cancelled)
+		test.Eq(t, 1, quick.calls[0].Claim.Generation, test.Sprint("the first attempt counts as offered"))
+		test.Eq(t, 1, spent(f))
+		test.StrContains(t, log.String(), "a soft load=")
+		test.StrContains(t, log.String(), "-> unacknowledged")
+		// The next request avoids the executor.
+		f.Forward(t.Context(), newRequest("/read/"))
+		test.Len(t, 1, slow.calls)
+		test.Len(t, 2, quick.calls)
+	})
+}
+
+// TestTheFirstAnswerIsUsed where the ack is lost or late and both runs end.
+func TestTheFirstAnswerIsUsed(t *testing.T) {
+	ok := answered(200)
+	scenarios := []struct {
+		name          string
+		first, second ackRunner
+		server        string
+		// cancelledFirst and cancelledSecond count the cancelled runs of each.
+		cancelledFirst, cancelledSecond int
+	}{
+		{"the first executor answers first", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: ok}, ackRunner{ackAfter: testPing, endAfter: 500 * time.Millisecond, result: ok}, "a", 0, 1},
+		{"the second executor answers first", ackRunner{ackAfter: 350 * time.Millisecond, endAfter: 600 * time.Millisecond, result: ok}, ackRunner{ackAfter: testPing, endAfter: 100 * time.Millisecond, result: ok}, "b", 1, 0},
+		{"the second executor refuses", ackRunner{ackAfter: never, endAfter: 800 * time.Millisecond, result: ok}, ackRunner{endAfter: testPing, result: call.Refused(errkind.Overloaded, "")}, "a", 0, 0},
+		{"the second executor fails", ackRunner{ackAfter: never, endAfter: 800 * time.Millisecond, result: ok}, ackRunner{endAfter: testPing, result: answered(500)}, "a", 0, 0},
+		{"the first executor fails while the second runs", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: answered(500)}, ackRunner{endAfter: 500 * time.Millisecond, result: ok}, "b", 0, 0},
+		{"the link of the first executor ends", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: call.Refused(errkind.LinkLost, "")}, ackRunner{endAfter: 500 * time.Millisecond, result: ok}, "b", 0, 0},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newAckForwarder(&s.first, &s.second)
+				f.budgets.forService("s").addRequest()
+				got := f.Forward(t.Context(), newRequest("/read/"))
+				must.NotNil(t, got.Answer)
+				test.Eq(t, 200, got.Answer.Status)
+				test.Eq(t, s.server, got.Server)
+				test.Len(t, 1, s.first.calls)
+				test.Eq(t, s.cancelledFirst, s.first.cancelled)
+				test.Eq(t, s.cancelledSecond, s.second.cancelled)
+				test.Eq(t, 1, spent(f))
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// TestNoAnswerOfEitherExecutor: the result says what is known about both runs.
+func TestNoAnswerOfEitherExecutor(t *testing.T) {
+	notRun := call.Refused(errkind.Overloaded, "")
+	scenarios := []struct {
+		name          string
+		first, second ackRunner
+		kind          errkind.Kind
+		ran           errkind.Ran
+	}{
+		{"both refuse", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: notRun}, ackRunner{endAfter: testPing, result: notRun}, errkind.Overloaded, errkind.RanNo},
+		{"the first may run", ackRunner{ackAfter: never, endAfter: never}, ackRunner{endAfter: testPing, result: notRun}, errkind.DeadlineWhileRunning, errkind.RanMaybe},
+		{"both may run", ackRunner{ackAfter: never, endAfter: never}, ackRunner{ackAfter: testPing, endAfter: never}, errkind.DeadlineWhileRunning, errkind.RanMaybe},
+		{"the first link ends", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: call.Refused(errkind.LinkLost, "")}, ackRunner{endAfter: testPing, result: notRun}, errkind.LinkLost, errkind.RanMaybe},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newAckForwarder(&s.first, &s.second)
+				got := f.Forward(t.Context(), newRequest("/read/"))
+				must.NotNil(t, got.Refusal)
+				test.Eq(t, s.kind, got.Refusal.Kind)
+				test.Eq(t, s.ran, got.Refusal.Ran)
+				test.Len(t, 1, s.first.calls)
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// TestACallThatMayNotLeaveIsWaitedFor, at the executor that has not acknowledged it.
+func TestACallThatMayNotLeaveIsWaitedFor(t *testing.T) {
+	scenarios := []struct {
+		name    string
+		path    string
+		prepare func(f *Forwarder, first *ackRunner)
+		// asked is how many acks are asked for.
+		asked int
+	}{
+		{"it may not run twice", "/post/", func(*Forwarder, *ackRunner) {}, 0},
+		{"the peer is of the previous release", "/read/", func(_ *Forwarder, first *ackRunner) { first.oldRelease = true }, 0},
+		{"the setting is off", "/read/", func(f *Forwarder, _ *ackRunner) { f.Settings.Routing.AcknowledgeCalls = false }, 0},
+		{"no backend server makes the request", "/read/", func(f *Forwarder, _ *ackRunner) { f.calledRoutes.record("read", wire.OriginCallers) }, 0},
+		{"the budget is empty", "/read/", func(f *Forwarder, _ *ackRunner) {
+			f.budgets.forService("s").addRequest()
+			for f.budgets.take("s") {
+			}
+		}, 1},
+		{"no other candidate is left", "/read/", func(f *Forwarder, _ *ackRunner) {
+			kind := f.view.Service("s").Match("GET", "/")
+			kind.LinkedCandidates = kind.LinkedCandidates[:1]
+		}, 1},
+		{"a run elsewhere takes too long", "/read/", func(f *Forwarder, _ *ackRunner) { f.work.Record("read", 900*time.Millisecond, 100) }, 1},
+		{"it is acknowledged", "/read/", func(_ *Forwarder, first *ackRunner) { first.ackAfter = testPing }, 1},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				first := &ackRunner{ackAfter: never, endAfter: 950 * time.Millisecond, result: answered(200)}
+				second := &ackRunner{endAfter: testPing, result: answered(200)}
+				f := newAckForwarder(first, second)
+				s.prepare(f, first)
+				got := f.Forward(t.Context(), newRequest(s.path))
+				must.NotNil(t, got.Answer)
+				test.Eq(t, "a", got.Server)
+				test.Len(t, 0, second.calls)
+				test.Eq(t, 0, first.cancelled)
+				test.Eq(t, s.asked, first.asked)
+			})
+		})
+	}
+}
+
+// TestARequestThatMayNotRunTwiceIsSentOnce whatever its executor does.
+func TestARequestThatMayNotRunTwiceIsSentOnce(t *testing.T) {
+	for _, first := range []*ackRunner{
+		{ackAfter: never, endAfter: never},
+		{ackAfter: never, endAfter: 300 * time.Millisecond, result: call.Refused(errkind.LinkLost, "")},
+		{ackAfter: never, endAfter: 300 * time.Millisecond, result: answered(500)},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			second := &ackRunner{endAfter: testPing, result: answered(200)}
+			f := newAckForwarder(first, second)
+			f.Forward(t.Context(), newRequest("/post/"))
+			test.Eq(t, 1, len(first.calls)+len(second.calls))
+			test.Eq(t, 0, first.asked)
+		})
+	}
+}
+
+// TestAFleetWhoseLinksAreAllSlowSendsFewCallsTwice: extra attempts stay within the share of
+// the retry budget, and the widening of bounds keeps them far below it.
+func TestAFleetWhoseLinksAreAllSlowSendsFewCallsTwice(t *testing.T) {
+	const calls, entries = 2000, 4
+	synctest.Test(t, func(t *testing.T) {
+		attempts := 0
+		for range entries {
+			runners := []*ackRunner{}
+			all := []call.Runner{}
+			for range 6 {
+				r := &ackRunner{ackAfter: 250 * time.Millisecond, endAfter: 300 * time.Millisecond, result: answered(200)}
+				runners, all = append(runners, r), append(all, r)
+			}
+			f := newAckForwarder(all...)
+			f.Settings.Routing.RetryRatio, f.Settings.Routing.RetrySlack = 0.1, 0
+			var running sync.WaitGroup
+			for range calls {
+				running.Go(func() {
+					got := f.Forward(t.Context(), newRequest("/read/"))
+					test.NotNil(t, got.Answer)
+				})
+				time.Sleep(10 * time.Millisecond)
+			}
+			running.Wait()
+			for _, r := range runners {
+				attempts += len(r.calls)
+			}
+		}
+		extra := attempts - entries*calls
+		// Each entry may also spend the retry that a budget holds from the start.
+		test.LessEq(t, entries*(0.1*calls+1), float64(extra))
+		test.Positive(t, extra, test.Sprint("the test reaches the bound"))
+		t.Logf("%d extra attempts for %d calls", extra, entries*calls)
+	})
+}
+
+// TestMostCallsLateIsLoggedOnce: the event tells that bounds are widened, not that a call was
+// late.
+// The bound then covers the time that acks take.
+func TestMostCallsLateIsLoggedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := &ackRunner{ackAfter: 250 * time.Millisecond, endAfter: 300 * time.Millisecond, result: answered(200)}
+		f := newAckForwarder(slow)
+		var log bytes.Buffer
+		f.Log = events.NewLog(&log, events.Warn)
+		for range 50 {
+			f.Forward(t.Context(), newRequest("/read/"))
+		}
+		test.Eq(t, 1, strings.Count(log.String(), "event=522"))
+		test.Greater(t, slow.ackAfter, f.acks.Bound(slow.AckEstimate(), time.Second, 0).Late)
+	})
+}
+
+// TestTheLogShowsWhatALeftAttemptLedTo: the record of the attempt that was left names its own
+// end, where it came first.
+func TestTheLogShowsWhatALeftAttemptLedTo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := &ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: answered(200)}
+		second := &ackRunner{ackAfter: testPing, endAfter: 900 * time.Millisecond, result: answered(200)}
+		f := newAckForwarder(first, second)
+		var log bytes.Buffer
+		f.Log = events.NewLog(&log, events.Debug)
+		f.Forward(t.Context(), newRequest("/read/"))
+		time.Sleep(time.Second)
+		test.RegexMatch(t, regexp.MustCompile(`attempts="a [^;]*-> unacknowledged [0-9.]+ms then 200 300\.0ms; b [^;]*-> not_needed [0-9.]+ms"`), log.String())
+	})
+}
+
+// TestAPauseOfTheEntryIsNotALateAck: an ack that arrived during the pause is read first.
+func TestAPauseOfTheEntryIsNotALateAck(t *testing.T) {
+	for _, arrived := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			runner := &ackRunner{ackAfter: never, endAfter: never}
+			f := newAckForwarder(runner)
+			w := &ackWatch{forwarder: f, runner: runner, acknowledger: runner, bound: acks.Bound{Late: 50 * time.Millisecond}}
+			w.execute(&wire.Call{}, nil, func(call.Result) {})
+			defer w.stop()
+			time.Sleep(10 * w.bound.Late)
+			<-w.due()
+			test.False(t, w.checkLate(), test.Sprint("the check came late itself"))
+			if arrived {
+				w.acknowledge()
+			}
+			<-w.due()
+			test.Eq(t, !arrived, w.checkLate())
+		})
+	}
+}
+
+// TestTheCallerLeavesWhileBothRunsAreAwaited: both are cancelled.
+func TestTheCallerLeavesWhileBothRunsAreAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := &ackRunner{ackAfter: never, endAfter: never}, &ackRunner{ackAfter: testPing, endAfter: never}
+		ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+		defer cancel()
+		got := newAckForwarder(first, second).Forward(ctx, newRequest("/read/"))
+		must.NotNil(t, got.Refusal)
+		test.Eq(t, errkind.CallerGone, got.Refusal.Kind)
+		test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+		test.Eq(t, 1, first.cancelled)
+		test.Eq(t, 1, second.cancelled)
+	})
+}
