--- a/pkg/forward/acks_test.go
+++ b/pkg/forward/acks_test.go
@@ -145,22 +145,22 @@
 	ok := answered(200)
 	scenarios := []struct {
 		name          string
-		first, second ackRunner
+		first, second *ackRunner
 		server        string
 		// cancelledFirst and cancelledSecond count the cancelled runs of each.
 		cancelledFirst, cancelledSecond int
 	}{
-		{"the first executor answers first", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: ok}, ackRunner{ackAfter: testPing, endAfter: 500 * time.Millisecond, result: ok}, "a", 0, 1},
-		{"the second executor answers first", ackRunner{ackAfter: 350 * time.Millisecond, endAfter: 600 * time.Millisecond, result: ok}, ackRunner{ackAfter: testPing, endAfter: 100 * time.Millisecond, result: ok}, "b", 1, 0},
-		{"the second executor refuses", ackRunner{ackAfter: never, endAfter: 800 * time.Millisecond, result: ok}, ackRunner{endAfter: testPing, result: call.Refused(errkind.Overloaded, "")}, "a", 0, 0},
-		{"the second executor fails", ackRunner{ackAfter: never, endAfter: 800 * time.Millisecond, result: ok}, ackRunner{endAfter: testPing, result: answered(500)}, "a", 0, 0},
-		{"the first executor fails while the second runs", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: answered(500)}, ackRunner{endAfter: 500 * time.Millisecond, result: ok}, "b", 0, 0},
-		{"the link of the first executor ends", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: call.Refused(errkind.LinkLost, "")}, ackRunner{endAfter: 500 * time.Millisecond, result: ok}, "b", 0, 0},
+		{"the first executor answers first", &ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: ok}, &ackRunner{ackAfter: testPing, endAfter: 500 * time.Millisecond, result: ok}, "a", 0, 1},
+		{"the second executor answers first", &ackRunner{ackAfter: 350 * time.Millisecond, endAfter: 600 * time.Millisecond, result: ok}, &ackRunner{ackAfter: testPing, endAfter: 100 * time.Millisecond, result: ok}, "b", 1, 0},
+		{"the second executor refuses", &ackRunner{ackAfter: never, endAfter: 800 * time.Millisecond, result: ok}, &ackRunner{endAfter: testPing, result: call.Refused(errkind.Overloaded, "")}, "a", 0, 0},
+		{"the second executor fails", &ackRunner{ackAfter: never, endAfter: 800 * time.Millisecond, result: ok}, &ackRunner{endAfter: testPing, result: answered(500)}, "a", 0, 0},
+		{"the first executor fails while the second runs", &ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: answered(500)}, &ackRunner{endAfter: 500 * time.Millisecond, result: ok}, "b", 0, 0},
+		{"the link of the first executor ends", &ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: call.Refused(errkind.LinkLost, "")}, &ackRunner{endAfter: 500 * time.Millisecond, result: ok}, "b", 0, 0},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newAckForwarder(&s.first, &s.second)
+				f := newAckForwarder(s.first, s.second)
 				f.budgets.forService("s").addRequest()
 				got := f.Forward(t.Context(), newRequest("/read/"))
 				must.NotNil(t, got.Answer)
@@ -181,19 +181,19 @@
 	notRun := call.Refused(errkind.Overloaded, "")
 	scenarios := []struct {
 		name          string
-		first, second ackRunner
+		first, second *ackRunner
 		kind          errkind.Kind
 		ran           errkind.Ran
 	}{
-		{"both refuse", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: notRun}, ackRunner{endAfter: testPing, result: notRun}, errkind.Overloaded, errkind.RanNo},
-		{"the first may run", ackRunner{ackAfter: never, endAfter: never}, ackRunner{endAfter: testPing, result: notRun}, errkind.DeadlineWhileRunning, errkind.RanMaybe},
-		{"both may run", ackRunner{ackAfter: never, endAfter: never}, ackRunner{ackAfter: testPing, endAfter: never}, errkind.DeadlineWhileRunning, errkind.RanMaybe},
-		{"the first link ends", ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: call.Refused(errkind.LinkLost, "")}, ackRunner{endAfter: testPing, result: notRun}, errkind.LinkLost, errkind.RanMaybe},
+		{"both refuse", &ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: notRun}, &ackRunner{endAfter: testPing, result: notRun}, errkind.Overloaded, errkind.RanNo},
+		{"the first may run", &ackRunner{ackAfter: never, endAfter: never}, &ackRunner{endAfter: testPing, result: notRun}, errkind.DeadlineWhileRunning, errkind.RanMaybe},
+		{"both may run", &ackRunner{ackAfter: never, endAfter: never}, &ackRunner{ackAfter: testPing, endAfter: never}, errkind.DeadlineWhileRunning, errkind.RanMaybe},
+		{"the first link ends", &ackRunner{ackAfter: never, endAfter: 300 * time.Millisecond, result: call.Refused(errkind.LinkLost, "")}, &ackRunner{endAfter: testPing, result: notRun}, errkind.LinkLost, errkind.RanMaybe},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newAckForwarder(&s.first, &s.second)
+				f := newAckForwarder(s.first, s.second)
 				got := f.Forward(t.Context(), newRequest("/read/"))
 				must.NotNil(t, got.Refusal)
 				test.Eq(t, s.kind, got.Refusal.Kind)
