A call cancelled before its body is complete ends with a refusal

Cause: the executor dropped such a call without a word, so the entry counted it as outstanding at that executor until the link ended, and avoided an idle backend server. A test with a message for the call's head and one for its cancel waited for a refusal for 2 s and got none. Change: the executor refuses the call as not run, as for a cancel in the same message.

--- a/pkg/link/acks_test.go
+++ b/pkg/link/acks_test.go
@@ -259,6 +259,20 @@
 	test.Eq(t, 0, server.Bodies.Reserved())
 }
 
+// TestACallCancelledBeforeItsBodyIsCompleteEnds: without a refusal, the entry would count it
+// as outstanding at this executor until the link ends.
+func TestACallCancelledBeforeItsBodyIsCompleteEnds(t *testing.T) {
+	_, server := connectAcks(t, wire.FeatureAcks, make(receivedCalls, 1))
+	entry := dialRaw(t, server)
+	body, _ := wire.Split(make([]byte, wire.ChunkSize+1))
+	entry.send(&wire.Call{ID: 1, Remaining: time.Second, Body: body})
+	entry.send(&wire.Cancel{ID: 1})
+	refusal := entry.refusal()
+	test.Eq(t, errkind.CallerGone, errkind.Kind(refusal.Kind))
+	test.Eq(t, errkind.RanNo, errkind.Ran(refusal.Ran))
+	test.Eq(t, 0, server.Bodies.Reserved())
+}
+
 // TestTheTransitDelayIsTakenOffTheTimeOfACall, and a call whose time is used up does not
 // run.
 func TestTheTransitDelayIsTakenOffTheTimeOfACall(t *testing.T) {
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -260,13 +260,17 @@
 		in.cancelled = true
 		cancel = in.cancel
 	}
-	if in != nil && cancel == nil {
+	notStarted := in != nil && cancel == nil
+	if notStarted {
 		// The call was not started because its body is incomplete. It cannot start
 		// meanwhile, since calls are started by this same goroutine.
 		delete(s.calls, id)
 		in.reservation.Release()
 	}
 	s.mu.Unlock()
+	if notStarted {
+		s.drop(id, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before its body was complete"))
+	}
 	if cancel != nil {
 		cancel()
 	}
