--- a/pkg/forward/acks_test.go
+++ b/pkg/forward/acks_test.go
@@ -17,6 +17,7 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -265,39 +266,52 @@
 	}
 }
 
-// TestAFleetWhoseLinksAreAllSlowSendsFewCallsTwice: extra attempts stay within the share of
-// the retry budget, and the widening of bounds keeps them far below it.
+// slowFleetCalls is how many calls each entry of a slow fleet makes.
+const slowFleetCalls = 2000
+
+// extraAttemptsOfSlowFleet returns how many attempts beyond the first of each call the given
+// number of entries make while all their links are slow. retryRatio is that of the budget,
+// which has no slack.
+func extraAttemptsOfSlowFleet(t *testing.T, entries int, retryRatio float64) (extra int) {
+	for range entries {
+		runners := make([]*ackRunner, 6)
+		all := make([]call.Runner, len(runners))
+		for i := range runners {
+			runners[i] = &ackRunner{ackAfter: 250 * time.Millisecond, endAfter: 300 * time.Millisecond, result: answered(200)}
+			all[i] = runners[i]
+		}
+		f := newAckForwarder(all...)
+		f.Settings.Routing.RetryRatio, f.Settings.Routing.RetrySlack = retryRatio, 0
+		var running sync.WaitGroup
+		for range slowFleetCalls {
+			running.Go(func() { test.NotNil(t, f.Forward(t.Context(), newRequest("/read/")).Answer) })
+			time.Sleep(10 * time.Millisecond)
+		}
+		running.Wait()
+		for _, r := range runners {
+			extra += len(r.calls)
+		}
+		extra -= slowFleetCalls
+	}
+	return extra
+}
+
+// TestAFleetWhoseLinksAreAllSlowSendsFewCallsTwice: the budget limits extra attempts, also if
+// it is small, and the widening of bounds keeps their share within that of the default budget
+// where the budget would allow to send every call twice.
 func TestAFleetWhoseLinksAreAllSlowSendsFewCallsTwice(t *testing.T) {
-	const calls, entries = 2000, 4
+	const entries, smallRatio = 4, 0.004
 	synctest.Test(t, func(t *testing.T) {
-		attempts := 0
-		for range entries {
-			runners := []*ackRunner{}
-			all := []call.Runner{}
-			for range 6 {
-				r := &ackRunner{ackAfter: 250 * time.Millisecond, endAfter: 300 * time.Millisecond, result: answered(200)}
-				runners, all = append(runners, r), append(all, r)
-			}
-			f := newAckForwarder(all...)
-			f.Settings.Routing.RetryRatio, f.Settings.Routing.RetrySlack = 0.1, 0
-			var running sync.WaitGroup
-			for range calls {
-				running.Go(func() {
-					got := f.Forward(t.Context(), newRequest("/read/"))
-					test.NotNil(t, got.Answer)
-				})
-				time.Sleep(10 * time.Millisecond)
-			}
-			running.Wait()
-			for _, r := range runners {
-				attempts += len(r.calls)
-			}
-		}
-		extra := attempts - entries*calls
+		extra := extraAttemptsOfSlowFleet(t, entries, smallRatio)
+		t.Logf("small budget: %d extra attempts for %d calls", extra, entries*slowFleetCalls)
 		// Each entry may also spend the retry that a budget holds from the start.
-		test.LessEq(t, entries*(0.1*calls+1), float64(extra))
-		test.Positive(t, extra, test.Sprint("the test reaches the bound"))
-		t.Logf("%d extra attempts for %d calls", extra, entries*calls)
+		test.LessEq(t, entries*(smallRatio*slowFleetCalls+1), float64(extra))
+		test.Positive(t, extra, test.Sprint("calls are sent twice"))
+
+		extra = extraAttemptsOfSlowFleet(t, entries, 1)
+		t.Logf("large budget: %d extra attempts for %d calls", extra, entries*slowFleetCalls)
+		test.LessEq(t, settings.Default().Routing.RetryRatio*entries*slowFleetCalls, float64(extra))
+		test.Positive(t, extra, test.Sprint("calls are sent twice"))
 	})
 }
 
