A left attempt does not hide that an earlier attempt has run

Cause: the refusal that stands for a left attempt replaced the failure of an earlier attempt in attempts.fallback. When the left attempt then ended as not run, the request ended with ran: no although a backend server had answered it with 500. The failure of a left attempt was also lost while the fallback was that of another one. A left attempt that could not go elsewhere after all ended as link_lost even if its executor reported that it did not run. Change: the fallback holds only results of attempts that have ended. A left attempt adds its failure when it ends, and its result replaces the refusal that stands for it. Result: the new tests fail before and pass after; the tests of pkg/forward pass.

--- a/pkg/forward/acks_test.go
+++ b/pkg/forward/acks_test.go
@@ -382,3 +382,64 @@
 		test.Eq(t, 1, second.cancelled)
 	})
 }
+
+// TestALeftAttemptDoesNotHideAnEarlierRun: a refusal that says "not run" would be false if
+// any attempt has run, in whichever order the attempts end.
+func TestALeftAttemptDoesNotHideAnEarlierRun(t *testing.T) {
+	notRun := call.Refused(errkind.Overloaded, "")
+	refuses := func(after time.Duration) *ackRunner {
+		return &ackRunner{ackAfter: never, endAfter: after, result: notRun}
+	}
+	fails := func(after time.Duration) *ackRunner {
+		return &ackRunner{ackAfter: never, endAfter: after, result: answered(500)}
+	}
+	scenarios := []struct {
+		name    string
+		runners []call.Runner
+	}{
+		{"the first fails, the second is left", []call.Runner{fails(testPing), refuses(600 * time.Millisecond), refuses(testPing)}},
+		{"both are left, the first fails before the second ends", []call.Runner{fails(600 * time.Millisecond), refuses(700 * time.Millisecond), refuses(testPing)}},
+		{"both are left, the first fails after the second ends", []call.Runner{fails(700 * time.Millisecond), refuses(600 * time.Millisecond), refuses(testPing)}},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newAckForwarder(s.runners...)
+				match := f.Match(newRequest("/read/"))
+				match.route.Attempts = len(s.runners)
+				f.budgets.forService("s").addRequest()
+				got := f.ForwardMatched(t.Context(), match, newRequest("/read/"))
+				for _, runner := range s.runners {
+					test.Len(t, 1, runner.(*ackRunner).calls)
+				}
+				must.NotNil(t, got.Answer)
+				test.Eq(t, 500, got.Answer.Status)
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// TestALeftAttemptThatCannotGoElsewhereEndsWithItsOwnResult: the time or the budget may end
+// between the decision to go elsewhere and the next attempt.
+func TestALeftAttemptThatCannotGoElsewhereEndsWithItsOwnResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newAckForwarder(&ackRunner{})
+		req := newRequest("/read/")
+		match := f.Match(req)
+		a := f.newAttempts(t.Context(), req, match.route, match.placement.Version, f.Now())
+		a.loadCandidates()
+		a.tries = 1
+		a.records = []attemptRecord{{}}
+		a.softLeft = 0
+		result := a.leave(&a.candidates[0], func() {})
+		for f.budgets.take("s") {
+		}
+		must.True(t, a.isLast(0, &result))
+		a.ends <- attemptEnd{1, call.Refused(errkind.Overloaded, "")}
+		got := a.finalResult(result)
+		must.NotNil(t, got.Refusal)
+		test.Eq(t, errkind.Overloaded, got.Refusal.Kind)
+		test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+	})
+}
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -329,7 +329,7 @@
 	if result.Refusal != nil && (result.Refusal.Kind == errkind.CallerGone || result.Refusal.Kind == errkind.DeadlineWhileRunning) {
 		return stoppedByTime
 	}
-	if !notRun {
+	if !notRun && !a.isLeft(result) {
 		a.fallback = result
 	}
 	if a.offered >= a.route.Attempts {
--- a/pkg/forward/left_attempts.go
+++ b/pkg/forward/left_attempts.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/acks"
@@ -26,7 +27,7 @@
 	// record is the index of its record, and sentAt when it was sent.
 	record int
 	sentAt int64
-	// refusal stands in attempts.fallback for the result of the attempt.
+	// refusal stands for the result of the attempt until that arrives.
 	refusal *errkind.Error
 }
 
@@ -72,48 +73,45 @@
 // settle takes over the result of an attempt that was left, and reports whether it is a
 // usable answer. It ignores the ends of other attempts, which were cancelled.
 func (a *attempts) settle(end *attemptEnd) (usable bool) {
-	for i, left := range a.left {
-		if left.number != end.number {
-			continue
-		}
-		a.left = append(a.left[:i], a.left[i+1:]...)
-		record := &a.records[left.record]
-		record.laterOutcome, record.laterTook = outcomeOf(&end.result), time.Duration(a.forwarder.Now()-left.sentAt)
-		if isUsable(&end.result) {
-			return true
-		}
-		a.replaceFallback(left.refusal, &end.result)
+	i := a.indexOfLeft(end.number)
+	if i < 0 {
 		return false
 	}
+	left := a.left[i]
+	a.left = slices.Delete(a.left, i, i+1)
+	record := &a.records[left.record]
+	record.laterOutcome, record.laterTook = outcomeOf(&end.result), time.Duration(a.forwarder.Now()-left.sentAt)
+	if isUsable(&end.result) {
+		return true
+	}
+	a.keepFailure(end.result)
 	return false
 }
 
-// isUsable reports whether a result is an answer that ends the request.
-func isUsable(result *call.Result) bool { return result.Answer != nil && result.Answer.Status < 500 }
+// indexOfLeft returns the index in left of the attempt with a number; -1: not found.
+func (a *attempts) indexOfLeft(number int) int {
+	return slices.IndexFunc(a.left, func(left leftAttempt) bool { return left.number == number })
+}
 
-// replaceFallback puts the result of an attempt that was left in the place of the refusal
-// that stood for it: a failure that may have run, or nothing if the attempt did not run.
-func (a *attempts) replaceFallback(refusal *errkind.Error, result *call.Result) {
-	if !a.dropFallback(refusal) {
-		return
-	}
-	if result.Answer != nil || result.Refusal.Ran == errkind.RanMaybe {
-		a.fallback = result
-	}
+// isLeft reports whether result stands for an attempt that was left and has not ended.
+func (a *attempts) isLeft(result *call.Result) bool {
+	return slices.ContainsFunc(a.left, func(left leftAttempt) bool { return left.refusal == result.Refusal })
 }
 
-// dropFallback drops the fallback if it is that refusal.
-func (a *attempts) dropFallback(refusal *errkind.Error) (dropped bool) {
-	if a.fallback == nil || a.fallback.Refusal != refusal {
-		return false
+// isUsable reports whether a result is an answer that ends the request.
+func isUsable(result *call.Result) bool { return result.Answer != nil && result.Answer.Status < 500 }
+
+// keepFailure makes the result of an attempt that was left the fallback if the attempt may
+// have run. An answer is kept in preference to a refusal.
+func (a *attempts) keepFailure(result call.Result) {
+	if result.Answer != nil || result.Refusal.Ran == errkind.RanMaybe && a.fallback == nil {
+		a.fallback = &result
 	}
-	a.fallback = nil
-	return true
 }
 
 // awaitLeft waits for the attempts that were left, unless result is a usable answer. It
-// returns their first usable answer, or else result. The attempts that have not ended are
-// cancelled.
+// returns their first usable answer, or else result, or what replaces it if it stands for one
+// of them. The attempts that have not ended are cancelled.
 func (a *attempts) awaitLeft(result call.Result) call.Result {
 	defer a.cancelLeft()
 	if len(a.left) == 0 || isUsable(&result) {
@@ -124,10 +122,15 @@
 		if refusal != nil {
 			return a.endLeft(result, refusal)
 		}
+		i := a.indexOfLeft(end.number)
+		standsForIt := i >= 0 && a.left[i].refusal == result.Refusal
 		if a.settle(&end) {
 			a.stopReason = stoppedByAnswer
 			return end.result
 		}
+		if standsForIt {
+			result = end.result
+		}
 	}
 	return result
 }
@@ -157,9 +160,6 @@
 // endLeft returns the result of a request whose left attempts are no longer awaited: result
 // if it is an answer, or if there is a fallback, and otherwise refusal.
 func (a *attempts) endLeft(result call.Result, refusal *errkind.Error) call.Result {
-	for _, left := range a.left {
-		a.dropFallback(left.refusal)
-	}
 	if result.Answer != nil || a.fallback != nil {
 		return result
 	}
