The channel of a request's attempts holds pointers

Cause: each request allocated a channel with room for the results of 12 attempts of 128 bytes, also where no call is acknowledged. Change: the channel holds pointers to the results; BenchmarkForward.

--- a/pkg/forward/acks_test.go
+++ b/pkg/forward/acks_test.go
@@ -436,7 +436,7 @@
 		for f.budgets.take("s") {
 		}
 		must.True(t, a.isLast(0, &result))
-		a.ends <- attemptEnd{1, call.Refused(errkind.Overloaded, "")}
+		a.ends <- &attemptEnd{1, call.Refused(errkind.Overloaded, "")}
 		got := a.finalResult(result)
 		must.NotNil(t, got.Refusal)
 		test.Eq(t, errkind.Overloaded, got.Refusal.Kind)
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -36,7 +36,7 @@
 	number := a.tries
 	watch := a.newAckWatch(runner)
 	defer watch.stop()
-	cancel := watch.execute(a.frame(candidate, soft), a.req.Body, func(r call.Result) { a.ends <- attemptEnd{number, a.recordEnd(candidate, r)} })
+	cancel := watch.execute(a.frame(candidate, soft), a.req.Body, func(r call.Result) { a.ends <- &attemptEnd{number, a.recordEnd(candidate, r)} })
 	return a.await(candidate, runner, cancel, watch)
 }
 
@@ -70,7 +70,7 @@
 	for {
 		select {
 		case end := <-a.ends:
-			if result, ended := a.handleEnd(&end, cancel); ended {
+			if result, ended := a.handleEnd(end, cancel); ended {
 				return result
 			}
 		case <-acks.due():
@@ -90,7 +90,7 @@
 			// After a pause of this process both channels may be ready.
 			for len(a.ends) > 0 {
 				end := <-a.ends
-				if result, ended := a.handleEnd(&end, cancel); ended {
+				if result, ended := a.handleEnd(end, cancel); ended {
 					return result
 				}
 			}
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -70,7 +70,7 @@
 	hasFingerprint    bool
 	// ends receives the ends of all attempts, and left holds the attempts that were left
 	// for want of an ack and have not ended.
-	ends chan attemptEnd
+	ends chan *attemptEnd
 	left []leftAttempt
 	// records describes the attempts for the log.
 	records []attemptRecord
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -237,6 +237,6 @@
 		lane:      f.view.RolloutTraffic(service).AssignLane(route.Name),
 		startedAt: startedAt, deadline: startedAt + int64(timeout), target: target,
 		softLeft: f.Settings.Routing.SoftAttempts,
-		ends:     make(chan attemptEnd, maxTries),
+		ends:     make(chan *attemptEnd, maxTries),
 	}
 }
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -357,3 +357,15 @@
 	f.Forward(t.Context(), newRequest("/post/1"))
 	test.Eq(t, 1, counter.count)
 }
+
+// BenchmarkForward forwards requests without a link, each with one attempt.
+func BenchmarkForward(b *testing.B) {
+	r := &fakeRunner{answer: answers(200)}
+	f := newForwarder(r)
+	req := newRequest("/read/1")
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Forward(b.Context(), req)
+		r.calls = r.calls[:0]
+	}
+}
--- a/pkg/forward/left_attempts.go
+++ b/pkg/forward/left_attempts.go
@@ -124,7 +124,7 @@
 		}
 		i := a.indexOfLeft(end.number)
 		standsForIt := i >= 0 && a.left[i].refusal == result.Refusal
-		if a.settle(&end) {
+		if a.settle(end) {
 			a.stopReason = stoppedByAnswer
 			return end.result
 		}
@@ -137,7 +137,7 @@
 
 // nextEnd waits for the next end of an attempt. It returns a refusal when answerGrace has
 // passed after the deadline, or the caller has disconnected, and no attempt has ended.
-func (a *attempts) nextEnd() (end attemptEnd, refusal *errkind.Error) {
+func (a *attempts) nextEnd() (end *attemptEnd, refusal *errkind.Error) {
 	timeout := time.NewTimer(a.timeLeft() + answerGrace)
 	defer timeout.Stop()
 	select {
@@ -153,7 +153,7 @@
 		// After a pause of this process both channels may be ready.
 		return end, nil
 	default:
-		return attemptEnd{}, refusal
+		return nil, refusal
 	}
 }
 
