A wrong transit delay no longer refuses calls that have time left

Cause: after a pause of an entry's VM that its clock misses, all its links show a transit delay of the length of the pause for up to 30 s. Executors refused all calls with less time than that as deadline_before_run, and these were not sent elsewhere. Change: the entry knows by its own clock that time is left. It then does not state the time of its calls on that link until the executor has forgotten the earlier differences, and sends the refused request elsewhere. A refusal after the deadline is handled as before. Result: the new tests fail without the change and pass with it; the tests of pkg/link, pkg/acks and pkg/forward pass.

--- a/pkg/acks/acks_test.go
+++ b/pkg/acks/acks_test.go
@@ -167,12 +167,12 @@
 	var transit Transit
 	jump := 80 * ms
 	test.Eq(t, 0, transit.Delay(int64(time.Hour), sentAt(time.Hour)))
-	for at := time.Hour; at < time.Hour+2*transitWindow; at += time.Second {
+	for at := time.Hour; at < time.Hour+2*TransitWindow; at += time.Second {
 		delay := transit.Delay(int64(at+jump), sentAt(at))
-		if at < time.Hour+transitWindow-bucketLength {
+		if at < time.Hour+TransitWindow-bucketLength {
 			must.Eq(t, jump, delay)
 		}
-		if at >= time.Hour+transitWindow {
+		if at >= time.Hour+TransitWindow {
 			must.Eq(t, 0, delay)
 		}
 	}
@@ -182,6 +182,6 @@
 func TestAfterAnIdleTimeNothingIsRemembered(t *testing.T) {
 	var transit Transit
 	test.Eq(t, 0, transit.Delay(int64(time.Hour), sentAt(time.Hour)))
-	later := time.Hour + transitWindow
+	later := time.Hour + TransitWindow
 	test.Eq(t, 0, transit.Delay(int64(later+time.Second), sentAt(later)))
 }
--- a/pkg/acks/transit.go
+++ b/pkg/acks/transit.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// transitWindow is how long the smallest difference between the clocks of the two ends
+	// TransitWindow is how long the smallest difference between the clocks of the two ends
 	// of a link is remembered. It is divided into buckets, of which the oldest is forgotten
 	// as a whole.
-	transitWindow  = 30 * time.Second
+	TransitWindow  = 30 * time.Second
 	transitBuckets = 6
-	bucketLength   = transitWindow / transitBuckets
+	bucketLength   = TransitWindow / transitBuckets
 )
 
 // Transit estimates how long the calls of one link were in transit, from the time that each
--- a/pkg/forward/acks_test.go
+++ b/pkg/forward/acks_test.go
@@ -443,3 +443,22 @@
 		test.Eq(t, errkind.RanNo, got.Refusal.Ran)
 	})
 }
+
+// TestARequestWithTimeLeftIsNotEndedByAnExecutorsDeadline: the executor's estimate of the
+// transit delay may be wrong after a pause of this VM.
+func TestARequestWithTimeLeftIsNotEndedByAnExecutorsDeadline(t *testing.T) {
+	for _, path := range []string{"/read/", "/post/"} {
+		for _, s := range []struct {
+			after time.Duration
+			calls int
+		}{{testPing, 1}, {time.Second - minRetryTime + 1, 0}} {
+			synctest.Test(t, func(t *testing.T) {
+				first := &ackRunner{ackAfter: testPing, endAfter: s.after, result: call.Refused(errkind.DeadlineBeforeRun, "")}
+				second := &ackRunner{endAfter: testPing, result: answered(200)}
+				got := newAckForwarder(first, second).Forward(t.Context(), newRequest(path))
+				test.Len(t, s.calls, second.calls)
+				test.Eq(t, s.calls == 1, got.Answer != nil)
+			})
+		}
+	}
+}
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -289,7 +289,7 @@
 	}
 	a.excluded = a.excluded.With(index)
 	if result.Refusal != nil && result.Refusal.Ran == errkind.RanNo && !result.Offered {
-		if result.Refusal.RetryElsewhere() {
+		if result.Refusal.RetryElsewhere() || a.endedTooEarly(result.Refusal) {
 			return false
 		}
 		a.stopReason = stoppedByFinalRefusal
@@ -304,6 +304,12 @@
 	return a.stopReason != ""
 }
 
+// endedTooEarly reports whether an executor has refused the request because of its deadline
+// although there is time for another attempt. Its estimate of the transit delay is then wrong.
+func (a *attempts) endedTooEarly(refusal *errkind.Error) bool {
+	return refusal.Kind == errkind.DeadlineBeforeRun && a.timeLeft() >= minRetryTime
+}
+
 // The reasons why no further attempt was made: the values of the log field "stopped".
 const (
 	stoppedByAnswer       = "answered"
--- a/pkg/link/acks_client.go
+++ b/pkg/link/acks_client.go
@@ -7,6 +7,7 @@
 
 	"github.com/rushramp/rushramp/pkg/acks"
 	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -20,6 +21,9 @@
 	// enabled is true if the peer acknowledges calls.
 	enabled atomic.Bool
 	times   acks.Link
+	// unstatedUntil is when calls state again when they were sent, in nanoseconds of the
+	// daemon's clock.
+	unstatedUntil atomic.Int64
 
 	mu sync.Mutex
 	// acknowledgedID is the highest acknowledged id.
@@ -46,10 +50,38 @@
 	if !t.enabled.Load() {
 		return
 	}
-	callFrame.SentUS = uint64(t.now()/int64(time.Microsecond)) + 1
+	if now := t.now(); now >= t.unstatedUntil.Load() {
+		callFrame.SentUS = uint64(now/int64(time.Microsecond)) + 1
+	}
 	callFrame.WantAck = acknowledged != nil
 }
 
+// deadlineOf returns the deadline of a call that states when it was sent, in nanoseconds of
+// the daemon's clock; 0: none.
+func deadlineOf(callFrame *wire.Call) int64 {
+	if callFrame.SentUS == 0 || callFrame.Remaining <= 0 {
+		return 0
+	}
+	return int64(callFrame.SentUS-1)*int64(time.Microsecond) + int64(callFrame.Remaining)
+}
+
+// checkEnd checks the result of a call with a deadline. If the executor has ended the call
+// for want of time although time is left, its estimate of the transit delay is wrong: this
+// VM's clock may have missed a pause. Calls then do not state when they were sent until the
+// executor has forgotten the differences of before. Otherwise it would refuse them meanwhile.
+func (t *ackTracker) checkEnd(deadline int64, result *call.Result) {
+	if deadline == 0 || result.Refusal == nil {
+		return
+	}
+	kind := result.Refusal.Kind
+	if kind != errkind.DeadlineBeforeRun && kind != errkind.DeadlineWhileRunning {
+		return
+	}
+	if now := t.now(); deadline-now > int64(acks.SchedulingAllowance) {
+		t.unstatedUntil.Store(now + int64(acks.TransitWindow))
+	}
+}
+
 // add lets a call wait for its ack. Ids must rise, and the call must not have been sent, so
 // that its ack cannot arrive before.
 func (t *ackTracker) add(id uint64, acknowledged func()) {
--- a/pkg/link/acks_test.go
+++ b/pkg/link/acks_test.go
@@ -314,3 +314,58 @@
 	test.Eq(t, errkind.LinkLost, result.Refusal.Kind)
 	test.Eq(t, errkind.RanMaybe, result.Refusal.Ran)
 }
+
+// TestAWrongTransitDelayIsNotRepeated: after a pause that the entry's clock has missed, the
+// executor would refuse calls that have time left until it has forgotten the differences of
+// before.
+func TestAWrongTransitDelayIsNotRepeated(t *testing.T) {
+	scenarios := []struct {
+		name      string
+		remaining time.Duration
+		result    call.Result
+		states    bool
+	}{
+		{"refused with time left", time.Hour, call.Refused(errkind.DeadlineBeforeRun, ""), false},
+		{"ended with time left", time.Hour, call.Refused(errkind.DeadlineWhileRunning, ""), false},
+		{"no time left", time.Nanosecond, call.Refused(errkind.DeadlineBeforeRun, ""), true},
+		{"no deadline", 0, call.Refused(errkind.DeadlineBeforeRun, ""), true},
+		{"another refusal", time.Hour, call.Refused(errkind.Overloaded, ""), true},
+		{"an answer", time.Hour, call.Result{Answer: &call.Answer{Status: 200}}, true},
+	}
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			calls := make(chan *wire.Call, 2)
+			client, _ := connectAcks(t, wire.FeatureAcks, runnerFunc(func(c *wire.Call, _ []byte, done func(call.Result)) func() {
+				calls <- c
+				done(s.result)
+				return func() {}
+			}))
+			for _, remaining := range []time.Duration{s.remaining, time.Hour} {
+				ended := make(chan struct{})
+				client.Execute(&wire.Call{Remaining: remaining}, nil, func(call.Result) { close(ended) })
+				<-ended
+			}
+			test.Positive(t, (<-calls).SentUS)
+			test.Eq(t, s.states, (<-calls).SentUS > 0)
+		})
+	}
+}
+
+// TestCallsStateTheirTimeAgain once the executor has forgotten the differences of before.
+func TestCallsStateTheirTimeAgain(t *testing.T) {
+	now := int64(time.Hour)
+	tracker := &ackTracker{now: func() int64 { return now }}
+	tracker.setFeatures(wire.FeatureAcks)
+	early := call.Refused(errkind.DeadlineBeforeRun, "")
+	tracker.checkEnd(now+int64(acks.SchedulingAllowance)+1, &early)
+	for _, s := range []struct {
+		after  time.Duration
+		states bool
+	}{{0, false}, {acks.TransitWindow - 1, false}, {acks.TransitWindow, true}} {
+		now = int64(time.Hour + s.after)
+		var frame wire.Call
+		tracker.prepare(&frame, func() {})
+		test.Eq(t, s.states, frame.SentUS > 0)
+		test.True(t, frame.WantAck)
+	}
+}
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -55,6 +55,8 @@
 // pendingCall is a call that has not ended.
 type pendingCall struct {
 	done func(call.Result)
+	// deadline is that of deadlineOf.
+	deadline int64
 	// answer is nil until the answer frame has arrived. Then assembly assembles its body.
 	answer   *wire.Answer
 	assembly *wire.Assembly
@@ -152,7 +154,7 @@
 	if err := cl.Send(frames...); err != nil {
 		return linkUnavailable("the link closed before the call was sent")
 	}
-	cl.pending[callFrame.ID] = &pendingCall{done: done}
+	cl.pending[callFrame.ID] = &pendingCall{done: done, deadline: deadlineOf(callFrame)}
 	return nil
 }
 
@@ -258,6 +260,7 @@
 		cl.lateFrames.Add(1)
 		return
 	}
+	cl.acks.checkEnd(pending.deadline, &result)
 	pending.done(result)
 }
 
