An ack that is no longer needed is not sent: test

Cause: no test failed with needed := true in ackSender.due. Change: a scenario in which the timer fires while an answer is sent; a parameter no longer hides package acks. Result: the scenario fails with that mutation and passes without it.

--- a/pkg/forward/acks_test.go
+++ b/pkg/forward/acks_test.go
@@ -316,8 +316,7 @@
 }
 
 // TestMostCallsLateIsLoggedOnce: the event tells that bounds are widened, not that a call was
-// late.
-// The bound then covers the time that acks take.
+// late. The bound then covers the time that acks take.
 func TestMostCallsLateIsLoggedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		slow := &ackRunner{ackAfter: 250 * time.Millisecond, endAfter: 300 * time.Millisecond, result: answered(200)}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -62,7 +62,7 @@
 // before. It stops waiting when answerGrace has passed after the deadline, when the caller
 // disconnects, or when the executor's daemon is unresponsive or has not acknowledged the
 // call, and the request is repeatable and can go elsewhere.
-func (a *attempts) await(candidate *tables.Candidate, runner call.Runner, cancel func(), acks *ackWatch) call.Result {
+func (a *attempts) await(candidate *tables.Candidate, runner call.Runner, cancel func(), ack *ackWatch) call.Result {
 	timeout := time.NewTimer(a.timeLeft() + answerGrace)
 	defer timeout.Stop()
 	watch := newLivenessWatch(runner)
@@ -73,8 +73,8 @@
 			if result, ended := a.handleEnd(end, cancel); ended {
 				return result
 			}
-		case <-acks.due():
-			if acks.checkLate() && len(a.ends) == 0 && a.mayLeave(acks, candidate) {
+		case <-ack.due():
+			if ack.checkLate() && len(a.ends) == 0 && a.mayLeave(ack, candidate) {
 				return a.leave(candidate, cancel)
 			}
 		case <-watch.due():
--- a/pkg/link/acks_test.go
+++ b/pkg/link/acks_test.go
@@ -145,6 +145,11 @@
 			a.received(wants(1))
 			a.sent([]wire.Frame{&wire.Answer{ID: 1}})
 		}, nil},
+		{"an answer is sent while the timer fires", func(a *ackSender) {
+			a.received(wants(1))
+			a.sent([]wire.Frame{&wire.Answer{ID: 1}})
+			a.due()
+		}, nil},
 		{"the answer to a later call", func(a *ackSender) {
 			a.received(wants(1))
 			a.received(&wire.Call{ID: 2})
