--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -68,6 +68,10 @@
 	// hasFingerprint is true.
 	cachedFingerprint quarantine.Fingerprint
 	hasFingerprint    bool
+	// ends receives the ends of all attempts, and left holds the attempts that were left
+	// for want of an ack and have not ended.
+	ends chan *attemptEnd
+	left []leftAttempt
 	// records describes the attempts for the log.
 	records []attemptRecord
 	// stopReason says why no further attempt was made, for the log.
@@ -133,8 +137,10 @@
 }
 
 // finalResult turns the result of the last attempt into the result for the caller: it
-// prefers the fallback to a refusal, and sets RetryAfter on an overload.
+// waits for the attempts that were left where there is no better result, prefers the
+// fallback to a refusal, and sets RetryAfter on an overload.
 func (a *attempts) finalResult(result call.Result) call.Result {
+	result = a.awaitLeft(result)
 	if result.Answer == nil && a.fallback != nil {
 		result = *a.fallback
 	}
@@ -283,7 +289,7 @@
 	}
 	a.excluded = a.excluded.With(index)
 	if result.Refusal != nil && result.Refusal.Ran == errkind.RanNo && !result.Offered {
-		if result.Refusal.RetryElsewhere() {
+		if result.Refusal.RetryElsewhere() || a.endedTooEarly(result.Refusal) {
 			return false
 		}
 		a.stopReason = stoppedByFinalRefusal
@@ -298,6 +304,12 @@
 	return a.stopReason != ""
 }
 
+// endedTooEarly reports whether an executor has refused the request because of its deadline
+// although there is time for another attempt. Its estimate of the transit delay is then wrong.
+func (a *attempts) endedTooEarly(refusal *errkind.Error) bool {
+	return refusal.Kind == errkind.DeadlineBeforeRun && a.timeLeft() >= minRetryTime
+}
+
 // The reasons why no further attempt was made: the values of the log field "stopped".
 const (
 	stoppedByAnswer       = "answered"
@@ -323,7 +335,7 @@
 	if result.Refusal != nil && (result.Refusal.Kind == errkind.CallerGone || result.Refusal.Kind == errkind.DeadlineWhileRunning) {
 		return stoppedByTime
 	}
-	if !notRun {
+	if !notRun && !a.isLeft(result) {
 		a.fallback = result
 	}
 	if a.offered >= a.route.Attempts {
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -52,6 +52,7 @@
 	// pending holds the calls that have not ended, by id; nil once the link has ended.
 	pending    map[uint64]*pendingCall
 	lateFrames atomic.Int64
+	acks       ackTracker
 }
 
 // pendingCall is a call that has not ended.
@@ -59,6 +60,8 @@
 	done func(call.Result)
 	// body is nil if the body fits in the call frame.
 	body *outgoingBody
+	// deadline is that of deadlineOf.
+	deadline int64
 	// answer is nil until the answer frame has arrived. Then assembly assembles its body.
 	answer   *wire.Answer
 	assembly *wire.Assembly
@@ -87,6 +90,7 @@
 		maxBody: c.Settings.Limits.MaxBodyBytes, grantBodiesAbove: c.Settings.Links.GrantBodiesAbove,
 		pending: map[uint64]*pendingCall{},
 	}
+	cl.acks.now = c.Now
 	if opener, ok := handler.(Opener); ok {
 		opener.Opened(cl)
 	}
@@ -105,6 +109,7 @@
 	_, err := cl.serve(func() {
 		cl.setProximity(cl.location.LevelTo(cl.Hello.DataCentre, cl.Hello.Region))
 		cl.ping()
+		cl.acks.setFeatures(cl.Hello.Features)
 		cl.handler.Up(cl.Peer)
 		cl.handler.PeerState(cl.Peer, &cl.Hello.State)
 	}, cl.receive)
@@ -114,11 +119,18 @@
 
 // Execute implements call.Runner. It sends the call to the executor at the other end.
 func (cl *Client) Execute(c *wire.Call, body []byte, done func(call.Result)) (cancel func()) {
+	return cl.execute(c, body, nil, done)
+}
+
+// execute sends a call. acknowledged is nil if the caller does not need an ack.
+func (cl *Client) execute(c *wire.Call, body []byte, acknowledged func(), done func(call.Result)) (cancel func()) {
 	callFrame := *c
 	pending := &pendingCall{done: done}
+	cl.acks.prepare(&callFrame, acknowledged)
+	pending.deadline = deadlineOf(&callFrame)
 	var chunks []*wire.Chunk
 	callFrame.Body, chunks, pending.body = cl.prepare(body)
-	if refusal := cl.sendCall(&callFrame, chunks, pending); refusal != nil {
+	if refusal := cl.sendCall(&callFrame, chunks, acknowledged, pending); refusal != nil {
 		done(*refusal)
 		return func() {}
 	}
@@ -129,7 +141,7 @@
 // peer requires ids in rising order, so that none is used twice. Therefore the id is
 // assigned and the frames are queued under one lock. If sendCall returns a refusal, nothing
 // of the call was written, so that it certainly did not run.
-func (cl *Client) sendCall(callFrame *wire.Call, chunks []*wire.Chunk, pending *pendingCall) *call.Result {
+func (cl *Client) sendCall(callFrame *wire.Call, chunks []*wire.Chunk, acknowledged func(), pending *pendingCall) *call.Result {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	if cl.pending == nil {
@@ -143,6 +155,9 @@
 		chunk.ID = callFrame.ID
 		frames = append(frames, chunk)
 	}
+	if callFrame.WantAck {
+		cl.acks.add(callFrame.ID, acknowledged)
+	}
 	if err := cl.Send(frames...); err != nil {
 		return linkUnavailable("the link closed before the call was sent")
 	}
@@ -157,7 +172,10 @@
 }
 
 func (cl *Client) receive(frame wire.Frame) error {
+	cl.acks.received(frame)
 	switch f := frame.(type) {
+	case *wire.Ack:
+		return nil
 	case *wire.Answer:
 		return cl.receiveAnswer(f)
 	case *wire.Chunk:
@@ -253,6 +271,7 @@
 		return
 	}
 	cl.stopBody(id, pending.body)
+	cl.acks.checkEnd(pending.deadline, &result)
 	pending.done(result)
 }
 
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -10,6 +10,7 @@
 	"github.com/gorilla/websocket"
 	"github.com/pkg/errors"
 
+	"github.com/rushramp/rushramp/pkg/acks"
 	"github.com/rushramp/rushramp/pkg/bodies"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
@@ -101,6 +102,7 @@
 		sender: s.grants.newSender(),
 		calls:  map[uint64]*incomingCall{},
 	}
+	sess.acks.send = sess.Send
 	sess.run()
 }
 
@@ -116,6 +118,9 @@
 	// lastID is the highest id of a call so far. Ids of one link are never reused.
 	lastID uint64
 	stamps stampFilter
+	acks   ackSender
+	// transit is used only by the goroutine that reads messages.
+	transit acks.Transit
 }
 
 // incomingCall is a call of the peer that has not ended.
@@ -191,6 +196,10 @@
 		return &BadFrameError{Cause: errors.Errorf("the call id %d is not higher than that of an earlier call", f.ID)}
 	}
 	s.lastID = f.ID
+	s.acks.received(f)
+	if s.dropUnneeded(f) {
+		return nil
+	}
 	assembly, err := wire.NewAssembly(f.Body, s.server.Settings.Limits.MaxBodyBytes)
 	if err != nil {
 		s.sendRefusal(f.ID, call.Refused(errkind.BodyTooLarge, "%v", err))
@@ -268,7 +277,8 @@
 		cancel = in.cancel
 	}
 	offered := in != nil && in.offer != nil && cancel == nil
-	if in != nil && cancel == nil && !offered {
+	notStarted := in != nil && cancel == nil && !offered
+	if notStarted {
 		// The call was not started because its body is incomplete. It cannot start
 		// meanwhile, since calls are started by this same goroutine.
 		delete(s.calls, id)
@@ -278,6 +288,9 @@
 	if offered {
 		s.cancelOffer(in)
 	}
+	if notStarted {
+		s.drop(id, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before its body was complete"))
+	}
 	if cancel != nil {
 		cancel()
 	}
@@ -324,6 +337,7 @@
 // cancelAll cancels the calls of a link that has ended, and releases the memory of bodies
 // that have not arrived completely.
 func (s *session) cancelAll() {
+	s.acks.stop()
 	s.mu.Lock()
 	var cancels []func()
 	for _, in := range s.calls {
