Let large bodies take places for free slots

Cause: the queue length bounded all places, also while slots were free, so that a gate with gate.queue_length 0 refused every body above links.grant_bodies_above. Change: while a slot is free and starts are not held, a place is refused only if the free slots and the queue are taken. Result: TestPlacesMayTakeFreeSlots fails without the change and passes with it.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -160,7 +160,7 @@
 		return errkind.New(errkind.GateBusier, "the expected time until the end of the run is longer than the sender accepts")
 	case fc.canStart && !fc.held && job.transfer == 0:
 		return nil
-	case g.waiting() >= g.opts.QueueLength:
+	case g.waiting() >= g.maxWaiting(now, job, fc):
 		return errkind.New(errkind.Overloaded, "the queue is full")
 	case fc.wait > g.opts.QueueTime:
 		return errkind.New(errkind.Overloaded, "the expected wait of %v is longer than the longest wait allowed", fc.wait)
@@ -170,6 +170,16 @@
 	return nil
 }
 
+// maxWaiting returns how many jobs may wait, with or without a place, when a job arrives.
+// Places may also take the free slots: without the time for its body, such a job would start
+// at once, however short the queue is.
+func (g *Gate) maxWaiting(now int64, job *Job, fc forecast) int {
+	if job.transfer == 0 || fc.held || !fc.canStart {
+		return g.opts.QueueLength
+	}
+	return g.opts.QueueLength + g.limit(now) - g.running
+}
+
 // errTooLate returns the error for a job that is expected to end after its EndBy.
 func errTooLate(job *Job, fc forecast) *errkind.Error {
 	return errkind.New(errkind.Overloaded, "with an expected wait of %v and an expected run time of %v the request would end too late", fc.startsIn(job).Round(time.Millisecond), fc.runTime.Round(time.Millisecond))
--- a/pkg/gate/places_test.go
+++ b/pkg/gate/places_test.go
@@ -59,6 +59,25 @@
 	test.StrContains(t, refusal.Detail, "the queue is full")
 }
 
+// TestPlacesMayTakeFreeSlots checks that the queue length does not refuse large bodies while
+// slots are free, and that it does so beyond them.
+func TestPlacesMayTakeFreeSlots(t *testing.T) {
+	for _, queueLength := range []int{0, 2} {
+		g := newPlacesGate(3, queueLength)
+		_, refusal := g.Admit(1, routedJob(1, 5000))
+		must.Nil(t, refusal)
+		for range 2 + queueLength {
+			must.Nil(t, g.Reserve(1, routedJob(1, 5000), 0))
+		}
+		refusal = g.Reserve(1, routedJob(1, 5000), 0)
+		must.NotNil(t, refusal)
+		test.StrContains(t, refusal.Detail, "the queue is full")
+		run, refusal := g.Admit(1, routedJob(1, 5000))
+		test.Nil(t, refusal)
+		test.True(t, run)
+	}
+}
+
 // TestTransferTimeDecides checks that a job is refused if it would end too late because of its
 // transfer, although a slot is free, and that the transfer and the wait for a slot overlap.
 func TestTransferTimeDecides(t *testing.T) {
