Answer a call that is cancelled after its last byte

Cause: if the deadline of an offered call passed while its last chunk and a cancel arrived, the executor reported no result, although the entry waits for one once its whole body is sent. The call stayed in the entry's table until the link ended. Change: no result is sent only if the body was incomplete when the cancel arrived. Result: TestCancelAfterTheLastByteIsAnswered fails without the change and passes with it.

--- a/pkg/link/offered.go
+++ b/pkg/link/offered.go
@@ -24,7 +24,8 @@
 	started bool
 	ended   bool
 	// unreported is true if the peer has cancelled the call before its body was whole. The
-	// peer then expects no result.
+	// peer then expects no result. After its last byte it waits for one, even if the call has
+	// not started.
 	unreported bool
 }
 
@@ -177,7 +178,7 @@
 // body was whole.
 func (s *session) cancelOffer(in *incomingCall) {
 	s.mu.Lock()
-	in.offer.unreported = !in.offer.started
+	in.offer.unreported = !in.assembly.Complete()
 	s.mu.Unlock()
 	s.withdraw(in, errkind.New(errkind.CallerGone, "the entry cancelled the request, or its link ended, before the whole body had arrived"))
 }
--- a/pkg/link/offered_test.go
+++ b/pkg/link/offered_test.go
@@ -513,3 +513,23 @@
 		})
 	}
 }
+
+// TestCancelAfterTheLastByteIsAnswered checks that a call whose entry has sent its whole body
+// gets a result also if its deadline passes while the last chunk and a cancel arrive.
+func TestCancelAfterTheLastByteIsAnswered(t *testing.T) {
+	for name, s := range map[string]struct {
+		arrived        int
+		wantUnreported bool
+	}{"whole": {10, false}, "in part": {9, true}} {
+		t.Run(name, func(t *testing.T) {
+			assembly, err := wire.NewAssembly(wire.Offer(make([]byte, 10)), 100)
+			must.NoError(t, err)
+			must.NoError(t, assembly.Add(&wire.Chunk{Data: make([]byte, s.arrived)}))
+			// The expiry has ended the call and has not reported it yet.
+			in := &incomingCall{call: &wire.Call{ID: 1}, assembly: assembly, offer: &offeredCall{ended: true}}
+			sess := &session{calls: map[uint64]*incomingCall{1: in}}
+			sess.receiveCancel(1)
+			test.Eq(t, s.wantUnreported, sess.endOffer(in, nil))
+		})
+	}
+}
