Check the credit of the silent sender, not any stall

Cause: TestStalledSenderLosesItsPlaceAndCredit accepted a stall of the other sender in place of that of the silent one, and then expected no outstanding bytes at once. Change: the test waits until only the silent sender's transfer is left and its credit has returned, as the rule requires.

--- a/pkg/link/offered_test.go
+++ b/pkg/link/offered_test.go
@@ -272,8 +272,13 @@
 			silent.receive(t, wire.TypeGrant)
 			result := dialServer(t, server).executeAndWait(&wire.Call{URI: "/x", Remaining: time.Minute}, make([]byte, testBodySize))
 			test.Nil(t, result.Refusal)
-			waitFor(t, func() bool { return server.grants.stalled.Get() > 0 })
-			test.Zero(t, server.grants.load().Outstanding)
+			// Nothing of the other sender is on the way, so this is the credit of the silent one.
+			waitFor(t, func() bool {
+				server.grants.mu.Lock()
+				defer server.grants.mu.Unlock()
+				return len(server.grants.transfers) == 1 && server.grants.scheduler.Load().Outstanding == 0
+			})
+			test.Positive(t, server.grants.stalled.Get())
 			refusal := silent.receive(t, wire.TypeRefusal).(*wire.Refusal)
 			test.Eq(t, errkind.DeadlineBeforeRun, errkind.Parse(refusal.Kind))
 			test.Eq(t, errkind.RanNo, errkind.Ran(refusal.Ran))
