Ping accepted links only where bodies are granted

Cause: each accepted link was pinged when it opened, also on daemons without a backend server or with links.grant_bodies_above 0. Change: such daemons send no ping. Result: TestOffersAreExpectedOnlyWhereBodiesAreGranted passes.

--- a/pkg/link/offered.go
+++ b/pkg/link/offered.go
@@ -29,6 +29,12 @@
 	unreported bool
 }
 
+// expectsOffers reports whether the peer may offer bodies, so that the round-trip time of the
+// link will be needed.
+func (s *session) expectsOffers() bool {
+	return s.server.runner != nil && s.server.Settings.Links.GrantBodiesAbove > 0 && s.Hello.Features.Has(wire.FeatureGrants)
+}
+
 // receiveOffer decides on a call whose body is offered, and lets its transfer begin.
 func (s *session) receiveOffer(in *incomingCall) {
 	id := in.call.ID
--- a/pkg/link/offered_test.go
+++ b/pkg/link/offered_test.go
@@ -538,3 +538,25 @@
 		})
 	}
 }
+
+// TestOffersAreExpectedOnlyWhereBodiesAreGranted checks that a link which will carry no offered
+// bodies is not pinged for them when it opens.
+func TestOffersAreExpectedOnlyWhereBodiesAreGranted(t *testing.T) {
+	for _, s := range []struct {
+		name     string
+		runner   call.Runner
+		above    int
+		features wire.Features
+		want     bool
+	}{
+		{"an executor that grants", runnerFunc(echo), 1000, wire.FeatureGrants, true},
+		{"no backend server", nil, 1000, wire.FeatureGrants, false},
+		{"granted bodies are switched off", runnerFunc(echo), 0, wire.FeatureGrants, false},
+		{"a peer of the previous release", runnerFunc(echo), 1000, 0, false},
+	} {
+		server := &Server{Common: testCommon(), runner: s.runner}
+		server.Settings.Links.GrantBodiesAbove = s.above
+		sess := &session{server: server, Peer: &Peer{Hello: wire.Hello{Features: s.features}}}
+		test.Eq(t, s.want, sess.expectsOffers(), test.Sprint(s.name))
+	}
+}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -155,7 +155,7 @@
 	s.server.mu.Lock()
 	s.server.peers[s.Peer] = struct{}{}
 	s.server.mu.Unlock()
-	if s.Hello.Features.Has(wire.FeatureGrants) {
+	if s.expectsOffers() {
 		go s.ping()
 	}
 	s.server.handler.Up(s.Peer)
