Start late probes whose large body has arrived

Cause: a gate that admitted the head of a request as a late probe refused it again as too late when its body had arrived. Probes of services whose bodies are large never ran, so an estimate of the work that is too long was not corrected. Change: such a request starts if a slot is free and starts are not held. Result: TestLateProbeStartsWithItsBody fails without the change and passes with it.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -226,7 +226,8 @@
 	if fc.canStart && AcceptsLateRuns(int64(g.running), int64(g.usableSlots())) && now+int64(fc.startsIn(job))+int64(fc.runTime) < job.Deadline {
 		return true
 	}
-	return g.admitsLateProbe(now, fc.canStart)
+	job.lateProbe = g.admitsLateProbe(now, fc.canStart)
+	return job.lateProbe
 }
 
 // lateProbeInterval is the least time between two late probes, in nanoseconds.
--- a/pkg/gate/places.go
+++ b/pkg/gate/places.go
@@ -43,12 +43,14 @@
 }
 
 // lateRefusalFor returns the error with which a job is refused that would end too late; nil:
-// it is admitted.
+// it is admitted. A late probe whose place Reserve has admitted still starts if it can: refused
+// here, it could not correct an estimate of the work that is too long.
 func (g *Gate) lateRefusalFor(now int64, job *Job, fc forecast) *errkind.Error {
+	probes := job.lateProbe && fc.canStart && !fc.held
 	switch {
 	case job.Deadline <= now:
 		return errkind.New(errkind.DeadlineBeforeRun, "the deadline had passed when the body of the request had arrived")
-	case endsTooLate(now, job, fc) && !g.admitsLate(now, job, fc), now+int64(fc.wait) >= job.Deadline:
+	case !probes && endsTooLate(now, job, fc) && !g.admitsLate(now, job, fc), now+int64(fc.wait) >= job.Deadline:
 		return errTooLate(job, fc)
 	}
 	return nil
--- a/pkg/gate/places_test.go
+++ b/pkg/gate/places_test.go
@@ -108,6 +108,29 @@
 	test.Zero(t, g.InFlight())
 }
 
+// TestLateProbeStartsWithItsBody checks that a late probe with a place starts when its body has
+// arrived, that a second one in the same interval is refused, and that it is refused if no slot
+// is free any more.
+func TestLateProbeStartsWithItsBody(t *testing.T) {
+	for _, busy := range []int{8, 10} {
+		g := newPlacesGate(10, 10)
+		for range 8 {
+			_, refusal := g.Admit(1, routedJob(1, 5000))
+			must.Nil(t, refusal)
+		}
+		probe := &Job{Work: 100 * time.Millisecond, EndBy: 50 * ms, Deadline: 1000 * ms}
+		must.Nil(t, g.Reserve(1, probe, 10*time.Millisecond))
+		must.NotNil(t, g.Reserve(1, &Job{Work: 100 * time.Millisecond, EndBy: 50 * ms, Deadline: 1000 * ms}, 10*time.Millisecond))
+		for range busy - 8 {
+			_, refusal := g.Admit(1, routedJob(1, 5000))
+			must.Nil(t, refusal)
+		}
+		run, refusal := g.Admit(10*ms, probe)
+		test.Eq(t, busy == 8, run)
+		test.Eq(t, busy == 8, refusal == nil)
+	}
+}
+
 // TestPlacedJobIsAdmitted checks that a job starts, waits or is refused when its body has
 // arrived, and that it is not refused as soft.
 func TestPlacedJobIsAdmitted(t *testing.T) {
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -81,6 +81,8 @@
 	transfer time.Duration
 	// reserved is true once Reserve has admitted the job.
 	reserved bool
+	// lateProbe is true if the job was last admitted as a late probe.
+	lateProbe bool
 	// held is true once the job had to wait for the end of a slow period although a slot
 	// was free.
 	held bool
