--- a/pkg/link/offered_test.go
+++ b/pkg/link/offered_test.go
@@ -272,8 +272,13 @@
 			silent.receive(t, wire.TypeGrant)
 			result := dialServer(t, server).executeAndWait(&wire.Call{URI: "/x", Remaining: time.Minute}, make([]byte, testBodySize))
 			test.Nil(t, result.Refusal)
-			waitFor(t, func() bool { return server.grants.stalled.Get() > 0 })
-			test.Zero(t, server.grants.load().Outstanding)
+			// Nothing of the other sender is on the way, so this is the credit of the silent one.
+			waitFor(t, func() bool {
+				server.grants.mu.Lock()
+				defer server.grants.mu.Unlock()
+				return len(server.grants.transfers) == 1 && server.grants.scheduler.Load().Outstanding == 0
+			})
+			test.Positive(t, server.grants.stalled.Get())
 			refusal := silent.receive(t, wire.TypeRefusal).(*wire.Refusal)
 			test.Eq(t, errkind.DeadlineBeforeRun, errkind.Parse(refusal.Kind))
 			test.Eq(t, errkind.RanNo, errkind.Ran(refusal.Ran))
@@ -513,3 +518,45 @@
 		})
 	}
 }
+
+// TestCancelAfterTheLastByteIsAnswered checks that a call whose entry has sent its whole body
+// gets a result also if its deadline passes while the last chunk and a cancel arrive.
+func TestCancelAfterTheLastByteIsAnswered(t *testing.T) {
+	for name, s := range map[string]struct {
+		arrived        int
+		wantUnreported bool
+	}{"whole": {10, false}, "in part": {9, true}} {
+		t.Run(name, func(t *testing.T) {
+			assembly, err := wire.NewAssembly(wire.Offer(make([]byte, 10)), 100)
+			must.NoError(t, err)
+			must.NoError(t, assembly.Add(&wire.Chunk{Data: make([]byte, s.arrived)}))
+			// The expiry has ended the call and has not reported it yet.
+			in := &incomingCall{call: &wire.Call{ID: 1}, assembly: assembly, offer: &offeredCall{ended: true}}
+			sess := &session{calls: map[uint64]*incomingCall{1: in}}
+			sess.receiveCancel(1)
+			test.Eq(t, s.wantUnreported, sess.endOffer(in, nil))
+		})
+	}
+}
+
+// TestOffersAreExpectedOnlyWhereBodiesAreGranted checks that a link which will carry no offered
+// bodies is not pinged for them when it opens.
+func TestOffersAreExpectedOnlyWhereBodiesAreGranted(t *testing.T) {
+	for _, s := range []struct {
+		name     string
+		runner   call.Runner
+		above    int
+		features wire.Features
+		want     bool
+	}{
+		{"an executor that grants", runnerFunc(echo), 1000, wire.FeatureGrants, true},
+		{"no backend server", nil, 1000, wire.FeatureGrants, false},
+		{"granted bodies are switched off", runnerFunc(echo), 0, wire.FeatureGrants, false},
+		{"a peer of the previous release", runnerFunc(echo), 1000, 0, false},
+	} {
+		server := &Server{Common: testCommon(), runner: s.runner}
+		server.Settings.Links.GrantBodiesAbove = s.above
+		sess := &session{server: server, Peer: &Peer{Hello: wire.Hello{Features: s.features}}}
+		test.Eq(t, s.want, sess.expectsOffers(), test.Sprint(s.name))
+	}
+}
