Test offered calls at their deadline

Cause: two changes passed all tests: reporting a started call as not run when its deadline passes, and admitting a job whose body arrives after its deadline. Change: TestStartedCallIsNotWithdrawn and TestBodyAfterTheDeadlineIsRefused. Result: each fails with its change and passes without it.

--- a/pkg/gate/places_test.go
+++ b/pkg/gate/places_test.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// TestBodyAfterTheDeadlineIsRefused checks that a job does not start if its body arrives when
+// its deadline has passed.
+func TestBodyAfterTheDeadlineIsRefused(t *testing.T) {
+	g := newPlacesGate(1, 10)
+	job := &Job{Deadline: 100 * ms}
+	must.Nil(t, g.Reserve(1, job, 0))
+	run, refusal := g.Admit(100*ms, job)
+	test.False(t, run)
+	must.NotNil(t, refusal)
+	test.Eq(t, errkind.DeadlineBeforeRun, refusal.Kind)
+	test.Zero(t, g.InFlight())
+}
+
 // TestPlacedJobIsAdmitted checks that a job starts, waits or is refused when its body has
 // arrived, and that it is not refused as soft.
 func TestPlacedJobIsAdmitted(t *testing.T) {
--- a/pkg/link/offered_test.go
+++ b/pkg/link/offered_test.go
@@ -560,3 +560,13 @@
 		test.Eq(t, s.want, sess.expectsOffers(), test.Sprint(s.name))
 	}
 }
+
+// TestStartedCallIsNotWithdrawn checks that a deadline which passes just after a call was passed
+// to a runner of whole bodies does not report it as not run.
+func TestStartedCallIsNotWithdrawn(t *testing.T) {
+	in := &incomingCall{call: &wire.Call{ID: 1}, offer: &offeredCall{started: true}}
+	s := &session{calls: map[uint64]*incomingCall{1: in}}
+	s.withdraw(in, errkind.New(errkind.DeadlineBeforeRun, ""))
+	test.False(t, in.offer.ended)
+	test.MapLen(t, 1, s.calls)
+}
