--- a/pkg/runner/offer_test.go
+++ b/pkg/runner/offer_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"github.com/shoenig/test/wait"
 
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/call"
@@ -37,7 +38,9 @@
 	test.Eq(t, "a", <-h.arrived)
 	offered.Withdraw(errkind.New(errkind.CallerGone, ""))
 	test.Zero(t, len(results))
-	test.Zero(t, r.InFlight())
+	// A request is counted as ended only after its result was reported.
+	must.Wait(t, wait.InitialSuccess(wait.BoolFunc(func() bool { return r.InFlight() == 0 }),
+		wait.Timeout(10*time.Second), wait.Gap(time.Millisecond)))
 }
 
 // TestOfferedRequestEndsOnceAsNotRun checks each way in which an offered request ends before
