quota: return times with reserved tokens for callers over a limit

Cause: each refused caller was told the time of the next token, so all came back for one token. Change: the counter reserves half of a team's rate for return times within the leases of its shares; daemons hand the times out one by one.

--- a/pkg/quota/model_test.go
+++ b/pkg/quota/model_test.go
@@ -82,6 +82,10 @@
 	delay, maxExtraDelay time.Duration
 	// members returns the member count that a daemon knows.
 	members func(daemon int) uint32
+	// returns is the part of callers that come back; nil if none do.
+	returns *returnModel
+	// withoutReturns turns return times off.
+	withoutReturns bool
 }
 
 func newWorld(n int, limit teams.Limit, seed uint64) *world {
@@ -104,7 +108,7 @@
 }
 
 func (w *world) start(d *daemonModel, restarted bool) {
-	d.node = NewNode(Options{VM: d.vm, Slack: slack, Window: windowSeconds * time.Second, Restarted: restarted, RestartAfter: restartAfter, Limit: func(string) (teams.Limit, bool) { return w.limit, true }})
+	d.node = NewNode(Options{VM: d.vm, Slack: slack, Window: windowSeconds * time.Second, Restarted: restarted, RestartAfter: restartAfter, ScheduleReturns: !w.withoutReturns, Limit: func(string) (teams.Limit, bool) { return w.limit, true }})
 	d.waiters = nil
 }
 
@@ -170,7 +174,7 @@
 	for _, request := range d.waiters {
 		select {
 		case v := <-request.verdict:
-			w.record(v)
+			w.record(d, v)
 		default:
 			remaining = append(remaining, request)
 		}
@@ -206,8 +210,9 @@
 	return out
 }
 
-func (w *world) record(v Verdict) {
+func (w *world) record(d *daemonModel, v Verdict) {
 	w.requested++
+	w.returns.refused(w, d, v)
 	if v.Granted {
 		w.granted++
 		w.grantedAt = append(w.grantedAt, w.now)
@@ -222,7 +227,7 @@
 	}
 	request, v := d.node.takeOrWait(d.now(w.now), w.team)
 	if request == nil {
-		w.record(v)
+		w.record(d, v)
 		return
 	}
 	d.waiters = append(d.waiters, request)
@@ -261,6 +266,7 @@
 		for pending += perSecond * stepDuration.Seconds(); pending >= 1; pending-- {
 			w.request(w.random.IntN(len(w.daemons)))
 		}
+		w.returns.sendDue(w)
 	}
 }
 
@@ -293,6 +299,7 @@
 		limit.Burst = limit.Rate * rapid.Float64Range(0, 2).Draw(t, "burst")
 		n := rapid.IntRange(2, 12).Draw(t, "daemons")
 		w := newWorld(n, limit, rapid.Uint64().Draw(t, "seed"))
+		w.returns = &returnModel{}
 		w.maxExtraDelay = time.Duration(rapid.IntRange(0, 3000).Draw(t, "slow")) * time.Millisecond
 		w.run(10*limit.Rate+20, 12*time.Second, func(step int) {
 			if leased := w.maxLeasedShare(); leased > wholeLimit {
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -20,6 +20,9 @@
 	// this one.
 	Restarted    bool
 	RestartAfter time.Duration
+	// ScheduleReturns is true if callers over a limit get return times for which tokens are
+	// reserved.
+	ScheduleReturns bool
 	// Limit returns the limits in force.
 	Limit LimitLookup
 }
@@ -104,6 +107,10 @@
 	// a token, Refused requests over a limit, Unsure requests that no counter answered,
 	// Back tokens returned for requests that were not run.
 	Asked, Granted, Refused, Unsure, Back uint64
+	// ReturnsReserved and ReturnsLongest count refused callers that were told a return time
+	// with a reserved token, or the longest time that they honour. ReturnsUsed counts
+	// reserved tokens that a request has taken.
+	ReturnsReserved, ReturnsLongest, ReturnsUsed uint64
 }
 
 // count records a verdict.
@@ -197,6 +204,10 @@
 	if len(a.waiters) == 0 && a.spend(now) {
 		return nil, Verdict{Granted: true}
 	}
+	if a.returns.spend(now) {
+		n.stats.ReturnsUsed++
+		return nil, Verdict{Granted: true}
+	}
 	if now < a.exhaustedUntil {
 		return nil, Verdict{RetryAfter: time.Duration(a.exhaustedUntil - now)}
 	}
@@ -310,6 +321,9 @@
 			count, wait := p.take(now, request.Team, limit, request)
 			granted.Count, granted.WaitMS = count, uint32(wait.Milliseconds())
 			granted.NoShareYet = count == 0 && p.shareSum == 0
+			if n.opts.ScheduleReturns {
+				p.addReturns(now, limit, &request, &granted)
+			}
 		} else if ok {
 			granted.Count = request.Count
 		} else {
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -27,6 +27,7 @@
 	// releasedAt holds the time at which each VM took its share back. An offer with an
 	// earlier counter time is outdated.
 	releasedAt map[string]int64
+	leaseEnd   leaseEnd
 }
 
 // share is one daemon's share of the limits, as a fraction, and the end of its lease.
@@ -53,6 +54,7 @@
 	limitSeconds    float64
 	recoveredShares float64
 	usedAt          int64
+	returns         returnSchedule
 }
 
 func newPool(slack float64) *pool {
@@ -128,7 +130,7 @@
 		p.buckets[team] = b
 	}
 	b.tokens += limit.Rate*(p.limitSeconds-b.limitSeconds) + recoverySlackFraction*p.slack*(p.recoveredShares-b.recoveredShares)
-	b.tokens = min(b.tokens, p.capacity(limit))
+	b.tokens = min(b.tokens, p.capacity(limit)) - b.returns.takeDue(now)
 	b.limitSeconds, b.recoveredShares, b.usedAt = p.limitSeconds, p.recoveredShares, now
 	return b
 }
--- a/pkg/quota/tick.go
+++ b/pkg/quota/tick.go
@@ -44,6 +44,9 @@
 	previous := n.counters[group]
 	n.counters[group] = counter
 	if previous.Process != counter.Process || previous.Link != counter.Link {
+		if previous.Process != counter.Process {
+			n.resetReturns(group)
+		}
 		n.repeatRequests(now, group)
 		changed = true
 	}
@@ -136,6 +139,7 @@
 func (n *Node) dueRequests(now int64) (requests [Groups][]TokenRequest) {
 	for _, a := range n.accounts {
 		a.expire(now)
+		a.toReturn += a.returns.expire(now)
 		a.previous, a.recent = a.recent, 0
 		if a.toReturn > 0 || len(a.waiters) > int(a.requested) {
 			requests[a.group] = append(requests[a.group], a.tokenRequest(now))
