--- /dev/null
+++ b/pkg/forward/return_times_test.go
@@ -0,0 +1,117 @@
+package forward
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/quota"
+	"github.com/rushramp/rushramp/pkg/returns"
+	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/teams"
+)
+
+// honouredOfTestRoutes is the longest time that callers of a request without delay honour.
+const honouredOfTestRoutes = 320 * time.Millisecond
+
+// returnCauses returns the number of return times given by cause.
+func returnCauses(f *Forwarder, cause string) int {
+	return int(f.Metrics.GetOrCreateCounter(`rushramp_return_times_total{service="s",cause="` + cause + `"}`).Get())
+}
+
+// TestOverloadedServiceSchedulesReturns: an entry without data, such as a restarted one,
+// spreads routing.retry_after; one that sees no answers for some time tells the longest
+// time that callers honour.
+func TestOverloadedServiceSchedulesReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeRunner{answer: refuses(errkind.Overloaded, false)}
+		f := newForwarder(r)
+		distinct := map[time.Duration]bool{}
+		var last time.Duration
+		for range 20 {
+			got := f.Forward(t.Context(), newRequest("/read/1"))
+			must.NotNil(t, got.Refusal)
+			test.Between(t, 1, got.RetryAfter, honouredOfTestRoutes)
+			distinct[got.RetryAfter] = true
+			last = got.RetryAfter
+			time.Sleep(50 * time.Millisecond)
+		}
+		test.Greater(t, 1, len(distinct))
+		test.Eq(t, honouredOfTestRoutes, last)
+		test.Positive(t, returnCauses(f, string(returns.Default)))
+		test.Positive(t, returnCauses(f, string(returns.Longest)))
+	})
+}
+
+// TestReturnTimesFollowAnswersOfTheService: while it answers half of the requests.
+func TestReturnTimesFollowAnswersOfTheService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &fakeRunner{}
+		f := newForwarder(r)
+		for i := range 200 {
+			r.answer = answers(200)
+			if i%2 == 0 {
+				r.answer = refuses(errkind.Overloaded, false)
+			}
+			f.Forward(t.Context(), newRequest("/read/1"))
+			time.Sleep(5 * time.Millisecond)
+		}
+		test.Greater(t, returnCauses(f, string(returns.Longest)), returnCauses(f, string(returns.Scheduled)))
+	})
+}
+
+func TestReturnTimesOfServicesCanBeTurnedOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(&fakeRunner{answer: refuses(errkind.Overloaded, false)})
+		f.Settings.Routing.ScheduleReturns = false
+		for range 20 {
+			test.Eq(t, f.Settings.Routing.RetryAfter, f.Forward(t.Context(), newRequest("/read/1")).RetryAfter)
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// TestACallerOverItsTeamsLimitReturnsToAReservedToken, and others are told the longest
+// time that they honour.
+func TestACallerOverItsTeamsLimitReturnsToAReservedToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(&fakeRunner{answer: answers(200)})
+		setTeams(f, 4)
+		tick := enforceLimitsWith(f, true)
+		const threeTokens = 300 * time.Millisecond
+		time.Sleep(threeTokens)
+		for range 3 {
+			must.NotNil(t, f.Forward(t.Context(), newKeyedRequest("/post/1", "b")).Answer)
+		}
+		var times []time.Duration
+		for range 5 {
+			got := f.Forward(t.Context(), newKeyedRequest("/post/1", "b"))
+			must.NotNil(t, got.Refusal)
+			must.Eq(t, errkind.LimitUsed, got.Refusal.Kind)
+			times = append(times, got.RetryAfter)
+		}
+		test.Less(t, honouredOfTestRoutes, times[0])
+		test.Eq(t, honouredOfTestRoutes, times[4])
+		test.Eq(t, 1, returnCauses(f, string(quota.ReturnReserved)))
+		test.Eq(t, 4, returnCauses(f, string(quota.ReturnLongest)))
+		tick()
+		time.Sleep(times[0])
+		must.NotNil(t, f.Forward(t.Context(), newKeyedRequest("/post/1", "b")).Answer)
+		test.Eq(t, 1, f.Quota.Stats().ReturnsUsed)
+	})
+}
+
+// TestReturnRanksFollowTheOrderOfGates: the team's priority comes before the route's.
+func TestReturnRanksFollowTheOrderOfGates(t *testing.T) {
+	f := newForwarder()
+	rank := func(team, route uint8) int {
+		return (&attempts{forwarder: f, route: &routing.CompiledRoute{Route: routing.Route{Priority: route}}, team: &teams.Team{Priority: team}}).returnRank()
+	}
+	test.Less(t, rank(0, 1), rank(0, 0))
+	test.Less(t, rank(1, 0), rank(0, 200))
+	test.Positive(t, rank(0, 0), test.Sprint("rank 0 is that of calls by backend servers"))
+}
--- a/pkg/forward/team_test.go
+++ b/pkg/forward/team_test.go
@@ -42,8 +42,11 @@
 
 // enforceLimits makes this daemon the only one that counts requests of teams. The test must call
 // tick from time to time for it to go on counting.
-func enforceLimits(f *Forwarder) (tick func()) {
-	f.Quota = quota.NewNode(quota.Options{VM: "vm", Slack: 2, Window: 5 * time.Second, Limit: f.view.TeamLimit})
+func enforceLimits(f *Forwarder) (tick func()) { return enforceLimitsWith(f, false) }
+
+// enforceLimitsWith is enforceLimits with return times turned on or off.
+func enforceLimitsWith(f *Forwarder, scheduleReturns bool) (tick func()) {
+	f.Quota = quota.NewNode(quota.Options{VM: "vm", Slack: 2, Window: 5 * time.Second, ScheduleReturns: scheduleReturns, Limit: f.view.TeamLimit})
 	var ranked [quota.Groups][]quota.Peer
 	for g := range ranked {
 		ranked[g] = []quota.Peer{{Process: "vm"}}
