--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -105,6 +105,7 @@
 	}
 	p.shareSum += offer.size - previous.size
 	p.nextExpiry = min(p.nextExpiry, until)
+	p.leaseEnd.at = min(p.leaseEnd.at, until)
 	p.shares[offer.vm] = share{size: offer.size, until: max(until, previous.until)}
 }
 
--- a/pkg/quota/returns_test.go
+++ b/pkg/quota/returns_test.go
@@ -218,3 +218,14 @@
 	test.GreaterEq(t, (1-returnShare)*2*rate-1, float64(granted))
 	test.GreaterEq(t, returnShare*2*rate, float64(reserved))
 }
+
+// TestALateLeaseShortensReturnTimes: a lease that arrives late ends earlier than those
+// known before.
+func TestALateLeaseShortensReturnTimes(t *testing.T) {
+	n := countingNode(teams.Limit{Rate: 100, Burst: 5}, true)
+	n.ask(second, TokenRequest{Count: 1, Refused: 1})
+	n.HandleAsk(second, "b", &Ask{Group: uint8(GroupOf("red")), Members: 2, CounterTime: second - 400*millisecond, LeaseMS: uint32(minLease.Milliseconds())})
+	grant := n.ask(second, TokenRequest{Count: 1, Refused: 1000})
+	must.Positive(t, grant.Returns)
+	test.Less(t, 100, grant.ReturnMS+(grant.Returns-1)*grant.ReturnStepUS/1000)
+}
--- a/pkg/quota/returnschedule.go
+++ b/pkg/quota/returnschedule.go
@@ -37,7 +37,7 @@
 	remaining := s.pending[:0]
 	for _, batch := range s.pending {
 		if batch.first <= now {
-			passed := min(uint32((now-batch.first)/batch.step)+1, batch.count)
+			passed := uint32(min((now-batch.first)/batch.step+1, int64(batch.count)))
 			due += float64(passed)
 			batch.first += int64(passed) * batch.step
 			batch.count -= passed
