quota: keep scheduled return times after a refusal without a step

Cause: a daemon that held return times that no caller had been told requested none with its next token request. The counter's refusal then stated no step, and the daemon took the counter for one of an earlier release: callers were told the time of the next token although reserved tokens were in hand. Result: TestAGrantWithoutReturnTimesKeepsThoseInHand fails without the change.

--- a/pkg/quota/returns_test.go
+++ b/pkg/quota/returns_test.go
@@ -229,3 +229,21 @@
 	must.Positive(t, grant.Returns)
 	test.Less(t, 100, grant.ReturnMS+(grant.Returns-1)*grant.ReturnStepUS/1000)
 }
+
+// TestAGrantWithoutReturnTimesKeepsThoseInHand: a daemon that holds return times that
+// nobody was told of requests none, and the counter's refusal then states no step.
+func TestAGrantWithoutReturnTimesKeepsThoseInHand(t *testing.T) {
+	n := refusedNode(t, 3)
+	n.sent = nil
+	later := second + 60*millisecond
+	w, _ := n.takeOrWait(later, "red")
+	must.NotNil(t, w)
+	must.Len(t, 1, n.sent)
+	request := n.sent[0].TokenRequests[0]
+	test.Eq(t, 0, request.Refused)
+	refusal := TokenGrant{Team: "red", Requested: request.Count, AskedAt: later, WaitMS: 30}
+	n.HandleGrant(later, "b/1", &Grant{Group: uint8(GroupOf("red")), CounterTime: later, TokenGrants: []TokenGrant{refusal}})
+	after, cause := n.ReturnTime(later, "red", 200*time.Millisecond, 30*time.Millisecond)
+	test.Eq(t, 40*time.Millisecond, after)
+	test.Eq(t, ReturnReserved, cause)
+}
--- a/pkg/quota/returntimes.go
+++ b/pkg/quota/returntimes.go
@@ -20,8 +20,8 @@
 	reserved []reservedToken
 	// unmet counts the callers refused without a reserved token since the last request.
 	unmet uint32
-	// scheduled is true if the counter schedules return times, according to its last
-	// refusal. It is false for a counter of an earlier release.
+	// scheduled is true once the counter has shown that it schedules return times. It stays
+	// false for a counter of an earlier release.
 	scheduled bool
 	// unused counts the reserved tokens that expire has removed.
 	unused uint64
@@ -40,8 +40,6 @@
 func (r *returnTimes) add(now int64, grant *TokenGrant) {
 	if grant.ReturnStepUS > 0 {
 		r.scheduled = true
-	} else if grant.Count < grant.Requested && !grant.NoShareYet {
-		r.scheduled = false
 	}
 	delay := int64(grant.ReturnMS) * int64(time.Millisecond)
 	step := int64(grant.ReturnStepUS) * int64(time.Microsecond)
