returns, quota: bound the longest return time

Cause: a caller for which no token or capacity was expected was told 0.32 of its time left without a bound. With a timeout of one minute it was sent away for 19 s on the data of one second, or because the daemon held no reserved token at that moment. Change: the longest time is at most maxRetryAfter (5 s) for teams, as before return times, and the length of the schedule (5.12 s) for services. Result: TestTheLongestTimeIsBounded of both packages fails without the change.

--- a/pkg/quota/returns_test.go
+++ b/pkg/quota/returns_test.go
@@ -247,3 +247,12 @@
 	test.Eq(t, 40*time.Millisecond, after)
 	test.Eq(t, ReturnReserved, cause)
 }
+
+// TestTheLongestTimeIsBounded: callers with a long timeout must not be sent away for
+// minutes because a daemon holds no reserved token at the moment.
+func TestTheLongestTimeIsBounded(t *testing.T) {
+	n := refusedNode(t, 0)
+	after, cause := n.ReturnTime(second, "red", time.Minute, 50*time.Millisecond)
+	test.Eq(t, maxRetryAfter, after)
+	test.Eq(t, ReturnLongest, cause)
+}
--- a/pkg/quota/returntimes.go
+++ b/pkg/quota/returntimes.go
@@ -132,7 +132,7 @@
 
 // ReturnTime returns when a caller that Take refused should return: at the next return
 // time reserved by the counter within honoured, or else after honoured, the longest time
-// that the caller waits. nextToken is the RetryAfter of its verdict, which is used as it is
+// that the caller waits, or maxRetryAfter if that is shorter. nextToken is the RetryAfter of its verdict, which is used as it is
 // if the counter does not schedule return times.
 func (n *Node) ReturnTime(now int64, team string, honoured, nextToken time.Duration) (time.Duration, ReturnCause) {
 	n.mu.Lock()
@@ -146,7 +146,7 @@
 		return after, ReturnReserved
 	}
 	n.stats.ReturnsLongest++
-	return max(honoured, minRetryAfter), ReturnLongest
+	return min(max(honoured, minRetryAfter), maxRetryAfter), ReturnLongest
 }
 
 // expireReturns returns the reserved tokens of an account that were not used in time.
--- a/pkg/returns/returns.go
+++ b/pkg/returns/returns.go
@@ -78,6 +78,8 @@
 
 // Refuse records a refusal and returns when the caller should return.
 func (s *Schedule) Refuse(now int64, r Refused) (after time.Duration, cause Cause) {
+	// Data of one second must not keep callers with long timeouts away for minutes.
+	r.Honoured = min(r.Honoured, slotWidth*slotCount)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outcomes.record(now, false)
--- a/pkg/returns/returns_test.go
+++ b/pkg/returns/returns_test.go
@@ -69,6 +69,18 @@
 	test.Eq(t, 200*time.Millisecond, after)
 }
 
+// TestTheLongestTimeIsBounded: callers with a long timeout must not be sent away for
+// minutes on the data of one second.
+func TestTheLongestTimeIsBounded(t *testing.T) {
+	s := newTestSchedule()
+	for i := range int64(10) {
+		s.Refuse(second+i*30*millisecond, Refused{Honoured: time.Minute, Default: retryAfter})
+	}
+	after, cause := s.Refuse(second+300*millisecond, Refused{Honoured: time.Minute, Default: retryAfter})
+	test.Eq(t, Longest, cause)
+	test.Eq(t, slotWidth*slotCount, after)
+}
+
 func TestMoreUrgentCallersReturnFirst(t *testing.T) {
 	s := newTestSchedule()
 	now := shortService(s, 50)
