quota: request no return times where they are turned off

Cause: a daemon with teams.schedule_returns off still stated refused callers in its token requests. A counter that has the setting on reserved up to half of the team's rate for it, although the daemon tells no caller of these tokens. Change: such a daemon leaves Refused zero. Result: TestADaemonWithReturnTimesOffRequestsNone fails without the change.

--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -214,7 +214,7 @@
 	w := &waiter{verdict: make(chan Verdict, 1)}
 	a.waiters = append(a.waiters, w)
 	if len(a.waiters) > int(a.requested) && now >= a.deferredUntil {
-		n.requestTokens(now, a.group, []TokenRequest{a.tokenRequest(now)})
+		n.requestTokens(now, a.group, []TokenRequest{n.tokenRequest(now, a)})
 	}
 	select {
 	case verdict := <-w.verdict:
--- a/pkg/quota/returns_test.go
+++ b/pkg/quota/returns_test.go
@@ -256,3 +256,17 @@
 	test.Eq(t, maxRetryAfter, after)
 	test.Eq(t, ReturnLongest, cause)
 }
+
+// TestADaemonWithReturnTimesOffRequestsNone: its counter may have them on.
+func TestADaemonWithReturnTimesOffRequestsNone(t *testing.T) {
+	for _, schedule := range []bool{true, false} {
+		n := newRecordingNode()
+		n.opts.ScheduleReturns = schedule
+		n.tick(second, 3, "link")
+		n.sent = nil
+		n.takeOrWait(second, "red")
+		must.Len(t, 1, n.sent)
+		must.Positive(t, n.sent[0].TokenRequests[0].Count)
+		test.Eq(t, schedule, n.sent[0].TokenRequests[0].Refused > 0)
+	}
+}
--- a/pkg/quota/returntimes.go
+++ b/pkg/quota/returntimes.go
@@ -149,6 +149,16 @@
 	return min(max(honoured, minRetryAfter), maxRetryAfter), ReturnLongest
 }
 
+// tokenRequest builds the request for the missing tokens of an account, without return
+// times if they are turned off: reserved tokens would lie idle until they are due.
+func (n *Node) tokenRequest(now int64, a *account) TokenRequest {
+	out := a.tokenRequest(now)
+	if !n.opts.ScheduleReturns {
+		out.Refused = 0
+	}
+	return out
+}
+
 // expireReturns returns the reserved tokens of an account that were not used in time.
 func (n *Node) expireReturns(now int64, a *account) {
 	a.toReturn += a.returns.expire(now)
--- a/pkg/quota/tick.go
+++ b/pkg/quota/tick.go
@@ -104,7 +104,7 @@
 		}
 		a.requested, a.exhaustedUntil, a.deferredUntil = 0, 0, 0
 		if len(a.waiters) > 0 {
-			requests = append(requests, a.tokenRequest(now))
+			requests = append(requests, n.tokenRequest(now, a))
 		}
 	}
 	if len(requests) > 0 {
@@ -142,7 +142,7 @@
 		n.expireReturns(now, a)
 		a.previous, a.recent = a.recent, 0
 		if a.toReturn > 0 || len(a.waiters) > int(a.requested) {
-			requests[a.group] = append(requests[a.group], a.tokenRequest(now))
+			requests[a.group] = append(requests[a.group], n.tokenRequest(now, a))
 		}
 	}
 	return requests
