quota: no reserved tokens for very low rates

Cause: for a share of a limit below about 2e-10 requests per second, the step between reserved tokens overflowed its int64, and the time until the next token overflowed its Duration and became 10 ms. Each token request then reserved a token that the team had not earned. Change: both are bounded before they are converted. Result: TestReturnTimesOfAVeryLowRate fails without the change.

--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -167,8 +167,9 @@
 	if perSecond <= 0 {
 		return askInterval
 	}
-	wait := time.Duration((1 - tokens) / perSecond * float64(time.Second))
-	return min(max(wait, minRetryAfter), maxRetryAfter)
+	// The wait of a very low rate does not fit a Duration.
+	seconds := min((1-tokens)/perSecond, maxRetryAfter.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), minRetryAfter)
 }
 
 // bucketRetention is how long an unused bucket is kept. By then it is full again, so a
--- a/pkg/quota/returns_test.go
+++ b/pkg/quota/returns_test.go
@@ -270,3 +270,17 @@
 		test.Eq(t, schedule, n.sent[0].TokenRequests[0].Refused > 0)
 	}
 }
+
+// TestReturnTimesOfAVeryLowRate: the step in nanoseconds must not overflow, because tokens
+// that are not earned would then be reserved with each request.
+func TestReturnTimesOfAVeryLowRate(t *testing.T) {
+	for _, rate := range []float64{1e-4, 1e-10, 1e-11, 1e-13, 1e-20} {
+		n := countingNode(teams.Limit{Rate: rate, Burst: 1}, true)
+		for i := range int64(10) {
+			grant := n.ask(second+i*millisecond, TokenRequest{Count: 1, Refused: 10})
+			test.Eq(t, 0, grant.Count+grant.Returns, test.Sprintf("rate %g", rate))
+			test.Positive(t, grant.ReturnStepUS)
+			test.GreaterEq(t, uint32(askInterval.Milliseconds()), grant.WaitMS)
+		}
+	}
+}
--- a/pkg/quota/returnschedule.go
+++ b/pkg/quota/returnschedule.go
@@ -86,7 +86,9 @@
 		return returnBatch{}, false
 	}
 	b := p.bucketOf(now, team, limit)
-	step := max(int64(math.Ceil(1e6/(perSecond*returnShare))), 1) * int64(time.Microsecond)
+	// Any step beyond maxReturnDelay reserves one token at most, and fits ReturnStepUS.
+	stepUS := min(math.Ceil(1e6/(perSecond*returnShare)), math.MaxUint32)
+	step := max(int64(stepUS), 1) * int64(time.Microsecond)
 	earliest := now + int64(p.untilNextToken(limit, b.tokens))
 	end := min(now+int64(maxReturnDelay), p.earliestLeaseEnd(now))
 	return b.returns.reserve(wanted, earliest, end, step), true
@@ -103,7 +105,7 @@
 	if !ok {
 		return
 	}
-	granted.ReturnStepUS = uint32(min(batch.step/int64(time.Microsecond), math.MaxUint32))
+	granted.ReturnStepUS = uint32(batch.step / int64(time.Microsecond))
 	if batch.count > 0 {
 		granted.Returns = batch.count
 		granted.ReturnMS = uint32((batch.first - now + int64(time.Millisecond) - 1) / int64(time.Millisecond))
