returns: give return times for half of the rate of answers

Cause: return times took the whole rate at which a service answers, while new requests take the same capacity. In short, mild shortages callers returned after 20 to 40 ms and used up their retries within the shortage. Change: firstFree plans with returnShare, 0.5 of the rate, as for teams.

--- a/pkg/returns/returns.go
+++ b/pkg/returns/returns.go
@@ -17,6 +17,9 @@
 	slotCount = 256
 	// Ranks is the number of ranks that a schedule distinguishes; 0 is the most urgent.
 	Ranks = 8
+	// returnShare is the share of the rate of answers for which return times are given. The
+	// rest is for new requests, which take capacity without one.
+	returnShare = 0.5
 	// minDelay is the least return time: a caller that returns at once is refused again.
 	minDelay = slotWidth
 	// maxDefault is the largest default return time, as a multiple of the configured one,
@@ -114,7 +117,7 @@
 // answers per second, counted in slots from now. Return times given to less urgent callers
 // leave their capacity to it.
 func (s *Schedule) firstFree(now int64, perSecond float64, r Refused) (slot int64, ok bool) {
-	perSlot := perSecond * slotWidth.Seconds()
+	perSlot := returnShare * perSecond * slotWidth.Seconds()
 	rank, booked := clampRank(r.Rank), 0.0
 	first := now / int64(slotWidth)
 	last := min((now+int64(r.Honoured))/int64(slotWidth)-first, slotCount-1)
--- a/pkg/returns/simulation_test.go
+++ b/pkg/returns/simulation_test.go
@@ -1,6 +1,7 @@
 package returns
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -122,3 +123,73 @@
 		}
 	}
 }
+
+// shortageCase sums the callers that stay unserved over several runs of one load.
+type shortageCase struct {
+	load             float64
+	name             string
+	fixed, scheduled int
+}
+
+// runShortages runs a service of 20, 100 and 500 answers a second with shortages of several
+// lengths and loads.
+func runShortages() (cases []shortageCase) {
+	const seeds = 5
+	for _, load := range []float64{1.3, 2, 3} {
+		for _, perSecond := range []int{20, 100, 500} {
+			for _, shortageMS := range []int64{200, 500, 1000, 2000} {
+				c := shortageCase{load: load, name: fmt.Sprintf("%d/s, %d ms at load %g", perSecond, shortageMS, load)}
+				for seed := range uint64(seeds) {
+					fixed, scheduled := compare(perSecond, func(*rand.Rand) func(int64) int {
+						return shortages(rand.New(rand.NewPCG(seed, 3)), perSecond, load, shortageMS)
+					})
+					c.fixed += fixed.notServed
+					c.scheduled += scheduled.notServed
+				}
+				cases = append(cases, c)
+			}
+		}
+	}
+	return cases
+}
+
+// TestShortShortagesLeaveNoMoreUnserved, in sum at each load: callers that return too early
+// use up their retries within the shortage.
+func TestShortShortagesLeaveNoMoreUnserved(t *testing.T) {
+	fixed, scheduled := map[float64]int{}, map[float64]int{}
+	for _, c := range runShortages() {
+		fixed[c.load] += c.fixed
+		scheduled[c.load] += c.scheduled
+	}
+	for load := range fixed {
+		t.Logf("load %g: fixed %d unserved, scheduled %d", load, fixed[load], scheduled[load])
+		test.LessEq(t, fixed[load], scheduled[load], test.Sprintf("load %g", load))
+	}
+}
+
+// TestEachShortShortageLeavesNoMoreUnserved: a gain in long shortages must not hide a loss
+// in short ones.
+func TestEachShortShortageLeavesNoMoreUnserved(t *testing.T) {
+	for _, c := range runShortages() {
+		t.Logf("%s: fixed %d unserved, scheduled %d", c.name, c.fixed, c.scheduled)
+		test.LessEq(t, c.fixed, c.scheduled, test.Sprint(c.name))
+	}
+}
+
+// shortages returns the new requests of each millisecond at half of the capacity, and at
+// load times the capacity for shortageMS every 3 s.
+func shortages(random *rand.Rand, perSecond int, load float64, shortageMS int64) func(ms int64) int {
+	const everyMS, loadBetween = 3000, 0.5
+	return func(ms int64) (count int) {
+		share := loadBetween
+		if ms%everyMS < shortageMS {
+			share = load
+		}
+		for expected := share * float64(perSecond) / 1000; expected > 0; expected-- {
+			if random.Float64() < expected {
+				count++
+			}
+		}
+		return count
+	}
+}
