returns, quota, forward: bound return times by the caller's target

Cause: the longest time that a caller honours follows its timeout, not its target. Change: the longest time is the shorter of what the caller honours and of what is left of its target after the expected run time; no scheduled or reserved time beyond it is given out, and the default is spread within it. Where less than 20 ms are left, the caller gets the behaviour of the fixed time, under the new cause target_unreachable: routing.retry_after with spread for services, the time of the next token for teams. rushramp_team_returns counts these callers as unreachable. Conclusion: the bound alone does not make up for the callers that are served late: the entry counts the target from each request, so the second return of a caller is late.

--- a/pkg/daemon/teams.go
+++ b/pkg/daemon/teams.go
@@ -29,10 +29,11 @@
 		set.GetOrCreateGauge(`rushramp_team_tokens{outcome="`+outcome+`"}`, func() float64 { return float64(read(node.Stats())) })
 	}
 	for outcome, read := range map[string]func(quota.Stats) uint64{
-		"reserved": func(s quota.Stats) uint64 { return s.ReturnsReserved },
-		"longest":  func(s quota.Stats) uint64 { return s.ReturnsLongest },
-		"used":     func(s quota.Stats) uint64 { return s.ReturnsUsed },
-		"unused":   func(s quota.Stats) uint64 { return s.ReturnsUnused },
+		"reserved":    func(s quota.Stats) uint64 { return s.ReturnsReserved },
+		"longest":     func(s quota.Stats) uint64 { return s.ReturnsLongest },
+		"unreachable": func(s quota.Stats) uint64 { return s.ReturnsUnreachable },
+		"used":        func(s quota.Stats) uint64 { return s.ReturnsUsed },
+		"unused":      func(s quota.Stats) uint64 { return s.ReturnsUnused },
 	} {
 		set.GetOrCreateGauge(`rushramp_team_returns{outcome="`+outcome+`"}`, func() float64 { return float64(read(node.Stats())) })
 	}
--- a/pkg/forward/return_times.go
+++ b/pkg/forward/return_times.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/quota"
 	"github.com/rushramp/rushramp/pkg/returns"
 	"github.com/rushramp/rushramp/pkg/utils"
 )
@@ -13,6 +14,10 @@
 	return time.Duration(retryAfterShare * float64(a.timeLeft()))
 }
 
+// usefulReturnTime returns the longest Retry-After after which the request can still be
+// answered within its target. It is negative if the target cannot be met any more.
+func (a *attempts) usefulReturnTime() time.Duration { return a.usefulTime() - a.expectedWork() }
+
 // setReturnTime sets when the caller should return, if its request was refused because of
 // an overload. It also records answers, from which the schedule of the service learns the
 // capacity.
@@ -29,7 +34,7 @@
 	schedule := a.forwarder.returns.ForService(a.service)
 	switch {
 	case overload:
-		after, cause := schedule.Refuse(now, returns.Refused{Rank: a.returnRank(), Honoured: a.honouredTime(), Default: settings.RetryAfter})
+		after, cause := schedule.Refuse(now, returns.Refused{Rank: a.returnRank(), Honoured: a.honouredTime(), Useful: a.usefulReturnTime(), Default: settings.RetryAfter})
 		result.RetryAfter = after
 		a.recordReturnCause(string(cause))
 	case result.Answer != nil && result.Answer.Status < 500:
@@ -55,7 +60,7 @@
 // setTeamReturnTime sets when a caller whose team is over its limit should return.
 // nextToken is the time until the team's next token.
 func (a *attempts) setTeamReturnTime(result *call.Result, nextToken time.Duration) {
-	after, cause := a.forwarder.Quota.ReturnTime(a.forwarder.Now(), a.team.Name, a.honouredTime(), nextToken)
+	after, cause := a.forwarder.Quota.ReturnTime(a.forwarder.Now(), a.team.Name, quota.RefusedCaller{Honoured: a.honouredTime(), Useful: a.usefulReturnTime(), NextToken: nextToken})
 	result.RetryAfter = after
 	a.recordReturnCause(string(cause))
 }
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -108,9 +108,11 @@
 	// Back tokens returned for requests that were not run.
 	Asked, Granted, Refused, Unsure, Back uint64
 	// ReturnsReserved and ReturnsLongest count refused callers that were told a return time
-	// with a reserved token, or the longest time that they honour. ReturnsUsed counts
-	// reserved tokens that a request has taken, ReturnsUnused those that were returned.
-	ReturnsReserved, ReturnsLongest, ReturnsUsed, ReturnsUnused uint64
+	// with a reserved token, or the longest useful time that they honour.
+	// ReturnsUnreachable counts those that cannot be answered within their target.
+	// ReturnsUsed counts reserved tokens that a request has taken, ReturnsUnused those that
+	// were returned.
+	ReturnsReserved, ReturnsLongest, ReturnsUnreachable, ReturnsUsed, ReturnsUnused uint64
 }
 
 // count records a verdict.
--- a/pkg/quota/returntimes.go
+++ b/pkg/quota/returntimes.go
@@ -11,6 +11,9 @@
 	maxReturnsPerRequest = 64
 	// maxReservedTokens bounds the reserved tokens that a daemon holds for one team.
 	maxReservedTokens = 512
+	// minUsefulReturn is the least useful time with which a caller gets a scheduled return
+	// time.
+	minUsefulReturn = 20 * time.Millisecond
 )
 
 // returnTimes is a daemon's state of the return times of one team: the tokens that the
@@ -80,14 +83,14 @@
 }
 
 // assign returns the time until the earliest return time that no caller was told yet, if
-// it is at most honoured.
-func (r *returnTimes) assign(now int64, honoured time.Duration) (after time.Duration, ok bool) {
+// it is at most longest.
+func (r *returnTimes) assign(now int64, longest time.Duration) (after time.Duration, ok bool) {
 	for i := range r.reserved {
 		token := &r.reserved[i]
 		if token.told || token.due <= now {
 			continue
 		}
-		if token.due-now > int64(honoured) {
+		if token.due-now > int64(longest) {
 			break
 		}
 		token.told = true
@@ -125,28 +128,48 @@
 	ReturnNextToken ReturnCause = "next_token"
 	// ReturnReserved is the time at which a token is reserved for the caller.
 	ReturnReserved ReturnCause = "token_reserved"
-	// ReturnLongest is the longest time that the caller honours, because no token is
+	// ReturnLongest is the longest useful time that the caller honours, because no token is
 	// expected before.
 	ReturnLongest ReturnCause = "no_token_expected"
+	// ReturnUnreachable is the time of the team's next token, because no return can be
+	// answered within the caller's target.
+	ReturnUnreachable ReturnCause = "target_unreachable"
 )
 
+// RefusedCaller describes a caller that Take refused.
+type RefusedCaller struct {
+	// Honoured is the longest return time that the caller honours.
+	Honoured time.Duration
+	// Useful is the longest return time after which its request can still be answered
+	// within its target.
+	Useful time.Duration
+	// NextToken is the RetryAfter of its verdict.
+	NextToken time.Duration
+}
+
 // ReturnTime returns when a caller that Take refused should return: at the next return
-// time reserved by the counter within honoured, or else after honoured, the longest time
-// that the caller waits, or maxRetryAfter if that is shorter. nextToken is the RetryAfter of its verdict, which is used as it is
-// if the counter does not schedule return times.
-func (n *Node) ReturnTime(now int64, team string, honoured, nextToken time.Duration) (time.Duration, ReturnCause) {
+// time reserved by the counter that is useful and that the caller honours, or else after
+// the longest such time, or maxRetryAfter if that is shorter. It is the time of the next
+// token if the counter does not schedule return times, or no return is useful: the reserved
+// tokens are then for callers that can still be answered within their targets.
+func (n *Node) ReturnTime(now int64, team string, c RefusedCaller) (time.Duration, ReturnCause) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	a := n.accountOf(team)
 	if !n.opts.ScheduleReturns || !a.returns.scheduled {
-		return nextToken, ReturnNextToken
+		return c.NextToken, ReturnNextToken
+	}
+	if c.Useful < minUsefulReturn {
+		n.stats.ReturnsUnreachable++
+		return c.NextToken, ReturnUnreachable
 	}
-	if after, ok := a.returns.assign(now, honoured); ok {
+	longest := min(c.Honoured, c.Useful)
+	if after, ok := a.returns.assign(now, longest); ok {
 		n.stats.ReturnsReserved++
 		return after, ReturnReserved
 	}
 	n.stats.ReturnsLongest++
-	return min(max(honoured, minRetryAfter), maxRetryAfter), ReturnLongest
+	return min(max(longest, minRetryAfter), maxRetryAfter), ReturnLongest
 }
 
 // tokenRequest builds the request for the missing tokens of an account, without return
--- a/pkg/returns/returns.go
+++ b/pkg/returns/returns.go
@@ -38,8 +38,12 @@
 const (
 	// Scheduled is a return time of the caller's own, at which capacity is expected.
 	Scheduled Cause = "capacity_expected"
-	// Longest is the longest time that the caller honours: no capacity is expected before.
+	// Longest is the longest useful time that the caller honours: no capacity is expected
+	// before.
 	Longest Cause = "no_capacity_expected"
+	// Unreachable is the configured time with a random spread, because no return can be
+	// answered within the caller's target.
+	Unreachable Cause = "target_unreachable"
 	// Default is the configured time with a random spread, for want of data.
 	Default Cause = "default"
 )
@@ -50,7 +54,11 @@
 	Rank int
 	// Honoured is the longest return time that the caller honours.
 	Honoured time.Duration
-	// Default is the return time for a caller about whose service too little is known.
+	// Useful is the longest return time after which its request can still be answered
+	// within its target.
+	Useful time.Duration
+	// Default is the return time for a caller about whose service too little is known, or
+	// whose target cannot be met.
 	Default time.Duration
 }
 
@@ -86,6 +94,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outcomes.record(now, false)
+	if r.Useful < minDelay {
+		return s.defaultTime(r), Unreachable
+	}
+	r.Honoured = min(r.Honoured, r.Useful)
 	perSecond, ok := s.outcomes.capacity(now)
 	if !ok {
 		return s.defaultTime(r), Default
