quota: keep two returns of a caller within its target

Cause: a daemon counts the target from the request that it refuses, since it does not know of earlier ones. A caller that was told all of its useful time came back at its last moment, and was sent away for the same time again when it was refused a second time. Change: a return time of a team takes at most usefulShare, 0.32 of the useful time; the least useful time of 20 ms applies to that.

--- a/pkg/quota/returns_model_test.go
+++ b/pkg/quota/returns_model_test.go
@@ -289,6 +289,7 @@
 	for _, m := range []*callersModel{&off, &on} {
 		t.Logf("%d served, %d of them within the target and %d on return, %d not; %.2f refusals per caller not served", m.served, m.inTarget, m.servedOnReturn, m.notServed, m.refusalsPerUnserved())
 	}
+	test.GreaterEq(t, off.inTarget, on.inTarget)
 	test.GreaterEq(t, off.served, on.served)
 }
 
--- a/pkg/quota/returntimes.go
+++ b/pkg/quota/returntimes.go
@@ -11,6 +11,10 @@
 	maxReturnsPerRequest = 64
 	// maxReservedTokens bounds the reserved tokens that a daemon holds for one team.
 	maxReservedTokens = 512
+	// usefulShare is the share of a caller's useful time that one return may take: a daemon
+	// does not know of earlier requests of a caller, and its second return and the wait for
+	// a token must lie within its target, too.
+	usefulShare = 0.32
 	// minUsefulReturn is the least useful time with which a caller gets a scheduled return
 	// time.
 	minUsefulReturn = 20 * time.Millisecond
@@ -159,11 +163,12 @@
 	if !n.opts.ScheduleReturns || !a.returns.scheduled {
 		return c.NextToken, ReturnNextToken
 	}
-	if c.Useful < minUsefulReturn {
+	useful := time.Duration(usefulShare * float64(c.Useful))
+	if useful < minUsefulReturn {
 		n.stats.ReturnsUnreachable++
 		return c.NextToken, ReturnUnreachable
 	}
-	longest := min(c.Honoured, c.Useful)
+	longest := min(c.Honoured, useful)
 	if after, ok := a.returns.assign(now, longest); ok {
 		n.stats.ReturnsReserved++
 		return after, ReturnReserved
