--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -27,6 +27,7 @@
 	// releasedAt holds the time at which each VM took its share back. An offer with an
 	// earlier counter time is outdated.
 	releasedAt map[string]int64
+	leaseEnd   leaseEnd
 }
 
 // share is one daemon's share of the limits, as a fraction, and the end of its lease.
@@ -53,6 +54,7 @@
 	limitSeconds    float64
 	recoveredShares float64
 	usedAt          int64
+	returns         returnSchedule
 }
 
 func newPool(slack float64) *pool {
@@ -103,6 +105,7 @@
 	}
 	p.shareSum += offer.size - previous.size
 	p.nextExpiry = min(p.nextExpiry, until)
+	p.leaseEnd.at = min(p.leaseEnd.at, until)
 	p.shares[offer.vm] = share{size: offer.size, until: max(until, previous.until)}
 }
 
@@ -128,7 +131,7 @@
 		p.buckets[team] = b
 	}
 	b.tokens += limit.Rate*(p.limitSeconds-b.limitSeconds) + recoverySlackFraction*p.slack*(p.recoveredShares-b.recoveredShares)
-	b.tokens = min(b.tokens, p.capacity(limit))
+	b.tokens = min(b.tokens, p.capacity(limit)) - b.returns.takeDue(now)
 	b.limitSeconds, b.recoveredShares, b.usedAt = p.limitSeconds, p.recoveredShares, now
 	return b
 }
@@ -164,8 +167,9 @@
 	if perSecond <= 0 {
 		return askInterval
 	}
-	wait := time.Duration((1 - tokens) / perSecond * float64(time.Second))
-	return min(max(wait, minRetryAfter), maxRetryAfter)
+	// The wait of a very low rate does not fit a Duration.
+	seconds := min((1-tokens)/perSecond, maxRetryAfter.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), minRetryAfter)
 }
 
 // bucketRetention is how long an unused bucket is kept. By then it is full again, so a
