--- a/pkg/gate/places_test.go
+++ b/pkg/gate/places_test.go
@@ -59,6 +59,25 @@
 	test.StrContains(t, refusal.Detail, "the queue is full")
 }
 
+// TestPlacesMayTakeFreeSlots checks that the queue length does not refuse large bodies while
+// slots are free, and that it does so beyond them.
+func TestPlacesMayTakeFreeSlots(t *testing.T) {
+	for _, queueLength := range []int{0, 2} {
+		g := newPlacesGate(3, queueLength)
+		_, refusal := g.Admit(1, routedJob(1, 5000))
+		must.Nil(t, refusal)
+		for range 2 + queueLength {
+			must.Nil(t, g.Reserve(1, routedJob(1, 5000), 0))
+		}
+		refusal = g.Reserve(1, routedJob(1, 5000), 0)
+		must.NotNil(t, refusal)
+		test.StrContains(t, refusal.Detail, "the queue is full")
+		run, refusal := g.Admit(1, routedJob(1, 5000))
+		test.Nil(t, refusal)
+		test.True(t, run)
+	}
+}
+
 // TestTransferTimeDecides checks that a job is refused if it would end too late because of its
 // transfer, although a slot is free, and that the transfer and the wait for a slot overlap.
 func TestTransferTimeDecides(t *testing.T) {
@@ -89,6 +108,42 @@
 	test.Zero(t, g.InFlight())
 }
 
+// TestLateProbeStartsWithItsBody checks that a late probe with a place starts when its body has
+// arrived, that a second one in the same interval is refused, and that it is refused if no slot
+// is free any more.
+func TestLateProbeStartsWithItsBody(t *testing.T) {
+	for _, busy := range []int{8, 10} {
+		g := newPlacesGate(10, 10)
+		for range 8 {
+			_, refusal := g.Admit(1, routedJob(1, 5000))
+			must.Nil(t, refusal)
+		}
+		probe := &Job{Work: 100 * time.Millisecond, EndBy: 50 * ms, Deadline: 1000 * ms}
+		must.Nil(t, g.Reserve(1, probe, 10*time.Millisecond))
+		must.NotNil(t, g.Reserve(1, &Job{Work: 100 * time.Millisecond, EndBy: 50 * ms, Deadline: 1000 * ms}, 10*time.Millisecond))
+		for range busy - 8 {
+			_, refusal := g.Admit(1, routedJob(1, 5000))
+			must.Nil(t, refusal)
+		}
+		run, refusal := g.Admit(10*ms, probe)
+		test.Eq(t, busy == 8, run)
+		test.Eq(t, busy == 8, refusal == nil)
+	}
+}
+
+// TestBodyAfterTheDeadlineIsRefused checks that a job does not start if its body arrives when
+// its deadline has passed.
+func TestBodyAfterTheDeadlineIsRefused(t *testing.T) {
+	g := newPlacesGate(1, 10)
+	job := &Job{Deadline: 100 * ms}
+	must.Nil(t, g.Reserve(1, job, 0))
+	run, refusal := g.Admit(100*ms, job)
+	test.False(t, run)
+	must.NotNil(t, refusal)
+	test.Eq(t, errkind.DeadlineBeforeRun, refusal.Kind)
+	test.Zero(t, g.InFlight())
+}
+
 // TestPlacedJobIsAdmitted checks that a job starts, waits or is refused when its body has
 // arrived, and that it is not refused as soft.
 func TestPlacedJobIsAdmitted(t *testing.T) {
