Free shares early after restarts; no limit_used without all shares

Cause: a restarted daemon waited for the lease of its previous process whoever could hold it (2 s at 300 daemons), missed up to one renewal interval after that, and shares lost what they had not earned. A counter with few shares, or with an empty bucket after a loss, answered limit_used. Requests that waited without tokens requested for them were refused with a grant for other requests.

Change: daemons know lower bounds of the starts of processes (Hello.UptimeMS, new fields UptimeMS of Ask and OldestMS of Grant). A share is free if all members' processes started after the previous one had ended. A live counter says that it holds the share (HoldsShare), and the daemon takes that lease over. A lease ends when its holder's VM runs a newer process. A free share is leased at once, with the time that it did not earn (UnearnedMS). A counter defers its answer while its shares do not cover the limit, or briefly after shares with lost tokens arrived (HistoryLost). Restarted daemons grant no recovery tokens in their first window. A renewal never shortens a lease. Stale times passed to a node are raised to the latest one. Event 524, gauge rushramp_team_requests_deferred.

At 300, with 60 in 100 and the counter restarted, leases of live processes are waited for.

--- a/pkg/daemon/teams.go
+++ b/pkg/daemon/teams.go
@@ -27,5 +27,6 @@
 	} {
 		set.GetOrCreateGauge(`rushramp_team_tokens{outcome="`+outcome+`"}`, func() float64 { return float64(read(node.Stats())) })
 	}
+	set.GetOrCreateGauge("rushramp_team_requests_deferred", func() float64 { return float64(node.Stats().Deferred) })
 	set.GetOrCreateGauge("rushramp_team_questions", func() float64 { return float64(node.Stats().Asked) })
 }
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -74,6 +74,7 @@
 	ContentReleased     ID = 519
 	InvalidRecord       ID = 520
 	QuotaCounterChanged ID = 521
+	QuotaShareFree      ID = 524
 	ClaimLost           ID = 601
 	ClaimVoided         ID = 602
 	ClaimUnknown        ID = 603
@@ -163,6 +164,7 @@
 		{ContentReleased, Info, "requests of one content are no longer quarantined", false, "The quarantine has expired, or a backend server has completed such a request; field why says which.", "Nothing."},
 		{InvalidRecord, Warn, "invalid announcement or store row ignored", false, "An announcement, or a row of the store, lacks a field, has a field of the wrong type, holds an unknown state or service, or cannot be decoded.", "Field what names the sender or the row: find out which program writes it. Its content is not used; other announcements and rows still are."},
 		{QuotaCounterChanged, Debug, "another daemon counts the requests of teams", false, "The daemon that counted the requests of a group of teams cannot be reached, or one with a higher rank is back; counter is the VM and process of the new one.", "Nothing for a single one. While it repeats within seconds, teams may be refused below their limit: check the network between the named VMs."},
+		{QuotaShareFree, Info, "a restarted daemon's share of the limits is free", false, "No process holds a lease of the daemon's previous process any more. known is true if the daemon learned that all processes started after that one had ended, false if it waited for the lease; after_ms is the time since its start.", "Nothing for a single one. If known is false after a restart of all daemons, one of them did not restart or has no link with the counters: compare the starts of all VMs."},
 		{ClaimLost, Info, "claim taken by another executor", false, "Two executors tried the same never-repeat call; only one may run it.", "Nothing."},
 		{ClaimVoided, Info, "unused claim voided", false, "This executor had claimed a call but did not send it to the backend server.", "Nothing."},
 		{ClaimUnknown, Warn, "claim outcome unknown", false, "The store answered neither the write of the claim nor the read after it in time. The call was not run.", "Check the platform's table service."},
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -62,6 +62,7 @@
 // DialClient opens a link to the daemon at address and sends the hello frame. The caller
 // must call Run.
 func DialClient(ctx context.Context, c *common.Common, handler Handler, address string, opts DialOptions) (*Client, error) {
+	openedAfter := c.Now()
 	dialer := websocket.Dialer{NetDialContext: opts.Dial, TLSClientConfig: opts.TLS, HandshakeTimeout: writeTimeout}
 	scheme := "ws://"
 	if opts.TLS != nil {
@@ -77,7 +78,7 @@
 		return nil, err
 	}
 	cl := &Client{
-		Peer:    &Peer{Conn: newConn(ws, codec, c.Traffic, opts.HeartbeatTiming), Outgoing: true},
+		Peer:    &Peer{Conn: newConn(ws, codec, c.Traffic, opts.HeartbeatTiming), Outgoing: true, OpenedAfter: openedAfter},
 		handler: handler, location: c.Location(),
 		maxBody: c.Settings.Limits.MaxBodyBytes,
 		pending: map[uint64]*pendingCall{},
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -49,6 +49,9 @@
 	Hello wire.Hello
 	// Outgoing is true if this daemon opened the link.
 	Outgoing bool
+	// OpenedAfter is a time of this daemon's clock (Common.Now) before the peer sent its
+	// hello frame.
+	OpenedAfter int64
 }
 
 // serve reads frames until the link ends, and returns the cause. The first frame must be a
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -83,6 +83,8 @@
 		http.Error(w, "this daemon has reached the limit of links (limits.links)", http.StatusServiceUnavailable)
 		return
 	}
+	// A client sends its hello frame only after the answer to its upgrade.
+	openedAfter := s.Now()
 	ws, err := s.upgrader.Upgrade(w, r, nil)
 	if err != nil {
 		return
@@ -94,7 +96,7 @@
 	}
 	sess := &session{
 		server: s,
-		Peer:   &Peer{Conn: newConn(ws, codec, s.Traffic, s.timing)},
+		Peer:   &Peer{Conn: newConn(ws, codec, s.Traffic, s.timing), OpenedAfter: openedAfter},
 		calls:  map[uint64]*incomingCall{},
 	}
 	sess.run()
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -18,8 +18,8 @@
 	// exhaustedUntil is the time before which the counter has no token for the team,
 	// according to its last grant.
 	exhaustedUntil int64
-	// deferredUntil is the time before which only the periodic round requests tokens
-	// again.
+	// deferredUntil is the time before which no tokens are requested again, because the
+	// counter's shares did not cover the limit.
 	deferredUntil int64
 	// recent counts the requests of the team in the current askInterval, previous those
 	// in the one before.
@@ -77,13 +77,16 @@
 		a.answerFirst(Verdict{Granted: true})
 	}
 	if grant.NoShareYet {
-		// The next periodic round requests the tokens again.
-		a.deferredUntil = now + int64(askInterval)
+		// A later round requests the tokens again.
+		a.deferredUntil = now + int64(shareRetryInterval)
 		return
 	}
-	if grant.Count < grant.Requested {
-		a.exhaustedUntil = now + int64(retryAfter)
+	if grant.Count >= grant.Requested {
+		// The counter has not said that it has no more tokens. A later round requests those
+		// of the other waiting requests.
+		return
 	}
+	a.exhaustedUntil = now + int64(retryAfter)
 	// Requests whose tokens were requested and not answered yet keep waiting.
 	for len(a.waiters) > int(a.requested) {
 		a.answerFirst(Verdict{RetryAfter: retryAfter})
--- a/pkg/quota/members_test.go
+++ b/pkg/quota/members_test.go
@@ -58,8 +58,8 @@
 func TestRestartedDaemonWaitsForItsPreviousLease(t *testing.T) {
 	n := NewNode(Options{VM: "a", Restarted: true, RestartAfter: 300 * time.Millisecond})
 	n.members.count = 10
-	test.True(t, n.mayLease(int64(200*time.Millisecond)))
+	test.True(t, n.mayLease(int64(200*time.Millisecond), 0))
 	n.members.count = 640
-	test.False(t, n.mayLease(4*second))
-	test.True(t, n.mayLease(5*second))
+	test.False(t, n.mayLease(4*second, 0))
+	test.True(t, n.mayLease(5*second, 0))
 }
--- a/pkg/quota/model_test.go
+++ b/pkg/quota/model_test.go
@@ -30,7 +30,7 @@
 	return (l.Rate*windowSeconds+l.Burst)*(1+overshoot) + slack
 }
 
-// frame is an Ask or a Grant in flight.
+// frame is an Ask, a Grant or a hello in flight.
 type frame struct {
 	// at is the earliest time of delivery.
 	at       int64
@@ -41,6 +41,19 @@
 	process    string
 	ask        *Ask
 	grant      *Grant
+	hello      *helloModel
+}
+
+// helloModel is the first frame on a link. openedAfter is on the receiver's clock.
+type helloModel struct {
+	openedAfter int64
+	uptimeMS    uint64
+}
+
+// linkModel is a daemon's link to another process.
+type linkModel struct {
+	process string
+	start   ProcessStart
 }
 
 // daemonModel is a simulated daemon with its own clock.
@@ -54,7 +67,24 @@
 	startedAt   int64
 	restartAt   int64
 	frozenUntil int64
-	waiters     []*waiter
+	waiters     []waitingRequest
+	// previousRelease is true for a daemon that states no uptime.
+	previousRelease bool
+	// opened holds the generation of the process to which a link was last opened, links the
+	// links whose hello has arrived, by daemon.
+	opened map[int]int
+	links  map[int]linkModel
+	// linkedAt is the world time of this process's first link, listReadAt that from which
+	// it knows the VMs.
+	linkedAt   int64
+	listReadAt int64
+	listRead   bool
+}
+
+// waitingRequest is a request that has waited for a token since a time of the world.
+type waitingRequest struct {
+	*waiter
+	since int64
 }
 
 // now converts world time to the daemon's clock.
@@ -82,8 +112,35 @@
 	delay, maxExtraDelay time.Duration
 	// members returns the member count that a daemon knows.
 	members func(daemon int) uint32
+	// maxWait is how long a request waits for a token; 0: without end.
+	maxWait time.Duration
+	// hubsOnly is true in a fleet where daemons have links only to the daemons that may
+	// count a group, as in a large one.
+	hubsOnly bool
+	hubs     map[int]bool
+	// listDelay is how long a restarted daemon does not know the VMs, linkSpread the range
+	// of the random time after which it opens a link.
+	listDelay, linkSpread time.Duration
+	// linksMissing is true while two processes have no link that should have one.
+	linksMissing bool
+	// unsure counts the requests that were not answered within maxWait, lastUnsureAt is the
+	// time of the last one.
+	unsure       int
+	lastUnsureAt int64
+	// refusals holds the requests that were refused as over the limit.
+	refusals []refusal
+}
+
+// refusal is a request refused as over the limit. sinceLinked is the time since the first
+// link of its daemon.
+type refusal struct {
+	at          int64
+	sinceLinked time.Duration
 }
 
+// counterLinks is how many daemons of each group's ranking every daemon has links to.
+const counterLinks = 3
+
 func newWorld(n int, limit teams.Limit, seed uint64) *world {
 	w := &world{random: rand.New(rand.NewPCG(seed, 1)), limit: limit, team: "red", partition: make([]int, n), delay: 2 * time.Millisecond}
 	w.members = func(int) uint32 { return uint32(n) }
@@ -100,10 +157,50 @@
 			return cmp.Compare(utils.RendezvousWeight(fmt.Sprint(g), w.daemons[b].vm), utils.RendezvousWeight(fmt.Sprint(g), w.daemons[a].vm))
 		})
 	}
+	w.hubs = map[int]bool{}
+	for g := range Groups {
+		for _, j := range w.ranking[g][:min(n, counterLinks)] {
+			w.hubs[j] = true
+		}
+	}
+	for i := range w.daemons {
+		w.linkAtStart(i)
+	}
 	return w
 }
 
+// linkAtStart gives a daemon the links to all others that it has at the start of the
+// simulation.
+func (w *world) linkAtStart(i int) {
+	d := w.daemons[i]
+	for j, other := range w.daemons {
+		if j != i {
+			start := ProcessStart{Known: true}
+			d.opened[j], d.links[j] = other.generation, linkModel{process: other.process(), start: start}
+			d.node.ObserveStart(other.vm, start)
+		}
+	}
+	w.readList(i)
+}
+
+// readList tells a daemon the VMs.
+func (w *world) readList(i int) {
+	var vms []string
+	for j, other := range w.daemons {
+		if j != i {
+			vms = append(vms, other.vm)
+		}
+	}
+	w.daemons[i].node.SetVMs(vms, true)
+	w.daemons[i].listRead = true
+}
+
 func (w *world) start(d *daemonModel, restarted bool) {
+	d.opened, d.links, d.linkedAt = map[int]int{}, map[int]linkModel{}, 0
+	d.listRead, d.listReadAt, w.linksMissing = false, w.now, true
+	if restarted {
+		d.listReadAt += int64(w.listDelay)
+	}
 	d.node = NewNode(Options{VM: d.vm, Slack: slack, Window: windowSeconds * time.Second, Restarted: restarted, RestartAfter: restartAfter, Limit: func(string) (teams.Limit, bool) { return w.limit, true }})
 	d.waiters = nil
 }
@@ -131,14 +228,76 @@
 			w.start(d, true)
 		}
 	}
+	w.openLinks()
 	w.deliver()
 	for i, d := range w.daemons {
-		if d.restartAt == 0 && w.now >= d.frozenUntil {
+		if w.runs(d) {
 			w.tick(i, d)
 		}
 	}
 }
 
+// runs reports whether a daemon's process runs and is not frozen.
+func (w *world) runs(d *daemonModel) bool { return d.restartAt == 0 && w.now >= d.frozenUntil }
+
+// openLinks opens the missing links between processes that can reach each other.
+func (w *world) openLinks() {
+	if !w.linksMissing {
+		return
+	}
+	w.linksMissing = false
+	for i := range w.daemons {
+		for j := range i {
+			if w.hubsOnly && !w.hubs[i] && !w.hubs[j] || w.haveLink(i, j) {
+				continue
+			}
+			if !w.canLink(i, j) {
+				w.linksMissing = true
+				continue
+			}
+			w.openLink(i, j)
+			w.openLink(j, i)
+		}
+	}
+}
+
+// haveLink reports whether a link was opened between the present processes of two daemons.
+func (w *world) haveLink(i, j int) bool {
+	a, b := w.daemons[i], w.daemons[j]
+	toB, okB := a.opened[j]
+	toA, okA := b.opened[i]
+	return okA && okB && toB == b.generation && toA == a.generation
+}
+
+// canLink reports whether a link between two daemons opens now. Its delay differs between
+// pairs.
+func (w *world) canLink(i, j int) bool {
+	a, b := w.daemons[i], w.daemons[j]
+	delay := int64((i*31+j*17)%10) * int64(w.linkSpread) / 10
+	return w.runs(a) && w.runs(b) && w.connected(i, j) && w.now-max(a.startedAt, b.startedAt) >= delay
+}
+
+// openLink sends the hello of daemon j to daemon i over a new link.
+func (w *world) openLink(i, j int) {
+	d, other := w.daemons[i], w.daemons[j]
+	d.opened[j] = other.generation
+	hello := &helloModel{openedAfter: d.now(w.now)}
+	if !other.previousRelease {
+		hello.uptimeMS = uint64(time.Duration(other.now(w.now)).Milliseconds()) + 1
+	}
+	w.send(j, i, frame{hello: hello})
+}
+
+// receiveHello makes a link usable at daemon i.
+func (w *world) receiveHello(i int, f frame) {
+	d, start := w.daemons[i], StartOf(f.hello.openedAfter, f.hello.uptimeMS)
+	d.links[f.from] = linkModel{process: f.process, start: start}
+	d.node.ObserveStart(w.daemons[f.from].vm, start)
+	if d.linkedAt == 0 {
+		d.linkedAt = w.now
+	}
+}
+
 // deliver delivers the frames that are due. Frames held up by a cut or a frozen receiver
 // are delivered afterwards, as over a connection that survives, and frames to an ended
 // process are dropped.
@@ -151,8 +310,13 @@
 		case f.generation != to.generation:
 		case f.at > w.now || !w.connected(f.from, f.to) || w.now < to.frozenUntil || to.restartAt > 0:
 			w.frames = append(w.frames, f)
+		case f.hello != nil:
+			w.receiveHello(f.to, f)
 		case f.ask != nil:
 			grant := to.node.HandleAsk(to.now(w.now), w.daemons[f.from].vm, f.ask)
+			if to.previousRelease {
+				grant.OldestMS, grant.HoldsShare = 0, false
+			}
 			w.send(f.to, f.from, frame{grant: &grant})
 		default:
 			to.node.HandleGrant(to.now(w.now), f.process, f.grant)
@@ -165,38 +329,55 @@
 	for g := range Groups {
 		ranked[g] = w.ranked(i, g)
 	}
-	d.node.Tick(d.now(w.now), w.members(i), &ranked)
+	members := uint32(0)
+	if w.now >= d.listReadAt {
+		members = w.members(i)
+		if !d.listRead {
+			w.readList(i)
+		}
+	}
+	d.node.Tick(d.now(w.now), members, &ranked)
 	remaining := d.waiters[:0]
 	for _, request := range d.waiters {
 		select {
 		case v := <-request.verdict:
-			w.record(v)
+			w.record(d, v)
+			continue
 		default:
-			remaining = append(remaining, request)
 		}
+		if w.maxWait > 0 && w.now-request.since >= int64(w.maxWait) {
+			w.record(d, d.node.giveUp(w.team, request.waiter))
+			continue
+		}
+		remaining = append(remaining, request)
 	}
 	d.waiters = remaining
 }
 
 // ranked returns the peers that daemon i has links with, for group g. It includes peers
-// behind a cut: nodes must detect a cut by missing answers.
+// behind a cut that began after the link was opened: nodes must detect a cut by missing
+// answers.
 func (w *world) ranked(i, g int) (out []Peer) {
 	for _, j := range w.ranking[g] {
 		other := w.daemons[j]
-		if other.restartAt > 0 {
+		known := w.daemons[i].links[j]
+		if j != i && (other.restartAt > 0 || known.process != other.process()) {
 			continue
 		}
-		p := Peer{Process: other.process()}
+		p := Peer{Process: other.process(), VM: other.vm, Start: known.start}
 		if j != i {
 			generation := other.generation
 			p.Send = func(a *Ask) {
 				if w.daemons[j].generation == generation {
 					copied := *a
+					if w.daemons[i].previousRelease {
+						copied.UptimeMS, copied.UnearnedMS, copied.HistoryLost = 0, 0, false
+					}
 					w.send(i, j, frame{ask: &copied})
 				}
 			}
 		}
-		if out = append(out, p); len(out) == 3 && j != i {
+		if out = append(out, p); len(out) == counterLinks && j != i {
 			break
 		}
 	}
@@ -206,11 +387,17 @@
 	return out
 }
 
-func (w *world) record(v Verdict) {
+func (w *world) record(d *daemonModel, v Verdict) {
 	w.requested++
-	if v.Granted {
+	switch {
+	case v.Granted:
 		w.granted++
 		w.grantedAt = append(w.grantedAt, w.now)
+	case v.Unsure:
+		w.unsure++
+		w.lastUnsureAt = w.now
+	default:
+		w.refusals = append(w.refusals, refusal{at: w.now, sinceLinked: time.Duration(w.now - d.linkedAt)})
 	}
 }
 
@@ -222,10 +409,10 @@
 	}
 	request, v := d.node.takeOrWait(d.now(w.now), w.team)
 	if request == nil {
-		w.record(v)
+		w.record(d, v)
 		return
 	}
-	d.waiters = append(d.waiters, request)
+	d.waiters = append(d.waiters, waitingRequest{waiter: request, since: w.now})
 }
 
 func (w *world) kill(i int, down time.Duration) {
@@ -237,6 +424,20 @@
 	d.restartAt = w.now + int64(max(down, restartAfter))
 }
 
+// counterOf returns the daemon to which the largest share of the team's group is leased.
+func (w *world) counterOf(team string) (counter int) {
+	largest := 0.0
+	for i, d := range w.daemons {
+		if d.restartAt > 0 {
+			continue
+		}
+		if leased := d.node.LeasedShare(d.now(w.now), GroupOf(team)); leased > largest {
+			counter, largest = i, leased
+		}
+	}
+	return counter
+}
+
 // maxInWindow returns the largest number of requests granted within one window.
 func (w *world) maxInWindow() (count int) {
 	from := 0
@@ -294,6 +495,9 @@
 		n := rapid.IntRange(2, 12).Draw(t, "daemons")
 		w := newWorld(n, limit, rapid.Uint64().Draw(t, "seed"))
 		w.maxExtraDelay = time.Duration(rapid.IntRange(0, 3000).Draw(t, "slow")) * time.Millisecond
+		w.listDelay = time.Duration(rapid.IntRange(0, 800).Draw(t, "list")) * time.Millisecond
+		w.hubsOnly = rapid.Bool().Draw(t, "hubs only")
+		w.daemons[0].previousRelease = rapid.Bool().Draw(t, "previous release")
 		w.run(10*limit.Rate+20, 12*time.Second, func(step int) {
 			if leased := w.maxLeasedShare(); leased > wholeLimit {
 				t.Fatalf("%.3f of a limit is leased at %v", leased, time.Duration(w.now))
@@ -301,7 +505,10 @@
 			if step%20 != 0 {
 				return
 			}
-			switch rapid.IntRange(0, 7).Draw(t, "trouble") {
+			down := func() time.Duration {
+				return time.Duration(rapid.IntRange(0, 1200).Draw(t, "down")) * time.Millisecond
+			}
+			switch rapid.IntRange(0, 9).Draw(t, "trouble") {
 			case 0:
 				w.kill(rapid.IntRange(0, n-1).Draw(t, "killed"), time.Duration(rapid.IntRange(0, 2000).Draw(t, "down"))*time.Millisecond)
 			case 1:
@@ -320,6 +527,18 @@
 						w.kill(i, 500*time.Millisecond)
 					}
 				}
+			case 5:
+				for i := range n {
+					w.kill(i, down())
+				}
+			case 6:
+				for i := range n {
+					if rapid.IntRange(1, 100).Draw(t, "of 100") <= 60 {
+						w.kill(i, down())
+					}
+				}
+			case 7:
+				w.kill(w.counterOf(w.team), down())
 			}
 		})
 		if count := w.maxInWindow(); float64(count) > maxRequests(limit) {
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -30,6 +30,10 @@
 	// identifies the link to it: messages in flight are lost when a link ends.
 	Process string
 	Link    any
+	// VM is the one that the process runs on.
+	VM string
+	// Start is when the process started, on this daemon's clock.
+	Start ProcessStart
 	// Send sends an Ask to the peer; nil for this daemon itself.
 	Send func(*Ask)
 }
@@ -37,7 +41,7 @@
 // Node is one daemon's part in enforcing the limits: it requests tokens for this daemon's
 // requests, leases this daemon's share of the limits to the counters, and counts the
 // groups for which other daemons ask it. It is safe for concurrent use. All times are
-// nanoseconds of the daemon's clock.
+// nanoseconds of the daemon's clock, which is 0 when its process starts.
 type Node struct {
 	opts Options
 
@@ -53,11 +57,21 @@
 	members  memberCount
 	// ownMembers is the number of members as this daemon itself knows it, 0 if it does not.
 	ownMembers uint32
+	starts     processStarts
+	previous   previousLease
 	actions    [Groups]leaseAction
 	renewAt    int64
 	askAt      int64
-	sweepAt    int64
-	stats      Stats
+	// retryAt is when tokens are next requested again for accounts whose counter did not
+	// have all shares.
+	retryAt int64
+	// latestNow is the latest time that was passed to the node.
+	latestNow int64
+	// previousAskAt is when a restarted daemon next asks a counter about the leases of its
+	// previous process.
+	previousAskAt int64
+	sweepAt       int64
+	stats         Stats
 }
 
 // peerState is the state of the exchange with one peer process.
@@ -104,6 +118,9 @@
 	// a token, Refused requests over a limit, Unsure requests that no counter answered,
 	// Back tokens returned for requests that were not run.
 	Asked, Granted, Refused, Unsure, Back uint64
+	// Deferred counts token requests that this daemon, as a counter, could not answer
+	// because it did not know whether the team had used its limit.
+	Deferred uint64
 }
 
 // count records a verdict.
@@ -123,10 +140,21 @@
 	n := &Node{opts: opts, accounts: map[string]*account{}, peers: map[string]*peerState{}}
 	for g := range Groups {
 		n.pools[g] = newPool(opts.Slack)
+		if opts.Restarted {
+			n.leases[g].assumeRecoveries()
+		}
 	}
 	return n
 }
 
+// latest returns the latest time that was passed to the node. The caller of Tick reads the
+// clock before it has the lock; a lease that ran from then would end before the counter's,
+// whose time may have been received since.
+func (n *Node) latest(now int64) int64 {
+	n.latestNow = max(n.latestNow, now)
+	return n.latestNow
+}
+
 // Stats returns the counts since the start.
 func (n *Node) Stats() Stats {
 	n.mu.Lock()
@@ -192,6 +220,7 @@
 func (n *Node) takeOrWait(now int64, team string) (*waiter, Verdict) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now = n.latest(now)
 	a := n.accountOf(team)
 	a.recent++
 	if len(a.waiters) == 0 && a.spend(now) {
@@ -268,7 +297,7 @@
 	if peer.unansweredSince == 0 {
 		peer.unansweredSince = now
 	}
-	ask.CounterTime = peer.counterTime
+	ask.CounterTime, ask.UptimeMS = peer.counterTime, uint64(time.Duration(now)/time.Millisecond)+1
 	to.Send(ask)
 }
 
@@ -287,11 +316,15 @@
 func (n *Node) HandleAsk(now int64, vm string, ask *Ask) Grant {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.handleAsk(now, vm, ask)
+	return n.handleAsk(n.latest(now), vm, ask)
 }
 
 func (n *Node) handleAsk(now int64, vm string, ask *Ask) Grant {
-	out := Grant{Group: ask.Group, CounterTime: now, Members: n.ownMembers}
+	if ask.CounterTime > 0 {
+		// The Ask was sent after this daemon had given the time that it repeats.
+		n.starts.observe(vm, StartOf(ask.CounterTime, ask.UptimeMS))
+	}
+	out := Grant{Group: ask.Group, CounterTime: now, Members: n.ownMembers, OldestMS: statedAge(n.starts.oldestStart())}
 	if int(ask.Group) >= Groups {
 		return out
 	}
@@ -302,14 +335,18 @@
 	}
 	if ask.Members > 0 && ask.CounterTime > 0 {
 		size := 1 / float64(max(ask.Members, n.members.count))
-		p.addShare(now, shareOffer{vm: vm, size: size, counterTime: ask.CounterTime, lease: time.Duration(ask.LeaseMS) * time.Millisecond, previousCounterLost: ask.PreviousCounterLost})
+		p.addShare(now, shareOffer{vm: vm, size: size, counterTime: ask.CounterTime, lease: time.Duration(ask.LeaseMS) * time.Millisecond, previousCounterLost: ask.PreviousCounterLost, unearned: time.Duration(ask.UnearnedMS) * time.Millisecond, historyLost: ask.HistoryLost})
 	}
+	out.HoldsShare = p.holds(now, vm)
 	for _, request := range ask.TokenRequests {
 		granted := TokenGrant{Team: request.Team, Requested: request.Count, AskedAt: request.AskedAt}
 		if limit, ok := n.opts.Limit(request.Team); ok && limit.Limited() {
 			count, wait := p.take(now, request.Team, limit, request)
 			granted.Count, granted.WaitMS = count, uint32(wait.Milliseconds())
-			granted.NoShareYet = count == 0 && p.shareSum == 0
+			granted.NoShareYet = count < request.Count && !p.knowsUse(now, limit, n.opts.Window)
+			if granted.NoShareYet {
+				n.stats.Deferred++
+			}
 		} else if ok {
 			granted.Count = request.Count
 		} else {
@@ -324,7 +361,7 @@
 func (n *Node) HandleGrant(now int64, process string, grant *Grant) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.handleGrant(now, process, grant)
+	n.handleGrant(n.latest(now), process, grant)
 }
 
 func (n *Node) handleGrant(now int64, process string, grant *Grant) {
@@ -334,6 +371,12 @@
 	if grant.Members > n.members.count {
 		n.members.update(now, grant.Members)
 	}
+	if !n.previous.ended && int(grant.Group) < Groups && grant.OldestMS > 0 {
+		n.concludePreviousLease(now, startFromAge(n.peer(int(grant.Group), process).Start, grant.OldestMS))
+	}
+	if int(grant.Group) < Groups && grant.HoldsShare {
+		n.adoptPreviousLease(now, int(grant.Group), process)
+	}
 	fromCurrent := int(grant.Group) < Groups && n.counters[grant.Group].Process == process
 	for i := range grant.TokenGrants {
 		granted := &grant.TokenGrants[i]
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -27,6 +27,10 @@
 	// releasedAt holds the time at which each VM took its share back. An offer with an
 	// earlier counter time is outdated.
 	releasedAt map[string]int64
+	// lostHistory is the sum of the shares that arrived since lostSince and whose earlier
+	// tokens were lost; historyLostAt is when it last exceeded maxLostHistory, 0: never.
+	lostHistory              float64
+	lostSince, historyLostAt int64
 }
 
 // share is one daemon's share of the limits, as a fraction, and the end of its lease.
@@ -44,6 +48,10 @@
 	lease       time.Duration
 	// previousCounterLost is true if the share grants recovery tokens.
 	previousCounterLost bool
+	// unearned is for how long no process held the share before, historyLost is true if one
+	// that held it was lost recently.
+	unearned    time.Duration
+	historyLost bool
 }
 
 // bucket is the token bucket of a team. Its tokens include what the team has earned up to
@@ -95,8 +103,14 @@
 		return
 	}
 	previous, renewed := p.shares[offer.vm]
-	if !renewed && offer.previousCounterLost {
-		p.recoveredShares += offer.size
+	if !renewed {
+		p.limitSeconds += offer.size * min(offer.unearned, maxUnearned).Seconds()
+		if offer.previousCounterLost {
+			p.recoveredShares += offer.size
+		}
+		if offer.historyLost {
+			p.loseHistory(now, offer.size)
+		}
 	}
 	if len(p.shares) == 0 {
 		p.nextExpiry = until
@@ -106,6 +120,37 @@
 	p.shares[offer.vm] = share{size: offer.size, until: max(until, previous.until)}
 }
 
+// loseHistory records that a share arrived whose earlier tokens were lost.
+func (p *pool) loseHistory(now int64, size float64) {
+	if now-p.lostSince > int64(lostHistoryInterval) {
+		p.lostSince, p.lostHistory = now, 0
+	}
+	if p.lostHistory += size; p.lostHistory > maxLostHistory {
+		p.historyLostAt = now
+	}
+}
+
+// knowsUse reports whether a team whose bucket is empty has used its limit. It may not have
+// if shares are missing, or if what it had saved was lost with an earlier counter so
+// recently that an unused bucket would not be full again.
+func (p *pool) knowsUse(now int64, limit teams.Limit, window time.Duration) bool {
+	if p.shareSum < wholeLimit {
+		return false
+	}
+	refill := window
+	if limit.Rate > 0 {
+		refill = min(refill, time.Duration(p.capacity(limit)/limit.Rate*float64(time.Second)))
+	}
+	return p.historyLostAt == 0 || now-p.historyLostAt >= int64(refill)
+}
+
+// holds reports whether the share of a VM is leased to this pool.
+func (p *pool) holds(now int64, vm string) bool {
+	p.advance(now)
+	_, ok := p.shares[vm]
+	return ok
+}
+
 // releaseShare drops the share of a VM, which takes it back.
 func (p *pool) releaseShare(now int64, vm string) {
 	p.advance(now)
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -50,6 +50,17 @@
 	// askInterval is the time between two rounds that request tokens again for waiting
 	// requests and return unused ones. It does not depend on the renewal interval.
 	askInterval = 150 * time.Millisecond
+	// shareRetryInterval is the time after which tokens are requested again from a counter
+	// whose shares do not cover the limit. The missing shares may arrive at any time.
+	shareRetryInterval = 50 * time.Millisecond
+	// maxUnearned bounds the time for which a share that no process held is credited.
+	maxUnearned = time.Second
+	// wholeLimit is the sum of shares that covers a limit; the rest allows for rounding.
+	wholeLimit = 1 - 1e-6
+	// maxLostHistory is the sum of shares whose earlier tokens may be lost within
+	// lostHistoryInterval without the counter losing its knowledge of a team's use.
+	maxLostHistory      = 0.1
+	lostHistoryInterval = time.Second
 	// memberDecreaseDelay is how long a lower member count must hold before it is used,
 	// or the lease duration if that is longer: until then, shares sized by the higher
 	// count may still be leased.
@@ -91,6 +102,15 @@
 	ReleaseAskedAt int64
 	// TokenRequests are the tokens requested and returned, by team.
 	TokenRequests []TokenRequest
+	// UptimeMS is one more than the time in whole milliseconds since the sender's process
+	// started; 0: not stated.
+	UptimeMS uint64
+	// UnearnedMS is the time in milliseconds for which no process held the share before
+	// this lease. The counter credits it.
+	UnearnedMS uint32
+	// HistoryLost is true if a process that held the share within the last window was lost,
+	// and with it what teams had used there.
+	HistoryLost bool
 }
 
 // TokenRequest requests tokens of one team and returns unused ones.
@@ -119,6 +139,12 @@
 	// ReleaseAskedAt repeats the value of the Ask: the counter no longer uses the share.
 	ReleaseAskedAt int64
 	TokenGrants    []TokenGrant
+	// OldestMS is one more than the number of milliseconds by which the process of any
+	// member may have started before the counter's process; 0: not known.
+	OldestMS uint64
+	// HoldsShare is true if the share of the receiver's VM is leased to the counter now. It
+	// is then leased to no other process.
+	HoldsShare bool
 }
 
 // TokenGrant answers one TokenRequest.
@@ -132,8 +158,9 @@
 	AskedAt   int64
 	// WaitMS is the time in milliseconds until the next token may be available.
 	WaitMS uint32
-	// NoShareYet is true if nothing was granted because no share is leased to the counter
-	// now. The sender should ask again.
+	// NoShareYet is true if fewer tokens than requested were granted and the counter does
+	// not know whether the team has used its limit, because the shares leased to it do not
+	// cover the limit or did not until recently. The sender should ask again.
 	NoShareYet bool
 	// Returns is the number of return times that the counter has set tokens aside for: the
 	// first is ReturnMS milliseconds after the grant, each later one ReturnStepUS
--- a/pkg/quota/sharelease.go
+++ b/pkg/quota/sharelease.go
@@ -9,6 +9,8 @@
 	// holder is the process that the share was last leased to, until the end of its lease.
 	holder string
 	until  int64
+	// holderVM is the VM of the holder.
+	holderVM string
 	// renewedAt is when the lease was last renewed.
 	renewedAt int64
 	// previousLost is true if the previous holder was unreachable when its lease had
@@ -16,6 +18,8 @@
 	// times of the last such changes, oldest first.
 	previousLost bool
 	recoveriesAt [maxRecoveries]int64
+	// lostAt is when a process that held the share was last found lost; 0: never.
+	lostAt int64
 }
 
 // leaseAction is what a daemon does next with its share of a group's limits.
@@ -39,7 +43,11 @@
 	case l.holder == best:
 		return best, actionLease
 	case now >= l.until:
-		l.previousLost = l.holder != "" && !reachable(l.holder) && l.allowRecovery(now, window)
+		lost := l.until != 0 && !reachable(l.holder)
+		if lost {
+			l.lostAt = now
+		}
+		l.previousLost = lost && l.allowRecovery(now, window)
 		l.holder = best
 		return best, actionLease
 	case reachable(l.holder):
@@ -59,9 +67,38 @@
 	return true
 }
 
-// renew records that the share is leased for another period.
+// assumeRecoveries records the recoveries that the previous process may have granted just
+// before this one started, at 0: they count in the first window of this process.
+func (l *shareLease) assumeRecoveries() {
+	for i := range l.recoveriesAt {
+		l.recoveriesAt[i] = 1
+	}
+}
+
+// adopt records that a process holds the share under a lease of this daemon's previous
+// process, which ends at until at the latest.
+func (l *shareLease) adopt(holder Peer, until int64) {
+	l.holder, l.holderVM, l.until = holder.Process, holder.VM, until
+}
+
+// endIfReplaced ends the lease if the holder's VM runs a process that started after the
+// latest renewal. downtime is the minimum time between the end of the holder and that start.
+func (l *shareLease) endIfReplaced(now int64, starts *processStarts, downtime time.Duration) {
+	if after, ok := starts.after[l.holderVM]; ok && l.until > now && after > l.renewedAt {
+		// 0 would mean that the share was never leased.
+		l.until = max(now-int64(downtime), 1)
+	}
+}
+
+// historyLost reports whether a process that held the share was lost within the window.
+func (l *shareLease) historyLost(now, window int64) bool {
+	return l.lostAt != 0 && now-l.lostAt < window
+}
+
+// renew records that the share is leased for another period. A counter never shortens a
+// lease, also if the lease has become shorter with the fleet.
 func (l *shareLease) renew(now int64, duration time.Duration) {
-	l.renewedAt, l.until = now, now+int64(duration)
+	l.renewedAt, l.until = now, max(l.until, now+int64(duration))
 }
 
 // released records that a process has released the share, as asked at askedAt. It
--- a/pkg/quota/sharelease_test.go
+++ b/pkg/quota/sharelease_test.go
@@ -30,3 +30,11 @@
 	test.Eq(t, "b", counter)
 	test.Eq(t, actionLease, action)
 }
+
+// TestRenewalDoesNotShortenALease: the counter keeps the longer lease of a larger fleet.
+func TestRenewalDoesNotShortenALease(t *testing.T) {
+	l := &shareLease{}
+	l.renew(1, maxLease)
+	l.renew(2, minLease)
+	test.Eq(t, 1+int64(maxLease), l.until)
+}
--- a/pkg/quota/tick.go
+++ b/pkg/quota/tick.go
@@ -13,10 +13,12 @@
 func (n *Node) Tick(now int64, members uint32, ranked *[Groups][]Peer) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	now = n.latest(now)
 	if n.ownMembers = members; members > 0 {
 		n.members.update(now, members)
 	}
 	n.ranked = *ranked
+	n.concludePreviousLease(now, n.starts.oldestStart())
 	for g := range Groups {
 		n.chooseCounter(now, g, ranked[g])
 	}
@@ -34,13 +36,18 @@
 		n.counters[group], n.actions[group] = Peer{}, actionWait
 		return
 	}
-	chosen, action := n.leases[group].next(now, int64(n.opts.Window), best.Process, func(process string) bool { return holder.Process == process })
+	l := &n.leases[group]
+	l.endIfReplaced(now, &n.starts, n.opts.RestartAfter)
+	chosen, action := l.next(now, int64(n.opts.Window), best.Process, func(process string) bool { return holder.Process == process })
 	changed := action != n.actions[group]
 	n.actions[group] = action
 	counter := best
 	if chosen != best.Process {
 		counter = holder
 	}
+	if l.holder == counter.Process {
+		l.holderVM = counter.VM
+	}
 	previous := n.counters[group]
 	n.counters[group] = counter
 	if previous.Process != counter.Process || previous.Link != counter.Link {
@@ -116,14 +123,18 @@
 	if now >= n.askAt {
 		n.askAt = now + int64(askInterval)
 		requests = n.dueRequests(now)
+	} else if now >= n.retryAt {
+		n.retryAt = now + int64(shareRetryInterval)
+		requests = n.deferredRequests(now)
 	}
+	n.askAboutPrevious(now)
 	renewalDue := now >= n.renewAt
 	if renewalDue {
 		n.renewAt = now + int64(renewalInterval(n.members.count))
 	}
 	for g := range Groups {
 		switch {
-		case renewalDue:
+		case renewalDue || n.shouldLeaseNow(now, g):
 			n.renew(now, g, requests[g])
 		case len(requests[g]) > 0:
 			n.requestTokens(now, g, requests[g])
@@ -144,6 +155,17 @@
 	return requests
 }
 
+// deferredRequests returns the token requests of accounts that wait for the shares of their
+// counter, by group.
+func (n *Node) deferredRequests(now int64) (requests [Groups][]TokenRequest) {
+	for _, a := range n.accounts {
+		if a.deferredUntil != 0 && now >= a.deferredUntil && len(a.waiters) > int(a.requested) {
+			requests[a.group] = append(requests[a.group], a.tokenRequest(now))
+		}
+	}
+	return requests
+}
+
 // renew sends an Ask that renews the lease of this daemon's share to the counter of a
 // group, or asks for its release, with any token requests.
 func (n *Node) renew(now int64, group int, requests []TokenRequest) {
@@ -155,18 +177,33 @@
 	if action == actionRelease {
 		ask.ReleaseAskedAt = now
 	}
-	if action == actionLease && n.mayLease(now) && !n.renewalUnanswered(now, counter) {
+	if action == actionLease && n.canLease(now, group) {
 		l, duration := &n.leases[group], leaseDuration(n.members.count)
+		if l.until == 0 && n.opts.Restarted {
+			l.lostAt = now
+		}
+		ask.UnearnedMS, ask.HistoryLost = uint32(n.unearned(now, group).Milliseconds()), l.historyLost(now, int64(n.opts.Window))
 		ask.Members, ask.PreviousCounterLost, ask.LeaseMS = n.members.count, l.previousLost, uint32(duration.Milliseconds())
 		l.renew(now, duration)
 	}
 	n.send(now, counter, ask)
 }
 
-// mayLease reports whether this daemon may lease its share. It may not while a lease of
-// its previous process may still be valid.
-func (n *Node) mayLease(now int64) bool {
-	return !n.opts.Restarted || now >= int64(leaseDuration(n.members.count)-n.opts.RestartAfter)
+// shouldLeaseNow reports whether the share of a group is leased to no process and can be
+// leased to the counter at once, without waiting for the next renewal.
+func (n *Node) shouldLeaseNow(now int64, group int) bool {
+	return n.actions[group] == actionLease && now >= n.leases[group].until && n.canLease(now, group)
+}
+
+// canLease reports whether an Ask to the counter of a group can lease this daemon's share
+// now.
+func (n *Node) canLease(now int64, group int) bool {
+	counter := n.counters[group]
+	if counter.Process == "" || n.members.count == 0 || !n.mayLease(now, group) {
+		return false
+	}
+	state := n.peers[counter.Process]
+	return counter.Send == nil || state != nil && state.counterTime > 0 && !n.renewalUnanswered(now, counter)
 }
 
 // renewalUnanswered reports whether the counter has not answered for a whole renewal interval.
@@ -186,6 +223,7 @@
 			delete(n.accounts, team)
 		}
 	}
+	n.starts.sweep()
 	for process, state := range n.peers {
 		if now-state.usedAt > int64(bucketRetention) {
 			delete(n.peers, process)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -108,7 +108,7 @@
 	Form string `yaml:"form" validate:"required"`
 	// True when all daemons of the deployment start for the first time, so that no state of earlier processes has to be respected. Daemons then connect to each other before most of them read the store, and have their first placement about three seconds after they start.
 	FirstStart bool `yaml:"first_start"`
-	// Minimum time that the platform leaves between the end of a daemon's process and the start of the next one. The new process assumes that the previous one was active until then: it counts the requests that the previous one may have started at a cold backend server, and waits until leases of the previous one have expired. If it is shorter than the start of the daemon takes, a backend server that starts together with its VM gets its first requests up to a second later.
+	// Minimum time that the platform leaves between the end of a daemon's process and the start of the next one. The new process assumes that the previous one was active until then: it counts the requests that the previous one may have started at a cold backend server, and waits until leases of the previous one have expired, unless all other daemons are known to have started after that. If it is shorter than the start of the daemon takes, a backend server that starts together with its VM gets its first requests up to a second later.
 	RestartAfter time.Duration `yaml:"restart_after" validate:"min=0"`
 	// Bounds that the platform sets for all daemons, each as name=value. Those that the adapter knows override the settings under routing and teams; others are ignored.
 	Bounds []string `yaml:"bounds"`
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/link"
@@ -43,6 +44,7 @@
 		DataCentre:  c.Settings.VM.DataCentre,
 		State:       *c.State(),
 		Region:      c.Settings.VM.Region,
+		UptimeMS:    uint64(time.Duration(c.Now())/time.Millisecond) + 1,
 	}
 }
 
--- a/pkg/systems/quotas.go
+++ b/pkg/systems/quotas.go
@@ -32,6 +32,9 @@
 	// isMemberCountKnown is true once this daemon knows how many daemons share the
 	// limits.
 	isMemberCountKnown bool
+	// isListRead is true once this daemon has read the whole list of VMs, so that its table
+	// lacks no member that was listed then.
+	isListRead bool
 	// chosenAtMemberChanges and chosenAtUnreachedChanges are the change counts of the
 	// members and of the unreached endpoints when the counters were last chosen.
 	// hasChosen is true once they have been chosen.
@@ -44,6 +47,8 @@
 	ranked     [quota.Groups][]quota.Peer
 	// loggedCounters are the counters that were last logged.
 	loggedCounters [quota.Groups]string
+	// previousLeaseLogged is true once the end of the previous process's leases was logged.
+	previousLeaseLogged bool
 }
 
 func newQuotas(env *Env) *quotas { return &quotas{Env: env} }
@@ -59,6 +64,9 @@
 // Tick implements System.
 func (q *quotas) Tick(now int64, mail *tables.Mail) {
 	wholeList := mail.VMList != nil && mail.VMList.DataCentre == ""
+	if wholeList && !q.isListRead {
+		q.isListRead, q.hasChosen = true, false
+	}
 	q.isMemberCountKnown = q.isMemberCountKnown || wholeList || q.Settings.Platform.FirstStart && now > int64(membersKnownAfter)
 	if q.Quota == nil || q.World.Placement == nil || len(q.World.Placement.Teams) == 0 {
 		return
@@ -67,6 +75,7 @@
 	q.rankPeers()
 	q.Quota.Tick(now, q.membersSharing(), &q.ranked)
 	q.logCounters()
+	q.logPreviousLease(now)
 }
 
 // membersSharing returns how many daemons share the limits, or 0 if this daemon does not
@@ -93,8 +102,12 @@
 	}
 	q.hasChosen, q.chosenAtMemberChanges, q.chosenAtUnreachedChanges = true, changes, q.World.UnreachedChanges
 	q.liveMembers = 0
+	var vms []string
 	var reachable []*tables.Endpoint
 	q.World.Members.EachRow(func(row int) {
+		if vm := q.World.Members.Record[row].VM; vm != q.World.VM {
+			vms = append(vms, vm)
+		}
 		if q.World.Members.Leaving(row) {
 			return
 		}
@@ -104,6 +117,7 @@
 			reachable = append(reachable, endpoint)
 		}
 	})
+	q.Quota.SetVMs(vms, q.isListRead)
 	q.World.QuotaCounterDaemons = q.World.QuotaCounterDaemons[:0]
 	for g := range quota.Groups {
 		for _, endpoint := range highestByRendezvous(groupKeys[g], reachable, counterLinksPerGroup) {
@@ -163,12 +177,17 @@
 }
 
 // candidates returns this daemon and one candidate for each other VM that it has a link
-// with: the newest process, and of several links to it the one that this daemon opened.
+// with, and records when the processes of all peers started. The candidate of a VM is
+// the newest process, and of several links to it the one that this daemon opened.
 func (q *quotas) candidates() []candidate {
 	self := candidate{vm: q.World.VM, leaving: q.World.View.Leaving(), peer: quota.Peer{Process: q.World.VM}}
 	byVM := map[string]candidate{}
 	q.World.Peers.EachRow(func(peer *link.Peer, row *tables.PeerRow) {
 		vm, incarnation := peer.Hello.VM, peer.Hello.Incarnation
+		start := quota.StartOf(peer.OpenedAfter, peer.Hello.UptimeMS)
+		if vm != q.World.VM {
+			q.Quota.ObserveStart(vm, start)
+		}
 		known, ok := byVM[vm]
 		// Always taking the outgoing link keeps the choice the same at each call.
 		preferred := !ok || incarnation > known.incarnation || incarnation == known.incarnation && peer.Outgoing
@@ -176,7 +195,7 @@
 			return
 		}
 		byVM[vm] = candidate{vm: vm, leaving: row.Leaving, incarnation: incarnation, peer: quota.Peer{
-			Process: processID(peer), Link: peer,
+			Process: processID(peer), Link: peer, VM: vm, Start: start,
 			Send: func(ask *quota.Ask) {
 				// A closed link is removed from the table by its LinkEvent.
 				_ = peer.Send(&wire.QuotaAsk{Ask: *ask})
@@ -209,6 +228,18 @@
 	return out
 }
 
+// logPreviousLease logs once when no process holds a lease of the previous process any
+// more.
+func (q *quotas) logPreviousLease(now int64) {
+	if q.previousLeaseLogged {
+		return
+	}
+	if ended, known := q.Quota.PreviousLease(now); ended {
+		q.previousLeaseLogged = true
+		q.Log.Event(events.QuotaShareFree, events.F("after_ms", time.Duration(now).Milliseconds()), events.F("known", known))
+	}
+}
+
 // logCounters logs each group that has another counter than before.
 func (q *quotas) logCounters() {
 	counters := q.Quota.CounterProcesses()
--- a/pkg/systems/quotas_test.go
+++ b/pkg/systems/quotas_test.go
@@ -67,3 +67,35 @@
 		test.NotEq(t, "m2", endpoint.VM)
 	}
 }
+
+// TestPeersThatStartedLaterFreeTheShare: the starts are those of the peers' hello frames.
+func TestPeersThatStartedLaterFreeTheShare(t *testing.T) {
+	for _, c := range []struct {
+		uptimeMS        uint64
+		wholeList, free bool
+	}{{1, true, true}, {1, false, false}, {0, true, false}, {5000, true, false}} {
+		q, peer := newTestQuotas(1)
+		q.Quota = quota.NewNode(quota.Options{VM: q.World.VM, Restarted: true, RestartAfter: 300 * time.Millisecond, Limit: q.World.View.TeamLimit})
+		peer.Hello.UptimeMS, peer.OpenedAfter = c.uptimeMS, 1
+		mail := &tables.Mail{}
+		if c.wholeList {
+			mail.VMList = &tables.VMList{}
+		}
+		q.Tick(1, mail)
+		q.Quota.HandleGrant(2, processID(peer), &quota.Grant{Members: 1, CounterTime: 1})
+		q.Tick(3, &tables.Mail{})
+		ended, known := q.Quota.PreviousLease(4)
+		test.Eq(t, c.free, ended, test.Sprint(c))
+		test.Eq(t, c.free, known, test.Sprint(c))
+	}
+}
+
+// TestHelloStatesTheUptime: one more than the whole milliseconds, so that 0 means that it is
+// not stated.
+func TestHelloStatesTheUptime(t *testing.T) {
+	env := testEnv()
+	before := uint64(time.Duration(env.Now())/time.Millisecond) + 1
+	stated := NewControl(env.Common, env.World, 1).Hello().UptimeMS
+	test.Between(t, before, stated, uint64(time.Duration(env.Now())/time.Millisecond)+1)
+	test.Positive(t, stated)
+}
