Refuse promptly while a counter is unsure of a limit

Cause: a counter without all shares never answered limit_used. With one VM of many down, each refusal of a team far over its limit took 0.4 s and was a 503. After the loss of shares with their history, the same for about a second.

Change: a counter that lacks at most a tenth of the shares (maxMissingShares) answers limit_used. While it is unsure, it lets no more requests of a team wait, over all daemons, than can be earned within maxTokenWait if the missing shares arrive (TokenGrant.MaxWaiting, new, last); the others are answered limit_unsure at once. Missing shares are not expected any more after a lease and maxTokenWait in which none arrived or left. Tokens that a counter deferred are requested without prefetch, and not before shareRetryInterval.

Conclusion: refusals are prompt while few shares are missing; while many are, the requests that wait are bounded by what the limit can serve.

--- a/pkg/forward/team.go
+++ b/pkg/forward/team.go
@@ -71,7 +71,7 @@
 		out := call.Refused(errkind.CallerGone, "the caller disconnected before its team's limit was checked")
 		return &out
 	case verdict.Unsure:
-		out := call.Refused(errkind.LimitUnsure, "no daemon has answered whether team %s is within its limit", a.team.Name)
+		out := call.Refused(errkind.LimitUnsure, "no daemon knows whether team %s is within its limit", a.team.Name)
 		return &out
 	}
 	out := call.Refused(errkind.LimitUsed, "team %s has used its limit of %g requests per second", a.team.Name, a.team.Limit.Rate)
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // account is a daemon's state for one team: the tokens granted to the daemon and the
 // requests that wait for a token.
@@ -19,8 +22,10 @@
 	// according to its last grant.
 	exhaustedUntil int64
 	// deferredUntil is the time before which no tokens are requested again, because the
-	// counter's shares did not cover the limit.
+	// counter did not know whether the limit was used. maxWaiting is the number of requests
+	// that may wait until then.
 	deferredUntil int64
+	maxWaiting    int
 	// recent counts the requests of the team in the current askInterval, previous those
 	// in the one before.
 	recent, previous int
@@ -32,8 +37,8 @@
 // Verdict is the result of a request for a token.
 type Verdict struct {
 	Granted bool
-	// Unsure is true if no counter answered before the wait ended, so that it is unknown
-	// whether the team is within its limit.
+	// Unsure is true if it is unknown whether the team is within its limit: no counter that
+	// knows it answered before the wait ended, or more requests wait than can be served.
 	Unsure bool
 	// RetryAfter is the time after which the caller should try again, if the team is over
 	// its limit.
@@ -78,9 +83,13 @@
 	}
 	if grant.NoShareYet {
 		// A later round requests the tokens again.
-		a.deferredUntil = now + int64(shareRetryInterval)
+		a.deferredUntil, a.maxWaiting = now+int64(shareRetryInterval), math.MaxInt
+		if fromCurrent && grant.MaxWaiting > 0 {
+			a.limitWaiting(int(grant.MaxWaiting) - 1)
+		}
 		return
 	}
+	a.deferredUntil = 0
 	if grant.Count >= grant.Requested {
 		// The counter has not said that it has no more tokens. A later round requests those
 		// of the other waiting requests.
@@ -93,6 +102,17 @@
 	}
 }
 
+// limitWaiting lets so many requests wait and answers the latest of the others. Requests
+// whose tokens were requested and not answered yet keep waiting.
+func (a *account) limitWaiting(limit int) {
+	a.maxWaiting = limit
+	for len(a.waiters) > limit+int(a.requested) {
+		last := len(a.waiters) - 1
+		a.waiters[last].verdict <- Verdict{Unsure: true}
+		a.waiters = a.waiters[:last]
+	}
+}
+
 // answerFirst sends a verdict to the request that has waited longest.
 func (a *account) answerFirst(v Verdict) {
 	first := a.waiters[0]
@@ -117,7 +137,10 @@
 func (a *account) tokenRequest(now int64) TokenRequest {
 	out := TokenRequest{Team: a.team, Returned: a.toReturn, AskedAt: now}
 	if missing := len(a.waiters) - int(a.requested); missing > 0 {
-		out.Count = uint32(missing) + a.prefetch()
+		out.Count = uint32(missing)
+		if a.deferredUntil == 0 {
+			out.Count += a.prefetch()
+		}
 	}
 	a.requested += out.Count
 	a.toReturn = 0
--- a/pkg/quota/model_test.go
+++ b/pkg/quota/model_test.go
@@ -129,6 +129,9 @@
 	lastUnsureAt int64
 	// refusals holds the requests that were refused as over the limit.
 	refusals []refusal
+	// refusedAfter holds how long each request without a token waited for its answer, be it
+	// over the limit or unsure.
+	refusedAfter []time.Duration
 }
 
 // refusal is a request refused as over the limit. sinceLinked is the time since the first
@@ -341,12 +344,12 @@
 	for _, request := range d.waiters {
 		select {
 		case v := <-request.verdict:
-			w.record(d, v)
+			w.record(d, v, request.since)
 			continue
 		default:
 		}
 		if w.maxWait > 0 && w.now-request.since >= int64(w.maxWait) {
-			w.record(d, d.node.giveUp(w.team, request.waiter))
+			w.record(d, d.node.giveUp(w.team, request.waiter), request.since)
 			continue
 		}
 		remaining = append(remaining, request)
@@ -387,8 +390,12 @@
 	return out
 }
 
-func (w *world) record(d *daemonModel, v Verdict) {
+// record counts the verdict on a request that has waited since a time of the world.
+func (w *world) record(d *daemonModel, v Verdict, since int64) {
 	w.requested++
+	if !v.Granted {
+		w.refusedAfter = append(w.refusedAfter, time.Duration(w.now-since))
+	}
 	switch {
 	case v.Granted:
 		w.granted++
@@ -409,7 +416,7 @@
 	}
 	request, v := d.node.takeOrWait(d.now(w.now), w.team)
 	if request == nil {
-		w.record(d, v)
+		w.record(d, v, w.now)
 		return
 	}
 	d.waiters = append(d.waiters, waitingRequest{waiter: request, since: w.now})
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -62,8 +62,8 @@
 	actions    [Groups]leaseAction
 	renewAt    int64
 	askAt      int64
-	// retryAt is when tokens are next requested again for accounts whose counter did not
-	// have all shares.
+	// retryAt is when tokens are next requested again for accounts whose counter did not know
+	// whether the limit was used.
 	retryAt int64
 	// latestNow is the latest time that was passed to the node.
 	latestNow int64
@@ -115,8 +115,8 @@
 // Stats counts the events of a node since its start.
 type Stats struct {
 	// Asked counts Asks sent for tokens outside of lease renewals, Granted requests that got
-	// a token, Refused requests over a limit, Unsure requests that no counter answered,
-	// Back tokens returned for requests that were not run.
+	// a token, Refused requests over a limit, Unsure requests for which it is unknown
+	// whether the team is within its limit, Back tokens returned for requests that were not run.
 	Asked, Granted, Refused, Unsure, Back uint64
 	// Deferred counts token requests that this daemon, as a counter, could not answer
 	// because it did not know whether the team had used its limit.
@@ -229,6 +229,9 @@
 	if now < a.exhaustedUntil {
 		return nil, Verdict{RetryAfter: time.Duration(a.exhaustedUntil - now)}
 	}
+	if now < a.deferredUntil && len(a.waiters) >= a.maxWaiting {
+		return nil, Verdict{Unsure: true}
+	}
 	w := &waiter{verdict: make(chan Verdict, 1)}
 	a.waiters = append(a.waiters, w)
 	if len(a.waiters) > int(a.requested) && now >= a.deferredUntil {
@@ -346,6 +349,7 @@
 			granted.NoShareYet = count < request.Count && !p.knowsUse(now, limit, n.opts.Window)
 			if granted.NoShareYet {
 				n.stats.Deferred++
+				granted.MaxWaiting = p.letWait(now, request.Team, limit, leaseDuration(n.members.count), request.Count-count) + 1
 			}
 		} else if ok {
 			granted.Count = request.Count
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -17,6 +17,9 @@
 	// nextExpiry is a lower bound of the earliest expiry of a share.
 	nextExpiry int64
 	advancedTo int64
+	// changedAt is when a share last arrived or left, or when requests began to wait here.
+	// waitedAt is when requests were last let wait.
+	changedAt, waitedAt int64
 	// limitSeconds is shareSum integrated over time, in seconds: a team has earned its
 	// rate times this many tokens.
 	limitSeconds float64
@@ -61,6 +64,11 @@
 	limitSeconds    float64
 	recoveredShares float64
 	usedAt          int64
+	// waiting counts the requests that were let wait since waitingSince, in the current
+	// shareRetryInterval, previousWaiting those in the one before. Each waiting request is
+	// asked for about once in each.
+	waiting, previousWaiting uint32
+	waitingSince             int64
 }
 
 func newPool(slack float64) *pool {
@@ -83,6 +91,7 @@
 		p.limitSeconds += leased.size * toSeconds(min(now, leased.until)-p.advancedTo)
 		if leased.until <= now {
 			delete(p.shares, vm)
+			p.changedAt = now
 			continue
 		}
 		p.shareSum += leased.size
@@ -104,6 +113,7 @@
 	}
 	previous, renewed := p.shares[offer.vm]
 	if !renewed {
+		p.changedAt = now
 		p.limitSeconds += offer.size * min(offer.unearned, maxUnearned).Seconds()
 		if offer.previousCounterLost {
 			p.recoveredShares += offer.size
@@ -131,10 +141,10 @@
 }
 
 // knowsUse reports whether a team whose bucket is empty has used its limit. It may not have
-// if shares are missing, or if what it had saved was lost with an earlier counter so
+// if over maxMissingShares are missing, or if what it had saved was lost with an earlier counter so
 // recently that an unused bucket would not be full again.
 func (p *pool) knowsUse(now int64, limit teams.Limit, window time.Duration) bool {
-	if p.shareSum < wholeLimit {
+	if 1-p.shareSum > maxMissingShares {
 		return false
 	}
 	refill := window
@@ -144,6 +154,41 @@
 	return p.historyLostAt == 0 || now-p.historyLostAt >= int64(refill)
 }
 
+// letWait returns how many of a team's requests without a token may wait at a daemon that
+// states so many. Those beyond what all daemons together could be granted are not servable.
+func (p *pool) letWait(now int64, team string, limit teams.Limit, lease time.Duration, count uint32) uint32 {
+	if now-p.waitedAt > int64(lease+maxTokenWait) {
+		// A daemon that has just become the counter gets the shares after their leases.
+		p.changedAt = now
+	}
+	p.waitedAt = now
+	b := p.buckets[team]
+	if age := now - b.waitingSince; age >= int64(shareRetryInterval) {
+		if age >= 2*int64(shareRetryInterval) {
+			b.waiting = 0
+		}
+		b.previousWaiting, b.waiting, b.waitingSince = b.waiting, 0, now
+	}
+	most := uint32(min(max(b.tokens+p.maxEarned(now, limit, lease), 0), math.MaxInt32))
+	count = min(count, most-min(b.waiting, most))
+	b.waiting += count
+	// Requests that are still to arrive may take what is left, divided among the daemons as
+	// their requests are.
+	total := max(b.waiting, b.previousWaiting, 1)
+	return count + uint32(uint64(count)*uint64(most-min(total, most))/uint64(total))
+}
+
+// maxEarned returns how many tokens a team earns within maxTokenWait if all missing shares
+// arrive now. They are not expected any more if requests have waited and no share has
+// arrived or left for longer than a lease of this duration.
+func (p *pool) maxEarned(now int64, limit teams.Limit, lease time.Duration) float64 {
+	missing := max(1-p.shareSum, 0)
+	if now-p.changedAt > int64(lease+maxTokenWait) {
+		missing = 0
+	}
+	return limit.Rate*(p.shareSum+missing)*maxTokenWait.Seconds() + missing*recoverySlackFraction*p.slack
+}
+
 // holds reports whether the share of a VM is leased to this pool.
 func (p *pool) holds(now int64, vm string) bool {
 	p.advance(now)
@@ -154,7 +199,7 @@
 // releaseShare drops the share of a VM, which takes it back.
 func (p *pool) releaseShare(now int64, vm string) {
 	p.advance(now)
-	p.releasedAt[vm] = now
+	p.releasedAt[vm], p.changedAt = now, now
 	p.shareSum -= p.shares[vm].size
 	delete(p.shares, vm)
 	if len(p.shares) == 0 {
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -51,12 +51,14 @@
 	// requests and return unused ones. It does not depend on the renewal interval.
 	askInterval = 150 * time.Millisecond
 	// shareRetryInterval is the time after which tokens are requested again from a counter
-	// whose shares do not cover the limit. The missing shares may arrive at any time.
+	// that does not know whether a limit is used. Missing shares may arrive at any time.
 	shareRetryInterval = 50 * time.Millisecond
 	// maxUnearned bounds the time for which a share that no process held is credited.
 	maxUnearned = time.Second
-	// wholeLimit is the sum of shares that covers a limit; the rest allows for rounding.
-	wholeLimit = 1 - 1e-6
+	// maxMissingShares is the sum of the shares that a counter may lack and still answer that
+	// a limit is used. It is the fraction by which a team may exceed its limit; the rest
+	// allows for rounding.
+	maxMissingShares = 0.1 + 1e-6
 	// maxLostHistory is the sum of shares whose earlier tokens may be lost within
 	// lostHistoryInterval without the counter losing its knowledge of a team's use.
 	maxLostHistory      = 0.1
@@ -159,8 +161,8 @@
 	// WaitMS is the time in milliseconds until the next token may be available.
 	WaitMS uint32
 	// NoShareYet is true if fewer tokens than requested were granted and the counter does
-	// not know whether the team has used its limit, because the shares leased to it do not
-	// cover the limit or did not until recently. The sender should ask again.
+	// not know whether the team has used its limit, because over maxMissingShares are not
+	// leased to it, or the history of shares was lost recently. The sender should ask again.
 	NoShareYet bool
 	// Returns is the number of return times that the counter has set tokens aside for: the
 	// first is ReturnMS milliseconds after the grant, each later one ReturnStepUS
@@ -168,6 +170,10 @@
 	Returns      uint32
 	ReturnMS     uint32
 	ReturnStepUS uint32
+	// MaxWaiting is set with NoShareYet: one more than the number of the team's requests that
+	// may wait for a token at the receiver. More cannot be served within maxTokenWait. 0: not
+	// stated.
+	MaxWaiting uint32
 }
 
 // leaseDuration returns how long a share is leased in a fleet of this size.
--- a/pkg/quota/tick.go
+++ b/pkg/quota/tick.go
@@ -148,15 +148,15 @@
 	for _, a := range n.accounts {
 		a.expire(now)
 		a.previous, a.recent = a.recent, 0
-		if a.toReturn > 0 || len(a.waiters) > int(a.requested) {
+		if a.toReturn > 0 || len(a.waiters) > int(a.requested) && now >= a.deferredUntil {
 			requests[a.group] = append(requests[a.group], a.tokenRequest(now))
 		}
 	}
 	return requests
 }
 
-// deferredRequests returns the token requests of accounts that wait for the shares of their
-// counter, by group.
+// deferredRequests returns the token requests of accounts whose counter did not know whether
+// the limit was used, by group.
 func (n *Node) deferredRequests(now int64) (requests [Groups][]TokenRequest) {
 	for _, a := range n.accounts {
 		if a.deferredUntil != 0 && now >= a.deferredUntil && len(a.waiters) > int(a.requested) {
