Test four safeguards of the shares after a restart

Cause: four faults put in by hand survived the tests of pkg/quota: recovery tokens in the first window of a restarted daemon, a lease that runs from an outdated time, a counter that never states HoldsShare, and a process that never held the share counted as lost.

Change: one test for each.

Figures: each of the four faults fails its test; the tests pass without them.

Conclusion: the code is unchanged.

--- a/pkg/quota/starts_test.go
+++ b/pkg/quota/starts_test.go
@@ -232,3 +232,43 @@
 	n.exchange(leaseEnd+40*millisecond, Grant{})
 	test.Between(t, 38, n.sent[len(n.sent)-1].UnearnedMS, 43)
 }
+
+// TestRestartedDaemonGrantsNoRecoveryInItsFirstWindow: its previous process may have granted
+// as many as a window allows.
+func TestRestartedDaemonGrantsNoRecoveryInItsFirstWindow(t *testing.T) {
+	n := newRestartedNode(ProcessStart{})
+	window := 5 * second
+	test.False(t, n.leases[0].allowRecovery(window, window))
+	test.True(t, n.leases[0].allowRecovery(window+1, window))
+}
+
+// TestProcessThatNeverHeldTheShareIsNotLost: it has no tokens that could be lost.
+func TestProcessThatNeverHeldTheShareIsNotLost(t *testing.T) {
+	l := &shareLease{holder: "b/1"}
+	l.next(second, 5*second, "c/1", func(string) bool { return false })
+	test.False(t, l.previousLost)
+	test.False(t, l.historyLost(second, 5*second))
+}
+
+// TestLeaseRunsFromTheLatestTime: a time that was read before the counter's time arrived
+// would end the lease before the counter ends it.
+func TestLeaseRunsFromTheLatestTime(t *testing.T) {
+	n := newRecordingNode()
+	n.tick(second, 3, "link")
+	for g := range Groups {
+		n.HandleGrant(3*second, "b/1", &Grant{Group: uint8(g), CounterTime: 1})
+	}
+	n.tick(2*second, 3, "link")
+	test.Eq(t, 3*second, n.leases[0].renewedAt)
+}
+
+// TestCounterStatesWhoseShareItHolds: only of the daemon that asks, and while the lease runs.
+func TestCounterStatesWhoseShareItHolds(t *testing.T) {
+	n := newRecordingNode()
+	n.members.count = 3
+	lease := &Ask{CounterTime: second, Members: 3, LeaseMS: uint32(minLease.Milliseconds())}
+	test.True(t, n.HandleAsk(second+1, "b", lease).HoldsShare)
+	test.False(t, n.HandleAsk(second+1, "c", &Ask{}).HoldsShare)
+	test.True(t, n.HandleAsk(second+2, "b", &Ask{}).HoldsShare)
+	test.False(t, n.HandleAsk(second+int64(minLease), "b", &Ask{}).HoldsShare)
+}
