--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/link"
@@ -44,6 +45,7 @@
 		State:       *c.State(),
 		Region:      c.Settings.VM.Region,
 		Features:    wire.FeatureGrants | wire.FeatureAcks,
+		UptimeMS:    uint64(time.Duration(c.Now())/time.Millisecond) + 1,
 	}
 }
 
