--- a/pkg/forward/return_times_test.go
+++ b/pkg/forward/return_times_test.go
@@ -41,6 +41,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := &fakeRunner{answer: refuses(errkind.Overloaded, false)}
 		f := newForwarder(r)
+		f.Settings.Routing.ScheduleReturns = true
 		distinct := map[time.Duration]bool{}
 		var last time.Duration
 		for range 20 {
@@ -63,6 +64,7 @@
 func TestCallersThatCannotMeetTheirTargetGetTheSpreadDefault(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newForwarder(&fakeRunner{answer: refuses(errkind.Overloaded, false)})
+		f.Settings.Routing.ScheduleReturns = true
 		f.work.Record("read", 390*time.Millisecond, 0)
 		distinct := map[time.Duration]bool{}
 		for range 20 {
@@ -81,6 +83,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := &fakeRunner{}
 		f := newForwarder(r)
+		f.Settings.Routing.ScheduleReturns = true
 		for i := range 200 {
 			r.answer = answers(200)
 			if i%2 == 0 {
--- a/pkg/ingress/server_test.go
+++ b/pkg/ingress/server_test.go
@@ -120,10 +120,7 @@
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
-			_, address := newServerWith(t, func(*wire.Call, []byte) call.Result { return s.result }, func(changed *settings.Settings) {
-				// Individual return times are random.
-				changed.Routing.ScheduleReturns = false
-			})
+			_, address := newServer(t, func(*wire.Call, []byte) call.Result { return s.result })
 			resp, _ := sendRaw(t, address, s.text)
 			test.Eq(t, s.status, resp.StatusCode)
 			test.Eq(t, s.retryAfter, resp.Header.Get("Retry-After"))
@@ -134,7 +131,9 @@
 // TestRetryAfterIsTheCallersOwn: without data, routing.retry_after with a random spread.
 func TestRetryAfterIsTheCallersOwn(t *testing.T) {
 	const smallest, largest = 0.225, 0.375
-	_, address := newServer(t, func(*wire.Call, []byte) call.Result { return call.Refused(errkind.Overloaded, "full") })
+	_, address := newServerWith(t, func(*wire.Call, []byte) call.Result { return call.Refused(errkind.Overloaded, "full") }, func(changed *settings.Settings) {
+		changed.Routing.ScheduleReturns = true
+	})
 	for range 5 {
 		resp, _ := sendRaw(t, address, "POST /p/ HTTP/1.1\r\nHost: h\r\nRushramp-Request-Id: i\r\n\r\n")
 		test.Eq(t, 503, resp.StatusCode)
--- a/pkg/quota/returns_model_test.go
+++ b/pkg/quota/returns_model_test.go
@@ -233,8 +233,8 @@
 	})
 }
 
-// overload runs a team at times its limit for 6 s and returns the model after it.
-func overload(limit teams.Limit, seed uint64, times float64, kind callerKind, withoutReturns bool) *callersModel {
+// overloadedCallers runs a team at times its limit for 6 s and returns the model after it.
+func overloadedCallers(limit teams.Limit, seed uint64, times float64, kind callerKind, withoutReturns bool) *callersModel {
 	m := newCallersModel(limit, seed, kind, withoutReturns)
 	m.load(times*limit.Rate, 6*time.Second, nil)
 	m.load(0, 2*kind.timeout, nil)
@@ -245,7 +245,7 @@
 func total(times float64, kind callerKind, withoutReturns bool) (out callersModel) {
 	for _, rate := range teamRates {
 		for seed := range uint64(2) {
-			m := overload(teams.Limit{Rate: rate, Burst: rate}, seed, times, kind, withoutReturns)
+			m := overloadedCallers(teams.Limit{Rate: rate, Burst: rate}, seed, times, kind, withoutReturns)
 			out.served += m.served
 			out.notServed += m.notServed
 			out.refusals += m.refusals
--- a/pkg/quota/returns_test.go
+++ b/pkg/quota/returns_test.go
@@ -10,8 +10,6 @@
 	"github.com/rushramp/rushramp/pkg/teams"
 )
 
-const millisecond = int64(time.Millisecond)
-
 // grantReturns answers the outstanding requests for tokens of team red: none is granted,
 // and count return times are reserved, the first after 100 ms, then one every 20 ms.
 func (n *recordingNode) grantReturns(now int64, process string, count uint32) {
