--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/quarantine"
+	"github.com/rushramp/rushramp/pkg/returns"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/utils"
@@ -79,6 +80,7 @@
 	work         *worktime.Times
 	calledRoutes *calledRoutes
 	sizes        *requestSizes
+	returns      *returns.Schedules
 	// localRuns is nil on a daemon without a backend server.
 	localRuns LocalRuns
 	// acks decides when a call counts as not acknowledged.
@@ -98,6 +100,7 @@
 		work:         worktime.NewTimes(),
 		calledRoutes: newCalledRoutes(),
 		sizes:        newRequestSizes(),
+		returns:      returns.NewSchedules(choose.RuntimeRandom{}.Float64),
 		localRuns:    localRuns,
 	}
 	c.Metrics.GetOrCreateGauge("rushramp_ack_widening", func() float64 { return float64(f.acks.Widening()) })
