Count the links of VMs in the choice of a backend server

Cause: stamps said nothing of the link of an executor's VM. Entries sent calls with 260 ms left to VMs whose links delayed them by more than that, and large bodies to VMs at whose links other bodies waited. Change: stamps report by how much the VM's link delays calls (pkg/linkdelay: the weighted median over accepted links, without the highest), how long a granted body would wait, and the learnt rate. Entries count them in the expected time and in what gates would refuse. An entry derives the delay of its own link from its acks and then prefers its own VM. The log shows the delay of each attempt. TestNextDecodesFramesOfALaterRelease: its later stamp has the new fields before the one that is added after them.

--- a/pkg/choose/refusal.go
+++ b/pkg/choose/refusal.go
@@ -17,18 +17,21 @@
 
 // wouldRefuse reports whether a recent stamp shows that the gate would refuse the
 // request, by the rules of gate.Gate.Admit.
-func (r *RoutedRequest) wouldRefuse(load *tables.LoadSnapshot, sameDataCentre bool) bool {
+func (r *RoutedRequest) wouldRefuse(load *tables.LoadSnapshot, link *linkTimes, sameDataCentre bool) bool {
 	if load.StampReceivedAt == 0 || r.Now-load.StampReceivedAt > int64(maxStampAge) {
 		return false
 	}
-	if r.Soft {
-		return r.wouldRefuseSoft(load, sameDataCentre)
+	if r.Soft && r.wouldRefuseSoft(load, sameDataCentre) {
+		return true
+	}
+	if r.Soft && !link.isSlow() {
+		return false
 	}
-	if r.TimeToTarget <= 0 || r.neededTime(load) <= float64(r.TimeToTarget) {
+	if r.TimeToTarget <= 0 || link.delay+r.neededTime(load, link) <= float64(r.TimeToTarget) {
 		return false
 	}
 	inFlight := load.InFlight + load.SentSinceStamp
-	acceptsLate := gate.AcceptsLateRuns(inFlight, load.Limit) && float64(r.TimeToDeadline) > r.expectedRunTime(load)
+	acceptsLate := gate.AcceptsLateRuns(inFlight, load.Limit) && float64(r.TimeToDeadline) > link.delay+link.transfer+r.expectedRunTime(load)
 	return !acceptsLate
 }
 
@@ -53,12 +56,12 @@
 
 // neededTime returns the time that the request must have left to be admitted by the
 // gate, in nanoseconds. Where no slot is free it includes the queueing time and a margin
-// for the spread of run times.
-func (r *RoutedRequest) neededTime(load *tables.LoadSnapshot) float64 {
+// for the spread of run times. The body arrives while the request waits for a slot.
+func (r *RoutedRequest) neededTime(load *tables.LoadSnapshot, link *linkTimes) float64 {
 	queuedAhead := load.InFlight + load.SentSinceStamp - load.Limit + 1
 	if queuedAhead <= 0 {
-		return r.expectedRunTime(load)
+		return link.transfer + r.expectedRunTime(load)
 	}
 	runTime := gate.RunTimeMargin * r.expectedRunTime(load)
-	return runTime + runTime*float64(queuedAhead)/float64(load.Limit)
+	return runTime + max(runTime*float64(queuedAhead)/float64(load.Limit), link.transfer)
 }
--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -71,6 +71,13 @@
 	TimeToDeadline time.Duration
 	// Work is the expected run time of the request at a backend server at normal speed.
 	Work time.Duration
+	// BodySize is the size in bytes of a body that is sent as the executor grants it; 0: the
+	// body is sent with the call.
+	BodySize int64
+	// OwnVM is the entry's VM, and OwnLinkDelay by how much that VM's link delays calls to
+	// all others.
+	OwnVM        string
+	OwnLinkDelay time.Duration
 }
 
 // RoutedPick is the result of PickRouted.
@@ -101,11 +108,12 @@
 		var load tables.LoadSnapshot
 		candidate.Load.SnapshotInto(req.Now, &load)
 		level := req.Location.LevelTo(candidate.Endpoint.DataCentre, candidate.Endpoint.Region)
-		if req.wouldRefuse(&load, level == proximity.SameDataCentre) {
+		link := req.linkTimesTo(candidate.Endpoint, &load)
+		if req.wouldRefuse(&load, &link, level == proximity.SameDataCentre) {
 			pick.PassedOver++
 			continue
 		}
-		expectedTime := req.expectedTime(&load)
+		expectedTime := req.expectedTime(&load, &link)
 		cost := expectedTime + float64(req.CrossingCost[level]) + tieBreakShare*float64(req.Work)*rnd.Float64()
 		if cost < pick.Cost {
 			pick.Index, pick.Proximity, pick.Cost, pick.ExpectedTime = i, level, cost, expectedTime
@@ -128,9 +136,9 @@
 }
 
 // expectedTime returns the expected time of the request at a candidate, in nanoseconds:
-// the wait, the run and the round trip, plus penalties for a server that fails or does
-// not answer.
-func (r *RoutedRequest) expectedTime(load *tables.LoadSnapshot) float64 {
+// the wait, the run, the round trip and the delay of the links, plus penalties for a server
+// that fails or does not answer.
+func (r *RoutedRequest) expectedTime(load *tables.LoadSnapshot, link *linkTimes) float64 {
 	limit := float64(load.Limit)
 	inFlight := float64(load.Outstanding)
 	prior := priorSlowdown
@@ -146,7 +154,9 @@
 		}
 	}
 	runTime := float64(r.Work) * slowdown
-	cost := runTime + queueWait(inFlight, limit, 1/limit, runTime) + float64(load.MinRTT)
+	// The body arrives while the request waits for a slot.
+	wait := max(queueWait(inFlight, limit, 1/limit, runTime), link.transfer)
+	cost := runTime + wait + float64(load.MinRTT) + link.delay + link.ownDelay
 	if noAnswer := float64(load.NoAnswerFor); noAnswer > noAnswerFactor*runTime {
 		cost += noAnswer
 	}
--- a/pkg/forward/ack_watch.go
+++ b/pkg/forward/ack_watch.go
@@ -23,6 +23,8 @@
 	acknowledger call.Acknowledger
 	bound        acks.Bound
 	sentAt       int64
+	// leastRTT is the shortest round-trip time to the executor; 0: not known.
+	leastRTT time.Duration
 	// dueAt is when the timer is due, in nanoseconds of the daemon's clock.
 	dueAt        int64
 	acknowledged atomic.Bool
@@ -33,8 +35,8 @@
 }
 
 // newAckWatch returns the watch of an attempt at runner.
-func (a *attempts) newAckWatch(runner call.Runner) *ackWatch {
-	w := &ackWatch{forwarder: a.forwarder, runner: runner}
+func (a *attempts) newAckWatch(runner call.Runner, leastRTT time.Duration) *ackWatch {
+	w := &ackWatch{forwarder: a.forwarder, runner: runner, leastRTT: leastRTT}
 	acknowledger, ok := runner.(call.Acknowledger)
 	if !ok || !a.needsAck() || !acknowledger.Acknowledges() {
 		return w
@@ -75,6 +77,7 @@
 	took := time.Duration(now - w.sentAt)
 	late := w.bound.Late > 0 && took > w.bound.Late
 	w.acknowledger.AckTimes().Record(now, took, late)
+	w.forwarder.recordOwnLink(now, w.acknowledger.AckTimes(), w.leastRTT, took)
 	if w.bound.Late > 0 {
 		w.outcome.Do(func() { w.forwarder.recordAck(now, late) })
 	}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -19,6 +19,7 @@
 	startedAt := a.forwarder.Now()
 	record := newAttemptRecord(startedAt, candidate, soft, a.proximityOf(candidate), pick.PassedOver)
 	record.toTargetVersion = a.lane == rollout.LaneTarget
+	record.bodySize, record.ownLinkDelay = a.grantedBodySize(), a.forwarder.ownLinkDelay()
 	a.records = append(a.records, record)
 	result := a.execute(candidate, soft)
 	a.records[len(a.records)-1].setEnd(&result, time.Duration(a.forwarder.Now()-startedAt))
@@ -33,8 +34,9 @@
 	}
 	now := a.forwarder.Now()
 	candidate.Load.RecordSent(now)
+	candidate.Load.RecordOffered(a.grantedBodySize())
 	number := a.tries
-	watch := a.newAckWatch(runner)
+	watch := a.newAckWatch(runner, candidate.Load.MinRTT())
 	defer watch.stop()
 	cancel := watch.execute(a.frame(candidate, soft), a.req.Body, func(r call.Result) { a.ends <- &attemptEnd{number, a.recordEnd(candidate, r)} })
 	return a.await(candidate, runner, cancel, watch)
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -210,6 +210,7 @@
 		// The settings by which gates refuse requests, so that the entry can foresee it.
 		SoftSlowdown: a.forwarder.Settings.Routing.SoftSlowdown, UsableShare: a.forwarder.Settings.Routing.Use,
 		TimeToTarget: a.usefulTime(), TimeToDeadline: a.timeLeft(),
+		BodySize: a.grantedBodySize(), OwnVM: a.forwarder.Settings.VM.ID, OwnLinkDelay: a.forwarder.ownLinkDelay(),
 	}
 	if a.softLeft > 0 {
 		choice.Soft = true
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/linkdelay"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/routing"
@@ -83,6 +84,9 @@
 	localRuns LocalRuns
 	// acks decides when a call counts as not acknowledged.
 	acks *acks.Entry
+	// ownLink holds the delays of acks by link, from which the delay of this VM's own link
+	// follows.
+	ownLink *linkdelay.Delays[*acks.Link]
 
 	inFlight atomic.Int64
 }
@@ -91,6 +95,7 @@
 func NewForwarder(c *common.Common, view *tables.View, localRuns LocalRuns) *Forwarder {
 	f := &Forwarder{
 		acks:         acks.NewEntry(),
+		ownLink:      linkdelay.NewDelays[*acks.Link](),
 		Common:       c,
 		view:         view,
 		random:       choose.RuntimeRandom{},
@@ -101,6 +106,7 @@
 		localRuns:    localRuns,
 	}
 	c.Metrics.GetOrCreateGauge("rushramp_ack_widening", func() float64 { return float64(f.acks.Widening()) })
+	c.Metrics.GetOrCreateGauge("rushramp_link_own_delay_seconds", func() float64 { return f.ownLinkDelay().Seconds() })
 	return f
 }
 
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -7,6 +7,7 @@
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/linkdelay"
 	"github.com/rushramp/rushramp/pkg/proximity"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -26,6 +27,10 @@
 	// newest load stamp; it is negative if the entry has had none.
 	load    tables.LoadSnapshot
 	loadAge time.Duration
+	// bodySize is that of a granted body, and ownLinkDelay the delay on the link of this
+	// daemon's VM; 0: none.
+	bodySize     int64
+	ownLinkDelay time.Duration
 	// passedOver counts the candidates that were passed over for this attempt, because
 	// their load showed that they would refuse it.
 	passedOver int
@@ -109,6 +114,7 @@
 		out.WriteString(" load=" + strconv.FormatInt(r.load.InFlight+r.load.SentSinceStamp, 10) + "/" + strconv.FormatInt(r.load.Limit, 10))
 		out.WriteString(" slowdown=" + strconv.FormatInt(r.load.Slowdown, 10))
 		out.WriteString(" age=" + events.Milliseconds(r.loadAge))
+		r.writeLink(&out)
 	} else {
 		out.WriteString(" load=unknown")
 	}
@@ -125,6 +131,20 @@
 	return out.String()
 }
 
+// writeLink adds what the entry knew of the link of the attempt's VM, if that was slow: the
+// delay that it expected and, for a granted body, the wait and the rate.
+func (r *attemptRecord) writeLink(out *strings.Builder) {
+	if delay := linkdelay.Decay(r.load.LinkDelay, r.loadAge); delay >= time.Millisecond {
+		out.WriteString(" link_delay=" + events.Milliseconds(delay))
+	}
+	if r.bodySize > 0 && r.load.LinkRate > 0 {
+		out.WriteString(" body_wait=" + events.Milliseconds(r.load.BodyWait) + " link_rate=" + strconv.FormatInt(r.load.LinkRate, 10))
+	}
+	if r.ownLinkDelay > 0 {
+		out.WriteString(" own_link_delay=" + events.Milliseconds(r.ownLinkDelay))
+	}
+}
+
 // recordsText returns the records of all attempts as they stand in a log line.
 func (a *attempts) recordsText() string {
 	parts := make([]string, 0, len(a.records))
--- a/pkg/grants/grants.go
+++ b/pkg/grants/grants.go
@@ -35,9 +35,9 @@
 	// unknownStallBound applies while no rate has been learnt.
 	minStallBound     = 50 * time.Millisecond
 	unknownStallBound = 250 * time.Millisecond
-	// rateValidity is how long a learnt rate is used for predictions. Otherwise a rate that
+	// RateValidity is how long, in nanoseconds, a learnt rate is used for predictions. Otherwise a rate that
 	// is too low would have all bodies refused, and would never be corrected.
-	rateValidity = int64(5 * time.Second)
+	RateValidity = int64(5 * time.Second)
 )
 
 // ErrNotGranted is returned for bytes that arrive without a grant.
@@ -398,6 +398,29 @@
 	return expected
 }
 
+// Forecast is what a body that is offered now can expect.
+type Forecast struct {
+	// Wait is the time until the bodies that are granted before it have arrived.
+	Wait time.Duration
+	// Rate is the rate at which it then arrives, in bytes per second.
+	Rate float64
+}
+
+// Forecast returns the forecast for a body that is offered now, behind all others except
+// those that are late or whose senders have stalled. It is zero while no rate is known.
+func (s *Scheduler) Forecast(now int64) Forecast {
+	if !s.shared.isMeasured(now) {
+		return Forecast{}
+	}
+	var ahead int64
+	for _, t := range s.transfers {
+		if !t.sender.stalled && t.StartBy >= now {
+			ahead += t.Size - t.arrived
+		}
+	}
+	return Forecast{Wait: time.Duration(s.shared.timeFor(ahead)), Rate: s.shared.rate()}
+}
+
 // Load is what a scheduler has granted and learnt.
 type Load struct {
 	// Waiting is the number of bytes that are not granted yet, Outstanding that of those that
--- a/pkg/grants/pipe.go
+++ b/pkg/grants/pipe.go
@@ -141,12 +141,17 @@
 
 // predict returns the expected time until n bytes have arrived; 0: unknown.
 func (p *pipe) predict(now, n int64) time.Duration {
-	if p.measuredAt == 0 || now-p.measuredAt > rateValidity {
+	if !p.isMeasured(now) {
 		return 0
 	}
 	return time.Duration(p.delay(n))
 }
 
+// isMeasured reports whether the learnt rate is recent enough for predictions.
+func (p *pipe) isMeasured(now int64) bool {
+	return p.measuredAt != 0 && now-p.measuredAt <= RateValidity
+}
+
 // grant adds a piece of n bytes to those on the way.
 func (p *pipe) grant(now, n int64) grantRecord {
 	if p.outstanding == 0 {
--- a/pkg/grants/simulation_test.go
+++ b/pkg/grants/simulation_test.go
@@ -296,6 +296,34 @@
 	test.Zero(t, s.ExpectedTime(s.now, next))
 }
 
+// TestForecastOfABody checks that a forecast counts the bodies that are granted first, without
+// those that are late or whose senders have stalled, and needs a rate learnt of late.
+func TestForecastOfABody(t *testing.T) {
+	s := newSimulation(10 * mbit)
+	for i := range 2 {
+		s.uplinks[Sender(i)] = &uplink{oneWay: int64(time.Millisecond), bytesPerSecond: 1000 * mbit}
+	}
+	test.Eq(t, Forecast{}, s.Forecast(s.now))
+	s.add(Transfer{Sender: 1, Size: bodySize, StartBy: 1 << 60})
+	s.runUntil(second)
+	must.Len(t, 1, s.finished)
+	idle := s.Forecast(s.now)
+	test.Zero(t, idle.Wait)
+	test.Between(t, 9*mbit, idle.Rate, 11*mbit)
+	s.add(Transfer{Sender: 1, Size: bodySize, StartBy: s.now - 1})
+	test.Zero(t, s.Forecast(s.now).Wait, test.Sprint("a late body"))
+	s.add(Transfer{Sender: 1, Size: bodySize, StartBy: 1 << 60})
+	test.Between(t, 260*time.Millisecond, s.Forecast(s.now).Wait, 320*time.Millisecond)
+	s.uplinks[0].dead = true
+	s.add(Transfer{Sender: 0, Size: 10 * bodySize, StartBy: 1 << 60})
+	test.Greater(t, time.Second, s.Forecast(s.now).Wait)
+	s.runUntil(s.now + second/2)
+	must.Len(t, 1, s.stalled)
+	test.Less(t, 500*time.Millisecond, s.Forecast(s.now).Wait, test.Sprint("a stalled sender"))
+	s.runUntil(20 * second)
+	test.Eq(t, Forecast{}, s.Forecast(s.now))
+}
+
 func TestUngrantedBytesAreAnError(t *testing.T) {
 	s := NewScheduler()
 	id := s.Add(Transfer{Sender: 1, Size: bodySize})
--- a/pkg/link/granter.go
+++ b/pkg/link/granter.go
@@ -58,6 +58,13 @@
 	return g.scheduler.Load()
 }
 
+// forecast returns what a body that is offered now can expect.
+func (g *granter) forecast() grants.Forecast {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.scheduler.Forecast(g.common.Now())
+}
+
 // maxRTTPings is the number of pings on an accepted link, one for each body at most, after
 // which no more are sent. The shortest round-trip time counts, since a ping may wait behind
 // bodies.
--- /dev/null
+++ b/pkg/link/link_load_test.go
@@ -0,0 +1,128 @@
+package link
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/grants"
+	"github.com/rushramp/rushramp/pkg/linkdelay"
+	"github.com/rushramp/rushramp/pkg/measure"
+	"github.com/rushramp/rushramp/pkg/wire"
+)
+
+// stampingRunner refuses all calls, with a stamp as a gate makes it.
+type stampingRunner struct{}
+
+func (stampingRunner) Stamp() wire.Stamp { return wire.Stamp{Seq: 1, Limit: 4, Running: 2} }
+
+func (r stampingRunner) Execute(_ *wire.Call, _ []byte, done func(call.Result)) func() {
+	done(call.Result{Refusal: errkind.New(errkind.Overloaded, ""), Stamp: r.Stamp()})
+	return func() {}
+}
+
+// TestStampsReportTheDelayOfTheLink, and the gate's own stamp stays as it is: calls from the
+// executor's VM do not use its link.
+func TestStampsReportTheDelayOfTheLink(t *testing.T) {
+	const delay = 300 * time.Millisecond
+	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
+	sentUS := uint64(time.Hour / time.Microsecond)
+	newCall := func(id uint64, late time.Duration, remaining time.Duration) *wire.Call {
+		return &wire.Call{ID: id, Remaining: remaining, SentUS: sentUS - uint64(late/time.Microsecond), WantStamp: true, Body: emptyBody()}
+	}
+	entry := dialRaw(t, server)
+	entry.send(newCall(1, 0, time.Minute), newCall(2, 0, time.Minute))
+	test.Zero(t, entry.refusal().Stamp.LinkDelayMS)
+	test.Zero(t, entry.refusal().Stamp.LinkDelayMS)
+	entry.send(newCall(3, delay, time.Minute))
+	stamp := entry.refusal().Stamp
+	test.Positive(t, stamp.LinkDelayMS)
+	test.Eq(t, 2, stamp.Running)
+	entry.send(newCall(4, 100*delay, delay))
+	dropped := entry.refusal()
+	test.Eq(t, errkind.DeadlineBeforeRun, errkind.Kind(dropped.Kind))
+	test.Greater(t, uint32(2*delay.Milliseconds()), dropped.Stamp.LinkDelayMS, test.Sprint("a call that came too late tells why"))
+	entry.send(&wire.Call{ID: 5, Remaining: delay, SentUS: sentUS - uint64(10*delay/time.Microsecond), Body: emptyBody()})
+	test.Eq(t, wire.Stamp{}, entry.refusal().Stamp, test.Sprint("no stamp was asked for"))
+}
+
+// TestAnEntryOfThePreviousReleaseStatesNoDelay, so that it does not count.
+func TestAnEntryOfThePreviousReleaseStatesNoDelay(t *testing.T) {
+	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
+	entry := dialRaw(t, server)
+	for id := range uint64(2) {
+		entry.send(&wire.Call{ID: id + 1, Remaining: time.Minute, WantStamp: true, Body: emptyBody()})
+		test.Eq(t, wire.Stamp{Seq: 1, Limit: 4, Running: 2}, entry.refusal().Stamp)
+	}
+}
+
+// TestStampsStateABodyLoadThatMatters: the fields of a VM with a fast link stay zero, which
+// takes one byte each.
+func TestStampsStateABodyLoadThatMatters(t *testing.T) {
+	const mbit = 1e6 / 8
+	for _, s := range []struct {
+		name     string
+		forecast grants.Forecast
+		wait     uint32
+		rate     uint32
+	}{
+		{"no rate", grants.Forecast{}, 0, 0},
+		{"slow link", grants.Forecast{Rate: 10 * mbit}, 0, 1250},
+		{"slow link, bodies wait", grants.Forecast{Rate: 10 * mbit, Wait: 400 * time.Millisecond}, 400, 1250},
+		{"fast link", grants.Forecast{Rate: 200 * mbit, Wait: linkdelay.Least - 1}, 0, 0},
+		{"fast link, bodies wait", grants.Forecast{Rate: 200 * mbit, Wait: 40 * time.Millisecond}, 40, 25_000},
+		{"a known rate is not 0", grants.Forecast{Rate: 1}, 0, 1},
+	} {
+		var stamp wire.Stamp
+		setBodyLoad(&stamp, s.forecast)
+		test.Eq(t, wire.Stamp{BodyWaitMS: s.wait, LinkRateKB: s.rate}, stamp, test.Sprint(s.name))
+	}
+}
+
+// TestAStampWithAChangedLinkIsWorthSending: entries send no further calls to a VM whose link
+// has recovered if they do not learn it.
+func TestAStampWithAChangedLinkIsWorthSending(t *testing.T) {
+	stamp := func(delay, wait uint32) wire.Stamp {
+		return wire.Stamp{Seq: 1, Limit: 4, ServiceUS: 1000, LinkDelayMS: delay, BodyWaitMS: wait, LinkRateKB: 1250}
+	}
+	for _, s := range []struct {
+		name            string
+		lastSent, stamp wire.Stamp
+		since           time.Duration
+		want            measure.Value
+	}{
+		{"no delay", stamp(0, 0), stamp(0, 0), 0, measure.LowValue},
+		{"a delay begins", stamp(0, 0), stamp(10, 0), 0, measure.HighValue},
+		{"a delay has ended", stamp(100, 0), stamp(0, 0), 0, measure.HighValue},
+		{"a delay has changed little", stamp(100, 0), stamp(140, 0), 0, measure.LowValue},
+		{"a delay has doubled", stamp(100, 0), stamp(200, 0), 0, measure.HighValue},
+		{"a delay has decayed as the peer expects", stamp(100, 0), stamp(50, 0), linkdelay.HalfLife, measure.LowValue},
+		{"a delay has not decayed", stamp(100, 0), stamp(100, 0), linkdelay.HalfLife, measure.HighValue},
+		{"bodies wait", stamp(0, 0), stamp(0, 50), 0, measure.HighValue},
+		{"the bodies have arrived as the peer expects", stamp(0, 400), stamp(0, 0), 400 * time.Millisecond, measure.LowValue},
+		{"more bodies wait", stamp(0, 400), stamp(0, 400), 300 * time.Millisecond, measure.HighValue},
+	} {
+		test.Eq(t, s.want, stampValue(s.lastSent, s.stamp, s.since), test.Sprint(s.name))
+	}
+}
+
+// TestEndedLinksDoNotCount: their senders may have had slow links of their own.
+func TestEndedLinksDoNotCount(t *testing.T) {
+	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
+	entry := dialRaw(t, server)
+	sentUS := uint64(time.Hour / time.Microsecond)
+	entry.send(&wire.Call{ID: 1, Remaining: time.Minute, SentUS: sentUS, Body: emptyBody()}, &wire.Call{ID: 2, Remaining: time.Minute, SentUS: sentUS - 1e9, Body: emptyBody()})
+	entry.refusal()
+	entry.refusal()
+	now := server.Now()
+	must.Positive(t, server.delays.Current(now, 1))
+	must.NoError(t, entry.ws.Close())
+	for len(server.Peers()) > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	test.Zero(t, server.delays.Current(now, 1))
+}
--- a/pkg/link/offered.go
+++ b/pkg/link/offered.go
@@ -106,7 +106,7 @@
 		if unreported {
 			return
 		}
-		result.Stamp = s.stamps.filter(s.server.Common, in.call.WantStamp, result.Stamp)
+		result.Stamp = s.stampFor(in.call, result.Stamp)
 		s.sendAnswer(id, result)
 	}
 }
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -17,6 +17,7 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/grants"
+	"github.com/rushramp/rushramp/pkg/linkdelay"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
@@ -27,8 +28,10 @@
 	*common.Common
 	handler Handler
 	// runner is nil on a daemon that is only an entry.
-	runner   call.Runner
-	grants   *granter
+	runner call.Runner
+	grants *granter
+	// delays holds the delays of the calls on accepted links.
+	delays   *linkdelay.Delays[grants.Sender]
 	timing   *HeartbeatTiming
 	upgrader websocket.Upgrader
 	http     *http.Server
@@ -43,7 +46,8 @@
 // the calls of peers and is nil on a daemon that is only an entry. tlsConfig is nil for plain
 // text.
 func Listen(c *common.Common, handler Handler, runner call.Runner, listener net.Listener, tlsConfig *tls.Config, timing *HeartbeatTiming) *Server {
-	s := &Server{Common: c, handler: handler, runner: runner, timing: timing, peers: map[*Peer]struct{}{}, address: listener.Addr().String(), grants: newGranter(c)}
+	s := &Server{Common: c, handler: handler, runner: runner, timing: timing, peers: map[*Peer]struct{}{}, address: listener.Addr().String(), grants: newGranter(c), delays: linkdelay.NewDelays[grants.Sender]()}
+	s.registerLinkMetrics()
 	mux := http.NewServeMux()
 	mux.HandleFunc(linkPath, s.accept)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: tlsConfig}
@@ -145,6 +149,7 @@
 	helloReceived, err := s.serve(s.register, s.receive)
 	s.cancelAll()
 	s.server.grants.removeSender(s.sender)
+	s.server.delays.Remove(s.sender)
 	var badFrame *BadFrameError
 	if errors.As(err, &badFrame) {
 		s.server.Log.Event(events.LinkBadFrame, events.F("peer", s.Hello.VM), events.F("cause", err))
@@ -289,7 +294,7 @@
 		s.cancelOffer(in)
 	}
 	if notStarted {
-		s.drop(id, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before its body was complete"))
+		s.drop(in.call, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before its body was complete"))
 	}
 	if cancel != nil {
 		cancel()
--- a/pkg/link/unneeded_calls.go
+++ b/pkg/link/unneeded_calls.go
@@ -22,7 +22,11 @@
 // its cancel came in the same message, or its time was used up in transit. Otherwise it
 // takes the time in transit off the call's remaining time.
 func (s *session) dropUnneeded(f *wire.Call) (dropped bool) {
-	delay := s.transit.Delay(s.server.Now(), f.SentUS)
+	now := s.server.Now()
+	delay := s.transit.Delay(now, f.SentUS)
+	if f.SentUS > 0 {
+		s.server.delays.Record(now, s.sender, delay)
+	}
 	hadTime := f.Remaining > 0
 	f.Remaining -= delay
 	if f.Routed.ID != "" {
@@ -30,18 +34,19 @@
 	}
 	switch {
 	case s.isCancelledInMessage(f.ID):
-		s.drop(f.ID, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before it arrived"))
+		s.drop(f, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before it arrived"))
 	case hadTime && f.Remaining <= 0:
-		s.drop(f.ID, droppedTimeUsed, call.Refused(errkind.DeadlineBeforeRun, "the call was in transit for %v longer than other calls", delay.Round(time.Millisecond)))
+		s.drop(f, droppedTimeUsed, call.Refused(errkind.DeadlineBeforeRun, "the call was in transit for %v longer than other calls", delay.Round(time.Millisecond)))
 	default:
 		return false
 	}
 	return true
 }
 
-func (s *session) drop(id uint64, reason string, result call.Result) {
+func (s *session) drop(f *wire.Call, reason string, result call.Result) {
 	s.server.Metrics.GetOrCreateCounter(`rushramp_calls_dropped_total{reason="` + reason + `"}`).Inc()
-	s.sendRefusal(id, result)
+	result.Stamp = s.currentStamp(f)
+	s.sendRefusal(f.ID, result)
 }
 
 // isCancelledInMessage reports whether the message that is being handled cancels a call.
--- /dev/null
+++ b/pkg/linkdelay/linkdelay.go
@@ -0,0 +1,148 @@
+// Package linkdelay decides without a network by how much the link of a VM delays calls,
+// from the delays that are seen on each of its links to other VMs. Times are nanoseconds of
+// a monotonic clock that the owner passes in. Source:
+// docs/design/links-as-a-resource.md.
+package linkdelay
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rushramp/rushramp/pkg/acks"
+)
+
+const (
+	// HalfLife is the time in which a delay loses half of its weight. A queue of 300 kB on a
+	// link of 10 Mbit/s is gone in 240 ms.
+	HalfLife = 250 * time.Millisecond
+	// Least is the least delay that counts. Shorter ones are due to the scheduling of
+	// processes.
+	Least = acks.SchedulingAllowance
+	// activeFor is how long a link counts after its latest call.
+	activeFor = 4 * HalfLife
+)
+
+// Decay returns what is expected to be left of a delay after some time.
+func Decay(delay, age time.Duration) time.Duration {
+	if delay <= 0 || age <= 0 {
+		return delay
+	}
+	return time.Duration(float64(delay) * weight(age))
+}
+
+// weight returns the weight of an observation of the given age, from 1 to 0.
+func weight(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(HalfLife)) }
+
+// Delays holds the recent delays of one VM's links, which K identifies. It is safe for
+// concurrent use.
+type Delays[K comparable] struct {
+	mu    sync.Mutex
+	links map[K]*link
+	// slowUntil is the time until which a delay of at least Least counts. Current returns 0
+	// after it.
+	slowUntil int64
+}
+
+// link is the recent delay of one link.
+type link struct {
+	// delay is the highest delay, decayed until the latest call, which was seen at seenAt.
+	delay  time.Duration
+	seenAt int64
+}
+
+// NewDelays returns a Delays without links.
+func NewDelays[K comparable]() *Delays[K] { return &Delays[K]{links: map[K]*link{}} }
+
+// Record records by how much a call on a link was delayed.
+func (d *Delays[K]) Record(now int64, id K, delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.links[id]
+	if l == nil {
+		d.removeInactive(now)
+		l = &link{}
+		d.links[id] = l
+	}
+	l.delay = max(Decay(l.delay, time.Duration(now-l.seenAt)), delay)
+	l.seenAt = now
+	if delay >= Least {
+		d.slowUntil = now + int64(activeFor)
+	}
+}
+
+// Remove forgets a link that has ended.
+func (d *Delays[K]) Remove(id K) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.links, id)
+}
+
+// removeInactive forgets the links that no longer count. The caller holds mu.
+func (d *Delays[K]) removeInactive(now int64) {
+	for id, l := range d.links {
+		if !l.isActive(now) {
+			delete(d.links, id)
+		}
+	}
+}
+
+func (l *link) isActive(now int64) bool { return now-l.seenAt < int64(activeFor) }
+
+// observation is the delay of a link at its latest call, with the weight that it has now.
+type observation struct {
+	delay  time.Duration
+	weight float64
+}
+
+// Current returns the delay that most links see: the median of the delays of all links,
+// weighted by how recent their calls are, without the link with the longest delay. The queue
+// of the VM's own link delays the calls of all links, but that of another VM's only its own.
+// A single link counts as it is. The result decays from the latest call on. Current returns 0
+// if the delay is shorter than Least, or fewer than minLinks links are active.
+func (d *Delays[K]) Current(now int64, minLinks int) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now >= d.slowUntil {
+		return 0
+	}
+	seen, latest := d.observations(now)
+	if len(seen) == 0 || len(seen) < minLinks {
+		return 0
+	}
+	out := Decay(median(seen[:max(len(seen)-1, 1)]), time.Duration(now-latest))
+	if out < Least {
+		return 0
+	}
+	return out
+}
+
+// observations returns those of the active links, the shortest delay first, and when the
+// latest call was seen. The caller holds mu.
+func (d *Delays[K]) observations(now int64) (out []observation, latest int64) {
+	for _, l := range d.links {
+		if l.isActive(now) {
+			out = append(out, observation{delay: l.delay, weight: weight(time.Duration(now - l.seenAt))})
+			latest = max(latest, l.seenAt)
+		}
+	}
+	slices.SortFunc(out, func(a, b observation) int { return cmp.Compare(a.delay, b.delay) })
+	return out, latest
+}
+
+// median returns the weighted median of sorted observations, of which there is at least one.
+func median(sorted []observation) time.Duration {
+	total := 0.0
+	for _, o := range sorted {
+		total += o.weight
+	}
+	sum := 0.0
+	for _, o := range sorted {
+		if sum += o.weight; 2*sum >= total {
+			return o.delay
+		}
+	}
+	return sorted[len(sorted)-1].delay
+}
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -17,6 +17,7 @@
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/gate"
 	"github.com/rushramp/rushramp/pkg/routing"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -201,6 +202,34 @@
 	<-busy
 }
 
+// TestTheGateCountsTheTimeThatALateCallHasLeft: the link has taken the transit delay off the
+// times of the call.
+func TestTheGateCountsTheTimeThatALateCallHasLeft(t *testing.T) {
+	r, _ := newTestRunner(t, newHoldingServer(), 4)
+	r.workTimes.Record("route", 300*time.Millisecond, 0)
+	admit := func(targetLeft, left time.Duration) (bool, *errkind.Error) {
+		c := routedCall("late")
+		c.Routed.TargetRemaining, c.Remaining = targetLeft, left
+		run := r.newRun(c, func(call.Result) {})
+		run.setJob()
+		test.Eq(t, run.arrived+int64(left), run.job.Deadline)
+		test.Eq(t, run.arrived+int64(min(targetLeft, left)), run.job.EndBy)
+		return r.gate.Admit(int64(time.Hour), &gate.Job{Deadline: int64(time.Hour + left), EndBy: int64(time.Hour) + run.job.EndBy - run.arrived, Work: run.job.Work})
+	}
+	started, refusal := admit(400*time.Millisecond, time.Second)
+	test.True(t, started)
+	test.Nil(t, refusal)
+	started, refusal = admit(200*time.Millisecond, 250*time.Millisecond)
+	test.True(t, started, test.Sprint("a probe of the expected run time"))
+	test.Nil(t, refusal)
+	_, refusal = admit(200*time.Millisecond, 250*time.Millisecond)
+	must.NotNil(t, refusal)
+	test.Eq(t, errkind.Overloaded, refusal.Kind)
+	test.Eq(t, errkind.RanNo, refusal.Ran)
+	_, refusal = admit(-time.Second, 0)
+	must.NotNil(t, refusal)
+}
+
 func TestRoutesCalledByServicesAreDetected(t *testing.T) {
 	o := newOriginTracker((&Deps{}).vmShare())
 	for range minServiceRequests {
--- a/pkg/tables/load.go
+++ b/pkg/tables/load.go
@@ -36,6 +36,12 @@
 	minRTT          atomic.Int64
 	slowdown        atomic.Int64
 	normalSlowdown  atomic.Int64
+	// linkDelay, bodyWait and linkRate are those of the newest stamp. bodyBytesSinceStamp
+	// counts the bytes of granted bodies that were offered since.
+	linkDelay           atomic.Int64
+	bodyWait            atomic.Int64
+	linkRate            atomic.Int64
+	bodyBytesSinceStamp atomic.Int64
 	// unresponsiveAt is when the daemon was found unresponsive; 0: never, or it has sent a
 	// stamp since.
 	unresponsiveAt atomic.Int64
@@ -58,6 +64,9 @@
 	l.sentSinceStamp.Add(1)
 }
 
+// RecordOffered counts the bytes of a body that the backend server's daemon grants.
+func (l *Load) RecordOffered(size int64) { l.bodyBytesSinceStamp.Add(size) }
+
 // RecordEnded counts a call as no longer outstanding, however it ended.
 func (l *Load) RecordEnded(now int64) {
 	l.outstanding.Add(-1)
@@ -97,11 +106,20 @@
 	l.serviceTime.Store(int64(stamp.ServiceUS) * int64(time.Microsecond))
 	l.slowdown.Store(int64(stamp.Slowdown))
 	l.normalSlowdown.Store(int64(stamp.NormalSlowdown))
+	l.storeLink(stamp)
 	l.unresponsiveAt.Store(0)
 	l.stampReceivedAt.Store(now)
 	l.sentSinceStamp.Store(0)
 }
 
+// storeLink takes over what a stamp says of the link of the backend server's VM.
+func (l *Load) storeLink(stamp wire.Stamp) {
+	l.linkDelay.Store(int64(stamp.LinkDelay()))
+	l.bodyWait.Store(int64(stamp.BodyWait()))
+	l.linkRate.Store(stamp.LinkRate())
+	l.bodyBytesSinceStamp.Store(0)
+}
+
 // BeginIncarnation records which process of the daemon a new link leads to, and resets
 // the load if it is another process than before. Each process numbers its stamps from the
 // beginning, and ApplyStamp would otherwise ignore them as
@@ -123,6 +141,7 @@
 	l.failureShare.Store(0)
 	l.slowdown.Store(0)
 	l.normalSlowdown.Store(0)
+	l.storeLink(wire.Stamp{})
 	l.unresponsiveAt.Store(0)
 	l.limit.Store(int64(max(slots, 1)))
 }
@@ -153,6 +172,16 @@
 	Slowdown int64
 	// NormalSlowdown is the slowdown outside slow periods, in percent; 0 stands for 100.
 	NormalSlowdown int64
+	// LinkDelay is by how much the VM's link delayed calls when the newest stamp was made,
+	// BodyWait how long a further body then waited for those before it.
+	LinkDelay time.Duration
+	BodyWait  time.Duration
+	// LinkRate is the rate at which granted bodies arrive, in bytes per second; 0: not known,
+	// or too high to matter.
+	LinkRate int64
+	// BodyBytesSinceStamp counts the bytes of granted bodies that this entry has offered
+	// since the newest stamp arrived.
+	BodyBytesSinceStamp int64
 	// UnresponsiveFor is how long ago the daemon was found unresponsive; 0: it was not,
 	// or has sent a stamp since.
 	UnresponsiveFor time.Duration
@@ -180,6 +209,10 @@
 	out.MinRTT = time.Duration(l.minRTT.Load())
 	out.Slowdown = l.slowdown.Load()
 	out.NormalSlowdown = l.normalSlowdown.Load()
+	out.LinkDelay = time.Duration(l.linkDelay.Load())
+	out.BodyWait = time.Duration(l.bodyWait.Load())
+	out.LinkRate = l.linkRate.Load()
+	out.BodyBytesSinceStamp = l.bodyBytesSinceStamp.Load()
 	out.UnresponsiveFor = 0
 	if at := l.unresponsiveAt.Load(); at > 0 {
 		out.UnresponsiveFor = time.Duration(max(now-at, 1))
--- a/pkg/tables/members_test.go
+++ b/pkg/tables/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
@@ -105,3 +106,20 @@
 	load.ApplyStamp(70, wire.Stamp{Seq: 1, Running: 2, Limit: 12})
 	test.Eq(t, 2, load.Snapshot(80).InFlight)
 }
+
+// TestLoadHoldsTheLinkOfTheNewestStamp, and counts the bytes offered since only.
+func TestLoadHoldsTheLinkOfTheNewestStamp(t *testing.T) {
+	load := NewLoad(12)
+	load.RecordOffered(1000)
+	load.ApplyStamp(10, wire.Stamp{Seq: 5, Limit: 12, LinkDelayMS: 30, BodyWaitMS: 40, LinkRateKB: 50})
+	load.ApplyStamp(20, wire.Stamp{Seq: 4, Limit: 12, LinkDelayMS: 1, BodyWaitMS: 1, LinkRateKB: 1})
+	load.RecordOffered(300)
+	load.RecordOffered(400)
+	snapshot := load.Snapshot(30)
+	test.Eq(t, 30*time.Millisecond, snapshot.LinkDelay)
+	test.Eq(t, 40*time.Millisecond, snapshot.BodyWait)
+	test.Eq(t, 50_000, snapshot.LinkRate)
+	test.Eq(t, 700, snapshot.BodyBytesSinceStamp)
+	load.Reset(12)
+	test.Eq(t, NewLoad(12).Snapshot(30), load.Snapshot(30), test.Sprint("another process may run on another VM"))
+}
--- a/pkg/wire/fit_test.go
+++ b/pkg/wire/fit_test.go
@@ -15,6 +15,7 @@
 		_                                                           struct{} `cbor:",toarray"`
 		Seq                                                         uint64
 		Running, Queued, Limit, ServiceUS, Slowdown, NormalSlowdown uint32
+		LinkDelayMS, BodyWaitMS, LinkRateKB                         uint32
 		Added                                                       []string
 	}
 	laterRefusal struct {
@@ -79,6 +80,23 @@
 		MembersDigest    uint64
 		HeardDataCentres []HeardDataCentre
 	}
+	// stampWithoutLink is a Stamp of the release before the one that added LinkDelayMS and the
+	// later fields, and refusalWithoutLink a Refusal that contains it.
+	stampWithoutLink struct {
+		_                                                           struct{} `cbor:",toarray"`
+		Seq                                                         uint64
+		Running, Queued, Limit, ServiceUS, Slowdown, NormalSlowdown uint32
+	}
+	refusalWithoutLink struct {
+		_         struct{} `cbor:",toarray"`
+		ID        uint64
+		Kind, Ran uint8
+		Detail    string
+		Stamp     stampWithoutLink
+		NextClaim Claim
+		Offered   bool
+		Origin    Origin
+	}
 	earlierStamp struct {
 		_                                 struct{} `cbor:",toarray"`
 		Seq                               uint64
@@ -126,6 +144,33 @@
 	}, answer)
 }
 
+// TestNextDecodesStampsWithoutLinkFields: a daemon of the previous release states no delay.
+func TestNextDecodesStampsWithoutLinkFields(t *testing.T) {
+	refusal := decodeFrame[*Refusal](t, encodeFrame(t, TypeRefusal, refusalWithoutLink{
+		ID: 3, Stamp: stampWithoutLink{Seq: 9, Running: 1, Queued: 2, Limit: 3, ServiceUS: 4, Slowdown: 5, NormalSlowdown: 6}, Offered: true, Origin: OriginService,
+	}))
+	test.Eq(t, &Refusal{ID: 3, Stamp: Stamp{Seq: 9, Running: 1, Queued: 2, Limit: 3, ServiceUS: 4, Slowdown: 5, NormalSlowdown: 6}, Offered: true, Origin: OriginService}, refusal)
+	test.Zero(t, refusal.Stamp.LinkDelay())
+	test.Zero(t, refusal.Stamp.BodyWait())
+	test.Zero(t, refusal.Stamp.LinkRate())
+}
+
+// TestLinkFieldsTakeOneByteEach while nothing waits, since a stamp is sent with most answers.
+func TestLinkFieldsTakeOneByteEach(t *testing.T) {
+	before := stampWithoutLink{Seq: 9000, Running: 1, Queued: 2, Limit: 3, ServiceUS: 40_000, Slowdown: 100}
+	stamp := Stamp{Seq: 9000, Running: 1, Queued: 2, Limit: 3, ServiceUS: 40_000, Slowdown: 100}
+	encodedBefore, err := cbor.Marshal(before)
+	must.NoError(t, err)
+	encoded, err := cbor.Marshal(stamp)
+	must.NoError(t, err)
+	test.Eq(t, len(encodedBefore)+3, len(encoded))
+	test.Eq(t, len(encoded), stamp.Size())
+	slow := Stamp{Seq: 9000, LinkDelayMS: 24, BodyWaitMS: 300, LinkRateKB: 70_000}
+	encoded, err = cbor.Marshal(slow)
+	must.NoError(t, err)
+	test.Eq(t, len(encoded), slow.Size())
+}
+
 func TestNextDecodesMembersOfAnEarlierRelease(t *testing.T) {
 	members := decodeFrame[*Members](t, encodeFrame(t, TypeMembers, earlierMembers{Rows: []earlierMember{{VM: "a", Slots: 3, Backend: BackendAbsent}}}))
 	test.Eq(t, []Member{{VM: "a", Slots: 3, Backend: BackendAbsent}}, members.Rows)
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -74,13 +74,31 @@
 	// NormalSlowdown is the Slowdown to expect outside slow periods, in percent. It is above
 	// 100 while the backend server is cold, for example. 0: 100 percent.
 	NormalSlowdown uint32
+	// LinkDelayMS is by how much the link of the executor's VM delays calls, in milliseconds.
+	LinkDelayMS uint32
+	// BodyWaitMS is how long a body that is offered now waits behind the bodies that are
+	// granted before it, in milliseconds.
+	BodyWaitMS uint32
+	// LinkRateKB is the rate at which granted bodies arrive, in units of 1,000 bytes per
+	// second; 0: not known, or so high that it does not matter.
+	LinkRateKB uint32
 }
 
+// LinkDelay returns LinkDelayMS as a duration.
+func (s *Stamp) LinkDelay() time.Duration { return time.Duration(s.LinkDelayMS) * time.Millisecond }
+
+// BodyWait returns BodyWaitMS as a duration.
+func (s *Stamp) BodyWait() time.Duration { return time.Duration(s.BodyWaitMS) * time.Millisecond }
+
+// LinkRate returns LinkRateKB in bytes per second.
+func (s *Stamp) LinkRate() int64 { return int64(s.LinkRateKB) * 1000 }
+
 // Size returns the size of the encoded stamp in bytes.
 func (s *Stamp) Size() int {
 	const arrayHead = 1
 	return arrayHead + uintSize(s.Seq) + uintSize(uint64(s.Running)) + uintSize(uint64(s.Queued)) +
-		uintSize(uint64(s.Limit)) + uintSize(uint64(s.ServiceUS)) + uintSize(uint64(s.Slowdown)) + uintSize(uint64(s.NormalSlowdown))
+		uintSize(uint64(s.Limit)) + uintSize(uint64(s.ServiceUS)) + uintSize(uint64(s.Slowdown)) + uintSize(uint64(s.NormalSlowdown)) +
+		uintSize(uint64(s.LinkDelayMS)) + uintSize(uint64(s.BodyWaitMS)) + uintSize(uint64(s.LinkRateKB))
 }
 
 // uintSize returns the size of an unsigned integer in CBOR (RFC 8949, section 3), in bytes.
