--- a/pkg/choose/link_times_test.go
+++ b/pkg/choose/link_times_test.go
@@ -170,6 +170,32 @@
 	test.Eq(t, 0, pick(360_000, candidates[:2]...), test.Sprint("a new stamp includes what was offered before"))
 }
 
+// TestABodyThatWouldArriveTooLateIsNotOffered: its gate would refuse the head, or the run would
+// end too late. A body arrives while the request waits for a slot.
+func TestABodyThatWouldArriveTooLateIsNotOffered(t *testing.T) {
+	now := int64(time.Hour)
+	const target = 800 * time.Millisecond
+	for _, s := range []struct {
+		name    string
+		running uint32
+		size    int64
+		skipped bool
+	}{
+		{"free slot, in time", 0, 650_000, false},
+		{"free slot, too late", 0, 720_000, true},
+		{"no free slot, in time", 6, 600_000, false},
+		{"no free slot, too late by the margin", 6, 680_000, true},
+		{"no free slot, the transfer takes less time than the wait", 24, 200_000, false},
+	} {
+		stamp := wire.Stamp{Limit: 6, Running: s.running, Slowdown: 100, LinkRateKB: 1000}
+		req := &RoutedRequest{
+			Now: now, CandidateSet: []tables.Candidate{newCandidate("here", stamp, 0, now)}, Location: proximity.Location{DataCentre: "here"},
+			Work: 120 * time.Millisecond, TimeToTarget: target, TimeToDeadline: target, BodySize: s.size,
+		}
+		test.Eq(t, s.skipped, PickRouted(req, RuntimeRandom{}).Index == NoCandidate, test.Sprint(s.name))
+	}
+}
+
 // TestAnOldRateIsTriedAgain: a rate that was learnt too low would not be corrected otherwise.
 func TestAnOldRateIsTriedAgain(t *testing.T) {
 	now := int64(time.Hour)
--- a/pkg/forward/own_link_test.go
+++ b/pkg/forward/own_link_test.go
@@ -105,6 +105,56 @@
 	})
 }
 
+// TestALargeBodyGoesWhereItArrivesFirst although more requests run there.
+func TestALargeBodyGoesWhereItArrivesFirst(t *testing.T) {
+	narrow, wide := &fakeRunner{answer: answers(200)}, &fakeRunner{answer: answers(200)}
+	f := newForwarder(narrow, wide)
+	candidates := f.view.Service("s").Match("GET", "/").LinkedCandidates
+	candidates[0].Load.ApplyStamp(f.Now(), wire.Stamp{Seq: 1, Limit: 4, Slowdown: 100, LinkRateKB: 1000})
+	candidates[1].Load.ApplyStamp(f.Now(), wire.Stamp{Seq: 1, Limit: 4, Running: 3, Slowdown: 100})
+	req := newRequest("/read/x")
+	req.Body = make([]byte, 360_000)
+	var out bytes.Buffer
+	f.Log = events.NewLog(&out, events.Info)
+	must.NotNil(t, f.Forward(t.Context(), req).Answer)
+	test.Eq(t, 0, len(narrow.calls))
+	test.Eq(t, 1, len(wide.calls))
+	candidates[1].Endpoint.SetRunner(nil)
+	f.Forward(t.Context(), req)
+	test.StrContains(t, out.String(), " body_wait=0.0ms link_rate=1000000 ")
+}
+
+// TestAnEntryWithASlowLinkSendsToItsOwnVM, and to others only while its own has no slot left.
+func TestAnEntryWithASlowLinkSendsToItsOwnVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own, other := &fakeRunner{answer: answers(200)}, &fakeRunner{answer: answers(200)}
+		f := newForwarder(own, other)
+		time.Sleep(time.Second)
+		candidates := f.view.Service("s").Match("GET", "/").LinkedCandidates
+		candidates[0].Endpoint.VM, candidates[1].Endpoint.VM = f.Settings.VM.ID, "other"
+		f.random = zeroRandom{}
+		var out bytes.Buffer
+		f.Log = events.NewLog(&out, events.Info)
+		send := func(seq uint64) {
+			candidates[0].Load.ApplyStamp(f.Now(), wire.Stamp{Seq: seq, Limit: 4, Running: 3, Slowdown: 100})
+			candidates[1].Load.ApplyStamp(f.Now(), wire.Stamp{Seq: seq, Limit: 4, Slowdown: 100})
+			must.NotNil(t, f.Forward(t.Context(), newRequest("/read/x")).Answer)
+		}
+		send(1)
+		test.Eq(t, 1, len(other.calls))
+		links := make([]acks.Link, minOwnLinks)
+		for i := range links {
+			f.recordOwnLink(f.Now(), &links[i], testPing, testPing+acks.MaxDelay+200*time.Millisecond)
+		}
+		send(2)
+		test.Eq(t, 1, len(own.calls))
+		test.StrContains(t, out.String(), "own_link_delay=200.0ms -> 200")
+		candidates[0].Endpoint.SetRunner(nil)
+		send(3)
+		test.Eq(t, 2, len(other.calls), test.Sprint("no other VM is passed over"))
+	})
+}
+
 // TestOnlyGrantedBodiesCount: the bytes of others are sent with their calls.
 func TestOnlyGrantedBodiesCount(t *testing.T) {
 	runner := &fakeRunner{answer: answers(200)}
--- a/pkg/link/link_load_test.go
+++ b/pkg/link/link_load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test"
@@ -58,6 +59,65 @@
 		entry.send(&wire.Call{ID: id + 1, Remaining: time.Minute, WantStamp: true, Body: emptyBody()})
 		test.Eq(t, wire.Stamp{Seq: 1, Limit: 4, Running: 2}, entry.refusal().Stamp)
 	}
+	// Its calls do not make the delay of others seem to be that of one sender's link.
+	states := dialRaw(t, server)
+	sentUS := uint64(time.Hour / time.Microsecond)
+	states.send(&wire.Call{ID: 1, Remaining: time.Minute, SentUS: sentUS, Body: emptyBody()})
+	states.refusal()
+	states.send(&wire.Call{ID: 2, Remaining: time.Minute, SentUS: sentUS - 30e6, WantStamp: true, Body: emptyBody()})
+	test.Positive(t, states.refusal().Stamp.LinkDelayMS)
+}
+
+// learnRate makes a scheduler learn a rate, in bytes per second, until now.
+func learnRate(s *grants.Scheduler, now int64, rate float64) {
+	const step = int64(5 * time.Millisecond)
+	id := s.Add(grants.Transfer{Sender: 1, Size: 1 << 40, StartBy: 1 << 62})
+	var granted, arrived int64
+	for at := now - int64(time.Second); at < now; at += step {
+		allowed, _ := s.Tick(at)
+		for _, grant := range allowed {
+			granted = grant.Offset
+		}
+		n := min(granted-arrived, int64(rate*time.Duration(step).Seconds()))
+		if n > 0 {
+			_, _ = s.Arrived(at, id, n)
+			arrived += n
+		}
+	}
+	s.Remove(id)
+}
+
+// TestStampsReportTheRateOfTheLink, which entries use to choose where to send a body.
+func TestStampsReportTheRateOfTheLink(t *testing.T) {
+	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
+	server.grants.mu.Lock()
+	learnRate(server.grants.scheduler, server.Now(), 1.25e6)
+	server.grants.mu.Unlock()
+	entry := dialRaw(t, server)
+	entry.send(&wire.Call{ID: 1, Remaining: time.Minute, WantStamp: true, Body: emptyBody()})
+	stamp := entry.refusal().Stamp
+	test.Positive(t, stamp.LinkRateKB)
+	test.Eq(t, kilobytes(server.grants.load().Rate), stamp.LinkRateKB)
+	test.Zero(t, stamp.BodyWaitMS)
+}
+
+// TestAStampThatThePeerExpectsIsNotSentOutOfTheReserve of the measurement budget.
+func TestAStampThatThePeerExpectsIsNotSentOutOfTheReserve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := testCommon()
+		time.Sleep(time.Minute)
+		var filter stampFilter
+		stamp := func(seq uint64, delay uint32) wire.Stamp {
+			return wire.Stamp{Seq: seq, Limit: 4, ServiceUS: 1000, LinkDelayMS: delay}
+		}
+		must.Eq(t, 1, filter.filter(c, true, stamp(1, 200)).Seq)
+		time.Sleep(linkdelay.HalfLife)
+		for c.Measure.TrySpend(c.Now(), 1, measure.LowValue) {
+			// Takes what is not reserved for reports of high value.
+		}
+		test.Zero(t, filter.filter(c, true, stamp(2, 100)).Seq, test.Sprint("decayed as expected"))
+		test.Eq(t, 3, filter.filter(c, true, stamp(3, 200)).Seq, test.Sprint("not decayed"))
+	})
 }
 
 // TestStampsStateABodyLoadThatMatters: the fields of a VM with a fast link stay zero, which
