--- a/pkg/link/link_load.go
+++ b/pkg/link/link_load.go
@@ -13,11 +13,14 @@
 	// time of the body makes no difference to the choice then.
 	fastBody = 64 << 10
 	fastTime = 5 * time.Millisecond
+	// minAcceptedLinks is how many links must be active for a delay to be reported. The entry
+	// of a single one is the only one that gets stamps.
+	minAcceptedLinks = 1
 )
 
 // registerLinkMetrics registers the gauges of what stamps say of this VM's link.
 func (s *Server) registerLinkMetrics() {
-	s.Metrics.GetOrCreateGauge("rushramp_link_delay_seconds", func() float64 { return s.delays.Current(s.Now(), 1).Seconds() })
+	s.Metrics.GetOrCreateGauge("rushramp_link_delay_seconds", func() float64 { return s.delays.Current(s.Now(), minAcceptedLinks).Seconds() })
 	s.Metrics.GetOrCreateGauge("rushramp_bodies_wait_seconds", func() float64 { return s.grants.forecast().Wait.Seconds() })
 }
 
@@ -27,7 +30,7 @@
 	if stamp.Seq == 0 {
 		return
 	}
-	stamp.LinkDelayMS = milliseconds(s.delays.Current(s.Now(), 1))
+	stamp.LinkDelayMS = milliseconds(s.delays.Current(s.Now(), minAcceptedLinks))
 	setBodyLoad(stamp, s.grants.forecast())
 }
 
