Large bodies queue in their data centre before they cross within a region

Cause: a soft attempt that was refused nearby went to another data centre of the region at once, whatever it cost. Only a crossing to another region was weighed against queueing nearer.

A request whose body waits for a grant (links.grant_bodies_above) queues nearer while that costs less than the crossing and ends in time, by the count of the gate and with the time of the transfer. The price of its crossing is that of its bytes for its work.

--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -57,6 +57,8 @@
 	// Location is that of the entry. CrossingCost is the cost of crossing from there.
 	Location     proximity.Location
 	CrossingCost CrossingCosts
+	// NearerThan excludes the candidates at this proximity and beyond; 0: none.
+	NearerThan proximity.Level
 	// Soft marks an attempt that a gate refuses at once while its backend server is
 	// slowed or nearly full.
 	Soft bool
@@ -98,9 +100,12 @@
 		if req.Excluded.Has(i) || !req.allows(candidate.Endpoint) {
 			continue
 		}
+		level := req.Location.LevelTo(candidate.Endpoint.DataCentre, candidate.Endpoint.Region)
+		if req.NearerThan > 0 && level >= req.NearerThan {
+			continue
+		}
 		var load tables.LoadSnapshot
 		candidate.Load.SnapshotInto(req.Now, &load)
-		level := req.Location.LevelTo(candidate.Endpoint.DataCentre, candidate.Endpoint.Region)
 		if req.wouldRefuse(&load, level == proximity.SameDataCentre) {
 			pick.PassedOver++
 			continue
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -14,14 +14,18 @@
 
 // send sends the request to the picked candidate, waits for the end of the attempt, and
 // records the attempt for the log.
-func (a *attempts) send(pick choose.RoutedPick, soft bool) call.Result {
+func (a *attempts) send(pick choose.AttemptPick) call.Result {
 	candidate := &a.candidates[pick.Index]
 	startedAt := a.forwarder.Now()
-	record := newAttemptRecord(startedAt, candidate, soft, a.proximityOf(candidate), pick.PassedOver)
+	record := newAttemptRecord(startedAt, candidate, pick.Soft, a.proximityOf(candidate), pick.PassedOver)
 	record.toTargetVersion = a.lane == rollout.LaneTarget
+	record.crossing = pick.Crossing
 	a.records = append(a.records, record)
-	result := a.execute(candidate, soft)
-	a.records[len(a.records)-1].setEnd(&result, time.Duration(a.forwarder.Now()-startedAt))
+	result := a.execute(candidate, pick.Soft)
+	took := time.Duration(a.forwarder.Now() - startedAt)
+	a.records[len(a.records)-1].setEnd(&result, took)
+	a.recordTransfer(candidate, &result, took)
+	a.recordCrossing(&record, &result)
 	return result
 }
 
@@ -125,7 +129,7 @@
 		candidate.Load.RecordAnswer(result.Answer.Status >= 500)
 		if result.Answer.Status < 500 {
 			a.forwarder.work.Record(a.route.Name, result.Answer.Run, result.Answer.Slowdown)
-			a.forwarder.sizes.add(a.route.Name, len(a.req.Body), len(result.Answer.Body))
+			a.forwarder.sizes.add(a.route.Name, len(a.req.Body), len(result.Answer.Body), a.expectedWork())
 		}
 	case result.Refusal.Ran == errkind.RanMaybe:
 		result.Offered = true
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -7,7 +7,6 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/errkind"
-	"github.com/rushramp/rushramp/pkg/gate"
 	"github.com/rushramp/rushramp/pkg/proximity"
 	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/rollout"
@@ -74,6 +73,8 @@
 	left []leftAttempt
 	// records describes the attempts for the log.
 	records []attemptRecord
+	// crossings sums up the bytes that crossed to other data centres.
+	crossings crossingTotals
 	// stopReason says why no further attempt was made, for the log.
 	stopReason string
 	// fallback is the result of an earlier attempt that failed and may have run. The
@@ -103,7 +104,7 @@
 			a.stopReason = stoppedByQuarantine
 			return a.finalResult(*refusal)
 		}
-		pick, soft := a.pick()
+		pick := a.pick()
 		if pick.PassedOver > 0 {
 			last = call.Refused(errkind.Overloaded, "the latest load reports of %d gates show that they would refuse the request", pick.PassedOver)
 		}
@@ -114,7 +115,7 @@
 			break
 		}
 		a.tries++
-		result := a.send(pick, soft)
+		result := a.send(pick)
 		if a.isLast(index, &result) {
 			return a.finalResult(result)
 		}
@@ -174,79 +175,58 @@
 // pick chooses the candidate of the next attempt and whether the attempt is soft. During
 // a roll-out, a request moves to the lane of retries if its own lane has no candidate, or
 // only candidates at which it would queue.
-func (a *attempts) pick() (pick choose.RoutedPick, soft bool) {
+func (a *attempts) pick() choose.AttemptPick {
 	a.loadCandidates()
 	a.updateRule()
 	traffic := a.forwarder.view.RolloutTraffic(a.service)
 	if a.tries > 0 {
 		a.lane = traffic.RetryLane()
 	}
-	pick, soft = a.pickInLane(traffic)
+	pick := a.pickInLane(traffic)
 	retryLane := traffic.RetryLane()
-	if retryLane == a.lane || pick.Index != choose.NoCandidate && (soft || a.softLeft == 0) {
-		return pick, soft
+	if retryLane == a.lane || pick.Index != choose.NoCandidate && (pick.Soft || a.softLeft == 0) {
+		return pick
 	}
 	// The lane's backend servers are gone, not linked to this daemon, or known to be full.
 	// A canary must neither refuse a request nor make it queue for that.
 	firstLane := a.lane
 	a.lane = retryLane
-	if other, otherSoft := a.pickInLane(traffic); other.Index != choose.NoCandidate || pick.Index == choose.NoCandidate {
-		return other, otherSoft
+	if other := a.pickInLane(traffic); other.Index != choose.NoCandidate || pick.Index == choose.NoCandidate {
+		return other
 	}
 	a.lane = firstLane
-	return pick, soft
+	return pick
 }
 
-// pickInLane chooses among the candidates that may run requests of the lane. While soft
-// attempts are left, it prefers one at a candidate that has not refused any. Otherwise it
-// takes any candidate that is not excluded, and the request may queue there. A large
-// request takes a soft attempt in another region only where queueing nearer costs more or
-// would end too late.
-func (a *attempts) pickInLane(traffic *rollout.TrafficPolicy) (pick choose.RoutedPick, soft bool) {
-	choice := choose.RoutedRequest{
-		Now: a.forwarder.Now(), CandidateSet: a.candidates, Allowed: a.rule.allowed, Evacuated: a.forwarder.view.Evacuation(),
-		Rollout: traffic, Lane: a.lane,
-		Location: a.forwarder.Location(), CrossingCost: a.crossingCosts(), Work: a.expectedWork(),
-		// The settings by which gates refuse requests, so that the entry can foresee it.
-		SoftSlowdown: a.forwarder.Settings.Routing.SoftSlowdown, UsableShare: a.forwarder.Settings.Routing.Use,
-		TimeToTarget: a.usefulTime(), TimeToDeadline: a.timeLeft(),
+// pickInLane chooses among the candidates that may run requests of the lane.
+func (a *attempts) pickInLane(traffic *rollout.TrafficPolicy) choose.AttemptPick {
+	relativeSize := a.forwarder.sizes.relative(a.route.Name, len(a.req.Body))
+	work := a.expectedWork()
+	largeBody := a.hasLargeBody()
+	choice := choose.AttemptRequest{
+		RoutedRequest: choose.RoutedRequest{
+			Now: a.forwarder.Now(), CandidateSet: a.candidates, Excluded: a.excluded, Allowed: a.rule.allowed, Evacuated: a.forwarder.view.Evacuation(),
+			Rollout: traffic, Lane: a.lane,
+			Location: a.forwarder.Location(), CrossingCost: a.crossingCosts(relativeSize), Work: work,
+			// The settings by which gates refuse requests, so that the entry can foresee it.
+			SoftSlowdown: a.forwarder.Settings.Routing.SoftSlowdown, UsableShare: a.forwarder.Settings.Routing.Use,
+			TimeToTarget: a.usefulTime(), TimeToDeadline: a.timeLeft(),
+		},
+		MaySoft: a.softLeft > 0, SoftRefused: a.softRefused,
+		AboveMean: relativeSize > 1, LargeBody: largeBody,
 	}
-	if a.softLeft > 0 {
-		choice.Soft = true
-		choice.Excluded = a.softRefused | a.excluded
-		if pick = choose.PickRouted(&choice, a.forwarder.random); pick.Index != choose.NoCandidate && pick.Proximity != proximity.OtherRegion {
-			return pick, true
-		}
-	}
-	crosses := choice.Soft && pick.Index != choose.NoCandidate
-	if crosses && !a.isLarge() {
-		return pick, true
-	}
-	queueChoice := choice
-	queueChoice.Soft = false
-	queueChoice.Excluded = a.excluded
-	queued := choose.PickRouted(&queueChoice, a.forwarder.random)
-	if crosses && !shouldQueueNearer(&pick, &queued, choice.TimeToTarget) {
-		return pick, true
+	if largeBody {
+		choice.CrossingCost = a.crossingCosts(relativeSize * a.forwarder.sizes.meanWorkShare(work))
+		choice.Transfer = a.forwarder.transfers.expected(proximity.SameDataCentre, len(a.req.Body))
+		choice.LongestWait = a.forwarder.Settings.Gate.QueueTime
 	}
-	return queued, false
-}
-
-// isLarge reports whether the request moves more bytes than the mean. Only such requests
-// queue nearer to save the cost of a crossing: if small ones did too, a region with a
-// burst of callers would queue requests, and answer them late, while other regions have
-// free capacity.
-func (a *attempts) isLarge() bool {
-	return a.forwarder.sizes.relative(a.route.Name, len(a.req.Body)) > 1
+	return choose.PickAttempt(&choice, a.forwarder.random)
 }
 
-// shouldQueueNearer reports whether a request should queue at a nearer candidate instead
-// of crossing to another region. Queueing must cost less, and its expected time, with the
-// margin that gates allow for the spread of run times, must be at most within. The cost of
-// a crossing thus makes no request late.
-func shouldQueueNearer(crossing, queued *choose.RoutedPick, within time.Duration) bool {
-	nearer := queued.Index != choose.NoCandidate && queued.Proximity < crossing.Proximity
-	return nearer && queued.Cost < crossing.Cost && gate.RunTimeMargin*queued.ExpectedTime <= float64(within)
+// hasLargeBody reports whether the request's body is sent only when the executor grants it.
+func (a *attempts) hasLargeBody() bool {
+	above := a.forwarder.Settings.Links.GrantBodiesAbove
+	return above > 0 && len(a.req.Body) > above
 }
 
 // usefulTime returns the time left until an answer is too late to be useful: the rest of
--- a/pkg/forward/crossing_cost.go
+++ b/pkg/forward/crossing_cost.go
@@ -11,11 +11,12 @@
 // crossingCosts returns what it costs the request, as a time, to leave its data centre:
 // for another one of the region, and for another region. To another region, a request of
 // mean size costs the share routing.leave_cost of its target, and any other request in
-// proportion to its bytes, so that requests with few bytes cross first. Source:
-// docs/design/regions.md, "Regions as prices".
-func (a *attempts) crossingCosts() choose.CrossingCosts {
+// proportion to its bytes, so that requests with few bytes cross first. relativeSize is the
+// number of its bytes as a multiple of the mean. Source: docs/design/regions.md, "Regions as
+// prices".
+func (a *attempts) crossingCosts(relativeSize float64) choose.CrossingCosts {
 	routing := &a.forwarder.Settings.Routing
-	otherRegion := routing.LeaveCost * float64(a.target) * a.forwarder.sizes.relative(a.route.Name, len(a.req.Body))
+	otherRegion := routing.LeaveCost * float64(a.target) * relativeSize
 	regionShare := routing.RegionShare
 	if regionShare == 0 {
 		regionShare = a.forwarder.view.RegionShare()
--- a/pkg/forward/data_centres_test.go
+++ b/pkg/forward/data_centres_test.go
@@ -114,11 +114,11 @@
 	f := newForwarder(&fakeRunner{answer: answers(200)})
 	f.Settings.Routing.LeaveCost = 0.5
 	a := &attempts{forwarder: f, target: time.Second, req: newRequest("/read/1"), route: f.view.Placement().Routes.Match("h", "/read/1")}
-	test.Eq(t, choose.CrossingCosts{proximity.Region: 500 * time.Millisecond, proximity.OtherRegion: 500 * time.Millisecond}, a.crossingCosts(), test.Sprint("not measured"))
+	test.Eq(t, choose.CrossingCosts{proximity.Region: 500 * time.Millisecond, proximity.OtherRegion: 500 * time.Millisecond}, a.crossingCosts(1), test.Sprint("not measured"))
 	f.view.SetRegionShare(0.125)
-	test.Eq(t, 62500*time.Microsecond, a.crossingCosts()[proximity.Region])
+	test.Eq(t, 62500*time.Microsecond, a.crossingCosts(1)[proximity.Region])
 	f.Settings.Routing.RegionShare = 0.25
-	test.Eq(t, choose.CrossingCosts{proximity.Region: 125 * time.Millisecond, proximity.OtherRegion: 500 * time.Millisecond}, a.crossingCosts())
+	test.Eq(t, choose.CrossingCosts{proximity.Region: 125 * time.Millisecond, proximity.OtherRegion: 500 * time.Millisecond}, a.crossingCosts(1))
 }
 
 // TestRelativeSizesFollowTheBytes of a mix of requests: lookups with answers of 5 kB, and
@@ -128,9 +128,9 @@
 	test.Eq(t, 1, s.relative("lookup", 0), test.Sprint("no answer is known yet"))
 	for range 1000 {
 		for range 9 {
-			s.add("lookup", 0, 5000)
+			s.add("lookup", 0, 5000, time.Millisecond)
 		}
-		s.add("upload", 60000, 400)
+		s.add("upload", 60000, 400, time.Millisecond)
 	}
 	test.Between(t, 0.4, s.relative("lookup", 0), 0.6)
 	test.Between(t, 4.5, s.relative("upload", 60000), 6.5)
@@ -147,7 +147,7 @@
 	candidates := f.view.Service("s").Match("GET", "/read/").LinkedCandidates
 	candidates[0].Endpoint.Region = "r"
 	candidates[1].Endpoint.DataCentre, candidates[1].Endpoint.Region = "there", "x"
-	f.sizes.add("read", 0, 1000)
+	f.sizes.add("read", 0, 1000, 120*time.Millisecond)
 	f.sizes.all.mean = (frameBytes + 1000) / relativeSize
 	full := wire.Stamp{Seq: 1, Limit: 4, Running: 4, Queued: 1, Slowdown: 100}
 	candidates[0].Load.ApplyStamp(f.Now(), full)
@@ -181,25 +181,6 @@
 	test.Len(t, 1, other.calls)
 }
 
-func TestTheCostOfACrossingMakesNoRequestLate(t *testing.T) {
-	crossing := choose.RoutedPick{Index: 1, Proximity: proximity.OtherRegion, Cost: 1000, ExpectedTime: 100}
-	for _, s := range []struct {
-		name   string
-		queued choose.RoutedPick
-		within time.Duration
-		want   bool
-	}{
-		{"cheaper and in time", choose.RoutedPick{Proximity: proximity.Region, Cost: 500, ExpectedTime: 500}, 800, true},
-		{"cheaper, but too late with the spread of run times", choose.RoutedPick{Proximity: proximity.Region, Cost: 500, ExpectedTime: 500}, 600, false},
-		{"more expensive", choose.RoutedPick{Proximity: proximity.Region, Cost: 1500, ExpectedTime: 1500}, 9000, false},
-		{"cheaper, but no nearer", choose.RoutedPick{Proximity: proximity.OtherRegion, Cost: 500, ExpectedTime: 500}, 800, false},
-		{"no candidate to queue at", choose.RoutedPick{Index: choose.NoCandidate}, 9000, false},
-		{"already late", choose.RoutedPick{Proximity: proximity.Region, Cost: 500, ExpectedTime: 500}, -1, false},
-	} {
-		test.Eq(t, s.want, shouldQueueNearer(&crossing, &s.queued, s.within), test.Sprint(s.name))
-	}
-}
-
 // TestARouteWithRegionsOnlySendsNoBodyElsewhere: a route may name regions and no data
 // centres. The entry once sent such a request, with its body, to any data centre, and only
 // the executor refused it.
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -79,6 +79,7 @@
 	work         *worktime.Times
 	calledRoutes *calledRoutes
 	sizes        *requestSizes
+	transfers    *transferTimes
 	// localRuns is nil on a daemon without a backend server.
 	localRuns LocalRuns
 	// acks decides when a call counts as not acknowledged.
@@ -98,6 +99,7 @@
 		work:         worktime.NewTimes(),
 		calledRoutes: newCalledRoutes(),
 		sizes:        newRequestSizes(),
+		transfers:    &transferTimes{},
 		localRuns:    localRuns,
 	}
 	c.Metrics.GetOrCreateGauge("rushramp_ack_widening", func() float64 { return float64(f.acks.Widening()) })
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/proximity"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -29,6 +30,7 @@
 	// passedOver counts the candidates that were passed over for this attempt, because
 	// their load showed that they would refuse it.
 	passedOver int
+	crossing   choose.Crossing
 	outcome    string
 	offered    bool
 	took       time.Duration
@@ -115,6 +117,9 @@
 	if r.passedOver > 0 {
 		out.WriteString(" passed_over=" + strconv.Itoa(r.passedOver))
 	}
+	if r.crossing != choose.NotWeighed {
+		out.WriteString(" " + r.crossing.String())
+	}
 	out.WriteString(" -> " + r.outcome)
 	if r.took > 0 {
 		out.WriteString(" " + events.Milliseconds(r.took))
@@ -156,6 +161,7 @@
 			events.F("route", a.route.Name), events.F("service", a.service), events.F("version", a.version),
 			events.F("priority", a.route.Priority), events.F("target", events.Milliseconds(a.target)), events.F("timeout", events.Milliseconds(time.Duration(a.deadline-a.startedAt))),
 			events.F("tries", a.tries), events.F("offered", a.offered), events.F("stopped", a.stopReason), events.F("attempts", a.recordsText()))
+		fields = append(fields, a.crossings.fields()...)
 	}
 	fields = append(fields, endFields(result)...)
 	if a != nil && result.Refusal != nil {
--- a/pkg/forward/request_sizes.go
+++ b/pkg/forward/request_sizes.go
@@ -1,6 +1,9 @@
 package forward
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	// answerWeight is the weight of a new answer in the mean of its route.
@@ -24,6 +27,8 @@
 	answers map[string]*runningMean
 	// all is the mean size of a request and its answer, over all routes.
 	all runningMean
+	// work is the mean work time of a request, over all routes.
+	work runningMean
 }
 
 func newRequestSizes() *requestSizes { return &requestSizes{answers: map[string]*runningMean{}} }
@@ -40,8 +45,9 @@
 	m.mean += (value - m.mean) * max(weight, 1/float64(m.count))
 }
 
-// add records an answered request of a route by the sizes of both bodies in bytes.
-func (s *requestSizes) add(route string, requestBody, answerBody int) {
+// add records an answered request of a route by the sizes of both bodies in bytes and by its
+// work time.
+func (s *requestSizes) add(route string, requestBody, answerBody int, work time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.answers[route]
@@ -54,6 +60,18 @@
 	}
 	known.add(float64(answerBody), answerWeight)
 	s.all.add(float64(frameBytes+requestBody+answerBody), requestWeight)
+	s.work.add(float64(work), requestWeight)
+}
+
+// meanWorkShare returns the mean work time of all requests as a multiple of the given one. It
+// is 1 while either is not known.
+func (s *requestSizes) meanWorkShare(work time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if work <= 0 || s.work.mean == 0 {
+		return 1
+	}
+	return s.work.mean / float64(work)
 }
 
 // relative returns how many bytes a request with a body of that size and its answer are
--- a/pkg/gate/places_test.go
+++ b/pkg/gate/places_test.go
@@ -238,3 +238,66 @@
 		})
 	})
 }
+
+// TestNestedJobsPassQueuedLargeBodies guards against large bodies that queue in their data
+// centre starving the calls of running requests.
+func TestNestedJobsPassQueuedLargeBodies(t *testing.T) {
+	g := newPlacesGate(2, 100)
+	running := []*Job{routedJob(1, 5000), routedJob(1, 5000)}
+	for _, job := range running {
+		run, refusal := g.Admit(1, job)
+		must.Nil(t, refusal)
+		must.True(t, run)
+	}
+	arrived := routedJob(1, 5000)
+	must.Nil(t, g.Reserve(1, arrived, 10*time.Millisecond))
+	run, refusal := g.Admit(1, arrived)
+	must.Nil(t, refusal)
+	must.False(t, run)
+	for range 10 {
+		must.Nil(t, g.Reserve(1, routedJob(1, 5000), 10*time.Millisecond))
+	}
+
+	for now, ended := range running {
+		nested := &Job{Work: 30 * time.Millisecond, EndBy: 300 * ms, Deadline: 300 * ms, Nested: true}
+		run, refusal = g.Admit(2, nested)
+		must.Nil(t, refusal, must.Sprint("large bodies that start after the call make the gate refuse it"))
+		must.False(t, run)
+		started := g.Finish(100*ms+int64(now), ended, true)
+		must.Len(t, 1, started)
+		test.True(t, started[0] == nested, test.Sprint("a large body started first"))
+		running[now] = nested
+	}
+	started := g.Finish(110*ms, running[0], true)
+	must.Len(t, 1, started)
+	test.True(t, started[0] == arrived)
+}
+
+// TestQueuedLargeBodyIsAdmittedWhileItEndsInTime is the executor's part of queueing nearer: a
+// head that is not soft waits while its run ends in time with the margin and the transfer.
+func TestQueuedLargeBodyIsAdmittedWhileItEndsInTime(t *testing.T) {
+	for _, s := range []struct {
+		name     string
+		left     int64
+		transfer time.Duration
+		admitted bool
+	}{
+		// The wait is that of the run and the place ahead, (100+100)/2 ms, and the run with its
+		// margin takes 130 ms.
+		{"in time", 232, time.Millisecond, true},
+		{"too late", 228, time.Millisecond, false},
+		{"transfer within the wait", 232, 90 * time.Millisecond, true},
+		{"transfer too long", 300, 180 * time.Millisecond, false},
+	} {
+		g := newPlacesGate(2, 100)
+		for range 2 {
+			run, refusal := g.Admit(1, routedJob(1, 5000))
+			must.Nil(t, refusal)
+			must.True(t, run)
+		}
+		must.Nil(t, g.Reserve(1, &Job{Work: 100 * time.Millisecond, Deadline: 200 * ms}, 0))
+		job := routedJob(1, s.left)
+		refusal := g.Reserve(1, job, s.transfer)
+		test.Eq(t, s.admitted, refusal == nil, test.Sprint(s.name))
+	}
+}
