--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -82,6 +82,7 @@
 	calledRoutes *calledRoutes
 	sizes        *requestSizes
 	returns      *returns.Schedules
+	transfers    *transferTimes
 	// localRuns is nil on a daemon without a backend server.
 	localRuns LocalRuns
 	// acks decides when a call counts as not acknowledged.
@@ -106,6 +107,7 @@
 		calledRoutes: newCalledRoutes(),
 		sizes:        newRequestSizes(),
 		returns:      returns.NewSchedules(choose.RuntimeRandom{}.Float64),
+		transfers:    &transferTimes{},
 		localRuns:    localRuns,
 	}
 	c.Metrics.GetOrCreateGauge("rushramp_ack_widening", func() float64 { return float64(f.acks.Widening()) })
