Count penalties of servers that fail where large bodies queue nearer

Cause: with a recent stamp, the expected time of queueing left out the penalties for a server that fails or does not answer, so that large bodies queued at a backend server that fails all requests while another data centre was idle. Change: the penalties count in the cost and in the time of queueing. Result: TestLargeBodiesDoNotQueueAtServersThatFail; it fails without the change.

--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -136,7 +136,7 @@
 	if !fresh {
 		return queued.Cost
 	}
-	return queued.Cost - queued.ExpectedTime + r.neededTime(&load, &link)/gate.RunTimeMargin + link.delay + link.ownDelay + float64(load.MinRTT)
+	return queued.Cost - queued.ExpectedTime + r.neededTime(&load, &link)/gate.RunTimeMargin + r.timeBesidesGate(&load, &link)
 }
 
 // neededToQueue returns the time that a request must have left to queue at a candidate, in
@@ -147,8 +147,9 @@
 	if !r.LargeBody {
 		return needed
 	}
-	if load, link, fresh := r.freshLoad(queued); fresh {
-		needed = r.neededTime(&load, &link) + link.delay + link.ownDelay + float64(load.MinRTT)
+	load, link, fresh := r.freshLoad(queued)
+	if fresh {
+		needed = r.neededTime(&load, &link) + r.timeBesidesGate(&load, &link)
 	}
 	run := gate.RunTimeMargin * float64(r.Work)
 	if r.LongestWait > 0 && needed-run > gate.RunTimeMargin*float64(r.LongestWait) {
@@ -157,8 +158,15 @@
 	return max(needed, run+float64(r.Transfer))
 }
 
+// timeBesidesGate returns what is added to the time at a gate, in nanoseconds: the round trip,
+// the delay of the links, and the penalties for a server that fails or does not answer.
+func (r *AttemptRequest) timeBesidesGate(load *tables.LoadSnapshot, link *linkTimes) float64 {
+	return r.addPenalties(float64(load.MinRTT)+link.delay+link.ownDelay, load, r.expectedRunTime(load))
+}
+
 // freshLoad returns the load of a candidate at which a request with a large body may queue,
-// and what links add to its time there. fresh is false for other requests, and if no recent stamp shows the queue.
+// and what links add to its time there. fresh is false for other requests, and if no recent
+// stamp shows the queue.
 func (r *AttemptRequest) freshLoad(queued *RoutedPick) (load tables.LoadSnapshot, link linkTimes, fresh bool) {
 	if !r.LargeBody {
 		return load, link, false
--- a/pkg/choose/attempt_test.go
+++ b/pkg/choose/attempt_test.go
@@ -161,3 +161,30 @@
 		test.Eq(t, s.wantCrossing, got.Crossing, test.Sprint(s.name))
 	}
 }
+
+// TestLargeBodiesDoNotQueueAtServersThatFail guards against losing requests at a backend server
+// that fails all of them while another data centre is idle.
+func TestLargeBodiesDoNotQueueAtServersThatFail(t *testing.T) {
+	now := int64(time.Hour)
+	for _, fails := range []bool{false, true} {
+		near := newCandidate("a", wire.Stamp{Limit: 10, Running: 10, Queued: 9, Slowdown: 100}, 0, now)
+		for range 50 {
+			near.Load.RecordAnswer(fails)
+		}
+		got := PickAttempt(newQueueingRequest(now, near), RuntimeRandom{})
+		test.Eq(t, fails, got.Index == 1)
+	}
+}
+
+// newQueueingRequest returns a request with a large body that may queue at a candidate in its
+// data centre or cross to an idle one.
+func newQueueingRequest(now int64, near tables.Candidate) *AttemptRequest {
+	far := newCandidate("b", wire.Stamp{Limit: 10, Slowdown: 100}, 0, now)
+	return &AttemptRequest{
+		RoutedRequest: RoutedRequest{
+			Now: now, CandidateSet: []tables.Candidate{near, far}, Location: newLocation("a", ""), CrossingCost: newCrossingCosts(10*work, 10*work),
+			Work: work, SoftSlowdown: 1.8, UsableShare: 0.8, TimeToTarget: 8 * work, TimeToDeadline: 20 * work, BodySize: 100_000,
+		},
+		MaySoft: true, LargeBody: true,
+	}
+}
--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -161,7 +161,12 @@
 	runTime := float64(r.Work) * slowdown
 	// The body arrives while the request waits for a slot.
 	wait := max(queueWait(inFlight, limit, 1/limit, runTime), link.transfer)
-	cost := runTime + wait + float64(load.MinRTT) + link.delay + link.ownDelay
+	return r.addPenalties(runTime+wait+float64(load.MinRTT)+link.delay+link.ownDelay, load, runTime)
+}
+
+// addPenalties adds the penalties for a server that fails or does not answer to a cost in
+// nanoseconds.
+func (r *RoutedRequest) addPenalties(cost float64, load *tables.LoadSnapshot, runTime float64) float64 {
 	if noAnswer := float64(load.NoAnswerFor); noAnswer > noAnswerFactor*runTime {
 		cost += noAnswer
 	}
