Count the whole transfer and run in the cost of queueing nearer

Cause: the cost was the time that a gate requires, divided by the margin of gates. That time has no margin on transfers and on runs at a free slot, so both counted as 0.77 of their length. Change: the cost is computed without the margin. Result: TestTheCostOfQueueingCountsTheWholeTransferAndRun; it fails without the change.

--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -136,7 +136,7 @@
 	if !fresh {
 		return queued.Cost
 	}
-	return queued.Cost - queued.ExpectedTime + r.neededTime(&load, &link)/gate.RunTimeMargin + r.timeBesidesGate(&load, &link)
+	return queued.Cost - queued.ExpectedTime + r.timeAtGate(&load, &link, 1) + r.timeBesidesGate(&load, &link)
 }
 
 // neededToQueue returns the time that a request must have left to queue at a candidate, in
--- a/pkg/choose/attempt_test.go
+++ b/pkg/choose/attempt_test.go
@@ -188,3 +188,21 @@
 		MaySoft: true, LargeBody: true,
 	}
 }
+
+// TestTheCostOfQueueingCountsTheWholeTransferAndRun: the margin of gates applies neither to
+// transfers nor to runs at a free slot.
+func TestTheCostOfQueueingCountsTheWholeTransferAndRun(t *testing.T) {
+	now := int64(time.Hour)
+	for _, s := range []struct {
+		name  string
+		stamp wire.Stamp
+		want  time.Duration
+	}{
+		{"free slot", wire.Stamp{Limit: 10, Slowdown: 300}, 3 * work},
+		{"transfer longer than the wait", wire.Stamp{Limit: 10, Running: 10, Slowdown: 100, LinkRateKB: uint32(100 * time.Second / (3 * work))}, 4 * work},
+	} {
+		near := newCandidate("a", s.stamp, 0, now)
+		got := newQueueingRequest(now, near).costOfQueueing(&RoutedPick{})
+		test.InDelta(t, float64(s.want+near.Load.MinRTT()), got, float64(work)/100, test.Sprint(s.name))
+	}
+}
--- a/pkg/choose/refusal.go
+++ b/pkg/choose/refusal.go
@@ -58,10 +58,16 @@
 // gate, in nanoseconds. Where no slot is free it includes the queueing time and a margin
 // for the spread of run times. The body arrives while the request waits for a slot.
 func (r *RoutedRequest) neededTime(load *tables.LoadSnapshot, link *linkTimes) float64 {
+	return r.timeAtGate(load, link, gate.RunTimeMargin)
+}
+
+// timeAtGate returns the time from the arrival of the request at the gate to the end of its
+// run, in nanoseconds. margin is a factor on run times where no slot is free.
+func (r *RoutedRequest) timeAtGate(load *tables.LoadSnapshot, link *linkTimes, margin float64) float64 {
 	queuedAhead := load.InFlight + load.SentSinceStamp - load.Limit + 1
 	if queuedAhead <= 0 {
 		return link.transfer + r.expectedRunTime(load)
 	}
-	runTime := gate.RunTimeMargin * r.expectedRunTime(load)
+	runTime := margin * r.expectedRunTime(load)
 	return runTime + max(runTime*float64(queuedAhead)/float64(load.Limit), link.transfer)
 }
