Prefer the transfer time in stamps to the mean of a data centre

Cause: the mean transfer time of a data centre was a lower bound also where the stamp of the candidate reports the rate of its link, so that one slow link made large bodies pass over all other VMs. Change: the mean applies only where the stamp reports no rate. Result: TestStampsOfLinksPrecedeTheMeanTransfer; it fails without the change.

--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -24,7 +24,8 @@
 	// LargeBody is true for a request whose body is sent only when the executor grants it.
 	// Such requests also queue in their own data centre to save a crossing within the region.
 	LargeBody bool
-	// Transfer is the expected time of the transfer of a large body to a nearer candidate.
+	// Transfer is the expected time of the transfer of a large body to a nearer candidate whose
+	// stamp does not tell it.
 	Transfer time.Duration
 	// LongestWait is the longest expected wait with which gates admit a request; 0: any.
 	LongestWait time.Duration
@@ -155,6 +156,9 @@
 	if r.LongestWait > 0 && needed-run > gate.RunTimeMargin*float64(r.LongestWait) {
 		return math.Inf(1)
 	}
+	if link.transfer > 0 {
+		return needed
+	}
 	return max(needed, run+float64(r.Transfer))
 }
 
--- a/pkg/choose/attempt_test.go
+++ b/pkg/choose/attempt_test.go
@@ -189,6 +189,21 @@
 	}
 }
 
+// TestStampsOfLinksPrecedeTheMeanTransfer guards against a slow link of one VM that makes large
+// bodies pass over all others of its data centre.
+func TestStampsOfLinksPrecedeTheMeanTransfer(t *testing.T) {
+	now := int64(time.Hour)
+	for _, s := range []struct {
+		rateKB uint32
+		want   Crossing
+	}{{0, EndsTooLate}, {100_000, QueuesNearer}} {
+		near := newCandidate("a", wire.Stamp{Limit: 10, Running: 10, Queued: 9, Slowdown: 100, LinkRateKB: s.rateKB}, 0, now)
+		req := newQueueingRequest(now, near)
+		req.Transfer = 7 * work
+		test.Eq(t, s.want, PickAttempt(req, RuntimeRandom{}).Crossing)
+	}
+}
+
 // TestTheCostOfQueueingCountsTheWholeTransferAndRun: the margin of gates applies neither to
 // transfers nor to runs at a free slot.
 func TestTheCostOfQueueingCountsTheWholeTransferAndRun(t *testing.T) {
