Let large bodies cross after three refusals nearer

Cause: each refusal of an attempt that queues nearer excludes one candidate only. In a data centre with 12 or more busy backend servers a request used all its attempts there and was refused, although another data centre was idle. Change: after three such refusals the request crosses, with the cause none_nearer. Result: TestManyRefusalsNearerLeaveAttemptsForACrossing; it fails without the change.

--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -9,6 +9,11 @@
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
+// maxRefusedNearer is how many attempts of a request with a large body may queue nearer and be
+// refused before it crosses. Otherwise a data centre with many busy backend servers could use
+// up the attempts of a request that another data centre would serve.
+const maxRefusedNearer = 3
+
 // AttemptRequest is the input of PickAttempt. PickAttempt sets Soft of the RoutedRequest.
 type AttemptRequest struct {
 	RoutedRequest
@@ -24,6 +29,9 @@
 	// LargeBody is true for a request whose body is sent only when the executor grants it.
 	// Such requests also queue in their own data centre to save a crossing within the region.
 	LargeBody bool
+	// RefusedNearer counts the attempts of a request with a large body that queued nearer and
+	// were refused.
+	RefusedNearer int
 	// Transfer is the expected time of the transfer of a large body to a nearer candidate whose
 	// stamp does not tell it.
 	Transfer time.Duration
@@ -41,7 +49,7 @@
 	NotWeighed Crossing = iota
 	// QueuesNearer: the request queues nearer instead of crossing.
 	QueuesNearer
-	// NoneNearer: no nearer candidate may get the request.
+	// NoneNearer: no nearer candidate may get the request, or several have refused it.
 	NoneNearer
 	// CostsMore: the expected time of queueing nearer exceeds that of the crossing by more
 	// than the crossing costs.
@@ -80,6 +88,10 @@
 	if !req.weighsQueueing(&pick) {
 		return pick
 	}
+	if req.RefusedNearer >= maxRefusedNearer {
+		pick.Crossing = NoneNearer
+		return pick
+	}
 	if req.LargeBody {
 		queueing.NearerThan = pick.Proximity
 	}
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -219,6 +219,7 @@
 	if largeBody {
 		choice.CrossingCost = a.crossingCosts(relativeSize * a.forwarder.sizes.meanWorkShare(work))
 		choice.Transfer = a.forwarder.transfers.expected(proximity.SameDataCentre, len(a.req.Body))
+		choice.RefusedNearer = a.crossings.refusedNearer
 		choice.LongestWait = a.forwarder.Settings.Gate.QueueTime
 	}
 	return choose.PickAttempt(&choice, a.forwarder.random)
--- a/pkg/forward/crossing_record.go
+++ b/pkg/forward/crossing_record.go
@@ -16,6 +16,9 @@
 	cause        choose.Crossing
 	// keptBytes are the bytes of the attempt that queued nearer and was answered.
 	keptBytes int
+	// refusedNearer counts the attempts of a request with a large body that queued nearer and
+	// were not answered.
+	refusedNearer int
 	// queuedNearer is true once an attempt queued nearer instead of crossing.
 	queuedNearer bool
 }
@@ -32,6 +35,9 @@
 			a.crossings.keptBytes += bytes
 			a.forwarder.Metrics.GetOrCreateCounter(`rushramp_kept_near_bytes_total{service="` + utils.Label(a.service) + `"}`).Add(bytes)
 		}
+		if result.Answer == nil && a.hasLargeBody() {
+			a.crossings.refusedNearer++
+		}
 		a.forwarder.Metrics.GetOrCreateCounter(`rushramp_kept_near_total{service="` + utils.Label(a.service) + `",outcome="` + outcome + `"}`).Inc()
 	}
 	if record.proximity == proximity.SameDataCentre {
--- a/pkg/forward/uneven_demand_test.go
+++ b/pkg/forward/uneven_demand_test.go
@@ -146,3 +146,26 @@
 	match := f.Match(req)
 	return f.newAttempts(context.Background(), req, match.route, match.placement.Version, f.Now())
 }
+
+// TestManyRefusalsNearerLeaveAttemptsForACrossing guards against a data centre with many busy
+// backend servers that uses up all attempts of a request.
+func TestManyRefusalsNearerLeaveAttemptsForACrossing(t *testing.T) {
+	var runners []*fakeRunner
+	for range maxTries {
+		runners = append(runners, &fakeRunner{answer: refuses(errkind.Overloaded, false)})
+	}
+	far := &fakeRunner{answer: answers(200)}
+	f := newForwarder(append(runners, far)...)
+	candidates := f.view.Service("s").Match("GET", "/read/").LinkedCandidates
+	for _, c := range candidates[:maxTries] {
+		c.Load.ApplyStamp(f.Now(), wire.Stamp{Seq: 1, Limit: 4, Running: 4, Queued: 1, Slowdown: 100})
+	}
+	candidates[maxTries].Endpoint.DataCentre = "there"
+	candidates[maxTries].Load.ApplyStamp(f.Now(), wire.Stamp{Seq: 1, Limit: 4, Slowdown: 100})
+	f.sizes.add("read", 0, 1000, 120*time.Millisecond)
+	a := newTestAttempts(f, newUpload(60_000))
+	must.NotNil(t, a.run().Answer)
+	test.Len(t, 1, far.calls)
+	test.Eq(t, 4, a.tries)
+	test.Eq(t, "none_nearer", a.crossings.cause.String())
+}
