Leave transfers to the own VM out of the mean transfer time

Cause: a body for the backend server on the entry's VM uses no link, but its time lowered the mean of the data centre. Change: such transfers are not recorded. Result: TestTransferTimesLeaveOutTheOwnVM; it fails without the change.

--- a/pkg/forward/transfer_times.go
+++ b/pkg/forward/transfer_times.go
@@ -39,10 +39,10 @@
 
 // recordTransfer records the time of the transfer of a large body, if the candidate has
 // answered the request: the time of the attempt less the wait at the gate and the run. took is
-// the time of the attempt.
+// the time of the attempt. A body for the backend server on this VM uses no link.
 func (a *attempts) recordTransfer(candidate *tables.Candidate, result *call.Result, took time.Duration) {
 	answer := result.Answer
-	if answer == nil || !a.hasLargeBody() || result.Server != candidate.Endpoint.VM {
+	if answer == nil || !a.hasLargeBody() || result.Server != candidate.Endpoint.VM || candidate.Endpoint.VM == a.forwarder.Settings.VM.ID {
 		return
 	}
 	a.forwarder.transfers.record(a.proximityOf(candidate), len(a.req.Body), took-answer.Queued-answer.Run)
--- a/pkg/forward/uneven_demand_test.go
+++ b/pkg/forward/uneven_demand_test.go
@@ -169,3 +169,15 @@
 	test.Eq(t, 4, a.tries)
 	test.Eq(t, "none_nearer", a.crossings.cause.String())
 }
+
+func TestTransferTimesLeaveOutTheOwnVM(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newForwarder(&fakeRunner{answer: func(*wire.Call) (call.Result, bool) {
+			time.Sleep(100 * time.Millisecond)
+			return call.Result{Answer: &call.Answer{Status: 200}, Offered: true}, false
+		}})
+		f.view.Service("s").Match("GET", "/read/").LinkedCandidates[0].Endpoint.VM = f.Settings.VM.ID
+		f.Forward(t.Context(), newUpload(60_000))
+		test.Eq(t, 0, f.transfers.expected(proximity.SameDataCentre, 60_000))
+	})
+}
