Test link delays, work, queue time and other attempts' answers

Cause: no test failed when queueing nearer ignored the delay of links, the work of the request or gate.queue_time, or when the answer of another attempt counted as a transfer. Change: tests only. Result: each of these mutations fails a test.

--- a/pkg/choose/attempt_test.go
+++ b/pkg/choose/attempt_test.go
@@ -221,3 +221,15 @@
 		test.InDelta(t, float64(s.want+near.Load.MinRTT()), got, float64(work)/100, test.Sprint(s.name))
 	}
 }
+
+// TestQueueingNearerCountsTheDelayOfLinks guards against queueing behind a slow link, be it that
+// of the candidate's VM or the entry's own.
+func TestQueueingNearerCountsTheDelayOfLinks(t *testing.T) {
+	now := int64(time.Hour)
+	near := newCandidate("a", wire.Stamp{Limit: 10, Slowdown: 100, LinkDelayMS: 300}, 0, now)
+	req := newQueueingRequest(now, near)
+	req.OwnVM, req.OwnLinkDelay = "own", 100*time.Millisecond
+	want := float64(work + 300*time.Millisecond + near.Load.MinRTT())
+	test.InDelta(t, want, req.costOfQueueing(&RoutedPick{}), float64(work)/100)
+	test.InDelta(t, want, req.neededToQueue(&RoutedPick{}), float64(work)/100)
+}
--- a/pkg/forward/uneven_demand_test.go
+++ b/pkg/forward/uneven_demand_test.go
@@ -181,3 +181,34 @@
 		test.Eq(t, 0, f.transfers.expected(proximity.SameDataCentre, 60_000))
 	})
 }
+
+func TestTransferTimesLeaveOutAnswersOfOtherAttempts(t *testing.T) {
+	f := newForwarder(&fakeRunner{})
+	a := newTestAttempts(f, newUpload(60_000))
+	a.loadCandidates()
+	a.candidates[0].Endpoint.VM = "asked"
+	a.recordTransfer(&a.candidates[0], &call.Result{Answer: &call.Answer{Status: 200}, Server: "left before"}, time.Second)
+	test.Eq(t, 0, f.transfers.expected(proximity.SameDataCentre, 60_000))
+	a.recordTransfer(&a.candidates[0], &call.Result{Answer: &call.Answer{Status: 200}, Server: "asked"}, time.Second)
+	test.Eq(t, time.Second, f.transfers.expected(proximity.SameDataCentre, 60_000))
+}
+
+// TestLargeBodiesCrossWhereTheyAreCheapOrGatesAdmitNoWait checks the means and settings that the
+// entry passes to the decision.
+func TestLargeBodiesCrossWhereTheyAreCheapOrGatesAdmitNoWait(t *testing.T) {
+	for _, s := range []struct {
+		cause  string
+		change func(*Forwarder)
+	}{
+		{"costs_more", func(f *Forwarder) { f.sizes.work.mean = float64(time.Microsecond) }},
+		{"too_late", func(f *Forwarder) { f.Settings.Gate.QueueTime = time.Millisecond }},
+	} {
+		near, far := &fakeRunner{answer: answers(200)}, &fakeRunner{answer: answers(200)}
+		f := newUnevenForwarder(near, far)
+		s.change(f)
+		a := newTestAttempts(f, newUpload(60_000))
+		must.NotNil(t, a.run().Answer)
+		test.Len(t, 1, far.calls)
+		test.Eq(t, s.cause, a.crossings.cause.String())
+	}
+}
