Compute the delay of a VM's link without allocations

Cause: Delays.Current collected and sorted the observations of all active links for each stamp, under the lock that each received call takes, as soon as one call on any link was late.

Change: prompt links only add up their weight, slow ones are sorted in a buffer that is kept. The result is the same.

Result: TestCurrentDoesNotAllocate fails without the change.

--- a/pkg/linkdelay/linkdelay.go
+++ b/pkg/linkdelay/linkdelay.go
@@ -44,6 +44,8 @@
 	// slowUntil is the time until which a delay of at least Least counts. Current returns 0
 	// after it.
 	slowUntil int64
+	// slow is the buffer of observe.
+	slow []observation
 }
 
 // link is the recent delay of one link.
@@ -108,41 +110,67 @@
 	if now >= d.slowUntil {
 		return 0
 	}
-	seen, latest := d.observations(now)
-	if len(seen) == 0 || len(seen) < minLinks {
+	seen := d.observe(now)
+	if seen.links == 0 || seen.links < minLinks {
 		return 0
 	}
-	out := Decay(median(seen[:max(len(seen)-1, 1)]), time.Duration(now-latest))
+	if seen.links > 1 && len(seen.slow) > 0 {
+		seen.slow = seen.slow[:len(seen.slow)-1]
+	}
+	out := Decay(seen.median(), time.Duration(now-seen.latest))
 	if out < Least {
 		return 0
 	}
 	return out
 }
 
-// observations returns those of the active links, the shortest delay first, and when the
-// latest call was seen. The caller holds mu.
-func (d *Delays[K]) observations(now int64) (out []observation, latest int64) {
+// observations are those of the active links.
+type observations struct {
+	links int
+	// slow holds those with a delay of at least Least, the shortest first.
+	slow []observation
+	// promptWeight is the weight of all others.
+	promptWeight float64
+	// latest is when the latest call was seen.
+	latest int64
+}
+
+// observe returns the observations of the active links. They are valid until the next call.
+// The caller holds mu.
+func (d *Delays[K]) observe(now int64) observations {
+	out := observations{slow: d.slow[:0]}
 	for _, l := range d.links {
-		if l.isActive(now) {
-			out = append(out, observation{delay: l.delay, weight: weight(time.Duration(now - l.seenAt))})
-			latest = max(latest, l.seenAt)
+		if !l.isActive(now) {
+			continue
 		}
+		out.links++
+		out.latest = max(out.latest, l.seenAt)
+		w := weight(time.Duration(now - l.seenAt))
+		if l.delay < Least {
+			out.promptWeight += w
+			continue
+		}
+		out.slow = append(out.slow, observation{delay: l.delay, weight: w})
 	}
-	slices.SortFunc(out, func(a, b observation) int { return cmp.Compare(a.delay, b.delay) })
-	return out, latest
+	d.slow = out.slow
+	slices.SortFunc(out.slow, func(a, b observation) int { return cmp.Compare(a.delay, b.delay) })
+	return out
 }
 
-// median returns the weighted median of sorted observations, of which there is at least one.
-func median(sorted []observation) time.Duration {
-	total := 0.0
-	for _, o := range sorted {
-		total += o.weight
+// median returns the weighted median; 0: it is below Least.
+func (o *observations) median() time.Duration {
+	total := o.promptWeight
+	for _, s := range o.slow {
+		total += s.weight
+	}
+	sum := o.promptWeight
+	if len(o.slow) == 0 || 2*sum >= total {
+		return 0
 	}
-	sum := 0.0
-	for _, o := range sorted {
-		if sum += o.weight; 2*sum >= total {
-			return o.delay
+	for _, s := range o.slow {
+		if sum += s.weight; 2*sum >= total {
+			return s.delay
 		}
 	}
-	return sorted[len(sorted)-1].delay
+	return o.slow[len(o.slow)-1].delay
 }
--- a/pkg/linkdelay/linkdelay_test.go
+++ b/pkg/linkdelay/linkdelay_test.go
@@ -1,6 +1,7 @@
 package linkdelay
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -102,3 +103,54 @@
 	}
 	test.Eq(t, 1, len(d.links))
 }
+
+// TestCurrentDoesNotAllocate, since executors call it for each stamp, also while only one of
+// many senders has a slow link.
+func TestCurrentDoesNotAllocate(t *testing.T) {
+	for _, slowLinks := range []int{1, 300} {
+		d := NewDelays[int]()
+		recordRounds(d, 300, ms, 301*ms, ms, func(link int) time.Duration {
+			if link < slowLinks {
+				return time.Duration(link+1) * Least
+			}
+			return 0
+		})
+		d.Current(301*ms, 1)
+		test.Zero(t, testing.AllocsPerRun(100, func() { d.Current(301*ms, 1) }), test.Sprintf("%d slow links", slowLinks))
+	}
+}
+
+// TestTheMedianCountsPromptLinks by their weight.
+func TestTheMedianCountsPromptLinks(t *testing.T) {
+	for _, s := range []struct {
+		prompt, slow int
+		want         time.Duration
+	}{{2, 1, 0}, {2, 3, 0}, {2, 4, Least}, {2, 6, 2 * Least}, {0, 2, Least}, {0, 6, 3 * Least}} {
+		d := NewDelays[int]()
+		for i := range s.prompt {
+			d.Record(ms, -1-i, 0)
+		}
+		for i := range s.slow {
+			d.Record(ms, i, time.Duration(i+1)*Least)
+		}
+		test.Eq(t, s.want, d.Current(ms, 1), test.Sprintf("%d prompt links, %d slow ones", s.prompt, s.slow))
+	}
+}
+
+func BenchmarkCurrent(b *testing.B) {
+	for _, slowLinks := range []int{1, 300} {
+		b.Run(strconv.Itoa(slowLinks)+"of300", func(b *testing.B) {
+			d := NewDelays[int]()
+			recordRounds(d, 300, ms, 301*ms, ms, func(link int) time.Duration {
+				if link < slowLinks {
+					return time.Duration(1+link*7%37) * Least
+				}
+				return 0
+			})
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Current(301*ms, 1)
+			}
+		})
+	}
+}
