Make stamps only where the entry can use them

Cause: the load of the link was computed for each result, also if the entry had asked for no stamp. A call that is cancelled before its body is complete got a stamp, but the entry forgets such a call when it cancels it. The stamp's bytes were taken from the measurement budget, and later stamps were valued as if the entry had read it.

Change: stampFor returns early if no stamp is wanted. Only calls that are dropped on arrival get a stamp.

--- a/pkg/link/link_load.go
+++ b/pkg/link/link_load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/grants"
 	"github.com/rushramp/rushramp/pkg/linkdelay"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -62,14 +63,17 @@
 // stampFor returns the stamp to send with the result of a call, within the measurement
 // budget.
 func (s *session) stampFor(c *wire.Call, stamp wire.Stamp) wire.Stamp {
+	if !c.WantStamp {
+		return wire.Stamp{}
+	}
 	s.server.addLink(&stamp)
 	return s.stamps.filter(s.server.Common, c.WantStamp, stamp)
 }
 
-// currentStamp returns the runner's stamp for a call that did not get to it.
-func (s *session) currentStamp(c *wire.Call) wire.Stamp {
+// withStamp adds the runner's stamp to the result of a call that did not get to it.
+func (s *session) withStamp(c *wire.Call, result call.Result) call.Result {
 	if runner, ok := s.server.runner.(stamper); ok && c.WantStamp {
-		return s.stampFor(c, runner.Stamp())
+		result.Stamp = s.stampFor(c, runner.Stamp())
 	}
-	return wire.Stamp{}
+	return result
 }
--- a/pkg/link/link_load_test.go
+++ b/pkg/link/link_load_test.go
@@ -186,3 +186,29 @@
 	}
 	test.Zero(t, server.delays.Current(now, 1))
 }
+
+// TestACallCancelledBeforeItsBodyCameGetsNoStamp: the entry has forgotten the call, so that it
+// would not read the stamp, and later ones would count as known to it.
+func TestACallCancelledBeforeItsBodyCameGetsNoStamp(t *testing.T) {
+	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
+	entry := dialRaw(t, server)
+	body, _ := wire.Split(make([]byte, wire.ChunkSize+1))
+	entry.send(&wire.Call{ID: 1, Remaining: time.Minute, WantStamp: true, Body: body})
+	entry.send(&wire.Cancel{ID: 1})
+	refusal := entry.refusal()
+	test.Eq(t, errkind.CallerGone, errkind.Kind(refusal.Kind))
+	test.Eq(t, wire.Stamp{}, refusal.Stamp)
+}
+
+// TestAStampThatIsNotWantedTakesNoLocks of the scheduler of grants.
+func TestAStampThatIsNotWantedTakesNoLocks(t *testing.T) {
+	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
+	entry := dialRaw(t, server)
+	entry.send(&wire.Call{ID: 1, Remaining: time.Minute, Body: emptyBody()})
+	entry.refusal()
+	server.grants.mu.Lock()
+	defer server.grants.mu.Unlock()
+	must.NoError(t, entry.ws.SetReadDeadline(time.Now().Add(5*time.Second)))
+	entry.send(&wire.Call{ID: 2, Remaining: time.Minute, Body: emptyBody()})
+	test.Eq(t, wire.Stamp{}, entry.refusal().Stamp)
+}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -294,7 +294,7 @@
 		s.cancelOffer(in)
 	}
 	if notStarted {
-		s.drop(in.call, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before its body was complete"))
+		s.drop(id, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before its body was complete"))
 	}
 	if cancel != nil {
 		cancel()
--- a/pkg/link/unneeded_calls.go
+++ b/pkg/link/unneeded_calls.go
@@ -34,19 +34,18 @@
 	}
 	switch {
 	case s.isCancelledInMessage(f.ID):
-		s.drop(f, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before it arrived"))
+		s.drop(f.ID, droppedCancelled, s.withStamp(f, call.Refused(errkind.CallerGone, "the entry cancelled the call before it arrived")))
 	case hadTime && f.Remaining <= 0:
-		s.drop(f, droppedTimeUsed, call.Refused(errkind.DeadlineBeforeRun, "the call was in transit for %v longer than other calls", delay.Round(time.Millisecond)))
+		s.drop(f.ID, droppedTimeUsed, s.withStamp(f, call.Refused(errkind.DeadlineBeforeRun, "the call was in transit for %v longer than other calls", delay.Round(time.Millisecond))))
 	default:
 		return false
 	}
 	return true
 }
 
-func (s *session) drop(f *wire.Call, reason string, result call.Result) {
+func (s *session) drop(id uint64, reason string, result call.Result) {
 	s.server.Metrics.GetOrCreateCounter(`rushramp_calls_dropped_total{reason="` + reason + `"}`).Inc()
-	result.Stamp = s.currentStamp(f)
-	s.sendRefusal(f.ID, result)
+	s.sendRefusal(id, result)
 }
 
 // isCancelledInMessage reports whether the message that is being handled cancels a call.
