--- a/pkg/forward/own_link.go
+++ b/pkg/forward/own_link.go
@@ -6,8 +6,8 @@
 	"github.com/rushramp/rushramp/pkg/acks"
 )
 
-// minOwnLinks is how many links must be slow at the same time before that is taken to be
-// due to this VM's own link.
+// minOwnLinks is how many links must be active for the delay that most of them see to be
+// taken for that of this VM's own link.
 const minOwnLinks = 3
 
 // ownLinkDelay returns by how much the link of this VM delays calls to all others.
--- a/pkg/grants/grants.go
+++ b/pkg/grants/grants.go
@@ -35,8 +35,9 @@
 	// unknownStallBound applies while no rate has been learnt.
 	minStallBound     = 50 * time.Millisecond
 	unknownStallBound = 250 * time.Millisecond
-	// RateValidity is how long, in nanoseconds, a learnt rate is used for predictions. Otherwise a rate that
-	// is too low would have all bodies refused, and would never be corrected.
+	// RateValidity is how long, in nanoseconds, a learnt rate is used for predictions.
+	// Otherwise a rate that is too low would have all bodies refused, and would never be
+	// corrected.
 	RateValidity = int64(5 * time.Second)
 )
 
