Explain the timeouts of the crash detector

Cause: the comments spoke of a refusal "without one" and of readers that notice a close "at their own time".

Change: the comments say what a timeout means and why the readers are not simultaneous.

Result: build, vet and make check pass; the package has no tests.

--- a/pkg/crash/detector.go
+++ b/pkg/crash/detector.go
@@ -22,12 +22,13 @@
 
 const (
 	// abortTimeout bounds the time in which all runs must be reported as aborted after a
-	// crash. On one VM the system closes all connections at once, but each reader notices
-	// it at its own time. abortPollInterval is the time between two checks.
+	// crash. The operating system closes all connections of the ended process at once, but
+	// their readers do not notice it at the same time. abortPollInterval is the time between
+	// two checks.
 	abortTimeout      = 30 * time.Millisecond
 	abortPollInterval = 2 * time.Millisecond
-	// dialTimeout bounds the check whether the backend server listens. On one VM a refusal
-	// is immediate; without one, a process listens but is too busy to accept.
+	// dialTimeout bounds the check whether the backend server listens. Within a VM a refusal
+	// is immediate; a timeout means that a process listens but is too busy to accept.
 	dialTimeout = 50 * time.Millisecond
 	// maxLoggedRuns is the maximum number of runs in the log line of a crash.
 	maxLoggedRuns = 16
