Describe attemptEnd

Cause: the comment restated the name.

Change: the comment says that it is an ended attempt with its result.

Result: build, vet, make check and the package's tests pass.

--- a/pkg/entry/attempts.go
+++ b/pkg/entry/attempts.go
@@ -169,7 +169,7 @@
 	cancel func()
 }
 
-// attemptEnd is the end of an attempt.
+// attemptEnd is an attempt that has ended, with its result.
 type attemptEnd struct {
 	attempt *attempt
 	result  call.Result
@@ -208,8 +208,8 @@
 }
 
 // recordEnd updates the candidate's load at the end of an attempt, even if the call has
-// already ended. It returns the result with the backend server
-// and the round-trip time filled in.
+// already ended. It returns the result with the backend server and the round-trip time
+// filled in.
 func (a *attempts) recordEnd(ended *attempt, result call.Result) call.Result {
 	now := a.entry.Now()
 	ended.candidate.Load.RecordEnded(now)
