Describe services that appear only in routes

Cause: "services that only routes name" has to be read twice, and the plural hid that each has one kind.

Change: the comments of anyKind, anywhere and addRoutedServices say it directly.

Result: build, vet, make check and the package's tests pass.

--- a/pkg/placement/compiled.go
+++ b/pkg/placement/compiled.go
@@ -38,8 +38,9 @@
 	isExact bool
 	// allowed is the set of DataCentres.
 	allowed map[string]struct{}
-	// anywhere is true for services that only routes name. Without it, a kind with an
-	// empty list of data centres is allowed nowhere.
+	// anywhere is true if the service appears only in routes: the kind is then allowed in
+	// all data centres. Otherwise a kind with an empty list of data centres is allowed in
+	// none.
 	anywhere bool
 	// RouteDataCentres holds the distinct lists of data centres in the service's routes,
 	// each sorted. Entries must know enough backend servers for each list.
@@ -58,11 +59,11 @@
 	return out
 }
 
-// anyKind is the name of the only kind of a service that only routes name.
+// anyKind is the name of the only kind of a service that appears only in routes.
 const anyKind = "any"
 
-// addRoutedServices adds the services that only routes name. Their kinds allow all data
-// centres; their routes may restrict them.
+// addRoutedServices adds the services that appear only in routes. Each has one kind, which
+// allows all data centres; its routes may restrict them.
 func (c *Compiled) addRoutedServices() {
 	for _, name := range c.RoutedServices() {
 		if c.services[name] == nil {
