Clarify comments on the schedule and the baseline

Cause: switchTime, minWatchTime, maxSwitchExposure, history.add and baselineAt used clauses with unclear reference.

Change: the comments name the values and the reason.

--- a/pkg/rollout/baseline.go
+++ b/pkg/rollout/baseline.go
@@ -70,7 +70,7 @@
 	newestRun int64
 }
 
-// add adds runs that were reported at a time, in nanoseconds.
+// add adds the runs of a report received at now, in nanoseconds, to the slice of that time.
 func (h *history) add(now int64, t *tally) {
 	number := now / sliceDuration
 	i := number % historySlices
@@ -104,10 +104,10 @@
 	stale bool
 }
 
-// baselineAt returns the baseline for runs that were reported at a time. Its rates are
-// the higher ones of the whole history's and of those around that time, so that a fault
-// that affects both versions does not count against the new one. Values that cannot be
-// estimated are those of the baseline before.
+// baselineAt returns the baseline for runs that were reported at the time at. Each rate
+// is the higher of the rate in the whole history and the rate around that time, so that a
+// fault that affects both versions does not count against the new one. Values that cannot
+// be estimated are taken from before, the previous baseline.
 func (h *history) baselineAt(at, now int64, before baseline) baseline {
 	out := before
 	whole := h.sumBetween(now-historySlices*sliceDuration+sliceDuration, now)
--- a/pkg/rollout/canaries.go
+++ b/pkg/rollout/canaries.go
@@ -17,8 +17,9 @@
 	// minReadyShare is the share of the target's slots at the switch that must be ready for
 	// the roll-out to complete.
 	minReadyShare = 0.8
-	// maxPlannedCanaries is the largest number of canaries that a plan picks. Of a service
-	// of 200 backend servers eight run 4% of the requests, more than the test needs.
+	// maxPlannedCanaries is the largest number of canaries that a plan picks. In a
+	// service with 200 backend servers, eight run 4% of the requests, more than the test
+	// needs.
 	maxPlannedCanaries = 8
 	// shareTolerance is the relative change of the canaries' share below which the plan is
 	// not written again.
--- a/pkg/rollout/schedule.go
+++ b/pkg/rollout/schedule.go
@@ -24,16 +24,16 @@
 	// have been seen half a second late, and a write takes up to half a second.
 	endMargin = time.Second
 	// minWatchTime is the time for which the target must run all requests before the
-	// roll-out completes. A fault that shows only under the whole load is detected within
-	// it: after 0.25 s for a report, and answers that take three to five times 190 ms.
+	// roll-out completes. It is long enough to detect a fault that appears only under full
+	// load: a report takes 0.25 s, and slow answers take three to five times 190 ms.
 	minWatchTime = 1500 * time.Millisecond
 	// discoveryTime is the time within which the backend servers of other versions become
 	// known, if there are any.
 	discoveryTime = 2 * time.Second
 )
 
-// switchTime returns how long before the deadline the switch may begin, for an order of
-// the given duration.
+// switchTime returns the time before the deadline that is reserved for the switch, for an
+// order of the given duration.
 func switchTime(duration time.Duration) time.Duration {
 	return min(max(duration/switchTimeDivisor, minSwitchTime), maxSwitchTime)
 }
@@ -43,9 +43,9 @@
 	// requests that the platform allows in addition, cover an uneven request rate and a late
 	// switch.
 	plannedBudget = 0.9
-	// maxSwitchExposure is how long a version that is bad only under the whole load runs all
-	// requests before it is stopped: a run of 190 ms, a report each 0.25 s, and the stop
-	// sent over links.
+	// maxSwitchExposure is the longest time for which a version that is bad only under full
+	// load runs all requests before it is stopped: a run of 190 ms, the report interval of
+	// 0.25 s, and the time to send the stop over links.
 	maxSwitchExposure = 600 * time.Millisecond
 	// minCanaryShare is the canaries' share where the duration is too short for the budget.
 	minCanaryShare = 0.01
