Clarify comments on origins and slowdown reports

Cause: the comments of minServiceRequests, threshold, addService and slowdownHistorySize left open what was counted.

Change: the comments state the counted quantity and the condition.

--- a/pkg/runner/origins.go
+++ b/pkg/runner/origins.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// minServiceRequests is how many requests of a route in a row must begin on VMs of one
-	// service before the route counts as called by it. External callers use all VMs
-	// alike, so it is unlikely that this many of their requests in a row begin on the VMs
-	// of one service.
+	// minServiceRequests is the smallest threshold: the number of consecutive requests of a
+	// route that must begin on VMs of the same services before the route counts as called by
+	// these services. Requests of external callers begin on all VMs alike, so it is
+	// unlikely that this many consecutive ones begin on the VMs of a few services.
 	minServiceRequests = 12
 	// maxChanceProbability is the highest accepted probability that requests of external
 	// callers all began on the VMs of a few services by chance, so that the route wrongly
@@ -25,10 +25,10 @@
 	maxRoutes = 4096
 )
 
-// originTracker finds out which routes are called by services, in the middle of a run,
+// originTracker determines which routes are called by services, while they run a request,
 // and which by external callers. Requests of external callers begin on all VMs alike,
 // calls of services only on the VMs of these services. A route may be called by more than
-// one service, as while one takes over from another.
+// one service, for example while one replaces another.
 type originTracker struct {
 	// vmShare returns the share of the VMs that run the given services, from 0 to 1; 0:
 	// unknown.
@@ -44,8 +44,8 @@
 	// since the newest of them was added.
 	services []string
 	count    int
-	// threshold is the count above which the route counts as called by services; 0: it
-	// does not at any count, or the share of the VMs is not known yet.
+	// threshold is the count above which the route counts as called by services; 0: no
+	// count is enough, or the share of the VMs is not known yet.
 	threshold int
 	// tooManyServices is true once requests began on VMs of more services than are tracked.
 	tooManyServices bool
@@ -84,7 +84,7 @@
 	return wire.OriginUnknown
 }
 
-// addService adds a service and restarts the count.
+// addService adds a service on whose VMs requests began, and resets count and threshold.
 func (o *routeOrigin) addService(service string) {
 	o.count, o.threshold = 0, 0
 	if len(o.services) >= maxServicesPerRoute {
--- a/pkg/runner/rollout.go
+++ b/pkg/runner/rollout.go
@@ -22,8 +22,8 @@
 	})
 }
 
-// slowdownHistorySize is how many slowdown reports are kept: more than arrive during a run
-// of one second at ten responses a second, with those of the health checks.
+// slowdownHistorySize is the number of slowdown reports that are kept. It exceeds the number
+// that arrives during a run of one second, at ten responses a second plus health checks.
 const slowdownHistorySize = 64
 
 // slowdownHistory is a ring buffer of the latest slowdown reports of the backend server.
