Clarify comments on the slow period histogram

Cause: bucket widths were given in octaves, and the purpose of priorPeriods was unclear.

Change: the comments give the ratio of bucket bounds and say when the prior periods apply.

Result: build, vet, make check and the package's tests pass.

--- a/pkg/speed/histogram.go
+++ b/pkg/speed/histogram.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// firstBucketEnd is the upper bound of the first bucket; that of each further one is
-	// half an octave higher.
+	// firstBucketEnd is the upper bound of the first bucket. The upper bound of each further
+	// bucket is the square root of two times that of the bucket before.
 	firstBucketEnd = 20 * time.Millisecond
 	// bucketCount is the number of buckets. The last one holds all slow periods that
 	// outlast the baseline window.
@@ -15,13 +15,14 @@
 	// lastingLength stands in for the length of a slow period that outlasts the baseline
 	// window.
 	lastingLength = 4 * time.Second
-	// decay is the factor by which the older weights are multiplied when a slow period is
-	// added: the histogram covers about the last 64.
+	// decay is the factor by which the existing weights are multiplied whenever a slow
+	// period is recorded, so that the histogram reflects about the last 64.
 	decay = 1 - 1.0/64
 )
 
-// priorPeriods are the weighted slow periods that a new histogram holds: two short ones,
-// as noisy neighbours cause them, and one that lasts.
+// priorPeriods are the weighted slow periods that a histogram holds before any has been
+// recorded: two short ones, which are typical of noisy neighbours, and one that outlasts
+// the baseline window.
 var priorPeriods = []struct {
 	length time.Duration
 	weight float64
