Separate the body size limit from the stand-in's paths

Cause: maxBodySize stood in the list of paths without a comment, and the paths were called pages.

Change: maxBodySize is a constant of its own with a comment; pathLedger has a comment.

--- a/pkg/standin/backend/server.go
+++ b/pkg/standin/backend/server.go
@@ -24,18 +24,21 @@
 	HeaderAnswer = "X-Answer-Bytes"
 )
 
-// Paths of the pages for tests and for the executor.
+// HTTP paths for tests and for the executor.
 const (
 	// PathCancel, followed by the id that the executor gave a call, cancels the
 	// call.
-	PathCancel  = "/standin/cancel/"
-	pathFaults  = "/standin/faults"
-	pathLedger  = "/standin/ledger"
-	pathLoad    = "/standin/load"
-	pathHealth  = "/standin/health"
-	maxBodySize = 64 << 20
+	PathCancel = "/standin/cancel/"
+	pathFaults = "/standin/faults"
+	// pathLedger returns the runs in the ledger.
+	pathLedger = "/standin/ledger"
+	pathLoad   = "/standin/load"
+	pathHealth = "/standin/health"
 )
 
+// maxBodySize is the maximum size of a request body in bytes.
+const maxBodySize = 64 << 20
+
 // statusCancelled is the status of the answer to a cancelled call.
 const statusCancelled = 499
 
