Describe NewInstrumented

Cause: "returns p with metrics" did not say that p is wrapped.

Change: the comment says that calls are passed on and recorded.

--- a/pkg/store/instrumented.go
+++ b/pkg/store/instrumented.go
@@ -15,7 +15,8 @@
 	set *metrics.Set
 }
 
-// NewInstrumented returns p with metrics of its calls in set.
+// NewInstrumented returns a Platform that passes its calls on to p and records their metrics
+// in set.
 func NewInstrumented(p Platform, set *metrics.Set) *Instrumented {
 	return &Instrumented{Platform: p, set: set}
 }
