Describe the runner of an endpoint

Cause: "what runs the calls" did not name the type.

Change: the comments of Runner and SetRunner name call.Runner and the case without a link.

--- a/pkg/tables/members.go
+++ b/pkg/tables/members.go
@@ -24,7 +24,7 @@
 	LinkAddress   string
 	CallerAddress string
 	Load          *Load
-	// runner sends calls over the link to the daemon; nil without a link.
+	// runner sends calls over the link to the daemon; nil: there is no link.
 	runner atomic.Pointer[call.Runner]
 	// version is the version that the backend server has reported; an update of the
 	// backend server changes it.
@@ -42,7 +42,8 @@
 // SetVersion sets the version that the backend server has reported.
 func (e *Endpoint) SetVersion(version string) { e.version.Store(&version) }
 
-// SetRunner sets what runs the calls to this endpoint; nil: there is no link.
+// SetRunner sets the call.Runner that sends calls over the link to this endpoint; nil: there
+// is no link.
 func (e *Endpoint) SetRunner(r call.Runner) {
 	if r == nil {
 		e.runner.Store(nil)
@@ -51,7 +52,8 @@
 	e.runner.Store(&r)
 }
 
-// Runner returns what runs the calls to this endpoint, or nil without a link.
+// Runner returns the call.Runner that sends calls over the link to this endpoint, or nil if
+// there is no link.
 func (e *Endpoint) Runner() call.Runner {
 	if r := e.runner.Load(); r != nil {
 		return *r
