Describe the totals of sent frames

Cause: "sent to one proximity" and "of their bytes" were unclear.

Change: the comments say that frames go to daemons at one proximity level.

Result: build, vet, make check and the package's tests pass.

--- a/pkg/traffic/counters.go
+++ b/pkg/traffic/counters.go
@@ -12,7 +12,8 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
-// frameCounters count the frames of one type that are sent to one proximity.
+// frameCounters count the frames of one type that are sent to daemons at one proximity
+// level, and their bytes.
 type frameCounters struct {
 	frames *metrics.Counter
 	bytes  *metrics.Counter
@@ -48,7 +49,8 @@
 	sent.bytes.Add(size)
 }
 
-// Total is the number of frames of one type, and of their bytes, sent to one proximity.
+// Total holds the number of frames of one type sent to daemons at one proximity level, and
+// the number of their bytes.
 type Total struct {
 	To     proximity.Level
 	Type   wire.Type
@@ -56,7 +58,7 @@
 	Bytes  uint64
 }
 
-// Totals returns the totals so far, without those of zero frames.
+// Totals returns the totals so far, except those with no frames.
 func (c *Counters) Totals() []Total {
 	var out []Total
 	for to := range c.sent {
