Use one term for quarantined contents

Cause: the files called a content held, the package and the exported names quarantined; held also means delayed runs elsewhere. The comments on the feed, the proof of the placement and the order of the servers were unclear.

Change: heldrows.go is quarantinerows.go, and its unexported names and comments say quarantine. The store prefix held/ and the metrics keep their names. The test file changes only in identifiers and one comment. The other comments are reworded.

--- a/pkg/systems/feedfollower.go
+++ b/pkg/systems/feedfollower.go
@@ -21,8 +21,9 @@
 
 const (
 	// minFeedWait and maxFeedWait bound how long the store may hold one request to the
-	// feed until there is something new. The time is random, so that somewhere in the
-	// fleet a request starts often; the other daemons get the update over their links.
+	// feed until there is an update. Each wait is random between them, so that the requests
+	// of the followers start at different times. Other daemons get an update over their
+	// links as soon as one follower has it.
 	minFeedWait = 8 * time.Second
 	maxFeedWait = 12 * time.Second
 	// feedTimeoutMargin is how much longer than the requested wait a response may take.
@@ -35,9 +36,9 @@
 	maxLeadWait       = 2300 * time.Millisecond
 	leadTimeoutMargin = 700 * time.Millisecond
 	// minFeedBackoff and maxFeedBackoff bound the backoff after a failed request,
-	// maxLeadBackoff that of the lead follower: it asks again at most 1.5 s after the
-	// store's return, at the price of about one call a second per data centre while the
-	// store is away.
+	// maxLeadBackoff that of the lead follower: it retries at most 1.5 s after the store is
+	// available again, at the cost of about one call a second per data centre while it is
+	// not.
 	minFeedBackoff = 100 * time.Millisecond
 	maxFeedBackoff = 2 * time.Second
 	maxLeadBackoff = time.Second
@@ -69,7 +70,7 @@
 	// (shouldWaitForPeers).
 	waitingForPeers atomic.Bool
 	// newestFromFeed is the highest version that the feed has delivered. laggingSince is
-	// since when a peer has had a newer one, in nanoseconds; 0: none has.
+	// the time, in nanoseconds, since which a peer has had a newer one; 0: none has.
 	newestFromFeed atomic.Uint64
 	laggingSince   int64
 
--- a/pkg/systems/proof.go
+++ b/pkg/systems/proof.go
@@ -29,12 +29,12 @@
 }
 
 const (
-	// proofReadsPerPeriod is how often a follower of the feed reads the store within the
-	// setting teams.revoke_within. proofStatesPerPeriod is how often each daemon sends
-	// PlacementProofAgeMS, the time since PlacementProvenAt, to all peers within the
-	// setting. With these values the age of a proof that passes through two daemons is
-	// less than half of the setting.
-	proofReadsPerPeriod  = 6
+	// proofReadsPerPeriod is the minimum number of times that a follower of the feed reads
+	// the store in the period given by the setting teams.revoke_within.
+	proofReadsPerPeriod = 6
+	// proofStatesPerPeriod is the number of times in the same period that each daemon sends
+	// PlacementProofAgeMS, the time since PlacementProvenAt, to all peers. With these values
+	// a proof that passes through two daemons is less than half of the period old.
 	proofStatesPerPeriod = 8
 )
 
--- a/pkg/systems/heldrows.go
+++ b/pkg/systems/quarantinerows.go
@@ -18,56 +18,57 @@
 )
 
 const (
-	// heldKeyPrefix is the prefix of the store keys of held contents. A content is
-	// held if its requests are refused since they crash backend servers.
-	heldKeyPrefix = "held/"
-	// heldReadDelay and heldReadDelayMax are the first and the longest delay between two
-	// attempts to read the rows. The delay doubles and has a random part, which spreads
-	// the reads of a large fleet whose daemons all start at once.
-	heldReadDelay    = 500 * time.Millisecond
-	heldReadDelayMax = 8 * time.Second
-	// heldReaders is how many daemons of a data centre read the rows heldReadAfter after
-	// their start, when the first links may be open. They send the rows to the others,
-	// which read the rows themselves only if they have not received them by
-	// heldReadByAllAfter. This bounds the load on the store when a whole data centre
-	// starts at once.
-	heldReaders        = 2
-	heldReadAfter      = 300 * time.Millisecond
-	heldReadByAllAfter = 2 * time.Second
-	// heldWriteInterval is the time between two attempts to write a row.
-	heldWriteInterval = time.Second
+	// quarantineKeyPrefix is the prefix of the store keys of quarantined contents. A
+	// content is quarantined if its requests are refused because they crash backend
+	// servers.
+	quarantineKeyPrefix = "held/"
+	// quarantineReadDelay and quarantineReadDelayMax are the first and the longest delay
+	// between two attempts to read the rows. The delay doubles and has a random part,
+	// which spreads the reads of a large fleet whose daemons all start at once.
+	quarantineReadDelay    = 500 * time.Millisecond
+	quarantineReadDelayMax = 8 * time.Second
+	// quarantineReaders is how many daemons of a data centre read the rows
+	// quarantineReadAfter after their start, when the first links may be open. They send
+	// the rows to the others, which read the rows themselves only if they have not
+	// received them by quarantineReadByAllAfter. This bounds the load on the store when a
+	// whole data centre starts at once.
+	quarantineReaders        = 2
+	quarantineReadAfter      = 300 * time.Millisecond
+	quarantineReadByAllAfter = 2 * time.Second
+	// quarantineWriteInterval is the time between two attempts to write a row.
+	quarantineWriteInterval = time.Second
 )
 
-// heldRow is the state of a row of the store that this daemon writes.
-type heldRow struct {
+// quarantineRow is the state of a row of the store that this daemon writes.
+type quarantineRow struct {
 	// savedCrashes is the number of crashes in the row in the store.
 	savedCrashes int
-	// lastCrashAt is when this VM's backend server last crashed on the content, in
-	// nanoseconds.
+	// lastCrashAt is when this VM's backend server last crashed while it ran the content,
+	// in nanoseconds.
 	lastCrashAt int64
 }
 
-// heldRowCrash is a crash in a row. Its time is wall-clock time, since rows outlive
+// quarantineRowCrash is a crash in a row. Its time is wall-clock time, since rows outlive
 // processes. The clocks of VMs differ by seconds, which is little compared with the
-// minutes for which a content is held.
-type heldRowCrash struct {
+// minutes for which a content is quarantined.
+type quarantineRowCrash struct {
 	ID   string `json:"id"`
 	AtMS int64  `json:"at_ms"`
 }
 
-// heldRowValue is the value of a row.
-type heldRowValue struct {
-	Crashes []heldRowCrash `json:"crashes"`
+// quarantineRowValue is the value of a row, stored as JSON.
+type quarantineRowValue struct {
+	Crashes []quarantineRowCrash `json:"crashes"`
 }
 
-// syncOwnRows updates the rows of the contents that ran when this VM's backend server
-// crashed. It writes the rows of held contents, and deletes those of contents without
-// crashes that count. It starts at most one write.
+// syncOwnRows updates the rows of the contents that were running when this VM's backend
+// server crashed. It writes the row of a content that is quarantined, and deletes the row
+// of one that has no counted crash any more. It starts at most one write.
 func (q *quarantines) syncOwnRows(now int64, own *quarantine.Update) {
 	for i := range own.Crashes {
 		for _, content := range own.Crashes[i].Contents {
 			if q.ownRows[content] == nil {
-				q.ownRows[content] = &heldRow{}
+				q.ownRows[content] = &quarantineRow{}
 			}
 			q.ownRows[content].lastCrashAt = now
 		}
@@ -77,9 +78,9 @@
 	}
 	for content, row := range q.ownRows {
 		crashes := q.Quarantine.CrashesAgainst(now, content)
-		_, held := q.Quarantine.Quarantined(now, content)
+		_, quarantined := q.Quarantine.Quarantined(now, content)
 		switch {
-		case held && len(crashes) > row.savedCrashes:
+		case quarantined && len(crashes) > row.savedCrashes:
 			q.writeRow(now, content, crashes)
 			return
 		case len(crashes) == 0 && row.savedCrashes > 0:
@@ -94,7 +95,7 @@
 // writeRow starts to write a row, or to delete it if crashes is empty.
 func (q *quarantines) writeRow(now int64, content quarantine.Fingerprint, crashes []quarantine.Crash) {
 	q.writing = true
-	q.writeTimer.fires(now, heldWriteInterval)
+	q.writeTimer.fires(now, quarantineWriteInterval)
 	go func() {
 		ctx, cancel := context.WithTimeout(q.DaemonContext, q.Settings.Platform.Timeout)
 		defer cancel()
@@ -120,7 +121,7 @@
 
 // updateRow writes a row to the store, or deletes it if crashes is empty.
 func (q *quarantines) updateRow(ctx context.Context, content quarantine.Fingerprint, crashes []quarantine.Crash) error {
-	key := heldKeyPrefix + content.String()
+	key := quarantineKeyPrefix + content.String()
 	if len(crashes) == 0 {
 		row, err := q.Platform.Get(ctx, key)
 		if errors.Is(err, store.ErrNotFound) {
@@ -131,7 +132,7 @@
 		}
 		return errors.Wrap(q.Platform.Transact(ctx, []store.Write{{Key: key, IfVersion: row.Version, Delete: true}}), "delete the row")
 	}
-	value, err := json.Marshal(newHeldRowValue(time.Now(), crashes))
+	value, err := json.Marshal(newQuarantineRowValue(time.Now(), crashes))
 	if err != nil {
 		return errors.Wrap(err, "encode the row")
 	}
@@ -144,23 +145,23 @@
 	return errors.Wrap(err, "write the row")
 }
 
-// newHeldRowValue returns the value of a row with crashes. wallNow is the wall-clock
+// newQuarantineRowValue returns the value of a row with crashes. wallNow is the wall-clock
 // time to which the ages of the crashes are relative.
-func newHeldRowValue(wallNow time.Time, crashes []quarantine.Crash) (out heldRowValue) {
+func newQuarantineRowValue(wallNow time.Time, crashes []quarantine.Crash) (out quarantineRowValue) {
 	for _, c := range crashes {
-		out.Crashes = append(out.Crashes, heldRowCrash{ID: strconv.FormatUint(c.ID, 16), AtMS: wallNow.UnixMilli() - int64(c.AgeMS)})
+		out.Crashes = append(out.Crashes, quarantineRowCrash{ID: strconv.FormatUint(c.ID, 16), AtMS: wallNow.UnixMilli() - int64(c.AgeMS)})
 	}
 	return out
 }
 
-// parseHeldRow returns the crashes in a row, with their ages at the wall-clock time
+// parseQuarantineRow returns the crashes in a row, with their ages at the wall-clock time
 // wallNow. If any part of the row is invalid, it returns an error and no crashes.
-func parseHeldRow(wallNow time.Time, row store.Row) (out []quarantine.Crash, err error) {
-	content, err := strconv.ParseUint(strings.TrimPrefix(row.Key, heldKeyPrefix), 16, 64)
+func parseQuarantineRow(wallNow time.Time, row store.Row) (out []quarantine.Crash, err error) {
+	content, err := strconv.ParseUint(strings.TrimPrefix(row.Key, quarantineKeyPrefix), 16, 64)
 	if err != nil {
 		return nil, errors.Wrap(err, "invalid key")
 	}
-	var value heldRowValue
+	var value quarantineRowValue
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return nil, errors.Wrap(err, "invalid value")
 	}
@@ -182,25 +183,25 @@
 // startRead starts to read the rows if it is this daemon's turn. It is called until
 // this daemon has received the crashes from a peer or the store.
 func (q *quarantines) startRead(now int64) {
-	if now < int64(heldReadAfter) || q.shouldWaitForPeers(now) || now < int64(heldReadByAllAfter) && q.rankInDataCentre() >= heldReaders {
+	if now < int64(quarantineReadAfter) || q.shouldWaitForPeers(now) || now < int64(quarantineReadByAllAfter) && q.rankInDataCentre() >= quarantineReaders {
 		return
 	}
 	if !q.readTimer.fires(now, q.readDelay/2+rand.N(q.readDelay)) || !q.reading.CompareAndSwap(false, true) {
 		return
 	}
-	q.readDelay = min(2*q.readDelay, heldReadDelayMax)
+	q.readDelay = min(2*q.readDelay, quarantineReadDelayMax)
 	go q.readRows()
 }
 
-// readRows reads the rows of all held contents and posts their crashes to the inbox.
+// readRows reads the rows of all quarantined contents and posts their crashes to the inbox.
 // Invalid rows are logged and skipped.
 func (q *quarantines) readRows() {
 	defer q.reading.Store(false)
 	ctx, cancel := context.WithTimeout(q.DaemonContext, q.Settings.Platform.Timeout)
 	defer cancel()
 	frame := &wire.Quarantine{Informed: true}
-	err := scanAll(ctx, q.Platform, heldKeyPrefix, func(row store.Row) {
-		crashes, err := parseHeldRow(time.Now(), row)
+	err := scanAll(ctx, q.Platform, quarantineKeyPrefix, func(row store.Row) {
+		crashes, err := parseQuarantineRow(time.Now(), row)
 		if err != nil {
 			q.Log.Event(events.QuarantineNotStored, events.F("row", row.Key), events.F("cause", err))
 			return
--- a/pkg/systems/quarantines.go
+++ b/pkg/systems/quarantines.go
@@ -14,9 +14,9 @@
 
 // quarantines sends the crashes of backend servers and the completions of requests that
 // package quarantine records to the other daemons, merges those that it receives, and
-// saves held contents in the store. Without the store, daemons that all lose power at
-// once would forget the crashes, and the same requests would crash their backend servers
-// again. Source: docs/design/quarantine.md.
+// saves quarantined contents in the store. Without the store, daemons that all lose power
+// at once would forget the crashes, and the same requests would crash their backend
+// servers again. Source: docs/design/quarantine.md.
 type quarantines struct {
 	*Env
 	// isInformed is true once this daemon has received the crashes that other daemons
@@ -25,11 +25,11 @@
 	// sentAtAddedCount is the value of Peers.AddedCount when all crashes and completions
 	// were last sent over the new links.
 	sentAtAddedCount uint64
-	// loggedHeld are the contents that were last logged as held.
-	loggedHeld map[quarantine.Fingerprint]struct{}
+	// loggedQuarantined are the contents that were last logged as quarantined.
+	loggedQuarantined map[quarantine.Fingerprint]struct{}
 	// ownRows are the contents that ran when this VM's backend server crashed. This
 	// daemon writes their rows in the store.
-	ownRows map[quarantine.Fingerprint]*heldRow
+	ownRows map[quarantine.Fingerprint]*quarantineRow
 	// writing is true while a row is written, writeTimer is due when the next may be.
 	writing    bool
 	writeTimer intervalTimer
@@ -38,18 +38,19 @@
 	reading   atomic.Bool
 	readTimer intervalTimer
 	readDelay time.Duration
-	// releaseCheckTimer is due when to check again whether held contents may run again.
+	// releaseCheckTimer is due when to check again whether quarantined contents may run
+	// again.
 	releaseCheckTimer intervalTimer
 }
 
-// releaseCheckInterval is the time between two checks whether held contents may run
+// releaseCheckInterval is the time between two checks whether quarantined contents may run
 // again.
 const releaseCheckInterval = time.Second
 
 func newQuarantines(env *Env) *quarantines {
 	q := &quarantines{
-		Env: env, isInformed: env.Settings.Platform.FirstStart, readDelay: heldReadDelay,
-		loggedHeld: map[quarantine.Fingerprint]struct{}{}, ownRows: map[quarantine.Fingerprint]*heldRow{},
+		Env: env, isInformed: env.Settings.Platform.FirstStart, readDelay: quarantineReadDelay,
+		loggedQuarantined: map[quarantine.Fingerprint]struct{}{}, ownRows: map[quarantine.Fingerprint]*quarantineRow{},
 	}
 	env.Quarantine.OnUpdate(func() { env.World.Inbox.Post(true, func(*tables.Mail) {}) })
 	env.Metrics.GetOrCreateGauge("rushramp_held_requests", func() float64 { return float64(env.Quarantine.CountQuarantined(env.Now())) })
@@ -66,7 +67,7 @@
 	}
 	q.sendReports(own, received)
 	q.sendToNewLinks(now)
-	q.logHeldChanges(now, &own, &received)
+	q.logQuarantineChanges(now, &own, &received)
 	if mail.StoreRestored {
 		for _, row := range q.ownRows {
 			row.savedCrashes = 0
@@ -138,38 +139,39 @@
 	})
 }
 
-// logHeldChanges logs which contents are held from now on, and which no longer are.
-func (q *quarantines) logHeldChanges(now int64, own, received *quarantine.Update) {
+// logQuarantineChanges logs which contents are quarantined from now on, and which no
+// longer are.
+func (q *quarantines) logQuarantineChanges(now int64, own, received *quarantine.Update) {
 	for _, crashes := range [][]quarantine.Crash{own.Crashes, received.Crashes} {
 		for i := range crashes {
 			for _, content := range crashes[i].Contents {
-				q.logIfHeld(now, content)
+				q.logIfQuarantined(now, content)
 			}
 		}
 	}
 	if len(own.Completions)+len(received.Completions) == 0 && !q.releaseCheckTimer.fires(now, releaseCheckInterval) {
 		return
 	}
-	for content := range q.loggedHeld {
-		if _, held := q.Quarantine.Quarantined(now, content); !held {
-			delete(q.loggedHeld, content)
+	for content := range q.loggedQuarantined {
+		if _, quarantined := q.Quarantine.Quarantined(now, content); !quarantined {
+			delete(q.loggedQuarantined, content)
 			q.Log.Event(events.ContentReleased, events.F("content", content), events.F("why", q.releaseReason(now, content)))
 		}
 	}
 }
 
-// logIfHeld logs that a content is held, unless it was logged already.
-func (q *quarantines) logIfHeld(now int64, content quarantine.Fingerprint) {
-	left, held := q.Quarantine.Quarantined(now, content)
-	if _, logged := q.loggedHeld[content]; logged || !held {
+// logIfQuarantined logs that a content is quarantined, unless it was logged already.
+func (q *quarantines) logIfQuarantined(now int64, content quarantine.Fingerprint) {
+	left, quarantined := q.Quarantine.Quarantined(now, content)
+	if _, logged := q.loggedQuarantined[content]; logged || !quarantined {
 		return
 	}
-	q.loggedHeld[content] = struct{}{}
+	q.loggedQuarantined[content] = struct{}{}
 	q.Log.Event(events.ContentQuarantined, events.F("content", content),
 		events.F("crashes", len(q.Quarantine.CrashesAgainst(now, content))), events.F("left", events.Milliseconds(left)))
 }
 
-// releaseReason returns why a content is no longer held, as a value of a log field.
+// releaseReason returns why a content is no longer quarantined, as a value of a log field.
 func (q *quarantines) releaseReason(now int64, content quarantine.Fingerprint) string {
 	if len(q.Quarantine.CrashesAgainst(now, content)) == 0 {
 		return "one_ran_to_its_end"
--- a/pkg/systems/quarantines_test.go
+++ b/pkg/systems/quarantines_test.go
@@ -58,9 +58,9 @@
 	return held
 }
 
-// heldRows returns the rows of held contents in a store.
-func heldRows(t *testing.T, platform *fakestore.Store) []store.Row {
-	rows, err := platform.Scan(t.Context(), heldKeyPrefix, heldKeyPrefix, 1000)
+// quarantineRows returns the rows of quarantined contents in a store.
+func quarantineRows(t *testing.T, platform *fakestore.Store) []store.Row {
+	rows, err := platform.Scan(t.Context(), quarantineKeyPrefix, quarantineKeyPrefix, 1000)
 	must.NoError(t, err)
 	return rows
 }
@@ -74,18 +74,18 @@
 		one.Quarantine.RecordCrash(one.Now(), 1, []quarantine.Fingerprint{7, 8})
 		one.tick()
 		two.receiveFrom(one)
-		test.Len(t, 0, heldRows(t, platform), test.Sprint("no content is held after one crash"))
+		test.Len(t, 0, quarantineRows(t, platform), test.Sprint("no content is held after one crash"))
 		time.Sleep(time.Second)
 		two.Quarantine.RecordCrash(two.Now(), 2, []quarantine.Fingerprint{7, 9})
 		two.tick()
 		must.True(t, two.holds(7))
-		must.Len(t, 1, heldRows(t, platform))
+		must.Len(t, 1, quarantineRows(t, platform))
 
 		time.Sleep(time.Minute)
 		third := newQuarantineNode(t, platform, false)
 		third.tick()
 		test.False(t, third.system.isInformed, test.Sprint("it first waits for links"))
-		time.Sleep(heldReadAfter)
+		time.Sleep(quarantineReadAfter)
 		third.tick()
 		third.tick()
 		test.True(t, third.system.isInformed)
@@ -94,7 +94,7 @@
 		left, _ := third.Quarantine.Quarantined(third.Now(), 7)
 		test.Between(t, 8*time.Minute, left, 9*time.Minute)
 		// It does not write rows for the crashes that it has read.
-		test.Len(t, 1, heldRows(t, platform))
+		test.Len(t, 1, quarantineRows(t, platform))
 	})
 }
 
@@ -113,10 +113,10 @@
 		}
 		test.False(t, late.system.isInformed)
 		platform.SetFaults(fakestore.Faults{})
-		time.Sleep(2 * heldWriteInterval)
+		time.Sleep(2 * quarantineWriteInterval)
 		one.tick()
-		must.Len(t, 1, heldRows(t, platform))
-		time.Sleep(2 * heldReadDelayMax)
+		must.Len(t, 1, quarantineRows(t, platform))
+		time.Sleep(2 * quarantineReadDelayMax)
 		late.tick()
 		late.tick()
 		test.True(t, late.holds(7))
@@ -134,16 +134,16 @@
 		}
 		one.tick()
 		two.receiveFrom(one)
-		must.Len(t, 1, heldRows(t, platform))
+		must.Len(t, 1, quarantineRows(t, platform))
 		must.True(t, two.holds(7))
 		time.Sleep(time.Second)
 		two.Quarantine.RecordCompletion(two.Now(), 7)
 		two.tick()
 		one.receiveFrom(two)
-		time.Sleep(2 * heldWriteInterval)
+		time.Sleep(2 * quarantineWriteInterval)
 		one.tick()
 		test.False(t, one.holds(7))
-		test.Len(t, 0, heldRows(t, platform))
+		test.Len(t, 0, quarantineRows(t, platform))
 	})
 }
 
@@ -157,14 +157,14 @@
 		}
 		one.tick()
 		for key, value := range map[string]string{
-			heldKeyPrefix + "0000000000000001": "\x00\xff", heldKeyPrefix + "0000000000000002": `{"crashes":[{"id":7,"at_ms":"x"}]}`,
-			heldKeyPrefix + "0000000000000004": `{"crashes":[{"id":"1","at_ms":-9223372036854775808},{"id":"2","at_ms":-1}]}`,
-			heldKeyPrefix + "not a content":    `{"crashes":[]}`, heldKeyPrefix + "0000000000000003": `{"crashes":[{"id":"zz","at_ms":1}]}`,
+			quarantineKeyPrefix + "0000000000000001": "\x00\xff", quarantineKeyPrefix + "0000000000000002": `{"crashes":[{"id":7,"at_ms":"x"}]}`,
+			quarantineKeyPrefix + "0000000000000004": `{"crashes":[{"id":"1","at_ms":-9223372036854775808},{"id":"2","at_ms":-1}]}`,
+			quarantineKeyPrefix + "not a content":    `{"crashes":[]}`, quarantineKeyPrefix + "0000000000000003": `{"crashes":[{"id":"zz","at_ms":1}]}`,
 		} {
 			must.NoError(t, platform.Transact(t.Context(), []store.Write{{Key: key, Value: []byte(value)}}))
 		}
 		other := newQuarantineNode(t, platform, false)
-		time.Sleep(heldReadAfter)
+		time.Sleep(quarantineReadAfter)
 		other.tick()
 		other.tick()
 		test.True(t, other.holds(7))
@@ -187,19 +187,19 @@
 					node.World.Members.Merge(1, nil, wire.Member{VM: fmt.Sprint("here", other), Started: 1, DataCentre: "here", Service: "s"})
 				}
 			}
-			time.Sleep(heldReadAfter)
+			time.Sleep(quarantineReadAfter)
 			node.tick()
 			node.tick()
 			if node.system.isInformed {
 				readers++
 				continue
 			}
-			time.Sleep(heldReadByAllAfter)
+			time.Sleep(quarantineReadByAllAfter)
 			node.tick()
 			node.tick()
 			test.True(t, node.system.isInformed)
 		}
-		test.Eq(t, heldReaders, readers)
+		test.Eq(t, quarantineReaders, readers)
 	})
 }
 
@@ -230,7 +230,7 @@
 	f.Add("held/x", []byte(`[]`))
 	f.Add("held/1", []byte(`{"crashes":[{"id":"1","at_ms":-9223372036854775808}]}`))
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
-		crashes, err := parseHeldRow(time.UnixMilli(1760000000000), store.Row{Key: key, Value: value})
+		crashes, err := parseQuarantineRow(time.UnixMilli(1760000000000), store.Row{Key: key, Value: value})
 		if err != nil {
 			return
 		}
--- a/pkg/systems/rolloutwatch.go
+++ b/pkg/systems/rolloutwatch.go
@@ -235,8 +235,8 @@
 			PeakBusySlots: w.inFlightPeaks[m.VM].peak(now),
 		})
 	})
-	// Rows come in no particular order. Sorted, they lead two watchers that know the same
-	// to the same plan.
+	// Rows come in no particular order. They are sorted so that two watchers with the same
+	// information compute the same plan.
 	slices.SortFunc(out, func(a, b rollout.Server) int { return cmp.Compare(a.VM, b.VM) })
 	return out
 }
--- a/pkg/systems/rowsweeper.go
+++ b/pkg/systems/rowsweeper.go
@@ -48,7 +48,7 @@
 }
 
 func newQuarantineSweeper(env *Env) *rowSweeper {
-	return &rowSweeper{Env: env, prefix: heldKeyPrefix, interval: quarantine.CrashRetention, counter: "rushramp_held_requests_swept_total"}
+	return &rowSweeper{Env: env, prefix: quarantineKeyPrefix, interval: quarantine.CrashRetention, counter: "rushramp_held_requests_swept_total"}
 }
 
 // Tick implements System.
