grants: tell the credit of pieces from the tokens of the pace

Cause: "credit" named both the bytes on the way that are returned to the pipe and the bytes that the pace allows; some comments had to be read twice. Change: the bytes of the pace are paceTokens; piece.missing, startupEnded, noteSenderLimited and reduceOldest say what they hold or do. Result: no change of behaviour; go vet ./pkg/... and go test -p 3 ./pkg/grants pass.

--- a/pkg/grants/grants.go
+++ b/pkg/grants/grants.go
@@ -19,24 +19,24 @@
 	maxPiece  = 8 << 10
 	minPiece  = 2 << 10
 	pieceTime = 2 * time.Millisecond
-	// maxUplinkTime bounds the time of a piece on a sender's own link, in nanoseconds, that
-	// counts towards the mean round-trip time: a sender that shares the receiver's link with
-	// others may seem slower than it is.
+	// maxUplinkTime limits how much of the time of a piece on its sender's own link counts
+	// towards the mean round-trip time, in nanoseconds: a sender that shares the receiver's
+	// link with others may seem slower than it is.
 	maxUplinkTime = float64(pieceTime)
 	// firstPiece is the size of a piece while no rate has been learnt.
 	firstPiece = 4 << 10
-	// maxCreditPieces is how many pieces may be granted at once. Timers are late by up to some
-	// milliseconds.
-	maxCreditPieces = 2
-	// stallFactor is the bound on the time of a piece, as a multiple of its expected time,
-	// after which its sender counts as stalled.
+	// maxBurstPieces is how many pieces the pace allows at once, since timers may fire some
+	// milliseconds late.
+	maxBurstPieces = 2
+	// stallFactor is the time of a piece, as a multiple of its expected time, after which its
+	// sender counts as stalled.
 	stallFactor = 4
 	// minStallBound is the least bound: processes may wait that long for a processor.
 	// unknownStallBound applies while no rate has been learnt.
 	minStallBound     = 50 * time.Millisecond
 	unknownStallBound = 250 * time.Millisecond
-	// RateValidity is how long, in nanoseconds, a learnt rate is used for predictions. Otherwise a rate that
-	// is too low would have all bodies refused, and would never be corrected.
+	// RateValidity is how long, in nanoseconds, a learnt rate is used for predictions. Without the
+	// limit, a rate that is too low could have all bodies refused and never be corrected.
 	RateValidity = int64(5 * time.Second)
 )
 
@@ -69,8 +69,8 @@
 
 // piece is a part of a body that was granted and has not arrived as a whole.
 type piece struct {
-	// left is the number of its bytes that have not arrived.
-	left int64
+	// missing is the number of its bytes that have not arrived.
+	missing int64
 	// due is the time at which its sender counts as stalled.
 	due int64
 	// returned is true once its credit has returned to the shared pipe.
@@ -102,9 +102,9 @@
 	senders   map[Sender]*sender
 	transfers []*transfer
 	lastID    ID
-	// credit is the number of bytes that the pace allowed to be granted at creditAt.
-	credit   float64
-	creditAt int64
+	// paceTokens is the number of bytes that the pace allowed to be granted at paceTokensAt.
+	paceTokens   float64
+	paceTokensAt int64
 }
 
 // NewScheduler returns a scheduler without transfers.
@@ -150,7 +150,7 @@
 	t.sender.deliver(now, n)
 	s.shared.deliver(now, n)
 	for n > 0 {
-		n -= s.reduceFirst(now, t, n)
+		n -= s.reduceOldest(now, t, n)
 	}
 	if t.arrived < t.Size {
 		return false, nil
@@ -159,17 +159,17 @@
 	return true, nil
 }
 
-// reduceFirst takes up to n arrived bytes off the oldest piece of a transfer and returns how
+// reduceOldest takes up to n arrived bytes off the oldest piece of a transfer and returns how
 // many.
-func (s *Scheduler) reduceFirst(now int64, t *transfer, n int64) int64 {
+func (s *Scheduler) reduceOldest(now int64, t *transfer, n int64) int64 {
 	p := t.pieces[0]
-	n = min(n, p.left)
-	p.left -= n
+	n = min(n, p.missing)
+	p.missing -= n
 	t.sender.outstanding -= n
 	if !p.returned {
 		s.shared.outstanding -= n
 	}
-	if p.left > 0 {
+	if p.missing > 0 {
 		return n
 	}
 	t.pieces = t.pieces[1:]
@@ -188,9 +188,9 @@
 	t := s.transfers[i]
 	s.transfers = slices.Delete(s.transfers, i, i+1)
 	for _, p := range t.pieces {
-		t.sender.outstanding -= p.left
+		t.sender.outstanding -= p.missing
 		if !p.returned {
-			s.shared.outstanding -= p.left
+			s.shared.outstanding -= p.missing
 		}
 	}
 	if t.sender.outstanding == 0 {
@@ -212,8 +212,9 @@
 }
 
 // Tick returns the grants that are to be sent now, and one transfer of each sender that has
-// just stalled: what it was granted has not arrived within the bound, so that others get its
-// credit. Tick is to be called after every change and at the time that NextDue returns.
+// just stalled, which means that its granted bytes have not arrived within the bound; other
+// senders get their credit. Tick is to be called after every change and at the time that
+// NextDue returns.
 func (s *Scheduler) Tick(now int64) (grants []Grant, stalled []ID) {
 	stalled = s.returnOverdue(now)
 	piece := s.pieceSize()
@@ -221,14 +222,14 @@
 	for _, from := range s.senders {
 		from.countTrips(now, from.pieceSize(piece))
 	}
-	s.addCredit(now, piece)
+	s.addPaceTokens(now, piece)
 	for !s.shared.isFull(piece) {
 		t := s.next(now, piece)
 		if t == nil {
-			s.shared.noteLimit()
+			s.shared.noteSenderLimited()
 			break
 		}
-		if s.credit < float64(piece) {
+		if s.paceTokens < float64(piece) {
 			break
 		}
 		s.grantPiece(now, t, t.sender.pieceSize(piece))
@@ -240,26 +241,26 @@
 	}
 	for _, from := range s.senders {
 		if !from.isFull(from.pieceSize(piece)) {
-			from.noteLimit()
+			from.noteSenderLimited()
 		}
 	}
 	return grants, stalled
 }
 
-// addCredit adds the bytes that the pace has allowed since the last call.
-func (s *Scheduler) addCredit(now, piece int64) {
-	most := float64(maxCreditPieces * piece)
+// addPaceTokens adds the bytes that the pace has allowed since the last call.
+func (s *Scheduler) addPaceTokens(now, piece int64) {
+	most := float64(maxBurstPieces * piece)
 	pace := s.shared.pace()
 	if pace == 0 {
-		s.credit, s.creditAt = math.MaxInt64, now
+		s.paceTokens, s.paceTokensAt = math.MaxInt64, now
 		return
 	}
-	s.credit = min(s.credit+pace*float64(now-s.creditAt)/float64(time.Second), most)
-	s.creditAt = now
+	s.paceTokens = min(s.paceTokens+pace*float64(now-s.paceTokensAt)/float64(time.Second), most)
+	s.paceTokensAt = now
 }
 
-// pieceSize returns how many bytes are granted at a time, as far as the rate of the sender
-// allows.
+// pieceSize returns how many bytes are granted at a time to a sender that is not slower than
+// the receiver's link.
 func (s *Scheduler) pieceSize() int64 {
 	if s.shared.rate() == 0 {
 		return firstPiece
@@ -285,7 +286,7 @@
 				continue
 			}
 			p.returned = true
-			s.shared.outstanding -= p.left
+			s.shared.outstanding -= p.missing
 			if !t.sender.stalled {
 				t.sender.stalled = true
 				stalled = append(stalled, t.id)
@@ -322,7 +323,7 @@
 	return best
 }
 
-// before reports whether a is granted before b. Of equal ones, the one added first is.
+// before reports whether a is granted before b; false if neither comes first.
 func before(now int64, a, b *Transfer) bool {
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
@@ -336,9 +337,9 @@
 func (s *Scheduler) grantPiece(now int64, t *transfer, n int64) {
 	n = min(n, t.Size-t.granted)
 	t.granted += n
-	s.credit -= float64(n)
+	s.paceTokens -= float64(n)
 	s.shared.followRoundTrip(t.sender.roundTrip + min(t.sender.timeFor(n), maxUplinkTime))
-	p := &piece{left: n, own: t.sender.grant(now, n), shared: s.shared.grant(now, n)}
+	p := &piece{missing: n, own: t.sender.grant(now, n), shared: s.shared.grant(now, n)}
 	p.due = now + int64(s.stallBound(t.sender))
 	t.pieces = append(t.pieces, p)
 }
@@ -355,7 +356,7 @@
 // NextDue returns the time at which the next piece may be granted or becomes overdue; ok is
 // false if there is none.
 func (s *Scheduler) NextDue() (at int64, ok bool) {
-	at, ok = s.nextCredit()
+	at, ok = s.nextPaceTime()
 	for _, t := range s.transfers {
 		for _, p := range t.pieces {
 			if !p.returned && (!ok || p.due < at) {
@@ -366,16 +367,16 @@
 	return at, ok
 }
 
-// nextCredit returns the time at which the pace allows the next piece; ok is false if the pace
-// is not what grants wait for.
-func (s *Scheduler) nextCredit() (at int64, ok bool) {
+// nextPaceTime returns the time at which the pace allows the next piece; ok is false if grants
+// do not wait for the pace.
+func (s *Scheduler) nextPaceTime() (at int64, ok bool) {
 	piece := s.pieceSize()
-	missing := float64(piece) - s.credit
+	needed := float64(piece) - s.paceTokens
 	pace := s.shared.pace()
-	if pace == 0 || missing <= 0 || s.shared.isFull(piece) || s.next(s.creditAt, piece) == nil {
+	if pace == 0 || needed <= 0 || s.shared.isFull(piece) || s.next(s.paceTokensAt, piece) == nil {
 		return 0, false
 	}
-	return s.creditAt + int64(math.Ceil(missing/pace*float64(time.Second))), true
+	return s.paceTokensAt + int64(math.Ceil(needed/pace*float64(time.Second))), true
 }
 
 // ExpectedTime returns the expected time until a transfer that is added now has arrived,
--- a/pkg/grants/pipe.go
+++ b/pkg/grants/pipe.go
@@ -23,7 +23,7 @@
 	// rateWindow is the time, in nanoseconds, after which a measured rate begins to be
 	// forgotten.
 	rateWindow = int64(time.Second)
-	// roundTripWeight is the weight of the sender of one piece in the mean round-trip time.
+	// roundTripWeight is the weight of one piece's sender in the mean round-trip time.
 	roundTripWeight = 1.0 / 8
 )
 
@@ -59,13 +59,13 @@
 	trips     int
 	tripStart int64
 
-	// started is true while the rate does not grow. startupRate is the rate that it must
+	// startupEnded is true while the rate does not grow. startupRate is the rate that it must
 	// exceed by growth, roundEnd the value of delivered at which the present round ends, and
 	// flat the number of rounds in a row without growth.
-	started     bool
-	startupRate float64
-	roundEnd    int64
-	flat        int
+	startupEnded bool
+	startupRate  float64
+	roundEnd     int64
+	flat         int
 }
 
 // grantRecord is the state of a pipe when a piece was granted.
@@ -113,7 +113,7 @@
 // pace returns the rate at which bytes are granted, in bytes per second; 0: no limit.
 func (p *pipe) pace() float64 {
 	switch {
-	case !p.started:
+	case !p.startupEnded:
 		return 0
 	case p.probes():
 		return paceGain * p.rate()
@@ -124,14 +124,14 @@
 }
 
 // probes reports whether bytes are granted faster than they arrive in the present round trip.
-func (p *pipe) probes() bool { return p.started && p.trips%paceInterval == 0 }
+func (p *pipe) probes() bool { return p.startupEnded && p.trips%paceInterval == 0 }
 
 // isBusy reports whether another piece would exceed the bandwidth-delay product.
 func (p *pipe) isBusy(piece int64) bool {
 	return p.outstanding > 0 && float64(p.outstanding+piece) > p.product(piece)
 }
 
-// countTrips counts the round trips.
+// countTrips begins the next round trip if the present one has ended.
 func (p *pipe) countTrips(now, piece int64) {
 	if float64(now-p.tripStart) >= p.delay(piece) {
 		p.trips++
@@ -200,17 +200,17 @@
 func (p *pipe) endRound() {
 	p.roundEnd = p.delivered
 	if p.rate() > growth*p.startupRate {
-		p.startupRate, p.flat, p.started = p.rate(), 0, false
+		p.startupRate, p.flat, p.startupEnded = p.rate(), 0, false
 		return
 	}
 	p.startupRate = min(p.startupRate, p.rate())
 	p.flat++
-	p.started = p.flat >= flatRounds
+	p.startupEnded = p.flat >= flatRounds
 }
 
-// noteLimit records, after a pass over the transfers, that the senders have less to send
+// noteSenderLimited records, after a pass over the transfers, that the senders have less to send
 // than the window allows.
-func (p *pipe) noteLimit() { p.limitedUntil = p.delivered + p.outstanding }
+func (p *pipe) noteSenderLimited() { p.limitedUntil = p.delivered + p.outstanding }
 
 // followRoundTrip updates the mean round-trip time of the shared pipe with that of a sender
 // that is granted a piece.
--- a/pkg/grants/property_test.go
+++ b/pkg/grants/property_test.go
@@ -46,9 +46,9 @@
 	for _, tr := range m.Scheduler.transfers {
 		var left int64
 		for _, p := range tr.pieces {
-			left += p.left
+			left += p.missing
 			if !p.returned {
-				outstanding += p.left
+				outstanding += p.missing
 			}
 		}
 		must.Eq(t, tr.granted-tr.arrived, left)
