link: plain comments on offered calls and acknowledgements

Cause: some comments named only one of the cases that their code handles (the timer of the granter also waits for the pace), or had to be read twice. Change: the comments say what happens; resultUnneeded, omitSentUntil and recordArrival say what they hold or do.

--- a/pkg/link/acks_client.go
+++ b/pkg/link/acks_client.go
@@ -21,9 +21,9 @@
 	// enabled is true if the peer acknowledges calls.
 	enabled atomic.Bool
 	times   acks.Link
-	// unstatedUntil is when calls state again when they were sent, in nanoseconds of the
-	// daemon's clock.
-	unstatedUntil atomic.Int64
+	// omitSentUntil is the time, in nanoseconds of the daemon's clock, before which calls do
+	// not state when they were sent.
+	omitSentUntil atomic.Int64
 
 	mu sync.Mutex
 	// acknowledgedID is the highest acknowledged id.
@@ -38,7 +38,7 @@
 	acknowledged func()
 }
 
-// setFeatures takes over the features that the peer has announced.
+// setFeatures sets the features that the peer has announced.
 func (t *ackTracker) setFeatures(features wire.Features) {
 	t.enabled.Store(features.Has(wire.FeatureAcks))
 }
@@ -50,7 +50,7 @@
 	if !t.enabled.Load() {
 		return
 	}
-	if now := t.now(); now >= t.unstatedUntil.Load() {
+	if now := t.now(); now >= t.omitSentUntil.Load() {
 		callFrame.SentUS = uint64(now/int64(time.Microsecond)) + 1
 	}
 	callFrame.WantAck = acknowledged != nil
@@ -65,10 +65,11 @@
 	return int64(callFrame.SentUS-1)*int64(time.Microsecond) + int64(callFrame.Remaining)
 }
 
-// checkEnd checks the result of a call with a deadline. If the executor has ended the call
-// for want of time although time is left, its estimate of the transit delay is wrong: this
-// VM's clock may have missed a pause. Calls then do not state when they were sent until the
-// executor has forgotten the differences of before. Otherwise it would refuse them meanwhile.
+// checkEnd checks the result of a call with a deadline. If the executor has refused the call
+// because its time was used up although time is left, the executor's estimate of the transit
+// delay is wrong: this VM's clock may have missed a pause. Calls then do not state when they
+// were sent until the executor has forgotten the earlier clock differences, since it would
+// refuse them until then.
 func (t *ackTracker) checkEnd(deadline int64, result *call.Result) {
 	if deadline == 0 || result.Refusal == nil {
 		return
@@ -78,12 +79,12 @@
 		return
 	}
 	if now := t.now(); deadline-now > int64(acks.SchedulingAllowance) {
-		t.unstatedUntil.Store(now + int64(acks.TransitWindow))
+		t.omitSentUntil.Store(now + int64(acks.TransitWindow))
 	}
 }
 
-// add lets a call wait for its ack. Ids must rise, and the call must not have been sent, so
-// that its ack cannot arrive before.
+// add registers a call that waits for its ack. Ids must rise. It must be called before the
+// call is sent, so that the ack cannot arrive first.
 func (t *ackTracker) add(id uint64, acknowledged func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -60,7 +60,7 @@
 	done func(call.Result)
 	// body is nil if the body fits in the call frame.
 	body *outgoingBody
-	// deadline is that of deadlineOf.
+	// deadline is the result of deadlineOf.
 	deadline int64
 	// answer is nil until the answer frame has arrived. Then assembly assembles its body.
 	answer   *wire.Answer
--- a/pkg/link/granter.go
+++ b/pkg/link/granter.go
@@ -24,7 +24,7 @@
 	scheduler  *grants.Scheduler
 	lastSender grants.Sender
 	transfers  map[grants.ID]*incomingTransfer
-	// timer fires when the next grant becomes overdue.
+	// timer fires at the time that scheduler.NextDue returns.
 	timer  *time.Timer
 	closed bool
 }
@@ -65,9 +65,8 @@
 	return g.scheduler.Forecast(g.common.Now())
 }
 
-// maxRTTPings is the number of pings on an accepted link, one for each body at most, after
-// which no more are sent. The shortest round-trip time counts, since a ping may wait behind
-// bodies.
+// maxRTTPings limits the pings on an accepted link, of which each offered body causes one at
+// most. Several are sent because a ping may wait behind bodies; the shortest time counts.
 const maxRTTPings = 16
 
 // updateRoundTrip tells the scheduler the round-trip time of a link and measures it again.
@@ -80,7 +79,7 @@
 	g.scheduler.SetRoundTrip(id, peer.MinRTT())
 }
 
-// newSender returns the sender of a link that was accepted.
+// newSender returns the id of a newly accepted link.
 func (g *granter) newSender() grants.Sender {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -163,7 +162,7 @@
 		events.F("size", t.call.Body.Size), events.F("granted", t.granted))
 }
 
-// setTimer makes the timer fire when the next grant becomes overdue.
+// setTimer sets the timer to the time of the next step. The caller holds mu.
 func (g *granter) setTimer() {
 	at, ok := g.scheduler.NextDue()
 	if !ok || g.closed {
@@ -188,7 +187,7 @@
 	}
 }
 
-// close stops the timer. No grants become overdue after it.
+// close stops the timer. Afterwards no step is made because of time alone.
 func (g *granter) close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/link/link_load.go
+++ b/pkg/link/link_load.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// fastBody and fastTime give the rate from which a stamp does not state the rate: the
-	// time of the body makes no difference to the choice then.
+	// Stamps omit a rate of fastBody per fastTime or more: at that rate the time of a body
+	// makes no difference to the choice.
 	fastBody = 64 << 10
 	fastTime = 5 * time.Millisecond
-	// minAcceptedLinks is how many links must be active for a delay to be reported. The entry
-	// of a single one is the only one that gets stamps.
+	// minAcceptedLinks is how many links must be active for a delay to be reported. One
+	// is enough, since the stamps then go only to the entry at its other end.
 	minAcceptedLinks = 1
 )
 
-// registerLinkMetrics registers the gauges of what stamps say of this VM's link.
+// registerLinkMetrics registers the gauges of the delays that stamps state for this VM's link.
 func (s *Server) registerLinkMetrics() {
 	s.Metrics.GetOrCreateGauge("rushramp_link_delay_seconds", func() float64 { return s.delays.Current(s.Now(), minAcceptedLinks).Seconds() })
 	s.Metrics.GetOrCreateGauge("rushramp_bodies_wait_seconds", func() float64 { return s.grants.forecast().Wait.Seconds() })
--- a/pkg/link/offered.go
+++ b/pkg/link/offered.go
@@ -19,14 +19,13 @@
 	transfer grants.ID
 	// expiry ends the call when its time is used up.
 	expiry *time.Timer
-	// started is true once the whole body was passed to the runner, ended once the call was
-	// ended before that.
+	// started is true once the whole body is passed to the runner, ended once the call has
+	// ended, which may be before its start.
 	started bool
 	ended   bool
-	// unreported is true if the peer has cancelled the call before its body was whole. The
-	// peer then expects no result. After its last byte it waits for one, even if the call has
-	// not started.
-	unreported bool
+	// resultUnneeded is true if the peer has cancelled the call before its body was whole. A
+	// peer that cancels later still waits for a result, even if the call has not started.
+	resultUnneeded bool
 }
 
 // expectsOffers reports whether the peer may offer bodies, so that the round-trip time of the
@@ -35,7 +34,8 @@
 	return s.server.runner != nil && s.server.Settings.Links.GrantBodiesAbove > 0 && s.Hello.Features.Has(wire.FeatureGrants)
 }
 
-// receiveOffer decides on a call whose body is offered, and lets its transfer begin.
+// receiveOffer has the runner decide on a call whose body is offered, and begins the transfer
+// unless the call was refused.
 func (s *session) receiveOffer(in *incomingCall) {
 	id := in.call.ID
 	if s.server.runner == nil {
@@ -67,7 +67,7 @@
 	s.beginTransfer(in, place, t)
 }
 
-// beginTransfer lets the scheduler grant the body of a call, unless the call has ended.
+// beginTransfer adds the body of a call to the scheduler, unless the call has ended.
 func (s *session) beginTransfer(in *incomingCall, place call.Offered, t grants.Transfer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -107,10 +107,10 @@
 // doneFor returns the function that reports the result of a call.
 func (s *session) doneFor(in *incomingCall) func(call.Result) {
 	return func(result call.Result) {
-		unreported := s.endOffer(in, result.Refusal)
+		resultUnneeded := s.endOffer(in, result.Refusal)
 		id := in.call.ID
 		s.remove(id)
-		if unreported {
+		if resultUnneeded {
 			return
 		}
 		result.Stamp = s.stampFor(in.call, result.Stamp)
@@ -135,28 +135,28 @@
 	place.Withdraw(refusal)
 }
 
-// endOffer returns the credit of a call that has ended, and logs that its body has not
-// arrived, if so. It returns true if the peer expects no result.
-func (s *session) endOffer(in *incomingCall, refusal *errkind.Error) (unreported bool) {
+// endOffer marks an offered call as ended. If its body has not arrived as a whole, endOffer
+// removes the transfer and logs that. It returns true if the peer expects no result.
+func (s *session) endOffer(in *incomingCall, refusal *errkind.Error) (resultUnneeded bool) {
 	offer := in.offer
 	if offer == nil {
 		return false
 	}
 	s.mu.Lock()
-	began, started, unreported := offer.transfer != 0, offer.started, offer.unreported
+	began, started, resultUnneeded := offer.transfer != 0, offer.started, offer.resultUnneeded
 	offer.ended = true
 	if offer.expiry != nil {
 		offer.expiry.Stop()
 	}
 	s.mu.Unlock()
 	if !began || started {
-		return unreported
+		return resultUnneeded
 	}
 	granted, arrived := s.server.grants.remove(offer.transfer)
 	s.server.Log.Event(events.BodyNotReceived, events.F("request", in.call.Routed.ID), events.F("route", in.call.Kind), events.F("peer", s.Hello.VM),
 		events.F("size", in.call.Body.Size), events.F("granted", granted), events.F("arrived", arrived),
 		events.F("outcome", refusal.Kind), events.F("detail", refusal.Detail))
-	return unreported
+	return resultUnneeded
 }
 
 // refuseBody ends a call whose body is damaged.
@@ -169,8 +169,8 @@
 	s.sendRefusal(in.call.ID, call.Refused(errkind.BodyCut, "%v", cause))
 }
 
-// receiveArrival returns the credit of a chunk of an offered body.
-func (s *session) receiveArrival(in *incomingCall, chunk *wire.Chunk) error {
+// recordArrival tells the scheduler that a chunk of an offered body has arrived.
+func (s *session) recordArrival(in *incomingCall, chunk *wire.Chunk) error {
 	if in.offer == nil {
 		return nil
 	}
@@ -184,7 +184,7 @@
 // body was whole.
 func (s *session) cancelOffer(in *incomingCall) {
 	s.mu.Lock()
-	in.offer.unreported = !in.assembly.Complete()
+	in.offer.resultUnneeded = !in.assembly.Complete()
 	s.mu.Unlock()
 	s.withdraw(in, errkind.New(errkind.CallerGone, "the entry cancelled the request, or its link ended, before the whole body had arrived"))
 }
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -135,7 +135,7 @@
 	assembly *wire.Assembly
 	// reservation is the reserved memory of the body.
 	reservation *bodies.Reservation
-	// offer is nil if the body is not sent by grants.
+	// offer is nil if the body is not sent as it is granted.
 	offer *offeredCall
 	// cancel is nil until the call has started.
 	cancel func()
@@ -239,7 +239,7 @@
 		s.refuseBody(in, err)
 		return nil
 	}
-	if err := s.receiveArrival(in, f); err != nil {
+	if err := s.recordArrival(in, f); err != nil {
 		return err
 	}
 	s.startIfComplete(in)
--- a/pkg/link/unneeded_calls.go
+++ b/pkg/link/unneeded_calls.go
@@ -15,7 +15,7 @@
 	droppedTimeUsed  = "time_used"
 )
 
-// maxKeptFrames is the capacity up to which the slice of decoded frames is used again.
+// maxKeptFrames is the largest capacity at which the slice of decoded frames is reused.
 const maxKeptFrames = 4096
 
 // dropUnneeded refuses a call whose result the entry no longer needs when the call arrives:
