gate: plainer comments on reserved places

Cause: the comments of Reserve, lateRefusalFor and maxWaiting had to be read twice. Change: reword them. Result: comments only; go vet ./pkg/... and go test -p 3 ./pkg/gate pass.

--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -171,8 +171,8 @@
 }
 
 // maxWaiting returns how many jobs may wait, with or without a place, when a job arrives.
-// Places may also take the free slots: without the time for its body, such a job would start
-// at once, however short the queue is.
+// Places may also stand for the free slots: a job whose body had already arrived would start
+// in one at once, however short the queue is.
 func (g *Gate) maxWaiting(now int64, job *Job, fc forecast) int {
 	if job.transfer == 0 || fc.held || !fc.canStart {
 		return g.opts.QueueLength
--- a/pkg/gate/places.go
+++ b/pkg/gate/places.go
@@ -7,8 +7,8 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 )
 
-// Reserve decides on a job whose body has not arrived as Admit does on others. transfer is
-// the expected time until it has; 0: unknown. An admitted job holds a place: it counts as a
+// Reserve is the counterpart of Admit for a job whose body has not arrived. transfer is the
+// expected time until the body has arrived; 0: unknown. An admitted job holds a place: it counts as a
 // waiting job but occupies no slot and does not start. Its owner calls Admit when the body
 // has arrived, or Release.
 func (g *Gate) Reserve(now int64, job *Job, transfer time.Duration) *errkind.Error {
@@ -42,8 +42,8 @@
 	return g.startOrQueue(now, job, fc), nil
 }
 
-// lateRefusalFor returns the error with which a job is refused that would end too late; nil:
-// it is admitted. A late probe whose place Reserve has admitted still starts if it can: refused
+// lateRefusalFor returns the error for a job that would end too late; nil: it would not, or is
+// admitted all the same. A late probe whose place Reserve has admitted still starts if it can: refused
 // here, it could not correct an estimate of the work that is too long.
 func (g *Gate) lateRefusalFor(now int64, job *Job, fc forecast) *errkind.Error {
 	probes := job.lateProbe && fc.canStart && !fc.held
@@ -57,7 +57,7 @@
 }
 
 // Release releases the place of a job whose body will not arrive. It returns false if the
-// job has none.
+// job has no place.
 func (g *Gate) Release(job *Job) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
