--- a/pkg/runner/offer.go
+++ b/pkg/runner/offer.go
@@ -13,7 +13,7 @@
 // offeredRun is a request that holds a place at the gate while its body is on the way.
 type offeredRun struct{ *routedRun }
 
-// Offer implements call.Offerer. The quarantine needs the body, so Start checks it.
+// Offer implements call.Offerer. The quarantine check needs the body, so Start makes it.
 func (r *Runner) Offer(c *wire.Call, transfer time.Duration, done func(call.Result)) call.Offered {
 	run := r.newRun(c, done)
 	refusal := r.checkHead(c)
