acks: one word for the spare time of a call

Cause: the constants said "slack" where the code says "spare"; the comment of Link called a longer round trip a longer link. Change: spareShare and maxSpareFactor; reworded comments.

--- a/pkg/acks/acks.go
+++ b/pkg/acks/acks.go
@@ -1,5 +1,5 @@
-// Package acks decides without a network when a call counts as not acknowledged in time,
-// and estimates how long a call was in transit. Source:
+// Package acks decides when a call counts as not acknowledged in time, and estimates how long
+// a call was in transit. It does not use the network. Source:
 // docs/design/acknowledged-calls.md.
 package acks
 
@@ -14,12 +14,12 @@
 	SchedulingAllowance = 10 * time.Millisecond
 	// variationFactor is the number of mean deviations that a bound allows, as in RFC 6298.
 	variationFactor = 4
-	// slackShare is the share of a call's spare time for which its ack is waited for. The
+	// spareShare is the share of a call's spare time for which its ack is waited for. The
 	// rest is for the second attempt.
-	slackShare = 0.25
-	// maxSlackFactor limits the bound of a call with much spare time, as a multiple of the
+	spareShare = 0.25
+	// maxSpareFactor limits the bound of a call with much spare time, as a multiple of the
 	// bound that its link requires.
-	maxSlackFactor = 4
+	maxSpareFactor = 4
 )
 
 // Bound says when a call counts as not acknowledged in time.
@@ -36,8 +36,8 @@
 	if needed <= 0 {
 		return Bound{}
 	}
-	share := time.Duration(slackShare * float64(spare))
-	late := time.Duration(widening) * min(max(share, needed), maxSlackFactor*needed)
+	share := time.Duration(spareShare * float64(spare))
+	late := time.Duration(widening) * min(max(share, needed), maxSpareFactor*needed)
 	return Bound{Late: late, MayLeave: late <= spare}
 }
 
--- a/pkg/acks/acks_test.go
+++ b/pkg/acks/acks_test.go
@@ -30,7 +30,7 @@
 		{"a quarter of the spare time", estimateOf(8 * ms), 260 * ms, 40 * ms, 53 * ms, true},
 		{"little spare time: what the link requires", estimateOf(8 * ms), 80 * ms, 40 * ms, needed(8 * ms), true},
 		{"no time for a run elsewhere", estimateOf(8 * ms), 60 * ms, 40 * ms, needed(8 * ms), false},
-		{"much time: a multiple of what the link requires", estimateOf(8 * ms), time.Hour, 40 * ms, maxSlackFactor * needed(8*ms), true},
+		{"much time: a multiple of what the link requires", estimateOf(8 * ms), time.Hour, 40 * ms, maxSpareFactor * needed(8*ms), true},
 		{"a long link", estimateOf(300 * ms), 2 * time.Second, 40 * ms, 415 * ms, true},
 		{"a link that varies", Estimate{RoundTrip: 8 * ms, Variation: 20 * ms}, 200 * ms, 40 * ms, 8*ms + 80*ms + MaxDelay, true},
 		{"a link whose round-trip time is not known", Estimate{}, time.Second, 40 * ms, 0, false},
--- a/pkg/acks/entry.go
+++ b/pkg/acks/entry.go
@@ -11,7 +11,7 @@
 	recentCalls = 16
 	// minRecentCalls is how many calls are needed for that.
 	minRecentCalls = 8
-	// recentFor is the time after which earlier calls no longer count if no call ended.
+	// recentFor is the time without an outcome after which earlier outcomes no longer count.
 	recentFor = 10 * time.Second
 	// maxWidening limits the widening of bounds.
 	maxWidening = 64
--- a/pkg/acks/link.go
+++ b/pkg/acks/link.go
@@ -9,8 +9,8 @@
 	// roundTripWeight and variationWeight are the weights of a new sample, as in RFC 6298.
 	roundTripWeight = 1.0 / 8
 	variationWeight = 1.0 / 4
-	// minLateAcks and lateFor are how many acks in a row, over how long a time, are late
-	// before the link's round-trip time counts as changed.
+	// minLateAcks and lateFor are the least number of late acks in a row, and the least time
+	// that they span, for the link's round-trip time to count as changed.
 	minLateAcks = 4
 	lateFor     = 10 * time.Second
 )
@@ -31,9 +31,9 @@
 }
 
 // Link estimates the times of acknowledgements on one link. It is safe for concurrent use.
-// Late acks do not count, since the bound of a slow link would otherwise grow until no call
-// leaves it. If all acks are late for lateFor, the link has become longer, and the estimate
-// starts again.
+// Late acks do not change the estimate: the bound of a slow link would otherwise grow until no
+// call was sent elsewhere. If all acks are late for lateFor, the round-trip time has grown, and
+// the estimate starts again from the fastest of them.
 type Link struct {
 	mu       sync.Mutex
 	estimate Estimate
--- a/pkg/acks/transit.go
+++ b/pkg/acks/transit.go
@@ -19,8 +19,8 @@
 // and the sender's time is compared with the smallest recent one: the result is the delay
 // beyond that of the fastest call. It is not safe for concurrent use.
 type Transit struct {
-	// smallest holds the smallest difference of each bucket, in nanoseconds; numbers holds
-	// the number of the bucket since the clock's start, plus one; 0: empty.
+	// smallest holds the smallest difference of each bucket, in nanoseconds; numbers holds the
+	// number of each bucket, counted from 1 at the clock's start; 0: empty.
 	smallest [transitBuckets]int64
 	numbers  [transitBuckets]int64
 }
