forward: name the attempts that were left apart from what is left

Cause: attempts.left stood beside softLeft and timeLeft, which mean what remains; mayLeave also counts a decision; minOwnLinks was described by slow links although it counts active ones; leastRTT was MinRTT elsewhere. Change: leftAttempts, decideToLeave, minRTT, recordOnce; reworded comments. Result: no change of behaviour; go vet ./pkg/... and go test -p 3 ./pkg/forward pass.

--- a/pkg/forward/ack_watch.go
+++ b/pkg/forward/ack_watch.go
@@ -23,20 +23,20 @@
 	acknowledger call.Acknowledger
 	bound        acks.Bound
 	sentAt       int64
-	// leastRTT is the shortest round-trip time to the executor; 0: not known.
-	leastRTT time.Duration
+	// minRTT is the shortest round-trip time to the executor; 0: not known.
+	minRTT time.Duration
 	// dueAt is when the timer is due, in nanoseconds of the daemon's clock.
 	dueAt        int64
 	acknowledged atomic.Bool
-	// outcome records in time or late once.
-	outcome sync.Once
+	// recordOnce guards against recording the attempt both as late and as in time.
+	recordOnce sync.Once
 	// timer is nil while the bound is not known.
 	timer *time.Timer
 }
 
 // newAckWatch returns the watch of an attempt at runner.
-func (a *attempts) newAckWatch(runner call.Runner, leastRTT time.Duration) *ackWatch {
-	w := &ackWatch{forwarder: a.forwarder, runner: runner, leastRTT: leastRTT}
+func (a *attempts) newAckWatch(runner call.Runner, minRTT time.Duration) *ackWatch {
+	w := &ackWatch{forwarder: a.forwarder, runner: runner, minRTT: minRTT}
 	acknowledger, ok := runner.(call.Acknowledger)
 	if !ok || !a.needsAck() || !acknowledger.Acknowledges() {
 		return w
@@ -77,9 +77,9 @@
 	took := time.Duration(now - w.sentAt)
 	late := w.bound.Late > 0 && took > w.bound.Late
 	w.acknowledger.AckTimes().Record(now, took, late)
-	w.forwarder.recordOwnLink(now, w.acknowledger.AckTimes(), w.leastRTT, took)
+	w.forwarder.recordOwnLink(now, w.acknowledger.AckTimes(), w.minRTT, took)
 	if w.bound.Late > 0 {
-		w.outcome.Do(func() { w.forwarder.recordAck(now, late) })
+		w.recordOnce.Do(func() { w.forwarder.recordAck(now, late) })
 	}
 }
 
@@ -92,8 +92,8 @@
 	return w.timer.C
 }
 
-// checkLate reports whether the attempt is late and not acknowledged. If this process was
-// itself paused, it first gets the time to read an ack that has arrived.
+// checkLate reports whether the attempt is late and not acknowledged. After a pause of this
+// process, it extends the timer and returns false, so that an ack that has arrived can be read.
 func (w *ackWatch) checkLate() bool {
 	if w.acknowledged.Load() {
 		return false
@@ -104,7 +104,7 @@
 		w.timer.Reset(acks.SchedulingAllowance)
 		return false
 	}
-	w.outcome.Do(func() { w.forwarder.recordAck(now, true) })
+	w.recordOnce.Do(func() { w.forwarder.recordAck(now, true) })
 	return true
 }
 
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -80,7 +80,7 @@
 				return result
 			}
 		case <-ack.due():
-			if ack.checkLate() && len(a.ends) == 0 && a.mayLeave(ack, candidate) {
+			if ack.checkLate() && len(a.ends) == 0 && a.decideToLeave(ack, candidate) {
 				return a.leave(candidate, cancel)
 			}
 		case <-watch.due():
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -67,10 +67,10 @@
 	// hasFingerprint is true.
 	cachedFingerprint quarantine.Fingerprint
 	hasFingerprint    bool
-	// ends receives the ends of all attempts, and left holds the attempts that were left
-	// for want of an ack and have not ended.
-	ends chan *attemptEnd
-	left []leftAttempt
+	// ends receives the ends of all attempts, and leftAttempts holds those that were left
+	// because they were not acknowledged, and that have not ended.
+	ends         chan *attemptEnd
+	leftAttempts []leftAttempt
 	// records describes the attempts for the log.
 	records []attemptRecord
 	// crossings sums up the bytes that crossed to other data centres.
--- a/pkg/forward/crossing_record.go
+++ b/pkg/forward/crossing_record.go
@@ -42,7 +42,7 @@
 	a.forwarder.Metrics.GetOrCreateCounter(`rushramp_crossed_bytes_total{service="` + utils.Label(a.service) + `",place="` + record.proximity.String() + `",cause="` + record.crossing.String() + `"}`).Add(bytes)
 }
 
-// bytesMoved returns the bytes that an attempt took on its link, without the part of a large
+// bytesMoved returns the bytes that an attempt moved over its link, without the part of a large
 // body that was granted before the executor refused the request.
 func (a *attempts) bytesMoved(result *call.Result) int {
 	bytes := frameBytes
--- a/pkg/forward/left_attempts.go
+++ b/pkg/forward/left_attempts.go
@@ -31,9 +31,9 @@
 	refusal *errkind.Error
 }
 
-// mayLeave reports whether the request goes elsewhere because the attempt at candidate is
-// not acknowledged.
-func (a *attempts) mayLeave(watch *ackWatch, candidate *tables.Candidate) bool {
+// decideToLeave decides whether the request goes elsewhere because the attempt at candidate is
+// not acknowledged, and counts the decision.
+func (a *attempts) decideToLeave(watch *ackWatch, candidate *tables.Candidate) bool {
 	hasTime := watch.bound.MayLeave && acks.HasTimeForRun(a.timeLeft(), a.runTime(), watch.acknowledger.AckEstimate())
 	leaves := hasTime && a.canGoElsewhere(candidate)
 	decision := "waits"
@@ -51,7 +51,7 @@
 	refusal := errkind.New(errkind.LinkLost, "the daemon on %s did not acknowledge the call", candidate.Endpoint.VM)
 	record := len(a.records) - 1
 	a.records[record].outcome = outcomeUnacknowledged
-	a.left = append(a.left, leftAttempt{number: a.tries, cancel: cancel, record: record, sentAt: a.records[record].sentAt, refusal: refusal})
+	a.leftAttempts = append(a.leftAttempts, leftAttempt{number: a.tries, cancel: cancel, record: record, sentAt: a.records[record].sentAt, refusal: refusal})
 	return a.unanswered(refusal)
 }
 
@@ -77,8 +77,8 @@
 	if i < 0 {
 		return false
 	}
-	left := a.left[i]
-	a.left = slices.Delete(a.left, i, i+1)
+	left := a.leftAttempts[i]
+	a.leftAttempts = slices.Delete(a.leftAttempts, i, i+1)
 	record := &a.records[left.record]
 	record.laterOutcome, record.laterTook = outcomeOf(&end.result), time.Duration(a.forwarder.Now()-left.sentAt)
 	if isUsable(&end.result) {
@@ -88,14 +88,14 @@
 	return false
 }
 
-// indexOfLeft returns the index in left of the attempt with a number; -1: not found.
+// indexOfLeft returns the index in leftAttempts of the attempt with a number; -1: not found.
 func (a *attempts) indexOfLeft(number int) int {
-	return slices.IndexFunc(a.left, func(left leftAttempt) bool { return left.number == number })
+	return slices.IndexFunc(a.leftAttempts, func(left leftAttempt) bool { return left.number == number })
 }
 
 // isLeft reports whether result stands for an attempt that was left and has not ended.
 func (a *attempts) isLeft(result *call.Result) bool {
-	return slices.ContainsFunc(a.left, func(left leftAttempt) bool { return left.refusal == result.Refusal })
+	return slices.ContainsFunc(a.leftAttempts, func(left leftAttempt) bool { return left.refusal == result.Refusal })
 }
 
 // isUsable reports whether a result is an answer that ends the request.
@@ -110,20 +110,20 @@
 }
 
 // awaitLeft waits for the attempts that were left, unless result is a usable answer. It
-// returns their first usable answer, or else result, or what replaces it if it stands for one
-// of them. The attempts that have not ended are cancelled.
+// returns their first usable answer, or else result; if that stands for one of them and its own
+// result arrives, awaitLeft returns that instead. The attempts that have not ended are cancelled.
 func (a *attempts) awaitLeft(result call.Result) call.Result {
 	defer a.cancelLeft()
-	if len(a.left) == 0 || isUsable(&result) {
+	if len(a.leftAttempts) == 0 || isUsable(&result) {
 		return result
 	}
-	for len(a.left) > 0 {
+	for len(a.leftAttempts) > 0 {
 		end, refusal := a.nextEnd()
 		if refusal != nil {
 			return a.endLeft(result, refusal)
 		}
 		i := a.indexOfLeft(end.number)
-		standsForIt := i >= 0 && a.left[i].refusal == result.Refusal
+		standsForIt := i >= 0 && a.leftAttempts[i].refusal == result.Refusal
 		if a.settle(end) {
 			a.stopReason = stoppedByAnswer
 			return end.result
@@ -168,8 +168,8 @@
 
 // cancelLeft cancels the attempts that were left and have not ended.
 func (a *attempts) cancelLeft() {
-	for _, left := range a.left {
+	for _, left := range a.leftAttempts {
 		left.cancel()
 	}
-	a.left = nil
+	a.leftAttempts = nil
 }
--- a/pkg/forward/own_link.go
+++ b/pkg/forward/own_link.go
@@ -6,18 +6,18 @@
 	"github.com/rushramp/rushramp/pkg/acks"
 )
 
-// minOwnLinks is how many links must be slow at the same time before that is taken to be
-// due to this VM's own link.
+// minOwnLinks is how many links must be active for a delay that most of them see to be
+// attributed to this VM's own link.
 const minOwnLinks = 3
 
 // ownLinkDelay returns by how much the link of this VM delays calls to all others.
 func (f *Forwarder) ownLinkDelay() time.Duration { return f.ownLink.Current(f.Now(), minOwnLinks) }
 
-// recordOwnLink records how long an ack took on a link. leastRTT is the shortest round-trip
+// recordOwnLink records how long an ack took on a link. minRTT is the shortest round-trip
 // time of the link; 0: not known.
-func (f *Forwarder) recordOwnLink(now int64, link *acks.Link, leastRTT, took time.Duration) {
-	if leastRTT > 0 {
-		f.ownLink.Record(now, link, max(took-leastRTT-acks.MaxDelay, 0))
+func (f *Forwarder) recordOwnLink(now int64, link *acks.Link, minRTT, took time.Duration) {
+	if minRTT > 0 {
+		f.ownLink.Record(now, link, max(took-minRTT-acks.MaxDelay, 0))
 	}
 }
 
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -76,7 +76,7 @@
 const (
 	// outcomePassedOver: the candidate was not tried.
 	outcomePassedOver = "passed_over"
-	// outcomeUnacknowledged: the attempt was left for want of an ack.
+	// outcomeUnacknowledged: the attempt was left because it was not acknowledged.
 	outcomeUnacknowledged = "unacknowledged"
 	// outcomeNotNeeded: an attempt that was left before was answered first.
 	outcomeNotNeeded = "not_needed"
--- a/pkg/forward/transfer_times.go
+++ b/pkg/forward/transfer_times.go
@@ -12,8 +12,8 @@
 // transferWeight is the weight of a new transfer in the mean.
 const transferWeight = 1.0 / 8
 
-// transferTimes estimates how long large bodies take to executors, by proximity. It is safe
-// for concurrent use.
+// transferTimes estimates how long the transfers of large bodies to executors take, by
+// proximity. It is safe for concurrent use.
 type transferTimes struct {
 	mu sync.Mutex
 	// perByte holds the mean time per byte in nanoseconds.
