quota: plain comments on waiting requests and return times

Cause: "let wait" and "lose history" had to be looked up at their use; the comments of knowsUse and wanted had to be read twice. Change: allowWaiting, recordLostHistory; reworded comments. Result: no change of behaviour; go vet ./pkg/... and go test -p 3 ./pkg/quota pass.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// limitWaiting lets so many requests wait and answers the latest of the others. Requests
-// whose tokens were requested and not answered yet keep waiting.
+// limitWaiting sets how many requests may wait, and answers the latest of those
+// beyond. Requests whose tokens were requested and not answered yet keep waiting.
 func (a *account) limitWaiting(limit int) {
 	a.maxWaiting = limit
 	for len(a.waiters) > limit+int(a.requested) {
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -363,7 +363,7 @@
 			switch {
 			case granted.NoShareYet:
 				n.stats.Deferred++
-				granted.MaxWaiting = p.letWait(now, request.Team, limit, leaseDuration(n.members.count), request.Count-count) + 1
+				granted.MaxWaiting = p.allowWaiting(now, request.Team, limit, leaseDuration(n.members.count), request.Count-count) + 1
 			case n.opts.ScheduleReturns:
 				p.addReturns(now, limit, &request, &granted)
 			}
--- a/pkg/quota/overload_test.go
+++ b/pkg/quota/overload_test.go
@@ -147,21 +147,21 @@
 	now := second
 	p.addShare(now, shareOffer{vm: "a", size: 0.5, counterTime: now, lease: maxLease})
 	_, _ = p.take(now, "red", limit, TokenRequest{Count: 1000})
-	letWait := func(count uint32) uint32 { return p.letWait(now, "red", limit, minLease, count) }
-	test.Eq(t, 40, letWait(1), test.Sprint("a single daemon may let all wait"))
-	test.Eq(t, 29+10*29/30, letWait(29), test.Sprint("two divide the rest"))
-	test.Eq(t, 10, letWait(1000))
-	test.Eq(t, 0, letWait(1))
+	allowWaiting := func(count uint32) uint32 { return p.allowWaiting(now, "red", limit, minLease, count) }
+	test.Eq(t, 40, allowWaiting(1), test.Sprint("a single daemon may let all wait"))
+	test.Eq(t, 29+10*29/30, allowWaiting(29), test.Sprint("two divide the rest"))
+	test.Eq(t, 10, allowWaiting(1000))
+	test.Eq(t, 0, allowWaiting(1))
 	now += int64(shareRetryInterval)
-	test.Eq(t, 10, letWait(10), test.Sprint("none is left for requests that are still to arrive"))
+	test.Eq(t, 10, allowWaiting(10), test.Sprint("none is left for requests that are still to arrive"))
 	now += 2 * int64(shareRetryInterval)
-	test.Eq(t, 40, letWait(10))
+	test.Eq(t, 40, allowWaiting(10))
 	now = second + int64(minLease+maxTokenWait)
-	test.Eq(t, 40, letWait(1))
+	test.Eq(t, 40, allowWaiting(1))
 	now++
-	test.Eq(t, 1+18/2, letWait(1), test.Sprint("the missing share is not expected any more"))
+	test.Eq(t, 1+18/2, allowWaiting(1), test.Sprint("the missing share is not expected any more"))
 	now += int64(minLease+maxTokenWait) + 1
-	test.Eq(t, 40, letWait(1), test.Sprint("requests begin to wait again"))
+	test.Eq(t, 40, allowWaiting(1), test.Sprint("requests begin to wait again"))
 }
 
 // TestLatestRequestsBeyondTheLimitOfWaitingAreAnswered: those that were requested and not
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -18,7 +18,7 @@
 	nextExpiry int64
 	advancedTo int64
 	// changedAt is when a share last arrived or left, or when requests began to wait here.
-	// waitedAt is when requests were last let wait.
+	// waitedAt is when requests were last allowed to wait.
 	changedAt, waitedAt int64
 	// limitSeconds is shareSum integrated over time, in seconds: a team has earned its
 	// rate times this many tokens.
@@ -52,8 +52,8 @@
 	lease       time.Duration
 	// previousCounterLost is true if the share grants recovery tokens.
 	previousCounterLost bool
-	// unearned is for how long no process held the share before, historyLost is true if one
-	// that held it was lost recently.
+	// unearned is how long no process held the share before this lease, historyLost is true if
+	// a process that held it was lost recently.
 	unearned    time.Duration
 	historyLost bool
 }
@@ -66,9 +66,9 @@
 	recoveredShares float64
 	usedAt          int64
 	returns         returnSchedule
-	// waiting counts the requests that were let wait since waitingSince, in the current
-	// shareRetryInterval, previousWaiting those in the one before. Each waiting request is
-	// asked for about once in each.
+	// waiting counts the requests allowed to wait since waitingSince, in the current
+	// shareRetryInterval, previousWaiting those in the one before. A token for each waiting
+	// request is requested about once per interval.
 	waiting, previousWaiting uint32
 	waitingSince             int64
 }
@@ -121,7 +121,7 @@
 			p.recoveredShares += offer.size
 		}
 		if offer.historyLost {
-			p.loseHistory(now, offer.size)
+			p.recordLostHistory(now, offer.size)
 		}
 	}
 	if len(p.shares) == 0 {
@@ -133,8 +133,8 @@
 	p.shares[offer.vm] = share{size: offer.size, until: max(until, previous.until)}
 }
 
-// loseHistory records that a share arrived whose earlier tokens were lost.
-func (p *pool) loseHistory(now int64, size float64) {
+// recordLostHistory records that a share arrived whose earlier tokens were lost.
+func (p *pool) recordLostHistory(now int64, size float64) {
 	if now-p.lostSince > int64(lostHistoryInterval) {
 		p.lostSince, p.lostHistory = now, 0
 	}
@@ -143,9 +143,9 @@
 	}
 }
 
-// knowsUse reports whether a team whose bucket is empty has used its limit. It may not have
-// if over maxMissingShares are missing, or if what it had saved was lost with an earlier counter so
-// recently that an unused bucket would not be full again.
+// knowsUse reports whether an empty bucket shows that its team has used its limit. It does not
+// if more than maxMissingShares are missing, or if saved tokens were lost with an earlier
+// counter so recently that an unused bucket would not be full again.
 func (p *pool) knowsUse(now int64, limit teams.Limit, window time.Duration) bool {
 	if 1-p.shareSum > maxMissingShares {
 		return false
@@ -157,9 +157,9 @@
 	return p.historyLostAt == 0 || now-p.historyLostAt >= int64(refill)
 }
 
-// letWait returns how many of a team's requests without a token may wait at a daemon that
-// states so many. Those beyond what all daemons together could be granted are not servable.
-func (p *pool) letWait(now int64, team string, limit teams.Limit, lease time.Duration, count uint32) uint32 {
+// allowWaiting returns how many of a team's requests may wait for a token at a daemon that has
+// count of them without one. Those beyond what all daemons together could be granted may not.
+func (p *pool) allowWaiting(now int64, team string, limit teams.Limit, lease time.Duration, count uint32) uint32 {
 	if now-p.waitedAt > int64(lease+maxTokenWait) {
 		// A daemon that has just become the counter gets the shares after their leases.
 		p.changedAt = now
--- a/pkg/quota/returntimes.go
+++ b/pkg/quota/returntimes.go
@@ -43,7 +43,7 @@
 
 // add adds the tokens reserved by a grant. They become due after the time of the grant's
 // arrival and expire by the time of the request: a message that was in transit for long
-// makes the time for their use shorter, never longer.
+// shortens the time for their use and never extends it.
 func (r *returnTimes) add(now int64, grant *TokenGrant) {
 	if grant.ReturnStepUS > 0 {
 		r.scheduled = true
@@ -87,7 +87,7 @@
 }
 
 // assign returns the time until the earliest return time that no caller was told yet, if
-// it is at most longest.
+// it is at most longest. Otherwise it counts the caller as unmet.
 func (r *returnTimes) assign(now int64, longest time.Duration) (after time.Duration, ok bool) {
 	for i := range r.reserved {
 		token := &r.reserved[i]
@@ -104,9 +104,10 @@
 	return 0, false
 }
 
-// wanted returns the number of return times to request for a number of callers that wait
-// for a token and those refused since the last request, which are as many as the callers
-// expected until the next one. It starts a new count of them.
+// wanted returns the number of return times to request: one for each of the callers that wait
+// for a token and of those refused since the last request, less the reserved ones that no
+// caller was told yet. Those refused stand for the callers expected until the next request.
+// Their count starts again.
 func (r *returnTimes) wanted(now int64, waiting int) uint32 {
 	count := uint32(max(waiting, 0)) + r.unmet
 	r.unmet = 0
--- a/pkg/quota/starts.go
+++ b/pkg/quota/starts.go
@@ -97,13 +97,13 @@
 	s.after = kept
 }
 
-// statedAge converts the oldest start to Grant.OldestMS.
+// statedAge converts the oldest start to Grant.OldestMS, rounded up.
 func statedAge(oldest ProcessStart) uint64 {
 	if !oldest.Known {
 		return 0
 	}
-	whole := int64(time.Millisecond)
-	return uint64((whole-1-min(oldest.After, 0))/whole) + 1
+	millisecond := int64(time.Millisecond)
+	return uint64((millisecond-1-min(oldest.After, 0))/millisecond) + 1
 }
 
 // startFromAge converts Grant.OldestMS to a start on the clock of the daemon that received
@@ -188,7 +188,8 @@
 }
 
 // askAboutPrevious asks a counter while this daemon waits for the leases of its previous
-// process: the answer may say that they have ended. Daemons ask different groups' counters.
+// process to end: the answer may show that they have. Each daemon asks the counter of its VM's
+// group, so that the load is spread.
 func (n *Node) askAboutPrevious(now int64) {
 	if !n.opts.Restarted || n.previous.ended || now < n.previousAskAt {
 		return
