returns: plain comments on slots and capacity

Cause: the comments of firstFree and capacity had to be read twice. Change: reword them. Result: comments only; go vet ./pkg/... and go test -p 3 ./pkg/returns pass.

--- a/pkg/returns/outcomes.go
+++ b/pkg/returns/outcomes.go
@@ -38,9 +38,8 @@
 }
 
 // capacity returns the number of answers per second while the service was short of
-// capacity, which is in the buckets with refusals. The answers at other times say how many
-// requests there were, not how many the service can answer. ok is false if there is too
-// little data.
+// capacity, which is in the buckets with refusals. Answers at other times show the demand, not
+// the capacity. ok is false if there is too little data.
 func (w *outcomeWindow) capacity(now int64) (perSecond float64, ok bool) {
 	var answers, total uint32
 	var short time.Duration
--- a/pkg/returns/returns.go
+++ b/pkg/returns/returns.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// slotWidth is the resolution of return times, slotCount the number of slots. Callers
-	// that honour more than their product still return within it.
+	// slotWidth is the resolution of return times, slotCount the number of slots. No return
+	// time is longer than their product.
 	slotWidth = 20 * time.Millisecond
 	slotCount = 256
 	// Ranks is the number of ranks that a schedule distinguishes; 0 is the most urgent.
@@ -44,7 +44,7 @@
 	// Unreachable is the configured time with a random spread, because no return can be
 	// answered within the caller's target.
 	Unreachable Cause = "target_unreachable"
-	// Default is the configured time with a random spread, for want of data.
+	// Default is the configured time with a random spread, because there is too little data.
 	Default Cause = "default"
 )
 
@@ -89,7 +89,7 @@
 
 // Refuse records a refusal and returns when the caller should return.
 func (s *Schedule) Refuse(now int64, r Refused) (after time.Duration, cause Cause) {
-	// Data of one second must not keep callers with long timeouts away for minutes.
+	// Outcomes of one second must not delay callers with long timeouts by minutes.
 	r.Honoured = min(r.Honoured, slotWidth*slotCount)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,9 +125,9 @@
 	s.firstSlot = max(s.firstSlot, current)
 }
 
-// firstFree returns the first slot in which capacity is left for a caller, at a number of
-// answers per second, counted in slots from now. Return times given to less urgent callers
-// leave their capacity to it.
+// firstFree returns the first slot, counted from the present one, in which capacity is free for
+// a caller, at a number of answers per second. Capacity booked for less urgent callers counts
+// as free.
 func (s *Schedule) firstFree(now int64, perSecond float64, r Refused) (slot int64, ok bool) {
 	perSlot := returnShare * perSecond * slotWidth.Seconds()
 	rank, booked := clampRank(r.Rank), 0.0
