choose: mayQueueNearer for the condition of the comparison

Cause: weighsQueueing and weigh had to be told apart at their use; some comments had to be read twice. Change: rename it; reword the comments of AttemptRequest, weigh and costOfQueueing. Result: no change of behaviour; go vet ./pkg/... and go test -p 3 ./pkg/choose pass.

--- a/pkg/choose/attempt.go
+++ b/pkg/choose/attempt.go
@@ -9,7 +9,7 @@
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
-// AttemptRequest is the input of PickAttempt. PickAttempt sets Soft of the RoutedRequest.
+// AttemptRequest is the input of PickAttempt, which ignores Soft of the RoutedRequest.
 type AttemptRequest struct {
 	RoutedRequest
 	// MaySoft is true while the request may make soft attempts. SoftRefused holds the
@@ -76,7 +76,7 @@
 	if !pick.Soft {
 		pick.RoutedPick = PickRouted(&queueing, rnd)
 	}
-	if !req.weighsQueueing(&pick) {
+	if !req.mayQueueNearer(&pick) {
 		return pick
 	}
 	if req.LargeBody {
@@ -103,18 +103,18 @@
 	return AttemptPick{RoutedPick: pick, Soft: pick.Index != NoCandidate}
 }
 
-// weighsQueueing reports whether the request may queue nearer instead of taking a pick. Where
+// mayQueueNearer reports whether the request may queue nearer instead of taking a pick. Where
 // no soft attempt is left, all gates are busy, and PickRouted compares their queues.
-func (r *AttemptRequest) weighsQueueing(pick *AttemptPick) bool {
+func (r *AttemptRequest) mayQueueNearer(pick *AttemptPick) bool {
 	if !pick.Soft {
 		return false
 	}
 	return r.LargeBody && pick.Proximity > proximity.SameDataCentre || r.AboveMean && pick.Proximity == proximity.OtherRegion
 }
 
-// weigh compares a soft attempt farther away with queueing at another candidate. Queueing must be
-// nearer and cost less, and must end in time. The cost of a crossing thus makes no request
-// late.
+// weigh compares a soft attempt farther away with queueing at another candidate. Queueing must
+// be nearer and cost less, and must end in time, so that no request is late because of the cost
+// of a crossing.
 func (r *AttemptRequest) weigh(crossing, queued *RoutedPick) Crossing {
 	switch {
 	case queued.Index == NoCandidate && queued.PassedOver == 0:
@@ -129,8 +129,8 @@
 	return QueuesNearer
 }
 
-// costOfQueueing returns the cost of queueing at a candidate, in nanoseconds. The queue of a
-// request with a large body counts as its gate counts it.
+// costOfQueueing returns the cost of queueing at a candidate, in nanoseconds. For a request
+// with a large body, the wait is computed as its gate computes it.
 func (r *AttemptRequest) costOfQueueing(queued *RoutedPick) float64 {
 	load, link, fresh := r.freshLoad(queued)
 	if !fresh {
@@ -158,7 +158,8 @@
 }
 
 // freshLoad returns the load of a candidate at which a request with a large body may queue,
-// and what links add to its time there. fresh is false for other requests, and if no recent stamp shows the queue.
+// and what links add to its time there. fresh is false for other requests, and if no recent
+// stamp shows the queue.
 func (r *AttemptRequest) freshLoad(queued *RoutedPick) (load tables.LoadSnapshot, link linkTimes, fresh bool) {
 	if !r.LargeBody {
 		return load, link, false
