linkdelay: reword what Current leaves out

Cause: "that of another VM's only its own" had to be read twice. Change: reword the comments of the package and of Current. Result: comments only; go vet ./pkg/... and go test -p 3 ./pkg/linkdelay pass.

--- a/pkg/linkdelay/linkdelay.go
+++ b/pkg/linkdelay/linkdelay.go
@@ -1,6 +1,6 @@
-// Package linkdelay decides without a network by how much the link of a VM delays calls,
-// from the delays that are seen on each of its links to other VMs. Times are nanoseconds of
-// a monotonic clock that the owner passes in. Source:
+// Package linkdelay estimates by how much the link of a VM delays calls, from the delays that
+// are seen on each of its links to other VMs. It does not use the network. Times are
+// nanoseconds of a monotonic clock that the owner passes in. Source:
 // docs/design/links-as-a-resource.md.
 package linkdelay
 
@@ -98,10 +98,10 @@
 }
 
 // Current returns the delay that most links see: the median of the delays of all links,
-// weighted by how recent their calls are, without the link with the longest delay. The queue
-// of the VM's own link delays the calls of all links, but that of another VM's only its own.
-// A single link counts as it is. The result decays from the latest call on. Current returns 0
-// if the delay is shorter than Least, or fewer than minLinks links are active.
+// weighted by how recent their calls are, without the link with the longest delay. A queue on
+// the VM's own link delays the calls on all of its links, a queue on another VM's link only those to
+// or from that VM. A single link is not left out. The result decays from the latest call on.
+// Current returns 0 if the delay is shorter than Least, or fewer than minLinks links are active.
 func (d *Delays[K]) Current(now int64, minLinks int) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
