link: test comments that are sentences of their own

Cause: some comments of tests continued the test's name as a sentence and had to be read twice. Change: say what the test checks or guards against. Comments only. Result: go vet ./pkg/... and go test -p 3 ./pkg/link pass.

--- a/pkg/link/acks_test.go
+++ b/pkg/link/acks_test.go
@@ -49,7 +49,8 @@
 	return func() {}
 }
 
-// TestAnExecutorAcknowledgesACallThatItDoesNotAnswer over two ends of a link.
+// TestAnExecutorAcknowledgesACallThatItDoesNotAnswer checks that a call without a result is
+// acknowledged over a real link.
 func TestAnExecutorAcknowledgesACallThatItDoesNotAnswer(t *testing.T) {
 	calls := make(receivedCalls, 2)
 	client, _ := connectAcks(t, wire.FeatureAcks, calls)
@@ -66,8 +67,8 @@
 	test.Positive(t, received.SentUS)
 }
 
-// TestAPeerWithoutTheFeatureGetsCallsAsBefore, and its calls count as not acknowledged by
-// nothing but their result.
+// TestAPeerWithoutTheFeatureGetsCallsAsBefore checks that a peer of the previous release is
+// asked for no acks, and that calls to it are not acknowledged.
 func TestAPeerWithoutTheFeatureGetsCallsAsBefore(t *testing.T) {
 	calls := make(receivedCalls, 1)
 	client, _ := connectAcks(t, 0, calls)
@@ -116,7 +117,8 @@
 	return nil
 }
 
-// TestOneAckServesAllCalls and is left out where another frame acknowledges them in time.
+// TestOneAckServesAllCalls checks that one Ack frame acknowledges all calls that wait for it,
+// and that none is sent where another frame acknowledges them in time.
 func TestOneAckServesAllCalls(t *testing.T) {
 	wants := func(id uint64) *wire.Call { return &wire.Call{ID: id, WantAck: true} }
 	scenarios := []struct {
@@ -228,8 +230,8 @@
 	}
 }
 
-// TestACallCancelledInTheSameMessageNeverStarts, also if its body is not complete. A call
-// that is sent after it starts.
+// TestACallCancelledInTheSameMessageNeverStarts checks calls with complete and incomplete
+// bodies, and that the next call starts.
 func TestACallCancelledInTheSameMessageNeverStarts(t *testing.T) {
 	calls := make(receivedCalls, 4)
 	_, server := connectAcks(t, wire.FeatureAcks, calls)
@@ -266,8 +268,8 @@
 	test.Eq(t, 0, server.Bodies.Reserved())
 }
 
-// TestTheTransitDelayIsTakenOffTheTimeOfACall, and a call whose time is used up does not
-// run.
+// TestTheTransitDelayIsTakenOffTheTimeOfACall checks the time that calls have left, and that a
+// call whose time is used up does not run.
 func TestTheTransitDelayIsTakenOffTheTimeOfACall(t *testing.T) {
 	const delay = 10 * time.Second
 	sentUS := uint64(time.Hour / time.Microsecond)
@@ -309,8 +311,8 @@
 }
 
 // TestAWrongTransitDelayIsNotRepeated: after a pause that the entry's clock has missed, the
-// executor would refuse calls that have time left until it has forgotten the differences of
-// before.
+// executor would refuse calls that have time left until it has forgotten the earlier clock
+// differences.
 func TestAWrongTransitDelayIsNotRepeated(t *testing.T) {
 	scenarios := []struct {
 		name      string
@@ -344,7 +346,8 @@
 	}
 }
 
-// TestCallsStateTheirTimeAgain once the executor has forgotten the differences of before.
+// TestCallsStateTheirTimeAgain checks that calls state when they were sent once the executor
+// has forgotten the earlier clock differences.
 func TestCallsStateTheirTimeAgain(t *testing.T) {
 	now := int64(time.Hour)
 	tracker := &ackTracker{now: func() int64 { return now }}
--- a/pkg/link/link_load_test.go
+++ b/pkg/link/link_load_test.go
@@ -26,8 +26,8 @@
 	return func() {}
 }
 
-// TestStampsReportTheDelayOfTheLink, and the gate's own stamp stays as it is: calls from the
-// executor's VM do not use its link.
+// TestStampsReportTheDelayOfTheLink also checks that the gate's own stamp states no delay:
+// calls from the executor's VM do not use its link.
 func TestStampsReportTheDelayOfTheLink(t *testing.T) {
 	const delay = 300 * time.Millisecond
 	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
@@ -51,7 +51,8 @@
 	test.Eq(t, wire.Stamp{}, entry.refusal().Stamp, test.Sprint("no stamp was asked for"))
 }
 
-// TestAnEntryOfThePreviousReleaseStatesNoDelay, so that it does not count.
+// TestAnEntryOfThePreviousReleaseStatesNoDelay checks that links without stated times do not
+// count.
 func TestAnEntryOfThePreviousReleaseStatesNoDelay(t *testing.T) {
 	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
 	entry := dialRaw(t, server)
@@ -87,7 +88,8 @@
 	s.Remove(id)
 }
 
-// TestStampsReportTheRateOfTheLink, which entries use to choose where to send a body.
+// TestStampsReportTheRateOfTheLink guards against entries that choose an executor for a body
+// without knowing its rate.
 func TestStampsReportTheRateOfTheLink(t *testing.T) {
 	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
 	server.grants.mu.Lock()
@@ -101,7 +103,8 @@
 	test.Zero(t, stamp.BodyWaitMS)
 }
 
-// TestAStampThatThePeerExpectsIsNotSentOutOfTheReserve of the measurement budget.
+// TestAStampThatThePeerExpectsIsNotSentOutOfTheReserve checks that a stamp that only confirms
+// the expected decay takes nothing from the reserve of the measurement budget.
 func TestAStampThatThePeerExpectsIsNotSentOutOfTheReserve(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := testCommon()
--- a/pkg/link/offered_test.go
+++ b/pkg/link/offered_test.go
@@ -327,7 +327,7 @@
 	waitUntilIdle(t, server)
 }
 
-// silentExecutor accepts one link and grants nothing. It returns the dialled client.
+// dialSilentExecutor opens a link to an executor that grants nothing.
 func dialSilentExecutor(t *testing.T, features wire.Features) (client *Client, executor *Conn) {
 	accepted := make(chan *Conn, 1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
