acks: test comments that are sentences of their own

Cause: some comments of tests continued the test's name as a sentence and had to be read twice. Change: say what the test checks or guards against. Comments only. Result: go vet ./pkg/... and go test -p 3 ./pkg/acks pass.

--- a/pkg/acks/acks_test.go
+++ b/pkg/acks/acks_test.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// TestABoundLeavesTimeForARun for random links and calls.
+// TestABoundLeavesTimeForARun checks random links and calls.
 func TestABoundLeavesTimeForARun(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	upTo := func(limit time.Duration) time.Duration { return time.Duration(random.Int64N(int64(limit))) }
@@ -72,7 +72,7 @@
 	test.Less(t, ms, got.Variation)
 }
 
-// TestASlowLinkDoesNotRaiseItsOwnBound: no call would leave it then.
+// TestASlowLinkDoesNotRaiseItsOwnBound: no call on it would then be sent elsewhere.
 func TestASlowLinkDoesNotRaiseItsOwnBound(t *testing.T) {
 	var l Link
 	before := l.Estimate(8 * ms)
@@ -82,7 +82,8 @@
 	test.Eq(t, before, l.Estimate(8*ms))
 }
 
-// TestALinkThatHasBecomeLongerIsLearnt: all acks would be late for ever otherwise.
+// TestALinkThatHasBecomeLongerIsLearnt: otherwise all acks would stay late after the round-trip
+// time has grown.
 func TestALinkThatHasBecomeLongerIsLearnt(t *testing.T) {
 	var l Link
 	l.Estimate(2 * ms)
@@ -116,7 +117,7 @@
 func always(int) bool { return true }
 func never(int) bool  { return false }
 
-// TestBoundsAreWidenedWhileMostCallsAreLate, and not because of one slow executor.
+// TestBoundsAreWidenedWhileMostCallsAreLate also checks that one slow executor widens no bounds.
 func TestBoundsAreWidenedWhileMostCallsAreLate(t *testing.T) {
 	e := NewEntry()
 	recordAll(e, 0, 100, func(i int) bool { return i%3 == 0 })
@@ -145,7 +146,7 @@
 // sentAt returns Call.SentUS for a time on the sender's clock.
 func sentAt(at time.Duration) uint64 { return uint64(at/time.Microsecond) + 1 }
 
-// TestTheTransitDelayIsThatBeyondTheFastestCall, whatever the difference of the clocks.
+// TestTheTransitDelayIsThatBeyondTheFastestCall checks clocks with different offsets.
 func TestTheTransitDelayIsThatBeyondTheFastestCall(t *testing.T) {
 	for _, offset := range []time.Duration{-time.Hour, 0, time.Hour} {
 		var transit Transit
@@ -161,8 +162,8 @@
 	}
 }
 
-// TestAClockThatJumpsIsForgotten: while the smallest difference is that of before the jump,
-// all calls seem to be delayed.
+// TestAClockThatJumpsIsForgotten: all calls seem to be delayed while the smallest difference is
+// one from before the jump.
 func TestAClockThatJumpsIsForgotten(t *testing.T) {
 	var transit Transit
 	jump := 80 * ms
