forward: test comments that are sentences of their own

Cause: some comments of tests continued the test's name as a sentence and had to be read twice. Change: say what the test checks or guards against. Comments only. Result: go vet ./pkg/... and go test -p 3 ./pkg/forward pass.

--- a/pkg/forward/acks_test.go
+++ b/pkg/forward/acks_test.go
@@ -111,8 +111,8 @@
 	return budget.capacity() - budget.balance()
 }
 
-// TestAnUnacknowledgedCallIsAnsweredElsewhere, takes one retry, and the first executor's run
-// is cancelled.
+// TestAnUnacknowledgedCallIsAnsweredElsewhere also checks that the call takes one retry from the
+// budget, and that the first executor's run is cancelled.
 func TestAnUnacknowledgedCallIsAnsweredElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		slow := &ackRunner{ackAfter: never, endAfter: never}
@@ -141,7 +141,7 @@
 	})
 }
 
-// TestTheFirstAnswerIsUsed where the ack is lost or late and both runs end.
+// TestTheFirstAnswerIsUsed checks calls whose ack is lost or late and whose runs both end.
 func TestTheFirstAnswerIsUsed(t *testing.T) {
 	ok := answered(200)
 	scenarios := []struct {
@@ -206,7 +206,8 @@
 	}
 }
 
-// TestACallThatMayNotLeaveIsWaitedFor, at the executor that has not acknowledged it.
+// TestACallThatMayNotLeaveIsWaitedFor checks that the result of an executor that has not
+// acknowledged the call is used where the call may not go elsewhere.
 func TestACallThatMayNotLeaveIsWaitedFor(t *testing.T) {
 	scenarios := []struct {
 		name    string
@@ -249,7 +250,8 @@
 	}
 }
 
-// TestARequestThatMayNotRunTwiceIsSentOnce whatever its executor does.
+// TestARequestThatMayNotRunTwiceIsSentOnce guards against a second run of a request that is not
+// repeatable.
 func TestARequestThatMayNotRunTwiceIsSentOnce(t *testing.T) {
 	for _, first := range []*ackRunner{
 		{ackAfter: never, endAfter: never},
--- a/pkg/forward/own_link_test.go
+++ b/pkg/forward/own_link_test.go
@@ -54,7 +54,7 @@
 	})
 }
 
-// TestTheOwnLinkIsSlowIfAcksOfMostLinksAre, and not because of one executor.
+// TestTheOwnLinkIsSlowIfAcksOfMostLinksAre also checks that one slow executor does not count.
 func TestTheOwnLinkIsSlowIfAcksOfMostLinksAre(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		links := make([]acks.Link, 4)
@@ -105,7 +105,7 @@
 	})
 }
 
-// TestALargeBodyGoesWhereItArrivesFirst although more requests run there.
+// TestALargeBodyGoesWhereItArrivesFirst checks that a faster link outweighs more running requests.
 func TestALargeBodyGoesWhereItArrivesFirst(t *testing.T) {
 	narrow, wide := &fakeRunner{answer: answers(200)}, &fakeRunner{answer: answers(200)}
 	f := newForwarder(narrow, wide)
@@ -124,7 +124,8 @@
 	test.StrContains(t, out.String(), " body_wait=0.0ms link_rate=1000000 ")
 }
 
-// TestAnEntryWithASlowLinkSendsToItsOwnVM, and to others only while its own has no slot left.
+// TestAnEntryWithASlowLinkSendsToItsOwnVM also checks that others get requests only while the
+// own VM has no free slot.
 func TestAnEntryWithASlowLinkSendsToItsOwnVM(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		own, other := &fakeRunner{answer: answers(200)}, &fakeRunner{answer: answers(200)}
--- a/pkg/forward/return_times_test.go
+++ b/pkg/forward/return_times_test.go
@@ -78,7 +78,7 @@
 	})
 }
 
-// TestReturnTimesFollowAnswersOfTheService: while it answers half of the requests.
+// TestReturnTimesFollowAnswersOfTheService checks a service that answers half of the requests.
 func TestReturnTimesFollowAnswersOfTheService(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := &fakeRunner{}
