quota: test comments that are sentences of their own

Cause: some comments of tests continued the test's name as a sentence and had to be read twice. Change: say what the test checks or guards against. Comments only. Result: go vet ./pkg/... and go test -p 3 ./pkg/quota pass.

--- a/pkg/quota/starts_test.go
+++ b/pkg/quota/starts_test.go
@@ -97,8 +97,8 @@
 	test.False(t, startFromAge(ProcessStart{}, 1).Known)
 }
 
-// TestShareIsLeasedAtOnceIfAllProcessesAreNewer: and not if one may be older than the end of
-// the previous process.
+// TestShareIsLeasedAtOnceIfAllProcessesAreNewer also checks that it is not if one process may
+// be older than the end of the previous one.
 func TestShareIsLeasedAtOnceIfAllProcessesAreNewer(t *testing.T) {
 	newer, older := ProcessStart{Known: true, After: -int64(restartedAfter)}, ProcessStart{Known: true, After: -int64(restartedAfter) - 1}
 	for _, c := range []struct {
@@ -122,7 +122,7 @@
 	}
 }
 
-// TestOwnLinksShowThatAllProcessesAreNewer: without a counter's statement.
+// TestOwnLinksShowThatAllProcessesAreNewer checks a daemon to which no counter states an age.
 func TestOwnLinksShowThatAllProcessesAreNewer(t *testing.T) {
 	n := newRestartedNode(ProcessStart{})
 	n.SetVMs([]string{"b"}, true)
@@ -173,7 +173,7 @@
 	test.Eq(t, 2*second-int64(restartedAfter), l.until)
 }
 
-// TestUnearnedTimeIsCreditedOnce: and only with the share that arrives.
+// TestUnearnedTimeIsCreditedOnce also checks that only the share that arrives is credited.
 func TestUnearnedTimeIsCreditedOnce(t *testing.T) {
 	p := newPool(0)
 	limit := teams.Limit{Rate: 100, Burst: 1000}
@@ -188,8 +188,8 @@
 	test.Eq(t, 0, granted)
 }
 
-// TestCounterWithoutAllSharesDoesNotSayThatTheLimitIsUsed: nor one that has just received
-// shares whose earlier tokens were lost.
+// TestCounterWithoutAllSharesDoesNotSayThatTheLimitIsUsed also checks a counter that has just
+// received shares whose earlier tokens were lost.
 func TestCounterWithoutAllSharesDoesNotSayThatTheLimitIsUsed(t *testing.T) {
 	limit := teams.Limit{Rate: 10, Burst: 10}
 	p := newPool(0)
@@ -262,7 +262,8 @@
 	test.Eq(t, 3*second, n.leases[0].renewedAt)
 }
 
-// TestCounterStatesWhoseShareItHolds: only of the daemon that asks, and while the lease runs.
+// TestCounterStatesWhoseShareItHolds checks that a counter states only whether it holds the
+// share of the daemon that asks, and only while the lease runs.
 func TestCounterStatesWhoseShareItHolds(t *testing.T) {
 	n := newRecordingNode()
 	n.members.count = 3
