--- a/pkg/linkdelay/linkdelay.go
+++ b/pkg/linkdelay/linkdelay.go
@@ -99,9 +99,10 @@
 
 // Current returns the delay that most links see: the median of the delays of all links,
 // weighted by how recent their calls are, without the link with the longest delay. A queue on
-// the VM's own link delays the calls on all of its links, a queue on another VM's link only those to
-// or from that VM. A single link is not left out. The result decays from the latest call on.
-// Current returns 0 if the delay is shorter than Least, or fewer than minLinks links are active.
+// the VM's own link delays the calls on all of its links, a queue on another VM's link
+// only those to or from that VM. A single link is not left out. The result decays from the
+// latest call on. Current returns 0 if the delay is shorter than Least, or fewer than minLinks
+// links are active.
 func (d *Delays[K]) Current(now int64, minLinks int) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
