--- a/pkg/choose/uneven_demand_test.go
+++ b/pkg/choose/uneven_demand_test.go
@@ -17,8 +17,8 @@
 )
 
 // demandModel is one service in four data centres with real gates. Each entry knows the loads
-// from the answers to its own requests only. Uploads with large bodies and small calls of running requests share its backend
-// servers. Time is that of the events.
+// from the answers to its own requests only. Uploads with large bodies and small calls of
+// running requests share its backend servers. Time is that of the events.
 type demandModel struct {
 	shape   demandShape
 	near    bool
