gate: one word for a job that holds a place

Cause: the comments said both "has a reserved place" and "holds a place". Change: "holds a place" everywhere; wrap two comments.

--- a/pkg/gate/places.go
+++ b/pkg/gate/places.go
@@ -8,8 +8,8 @@
 )
 
 // Reserve is the counterpart of Admit for a job whose body has not arrived. transfer is the
-// expected time until the body has arrived; 0: unknown. An admitted job holds a place: it counts as a
-// waiting job but occupies no slot and does not start. Its owner calls Admit when the body
+// expected time until the body has arrived; 0: unknown. An admitted job holds a place: it counts
+// as a waiting job but occupies no slot and does not start. Its owner calls Admit when the body
 // has arrived, or Release.
 func (g *Gate) Reserve(now int64, job *Job, transfer time.Duration) *errkind.Error {
 	g.mu.Lock()
@@ -43,8 +43,8 @@
 }
 
 // lateRefusalFor returns the error for a job that would end too late; nil: it would not, or is
-// admitted all the same. A late probe whose place Reserve has admitted still starts if it can: refused
-// here, it could not correct an estimate of the work that is too long.
+// admitted all the same. A late probe that holds a place still starts if it can: refused here, it
+// could not correct an estimate of the work that is too long.
 func (g *Gate) lateRefusalFor(now int64, job *Job, fc forecast) *errkind.Error {
 	probes := job.lateProbe && fc.canStart && !fc.held
 	switch {
@@ -68,7 +68,7 @@
 	return true
 }
 
-// ReleasePlaces removes and returns all jobs with a reserved place; the owner must refuse
+// ReleasePlaces removes and returns all jobs that hold a place; the owner must refuse
 // them by Job.RefuseDrained.
 func (g *Gate) ReleasePlaces() []*Job {
 	g.mu.Lock()
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -76,7 +76,7 @@
 	startBy int64
 	seq     uint64
 	index   int
-	// transfer is the expected time until the body of a job with a reserved place has
+	// transfer is the expected time until the body of a job that holds a place has
 	// arrived, at least 1; 0 for other jobs.
 	transfer time.Duration
 	// reserved is true once Reserve has admitted the job.
--- a/pkg/gate/status.go
+++ b/pkg/gate/status.go
@@ -55,7 +55,7 @@
 	return !g.coldStartsExhausted(now)
 }
 
-// InFlight returns the number of jobs at the gate: running, waiting and with a reserved
+// InFlight returns the number of jobs at the gate: running, waiting and holding a
 // place.
 func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
 
@@ -85,8 +85,8 @@
 // withdraw it.
 func (j *Job) MaxWait(now int64) time.Duration { return time.Duration(max(j.startBy-now, 0)) }
 
-// StartBy returns the latest time at which it is worth starting a job that waits or has a
-// reserved place, in nanoseconds.
+// StartBy returns the latest time at which it is worth starting a job that waits or holds
+// a place, in nanoseconds.
 func (j *Job) StartBy() int64 { return j.startBy }
 
 // Held reports whether the job had to wait for the end of a slow period although a slot
--- a/pkg/gate/waiting.go
+++ b/pkg/gate/waiting.go
@@ -120,7 +120,7 @@
 	return g.speed.InSlowPeriod() && endsTooLate(now, job, fc) && !g.admitsLate(now, job, fc)
 }
 
-// DrainQueue removes and returns all waiting jobs and those with a reserved place, for a
+// DrainQueue removes and returns all waiting jobs and those that hold a place, for a
 // backend server that accepts no more jobs; the owner must refuse them by
 // Job.RefuseDrained.
 func (g *Gate) DrainQueue() []*Job {
