quota: tell return times from returned tokens

Cause: toReturn counts tokens that go back to the counter, while returns held times at which callers come back; one line had both. Change: account.returnTimes, bucket.returnSchedule and expireReserved.

--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -29,8 +29,8 @@
 	// recent counts the requests of the team in the current askInterval, previous those
 	// in the one before.
 	recent, previous int
-	// returns holds the return times for callers over the limit.
-	returns returnTimes
+	// returnTimes holds those for callers over the limit.
+	returnTimes returnTimes
 }
 
 // waiter is a request that waits for a token.
@@ -78,7 +78,7 @@
 	}
 	if fromCurrent {
 		a.requested -= min(a.requested, grant.Requested)
-		a.returns.add(now, grant)
+		a.returnTimes.add(now, grant)
 	}
 	retryAfter := time.Duration(grant.WaitMS) * time.Millisecond
 	for len(a.waiters) > 0 && a.spend(now) {
@@ -138,7 +138,7 @@
 // tokenRequest builds the request for the tokens that are missing, and returns unused
 // ones with it.
 func (a *account) tokenRequest(now int64) TokenRequest {
-	a.toReturn += a.returns.expire(now)
+	a.toReturn += a.returnTimes.expire(now)
 	out := TokenRequest{Team: a.team, Returned: a.toReturn, AskedAt: now}
 	missing := len(a.waiters) - int(a.requested)
 	if missing > 0 {
@@ -147,7 +147,7 @@
 			out.Count += a.prefetch()
 		}
 	}
-	out.Refused = a.returns.wanted(now, missing)
+	out.Refused = a.returnTimes.wanted(now, missing)
 	a.requested += out.Count
 	a.toReturn = 0
 	return out
@@ -156,5 +156,5 @@
 // idle reports whether the account can be dropped: it has no tokens, no waiting or recent
 // requests and nothing outstanding.
 func (a *account) idle() bool {
-	return len(a.tokenExpiries)+len(a.waiters)+a.recent+a.previous+len(a.returns.reserved) == 0 && a.requested+a.toReturn == 0
+	return len(a.tokenExpiries)+len(a.waiters)+a.recent+a.previous+len(a.returnTimes.reserved) == 0 && a.requested+a.toReturn == 0
 }
--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -235,7 +235,7 @@
 	if len(a.waiters) == 0 && a.spend(now) {
 		return nil, Verdict{Granted: true}
 	}
-	if a.returns.spend(now) {
+	if a.returnTimes.spend(now) {
 		n.stats.ReturnsUsed++
 		return nil, Verdict{Granted: true}
 	}
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -65,7 +65,7 @@
 	limitSeconds    float64
 	recoveredShares float64
 	usedAt          int64
-	returns         returnSchedule
+	returnSchedule  returnSchedule
 	// waiting counts the requests allowed to wait since waitingSince, in the current
 	// shareRetryInterval, previousWaiting those in the one before. A token for each waiting
 	// request is requested about once per interval.
@@ -221,7 +221,7 @@
 		p.buckets[team] = b
 	}
 	b.tokens += limit.Rate*(p.limitSeconds-b.limitSeconds) + recoverySlackFraction*p.slack*(p.recoveredShares-b.recoveredShares)
-	b.tokens = min(b.tokens, p.capacity(limit)) - b.returns.takeDue(now)
+	b.tokens = min(b.tokens, p.capacity(limit)) - b.returnSchedule.takeDue(now)
 	b.limitSeconds, b.recoveredShares, b.usedAt = p.limitSeconds, p.recoveredShares, now
 	return b
 }
--- a/pkg/quota/returns_test.go
+++ b/pkg/quota/returns_test.go
@@ -87,7 +87,7 @@
 		test.Eq(t, ReturnUnreachable, cause)
 	}
 	test.Eq(t, 3, n.Stats().ReturnsUnreachable)
-	test.Eq(t, 0, n.accountOf("red").returns.unmet)
+	test.Eq(t, 0, n.accountOf("red").returnTimes.unmet)
 	_, cause := n.ReturnTime(second, "red", callerWith(time.Second, 50*time.Millisecond))
 	test.Eq(t, ReturnReserved, cause)
 }
--- a/pkg/quota/returnschedule.go
+++ b/pkg/quota/returnschedule.go
@@ -91,7 +91,7 @@
 	step := max(int64(stepUS), 1) * int64(time.Microsecond)
 	earliest := now + int64(p.untilNextToken(limit, b.tokens))
 	end := min(now+int64(maxReturnDelay), p.earliestLeaseEnd(now))
-	return b.returns.reserve(wanted, earliest, end, step), true
+	return b.returnSchedule.reserve(wanted, earliest, end, step), true
 }
 
 // addReturns adds return times to the answer to a token request, where the team is over
--- a/pkg/quota/returntimes.go
+++ b/pkg/quota/returntimes.go
@@ -161,7 +161,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	a := n.accountOf(team)
-	if !n.opts.ScheduleReturns || !a.returns.scheduled {
+	if !n.opts.ScheduleReturns || !a.returnTimes.scheduled {
 		return c.NextToken, ReturnNextToken
 	}
 	useful := time.Duration(usefulShare * float64(c.Useful))
@@ -170,7 +170,7 @@
 		return c.NextToken, ReturnUnreachable
 	}
 	longest := min(c.Honoured, useful)
-	if after, ok := a.returns.assign(now, longest); ok {
+	if after, ok := a.returnTimes.assign(now, longest); ok {
 		n.stats.ReturnsReserved++
 		return after, ReturnReserved
 	}
@@ -188,18 +188,19 @@
 	return out
 }
 
-// expireReturns returns the reserved tokens of an account that were not used in time.
-func (n *Node) expireReturns(now int64, a *account) {
-	a.toReturn += a.returns.expire(now)
-	n.stats.ReturnsUnused += a.returns.unused
-	a.returns.unused = 0
+// expireReserved marks the reserved tokens of an account that were not used in time to be
+// returned to the counter.
+func (n *Node) expireReserved(now int64, a *account) {
+	a.toReturn += a.returnTimes.expire(now)
+	n.stats.ReturnsUnused += a.returnTimes.unused
+	a.returnTimes.unused = 0
 }
 
 // resetReturns forgets the return times of all teams of a group.
 func (n *Node) resetReturns(group int) {
 	for _, a := range n.accounts {
 		if a.group == group {
-			a.returns.reset()
+			a.returnTimes.reset()
 		}
 	}
 }
--- a/pkg/quota/tick.go
+++ b/pkg/quota/tick.go
@@ -150,7 +150,7 @@
 func (n *Node) dueRequests(now int64) (requests [Groups][]TokenRequest) {
 	for _, a := range n.accounts {
 		a.expire(now)
-		n.expireReturns(now, a)
+		n.expireReserved(now, a)
 		a.previous, a.recent = a.recent, 0
 		if a.toReturn > 0 || len(a.waiters) > int(a.requested) && now >= a.deferredUntil {
 			requests[a.group] = append(requests[a.group], n.tokenRequest(now, a))
