link: one text for a body that has not arrived

Cause: a refusal said "its body was complete" where the others say "the whole body had arrived". Change: the text of the refusal; its kind is the same. Result: go vet ./pkg/... and go test -p 3 ./pkg/link pass.

--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -296,7 +296,7 @@
 		s.cancelOffer(in)
 	}
 	if notStarted {
-		s.drop(in.call, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before its body was complete"))
+		s.drop(in.call, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before its whole body had arrived"))
 	}
 	if cancel != nil {
 		cancel()
