--- a/pkg/gate/places.go
+++ b/pkg/gate/places.go
@@ -43,7 +43,7 @@
 }
 
 // lateRefusalFor returns the error for a job that would end too late; nil: it would not, or is
-// admitted all the same. A late probe that holds a place still starts if it can: refused here, it
+// admitted all the same. A late probe that held a place still starts if it can: refused here, it
 // could not correct an estimate of the work that is too long.
 func (g *Gate) lateRefusalFor(now int64, job *Job, fc forecast) *errkind.Error {
 	probes := job.lateProbe && fc.canStart && !fc.held
