--- a/pkg/quota/node.go
+++ b/pkg/quota/node.go
@@ -235,7 +235,7 @@
 	if len(a.waiters) == 0 && a.spend(now) {
 		return nil, Verdict{Granted: true}
 	}
-	if a.returns.spend(now) {
+	if a.returnTimes.spend(now) {
 		n.stats.ReturnsUsed++
 		return nil, Verdict{Granted: true}
 	}
@@ -363,7 +363,7 @@
 			switch {
 			case granted.NoShareYet:
 				n.stats.Deferred++
-				granted.MaxWaiting = p.letWait(now, request.Team, limit, leaseDuration(n.members.count), request.Count-count) + 1
+				granted.MaxWaiting = p.allowWaiting(now, request.Team, limit, leaseDuration(n.members.count), request.Count-count) + 1
 			case n.opts.ScheduleReturns:
 				p.addReturns(now, limit, &request, &granted)
 			}
--- a/pkg/quota/returntimes.go
+++ b/pkg/quota/returntimes.go
@@ -43,7 +43,7 @@
 
 // add adds the tokens reserved by a grant. They become due after the time of the grant's
 // arrival and expire by the time of the request: a message that was in transit for long
-// makes the time for their use shorter, never longer.
+// shortens the time for their use and never extends it.
 func (r *returnTimes) add(now int64, grant *TokenGrant) {
 	if grant.ReturnStepUS > 0 {
 		r.scheduled = true
@@ -87,7 +87,7 @@
 }
 
 // assign returns the time until the earliest return time that no caller was told yet, if
-// it is at most longest.
+// it is at most longest. Otherwise it counts the caller as unmet.
 func (r *returnTimes) assign(now int64, longest time.Duration) (after time.Duration, ok bool) {
 	for i := range r.reserved {
 		token := &r.reserved[i]
@@ -104,9 +104,10 @@
 	return 0, false
 }
 
-// wanted returns the number of return times to request for a number of callers that wait
-// for a token and those refused since the last request, which are as many as the callers
-// expected until the next one. It starts a new count of them.
+// wanted returns the number of return times to request: one for each of the callers that wait
+// for a token and of those refused since the last request, less the reserved ones that no
+// caller was told yet. Those refused stand for the callers expected until the next request.
+// Their count starts again.
 func (r *returnTimes) wanted(now int64, waiting int) uint32 {
 	count := uint32(max(waiting, 0)) + r.unmet
 	r.unmet = 0
@@ -160,7 +161,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	a := n.accountOf(team)
-	if !n.opts.ScheduleReturns || !a.returns.scheduled {
+	if !n.opts.ScheduleReturns || !a.returnTimes.scheduled {
 		return c.NextToken, ReturnNextToken
 	}
 	useful := time.Duration(usefulShare * float64(c.Useful))
@@ -169,7 +170,7 @@
 		return c.NextToken, ReturnUnreachable
 	}
 	longest := min(c.Honoured, useful)
-	if after, ok := a.returns.assign(now, longest); ok {
+	if after, ok := a.returnTimes.assign(now, longest); ok {
 		n.stats.ReturnsReserved++
 		return after, ReturnReserved
 	}
@@ -187,18 +188,19 @@
 	return out
 }
 
-// expireReturns returns the reserved tokens of an account that were not used in time.
-func (n *Node) expireReturns(now int64, a *account) {
-	a.toReturn += a.returns.expire(now)
-	n.stats.ReturnsUnused += a.returns.unused
-	a.returns.unused = 0
+// expireReserved marks the reserved tokens of an account that were not used in time to be
+// returned to the counter.
+func (n *Node) expireReserved(now int64, a *account) {
+	a.toReturn += a.returnTimes.expire(now)
+	n.stats.ReturnsUnused += a.returnTimes.unused
+	a.returnTimes.unused = 0
 }
 
 // resetReturns forgets the return times of all teams of a group.
 func (n *Node) resetReturns(group int) {
 	for _, a := range n.accounts {
 		if a.group == group {
-			a.returns.reset()
+			a.returnTimes.reset()
 		}
 	}
 }
