--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -14,14 +14,19 @@
 
 // send sends the request to the picked candidate, waits for the end of the attempt, and
 // records the attempt for the log.
-func (a *attempts) send(pick choose.RoutedPick, soft bool) call.Result {
+func (a *attempts) send(pick choose.AttemptPick) call.Result {
 	candidate := &a.candidates[pick.Index]
 	startedAt := a.forwarder.Now()
-	record := newAttemptRecord(startedAt, candidate, soft, a.proximityOf(candidate), pick.PassedOver)
+	record := newAttemptRecord(startedAt, candidate, pick.Soft, a.proximityOf(candidate), pick.PassedOver)
 	record.toTargetVersion = a.lane == rollout.LaneTarget
+	record.bodySize, record.ownLinkDelay = a.grantedBodySize(), a.forwarder.ownLinkDelay()
+	record.crossing = pick.Crossing
 	a.records = append(a.records, record)
-	result := a.execute(candidate, soft)
-	a.records[len(a.records)-1].setEnd(&result, time.Duration(a.forwarder.Now()-startedAt))
+	result := a.execute(candidate, pick.Soft)
+	took := time.Duration(a.forwarder.Now() - startedAt)
+	a.records[len(a.records)-1].setEnd(&result, took)
+	a.recordTransfer(candidate, &result, took)
+	a.recordCrossing(&record, &result)
 	return result
 }
 
@@ -33,8 +38,9 @@
 	}
 	now := a.forwarder.Now()
 	candidate.Load.RecordSent(now)
+	candidate.Load.RecordOffered(a.grantedBodySize())
 	number := a.tries
-	watch := a.newAckWatch(runner)
+	watch := a.newAckWatch(runner, candidate.Load.MinRTT())
 	defer watch.stop()
 	cancel := watch.execute(a.frame(candidate, soft), a.req.Body, func(r call.Result) { a.ends <- &attemptEnd{number, a.recordEnd(candidate, r)} })
 	return a.await(candidate, runner, cancel, watch)
@@ -74,7 +80,7 @@
 				return result
 			}
 		case <-ack.due():
-			if ack.checkLate() && len(a.ends) == 0 && a.mayLeave(ack, candidate) {
+			if ack.checkLate() && len(a.ends) == 0 && a.decideToLeave(ack, candidate) {
 				return a.leave(candidate, cancel)
 			}
 		case <-watch.due():
@@ -125,7 +131,7 @@
 		candidate.Load.RecordAnswer(result.Answer.Status >= 500)
 		if result.Answer.Status < 500 {
 			a.forwarder.work.Record(a.route.Name, result.Answer.Run, result.Answer.Slowdown)
-			a.forwarder.sizes.add(a.route.Name, len(a.req.Body), len(result.Answer.Body))
+			a.forwarder.sizes.add(a.route.Name, len(a.req.Body), len(result.Answer.Body), a.expectedWork())
 		}
 	case result.Refusal.Ran == errkind.RanMaybe:
 		result.Offered = true
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -13,6 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/linkdelay"
 	"github.com/rushramp/rushramp/pkg/placement"
 	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/returns"
@@ -81,10 +82,14 @@
 	calledRoutes *calledRoutes
 	sizes        *requestSizes
 	returns      *returns.Schedules
+	transfers    *transferTimes
 	// localRuns is nil on a daemon without a backend server.
 	localRuns LocalRuns
 	// acks decides when a call counts as not acknowledged.
 	acks *acks.Entry
+	// ownLink holds the delays of acks by link, from which the delay of this VM's own link
+	// follows.
+	ownLink *linkdelay.Delays[*acks.Link]
 
 	inFlight atomic.Int64
 }
@@ -93,6 +98,7 @@
 func NewForwarder(c *common.Common, view *tables.View, localRuns LocalRuns) *Forwarder {
 	f := &Forwarder{
 		acks:         acks.NewEntry(),
+		ownLink:      linkdelay.NewDelays[*acks.Link](),
 		Common:       c,
 		view:         view,
 		random:       choose.RuntimeRandom{},
@@ -101,9 +107,11 @@
 		calledRoutes: newCalledRoutes(),
 		sizes:        newRequestSizes(),
 		returns:      returns.NewSchedules(choose.RuntimeRandom{}.Float64),
+		transfers:    &transferTimes{},
 		localRuns:    localRuns,
 	}
 	c.Metrics.GetOrCreateGauge("rushramp_ack_widening", func() float64 { return float64(f.acks.Widening()) })
+	c.Metrics.GetOrCreateGauge("rushramp_link_own_delay_seconds", func() float64 { return f.ownLinkDelay().Seconds() })
 	return f
 }
 
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/choose"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/linkdelay"
 	"github.com/rushramp/rushramp/pkg/proximity"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
@@ -26,9 +28,14 @@
 	// newest load stamp; it is negative if the entry has had none.
 	load    tables.LoadSnapshot
 	loadAge time.Duration
+	// bodySize is that of a granted body, and ownLinkDelay the delay on the link of this
+	// daemon's VM; 0: none.
+	bodySize     int64
+	ownLinkDelay time.Duration
 	// passedOver counts the candidates that were passed over for this attempt, because
 	// their load showed that they would refuse it.
 	passedOver int
+	crossing   choose.Crossing
 	outcome    string
 	offered    bool
 	took       time.Duration
@@ -69,7 +76,7 @@
 const (
 	// outcomePassedOver: the candidate was not tried.
 	outcomePassedOver = "passed_over"
-	// outcomeUnacknowledged: the attempt was left for want of an ack.
+	// outcomeUnacknowledged: the attempt was left because it was not acknowledged.
 	outcomeUnacknowledged = "unacknowledged"
 	// outcomeNotNeeded: an attempt that was left before was answered first.
 	outcomeNotNeeded = "not_needed"
@@ -109,12 +116,16 @@
 		out.WriteString(" load=" + strconv.FormatInt(r.load.InFlight+r.load.SentSinceStamp, 10) + "/" + strconv.FormatInt(r.load.Limit, 10))
 		out.WriteString(" slowdown=" + strconv.FormatInt(r.load.Slowdown, 10))
 		out.WriteString(" age=" + events.Milliseconds(r.loadAge))
+		r.writeLink(&out)
 	} else {
 		out.WriteString(" load=unknown")
 	}
 	if r.passedOver > 0 {
 		out.WriteString(" passed_over=" + strconv.Itoa(r.passedOver))
 	}
+	if r.crossing != choose.NotWeighed {
+		out.WriteString(" " + r.crossing.String())
+	}
 	out.WriteString(" -> " + r.outcome)
 	if r.took > 0 {
 		out.WriteString(" " + events.Milliseconds(r.took))
@@ -125,6 +136,20 @@
 	return out.String()
 }
 
+// writeLink adds what the entry knew of the link of the attempt's VM, if that was slow: the
+// delay that it expected and, for a granted body, the wait and the rate.
+func (r *attemptRecord) writeLink(out *strings.Builder) {
+	if delay := linkdelay.Decay(r.load.LinkDelay, r.loadAge); delay >= time.Millisecond {
+		out.WriteString(" link_delay=" + events.Milliseconds(delay))
+	}
+	if r.bodySize > 0 && r.load.LinkRate > 0 {
+		out.WriteString(" body_wait=" + events.Milliseconds(r.load.BodyWait) + " link_rate=" + strconv.FormatInt(r.load.LinkRate, 10))
+	}
+	if r.ownLinkDelay > 0 {
+		out.WriteString(" own_link_delay=" + events.Milliseconds(r.ownLinkDelay))
+	}
+}
+
 // recordsText returns the records of all attempts as they stand in a log line.
 func (a *attempts) recordsText() string {
 	parts := make([]string, 0, len(a.records))
@@ -156,6 +181,7 @@
 			events.F("route", a.route.Name), events.F("service", a.service), events.F("version", a.version),
 			events.F("priority", a.route.Priority), events.F("target", events.Milliseconds(a.target)), events.F("timeout", events.Milliseconds(time.Duration(a.deadline-a.startedAt))),
 			events.F("tries", a.tries), events.F("offered", a.offered), events.F("stopped", a.stopReason), events.F("attempts", a.recordsText()))
+		fields = append(fields, a.crossings.fields()...)
 	}
 	fields = append(fields, endFields(result)...)
 	if a != nil && a.returnCause != "" {
--- a/pkg/link/unneeded_calls.go
+++ b/pkg/link/unneeded_calls.go
@@ -15,14 +15,18 @@
 	droppedTimeUsed  = "time_used"
 )
 
-// maxKeptFrames is the capacity up to which the slice of decoded frames is used again.
+// maxKeptFrames is the largest capacity at which the slice of decoded frames is reused.
 const maxKeptFrames = 4096
 
 // dropUnneeded refuses a call whose result the entry no longer needs when the call arrives:
 // its cancel came in the same message, or its time was used up in transit. Otherwise it
 // takes the time in transit off the call's remaining time.
 func (s *session) dropUnneeded(f *wire.Call) (dropped bool) {
-	delay := s.transit.Delay(s.server.Now(), f.SentUS)
+	now := s.server.Now()
+	delay := s.transit.Delay(now, f.SentUS)
+	if f.SentUS > 0 {
+		s.server.delays.Record(now, s.sender, delay)
+	}
 	hadTime := f.Remaining > 0
 	f.Remaining -= delay
 	if f.Routed.ID != "" {
@@ -30,9 +34,9 @@
 	}
 	switch {
 	case s.isCancelledInMessage(f.ID):
-		s.drop(f.ID, droppedCancelled, call.Refused(errkind.CallerGone, "the entry cancelled the call before it arrived"))
+		s.drop(f.ID, droppedCancelled, s.withStamp(f, call.Refused(errkind.CallerGone, "the entry cancelled the call before it arrived")))
 	case hadTime && f.Remaining <= 0:
-		s.drop(f.ID, droppedTimeUsed, call.Refused(errkind.DeadlineBeforeRun, "the call was in transit for %v longer than other calls", delay.Round(time.Millisecond)))
+		s.drop(f.ID, droppedTimeUsed, s.withStamp(f, call.Refused(errkind.DeadlineBeforeRun, "the call was in transit for %v longer than other calls", delay.Round(time.Millisecond))))
 	default:
 		return false
 	}
