Show the rate limit that a backend server names

The executor now reads the header, follows the limit through its incarnation, logs its changes (525) and invalid values (526), and exports gauge and counters. Nothing decides by it yet.

--- a/pkg/backend/headers.go
+++ b/pkg/backend/headers.go
@@ -26,6 +26,11 @@
 	NotExecuted string
 	// ColdMS carries how much longer the backend server is cold, in milliseconds.
 	ColdMS string
+	// RateLimit carries how many requests per second the backend server takes from all
+	// daemons together; see RateLimit.
+	RateLimit string
+	// Leaving is 1 in the responses of a backend server that leaves.
+	Leaving string
 }
 
 // DefaultHeaders returns rushramp's own header names.
@@ -33,6 +38,6 @@
 	return Headers{
 		RequestID: "Rushramp-Request-Id", TimeoutMS: "Rushramp-Timeout", ExpectedInstanceID: "Rushramp-Expected-Instance",
 		Caller: "Rushramp-Caller", Team: "Rushramp-Team", InstanceID: "Rushramp-Instance", Load: "Rushramp-Load", NotExecuted: "Rushramp-Not-Run",
-		ColdMS: "Rushramp-Cold-Ms",
+		ColdMS: "Rushramp-Cold-Ms", RateLimit: "Rushramp-Rate-Limit", Leaving: "Rushramp-Leaving",
 	}
 }
--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -145,6 +145,13 @@
 	return l.current, l.state
 }
 
+// IsCurrent reports whether the incarnation may be the current one.
+func (l *Lifecycle) IsCurrent(incarnation Incarnation) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return incarnation.mayEqual(l.current)
+}
+
 // Version returns the version that the current incarnation has reported, or an empty
 // string if it has reported none yet.
 func (l *Lifecycle) Version() string {
--- a/pkg/backend/prober.go
+++ b/pkg/backend/prober.go
@@ -38,8 +38,8 @@
 	// Healthy is true if the backend server answered with status 200.
 	Healthy    bool
 	InstanceID string
-	// LoadHeader is the text of the load header.
-	LoadHeader string
+	// Reports are those of the response.
+	Reports Reports
 	// ColdFor is how much longer the backend server is cold; 0: it does not report that
 	// it is.
 	ColdFor time.Duration
@@ -60,7 +60,7 @@
 	return ProbeResult{
 		Healthy:    resp.StatusCode == http.StatusOK,
 		InstanceID: resp.Header.Get(p.headers.InstanceID),
-		LoadHeader: resp.Header.Get(p.headers.Load),
+		Reports:    p.headers.parseReports(resp.Header),
 		ColdFor:    parseColdFor(resp.Header.Get(p.headers.ColdMS)),
 	}, nil
 }
--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -86,8 +86,8 @@
 	Offered bool
 	// InstanceID is the instance at the address if that was not the expected one.
 	InstanceID string
-	// LoadHeader is the text of the response's load header.
-	LoadHeader string
+	// Reports are those of the response.
+	Reports Reports
 }
 
 func newRefusal(kind errkind.Kind, offered bool, format string, args ...any) Reply {
@@ -260,16 +260,16 @@
 // prove that the request did not run.
 func (t *Transport) classify(resp *http.Response) Reply {
 	names := t.opts.Headers
-	loadHeader := resp.Header.Get(names.Load)
+	reports := names.parseReports(resp.Header)
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		out := newRefusal(errkind.BackendReplaced, false, "another instance answers at the backend server's address")
 		out.InstanceID = resp.Header.Get(names.InstanceID)
-		out.LoadHeader = loadHeader
+		out.Reports = reports
 		return out
 	case resp.Header.Get(names.NotExecuted) != "":
 		out := newRefusal(errkind.BackendRefused, true, "the backend server refused with status %d", resp.StatusCode)
-		out.LoadHeader = loadHeader
+		out.Reports = reports
 		return out
 	}
 	body, _ := io.ReadAll(resp.Body)
@@ -282,7 +282,7 @@
 			answer.Headers = append(answer.Headers, wire.Header{Name: name, Value: v})
 		}
 	}
-	return Reply{Answer: answer, Offered: true, LoadHeader: loadHeader}
+	return Reply{Answer: answer, Offered: true, Reports: reports}
 }
 
 // dropsHeader is true for response headers that are not passed on: the daemon has
--- a/pkg/daemon/health.go
+++ b/pkg/daemon/health.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/routing"
 )
@@ -106,10 +107,23 @@
 	}
 	r.lifecycle.RecordCold(askedAt, r.daemon.Now(), health.InstanceID, health.ColdFor)
 	r.runner.UpdateColdState()
-	r.runner.UpdateLoad(health.LoadHeader)
+	r.runner.UpdateLoad(health.Reports.Load)
+	r.applyHealthReports(&health, askedAt)
 	return nil
 }
 
+// applyHealthReports applies what a health response of the current incarnation says of its
+// rate limit.
+func (r *routed) applyHealthReports(health *backend.ProbeResult, askedAt int64) {
+	current, _ := r.lifecycle.Current()
+	if health.InstanceID == "" || health.InstanceID != current.ID {
+		return
+	}
+	r.runner.ApplyRateLimit(backend.RateLimitReport{
+		Values: health.Reports.RateLimit, Incarnation: current, SentAt: askedAt, ReceivedAt: r.daemon.Now(), FromHealthCheck: true,
+	})
+}
+
 // healthPath returns the path for health checks, or "" until a placement names it.
 func (r *routed) healthPath() string {
 	service, _ := r.service()
--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -78,6 +78,8 @@
 	QuotaCounterChanged ID = 521
 	AcksLate            ID = 522
 	QuotaShareFree      ID = 524
+	RateLimitChanged    ID = 525
+	RateLimitInvalid    ID = 526
 	ClaimLost           ID = 601
 	ClaimVoided         ID = 602
 	ClaimUnknown        ID = 603
@@ -171,6 +173,8 @@
 		{QuotaCounterChanged, Debug, "another daemon counts the requests of teams", false, "The daemon that counted the requests of a group of teams cannot be reached, or one with a higher rank is back; counter is the VM and process of the new one.", "Nothing for a single one. While it repeats within seconds, teams may be refused below their limit: check the network between the named VMs."},
 		{AcksLate, Warn, "most calls are acknowledged late", false, "Executors acknowledged most of the recent calls of this daemon's backend server late, whichever executor the calls went to. The daemon now waits longer before it sends such a call elsewhere; widening is the factor.", "Check the link of the named VM, and where many daemons log this, the network between them. The metric rushramp_ack_widening tells when it has ended (1)."},
 		{QuotaShareFree, Info, "a restarted daemon's share of the limits is free", false, "No process holds a lease of the daemon's previous process any more. known is true if the daemon learned that all processes started after that one had ended, false if it waited for the lease; after_ms is the time since its start.", "Nothing for a single one. If known is false after a restart of all daemons, one of them did not restart or has no link with the counters: compare the starts of all VMs."},
+		{RateLimitChanged, Info, "backend server's rate limit changed", false, "The backend server names a limit on its rate of requests in its responses, names another one, or names none any more. per_second is the limit, in_health_check whether a health response said so, requests how many requests it has got from this daemon's process.", "Nothing for a short time. A backend server that keeps a limit is short of capacity: find out of what, or add backend servers to the service."},
+		{RateLimitInvalid, Warn, "invalid rate limit ignored", false, "The backend server named a rate limit that is not one decimal number of at least 0. The limit stays as it was.", "Fix the backend server. Until then its requests are limited as before the invalid value."},
 		{ClaimLost, Info, "claim taken by another executor", false, "Two executors tried the same never-repeat call; only one may run it.", "Nothing."},
 		{ClaimVoided, Info, "unused claim voided", false, "This executor had claimed a call but did not send it to the backend server.", "Nothing."},
 		{ClaimUnknown, Warn, "claim outcome unknown", false, "The store answered neither the write of the claim nor the read after it in time. The call was not run.", "Check the platform's table service."},
--- /dev/null
+++ b/pkg/runner/rate_limit.go
@@ -0,0 +1,43 @@
+package runner
+
+import (
+	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/events"
+)
+
+// ApplyRateLimit applies what a response says of the backend server's rate limit.
+func (r *Runner) ApplyRateLimit(report backend.RateLimitReport) {
+	if !r.lifecycle.IsCurrent(report.Incarnation) {
+		return
+	}
+	changed, err := r.rateLimit.Apply(report)
+	if err != nil {
+		r.invalidRateLimits.Inc()
+		r.Log.Event(events.RateLimitInvalid, events.F("instance", report.Incarnation), events.F("cause", err))
+	}
+	if !changed {
+		return
+	}
+	perSecond, limited := r.rateLimit.Limit()
+	r.Log.Event(events.RateLimitChanged, events.F("instance", report.Incarnation), events.F("limited", limited),
+		events.F("per_second", perSecond), events.F("in_health_check", report.FromHealthCheck), events.F("requests", r.requests.Get()))
+}
+
+// applyRateLimit applies what a reply says of the rate limit. A reply without a response, or
+// of another instance, says nothing.
+func (r *Runner) applyRateLimit(reply *backend.Reply, incarnation backend.Incarnation, sentAt int64) {
+	if reply.Answer == nil && reply.Refusal.Kind != errkind.BackendRefused {
+		return
+	}
+	r.ApplyRateLimit(backend.RateLimitReport{Values: reply.Reports.RateLimit, Incarnation: incarnation, SentAt: sentAt, ReceivedAt: r.Now()})
+}
+
+// rateLimitGauge returns the rate limit in requests per second; 0 stands for none.
+func (r *Runner) rateLimitGauge() float64 {
+	perSecond, limited := r.rateLimit.Limit()
+	if !limited {
+		return 0
+	}
+	return perSecond
+}
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -129,6 +129,7 @@
 		return call.Refused(errkind.CallerGone, "the caller cancelled the request before it was sent to the backend server"), false
 	}
 	done := r.activeRuns.add(run, run.call.Claim.Generation > 0)
+	r.requests.Inc()
 	reply := r.transport.Do(ctx, run.backendRequest(incarnation))
 	if reply.Refusal != nil && reply.Refusal.Kind == errkind.BackendFailed {
 		r.crashDetector.ReportAborted(crash.AbortedRun{ID: run.call.Routed.ID, Content: run.fingerprint()})
@@ -138,6 +139,7 @@
 		reply.Refusal = reason.WithRanMaybe()
 	}
 	r.applyReply(&reply)
+	r.applyRateLimit(&reply, incarnation, startedAt)
 	took := time.Duration(r.Now() - startedAt)
 	run.recordOutcome(&reply, startedAt, took, slowdown)
 	if reply.Refusal != nil {
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -41,6 +41,7 @@
 	transport *backend.Transport
 	lifecycle *backend.Lifecycle
 	load      *backend.Load
+	rateLimit backend.RateLimit
 	workTimes *worktime.Times
 	origins   *originTracker
 	service   func() (s routing.Service, ok bool)
@@ -294,7 +295,7 @@
 
 // applyReply updates the load and the lifecycle of the backend server from a reply.
 func (r *Runner) applyReply(reply *backend.Reply) {
-	r.UpdateLoad(reply.LoadHeader)
+	r.UpdateLoad(reply.Reports.Load)
 	switch {
 	case reply.Refusal == nil || reply.Refusal.Kind == errkind.BackendRefused:
 		r.lifecycle.RecordAnswer(r.Now())
--- a/pkg/runner/speed_check.go
+++ b/pkg/runner/speed_check.go
@@ -47,6 +47,9 @@
 	speedChecks *metrics.Counter
 	// heldStarts counts starts that were held until a slow period ended.
 	heldStarts *metrics.Counter
+	// requests counts the requests that were sent to the backend server, invalidRateLimits
+	// its responses with an invalid rate limit.
+	requests, invalidRateLimits *metrics.Counter
 }
 
 // boolToFloat returns 1 for true and 0 for false.
@@ -62,8 +65,11 @@
 	r.Metrics.GetOrCreateGauge("rushramp_routed_runs_allowed", func() float64 { return float64(r.gate.UsableSlots()) })
 	r.Metrics.GetOrCreateGauge("rushramp_routed_cold", func() float64 { return boolToFloat(r.cold.Load()) })
 	r.Metrics.GetOrCreateGauge("rushramp_routed_evacuated", func() float64 { return boolToFloat(r.evacuated.Load()) })
+	r.Metrics.GetOrCreateGauge("rushramp_backend_rate_limit", r.rateLimitGauge)
 	return counters{
-		speedChecks: r.Metrics.GetOrCreateCounter("rushramp_routed_looks_total"),
-		heldStarts:  r.Metrics.GetOrCreateCounter("rushramp_routed_held_total"),
+		requests:          r.Metrics.GetOrCreateCounter("rushramp_backend_requests_total"),
+		invalidRateLimits: r.Metrics.GetOrCreateCounter("rushramp_backend_rate_limit_invalid_total"),
+		speedChecks:       r.Metrics.GetOrCreateCounter("rushramp_routed_looks_total"),
+		heldStarts:        r.Metrics.GetOrCreateCounter("rushramp_routed_held_total"),
 	}
 }
