Keep to the rate limit that a backend server names

Cause: nothing heeded the limit. The executor passed the header on and started by its slots alone.

Change: the gate beside the backend server counts, the only place that sees all requests: a token bucket at the named rate. Stamps tell entries the rate and the tokens left, so that they send elsewhere, queue where the token comes in time, or refuse at once with the time of the next token.

--- a/pkg/choose/refusal.go
+++ b/pkg/choose/refusal.go
@@ -18,6 +18,9 @@
 // wouldRefuse reports whether a recent stamp shows that the gate would refuse the
 // request, by the rules of gate.Gate.Admit.
 func (r *RoutedRequest) wouldRefuse(load *tables.LoadSnapshot, link *linkTimes, sameDataCentre bool) bool {
+	if r.startsTooLate(load) {
+		return true
+	}
 	if load.StampReceivedAt == 0 || r.Now-load.StampReceivedAt > int64(maxStampAge) {
 		return false
 	}
@@ -35,6 +38,17 @@
 	return !acceptsLate
 }
 
+// startsTooLate reports whether a gate refuses the request because of the rate limit of its
+// backend server: it refuses soft attempts that it cannot start at once, and others that would
+// end too late.
+func (r *RoutedRequest) startsTooLate(load *tables.LoadSnapshot) bool {
+	wait := load.StartWait(r.Now)
+	if wait == 0 || r.Soft {
+		return wait > 0
+	}
+	return r.TimeToTarget > 0 && float64(wait)+gate.RunTimeMargin*r.expectedRunTime(load) > float64(r.TimeToTarget)
+}
+
 // wouldRefuseSoft is wouldRefuse for a soft attempt. A gate refuses it if its backend
 // server is slowed or its usable slots are taken. An attempt from the same data centre may
 // wait while fewer requests run or wait than the backend server has slots.
--- a/pkg/choose/routed.go
+++ b/pkg/choose/routed.go
@@ -160,7 +160,7 @@
 	}
 	runTime := float64(r.Work) * slowdown
 	// The body arrives while the request waits for a slot.
-	wait := max(queueWait(inFlight, limit, 1/limit, runTime), link.transfer)
+	wait := max(queueWait(inFlight, limit, 1/limit, runTime), link.transfer, float64(load.StartWait(r.Now)))
 	return r.addPenalties(runTime+wait+float64(load.MinRTT)+link.delay+link.ownDelay, load, runTime)
 }
 
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -129,6 +129,9 @@
 	case result.Answer != nil:
 		result.Offered = true
 		candidate.Load.RecordAnswer(result.Answer.Status >= 500)
+		if result.Stamp.Seq > 0 && result.Stamp.StartRateMilli == 0 {
+			candidate.Load.ForgetRateLimit()
+		}
 		if result.Answer.Status < 500 {
 			a.forwarder.work.Record(a.route.Name, result.Answer.Run, result.Answer.Slowdown)
 			a.forwarder.sizes.add(a.route.Name, len(a.req.Body), len(result.Answer.Body), a.expectedWork())
@@ -158,6 +161,7 @@
 			ID: a.req.ID, Host: a.req.Host, Caller: a.forwarder.Settings.BackendServer.Service,
 			Repeatable: a.route.Repeatable, Priority: a.route.Priority, Soft: soft,
 			Near: a.proximityOf(candidate) == proximity.SameDataCentre, TargetRemaining: a.target - elapsed,
+			RateLimitMilli: candidate.Load.RateLimitMilli(),
 		},
 	}
 	if a.team != nil {
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -117,6 +117,9 @@
 		out.WriteString(" slowdown=" + strconv.FormatInt(r.load.Slowdown, 10))
 		out.WriteString(" age=" + events.Milliseconds(r.loadAge))
 		r.writeLink(&out)
+		if r.load.StartRate > 0 {
+			out.WriteString(" rate_limit=" + strconv.FormatFloat(r.load.StartRate, 'f', 1, 64) + " tokens=" + strconv.FormatFloat(r.load.StartTokens, 'f', 1, 64))
+		}
 	} else {
 		out.WriteString(" load=unknown")
 	}
--- a/pkg/forward/return_times.go
+++ b/pkg/forward/return_times.go
@@ -26,7 +26,7 @@
 	settings := &a.forwarder.Settings.Routing
 	if !settings.ScheduleReturns {
 		if overload {
-			result.RetryAfter = min(settings.RetryAfter, a.honouredTime())
+			result.RetryAfter = min(max(settings.RetryAfter, a.rateLimitWait()), a.honouredTime())
 		}
 		return
 	}
@@ -42,6 +42,28 @@
 	}
 }
 
+// rateLimitWait returns how long the rate limits of all backend servers that may run the
+// request delay its start; 0: at least one has none, or may start it at once.
+func (a *attempts) rateLimitWait() time.Duration {
+	now := a.forwarder.Now()
+	least := time.Duration(0)
+	for i := range a.candidates {
+		candidate := &a.candidates[i]
+		if !a.isAllowed(candidate) || candidate.Endpoint.Runner() == nil {
+			continue
+		}
+		load := candidate.Load.Snapshot(now)
+		wait := load.StartWait(now)
+		if wait == 0 {
+			return 0
+		}
+		if least == 0 || wait < least {
+			least = wait
+		}
+	}
+	return least
+}
+
 // returnRank returns the rank of the request for return times, in the order in which gates
 // start requests: calls that backend servers make come first, then requests by the priority
 // of their team, then by that of their route. Ranks beyond those of a schedule are equal.
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -39,6 +39,7 @@
 func (g *Gate) enter(now int64, job *Job) {
 	job.arrived = now
 	job.index = notQueued
+	g.startRate.assume(now, job.RateLimit)
 	g.jobSeq++
 	job.seq = g.jobSeq
 	g.fairness.assignStartTag(job)
@@ -67,8 +68,7 @@
 
 // forecast is what a job can expect that is admitted now.
 type forecast struct {
-	// canStart is true when a slot is free and the limit on cold starts allows a start;
-	// held is true when the job should wait anyway, for the end of a slow period.
+	// canStart is true when a slot is free and the limits on starts allow one; held is true when the job should wait anyway, for the end of a slow period.
 	canStart bool
 	held     bool
 	// wait is the expected time until the job starts, runTime that from its start to
@@ -86,13 +86,13 @@
 // forecastFor estimates the wait and the run time of a job.
 func (g *Gate) forecastFor(now int64, job *Job) forecast {
 	limit := g.limit(now)
-	coldWait := g.coldStartWait(now, job)
-	fc := forecast{canStart: g.running < limit && coldWait == 0}
+	startWait := g.startWait(now, job)
+	fc := forecast{canStart: g.running < limit && startWait == 0}
 	if !fc.canStart {
 		fc.runTime = g.expectedRunTime(now, job)
-		fc.wait = coldWait
+		fc.wait = startWait
 		if g.running >= limit {
-			fc.wait = max(coldWait, g.slotWait(now, job, fc.runTime, limit))
+			fc.wait = max(startWait, g.slotWait(now, job, fc.runTime, limit))
 		}
 		return fc
 	}
@@ -189,14 +189,14 @@
 // time must have left when it starts.
 func withMargin(runTime time.Duration) int64 { return int64(RunTimeMargin * float64(runTime)) }
 
-// coldStartWait returns how long a job waits until the limit on cold starts allows it
-// to start, behind the waiting jobs that start before it.
-func (g *Gate) coldStartWait(now int64, job *Job) time.Duration {
-	if g.coldStarts.MaxStartsPerSecond == 0 || g.waiting() == 0 {
-		return g.coldStarts.wait(now, 0)
+// startWait returns how long a job waits until the limits on cold starts and on the rate of
+// starts allow it to start, behind the waiting jobs that start before it.
+func (g *Gate) startWait(now int64, job *Job) time.Duration {
+	ahead := 0
+	if g.waiting() > 0 && (g.coldStarts.MaxStartsPerSecond > 0 || g.startRate.limited) {
+		ahead, _ = g.workAhead(job, func(*Job) time.Duration { return 0 })
 	}
-	ahead, _ := g.workAhead(job, func(*Job) time.Duration { return 0 })
-	return g.coldStarts.wait(now, ahead)
+	return max(g.coldStarts.wait(now, ahead), g.startRate.wait(now, ahead))
 }
 
 // slotWait returns how long a job waits for a slot while none is free. A routed job
@@ -246,8 +246,8 @@
 }
 
 // refusesSoft reports whether a soft job is refused because another backend server
-// probably runs it sooner: this one is slowed, is cold and may get no further start,
-// or has no usable slot free. A job whose sender is in this data centre may wait while
+// probably runs it sooner: this one is slowed, may get no further start now, or has no
+// usable slot free. A job whose sender is in this data centre may wait while
 // fewer jobs run or wait than there are slots, since the next backend server to try is
 // farther away.
 func (g *Gate) refusesSoft(now int64, job *Job) bool {
@@ -255,7 +255,7 @@
 	if job.SameDataCentre {
 		maxJobs = g.slots
 	}
-	return g.tooSlowForSoft(now) || g.running+g.waiting() >= maxJobs || g.coldStartsExhausted(now)
+	return g.tooSlowForSoft(now) || g.running+g.waiting() >= maxJobs || g.startsExhausted(now)
 }
 
 // expectedRunTime returns the expected run time of a job that starts now.
--- a/pkg/gate/cold.go
+++ b/pkg/gate/cold.go
@@ -43,12 +43,17 @@
 	return g.speed.Slowdown() > g.opts.SoftSlowdown*g.normalSlowdown(now)
 }
 
-// allowsColdStart reports whether the limit on cold starts allows a start now.
-func (g *Gate) allowsColdStart(now int64) bool { return g.coldStarts.wait(now, 0) == 0 }
+// allowsStart reports whether the limits on cold starts and on the rate of starts allow a
+// start now.
+func (g *Gate) allowsStart(now int64) bool {
+	return g.coldStarts.wait(now, 0) == 0 && g.startRate.wait(now, 0) == 0
+}
 
-// coldStartsExhausted reports whether the limit on cold starts allows no start now,
-// whatever the next report of the backend server says.
-func (g *Gate) coldStartsExhausted(now int64) bool { return g.coldStarts.exhausted(now) }
+// startsExhausted reports whether these limits allow no start of a further job now, whatever
+// the next report of the backend server on its cold period says.
+func (g *Gate) startsExhausted(now int64) bool {
+	return g.coldStarts.exhausted(now) || g.startRate.wait(now, g.waiting()) > 0
+}
 
 // NeedsColdCheck reports whether the owner should ask the backend server whether it is
 // still warm, so that the answer comes before the starts that its last report allows are
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -66,6 +66,8 @@
 	fairness fairQueueing
 	// coldStarts limits the starts while the backend server is cold.
 	coldStarts coldStartLimiter
+	// startRate limits the rate of starts to that which the backend server takes.
+	startRate startRate
 
 	stampSeq atomic.Uint64
 	// inFlight is the number of running and waiting jobs and of places, readable without mu.
@@ -108,6 +110,7 @@
 	g.running++
 	g.fairness.recordStart(job)
 	g.coldStarts.record(now)
+	g.startRate.record(now)
 	job.started = now
 	job.concurrency = g.running
 	job.slowdown, job.slowdownFresh = g.speed.SlowdownAtStart(now)
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -61,6 +61,10 @@
 	// expected to end later is refused while its sender can still try another backend
 	// server. 0: no limit.
 	EndBy int64
+	// RateLimit is the rate limit of the backend server in requests per second that the
+	// sender knows, 0 if it knows none. The gate uses it until the backend server has
+	// responded.
+	RateLimit float64
 	// Start runs the job. RefuseOverMaxCost refuses a waiting job that Tick has removed
 	// because its expected time exceeds its MaxCost. RefuseDrained refuses a waiting job
 	// that DrainQueue has removed. The owner calls them, outside the gate's methods.
--- a/pkg/gate/status.go
+++ b/pkg/gate/status.go
@@ -11,7 +11,7 @@
 func (g *Gate) Stamp(now int64) wire.Stamp {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return wire.Stamp{
+	out := wire.Stamp{
 		Seq:            g.stampSeq.Add(1),
 		Running:        uint32(g.running),
 		Queued:         uint32(g.waiting()),
@@ -20,6 +20,10 @@
 		Slowdown:       speed.ToPercent(g.speed.Slowdown()),
 		NormalSlowdown: encodeNormalSlowdown(g.normalSlowdown(now)),
 	}
+	if g.startRate.limited {
+		out.SetStartRate(g.startRate.perSecond, g.startRate.available(now, g.waiting()))
+	}
+	return out
 }
 
 // encodeNormalSlowdown returns a normal slowdown as stamps carry it: in percent, with 0
@@ -37,7 +41,7 @@
 func (g *Gate) StalenessCost(now int64, job *Job) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.running >= g.limit(now) || g.coldStartsExhausted(now) {
+	if g.running >= g.limit(now) || g.startsExhausted(now) {
 		return 0
 	}
 	return g.speed.StalenessCost(now, job.Work)
@@ -52,7 +56,7 @@
 	if g.queue.len() == 0 || g.running >= g.limit(now) {
 		return false
 	}
-	return !g.coldStartsExhausted(now)
+	return !g.coldStarts.exhausted(now) && g.startRate.wait(now, 0) == 0
 }
 
 // InFlight returns the number of jobs at the gate: running, waiting and holding a
--- a/pkg/gate/waiting.go
+++ b/pkg/gate/waiting.go
@@ -46,7 +46,7 @@
 func (g *Gate) startWaiting(now int64) []*Job {
 	var out, held []*Job
 	limit := g.limit(now)
-	for g.running < limit && len(held) < maxHeldChecks && g.allowsColdStart(now) {
+	for g.running < limit && len(held) < maxHeldChecks && g.allowsStart(now) {
 		job := g.queue.pop(now, g.serviceTime.current(now))
 		if job == nil {
 			break
@@ -80,7 +80,7 @@
 	for _, job := range held {
 		shortest = min(shortest, job.Work)
 	}
-	for checks := 0; checks < maxHeldChecks/2 && g.running < limit && g.allowsColdStart(now); {
+	for checks := 0; checks < maxHeldChecks/2 && g.running < limit && g.allowsStart(now); {
 		job := g.queue.popShorter(shortest)
 		if job == nil {
 			break
@@ -100,7 +100,7 @@
 // startProbe starts and returns a waiting job above the limit if the limiter asks for
 // one to learn whether the limit could be higher; nil: none.
 func (g *Gate) startProbe(now int64, limit int) *Job {
-	if g.limiter == nil || g.running != limit || !g.allowsColdStart(now) || g.queue.len() == 0 || g.speed.InSlowPeriod() || !g.limiter.ShouldProbe(now) {
+	if g.limiter == nil || g.running != limit || !g.allowsStart(now) || g.queue.len() == 0 || g.speed.InSlowPeriod() || !g.limiter.ShouldProbe(now) {
 		return nil
 	}
 	job := g.queue.pop(now, g.serviceTime.current(now))
--- a/pkg/runner/rate_limit.go
+++ b/pkg/runner/rate_limit.go
@@ -4,6 +4,7 @@
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/gate"
 )
 
 // ApplyRateLimit applies what a response says of the backend server's rate limit.
@@ -11,7 +12,16 @@
 	if !r.lifecycle.IsCurrent(report.Incarnation) {
 		return
 	}
+	r.rateLimitMu.Lock()
 	changed, err := r.rateLimit.Apply(report)
+	perSecond, limited := r.rateLimit.Limit()
+	var start []*gate.Job
+	if changed || err == nil && !report.FromHealthCheck && !r.rateLimitReported {
+		r.rateLimitReported = true
+		start = r.gate.SetRateLimit(r.Now(), perSecond, limited)
+	}
+	r.rateLimitMu.Unlock()
+	r.startAll(start)
 	if err != nil {
 		r.invalidRateLimits.Inc()
 		r.Log.Event(events.RateLimitInvalid, events.F("instance", report.Incarnation), events.F("cause", err))
@@ -19,7 +29,6 @@
 	if !changed {
 		return
 	}
-	perSecond, limited := r.rateLimit.Limit()
 	r.Log.Event(events.RateLimitChanged, events.F("instance", report.Incarnation), events.F("limited", limited),
 		events.F("per_second", perSecond), events.F("in_health_check", report.FromHealthCheck), events.F("requests", r.requests.Get()))
 }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -6,6 +6,7 @@
 package runner
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,11 +42,15 @@
 	transport *backend.Transport
 	lifecycle *backend.Lifecycle
 	load      *backend.Load
-	rateLimit backend.RateLimit
-	workTimes *worktime.Times
-	origins   *originTracker
-	service   func() (s routing.Service, ok bool)
-	findRoute func(host, path string) (route *routing.CompiledRoute, version uint64)
+	// rateLimitMu makes the gate see the changes of rateLimit in their order.
+	// rateLimitReported is true once the gate knows what the backend server says.
+	rateLimitMu       sync.Mutex
+	rateLimit         backend.RateLimit
+	rateLimitReported bool
+	workTimes         *worktime.Times
+	origins           *originTracker
+	service           func() (s routing.Service, ok bool)
+	findRoute         func(host, path string) (route *routing.CompiledRoute, version uint64)
 	// checker is nil if the backend server has no health path.
 	checker *backend.HealthChecker
 	// speedCheckDue is true while a health check is scheduled for held starts.
@@ -268,7 +273,7 @@
 	nested := run.origin == wire.OriginService
 	run.job = gate.Job{
 		Rank: c.Routed.Rank(), Team: c.Routed.Team, Nested: nested, Deadline: run.deadline, Work: r.workTimes.LookupOrEstimate(c.Kind, c.Routed.TargetRemaining),
-		Soft: c.Routed.Soft, SameDataCentre: c.Routed.Near, EndBy: r.latestEnd(run.arrived, run, nested), Start: run.start, RefuseOverMaxCost: run.refuseOverMaxCost, RefuseDrained: run.refuseDrained,
+		Soft: c.Routed.Soft, SameDataCentre: c.Routed.Near, EndBy: r.latestEnd(run.arrived, run, nested), Start: run.start, RefuseOverMaxCost: run.refuseOverMaxCost, RateLimit: c.Routed.RateLimit(), RefuseDrained: run.refuseDrained,
 	}
 }
 
--- a/pkg/tables/load.go
+++ b/pkg/tables/load.go
@@ -42,6 +42,12 @@
 	bodyWait            atomic.Int64
 	linkRate            atomic.Int64
 	bodyBytesSinceStamp atomic.Int64
+	// startRateMilli and startTokensMilli are those of the newest stamp. rateLimitMilli is
+	// the rate limit that the newest stamp with one states; a restart of the daemon does not
+	// reset it.
+	startRateMilli   atomic.Int64
+	startTokensMilli atomic.Int64
+	rateLimitMilli   atomic.Int64
 	// unresponsiveAt is when the daemon was found unresponsive; 0: never, or it has sent a
 	// stamp since.
 	unresponsiveAt atomic.Int64
@@ -107,6 +113,7 @@
 	l.slowdown.Store(int64(stamp.Slowdown))
 	l.normalSlowdown.Store(int64(stamp.NormalSlowdown))
 	l.storeLink(stamp)
+	l.storeStartRate(stamp)
 	l.unresponsiveAt.Store(0)
 	l.stampReceivedAt.Store(now)
 	l.sentSinceStamp.Store(0)
@@ -120,6 +127,24 @@
 	l.bodyBytesSinceStamp.Store(0)
 }
 
+// storeStartRate takes over what a stamp says of the rate of starts.
+func (l *Load) storeStartRate(stamp wire.Stamp) {
+	l.startRateMilli.Store(int64(stamp.StartRateMilli))
+	l.startTokensMilli.Store(int64(stamp.StartTokensMilli))
+	if stamp.StartRateMilli > 0 {
+		l.rateLimitMilli.Store(int64(stamp.StartRateMilli))
+	}
+}
+
+// RateLimitMilli returns the rate limit of the backend server that this entry knows, in
+// thousandths of a request per second; 0: it knows none.
+func (l *Load) RateLimitMilli() uint32 { return uint32(l.rateLimitMilli.Load()) }
+
+// ForgetRateLimit records that the backend server has answered without a rate limit. A stamp
+// without one does not tell this: a restarted daemon makes such stamps until its backend
+// server has answered.
+func (l *Load) ForgetRateLimit() { l.rateLimitMilli.Store(0) }
+
 // BeginIncarnation records which process of the daemon a new link leads to, and resets
 // the load if it is another process than before. Each process numbers its stamps from the
 // beginning, and ApplyStamp would otherwise ignore them as
@@ -142,6 +167,7 @@
 	l.slowdown.Store(0)
 	l.normalSlowdown.Store(0)
 	l.storeLink(wire.Stamp{})
+	l.storeStartRate(wire.Stamp{})
 	l.unresponsiveAt.Store(0)
 	l.limit.Store(int64(max(slots, 1)))
 }
@@ -182,6 +208,11 @@
 	// BodyBytesSinceStamp counts the bytes of granted bodies that this entry has offered
 	// since the newest stamp arrived.
 	BodyBytesSinceStamp int64
+	// StartRate is the limit on the rate at which the gate starts calls of all entries, in
+	// calls per second; 0: no limit. StartTokens is how many further calls it could start at
+	// once under that limit when the newest stamp was made; below 0: some calls waited longer.
+	StartRate   float64
+	StartTokens float64
 	// UnresponsiveFor is how long ago the daemon was found unresponsive; 0: it was not,
 	// or has sent a stamp since.
 	UnresponsiveFor time.Duration
@@ -213,6 +244,8 @@
 	out.BodyWait = time.Duration(l.bodyWait.Load())
 	out.LinkRate = l.linkRate.Load()
 	out.BodyBytesSinceStamp = l.bodyBytesSinceStamp.Load()
+	out.StartRate = float64(l.startRateMilli.Load()) / wire.MilliPerUnit
+	out.StartTokens = float64(l.startTokensMilli.Load()) / wire.MilliPerUnit
 	out.UnresponsiveFor = 0
 	if at := l.unresponsiveAt.Load(); at > 0 {
 		out.UnresponsiveFor = time.Duration(max(now-at, 1))
@@ -227,6 +260,21 @@
 	}
 }
 
+// maxRateLimitAge is the age up to which a stamp tells how long the rate limit delays a call.
+// The limit may have ended since, which a further call shows.
+const maxRateLimitAge = 500 * time.Millisecond
+
+// StartWait returns how long the rate limit of the backend server delays the start of a call
+// that is sent now; 0: not at all, or it has no limit.
+func (s *LoadSnapshot) StartWait(now int64) time.Duration {
+	age := time.Duration(max(now-s.StampReceivedAt, 0))
+	if s.StartRate == 0 || s.StampReceivedAt == 0 || age > maxRateLimitAge {
+		return 0
+	}
+	missing := 1 + float64(s.SentSinceStamp) - s.StartTokens - s.StartRate*age.Seconds()
+	return time.Duration(max(missing, 0) / s.StartRate * float64(time.Second))
+}
+
 // Outstanding returns how many of this entry's calls have not ended.
 func (l *Load) Outstanding() int64 { return l.outstanding.Load() }
 
--- a/pkg/tables/members_test.go
+++ b/pkg/tables/members_test.go
@@ -123,3 +123,21 @@
 	load.Reset(12)
 	test.Eq(t, NewLoad(12).Snapshot(30), load.Snapshot(30), test.Sprint("another process may run on another VM"))
 }
+
+// TestLoadRemembersTheRateLimitAcrossRestarts: a restarted daemon learns the limit from the
+// entries, until its backend server has answered without one.
+func TestLoadRemembersTheRateLimitAcrossRestarts(t *testing.T) {
+	load := NewLoad(12)
+	limited := wire.Stamp{Seq: 5, Limit: 12}
+	limited.SetStartRate(5.8, -0.16)
+	load.ApplyStamp(10, limited)
+	snapshot := load.Snapshot(10)
+	test.Eq(t, 200*time.Millisecond, snapshot.StartWait(10).Round(time.Millisecond))
+	load.Reset(12)
+	snapshot = load.Snapshot(10)
+	test.Zero(t, snapshot.StartWait(10))
+	load.ApplyStamp(20, wire.Stamp{Seq: 1, Limit: 12})
+	test.Eq(t, 5800, load.RateLimitMilli())
+	load.ForgetRateLimit()
+	test.Zero(t, load.RateLimitMilli())
+}
--- a/pkg/wire/fit_test.go
+++ b/pkg/wire/fit_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -16,6 +17,8 @@
 		Seq                                                         uint64
 		Running, Queued, Limit, ServiceUS, Slowdown, NormalSlowdown uint32
 		LinkDelayMS, BodyWaitMS, LinkRateKB                         uint32
+		StartRateMilli                                              uint32
+		StartTokensMilli                                            int32
 		Added                                                       []string
 	}
 	laterRefusal struct {
@@ -97,6 +100,24 @@
 		Offered   bool
 		Origin    Origin
 	}
+	// stampWithoutStartRate is a Stamp of the release before the one that added StartRateMilli
+	// and StartTokensMilli, and refusalWithoutStartRate a Refusal that contains it.
+	stampWithoutStartRate struct {
+		_                                                           struct{} `cbor:",toarray"`
+		Seq                                                         uint64
+		Running, Queued, Limit, ServiceUS, Slowdown, NormalSlowdown uint32
+		LinkDelayMS, BodyWaitMS, LinkRateKB                         uint32
+	}
+	refusalWithoutStartRate struct {
+		_         struct{} `cbor:",toarray"`
+		ID        uint64
+		Kind, Ran uint8
+		Detail    string
+		Stamp     stampWithoutStartRate
+		NextClaim Claim
+		Offered   bool
+		Origin    Origin
+	}
 	earlierStamp struct {
 		_                                 struct{} `cbor:",toarray"`
 		Seq                               uint64
@@ -163,7 +184,8 @@
 	must.NoError(t, err)
 	encoded, err := cbor.Marshal(stamp)
 	must.NoError(t, err)
-	test.Eq(t, len(encodedBefore)+3, len(encoded))
+	const linkFields, startRateFields = 3, 2
+	test.Eq(t, len(encodedBefore)+linkFields+startRateFields, len(encoded))
 	test.Eq(t, len(encoded), stamp.Size())
 	slow := Stamp{Seq: 9000, LinkDelayMS: 24, BodyWaitMS: 300, LinkRateKB: 70_000}
 	encoded, err = cbor.Marshal(slow)
@@ -171,6 +193,38 @@
 	test.Eq(t, len(encoded), slow.Size())
 }
 
+// TestStartRateBetweenReleases: a daemon of the previous release states no rate limit, and
+// reads the stamps of this release without it.
+func TestStartRateBetweenReleases(t *testing.T) {
+	earlier := refusalWithoutStartRate{ID: 3, Stamp: stampWithoutStartRate{Seq: 9, Running: 1, Limit: 3, LinkRateKB: 7}, Offered: true}
+	refusal := decodeFrame[*Refusal](t, encodeFrame(t, TypeRefusal, earlier))
+	test.Eq(t, &Refusal{ID: 3, Stamp: Stamp{Seq: 9, Running: 1, Limit: 3, LinkRateKB: 7}, Offered: true}, refusal)
+
+	codec, err := NewCodec()
+	must.NoError(t, err)
+	refusal.Stamp.SetStartRate(5.8, -1.25)
+	perSecond, tokens := refusal.Stamp.StartRate()
+	test.Eq(t, 5.8, perSecond)
+	test.Eq(t, -1.25, tokens)
+	encoded, err := cbor.Marshal(refusal)
+	must.NoError(t, err)
+	fitted, err := codec.fit(encoded, reflect.TypeOf(earlier))
+	must.NoError(t, err)
+	var decoded refusalWithoutStartRate
+	must.NoError(t, cbor.Unmarshal(fitted, &decoded))
+	test.Eq(t, earlier, decoded)
+}
+
+func TestStampSizeWithAStartRate(t *testing.T) {
+	for _, tokens := range []float64{0, 0.02, -0.024, -0.025, 3.5, -70, 5000, -5000} {
+		stamp := Stamp{Seq: 1}
+		stamp.SetStartRate(6.25, tokens)
+		encoded, err := cbor.Marshal(stamp)
+		must.NoError(t, err)
+		test.Eq(t, len(encoded), stamp.Size(), test.Sprint(tokens))
+	}
+}
+
 func TestNextDecodesMembersOfAnEarlierRelease(t *testing.T) {
 	members := decodeFrame[*Members](t, encodeFrame(t, TypeMembers, earlierMembers{Rows: []earlierMember{{VM: "a", Slots: 3, Backend: BackendAbsent}}}))
 	test.Eq(t, []Member{{VM: "a", Slots: 3, Backend: BackendAbsent}}, members.Rows)
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -5,6 +5,7 @@
 package wire
 
 import (
+	"math"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/evacuation"
@@ -82,6 +83,27 @@
 	// LinkRateKB is the rate at which granted bodies arrive, in units of 1,000 bytes per
 	// second; 0: not known, or so high that it does not matter.
 	LinkRateKB uint32
+	// StartRateMilli is the limit on the rate at which the gate starts calls of all entries,
+	// in thousandths of a call per second; 0: no limit.
+	StartRateMilli uint32
+	// StartTokensMilli is how many calls more than those that wait the gate could start at
+	// once under that limit, in thousandths. It is negative if some of those must wait longer.
+	StartTokensMilli int32
+}
+
+// MilliPerUnit is the number of thousandths in one: fields whose names end in Milli are in
+// thousandths.
+const MilliPerUnit = 1000
+
+// SetStartRate sets StartRateMilli and StartTokensMilli.
+func (s *Stamp) SetStartRate(perSecond, tokens float64) {
+	s.StartRateMilli = uint32(min(max(perSecond*MilliPerUnit, 1), math.MaxUint32))
+	s.StartTokensMilli = int32(min(max(tokens*MilliPerUnit, math.MinInt32), math.MaxInt32))
+}
+
+// StartRate returns StartRateMilli in calls per second and StartTokensMilli in calls.
+func (s *Stamp) StartRate() (perSecond, tokens float64) {
+	return float64(s.StartRateMilli) / MilliPerUnit, float64(s.StartTokensMilli) / MilliPerUnit
 }
 
 // LinkDelay returns LinkDelayMS as a duration.
@@ -98,7 +120,17 @@
 	const arrayHead = 1
 	return arrayHead + uintSize(s.Seq) + uintSize(uint64(s.Running)) + uintSize(uint64(s.Queued)) +
 		uintSize(uint64(s.Limit)) + uintSize(uint64(s.ServiceUS)) + uintSize(uint64(s.Slowdown)) + uintSize(uint64(s.NormalSlowdown)) +
-		uintSize(uint64(s.LinkDelayMS)) + uintSize(uint64(s.BodyWaitMS)) + uintSize(uint64(s.LinkRateKB))
+		uintSize(uint64(s.LinkDelayMS)) + uintSize(uint64(s.BodyWaitMS)) + uintSize(uint64(s.LinkRateKB)) +
+		uintSize(uint64(s.StartRateMilli)) + intSize(int64(s.StartTokensMilli))
+}
+
+// intSize returns the size of an integer in CBOR (RFC 8949, section 3), in bytes: a negative
+// n is encoded as -1-n.
+func intSize(n int64) int {
+	if n < 0 {
+		n = -1 - n
+	}
+	return uintSize(uint64(n))
 }
 
 // uintSize returns the size of an unsigned integer in CBOR (RFC 8949, section 3), in bytes.
@@ -261,8 +293,15 @@
 	Team string
 	// TeamPriority is compared before Priority.
 	TeamPriority uint8
+	// RateLimitMilli is the rate limit of the backend server that the entry knows, in
+	// thousandths of a request per second; 0: it knows none. It tells a restarted executor
+	// what the process before it knew.
+	RateLimitMilli uint32
 }
 
+// RateLimit returns RateLimitMilli in requests per second.
+func (r *Routed) RateLimit() float64 { return float64(r.RateLimitMilli) / MilliPerUnit }
+
 // Rank returns the rank of the request at the gate, lowest first: the priority of its team,
 // then that of its route. Calls made by backend servers have no team and come first: a run
 // that occupies a slot waits for each of them.
