Take a departure from a backend server's responses

Cause: departures were taken from announcements alone; of the responses the load header was the only one that anybody read. The executor now takes the header in responses to requests and to health checks as a departure: no further request reaches the worker, peers and the store are told, and a restarted daemon knows it from them.

--- a/pkg/daemon/health.go
+++ b/pkg/daemon/health.go
@@ -113,12 +113,15 @@
 }
 
 // applyHealthReports applies what a health response of the current incarnation says of its
-// rate limit.
+// rate limit and its departure.
 func (r *routed) applyHealthReports(health *backend.ProbeResult, askedAt int64) {
 	current, _ := r.lifecycle.Current()
 	if health.InstanceID == "" || health.InstanceID != current.ID {
 		return
 	}
+	if health.Reports.Leaving {
+		r.handleDepartureInAnswer(current)
+	}
 	r.runner.ApplyRateLimit(backend.RateLimitReport{
 		Values: health.Reports.RateLimit, Incarnation: current, SentAt: askedAt, ReceivedAt: r.daemon.Now(), FromHealthCheck: true,
 	})
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -64,7 +64,7 @@
 	r.runner, err = runner.NewRunner(d.Common, runner.Deps{
 		Headers: adapter.Backend, Lifecycle: r.lifecycle, Load: r.load, Checker: r.checker, Service: r.service, FindRoute: r.route,
 		VMShare:  d.World.View.VMShareOf,
-		Recorder: r.recorder,
+		Recorder: r.recorder, OnDeparture: r.handleDepartureInAnswer,
 	})
 	if err != nil {
 		return nil, err
@@ -176,6 +176,14 @@
 	}
 }
 
+// handleDepartureInAnswer records a departure that a backend server announced in a response.
+// No acknowledgement waits for the store.
+func (r *routed) handleDepartureInAnswer(incarnation backend.Incarnation) {
+	if r.lifecycle.RecordDeparture(r.daemon.Now(), incarnation) {
+		go r.saveDeparture(r.daemon.env.DaemonContext, incarnation)
+	}
+}
+
 // HandleInvalid implements backend.AnnouncementHandler.
 func (r *routed) HandleInvalid(instanceID string, err error) {
 	r.daemon.logInvalidInput("announcement of "+instanceID, err)
--- a/pkg/runner/rate_limit_test.go
+++ b/pkg/runner/rate_limit_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
 )
@@ -99,3 +100,21 @@
 		h.proceed <- struct{}{}
 	}
 }
+
+// TestAnswersThatAnnounceADepartureAreReported, and others are not.
+func TestAnswersThatAnnounceADepartureAreReported(t *testing.T) {
+	var leaving atomic.Value
+	r, _ := newTestRunner(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Rushramp-Request-Id", req.Header.Get("Rushramp-Request-Id"))
+		w.Header().Set("Rushramp-Leaving", leaving.Load().(string))
+	}), 8)
+	var departed []backend.Incarnation
+	r.onDeparture = func(incarnation backend.Incarnation) { departed = append(departed, incarnation) }
+	for _, value := range []string{"", "0", "yes", "1"} {
+		leaving.Store(value)
+		test.SliceEmpty(t, departed)
+		results, _ := execute(r, routedCall("a"))
+		must.NotNil(t, (<-results).Answer)
+	}
+	test.Eq(t, []backend.Incarnation{{ID: "i-1"}}, departed)
+}
--- a/pkg/runner/rate_limit.go
+++ b/pkg/runner/reports.go
@@ -33,12 +33,15 @@
 		events.F("per_second", perSecond), events.F("in_health_check", report.FromHealthCheck), events.F("requests", r.requests.Get()))
 }
 
-// applyRateLimit applies what a reply says of the rate limit. A reply without a response, or
-// of another instance, says nothing.
-func (r *Runner) applyRateLimit(reply *backend.Reply, incarnation backend.Incarnation, sentAt int64) {
+// applyReports applies what a reply says of the rate limit and of the departure of the backend
+// server. A reply without a response, or of another instance, says nothing.
+func (r *Runner) applyReports(reply *backend.Reply, incarnation backend.Incarnation, sentAt int64) {
 	if reply.Answer == nil && reply.Refusal.Kind != errkind.BackendRefused {
 		return
 	}
+	if reply.Reports.Leaving {
+		r.onDeparture(incarnation)
+	}
 	r.ApplyRateLimit(backend.RateLimitReport{Values: reply.Reports.RateLimit, Incarnation: incarnation, SentAt: sentAt, ReceivedAt: r.Now()})
 }
 
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -139,7 +139,7 @@
 		reply.Refusal = reason.WithRanMaybe()
 	}
 	r.applyReply(&reply)
-	r.applyRateLimit(&reply, incarnation, startedAt)
+	r.applyReports(&reply, incarnation, startedAt)
 	took := time.Duration(r.Now() - startedAt)
 	run.recordOutcome(&reply, startedAt, took, slowdown)
 	if reply.Refusal != nil {
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -41,7 +41,9 @@
 	pool      *ants.Pool
 	transport *backend.Transport
 	lifecycle *backend.Lifecycle
-	load      *backend.Load
+	// onDeparture is Deps.OnDeparture or does nothing.
+	onDeparture func(backend.Incarnation)
+	load        *backend.Load
 	// rateLimitMu makes the gate see the changes of rateLimit in their order.
 	// rateLimitReported is true once the gate knows what the backend server says.
 	rateLimitMu       sync.Mutex
@@ -92,6 +94,9 @@
 	Recorder *rollout.Recorder
 	// Checker makes health checks; it may be nil.
 	Checker *backend.HealthChecker
+	// OnDeparture is called for each answer in which an incarnation says that it leaves; it
+	// may be nil.
+	OnDeparture func(incarnation backend.Incarnation)
 	// Service returns the backend server's service in the placement in force; ok is false
 	// if there is no placement.
 	Service func() (s routing.Service, ok bool)
@@ -121,7 +126,7 @@
 	r := &Runner{
 		Common:    c,
 		pool:      pool,
-		lifecycle: deps.Lifecycle,
+		lifecycle: deps.Lifecycle, onDeparture: deps.OnDeparture,
 		load:      deps.Load,
 		service:   deps.Service,
 		findRoute: deps.FindRoute,
@@ -139,6 +144,9 @@
 			Restarted: !s.Platform.FirstStart, RestartAfter: s.Platform.RestartAfter,
 		}),
 	}
+	if r.onDeparture == nil {
+		r.onDeparture = func(backend.Incarnation) {}
+	}
 	r.counters = newCounters(r)
 	r.crashDetector = crash.NewDetector(c, crash.Deps{Running: r.activeRuns.count, Instance: r.incarnation, OnCrash: r.processEnded})
 	return r, nil
