Heed how long a backend server keeps idle connections

A connection was used for up to a second (requests that must not be repeated) or eight, also where the server had said that it closes it sooner; a request that meets the close may have run, and one that must not be repeated then fails with 502.

A connection is now not used within 200 ms of the stated time or later. TestConnectionIsNotUsedWhenTheBackendServerMayCloseIt fails without the change at timeout=1 after 0.9 s and at timeout=2 after 1.9 s.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -36,8 +37,11 @@
 	// idHeader is the name of the header that carries the request ID.
 	idHeader     string
 	maxBodyBytes int64
-	// lastUsed is in nanoseconds of the daemon's clock; Transport sets it.
-	lastUsed int64
+	// lastUsed is in nanoseconds of the daemon's clock, and idleTimeout is after how long
+	// without a request the backend server closes the connection; 0: not stated. Transport
+	// sets both.
+	lastUsed    int64
+	idleTimeout time.Duration
 
 	mu sync.Mutex
 	// current is the pending exchange; nil if there is none.
--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	unacknowledgedTimeout = 300 * time.Millisecond
 	// maxIdle is how long an idle connection is kept.
 	maxIdle = 8 * time.Second
+	// keepAliveMargin is how long before the time that the backend server states in a
+	// Keep-Alive header a connection is no longer used: it may be about to close it.
+	keepAliveMargin = 200 * time.Millisecond
 	// maxInlineBodyBytes is the largest request body that is written before the response
 	// is awaited. A larger one is written concurrently.
 	maxInlineBodyBytes = 2 << 10
@@ -119,7 +123,7 @@
 	}
 	select {
 	case resp := <-ex.response:
-		t.release(c, written)
+		t.release(c, written, parseKeepAlive(resp.Header.Get("Keep-Alive")))
 		return t.classify(resp)
 	case err := <-ex.failure:
 		return newRefusal(errkind.BackendFailed, true, "%v", err)
@@ -222,7 +226,7 @@
 		last := len(t.idle) - 1
 		c := t.idle[last]
 		idleFor := time.Duration(t.opts.Now() - c.lastUsed)
-		if idleFor > maxIdle || !c.isOpen() {
+		if idleFor > c.maxIdle() || !c.isOpen() {
 			t.idle[last] = nil
 			t.idle = t.idle[:last]
 			_ = c.Close()
@@ -238,14 +242,40 @@
 	return nil
 }
 
-// release keeps the connection for further requests. It closes the connection instead
-// if the request's body was not fully written: the rest of it would be read as the next
-// request.
-func (t *Transport) release(c *conn, written <-chan error) {
+// maxIdle returns how long the connection may have been idle to carry a request.
+func (c *conn) maxIdle() time.Duration {
+	if c.idleTimeout == 0 {
+		return maxIdle
+	}
+	return min(maxIdle, c.idleTimeout-keepAliveMargin)
+}
+
+// parseKeepAlive returns the timeout in a Keep-Alive header, which is in whole seconds; 0: it
+// states none.
+func parseKeepAlive(header string) time.Duration {
+	for _, parameter := range strings.Split(header, ",") {
+		name, value, _ := strings.Cut(parameter, "=")
+		if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
+			continue
+		}
+		if seconds, err := strconv.ParseUint(strings.TrimSpace(value), 10, 31); err == nil {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
+// release keeps the connection for further requests; idleTimeout is what the response states
+// of it, 0 for nothing. It closes the connection instead if the request's body was not fully
+// written: the rest of it would be read as the next request.
+func (t *Transport) release(c *conn, written <-chan error, idleTimeout time.Duration) {
 	select {
 	case err := <-written:
 		if err == nil && c.isOpen() {
 			c.lastUsed = t.opts.Now()
+			if idleTimeout > 0 {
+				c.idleTimeout = idleTimeout
+			}
 			t.mu.Lock()
 			t.idle = append(t.idle, c)
 			t.mu.Unlock()
--- a/pkg/backend/transport_test.go
+++ b/pkg/backend/transport_test.go
@@ -257,3 +257,33 @@
 	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
 	test.False(t, got.Offered)
 }
+
+// TestConnectionIsNotUsedWhenTheBackendServerMayCloseIt: a request on a connection that the
+// backend server closes at the same moment may have run, and one that must not be repeated
+// then fails.
+func TestConnectionIsNotUsedWhenTheBackendServerMayCloseIt(t *testing.T) {
+	for _, s := range []struct {
+		header string
+		idle   time.Duration
+		reused bool
+	}{
+		{"timeout=1", 700 * time.Millisecond, true},
+		{"timeout=1", 900 * time.Millisecond, false},
+		{"max=5, Timeout = 2", 1500 * time.Millisecond, true},
+		{"max=5, Timeout = 2", 1900 * time.Millisecond, false},
+		{"timeout=soon", 5 * time.Second, true},
+		{"timeout=-1", 5 * time.Second, true},
+		{"timeout=3600", 7 * time.Second, true},
+		{"timeout=3600", 9 * time.Second, false},
+	} {
+		address, connections := serve(t, func(c net.Conn, req *http.Request) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nKeep-Alive: %s\r\nRushramp-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", s.header, req.Header.Get("Rushramp-Request-Id"))
+		})
+		tr := newTestTransport(address)
+		must.NotNil(t, tr.Do(t.Context(), newGetRequest("a")).Answer)
+		tr.idle[0].lastUsed -= int64(s.idle)
+		must.NotNil(t, tr.Do(t.Context(), newGetRequest("b")).Answer)
+		test.Eq(t, s.reused, connections.Load() == 1, test.Sprintf("%s after %v", s.header, s.idle))
+		tr.CloseIdle()
+	}
+}
