gate: a limit that ends and begins again within a moment allows no more

Found by reading: each response without the limit gave the backend server a full bucket at the next one that named it. Starts now take tokens while no limit is in force, too, and the bucket goes on from there.

TestLimitThatEndsAndBeginsAgainAllowsNoMore: 1,200 starts in four seconds before (allowed 29); passes now.

--- a/pkg/gate/start_rate.go
+++ b/pkg/gate/start_rate.go
@@ -22,7 +22,9 @@
 	// which senders know from the process of the daemon before this one.
 	reported bool
 	limited  bool
-	// perSecond is the rate at which tokens are added, and burst the most that there are.
+	// perSecond is the rate at which tokens are added, that of the last limit if there is none
+	// now, and burst the most that there are. Starts take tokens also while there is no limit,
+	// down to -burst, so that a limit that ends and begins again within a moment allows no more.
 	perSecond, burst float64
 	tokens           float64
 	updatedAt        int64
@@ -47,10 +49,11 @@
 
 func (s *startRate) setLimit(now int64, perSecond float64) {
 	s.advance(now)
-	s.perSecond = max(perSecond, minStartRate)
+	first := s.perSecond == 0
+	s.limited, s.perSecond = true, max(perSecond, minStartRate)
 	s.burst = startBurstMin + s.perSecond*startBurstTime.Seconds()
-	if !s.limited {
-		s.limited, s.tokens = true, s.burst
+	if first {
+		s.tokens = s.burst
 	}
 	s.tokens = min(s.tokens, s.burst)
 }
@@ -64,10 +67,8 @@
 
 // record takes the token of a start.
 func (s *startRate) record(now int64) {
-	if s.limited {
-		s.advance(now)
-		s.tokens--
-	}
+	s.advance(now)
+	s.tokens = max(s.tokens-1, -s.burst)
 }
 
 // available returns how many jobs may start now when ahead other jobs start before them. It
@@ -100,11 +101,3 @@
 	g.startRate.report(now, perSecond, limited)
 	return g.startWaiting(now)
 }
-
-// RateLimitWait returns how long a further job would wait for its start because of the rate
-// limit alone; 0: it would not.
-func (g *Gate) RateLimitWait(now int64) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.startRate.wait(now, g.waiting())
-}
--- a/pkg/gate/start_rate_test.go
+++ b/pkg/gate/start_rate_test.go
@@ -204,3 +204,25 @@
 	run, _ := g.Admit(now, newJob(4))
 	test.True(t, run, test.Sprint("the backend server names no limit"))
 }
+
+// TestLimitThatEndsAndBeginsAgainAllowsNoMore: a response without the limit, as a damaged one,
+// must not give the backend server another bucket of starts each time.
+func TestLimitThatEndsAndBeginsAgainAllowsNoMore(t *testing.T) {
+	const perSecond = 4
+	g := newLimitedGate(1000)
+	now := int64(10_000 * ms)
+	started := 0
+	for range 400 {
+		now += 10 * ms
+		g.SetRateLimit(now, perSecond, true)
+		for range 4 {
+			job := &Job{Soft: true, Work: time.Millisecond, Deadline: now + 5000*ms, EndBy: now + 5000*ms}
+			if run, _ := g.Admit(now, job); run {
+				g.Finish(now, job, true)
+				started++
+			}
+		}
+		g.SetRateLimit(now, 0, false)
+	}
+	test.LessEq(t, limitFactor*perSecond*4+limitSlack, float64(started))
+}
