--- a/pkg/gate/start_rate_test.go
+++ b/pkg/gate/start_rate_test.go
@@ -226,3 +226,21 @@
 	}
 	test.LessEq(t, limitFactor*perSecond*4+limitSlack, float64(started))
 }
+
+// TestStartsWithoutALimitTakeTokensOfTheNext: they count against a limit that begins again
+// right after them, but no more than one bucket of them.
+func TestStartsWithoutALimitTakeTokensOfTheNext(t *testing.T) {
+	g := newLimitedGate(1000)
+	now := int64(10_000 * ms)
+	g.SetRateLimit(now, 4, true)
+	g.SetRateLimit(now, 0, false)
+	for range 50 {
+		run, refusal := g.Admit(now, &Job{Work: time.Millisecond, Deadline: now + 5000*ms, EndBy: now + 5000*ms})
+		must.Nil(t, refusal)
+		must.True(t, run)
+	}
+	g.SetRateLimit(now, 4, true)
+	stamp := g.Stamp(now)
+	_, tokens := stamp.StartRate()
+	test.Eq(t, -3.0, tokens)
+}
