Log an invalid rate limit once, not at each response

Now the first after a valid response is logged; the counter has all. Decisions are as they were. TestInvalidRateLimitIsLoggedOnce.

--- a/pkg/runner/rate_limit_test.go
+++ b/pkg/runner/rate_limit_test.go
@@ -1,7 +1,9 @@
 package runner
 
 import (
+	"bytes"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/events"
 )
 
 // limitingServer is a backend server that names a rate limit in its answers.
@@ -118,3 +121,22 @@
 	}
 	test.Eq(t, []backend.Incarnation{{ID: "i-1"}}, departed)
 }
+
+// TestInvalidRateLimitIsLoggedOnce: a backend server with a broken header answers each request
+// with it.
+func TestInvalidRateLimitIsLoggedOnce(t *testing.T) {
+	server := &limitingServer{}
+	r, _ := newTestRunner(t, server, 8)
+	var out bytes.Buffer
+	r.Log = events.NewLog(&out, events.Info)
+	for _, limit := range []string{"many", "many", "many", "100", "many"} {
+		server.limit.Store(limit)
+		results, _ := execute(r, routedCall("a"))
+		must.NotNil(t, (<-results).Answer)
+	}
+	for r.InFlight() > 0 {
+		time.Sleep(time.Millisecond) // the last line is written after the result
+	}
+	test.Eq(t, 2, strings.Count(out.String(), "event=526"))
+	test.Eq(t, 4, r.invalidRateLimits.Get())
+}
--- a/pkg/runner/reports.go
+++ b/pkg/runner/reports.go
@@ -22,10 +22,7 @@
 	}
 	r.rateLimitMu.Unlock()
 	r.startAll(start)
-	if err != nil {
-		r.invalidRateLimits.Inc()
-		r.Log.Event(events.RateLimitInvalid, events.F("instance", report.Incarnation), events.F("cause", err))
-	}
+	r.logInvalidRateLimit(&report, err)
 	if !changed {
 		return
 	}
@@ -33,6 +30,18 @@
 		events.F("per_second", perSecond), events.F("in_health_check", report.FromHealthCheck), events.F("requests", r.requests.Get()))
 }
 
+// logInvalidRateLimit counts an invalid rate limit, and logs the first after a valid response.
+func (r *Runner) logInvalidRateLimit(report *backend.RateLimitReport, err error) {
+	if err == nil {
+		r.rateLimitInvalid.Store(false)
+		return
+	}
+	r.invalidRateLimits.Inc()
+	if !r.rateLimitInvalid.Swap(true) {
+		r.Log.Event(events.RateLimitInvalid, events.F("instance", report.Incarnation), events.F("cause", err))
+	}
+}
+
 // applyReports applies what a reply says of the rate limit and of the departure of the backend
 // server. A reply without a response, or of another instance, says nothing.
 func (r *Runner) applyReports(reply *backend.Reply, incarnation backend.Incarnation, sentAt int64) {
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -49,10 +49,12 @@
 	rateLimitMu       sync.Mutex
 	rateLimit         backend.RateLimit
 	rateLimitReported bool
-	workTimes         *worktime.Times
-	origins           *originTracker
-	service           func() (s routing.Service, ok bool)
-	findRoute         func(host, path string) (route *routing.CompiledRoute, version uint64)
+	// rateLimitInvalid is true while responses name an invalid rate limit.
+	rateLimitInvalid atomic.Bool
+	workTimes        *worktime.Times
+	origins          *originTracker
+	service          func() (s routing.Service, ok bool)
+	findRoute        func(host, path string) (route *routing.CompiledRoute, version uint64)
 	// checker is nil if the backend server has no health path.
 	checker *backend.HealthChecker
 	// speedCheckDue is true while a health check is scheduled for held starts.
