--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -68,7 +68,8 @@
 
 // forecast is what a job can expect that is admitted now.
 type forecast struct {
-	// canStart is true when a slot is free and the limits on starts allow one; held is true when the job should wait anyway, for the end of a slow period.
+	// canStart is true when a slot is free and the limits on starts allow one; held is true
+	// when the job should wait anyway, for the end of a slow period.
 	canStart bool
 	held     bool
 	// wait is the expected time until the job starts, runTime that from its start to
@@ -247,9 +248,8 @@
 
 // refusesSoft reports whether a soft job is refused because another backend server
 // probably runs it sooner: this one is slowed, may get no further start now, or has no
-// usable slot free. A job whose sender is in this data centre may wait while
-// fewer jobs run or wait than there are slots, since the next backend server to try is
-// farther away.
+// usable slot free. A job whose sender is in this data centre may wait while fewer jobs run
+// or wait than there are slots, since the next backend server to try is farther away.
 func (g *Gate) refusesSoft(now int64, job *Job) bool {
 	maxJobs := g.usableSlots()
 	if job.SameDataCentre {
--- a/pkg/runner/reports.go
+++ b/pkg/runner/reports.go
@@ -53,12 +53,3 @@
 	}
 	r.ApplyRateLimit(backend.RateLimitReport{Values: reply.Reports.RateLimit, Incarnation: incarnation, SentAt: sentAt, ReceivedAt: r.Now()})
 }
-
-// rateLimitGauge returns the rate limit in requests per second; 0 stands for none.
-func (r *Runner) rateLimitGauge() float64 {
-	perSecond, limited := r.rateLimit.Limit()
-	if !limited {
-		return 0
-	}
-	return perSecond
-}
