A departure ends with its process, whatever was known of it

Cause: a departure learned from a response before the first heartbeat has no start time, and was kept, told to peers and stored without a bound, so that it covered all later processes of the ID. Peers repeated it, and each repetition was applied to the current process. Change: such a departure gets the latest start that its process can have. One without a start from a peer or row applies to what started before this daemon.

--- a/pkg/backend/incarnation_test.go
+++ b/pkg/backend/incarnation_test.go
@@ -53,10 +53,10 @@
 	expectAccepting(t, l, "a@200")
 	l.RecordHeartbeat(3*second, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 42, Version: "old"})
 	expectAccepting(t, l, "a@200")
-	must.False(t, l.RecordDeparture(4*second, Incarnation{ID: "a", StartedAtMS: 100}))
-	must.False(t, l.RecordDeparture(4*second, Incarnation{ID: "a", StartedAtMS: 50}))
+	must.False(t, l.RecordDeparture(4*second, Departure{Incarnation: Incarnation{ID: "a", StartedAtMS: 100}}))
+	must.False(t, l.RecordDeparture(4*second, Departure{Incarnation: Incarnation{ID: "a", StartedAtMS: 50}}))
 	expectAccepting(t, l, "a@200")
-	must.True(t, l.RecordDeparture(5*second, Incarnation{ID: "a", StartedAtMS: 200}))
+	must.True(t, l.RecordDeparture(5*second, Departure{Incarnation: Incarnation{ID: "a", StartedAtMS: 200}}))
 	expectAccepting(t, l, "")
 }
 
@@ -104,14 +104,14 @@
 	expectAccepting(t, l, "a@100")
 	l.RecordHeartbeat(3, Heartbeat{InstanceID: "a", Sequence: 7})
 	expectAccepting(t, l, "a@100")
-	must.True(t, l.RecordDeparture(4, Incarnation{ID: "a"}))
+	must.True(t, l.RecordDeparture(4, Departure{Incarnation: Incarnation{ID: "a"}}))
 	expectAccepting(t, l, "")
 	l.RecordHeartbeat(5, Heartbeat{InstanceID: "a", StartedAtMS: 200, Sequence: 1})
 	expectAccepting(t, l, "a@200")
 
 	// A departure of an unknown incarnation holds until one with a later start is seen.
 	l = NewLifecycle(true, nil)
-	l.RecordDeparture(1, Incarnation{ID: "a", StartedAtMS: 100})
+	l.RecordDeparture(1, Departure{Incarnation: Incarnation{ID: "a", StartedAtMS: 100}})
 	l.RecordInstanceID(2, "a")
 	expectAccepting(t, l, "")
 	l.RecordHeartbeat(3, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 50})
@@ -120,7 +120,7 @@
 	expectAccepting(t, l, "a@101")
 	// A departure from a daemon of the previous release has no start time: it holds for any.
 	l = NewLifecycle(true, nil)
-	l.RecordDeparture(1, Incarnation{ID: "a"})
+	l.RecordDeparture(1, Departure{Incarnation: Incarnation{ID: "a"}})
 	l.RecordHeartbeat(2, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 1})
 	expectAccepting(t, l, "")
 }
@@ -154,7 +154,7 @@
 				l.RecordHeartbeat(now, Heartbeat{InstanceID: incarnation.ID, StartedAtMS: incarnation.StartedAtMS, Sequence: 9, Leaving: true})
 				departed[incarnation] = true
 			case 2:
-				l.RecordDeparture(now, incarnation)
+				l.RecordDeparture(now, Departure{Incarnation: incarnation})
 				departed[incarnation] = true
 			case 3:
 				l.RecordInstanceID(now, incarnation.ID)
@@ -165,3 +165,15 @@
 		}
 	})
 }
+
+// TestReplacedInstanceIDWithoutStartTimeReturns: nothing was known of the process but its ID
+// when another one was seen at the address. The next health check lets the ID return.
+func TestReplacedInstanceIDWithoutStartTimeReturns(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	l.RecordInstanceID(1*second, "a")
+	l.RecordInstanceID(2*second, "b")
+	l.RecordHeartbeat(10*second, Heartbeat{InstanceID: "a", StartedAtMS: 300, Sequence: 1})
+	expectAccepting(t, l, "b")
+	l.RecordInstanceID(11*second, "a")
+	expectAccepting(t, l, "a@300")
+}
--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -6,9 +6,6 @@
 )
 
 const (
-	// endRetention is how long departed and replaced instance IDs are remembered. It is
-	// far longer than a process runs after it has departed or was replaced.
-	endRetention = 5 * time.Minute
 	// confirmationPeriod is how long a sign of life of the current incarnation outweighs
 	// heartbeats of others, which may arrive seconds late.
 	confirmationPeriod = 2 * time.Second
@@ -56,6 +53,8 @@
 	Version string
 	// ColdFor is how much longer the backend server stays cold.
 	ColdFor time.Duration
+	// ReceivedAtMS is the Unix time of the arrival in milliseconds; 0: unknown.
+	ReceivedAtMS int64
 }
 
 // Incarnation returns the incarnation that sent the heartbeat.
@@ -108,19 +107,6 @@
 	onChange func(current Incarnation, state State)
 }
 
-// endRecord marks the incarnations of one instance ID that have ended: those that
-// started no later than startedAtMS, or all of them if it is 0.
-type endRecord struct {
-	startedAtMS int64
-	recordedAt  int64
-}
-
-// covers is true if the incarnation may be one that has ended. Its ID is that of the
-// record.
-func (e endRecord) covers(i Incarnation) bool {
-	return e.startedAtMS == 0 || i.StartedAtMS == 0 || i.StartedAtMS <= e.startedAtMS
-}
-
 // NewLifecycle returns the lifecycle of a backend server that has not been seen yet.
 // departuresKnown is true if no departure can have been acknowledged before, as at the
 // first start of the whole system. onChange may be nil.
@@ -216,7 +202,7 @@
 		late := l.recordHistory(now, &h)
 		switch {
 		case h.Leaving:
-			departed = l.markDeparted(now, incarnation)
+			departed = l.markDeparted(now, Departure{Incarnation: incarnation, StartedByMS: h.ReceivedAtMS, Source: FromHeartbeat})
 		case !late && l.mayBecomeCurrent(now, incarnation):
 			l.markSeen(now, incarnation)
 			l.extendCold(coldEnd(now, h.ColdFor))
@@ -299,44 +285,6 @@
 	l.lastSeenAt, l.connectFailures = now, 0
 }
 
-// RecordDeparture records that an incarnation leaves, as announced by itself or reported
-// by a peer. first is true if this was not known before.
-func (l *Lifecycle) RecordDeparture(now int64, incarnation Incarnation) (first bool) {
-	l.update(func() { first = l.markDeparted(now, incarnation) })
-	return first
-}
-
-// markDeparted records that the incarnations with the given ID have departed, up to and
-// including the given one. Without a start time it stands for the current incarnation
-// if that has the ID. first is true if this was not known before.
-func (l *Lifecycle) markDeparted(now int64, incarnation Incarnation) (first bool) {
-	l.dropOldEndRecords(now)
-	if incarnation.StartedAtMS == 0 && incarnation.ID == l.current.ID {
-		incarnation = l.current
-	}
-	known, departed := l.departed[incarnation.ID]
-	if departed && (known.startedAtMS == 0 || incarnation.StartedAtMS != 0 && incarnation.StartedAtMS <= known.startedAtMS) {
-		return false
-	}
-	end := endRecord{startedAtMS: incarnation.StartedAtMS, recordedAt: now}
-	l.departed[incarnation.ID] = end
-	if l.current.ID == incarnation.ID && end.covers(l.current) {
-		l.state = Leaving
-	}
-	return true
-}
-
-// dropOldEndRecords removes end records that are older than endRetention.
-func (l *Lifecycle) dropOldEndRecords(now int64) {
-	for _, ends := range []map[string]endRecord{l.departed, l.replaced} {
-		for id, end := range ends {
-			if now-end.recordedAt > int64(endRetention) {
-				delete(ends, id)
-			}
-		}
-	}
-}
-
 // RecordReplacement records that another instance answers at the address. With an empty
 // ID the state becomes Unknown.
 func (l *Lifecycle) RecordReplacement(now int64, id string) {
--- a/pkg/backend/lifecycle_test.go
+++ b/pkg/backend/lifecycle_test.go
@@ -37,14 +37,14 @@
 	l.RecordHeartbeat(30*second, Heartbeat{InstanceID: "a", Sequence: 4})
 	l.RecordInstanceID(31*second, "a")
 	expectAccepting(t, l, "")
-	must.False(t, l.RecordDeparture(32*second, Incarnation{ID: "a"}))
+	must.False(t, l.RecordDeparture(32*second, Departure{Incarnation: Incarnation{ID: "a"}}))
 	l.RecordInstanceID(33*second, "b")
 	expectAccepting(t, l, "b")
 }
 
 func TestDepartureBeforeFirstSignOfLife(t *testing.T) {
 	l := NewLifecycle(true, nil)
-	must.True(t, l.RecordDeparture(1, Incarnation{ID: "a"}))
+	must.True(t, l.RecordDeparture(1, Departure{Incarnation: Incarnation{ID: "a"}}))
 	l.RecordHeartbeat(2, Heartbeat{InstanceID: "a", Sequence: 9})
 	l.RecordInstanceID(3, "a")
 	expectAccepting(t, l, "")
--- a/pkg/daemon/health.go
+++ b/pkg/daemon/health.go
@@ -120,7 +120,7 @@
 		return
 	}
 	if health.Reports.Leaving {
-		r.handleDepartureInAnswer(current)
+		r.handleDepartureInResponse(current, askedAt)
 	}
 	r.runner.ApplyRateLimit(backend.RateLimitReport{
 		Values: health.Reports.RateLimit, Incarnation: current, SentAt: askedAt, ReceivedAt: r.daemon.Now(), FromHealthCheck: true,
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -64,7 +64,7 @@
 	r.runner, err = runner.NewRunner(d.Common, runner.Deps{
 		Headers: adapter.Backend, Lifecycle: r.lifecycle, Load: r.load, Checker: r.checker, Service: r.service, FindRoute: r.route,
 		VMShare:  d.World.View.VMShareOf,
-		Recorder: r.recorder, OnDeparture: r.handleDepartureInAnswer,
+		Recorder: r.recorder, OnDeparture: r.handleDepartureInResponse,
 	})
 	if err != nil {
 		return nil, err
@@ -76,7 +76,11 @@
 // onStateChange logs the new state of the backend server and wakes the systems, which send
 // it to other daemons.
 func (r *routed) onStateChange(instance backend.Incarnation, state backend.State) {
-	r.daemon.Log.Event(events.BackendState, events.F("instance", instance), events.F("state", state), events.F("version", r.lifecycle.Version()))
+	fields := []events.Field{events.F("instance", instance), events.F("state", state), events.F("version", r.lifecycle.Version())}
+	if age, source, departed := r.lifecycle.CurrentDeparture(r.daemon.Now()); departed {
+		fields = append(fields, events.F("departure_from", source), events.F("departure_age", events.Milliseconds(age)))
+	}
+	r.daemon.Log.Event(events.BackendState, fields...)
 	r.daemon.World.Inbox.Post(true, func(*tables.Mail) {})
 }
 
@@ -161,26 +165,31 @@
 
 // HandleHeartbeat implements backend.AnnouncementHandler.
 func (r *routed) HandleHeartbeat(ctx context.Context, h backend.Heartbeat) {
+	h.ReceivedAtMS = time.Now().UnixMilli()
 	r.runner.UpdateSlots(h.Slots)
 	departed := r.lifecycle.RecordHeartbeat(r.daemon.Now(), h)
 	r.runner.UpdateColdState()
 	if departed {
-		r.saveDeparture(ctx, h.Incarnation())
+		r.saveDeparture(ctx, h.InstanceID)
 	}
 }
 
 // HandleDeparture implements backend.AnnouncementHandler.
 func (r *routed) HandleDeparture(ctx context.Context, incarnation backend.Incarnation) {
-	if r.lifecycle.RecordDeparture(r.daemon.Now(), incarnation) {
-		r.saveDeparture(ctx, incarnation)
+	departure := backend.Departure{Incarnation: incarnation, StartedByMS: time.Now().UnixMilli(), Source: backend.FromDeregistration}
+	if r.lifecycle.RecordDeparture(r.daemon.Now(), departure) {
+		r.saveDeparture(ctx, incarnation.ID)
 	}
 }
 
-// handleDepartureInAnswer records a departure that a backend server announced in a response.
-// No acknowledgement waits for the store.
-func (r *routed) handleDepartureInAnswer(incarnation backend.Incarnation) {
-	if r.lifecycle.RecordDeparture(r.daemon.Now(), incarnation) {
-		go r.saveDeparture(r.daemon.env.DaemonContext, incarnation)
+// handleDepartureInResponse records a departure that a backend server announced in the
+// response to a request sent at sentAt. No acknowledgement waits for the store.
+func (r *routed) handleDepartureInResponse(incarnation backend.Incarnation, sentAt int64) {
+	now := r.daemon.Now()
+	sentAtMS := time.Now().Add(time.Duration(sentAt - now)).UnixMilli()
+	departure := backend.Departure{Incarnation: incarnation, StartedByMS: sentAtMS, Source: backend.FromResponse}
+	if r.lifecycle.RecordDeparture(now, departure) {
+		go r.saveDeparture(r.daemon.env.DaemonContext, incarnation.ID)
 	}
 }
 
@@ -189,12 +198,12 @@
 	r.daemon.logInvalidInput("announcement of "+instanceID, err)
 }
 
-// saveDeparture stores a departure before it is acknowledged, so that this daemon knows it
-// after a restart.
-func (r *routed) saveDeparture(ctx context.Context, incarnation backend.Incarnation) {
+// saveDeparture stores the recorded departure of an instance before it is acknowledged, so
+// that this daemon knows it after a restart.
+func (r *routed) saveDeparture(ctx context.Context, instanceID string) {
 	ctx, cancel := context.WithTimeout(ctx, ackTimeout)
 	defer cancel()
-	r.daemon.env.SaveDeparture(ctx, incarnation)
+	r.daemon.env.SaveDeparture(ctx, r.lifecycle.RecordedDeparture(instanceID))
 }
 
 // drain makes the daemon not ready and accepts requests for Routing.Linger longer, so that
--- a/pkg/runner/log_test.go
+++ b/pkg/runner/log_test.go
@@ -49,7 +49,7 @@
 	other.Service = "other"
 	_, _ = execute(r, other)
 	expect("event=508", "request=other", "outcome=backend_replaced")
-	lifecycle.RecordDeparture(2, backend.Incarnation{ID: "i-1"})
+	lifecycle.RecordDeparture(2, backend.Departure{Incarnation: backend.Incarnation{ID: "i-1"}})
 	_, _ = execute(r, routedCall("late"))
 	expect("event=508", "request=late", "outcome=backend_absent")
 	r.UpdateLoad("1,0,2,400")
--- a/pkg/runner/offer_test.go
+++ b/pkg/runner/offer_test.go
@@ -56,7 +56,7 @@
 		}, errkind.CallerGone},
 		{"the executor stops", func(r *Runner, _ *backend.Lifecycle, _ call.Offered) { r.StopAccepting() }, errkind.Leaving},
 		{"the backend server leaves", func(r *Runner, lifecycle *backend.Lifecycle, _ call.Offered) {
-			lifecycle.RecordDeparture(2, backend.Incarnation{ID: "i-1"})
+			lifecycle.RecordDeparture(2, backend.Departure{Incarnation: backend.Incarnation{ID: "i-1"}})
 			r.Tick()
 		}, errkind.BackendAbsent},
 		{"the data centre is evacuated", func(r *Runner, _ *backend.Lifecycle, _ call.Offered) {
@@ -109,7 +109,7 @@
 	soft.Routed.Soft = true
 	refused(soft, 0, errkind.GateBusier)
 	held.Withdraw(errkind.New(errkind.CallerGone, ""))
-	lifecycle.RecordDeparture(2, backend.Incarnation{ID: "i-1"})
+	lifecycle.RecordDeparture(2, backend.Departure{Incarnation: backend.Incarnation{ID: "i-1"}})
 	refused(routedCall("b"), 0, errkind.BackendAbsent)
 	r.StopAccepting()
 	refused(routedCall("c"), 0, errkind.Leaving)
--- a/pkg/runner/rate_limit_test.go
+++ b/pkg/runner/rate_limit_test.go
@@ -112,7 +112,7 @@
 		w.Header().Set("Rushramp-Leaving", leaving.Load().(string))
 	}), 8)
 	var departed []backend.Incarnation
-	r.onDeparture = func(incarnation backend.Incarnation) { departed = append(departed, incarnation) }
+	r.onDeparture = func(incarnation backend.Incarnation, _ int64) { departed = append(departed, incarnation) }
 	for _, value := range []string{"", "0", "yes", "1"} {
 		leaving.Store(value)
 		test.SliceEmpty(t, departed)
--- a/pkg/runner/reports.go
+++ b/pkg/runner/reports.go
@@ -49,7 +49,7 @@
 		return
 	}
 	if reply.Reports.Leaving {
-		r.onDeparture(incarnation)
+		r.onDeparture(incarnation, sentAt)
 	}
 	r.ApplyRateLimit(backend.RateLimitReport{Values: reply.Reports.RateLimit, Incarnation: incarnation, SentAt: sentAt, ReceivedAt: r.Now()})
 }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -42,7 +42,7 @@
 	transport *backend.Transport
 	lifecycle *backend.Lifecycle
 	// onDeparture is Deps.OnDeparture or does nothing.
-	onDeparture func(backend.Incarnation)
+	onDeparture func(incarnation backend.Incarnation, sentAt int64)
 	load        *backend.Load
 	// rateLimitMu makes the gate see the changes of rateLimit in their order.
 	// rateLimitReported is true once the gate knows what the backend server says.
@@ -98,7 +98,7 @@
 	Checker *backend.HealthChecker
 	// OnDeparture is called for each answer in which an incarnation says that it leaves; it
 	// may be nil.
-	OnDeparture func(incarnation backend.Incarnation)
+	OnDeparture func(incarnation backend.Incarnation, sentAt int64)
 	// Service returns the backend server's service in the placement in force; ok is false
 	// if there is no placement.
 	Service func() (s routing.Service, ok bool)
@@ -147,7 +147,7 @@
 		}),
 	}
 	if r.onDeparture == nil {
-		r.onDeparture = func(backend.Incarnation) {}
+		r.onDeparture = func(backend.Incarnation, int64) {}
 	}
 	r.counters = newCounters(r)
 	r.crashDetector = crash.NewDetector(c, crash.Deps{Running: r.activeRuns.count, Instance: r.incarnation, OnCrash: r.processEnded})
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -121,7 +121,7 @@
 	other := routedCall("a")
 	other.Service = "other"
 	refused(other, errkind.BackendReplaced)
-	lifecycle.RecordDeparture(2, backend.Incarnation{ID: "i-1"})
+	lifecycle.RecordDeparture(2, backend.Departure{Incarnation: backend.Incarnation{ID: "i-1"}})
 	refused(routedCall("b"), errkind.BackendAbsent)
 	r.StopAccepting()
 	refused(routedCall("c"), errkind.Leaving)
@@ -135,7 +135,7 @@
 	first, _ := execute(r, routedCall("a"))
 	test.Eq(t, "a", <-h.arrived)
 	second, _ := execute(r, routedCall("b"))
-	lifecycle.RecordDeparture(2, backend.Incarnation{ID: "i-1"})
+	lifecycle.RecordDeparture(2, backend.Departure{Incarnation: backend.Incarnation{ID: "i-1"}})
 	h.proceed <- struct{}{}
 	must.NotNil(t, (<-first).Answer)
 	got := <-second
--- a/pkg/runner/speed_check_test.go
+++ b/pkg/runner/speed_check_test.go
@@ -116,7 +116,7 @@
 // that it can run elsewhere in time.
 func TestHeldStartIsRefusedWhenBackendServerLeaves(t *testing.T) {
 	r, lifecycle, h, results := newHoldingRunner(t)
-	lifecycle.RecordDeparture(2, backend.Incarnation{ID: "i-1"})
+	lifecycle.RecordDeparture(2, backend.Departure{Incarnation: backend.Incarnation{ID: "i-1"}})
 	r.Tick()
 	got := <-results
 	must.NotNil(t, got.Refusal)
--- a/pkg/systems/departures.go
+++ b/pkg/systems/departures.go
@@ -40,6 +40,9 @@
 	// acknowledged are the departures that this daemon has acknowledged, with the time in
 	// nanoseconds.
 	acknowledged map[string]int64
+	// startedAtMS is the Unix time of the daemon's start in milliseconds. A departure that an
+	// earlier process of the daemon heard is of a backend server process that started before.
+	startedAtMS int64
 	// sentAtAddedCount is the value of Peers.AddedCount when all departures were last
 	// sent over the new links.
 	sentAtAddedCount uint64
@@ -52,6 +55,7 @@
 	}
 	if d.acknowledged == nil {
 		d.acknowledged = map[string]int64{}
+		d.startedAtMS = time.Now().Add(-time.Duration(now)).UnixMilli()
 	}
 	var own, received []string
 	for _, id := range mail.LocalDepartures {
@@ -62,7 +66,11 @@
 		d.storeAgain(now)
 	}
 	for _, p := range mail.PeerDepartures {
-		received = d.merge(now, received, p.Frame)
+		source := backend.FromPeer
+		if p.Peer == nil {
+			source = backend.FromStore
+		}
+		received = d.merge(now, received, p.Frame, source)
 	}
 	d.broadcastNew(own, received)
 	d.sendToNewLinks()
@@ -88,9 +96,16 @@
 
 // merge records the departures that a peer or the store reported, and appends the new
 // ones to added.
-func (d *departures) merge(now int64, added []string, frame *wire.Departures) []string {
+func (d *departures) merge(now int64, added []string, frame *wire.Departures, source backend.DepartureSource) []string {
+	// A record with a start time takes precedence over one without, wherever that stands.
+	for _, startKnown := range []bool{true, false} {
+		for _, id := range frame.IDs {
+			if incarnation := backend.ParseIncarnation(id); (incarnation.StartedAtMS != 0) == startKnown {
+				d.Backend.RecordDeparture(now, backend.Departure{Incarnation: incarnation, StartedByMS: d.startedAtMS, Source: source})
+			}
+		}
+	}
 	for _, id := range frame.IDs {
-		d.Backend.RecordDeparture(now, backend.ParseIncarnation(id))
 		added = d.add(now, added, id)
 	}
 	if frame.Informed {
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -153,3 +153,51 @@
 	}
 	return out
 }
+
+// TestDepartureWithoutStartTimeEndsWithItsProcess: a daemon of the previous release has stored
+// a departure without a start time, and peers repeat it.
+func TestDepartureWithoutStartTimeEndsWithItsProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		time.Sleep(time.Minute)
+		old, platform, _ := newDeparturesEnv(t, true)
+		old.SaveDeparture(t.Context(), backend.Incarnation{ID: "i-1"})
+
+		env, _, tick := newDeparturesEnv(t, false)
+		env.Platform = platform
+		startedAtMS := time.Now().UnixMilli()
+		accepting := func(at int64, startedAtMS int64) bool {
+			env.Backend.RecordHeartbeat(at, backend.Heartbeat{InstanceID: "i-1", StartedAtMS: startedAtMS, Sequence: 1})
+			_, ok := env.Backend.Accepting()
+			return ok
+		}
+		tick()
+		synctest.Wait()
+		tick()
+		must.True(t, env.Backend.DeparturesKnown())
+		test.False(t, accepting(1, startedAtMS-1000))
+		test.True(t, accepting(2, startedAtMS+1000))
+		env.World.Inbox.Post(true, func(m *tables.Mail) {
+			m.PeerDepartures = append(m.PeerDepartures, tables.PeerDepartures{Peer: &link.Peer{Conn: link.NewClosedConn()}, Frame: &wire.Departures{IDs: []string{"i-1"}}})
+		})
+		tick()
+		_, ok := env.Backend.Accepting()
+		test.True(t, ok, test.Sprint("a peer repeats the departure"))
+	})
+}
+
+// TestDepartureWithAStartTimeTakesPrecedence over one without, in whatever order both are read.
+func TestDepartureWithAStartTimeTakesPrecedence(t *testing.T) {
+	for _, ids := range [][]string{{"i-1", "i-1@100"}, {"i-1@100", "i-1"}} {
+		env, _, tick := newDeparturesEnv(t, false)
+		env.World.Inbox.Post(true, func(m *tables.Mail) {
+			m.PeerDepartures = append(m.PeerDepartures, tables.PeerDepartures{Frame: &wire.Departures{IDs: ids, Informed: true}})
+		})
+		tick()
+		env.Backend.RecordHeartbeat(1, backend.Heartbeat{InstanceID: "i-1", StartedAtMS: 100, Sequence: 9})
+		_, ok := env.Backend.Accepting()
+		test.False(t, ok)
+		env.Backend.RecordHeartbeat(2, backend.Heartbeat{InstanceID: "i-1", StartedAtMS: 200, Sequence: 1})
+		_, ok = env.Backend.Accepting()
+		test.True(t, ok)
+	}
+}
--- a/pkg/systems/membership_test.go
+++ b/pkg/systems/membership_test.go
@@ -50,7 +50,7 @@
 	now := run()
 	test.Eq(t, wire.BackendLive, now.Backend)
 	test.Greater(t, own.Revision, now.Revision)
-	env.Backend.RecordDeparture(2, backend.Incarnation{ID: "i-1"})
+	env.Backend.RecordDeparture(2, backend.Departure{Incarnation: backend.Incarnation{ID: "i-1"}})
 	test.Eq(t, wire.BackendAbsent, run().Backend)
 }
 
