gate: a longer timeout never makes a request wait longer

What callers saw: while a backend server was busy, a caller with a timeout of 5 s got nothing for two minutes (180 requests refused after 973 ms each), and the others, with 3 s, were all served within 30 ms. Cause: the queue ordered the requests of a rank by the caller's deadline and withdrew them at their target, so that all that came in between overtook the one with the longest timeout. Change: they are ordered by target, or deadline if that is earlier.

--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -108,6 +108,7 @@
 // recordStart records that a job starts now.
 func (g *Gate) recordStart(now int64, job *Job) {
 	g.running++
+	g.queue.countOvertaken(job)
 	g.fairness.recordStart(job)
 	g.coldStarts.record(now)
 	g.startRate.record(now)
--- a/pkg/gate/queue.go
+++ b/pkg/gate/queue.go
@@ -24,7 +24,7 @@
 	// Mixed-Media File System", section 3.2.
 	Slack Order = "slack"
 	// Ranked starts jobs by rank; those of one rank by Nested, the fair share of their
-	// team and their deadline, in this order.
+	// team and the time by which they should end, in this order.
 	Ranked Order = "ranked"
 )
 
@@ -61,6 +61,9 @@
 	// expected to end later is refused while its sender can still try another backend
 	// server. 0: no limit.
 	EndBy int64
+	// Due is the time by which the sender wants the run to end, in nanoseconds. Under Ranked it
+	// orders jobs that are equal otherwise. 0: EndBy, or Deadline.
+	Due int64
 	// RateLimit is the rate limit of the backend server in requests per second that the
 	// sender knows, 0 if it knows none. The gate uses it until the backend server has
 	// responded.
@@ -78,8 +81,10 @@
 	startTag float64
 	// startBy is the latest time at which it is worth starting a waiting job.
 	startBy int64
-	seq     uint64
-	index   int
+	// overtaken is how many jobs that arrived later have started while the job waited.
+	overtaken int
+	seq       uint64
+	index     int
 	// transfer is the expected time until the body of a job that holds a place has
 	// arrived, at least 1; 0 for other jobs.
 	transfer time.Duration
@@ -172,8 +177,8 @@
 			if a.startTag != b.startTag {
 				return a.startTag < b.startTag
 			}
-			if a.Deadline != b.Deadline {
-				return a.Deadline < b.Deadline
+			if aDue, bDue := a.due(), b.due(); aDue != bDue {
+				return aDue < bDue
 			}
 			return arrivedEarlier(a, b)
 		}
@@ -188,6 +193,19 @@
 	return arrivedEarlier
 }
 
+// due returns the time that orders a job under Ranked. It must not be later than the job's
+// last moment in the queue: a job ordered by its deadline but withdrawn at its target is
+// overtaken by all that arrive until then.
+func (j *Job) due() int64 {
+	switch {
+	case j.Due != 0:
+		return min(j.Due, j.Deadline)
+	case j.EndBy != 0:
+		return min(j.EndBy, j.Deadline)
+	}
+	return j.Deadline
+}
+
 func arrivedEarlier(a, b *Job) bool { return a.seq < b.seq }
 
 // classRank returns the position of a class under Priority, 0 first.
@@ -251,6 +269,18 @@
 	return nil
 }
 
+// countOvertaken counts for each waiting job that arrived before the given one that the
+// latter has overtaken it.
+func (q *queue) countOvertaken(by *Job) {
+	for _, h := range []*jobHeap{&q.main, &q.background} {
+		for _, job := range h.jobs {
+			if job.seq < by.seq {
+				job.overtaken++
+			}
+		}
+	}
+}
+
 // popShorter removes and returns the first job with less work than the given, or nil if
 // there is none.
 func (q *queue) popShorter(work time.Duration) *Job {
--- a/pkg/gate/status.go
+++ b/pkg/gate/status.go
@@ -101,5 +101,9 @@
 // included; 0: it has not started.
 func (j *Job) ConcurrencyAtStart() int { return j.concurrency }
 
+// Overtaken returns how many jobs that arrived later started while the job waited. It is
+// settled once the job has started or was withdrawn.
+func (j *Job) Overtaken() int { return j.overtaken }
+
 // WaitTime returns how long a started job waited.
 func (j *Job) WaitTime() time.Duration { return time.Duration(j.started - j.arrived) }
--- a/pkg/runner/log.go
+++ b/pkg/runner/log.go
@@ -29,6 +29,9 @@
 	}
 	if refusal := result.Refusal; refusal != nil {
 		fields = append(fields, events.F("outcome", refusal.Kind), events.F("ran", refusal.Ran), events.F("detail", refusal.Detail))
+		if run.withdrawn {
+			fields = append(fields, events.F("overtaken", run.job.Overtaken()))
+		}
 		if result.Offered {
 			fields = append(fields, events.F("content", c.Fingerprint(run.body)))
 		}
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -30,6 +30,8 @@
 	done        func(call.Result)
 	expiryTimer atomic.Pointer[time.Timer]
 	ended       atomic.Bool
+	// withdrawn is true once the request was withdrawn from the gate's queue.
+	withdrawn bool
 
 	mu sync.Mutex
 	// cancelled is true once the caller has cancelled the request. recallReason is set
@@ -215,6 +217,7 @@
 	if !run.runner.gate.Withdraw(&run.job) {
 		return false
 	}
+	run.withdrawn = true
 	run.refuse(errkind.New(kind, "%s", reason))
 	return true
 }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -283,7 +283,7 @@
 	nested := run.origin == wire.OriginService
 	run.job = gate.Job{
 		Rank: c.Routed.Rank(), Team: c.Routed.Team, Nested: nested, Deadline: run.deadline, Work: r.workTimes.LookupOrEstimate(c.Kind, c.Routed.TargetRemaining),
-		Soft: c.Routed.Soft, SameDataCentre: c.Routed.Near, EndBy: r.latestEnd(run.arrived, run, nested), Start: run.start, RefuseOverMaxCost: run.refuseOverMaxCost, RateLimit: c.Routed.RateLimit(), RefuseDrained: run.refuseDrained,
+		Soft: c.Routed.Soft, SameDataCentre: c.Routed.Near, EndBy: r.latestEnd(run.arrived, run, nested), Due: run.arrived + int64(c.Routed.TargetRemaining), Start: run.start, RefuseOverMaxCost: run.refuseOverMaxCost, RateLimit: c.Routed.RateLimit(), RefuseDrained: run.refuseDrained,
 	}
 }
 
