TestEndedLinksDoNotCount waits for the end of its own link

Cause: it waits until the server has at most one link, and the server may not have registered the other link yet, so that it did not wait at all. Change: it first waits until both links are registered; the check is the same.

--- a/pkg/link/link_load_test.go
+++ b/pkg/link/link_load_test.go
@@ -183,6 +183,9 @@
 	entry.refusal()
 	now := server.Now()
 	must.Positive(t, server.delays.Current(now, 1))
+	for len(server.Peers()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
 	must.NoError(t, entry.ws.Close())
 	for len(server.Peers()) > 1 {
 		time.Sleep(time.Millisecond)
