retries: hundreds of daemons share the slack of a service by groups

What callers of a failing service saw: with one request a window at each of 984 daemons it got 984 retries in a window, allowed are 254.8: more load on what fails. Cause: each daemon had its even part of the slack as capacity of its bucket, rounded up to one, and began full, at each start again; a daemon that did not know the number of daemons took itself for the only one. Change: pkg/retries, one budget for routed requests and rushramp's own interface. Where a part would be less than one, one daemon of each group of some 64 grants the group's, counted in any window; what a daemon earns gives a retry by chance while it is below one. No slack for one window after a restart or after taking a group over, nor while the number of daemons is not known. Tests: those of pkg/forward and pkg/entry that want the slack at once say that theirs is a first start of one daemon; TestAFleetWhoseLinksAreAllSlowSendsFewCallsTwice gets a slack of one retry, since none is no longer rounded up to one; its bounds are the same. retries.budget_floor is over all daemons now, 50 by default.

--- a/pkg/common/common.go
+++ b/pkg/common/common.go
@@ -3,6 +3,7 @@
 package common
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,7 @@
 	"github.com/rushramp/rushramp/pkg/proximity"
 	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/quota"
+	"github.com/rushramp/rushramp/pkg/retries"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/traffic"
 )
@@ -33,6 +35,8 @@
 	Quarantine *quarantine.Table
 	// Quota enforces the limits of teams; nil on a daemon that takes no routed requests.
 	Quota *quota.Node
+	// Retries gives retries from the slack that groups of daemons share.
+	Retries *retries.Pool
 	// Clock is the clock that Now reads.
 	Clock *clock.Clock
 }
@@ -46,6 +50,7 @@
 		Traffic: traffic.NewCounters(set),
 		Bodies:  bodies.NewBudget(s.Limits.BodiesBytes, set),
 		Clock:   clock.New(),
+		Retries: retries.NewPool(s.Routing.RetryWindow, !s.Platform.FirstStart, rand.Float64),
 
 		Quarantine: quarantine.NewTable(),
 	}
--- a/pkg/daemon/bounds.go
+++ b/pkg/daemon/bounds.go
@@ -14,6 +14,8 @@
 	// RetrySlack more, in the platform's window.
 	RetryRatio float64
 	RetrySlack float64
+	// RetryWindow is that window.
+	RetryWindow time.Duration
 	// ChecksPerSecond is the maximum rate of health checks of one backend server.
 	ChecksPerSecond float64
 	// A cold backend server may get ColdFactor times its service's cold rate and ColdSlack
@@ -62,7 +64,7 @@
 	// entry can recognise them.
 	retryRatioShare = 0.8
 	// retrySlackShare is the share of Bounds.RetrySlack that daemons use. The rest is for
-	// restarted daemons, which start with their full part of it again.
+	// daemons whose tables of members differ, and for the random deviation of small parts.
 	retrySlackShare = 0.8
 	// checkRateShare is the share of Bounds.ChecksPerSecond that starting requests may use.
 	// The periodic health checks use about seven per second.
@@ -81,6 +83,9 @@
 	if b.RetrySlack > 0 {
 		r.RetrySlack = int(retrySlackShare * b.RetrySlack)
 	}
+	if b.RetryWindow > 0 {
+		r.RetryWindow = b.RetryWindow
+	}
 	if b.ChecksPerSecond > 0 {
 		r.LooksPerSecond = int(checkRateShare * b.ChecksPerSecond)
 	}
--- a/pkg/entry/attempts.go
+++ b/pkg/entry/attempts.go
@@ -124,7 +124,7 @@
 	}
 	a.remaining--
 	a.excluded = a.excluded.With(index)
-	if a.remaining == 0 || !a.budget.takeRetry() {
+	if a.remaining == 0 || !a.budget.takeRetry(a.ctx) {
 		return false
 	}
 	a.entry.stats.retries.Inc()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -59,7 +59,7 @@
 		policy:  policy,
 		random:  choose.RuntimeRandom{},
 		sealer:  sealer,
-		budgets: newRetryBudgets(c.Settings.Retries),
+		budgets: newRetryBudgets(c, w.View.RetryDaemons),
 		stats:   newStats(c.Metrics, c.Settings.Retries.HedgeQuantile),
 	}
 }
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -86,6 +86,9 @@
 	w.View.SetPlacement(compiled)
 	w.View.SetService("s", tables.NewServiceView(compiled.Service("s"), []*tables.KindView{view}))
 	w.View.SetReady()
+	// One daemon has the whole slack of retries from its first start on.
+	w.View.SetRetryDaemons(1)
+	s.Platform.FirstStart = true
 	return NewEntry(common.NewCommon(events.Discard(), &s), w, firstUntried{}, sealer)
 }
 
--- a/pkg/forward/acks_test.go
+++ b/pkg/forward/acks_test.go
@@ -108,7 +108,7 @@
 // spent returns how many retries were taken from the budget of service s, which was full.
 func spent(f *Forwarder) float64 {
 	budget := f.budgets.forService("s")
-	return budget.capacity() - budget.balance()
+	return float64(f.Settings.Routing.RetrySlack) - budget.balance()
 }
 
 // TestAnUnacknowledgedCallIsAnsweredElsewhere also checks that the call takes one retry from the
@@ -222,7 +222,7 @@
 		{"no backend server makes the request", "/read/", func(f *Forwarder, _ *ackRunner) { f.calledRoutes.record("read", wire.OriginCallers) }, 0},
 		{"the budget is empty", "/read/", func(f *Forwarder, _ *ackRunner) {
 			f.budgets.forService("s").addRequest()
-			for f.budgets.take("s") {
+			for f.budgets.take(t.Context(), "s") == "" {
 			}
 		}, 1},
 		{"no other candidate is left", "/read/", func(f *Forwarder, _ *ackRunner) {
@@ -273,7 +273,7 @@
 
 // extraAttemptsOfSlowFleet returns how many attempts beyond the first of each call the given
 // number of entries make while all their links are slow. retryRatio is that of the budget,
-// which has no slack.
+// whose slack is one retry.
 func extraAttemptsOfSlowFleet(t *testing.T, entries int, retryRatio float64) (extra int) {
 	for range entries {
 		runners := make([]*ackRunner, 6)
@@ -283,7 +283,7 @@
 			all[i] = runners[i]
 		}
 		f := newAckForwarder(all...)
-		f.Settings.Routing.RetryRatio, f.Settings.Routing.RetrySlack = retryRatio, 0
+		f.Settings.Routing.RetryRatio, f.Settings.Routing.RetrySlack = retryRatio, 1
 		var running sync.WaitGroup
 		for range slowFleetCalls {
 			running.Go(func() { test.NotNil(t, f.Forward(t.Context(), newRequest("/read/")).Answer) })
@@ -434,7 +434,7 @@
 		a.records = []attemptRecord{{}}
 		a.softLeft = 0
 		result := a.leave(&a.candidates[0], func() {})
-		for f.budgets.take("s") {
+		for f.budgets.take(t.Context(), "s") == "" {
 		}
 		must.True(t, a.isLast(0, &result))
 		a.ends <- &attemptEnd{1, call.Refused(errkind.Overloaded, "")}
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -50,7 +50,7 @@
 // attempt at from is abandoned. If it could not, the entry keeps waiting: the backend server
 // may be running the request, and its answer may still come.
 func (a *attempts) canGoElsewhere(from *tables.Candidate) bool {
-	if a.offered+1 >= a.route.Attempts || a.timeLeft() < minRetryTime || a.forwarder.budgets.forService(a.service).balance() < 1 {
+	if a.offered+1 >= a.route.Attempts || a.timeLeft() < minRetryTime || !a.forwarder.budgets.mayTake(a.service) {
 		return false
 	}
 	traffic := a.forwarder.view.RolloutTraffic(a.service)
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -77,6 +77,8 @@
 	crossings crossingTotals
 	// stopReason says why no further attempt was made, for the log.
 	stopReason string
+	// budgetOf names the part of the retry budget that was empty, for the log.
+	budgetOf string
 	// returnCause says how the caller's return time was determined, for the log.
 	returnCause string
 	// fallback is the result of an earlier attempt that failed and may have run. The
@@ -326,7 +328,7 @@
 	if hasFailedCalls(result) {
 		return stoppedByFailedCalls
 	}
-	if !a.forwarder.budgets.take(a.service) {
+	if a.budgetOf = a.forwarder.budgets.take(a.ctx, a.service); a.budgetOf != "" {
 		return stoppedByBudget
 	}
 	return ""
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -102,7 +102,7 @@
 		Common:       c,
 		view:         view,
 		random:       choose.RuntimeRandom{},
-		budgets:      newRetryBudgets(c, view.MemberCount),
+		budgets:      newRetryBudgets(c, view.RetryDaemons),
 		work:         worktime.NewTimes(),
 		calledRoutes: newCalledRoutes(),
 		sizes:        newRequestSizes(),
--- a/pkg/forward/forward_test.go
+++ b/pkg/forward/forward_test.go
@@ -76,7 +76,10 @@
 	s := settings.Default()
 	s.VM = settings.VM{ID: "vm", DataCentre: "here"}
 	s.BackendServer.Service = "front"
+	// One daemon has the whole slack of retries from its first start on.
+	s.Platform.FirstStart = true
 	view := &tables.View{}
+	view.SetRetryDaemons(1)
 	doc := &placement.Document{Version: 3, Routes: []routing.Route{
 		{Name: "read", Host: "h", Prefix: "/read/", Repeatable: true, Attempts: 2, Parts: []routing.Part{{Service: "s", Weight: 1}}, Timeout: time.Second, Target: 400 * time.Millisecond},
 		{Name: "post", Host: "h", Prefix: "/post/", Attempts: 2, Parts: []routing.Part{{Service: "s", Weight: 1}}, Timeout: time.Second, Target: 400 * time.Millisecond},
--- a/pkg/forward/liveness_test.go
+++ b/pkg/forward/liveness_test.go
@@ -93,7 +93,7 @@
 	for name, prepare := range map[string]func(f *Forwarder){
 		"no retry left": func(f *Forwarder) {
 			f.budgets.forService("s").addRequest()
-			for f.budgets.take("s") {
+			for f.budgets.take(t.Context(), "s") == "" {
 			}
 		},
 		"no other backend server": func(f *Forwarder) {
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -183,7 +183,7 @@
 		fields = append(fields,
 			events.F("route", a.route.Name), events.F("service", a.service), events.F("version", a.version),
 			events.F("priority", a.route.Priority), events.F("target", events.Milliseconds(a.target)), events.F("timeout", events.Milliseconds(time.Duration(a.deadline-a.startedAt))),
-			events.F("tries", a.tries), events.F("offered", a.offered), events.F("stopped", a.stopReason), events.F("attempts", a.recordsText()))
+			events.F("tries", a.tries), events.F("offered", a.offered), events.F("stopped", a.stopReason), events.F("budget_of", a.budgetOf), events.F("attempts", a.recordsText()))
 		fields = append(fields, a.crossings.fields()...)
 	}
 	fields = append(fields, endFields(result)...)
--- a/pkg/forward/retry_budget.go
+++ b/pkg/forward/retry_budget.go
@@ -1,85 +1,41 @@
 package forward
 
 import (
+	"context"
 	"sync"
 
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/retries"
 	"github.com/rushramp/rushramp/pkg/utils"
 )
 
-// retryBudget limits the retries of one service at this entry. In each window, all
-// daemons together may retry a share of the service's requests and, in addition, a fixed
-// number, the slack. Daemons need not coordinate, because each has its own part of both:
-// every request adds ratio to the daemon's balance, which is at most its part of the slack.
+// retryBudget is the retry budget of one service at this entry.
 type retryBudget struct {
-	// ratio is the number of retries that one request adds.
-	ratio float64
-	slack float64
-	// daemons returns the number of daemons that share the slack.
-	daemons func() int
+	*retries.Budget
+	now func() int64
 
 	mu sync.Mutex
-	// tokens is the balance in retries. It is negative while addCall has charged more
-	// than was added.
-	tokens float64
-	// filled is true once the balance was set to the capacity, by the first request.
-	filled bool
 	// empty is true when the last attempt to take a retry failed.
 	empty bool
 }
 
-// capacity returns the largest balance, in retries.
-func (b *retryBudget) capacity() float64 {
-	return max(b.slack/float64(max(b.daemons(), 1)), 1)
-}
-
-// addRequest adds ratio to the balance for one request of the service.
-func (b *retryBudget) addRequest() { b.add(1) }
-
-// add adds ratio to the balance for each of a number of requests, which may be a fraction.
-func (b *retryBudget) add(requests float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.filled {
-		b.filled, b.tokens = true, b.capacity()
-	}
-	b.tokens = min(b.tokens+requests*b.ratio, b.capacity())
-}
-
-// take takes one retry from the balance. It returns false when the balance is below one.
-func (b *retryBudget) take() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
+// addRequest earns the share of a retry for one request of the service.
+func (b *retryBudget) addRequest() { b.Add(b.now(), 1) }
 
-// maxDebt limits how far charges may lower a balance below zero, in retries. It is a
-// quarter of the calls that one backend server makes to another service in the ten
-// seconds of the budget's window, at eight calls a second. A larger debt would
-// prevent retries for longer than the window.
-const maxDebt = 20
+// take takes one retry from the balance of this daemon.
+func (b *retryBudget) take() bool { return b.Take(b.now()) }
 
 // addCall adds a call that a backend server makes in the middle of a run. repeatShare
 // is the share of that server's runs that repeat a run elsewhere: by that share the call
 // is charged as a retry, and by the rest it counts as a request.
 func (b *retryBudget) addCall(repeatShare float64) {
-	b.add(1 - repeatShare)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens = max(b.tokens-repeatShare, -maxDebt)
+	b.Add(b.now(), 1-repeatShare)
+	b.Charge(repeatShare)
 }
 
 // balance returns the number of retries that are left; it may be negative.
-func (b *retryBudget) balance() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.tokens
-}
+func (b *retryBudget) balance() float64 { return b.Balance() }
 
 // setEmpty notes whether the budget was empty for the last retry. It returns true for
 // the first retry that found it empty since one was allowed.
@@ -111,20 +67,42 @@
 	found := b.byService[service]
 	if found == nil {
 		s := b.Settings.Routing
-		found = &retryBudget{ratio: s.RetryRatio, slack: float64(s.RetrySlack), daemons: b.daemons}
+		found = &retryBudget{now: b.Now, Budget: b.Retries.NewBudget(s.RetryRatio, float64(s.RetrySlack), b.daemons)}
 		b.byService[service] = found
 		b.Metrics.GetOrCreateGauge(`rushramp_retry_budget{service="`+utils.Label(service)+`"}`, found.balance)
 	}
 	return found
 }
 
-// take takes one retry from the budget of a service. It returns false when the budget is
-// empty, and logs an event when it becomes empty.
-func (b *retryBudgets) take(service string) bool {
+// The parts of the budget that a refused retry was asked from: the values of the log field
+// "budget_of".
+const (
+	budgetOfDaemon = "daemon"
+	budgetOfGroup  = "group"
+)
+
+// take takes one retry from the budget of a service: from this daemon's balance or, where a
+// group of daemons shares the slack, from that of its group. If there is none it returns the
+// part that was asked last, and logs an event when the budget becomes empty.
+func (b *retryBudgets) take(ctx context.Context, service string) (refusedBy string) {
 	found := b.forService(service)
-	taken := found.take()
-	if found.setEmpty(!taken) {
-		b.Log.Event(events.RetryBudgetEmpty, events.F("service", service), events.F("daemons", b.daemons()))
+	if !found.take() {
+		refusedBy = budgetOfDaemon
+		if found.SharesSlack() {
+			refusedBy = budgetOfGroup
+			if b.Retries.Take(ctx, b.Now(), retries.Routed, service) {
+				refusedBy = ""
+			}
+		}
+	}
+	if found.setEmpty(refusedBy != "") {
+		b.Log.Event(events.RetryBudgetEmpty, events.F("service", service), events.F("daemons", b.daemons()), events.F("budget_of", refusedBy))
 	}
-	return taken
+	return refusedBy
+}
+
+// mayTake reports whether the budget of a service probably has a retry.
+func (b *retryBudgets) mayTake(service string) bool {
+	found, now := b.forService(service), b.Now()
+	return found.CanTake(now) || found.SharesSlack() && b.Retries.CanTake(now, retries.Routed, service)
 }
--- a/pkg/forward/retry_budget_test.go
+++ b/pkg/forward/retry_budget_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/retries"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -49,6 +50,8 @@
 func testCommon(routing settings.Routing) *common.Common {
 	s := settings.Default()
 	s.Routing = routing
+	// A restarted daemon has no slack in its first window.
+	s.Platform.FirstStart = true
 	return common.NewCommon(events.Discard(), &s)
 }
 
@@ -60,9 +63,9 @@
 	c.Log = events.NewLog(&out, events.Info)
 	b := newRetryBudgets(c, func() int { return 1 })
 	b.forService("s").addRequest()
-	test.True(t, b.take("s"))
-	test.False(t, b.take("s"))
-	test.False(t, b.take("s"))
+	test.True(t, b.take(t.Context(), "s") == "")
+	test.False(t, b.take(t.Context(), "s") == "")
+	test.False(t, b.take(t.Context(), "s") == "")
 	test.Eq(t, 1, strings.Count(out.String(), "event=512"))
 }
 
@@ -101,7 +104,7 @@
 	test.GreaterEq(t, 0, send(3))
 	f.localRuns = repeatingRuns(1)
 	send(1000)
-	test.Eq(t, -maxDebt, f.budgets.forService("s").balance())
+	test.Eq(t, -retries.MaxDebt, f.budgets.forService("s").balance())
 }
 
 // TestRepeatsAtACalledServiceStayWithinItsBudget: runs of the first service make calls to
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -51,6 +51,8 @@
 func (h *nopHandler) QuotaAsk(*Peer, *wire.QuotaAsk) {}
 
 func (h *nopHandler) QuotaGrant(*Peer, *wire.QuotaGrant) {}
+func (h *nopHandler) RetryAsk(*Peer, *wire.RetryAsk)     {}
+func (h *nopHandler) RetryGrant(*Peer, *wire.RetryGrant) {}
 
 func (h *nopHandler) RolloutReport(*Peer, *wire.RolloutReport) {}
 func (h *nopHandler) Update(*Peer, *wire.Update)               {}
--- a/pkg/link/peer.go
+++ b/pkg/link/peer.go
@@ -40,6 +40,10 @@
 	// an answer.
 	QuotaAsk(peer *Peer, ask *wire.QuotaAsk)
 	QuotaGrant(peer *Peer, grant *wire.QuotaGrant)
+	// RetryAsk answers a peer that asks for a retry with a RetryGrant frame, and RetryGrant
+	// handles such an answer.
+	RetryAsk(peer *Peer, ask *wire.RetryAsk)
+	RetryGrant(peer *Peer, grant *wire.RetryGrant)
 }
 
 // Peer is the daemon at the other end of a link.
@@ -100,6 +104,10 @@
 		handler.QuotaAsk(p, f)
 	case *wire.QuotaGrant:
 		handler.QuotaGrant(p, f)
+	case *wire.RetryAsk:
+		handler.RetryAsk(p, f)
+	case *wire.RetryGrant:
+		handler.RetryGrant(p, f)
 	default:
 		return false
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -134,6 +134,8 @@
 	RetryRatio float64 `yaml:"retry_ratio" validate:"min=0,max=1"`
 	// Number of retries that a service may use beyond retry_ratio, over all daemons.
 	RetrySlack int `yaml:"retry_slack" validate:"min=0"`
+	// Time in which retries are counted against retry_ratio and retry_slack.
+	RetryWindow time.Duration `yaml:"retry_window" validate:"min=1ms"`
 	// Age of the backend server's last load report after which the daemon checks its health path.
 	HealthEvery time.Duration `yaml:"health_every" validate:"min=10ms"`
 	// Cost of a health check, as a time. A request that could start triggers a check first if its run is expected to take longer by at least this time because the backend server may have become slower since its last load report.
@@ -210,7 +212,7 @@
 	Attempts int `yaml:"attempts" validate:"min=1,max=10"`
 	// Retries allowed per answered call of a service.
 	Budget float64 `yaml:"budget" validate:"min=0,max=1"`
-	// Number of retries and of hedges that a service may use before any call was answered.
+	// Number of retries and of hedges that a service may use beyond budget and hedge_budget in each routing.retry_window, over all daemons.
 	BudgetFloor int `yaml:"budget_floor" validate:"min=0"`
 	// Hedges allowed per answered call, for the kinds that are marked safe for hedging.
 	HedgeBudget float64 `yaml:"hedge_budget" validate:"min=0,max=1"`
@@ -316,7 +318,7 @@
 		Choosing:      Choosing{Policy: "expected_wait", SoftFirst: true, Subset: 16, Near: 32, Far: 4, StampHalfLife: 20 * time.Millisecond},
 		Routing: Routing{
 			SoftAttempts: 3, SoftSlowdown: 1.8, Use: 0.8, LeaveCost: 0.8,
-			RetryAfter: 300 * time.Millisecond, RetryRatio: 0.15, RetrySlack: 50,
+			RetryAfter: 300 * time.Millisecond, RetryRatio: 0.15, RetrySlack: 50, RetryWindow: 10 * time.Second,
 			HealthEvery: 150 * time.Millisecond, LookCost: 4 * time.Millisecond, LookWithin: 8 * time.Millisecond,
 			LooksPerSecond: 40, ColdFactor: 1, Linger: 2500 * time.Millisecond,
 			AcknowledgeCalls: true,
@@ -325,7 +327,7 @@
 		Links: Links{Heartbeat: time.Second, GrantBodiesAbove: 32 << 10},
 		Gate:  Gate{QueueLength: 200, QueueTime: time.Second, Order: "edf", Adaptive: true},
 		Retries: Retries{
-			Attempts: 3, Budget: 0.2, BudgetFloor: 10,
+			Attempts: 3, Budget: 0.2, BudgetFloor: 50,
 			HedgeBudget: 0.05, HedgeQuantile: 0.99, DefaultTimeout: 5 * time.Second,
 		},
 		Once: Once{Timeout: 500 * time.Millisecond, KeepFor: 48 * time.Hour, StoredAnswerBytes: 4096},
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -1,6 +1,7 @@
 package systems
 
 import (
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -44,7 +45,7 @@
 		DataCentre:  c.Settings.VM.DataCentre,
 		State:       *c.State(),
 		Region:      c.Settings.VM.Region,
-		Features:    wire.FeatureGrants | wire.FeatureAcks,
+		Features:    wire.FeatureGrants | wire.FeatureAcks | wire.FeatureRetries,
 		UptimeMS:    uint64(time.Duration(c.Now())/time.Millisecond) + 1,
 	}
 }
@@ -146,6 +147,20 @@
 	_ = peer.Send(&wire.QuotaGrant{Grant: grant})
 }
 
+// RetryAsk implements link.Handler. It answers at once, because a request waits for the
+// retry.
+func (c *Control) RetryAsk(peer *link.Peer, ask *wire.RetryAsk) {
+	// A closed link is removed from the table by its LinkEvent.
+	grant := c.Retries.HandleAsk(c.Now(), &ask.Ask)
+	c.Metrics.GetOrCreateCounter(`rushramp_retry_asks_total{granted="` + strconv.FormatBool(grant.Granted) + `"}`).Inc()
+	_ = peer.Send(&wire.RetryGrant{Grant: grant})
+}
+
+// RetryGrant implements link.Handler.
+func (c *Control) RetryGrant(_ *link.Peer, grant *wire.RetryGrant) {
+	c.Retries.HandleGrant(&grant.Grant)
+}
+
 // QuotaGrant implements link.Handler.
 func (c *Control) QuotaGrant(peer *link.Peer, grant *wire.QuotaGrant) {
 	if c.Quota != nil {
--- a/pkg/systems/links.go
+++ b/pkg/systems/links.go
@@ -70,6 +70,7 @@
 	if retry {
 		l.openAll(now, l.World.RolloutWatchers)
 		l.openAll(now, l.World.QuotaCounterDaemons)
+		l.openAll(now, l.World.RetryHolders)
 	}
 	if resumeDeferred {
 		l.openAll(now, l.sample)
--- a/pkg/systems/quotas.go
+++ b/pkg/systems/quotas.go
@@ -151,9 +151,9 @@
 	selfLeaving         bool
 }
 
-func (q *quotas) linkState() linkState {
-	out := linkState{addedPeers: q.World.Peers.AddedCount(), links: q.World.Peers.Len(), selfLeaving: q.World.View.Leaving()}
-	q.World.Peers.EachRow(func(_ *link.Peer, row *tables.PeerRow) {
+func (e *Env) linkState() linkState {
+	out := linkState{addedPeers: e.World.Peers.AddedCount(), links: e.World.Peers.Len(), selfLeaving: e.World.View.Leaving()}
+	e.World.Peers.EachRow(func(_ *link.Peer, row *tables.PeerRow) {
 		if row.Leaving {
 			out.leavingPeers++
 		}
--- a/pkg/systems/surplus.go
+++ b/pkg/systems/surplus.go
@@ -80,7 +80,7 @@
 // requests.
 func (l *links) neededEndpoints() map[*tables.Endpoint]struct{} {
 	out := map[*tables.Endpoint]struct{}{}
-	for _, endpoint := range slices.Concat(l.sample, l.World.RolloutWatchers, l.World.QuotaCounterDaemons) {
+	for _, endpoint := range slices.Concat(l.sample, l.World.RolloutWatchers, l.World.QuotaCounterDaemons, l.World.RetryHolders) {
 		out[endpoint] = struct{}{}
 	}
 	for service := range l.World.RequestedServices {
--- a/pkg/systems/systems.go
+++ b/pkg/systems/systems.go
@@ -119,6 +119,7 @@
 		watcher,
 		newRolloutGuard(env, tracker, watcher),
 		newQuotas(env),
+		newRetrySlack(env),
 		&backendReporter{Env: env},
 		&antiEntropy{Env: env},
 		&placements{Env: env},
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -74,6 +74,7 @@
 	leaving         atomic.Bool
 	ready           atomic.Bool
 	memberCount     atomic.Int64
+	retryDaemons    atomic.Int64
 	storeStale      atomic.Bool
 	// vmCounts is nil until the first members are known.
 	vmCounts atomic.Pointer[vmCounts]
@@ -243,6 +244,13 @@
 // SetMemberCount publishes the number of VMs in the table of members.
 func (v *View) SetMemberCount(n int) { v.memberCount.Store(int64(n)) }
 
+// RetryDaemons returns the number of daemons that share the slack of retries; 0: not known
+// yet.
+func (v *View) RetryDaemons() int { return int(v.retryDaemons.Load()) }
+
+// SetRetryDaemons publishes RetryDaemons.
+func (v *View) SetRetryDaemons(n int) { v.retryDaemons.Store(int64(n)) }
+
 // StoreStale reports whether the newest read of the store by any daemon, as far as this
 // one knows, is too long ago.
 func (v *View) StoreStale() bool { return v.storeStale.Load() }
--- a/pkg/tables/world.go
+++ b/pkg/tables/world.go
@@ -49,6 +49,8 @@
 	// QuotaCounterDaemons are the daemons that should count the requests of teams against
 	// their limits. This daemon keeps links to them.
 	QuotaCounterDaemons []*Endpoint
+	// RetryHolders are the daemons that grant retries from the slack of this daemon's groups.
+	RetryHolders []*Endpoint
 	// DirtyServices are the services whose view must be published again.
 	DirtyServices map[string]struct{}
 	View          *View
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -77,6 +77,12 @@
 // Type implements Frame.
 func (*QuotaGrant) Type() Type { return TypeQuotaGrant }
 
+// Type implements Frame.
+func (*RetryAsk) Type() Type { return TypeRetryAsk }
+
+// Type implements Frame.
+func (*RetryGrant) Type() Type { return TypeRetryGrant }
+
 // Type implements Frame.
 func (*Grant) Type() Type { return TypeGrant }
 
@@ -210,6 +216,10 @@
 		return &Grant{}, nil
 	case TypeAck:
 		return &Ack{}, nil
+	case TypeRetryAsk:
+		return &RetryAsk{}, nil
+	case TypeRetryGrant:
+		return &RetryGrant{}, nil
 	}
 	return nil, errors.Errorf("unknown frame type %d", t)
 }
--- a/pkg/wire/frames.go
+++ b/pkg/wire/frames.go
@@ -35,6 +35,8 @@
 	TypeQuotaGrant
 	TypeGrant
 	TypeAck
+	TypeRetryAsk
+	TypeRetryGrant
 	// TypeCount is one more than the highest type.
 	TypeCount
 )
@@ -44,7 +46,7 @@
 	return [...]string{
 		"none", "hello", "call", "chunk", "answer", "refusal", "cancel",
 		"state", "pull", "update", "members", "members_ask", "departures",
-		"rollout_news", "rollout_report", "quarantine", "quota_ask", "quota_grant", "grant", "ack", "count",
+		"rollout_news", "rollout_report", "quarantine", "quota_ask", "quota_grant", "grant", "ack", "retry_ask", "retry_grant", "count",
 	}[min(t, TypeCount)]
 }
 
@@ -82,6 +84,8 @@
 	FeatureGrants Features = 1 << iota
 	// FeatureAcks: the sender acknowledges calls that ask for it (Ack).
 	FeatureAcks
+	// FeatureRetries: the sender answers asks for retries (RetryAsk).
+	FeatureRetries
 )
 
 // Has reports whether all features of other are in the set.
--- a/pkg/wire/news.go
+++ b/pkg/wire/news.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rushramp/rushramp/pkg/quarantine"
 	"github.com/rushramp/rushramp/pkg/quota"
+	"github.com/rushramp/rushramp/pkg/retries"
 	"github.com/rushramp/rushramp/pkg/rollout"
 )
 
@@ -59,3 +60,15 @@
 	_     struct{} `cbor:",toarray"`
 	Grant quota.Grant
 }
+
+// RetryAsk asks the daemon that holds the slack of the sender's group for one retry.
+type RetryAsk struct {
+	_   struct{} `cbor:",toarray"`
+	Ask retries.Ask
+}
+
+// RetryGrant is the answer to a RetryAsk.
+type RetryGrant struct {
+	_     struct{} `cbor:",toarray"`
+	Grant retries.Grant
+}
