link: the first call of a link is dropped if its time was up in transit

Cause found: the executor measures a call's time in transit against the fastest call of the same link in the last 30 s. The first call has no other reference than itself, so that a full link may hold it for any time. Evidence: TestFirstCallOfALinkIsDroppedIfItsTimeIsUp, a call with 258 ms left that was sent a minute before it came: without the change it runs. Change: the uptime in the peer's hello frame is a first reference; the tightest one is kept, with 200 ppm for the drift of the clocks. The delays that stamps report are measured as before. After: it is refused as not run.

--- a/pkg/acks/transit.go
+++ b/pkg/acks/transit.go
@@ -19,6 +19,9 @@
 // and the sender's time is compared with the smallest recent one: the result is the delay
 // beyond that of the fastest call. It is not safe for concurrent use.
 type Transit struct {
+	// reference is the tightest known difference between the clocks, in nanoseconds, of which
+	// the time in transit is a part, and referenceAt when it was observed; 0: none.
+	reference, referenceAt int64
 	// smallest holds the smallest difference of each bucket, in nanoseconds; numbers holds the
 	// number of each bucket, counted from 1 at the clock's start; 0: empty.
 	smallest [transitBuckets]int64
@@ -36,6 +39,43 @@
 	return time.Duration(difference - t.minimum(now/int64(bucketLength)+1))
 }
 
+// maxDrift is how much the clocks of two VMs may part in a second, in nanoseconds.
+const maxDrift = 200_000
+
+// ObserveUptime takes the sender's uptime in its hello frame, wire.Hello.UptimeMS, as a first
+// difference between the clocks. Without it nothing is known of the first call of a link, which
+// may be the one that was delayed.
+func (t *Transit) ObserveUptime(now int64, uptimeMS uint64) {
+	if uptimeMS == 0 || uptimeMS > math.MaxInt64/uint64(time.Millisecond) {
+		return
+	}
+	t.tighten(now, now-int64(uptimeMS-1)*int64(time.Millisecond))
+}
+
+// Least returns the least time that a call was in transit as far as the whole past of the link
+// tells, so that Delay may be less where calls are rare. sentUS is as in Delay.
+func (t *Transit) Least(now int64, sentUS uint64) time.Duration {
+	if sentUS == 0 || sentUS > math.MaxInt64/uint64(time.Microsecond) {
+		return 0
+	}
+	difference := now - int64(sentUS-1)*int64(time.Microsecond)
+	t.tighten(now, difference)
+	return time.Duration(difference - t.referenceNow(now))
+}
+
+// tighten takes a difference as the reference if it is smaller, the drift of the clocks since
+// included.
+func (t *Transit) tighten(now, difference int64) {
+	if t.referenceAt == 0 || difference < t.referenceNow(now) {
+		t.reference, t.referenceAt = difference, now
+	}
+}
+
+// referenceNow returns the largest difference that the clocks can have by now.
+func (t *Transit) referenceNow(now int64) int64 {
+	return t.reference + (now-t.referenceAt)/int64(time.Second)*maxDrift
+}
+
 // record updates the bucket of a given number.
 func (t *Transit) record(number, difference int64) {
 	i := number % transitBuckets
--- a/pkg/link/acks_test.go
+++ b/pkg/link/acks_test.go
@@ -186,6 +186,11 @@
 
 // dialRaw opens a link to server and sends its hello frame.
 func dialRaw(t *testing.T, server *Server) *rawEntry {
+	return dialRawWith(t, server, &wire.Hello{VM: "raw"})
+}
+
+// dialRawWith is dialRaw with a hello frame.
+func dialRawWith(t *testing.T, server *Server, hello *wire.Hello) *rawEntry {
 	ws, resp, err := websocket.DefaultDialer.Dial("ws://"+server.address+linkPath, nil)
 	must.NoError(t, err)
 	_ = resp.Body.Close()
@@ -194,7 +199,7 @@
 	codec, err := wire.NewCodec()
 	must.NoError(t, err)
 	out := &rawEntry{t: t, ws: ws, codec: codec}
-	out.send(&wire.Hello{VM: "raw"})
+	out.send(hello)
 	return out
 }
 
--- a/pkg/link/link_load_test.go
+++ b/pkg/link/link_load_test.go
@@ -218,3 +218,19 @@
 	entry.send(&wire.Call{ID: 2, Remaining: time.Minute, Body: emptyBody()})
 	test.Eq(t, wire.Stamp{}, entry.refusal().Stamp)
 }
+
+// TestFirstCallOfALinkIsDroppedIfItsTimeIsUp guards against a call that a full link held back for
+// longer than its caller waits, and that ran because no earlier call of the link told what is
+// usual. The hello frame tells the peer's clock.
+func TestFirstCallOfALinkIsDroppedIfItsTimeIsUp(t *testing.T) {
+	_, server := connectAcks(t, wire.FeatureAcks, stampingRunner{})
+	uptime := 10 * time.Minute
+	entry := dialRawWith(t, server, &wire.Hello{VM: "raw", UptimeMS: uint64(uptime/time.Millisecond) + 1})
+	sentUS := func(before time.Duration) uint64 { return uint64((uptime-before)/time.Microsecond) + 1 }
+	entry.send(&wire.Call{ID: 1, Remaining: 258 * time.Millisecond, SentUS: sentUS(time.Minute), Body: emptyBody()})
+	refusal := entry.refusal()
+	test.Eq(t, errkind.DeadlineBeforeRun, errkind.Kind(refusal.Kind))
+	test.StrContains(t, refusal.Detail, "in transit")
+	entry.send(&wire.Call{ID: 2, Remaining: time.Hour, SentUS: sentUS(0), Body: emptyBody()})
+	test.NotEq(t, errkind.DeadlineBeforeRun, errkind.Kind(entry.refusal().Kind))
+}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -163,6 +163,7 @@
 
 // register adds the link to those of the server once the hello frame has arrived.
 func (s *session) register() {
+	s.transit.ObserveUptime(s.server.Now(), s.Hello.UptimeMS)
 	s.setProximity(s.server.Location().LevelTo(s.Hello.DataCentre, s.Hello.Region))
 	s.server.mu.Lock()
 	s.server.peers[s.Peer] = struct{}{}
--- a/pkg/link/unneeded_calls.go
+++ b/pkg/link/unneeded_calls.go
@@ -28,15 +28,16 @@
 		s.server.delays.Record(now, s.sender, delay)
 	}
 	hadTime := f.Remaining > 0
-	f.Remaining -= delay
+	inTransit := max(delay, s.transit.Least(now, f.SentUS))
+	f.Remaining -= inTransit
 	if f.Routed.ID != "" {
-		f.Routed.TargetRemaining -= delay
+		f.Routed.TargetRemaining -= inTransit
 	}
 	switch {
 	case s.isCancelledInMessage(f.ID):
 		s.drop(f.ID, droppedCancelled, s.withStamp(f, call.Refused(errkind.CallerGone, "the entry cancelled the call before it arrived")))
 	case hadTime && f.Remaining <= 0:
-		s.drop(f.ID, droppedTimeUsed, s.withStamp(f, call.Refused(errkind.DeadlineBeforeRun, "the call was in transit for %v longer than other calls", delay.Round(time.Millisecond))))
+		s.drop(f.ID, droppedTimeUsed, s.withStamp(f, call.Refused(errkind.DeadlineBeforeRun, "the call was in transit for %v longer than other calls", inTransit.Round(time.Millisecond))))
 	default:
 		return false
 	}
