link: a stamp with a changed rate limit is worth sending

What callers would see: an entry that missed the stamp asks a limited backend server more often than that takes, and is refused there; a restarted gate learns of the limit later, since no entry states it. Evidence: three new cases of TestAStampWithAChangedLinkIsWorthSending (a limit begins, ends, changes) fail without the change. Change: a changed rate limit makes the value high; the tokens alone do not. After: all cases pass.

--- a/pkg/link/link_load_test.go
+++ b/pkg/link/link_load_test.go
@@ -152,6 +152,11 @@
 	stamp := func(delay, wait uint32) wire.Stamp {
 		return wire.Stamp{Seq: 1, Limit: 4, ServiceUS: 1000, LinkDelayMS: delay, BodyWaitMS: wait, LinkRateKB: 1250}
 	}
+	limited := func(perSecond, tokens float64) wire.Stamp {
+		out := stamp(0, 0)
+		out.SetStartRate(perSecond, tokens)
+		return out
+	}
 	for _, s := range []struct {
 		name            string
 		lastSent, stamp wire.Stamp
@@ -168,6 +173,10 @@
 		{"bodies wait", stamp(0, 0), stamp(0, 50), 0, measure.HighValue},
 		{"the bodies have arrived as the peer expects", stamp(0, 400), stamp(0, 0), 400 * time.Millisecond, measure.LowValue},
 		{"more bodies wait", stamp(0, 400), stamp(0, 400), 300 * time.Millisecond, measure.HighValue},
+		{"a rate limit begins", stamp(0, 0), limited(5, 1), 0, measure.HighValue},
+		{"a rate limit ends", limited(5, 1), stamp(0, 0), 0, measure.HighValue},
+		{"a rate limit has changed", limited(5, 1), limited(6, 1), 0, measure.HighValue},
+		{"the same rate limit", limited(5, 1), limited(5, 2), 0, measure.LowValue},
 	} {
 		test.Eq(t, s.want, stampValue(s.lastSent, s.stamp, s.since), test.Sprint(s.name))
 	}
--- a/pkg/link/stamps.go
+++ b/pkg/link/stamps.go
@@ -36,15 +36,15 @@
 }
 
 // stampValue returns the value of a stamp to a peer that received lastSent some time ago. It
-// is high for the first stamp, and if the limit has changed, if the number of calls at the
-// gate has changed by at least a quarter of the limit, if the service time has changed by at
-// least half, or if the link's delay or the wait of bodies is not what the peer expects,
-// since the peer may then choose another backend server.
+// is high for the first stamp, and if the limit or the rate limit has changed, if the number of
+// calls at the gate has changed by at least a quarter of the limit, if the service time has
+// changed by at least half, or if the link's delay or the wait of bodies is not what the peer
+// expects, since the peer may then choose another backend server.
 func stampValue(lastSent, current wire.Stamp, since time.Duration) measure.Value {
 	before := int64(lastSent.Running) + int64(lastSent.Queued)
 	after := int64(current.Running) + int64(current.Queued)
 	switch {
-	case lastSent.Seq == 0 || lastSent.Limit != current.Limit:
+	case lastSent.Seq == 0 || lastSent.Limit != current.Limit || lastSent.StartRateMilli != current.StartRateMilli:
 		return measure.HighValue
 	case 4*abs(after-before) >= int64(current.Limit):
 		return measure.HighValue
