retries: a group without slack asks nobody

What callers would see: in a fleet so large that the slack gives a data centre less than one retry, a request that failed waits for a daemon that has none to grant, and each daemon keeps a link for it. Cause: the daemon that would grant was chosen whatever there was to grant. Change: they have no holder, so that they neither link nor ask.

--- a/pkg/systems/retryslack.go
+++ b/pkg/systems/retryslack.go
@@ -37,7 +37,8 @@
 
 // slackOfClass is this daemon's place in the groups of one class.
 type slackOfClass struct {
-	// holder is the daemon that grants the slack of this daemon's group; nil: none.
+	// holder is the daemon that grants the slack of this daemon's group; nil: there is none to
+	// grant.
 	holder *tables.Endpoint
 	// heldGroups names the groups whose slack this daemon grants since heldSince, held is the
 	// number of retries in each window.
@@ -133,7 +134,7 @@
 			held = append(held, groups.Name(group))
 			of.held += groups.Slack(group)
 		}
-		if group == own {
+		if group == own && groups.Slack(group) > 0 {
 			of.holder = first[0]
 		}
 	}
--- a/pkg/systems/retryslack_test.go
+++ b/pkg/systems/retryslack_test.go
@@ -65,6 +65,23 @@
 	}
 }
 
+// TestGroupsWithoutSlackAskNobody: the slack is less than one retry for each data centre.
+func TestGroupsWithoutSlackAskNobody(t *testing.T) {
+	const members, dataCentres = 400, 200
+	held, without := 0, 0
+	for n := range members {
+		s := newTestSlack(fmt.Sprint("m", n), members, dataCentres, true)
+		s.Tick(int64(5*time.Second), &tables.Mail{})
+		held += s.Retries.Held(retries.Routed)
+		if s.byClass[retries.Routed].holder == nil {
+			without++
+		}
+	}
+	t.Logf("%d held, %d of %d daemons have no holder", held, without, members)
+	test.Between(t, 20, held, 50)
+	test.Eq(t, members-2*held, without)
+}
+
 // TestSlackOfSmallFleetsIsNotGranted: each daemon has its own part.
 func TestSlackOfSmallFleetsIsNotGranted(t *testing.T) {
 	s := newTestSlack("m0", 13, 3, true)
