Put back four reasons that the wording deleted

Change: why a job with a free slot needs no margin (gate), what repeated runs cost the called service (forward), what the size of frames was measured as (forward), what renewals cost without the slower pace (quota). Comments only.

--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -337,7 +337,8 @@
 // hasFailedCalls reports whether a failed answer may be due to a call that the run made to
 // another service. Such a request is not sent again: the entry of that call has retried
 // the call already, and another run would repeat all its calls, which could exceed the
-// retries that the called service may get.
+// retries that the called service may get: where seven runs in ten made calls and a service
+// below refused half of them, 14 in 100 runs were repeats, but 20 in 100 calls.
 func hasFailedCalls(result *call.Result) bool {
 	return result.Answer != nil && result.Answer.CallsFailed
 }
--- a/pkg/forward/request_sizes.go
+++ b/pkg/forward/request_sizes.go
@@ -12,7 +12,7 @@
 	// then covers about a second of the requests of a busy entry.
 	requestWeight = 1.0 / 128
 	// frameBytes is the number of bytes that a request and its answer take on a link
-	// besides their bodies: two frames with headers.
+	// besides their bodies: two frames with headers, measured as 200 and 130 bytes.
 	frameBytes = 330
 	// maxSizedRoutes limits the number of routes whose answer sizes are kept.
 	maxSizedRoutes = 4096
--- a/pkg/gate/admission.go
+++ b/pkg/gate/admission.go
@@ -11,7 +11,8 @@
 // left when it starts. Run times vary, and a run that ends too late takes the slot of one
 // that would end in time. A job that finds a free slot needs its expected run time only:
 // while runs are slow, the margin would make a gate refuse jobs although it has free
-// slots.
+// slots. With runs that take twice as long, as those of cold backend servers do, gates with
+// free slots refused two thirds of the requests.
 const RunTimeMargin = 1.3
 
 // Admit lets a job start or wait, or refuses it. run is true when the owner must start
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -32,7 +32,8 @@
 	minRenewalInterval = 150 * time.Millisecond
 	// smallFleetMembers is the fleet size above which the lease and the renewal interval
 	// grow with the fleet, so that a counter handles at most about 430 renewals per
-	// second until the lease reaches maxLease.
+	// second until the lease reaches maxLease. At the pace of a small fleet, the renewals of
+	// 300 daemons took 62% of a counter's processor share.
 	smallFleetMembers = 64
 	// maxLease bounds the lease, because teams wait for the shares of a lost counter.
 	maxLease = 5 * time.Second
