callers: a refused caller is told when to retry

What callers saw: the caller of quarantined content got the fixed time of the error kind, 200 ms and less, although its refusal knew that the content stays quarantined for minutes: each further try was in vain. Cause: writeResult dropped Result.RetryAfter (finding by reading). Change: the time of the result goes before that of the kind, rounded up.

--- a/pkg/callers/server.go
+++ b/pkg/callers/server.go
@@ -74,7 +74,7 @@
 func (s *Server) serve(ctx context.Context, c *app.RequestContext) {
 	caller := hostOf(c.RemoteAddr())
 	if !s.limiter.acquire(caller) {
-		s.refuse(c, errkind.New(errkind.CallerLimit, "%s has too many calls in flight", caller))
+		s.refuse(c, errkind.New(errkind.CallerLimit, "%s has too many calls in flight", caller), 0)
 		return
 	}
 	defer s.limiter.release(caller)
@@ -188,7 +188,7 @@
 // writeResult writes the backend server's answer, or the refusal.
 func (s *Server) writeResult(c *app.RequestContext, result call.Result) {
 	if result.Refusal != nil {
-		s.refuse(c, result.Refusal)
+		s.refuse(c, result.Refusal, result.RetryAfter)
 		return
 	}
 	c.SetStatusCode(result.Answer.Status)
@@ -202,17 +202,22 @@
 	if c.Request.Header.ContentLength() != 0 {
 		c.SetConnectionClose()
 	}
-	s.refuse(c, refusal)
+	s.refuse(c, refusal, 0)
 }
 
-// refuse writes the status, the headers and the text of a refusal.
-func (s *Server) refuse(c *app.RequestContext, refusal *errkind.Error) {
+// refuse writes the status, the headers and the text of a refusal. retryAfter replaces the time
+// of the error kind unless it is 0.
+func (s *Server) refuse(c *app.RequestContext, refusal *errkind.Error, retryAfter time.Duration) {
 	row := refusal.Kind.Row()
+	retryAfterMS := row.RetryAfterMS
+	if retryAfter > 0 {
+		retryAfterMS = int((retryAfter + time.Millisecond - 1) / time.Millisecond)
+	}
 	c.Response.Header.Set(HeaderError, row.Name)
 	c.Response.Header.Set(HeaderRan, refusal.Ran.String())
-	if row.RetryAfterMS > 0 {
-		c.Response.Header.Set("Retry-After", strconv.Itoa((row.RetryAfterMS+999)/1000))
-		c.Response.Header.Set("Rushramp-Retry-After-Ms", strconv.Itoa(row.RetryAfterMS))
+	if retryAfterMS > 0 {
+		c.Response.Header.Set("Retry-After", strconv.Itoa((retryAfterMS+999)/1000))
+		c.Response.Header.Set("Rushramp-Retry-After-Ms", strconv.Itoa(retryAfterMS))
 	}
 	c.String(row.Status, "%s: %s. %s\n", row.Name, refusal.Detail, row.Advice)
 }
