entry: a hedge without a candidate costs nothing

What callers would see: a service whose calls are slow and whose other backend servers have refused uses up its hedges without sending any, so that later calls that could be hedged are not. Cause: the hedge took its token before it looked for a candidate (finding by reading). Change: it looks for a candidate first.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -274,3 +274,18 @@
 	test.Greater(t, 9*time.Minute, got.RetryAfter)
 	test.Eq(t, 1, server.calls)
 }
+
+// TestAHedgeWithoutACandidateCostsNothing: the only other backend server has refused the call.
+func TestAHedgeWithoutACandidateCostsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := refusing(errkind.GateBusier), answering(time.Second)
+		e := newEntry(placement.Kind{HedgeSafe: true}, &fakeSealer{}, first, second)
+		e.budgets.forService("s").hedges.CanTake(e.Now())
+		before := e.budgets.forService("s").hedges.Balance()
+		for range 3 {
+			must.NotNil(t, runCall(t, e, "").Answer)
+		}
+		test.Eq(t, 0, e.Counts().Hedges)
+		test.GreaterEq(t, before, e.budgets.forService("s").hedges.Balance())
+	})
+}
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -101,8 +101,7 @@
 }
 
 // check sends the hedge when the call is older than the quantile of its kind, or when
-// its server has become slow, and the budget allows it. Otherwise it sets the timer for
-// the next check.
+// its server has become slow. Otherwise it sets the timer for the next check.
 func (h *hedge) check() {
 	now := h.attempts.entry.Now()
 	age := time.Duration(now - h.first.sentAt)
@@ -110,9 +109,6 @@
 		h.timer.Reset(min(h.after-age, max(age/2, time.Millisecond)))
 		return
 	}
-	if !h.attempts.budget.takeHedge() {
-		return
-	}
 	h.send(now)
 }
 
@@ -132,13 +128,14 @@
 	return false
 }
 
-// send sends the second attempt to another candidate, where there is one.
+// send sends the second attempt to another candidate, where there is one and the budget allows
+// it.
 func (h *hedge) send(now int64) {
 	choice := h.attempts.choice
 	choice.Now = now
 	choice.Excluded = choice.Excluded.With(h.first.index)
 	pick := h.attempts.entry.policy.Choose(&choice, h.attempts.entry.random)
-	if pick.Index == choose.NoCandidate {
+	if pick.Index == choose.NoCandidate || !h.attempts.budget.takeHedge() {
 		return
 	}
 	// A hedge must not add to the queue of a full server, so its cost is always bounded.
