--- a/review/_world/drain.go
+++ b/review/_world/drain.go
@@ -17,6 +17,13 @@
 	drainBound = 2 * time.Second
 )
 
+// An order takes orderWork, and clients send one every orderGap: too many at once for the slots
+// of one worker.
+const (
+	orderWork = 150 * time.Millisecond
+	orderGap  = 10 * time.Millisecond
+)
+
 // playDrain: a worker says that it leaves while the store is down, and its daemon acknowledges
 // that. Then all daemons are killed at the same moment and started again, and a heartbeat that
 // the worker had sent before comes late.
@@ -68,9 +75,8 @@
 	}
 	w.note("all machines are in touch; clients send 60 requests")
 	before := leaving.count()
-	work := 100 * time.Millisecond
-	leaving.setWork(work)
-	staying.setWork(work)
+	leaving.setWork(orderWork)
+	staying.setWork(orderWork)
 	sent := time.Now()
 	var wg sync.WaitGroup
 	for i := range 60 {
@@ -84,7 +90,7 @@
 			defer c.Close()
 			c.send(http.MethodPost, "orders.example", fmt.Sprintf("/order/%d", i), "two prints", time.Second)
 		}()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(orderGap)
 	}
 	wg.Wait()
 	reached := leaving.count() - before
--- a/review/_world/reuse.go
+++ b/review/_world/reuse.go
@@ -45,6 +45,8 @@
 	w.note("worker %s of %s starts at the address %s", next.id, service, reused.addr(portWorker))
 	time.Sleep(contact + time.Second)
 	w.note("clients send 60 requests for ordenes")
+	staying.setWork(orderWork)
+	next.setWork(orderWork)
 	var mu sync.Mutex
 	foreign := 0
 	var wg sync.WaitGroup
@@ -64,7 +66,7 @@
 				mu.Unlock()
 			}
 		}()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(orderGap)
 	}
 	wg.Wait()
 	w.say("worker %s of %s ran %d of 60 requests of a route that only ever led to ordenes", next.id, next.service, foreign)
