--- a/review/_world/foreign.go
+++ b/review/_world/foreign.go
@@ -77,7 +77,7 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
-	w.say("for information: %d of 40 orders that clients of %s sent in the 10 s after that were served", served, other.name)
+	w.say("for information: %d of 40 orders that clients of %s sent in the 8 s after that were served", served, other.name)
 	return lost > 0, nil
 }
 
