--- a/review/_world/client.go
+++ b/review/_world/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,8 @@
 	close  bool
 	err    error
 	took   time.Duration
+	// retryAfter is the time after which the answer asks the client to come back.
+	retryAfter time.Duration
 }
 
 func (r result) String() string {
@@ -74,6 +77,9 @@
 		out.err = err
 		return out
 	}
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		out.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	text, err := io.ReadAll(resp.Body)
 	out.status, out.seal, out.body, out.close, out.err = resp.StatusCode, resp.Header.Get(name("seal")), string(text), resp.Close, err
 	return out
--- a/review/_world/worker.go
+++ b/review/_world/worker.go
@@ -34,6 +34,9 @@
 	// answer, and whether it never answers.
 	behave func(r *http.Request) (work time.Duration, header string, hangs bool)
 
+	// kinds, if there are any, take the place of behave.
+	kinds []kind
+
 	listener net.Listener
 	mu       sync.Mutex
 	runs     []*run
@@ -240,6 +243,10 @@
 	behave := w.behave
 	w.mu.Unlock()
 	work, header, hangs := behave(req)
+	var calls []kind
+	if w.kinds != nil {
+		work, calls = callsOf(w.kinds, req.URL.Path)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if hangs {
@@ -264,12 +271,38 @@
 	}
 	cancel()
 	<-gone
-	text := w.service + " did " + id + "\n"
+	status, text := "200 OK", w.service+" did "+id+"\n"
+	if !w.call(calls) {
+		status, text = "500 Internal Server Error", "a call failed\n"
+	}
 	header += name("seal") + ": " + w.id + "." + id + "\r\n"
-	_, err := io.WriteString(c, w.head("200 OK", id, len(text), header)+text)
+	_, err := io.WriteString(c, w.head(status, id, len(text), header)+text)
 	return err == nil
 }
 
+// call makes the calls of a run, at the same time, through the worker's own machine. It returns
+// false if one fails.
+func (w *worker) call(calls []kind) bool {
+	results := make(chan bool, len(calls))
+	for _, k := range calls {
+		go func() {
+			c, err := w.m.connect()
+			if err != nil {
+				results <- false
+				return
+			}
+			defer c.Close()
+			r := c.send(k.method, k.host, k.path+"a", k.body, k.deadline)
+			results <- r.err == nil && r.status == http.StatusOK
+		}()
+	}
+	ok := true
+	for range calls {
+		ok = <-results && ok
+	}
+	return ok
+}
+
 // watchClose returns a channel that is closed when the peer closes the connection, or when ctx
 // has ended.
 func watchClose(ctx context.Context, c net.Conn, reader *bufio.Reader) <-chan struct{} {
