--- a/review/_world/daemon.go
+++ b/review/_world/daemon.go
@@ -38,7 +38,6 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
-	exit error
 }
 
 func (m *machine) addr(port int) string { return fmt.Sprintf("%s:%d", m.ip, port) }
@@ -64,10 +63,7 @@
 	m.cmd, m.done = cmd, done
 	m.mu.Unlock()
 	go func() {
-		err := cmd.Wait()
-		m.mu.Lock()
-		m.exit = err
-		m.mu.Unlock()
+		_ = cmd.Wait()
 		close(done)
 	}()
 	return nil
--- a/review/_world/drain.go
+++ b/review/_world/drain.go
@@ -9,9 +9,9 @@
 	"time"
 )
 
-func init() { plays["drain"] = playDrain }
+func init() { scenarios["drain"] = runDrain }
 
-// The bounds of the small deployment that the play needs.
+// The bounds of the small deployment that the scenario needs.
 const (
 	contact    = 3 * time.Second
 	drainBound = 2 * time.Second
@@ -24,10 +24,10 @@
 	orderGap  = 10 * time.Millisecond
 )
 
-// playDrain: a worker says that it leaves while the store is down, and its daemon acknowledges
+// runDrain: a worker says that it leaves while the store is down, and its daemon acknowledges
 // that. Then all daemons are killed at the same moment and started again, and a heartbeat that
 // the worker had sent before comes late.
-func playDrain(w *world) (broken bool, err error) {
+func runDrain(w *world) (broken bool, err error) {
 	specs := []spec{{"sidecar-1", "escuintla", "tileserv"}, {"sidecar-2", "quetzaltepe", "ordenes"}, {"sidecar-3", "sanjose", "ordenes"}}
 	if err := w.start(specs); err != nil {
 		return false, err
--- a/review/_world/foreign.go
+++ b/review/_world/foreign.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-func init() { plays["foreign"] = playForeign }
+func init() { scenarios["foreign"] = runForeign }
 
 // recoverBound is the bound after which the system serves again once all machines are back.
 const recoverBound = 15 * time.Second
@@ -60,9 +60,9 @@
 	return all[0]
 }
 
-// playForeign: all daemons are killed at the same moment, the final fault. They are started
+// runForeign: all daemons are killed at the same moment, the final fault. They are started
 // again, and two heartbeats of another writer come to each machine.
-func playForeign(w *world) (broken bool, err error) {
+func runForeign(w *world) (broken bool, err error) {
 	var specs []spec
 	zones := []string{"escuintla", "quetzaltepe", "sanjose"}
 	for i, service := range []string{"tileserv", "tileserv", "tileserv", "tileserv", "ordenes", "ordenes", "ordenes", "avisos", "avisos", "avisos", "mareas", "mareas", "mareas"} {
@@ -73,7 +73,7 @@
 	}
 	all := kinds()
 	for _, m := range w.machines {
-		m.worker.kinds = all
+		m.worker.setKinds(all)
 	}
 	if !w.wait(20*time.Second, func() bool { return w.sendAll(all[:4]) == len(w.machines)*4 }) {
 		return false, errNotServed
@@ -232,5 +232,5 @@
 			return k.work, calls
 		}
 	}
-	return 20 * ms, nil
+	return defaultWork, nil
 }
--- a/review/_world/main.go
+++ b/review/_world/main.go
@@ -1,4 +1,4 @@
-// Command world plays one case of the review: it starts the platform's store and the daemons
+// Command world runs one case of the review: it starts the platform's store and the daemons
 // as separate processes on loopback addresses, and has stand-ins of workers and clients of its
 // own. Its exit status is 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 package main
@@ -36,7 +36,7 @@
 	panic("no name " + key)
 }
 
-// world holds all parts of one play.
+// world holds all parts of one run.
 type world struct {
 	dir        string
 	daemonPath string
@@ -45,7 +45,7 @@
 	machines   []*machine
 	zones      map[string]string
 	bounds     map[string]string
-	// trouble is false for a play without the disruption.
+	// trouble is false for a run without the disruption.
 	trouble bool
 
 	began  time.Time
@@ -204,18 +204,18 @@
 	}
 }
 
-// maxPlay is the longest time of a play.
-const maxPlay = 110 * time.Second
+// maxRunTime is the longest time that a scenario may take.
+const maxRunTime = 110 * time.Second
 
-// play is one case. It returns whether the rule was broken, and an error if it could not run.
-type play func(*world) (broken bool, err error)
+// scenario is one case. It returns whether the rule was broken, and an error if it could not run.
+type scenario func(*world) (broken bool, err error)
 
-var plays = map[string]play{}
+var scenarios = map[string]scenario{}
 
-func main() { os.Exit(runPlay()) }
+func main() { os.Exit(runScenario()) }
 
-func runPlay() int {
-	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
+func runScenario() int {
+	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: world CASE RECORD")
 		return 2
 	}
@@ -245,13 +245,13 @@
 	go func() {
 		select {
 		case <-signals:
-		case <-time.After(maxPlay):
+		case <-time.After(maxRunTime):
 		}
 		w.say("could not run: ended before its time, or took too long")
 		w.end()
 		os.Exit(2)
 	}()
-	broken, err := plays[os.Args[1]](w)
+	broken, err := scenarios[os.Args[1]](w)
 	switch {
 	case err != nil:
 		w.say("could not run: %v", err)
--- a/review/_world/reuse.go
+++ b/review/_world/reuse.go
@@ -9,14 +9,14 @@
 	"time"
 )
 
-func init() { plays["reuse"] = playReuse }
+func init() { scenarios["reuse"] = runReuse }
 
 // addrReuse is the bound after which the address of an ended worker may go to another one.
 const addrReuse = 2 * time.Second
 
-// playReuse: a worker ends, and its address goes to a worker of another service. The machine's
+// runReuse: a worker ends, and its address goes to a worker of another service. The machine's
 // settings file changes with it, and its daemon gets SIGHUP.
-func playReuse(w *world) (broken bool, err error) {
+func runReuse(w *world) (broken bool, err error) {
 	specs := []spec{{"sidecar-1", "escuintla", "tileserv"}, {"sidecar-2", "quetzaltepe", "ordenes"}, {"sidecar-3", "sanjose", "ordenes"}}
 	if err := w.start(specs); err != nil {
 		return false, err
@@ -60,7 +60,7 @@
 			}
 			defer c.Close()
 			r := c.send(http.MethodPost, "orders.example", fmt.Sprintf("/order/%d", i), "two prints", time.Second)
-			if next.service != "ordenes" && len(next.runOf(r.id)) > 0 {
+			if next.service != "ordenes" && next.ran(r.id) {
 				mu.Lock()
 				foreign++
 				mu.Unlock()
--- a/review/_world/worker.go
+++ b/review/_world/worker.go
@@ -9,39 +9,28 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 )
 
-// run is one request that a worker has begun to work on.
-type run struct {
-	id   string
-	path string
-	at   time.Time
-	// end tells how the run ended: "answered", or "cancelled" if its connection closed.
-	end  string
-	took time.Duration
-}
-
-// worker is a stand-in of a worker. It works on each request for as long as behave says.
+// worker is a stand-in of a worker of the users' platform.
 type worker struct {
 	world   *world
 	m       *machine
 	id      string
 	service string
-	// behave returns how long the worker works on a request, further header lines of its
-	// answer, and whether it never answers.
-	behave func(r *http.Request) (work time.Duration, header string, hangs bool)
-
-	// kinds, if there are any, take the place of behave.
+	// kinds gives the work time and the calls of each kind of requests; if it is empty, each
+	// request takes work.
 	kinds []kind
+	work  time.Duration
 
 	listener net.Listener
 	mu       sync.Mutex
-	runs     []*run
-	running  int
-	seq      int
+	// runs holds the ids of the requests that the worker has begun to work on.
+	runs    []string
+	running int
+	seq     int
 	// silent is true once the worker sends no heartbeats, leaving once its health path says
 	// that it leaves, draining once its heartbeats say so, closed once it has ended.
 	silent, leaving, draining, closed bool
@@ -51,16 +40,25 @@
 
 const workerSlots = 12
 
+// defaultWork is how long a worker works on a request if nothing else is said.
+const defaultWork = 20 * time.Millisecond
+
+func newWorker(m *machine, id, service string) *worker {
+	return &worker{world: m.world, m: m, id: id, service: service, work: defaultWork}
+}
+
 // setWork sets how long the worker works on each request from now on.
 func (w *worker) setWork(work time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.behave = func(*http.Request) (time.Duration, string, bool) { return work, "", false }
+	w.work = work
 }
 
-func newWorker(m *machine, id, service string) *worker {
-	return &worker{world: m.world, m: m, id: id, service: service,
-		behave: func(*http.Request) (time.Duration, string, bool) { return 20 * time.Millisecond, "", false }}
+// setKinds sets the kinds of requests that the worker knows.
+func (w *worker) setKinds(kinds []kind) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.kinds = kinds
 }
 
 func (w *worker) start() error {
@@ -233,51 +231,57 @@
 		_, err := io.WriteString(c, w.head("421 Misdirected Request", id, 0, ""))
 		return err == nil
 	}
-	r := &run{id: id, path: req.URL.Path, at: time.Now()}
-	w.mu.Lock()
-	w.runs = append(w.runs, r)
-	w.running++
-	w.mu.Unlock()
+	began := time.Now()
+	work, calls := w.begin(id, req.URL.Path)
 	w.world.note("worker %s of %s runs %s %s (%d bytes)", w.id, w.service, req.Method, id, len(body))
+	answered := w.workOn(work, c, reader)
 	w.mu.Lock()
-	behave := w.behave
+	w.running--
 	w.mu.Unlock()
-	work, header, hangs := behave(req)
-	var calls []kind
-	if w.kinds != nil {
-		work, calls = callsOf(w.kinds, req.URL.Path)
+	outcome := "answered"
+	if !answered {
+		outcome = "cancelled"
+	}
+	w.world.note("worker %s: run of %s ends after %v: %s", w.id, id, time.Since(began).Round(time.Millisecond), outcome)
+	if !answered {
+		return false
+	}
+	status, text := "200 OK", w.service+" did "+id+"\n"
+	if !w.call(calls) {
+		status, text = "500 Internal Server Error", "a call failed\n"
+	}
+	seal := name("seal") + ": " + w.id + "." + id + "\r\n"
+	_, err := io.WriteString(c, w.head(status, id, len(text), seal)+text)
+	return err == nil
+}
+
+// begin records a run and returns its work time and calls.
+func (w *worker) begin(id, path string) (work time.Duration, calls []kind) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs = append(w.runs, id)
+	w.running++
+	if len(w.kinds) > 0 {
+		return callsOf(w.kinds, path)
 	}
+	return w.work, nil
+}
+
+// workOn waits for the work time of a run. It returns false if the connection closes before.
+func (w *worker) workOn(work time.Duration, c net.Conn, reader *bufio.Reader) bool {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if hangs {
-		work = time.Hour
-	}
-	gone := watchClose(ctx, c, reader)
+	closed := watchClose(ctx, c, reader)
 	timer := time.NewTimer(work)
 	defer timer.Stop()
-	end := "answered"
 	select {
 	case <-timer.C:
-	case <-gone:
-		end = "cancelled"
-	}
-	w.mu.Lock()
-	r.end, r.took = end, time.Since(r.at)
-	w.running--
-	w.mu.Unlock()
-	w.world.note("worker %s: run of %s ends after %v: %s", w.id, id, r.took.Round(time.Millisecond), end)
-	if end != "answered" {
+	case <-closed:
 		return false
 	}
 	cancel()
-	<-gone
-	status, text := "200 OK", w.service+" did "+id+"\n"
-	if !w.call(calls) {
-		status, text = "500 Internal Server Error", "a call failed\n"
-	}
-	header += name("seal") + ": " + w.id + "." + id + "\r\n"
-	_, err := io.WriteString(c, w.head(status, id, len(text), header)+text)
-	return err == nil
+	<-closed
+	return true
 }
 
 // call makes the calls of a run, at the same time, through the worker's own machine. It returns
@@ -322,14 +326,9 @@
 	return gone
 }
 
-// runOf returns the runs of a request.
-func (w *worker) runOf(id string) (out []run) {
+// ran reports whether the worker has begun to work on a request.
+func (w *worker) ran(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, r := range w.runs {
-		if r.id == id || strings.HasPrefix(r.id, id+".") {
-			out = append(out, *r)
-		}
-	}
-	return out
+	return slices.Contains(w.runs, id)
 }
