backend: name the good health check for what it is

Callers saw no change. Renamed to RecordGoodHealthCheck, also in tests; no line of a check changed. Tests of pkg/backend, systems, runner and daemon pass before and after.

--- a/pkg/backend/departure_test.go
+++ b/pkg/backend/departure_test.go
@@ -17,7 +17,7 @@
 // that is recorded before the first heartbeat, and that also applies to later processes.
 func TestDepartureWithoutStartTimeEndsWithItsProcess(t *testing.T) {
 	l := NewLifecycle(true, nil)
-	l.RecordInstanceID(1*second, "a")
+	l.RecordGoodHealthCheck(1*second, "a")
 	must.True(t, l.RecordDeparture(2*second, leaveInResponse(150)))
 	must.False(t, l.RecordDeparture(3*second, leaveInResponse(160)), must.Sprint("each response repeats it"))
 	test.Eq(t, "a@150", l.RecordedDeparture("a").String())
@@ -102,7 +102,7 @@
 			case "late heartbeat":
 				d.RecordHeartbeat(now(), Heartbeat{InstanceID: "a", StartedAtMS: max(started-1000, 5), Sequence: sequence, ReceivedAtMS: now()})
 			case "health":
-				d.RecordInstanceID(now(), "a")
+				d.RecordGoodHealthCheck(now(), "a")
 			case "leave":
 				current, _ := d.Current()
 				if current.ID == "" {
--- a/pkg/backend/incarnation_test.go
+++ b/pkg/backend/incarnation_test.go
@@ -33,14 +33,14 @@
 	l.RecordHeartbeat(1*second, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 40, Version: "v1", ColdFor: time.Second})
 	must.True(t, l.RecordHeartbeat(2*second, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 41, Version: "v1", Leaving: true}))
 	expectAccepting(t, l, "")
-	l.RecordInstanceID(3*second, "a")
+	l.RecordGoodHealthCheck(3*second, "a")
 	expectAccepting(t, l, "")
 	l.RecordHeartbeat(4*second, Heartbeat{InstanceID: "a", StartedAtMS: 200, Sequence: 1, Version: "v2", ColdFor: 3 * time.Second})
 	expectAccepting(t, l, "a@200")
 	test.Eq(t, "v2", l.Version())
 	test.Eq(t, 7*second, l.ColdPeriod().LatestEnd)
 	// A health check names the ID only.
-	l.RecordInstanceID(5*second, "a")
+	l.RecordGoodHealthCheck(5*second, "a")
 	expectAccepting(t, l, "a@200")
 }
 
@@ -98,7 +98,7 @@
 // incarnation. A heartbeat without one does not erase the known start time.
 func TestMessagesWithoutStartTime(t *testing.T) {
 	l := NewLifecycle(true, nil)
-	l.RecordInstanceID(1, "a")
+	l.RecordGoodHealthCheck(1, "a")
 	expectAccepting(t, l, "a")
 	l.RecordHeartbeat(2, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 1})
 	expectAccepting(t, l, "a@100")
@@ -112,7 +112,7 @@
 	// A departure of an unknown incarnation holds until one with a later start is seen.
 	l = NewLifecycle(true, nil)
 	l.RecordDeparture(1, Departure{Incarnation: Incarnation{ID: "a", StartedAtMS: 100}})
-	l.RecordInstanceID(2, "a")
+	l.RecordGoodHealthCheck(2, "a")
 	expectAccepting(t, l, "")
 	l.RecordHeartbeat(3, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 50})
 	expectAccepting(t, l, "")
@@ -130,7 +130,7 @@
 func TestReplacedInstanceIDReturnsWithLaterStart(t *testing.T) {
 	l := NewLifecycle(true, nil)
 	l.RecordHeartbeat(1*second, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 9})
-	l.RecordInstanceID(2*second, "b")
+	l.RecordGoodHealthCheck(2*second, "b")
 	l.RecordHeartbeat(10*second, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 10})
 	expectAccepting(t, l, "b")
 	l.RecordHeartbeat(11*second, Heartbeat{InstanceID: "a", StartedAtMS: 300, Sequence: 1})
@@ -157,7 +157,7 @@
 				l.RecordDeparture(now, Departure{Incarnation: incarnation})
 				departed[incarnation] = true
 			case 3:
-				l.RecordInstanceID(now, incarnation.ID)
+				l.RecordGoodHealthCheck(now, incarnation.ID)
 			}
 			if current, ok := l.Accepting(); ok && current.StartedAtMS != 0 && departed[current] {
 				t.Fatalf("departed incarnation %s gets requests", current)
@@ -170,10 +170,10 @@
 // when another one was seen at the address. The next health check lets the ID return.
 func TestReplacedInstanceIDWithoutStartTimeReturns(t *testing.T) {
 	l := NewLifecycle(true, nil)
-	l.RecordInstanceID(1*second, "a")
-	l.RecordInstanceID(2*second, "b")
+	l.RecordGoodHealthCheck(1*second, "a")
+	l.RecordGoodHealthCheck(2*second, "b")
 	l.RecordHeartbeat(10*second, Heartbeat{InstanceID: "a", StartedAtMS: 300, Sequence: 1})
 	expectAccepting(t, l, "b")
-	l.RecordInstanceID(11*second, "a")
+	l.RecordGoodHealthCheck(11*second, "a")
 	expectAccepting(t, l, "a@300")
 }
--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -271,10 +271,10 @@
 	l.markSeen(now, l.newestIncarnation(id))
 }
 
-// RecordInstanceID records a response, such as one to a health check, that names the
-// instance ID. As it comes from the backend server's address itself, it takes precedence
+// RecordGoodHealthCheck records a good health check, whose response names the instance ID.
+// As it comes from the backend server's address itself, it takes precedence
 // over heartbeats.
-func (l *Lifecycle) RecordInstanceID(now int64, id string) {
+func (l *Lifecycle) RecordGoodHealthCheck(now int64, id string) {
 	l.update(func() { l.confirmInstanceID(now, id) })
 }
 
--- a/pkg/backend/lifecycle_test.go
+++ b/pkg/backend/lifecycle_test.go
@@ -35,10 +35,10 @@
 	// A late heartbeat, a new one without the leaving mark, and a health check.
 	l.RecordHeartbeat(3*second, Heartbeat{InstanceID: "a", Sequence: 2})
 	l.RecordHeartbeat(30*second, Heartbeat{InstanceID: "a", Sequence: 4})
-	l.RecordInstanceID(31*second, "a")
+	l.RecordGoodHealthCheck(31*second, "a")
 	expectAccepting(t, l, "")
 	must.False(t, l.RecordDeparture(32*second, Departure{Incarnation: Incarnation{ID: "a"}}))
-	l.RecordInstanceID(33*second, "b")
+	l.RecordGoodHealthCheck(33*second, "b")
 	expectAccepting(t, l, "b")
 }
 
@@ -46,14 +46,14 @@
 	l := NewLifecycle(true, nil)
 	must.True(t, l.RecordDeparture(1, Departure{Incarnation: Incarnation{ID: "a"}}))
 	l.RecordHeartbeat(2, Heartbeat{InstanceID: "a", Sequence: 9})
-	l.RecordInstanceID(3, "a")
+	l.RecordGoodHealthCheck(3, "a")
 	expectAccepting(t, l, "")
 }
 
 func TestRestartedDaemonWaitsUntilDeparturesAreKnown(t *testing.T) {
 	var states []State
 	l := NewLifecycle(false, func(_ Incarnation, s State) { states = append(states, s) })
-	l.RecordInstanceID(1, "a")
+	l.RecordGoodHealthCheck(1, "a")
 	expectAccepting(t, l, "")
 	l.RecordDeparturesKnown()
 	expectAccepting(t, l, "a")
@@ -63,14 +63,14 @@
 func TestLateHeartbeatOfReplacedIncarnationIsIgnored(t *testing.T) {
 	l := NewLifecycle(true, nil)
 	l.RecordHeartbeat(1*second, Heartbeat{InstanceID: "old", Sequence: 7})
-	l.RecordInstanceID(5*second, "new")
+	l.RecordGoodHealthCheck(5*second, "new")
 	l.RecordHeartbeat(6*second, Heartbeat{InstanceID: "old", Sequence: 8})
 	expectAccepting(t, l, "new")
 }
 
 func TestReplacementAtTheAddress(t *testing.T) {
 	l := NewLifecycle(true, nil)
-	l.RecordInstanceID(1, "a")
+	l.RecordGoodHealthCheck(1, "a")
 	l.RecordReplacement(2, "b")
 	expectAccepting(t, l, "b")
 	l.RecordReplacement(3, "")
@@ -79,7 +79,7 @@
 
 func TestConnectFailuresTakeItDownUntilNextHeartbeat(t *testing.T) {
 	l := NewLifecycle(true, nil)
-	l.RecordInstanceID(1, "a")
+	l.RecordGoodHealthCheck(1, "a")
 	l.RecordConnectFailure()
 	expectAccepting(t, l, "a")
 	l.RecordConnectFailure()
@@ -106,7 +106,7 @@
 func TestHeartbeatDelayedByNetworkFailureIsIgnored(t *testing.T) {
 	l := NewLifecycle(true, nil)
 	l.RecordHeartbeat(1*second, Heartbeat{InstanceID: "old", Sequence: 1})
-	l.RecordInstanceID(2*second, "new")
+	l.RecordGoodHealthCheck(2*second, "new")
 	l.RecordCold(2*second, 2*second, "new", 3*time.Second)
 	l.RecordHeartbeat(30*second, Heartbeat{InstanceID: "old", Sequence: 2, ColdFor: 9 * time.Second})
 	expectAccepting(t, l, "new")
@@ -130,14 +130,14 @@
 	// It becomes cold again, as when the evacuation of its data centre ends.
 	l.RecordCold(20*second, 20*second, "a", 3*time.Second)
 	test.Eq(t, 23*second, l.ColdPeriod().LatestEnd)
-	l.RecordInstanceID(21*second, "b")
+	l.RecordGoodHealthCheck(21*second, "b")
 	test.Eq(t, ColdPeriod{}, l.ColdPeriod())
 }
 
 // TestInvalidColdTimesAreCapped covers the header and heartbeats.
 func TestInvalidColdTimesAreCapped(t *testing.T) {
 	l := NewLifecycle(true, nil)
-	l.RecordInstanceID(1*second, "a")
+	l.RecordGoodHealthCheck(1*second, "a")
 	for text, want := range map[string]int64{"1e300": 0, "NaN": 0, "-5": 0, "": 0, "x": 0, "3000": 3 * second, "99999999": int64(maxColdTime)} {
 		l.RecordCold(2*second, 2*second, "a", parseColdFor(text))
 		test.Eq(t, 2*second+want, l.ColdPeriod().LatestEnd, test.Sprint(text))
@@ -150,7 +150,7 @@
 // between the request and the response.
 func TestSlowHealthCheckWidensColdPeriod(t *testing.T) {
 	l := NewLifecycle(true, nil)
-	l.RecordInstanceID(1*second, "a")
+	l.RecordGoodHealthCheck(1*second, "a")
 	l.RecordCold(2*second, 3*second, "a", 2*time.Second)
 	test.Eq(t, ColdPeriod{LatestEnd: 5 * second, EarliestEnd: 4 * second, CheckedAt: 2 * second}, l.ColdPeriod())
 }
@@ -161,7 +161,7 @@
 	l := NewLifecycle(true, nil)
 	l.RecordHeartbeat(1, Heartbeat{InstanceID: "a", Sequence: 1, Version: "v1"})
 	test.Eq(t, "v1", l.Version())
-	l.RecordInstanceID(2, "b")
+	l.RecordGoodHealthCheck(2, "b")
 	test.Eq(t, "", l.Version())
 	l.RecordHeartbeat(3, Heartbeat{InstanceID: "a", Sequence: 2, Version: "v1"})
 	test.Eq(t, "", l.Version())
--- a/pkg/daemon/health.go
+++ b/pkg/daemon/health.go
@@ -103,7 +103,7 @@
 		return err
 	}
 	if health.Healthy && health.InstanceID != "" {
-		r.lifecycle.RecordInstanceID(r.daemon.Now(), health.InstanceID)
+		r.lifecycle.RecordGoodHealthCheck(r.daemon.Now(), health.InstanceID)
 	}
 	r.lifecycle.RecordCold(askedAt, r.daemon.Now(), health.InstanceID, health.ColdFor)
 	r.runner.UpdateColdState()
--- a/pkg/runner/crash_test.go
+++ b/pkg/runner/crash_test.go
@@ -40,7 +40,7 @@
 	s.BackendServer.Address = strings.TrimPrefix(out.server.URL, "http://")
 	s.BackendServer.Service, s.BackendServer.Slots = "s", 8
 	out.lifecycle = backend.NewLifecycle(true, nil)
-	out.lifecycle.RecordInstanceID(1, "i-1")
+	out.lifecycle.RecordGoodHealthCheck(1, "i-1")
 	var err error
 	out.runner, err = NewRunner(common.NewCommon(events.Discard(), &s), Deps{
 		Headers: backend.DefaultHeaders(), Lifecycle: out.lifecycle, Load: &backend.Load{},
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -59,7 +59,7 @@
 	s.BackendServer.Address = strings.TrimPrefix(server.URL, "http://")
 	s.BackendServer.Service, s.BackendServer.Slots = "s", slots
 	lifecycle := backend.NewLifecycle(true, nil)
-	lifecycle.RecordInstanceID(1, "i-1")
+	lifecycle.RecordGoodHealthCheck(1, "i-1")
 	r, err := NewRunner(common.NewCommon(events.Discard(), &s), Deps{
 		Headers: backend.DefaultHeaders(), Lifecycle: lifecycle, Load: &backend.Load{},
 		Service:   func() (routing.Service, bool) { return routing.Service{}, true },
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -39,7 +39,7 @@
 
 		second, _, tick := newDeparturesEnv(t, false)
 		second.Platform = platform
-		second.Backend.RecordInstanceID(1, "i-1")
+		second.Backend.RecordGoodHealthCheck(1, "i-1")
 		_, ok := second.Backend.Accepting()
 		must.False(t, ok)
 		tick()
@@ -48,7 +48,7 @@
 		must.True(t, second.Backend.DeparturesKnown())
 		_, ok = second.Backend.Accepting()
 		test.False(t, ok, test.Sprint("a departed incarnation gets no requests"))
-		second.Backend.RecordInstanceID(2, "i-2")
+		second.Backend.RecordGoodHealthCheck(2, "i-2")
 		_, ok = second.Backend.Accepting()
 		test.True(t, ok)
 	})
@@ -67,7 +67,7 @@
 	})
 	tick()
 	test.True(t, env.Backend.DeparturesKnown())
-	env.Backend.RecordInstanceID(1, "i-1")
+	env.Backend.RecordGoodHealthCheck(1, "i-1")
 	_, ok := env.Backend.Accepting()
 	test.False(t, ok)
 }
--- a/pkg/systems/membership_test.go
+++ b/pkg/systems/membership_test.go
@@ -46,7 +46,7 @@
 	own := run()
 	must.Eq(t, "vm", own.VM)
 	test.Eq(t, wire.BackendAbsent, own.Backend)
-	env.Backend.RecordInstanceID(1, "i-1")
+	env.Backend.RecordGoodHealthCheck(1, "i-1")
 	now := run()
 	test.Eq(t, wire.BackendLive, now.Backend)
 	test.Greater(t, own.Revision, now.Revision)
@@ -59,7 +59,7 @@
 func TestRestartAfterTheClockWasSetBackTakesAHigherIncarnation(t *testing.T) {
 	env, run := newMembershipEnv()
 	own := run()
-	env.Backend.RecordInstanceID(1, "i-1")
+	env.Backend.RecordGoodHealthCheck(1, "i-1")
 	old := own
 	old.Incarnation, old.State, old.Revision = 99, wire.MemberLeaving, 7
 	now := run(old)
--- a/pkg/systems/rollouts_test.go
+++ b/pkg/systems/rollouts_test.go
@@ -232,7 +232,7 @@
 	g.tracker.synced = true
 	test.NotEq(t, "", g.newVersionReason(1, "s"))
 	test.Eq(t, "", g.newVersionReason(int64(newVersionHold)+2, "s"))
-	g.Backend.RecordInstanceID(2, "j")
+	g.Backend.RecordGoodHealthCheck(2, "j")
 	g.Backend.RecordHeartbeat(2, backend.Heartbeat{InstanceID: "j", Sequence: 1, Version: "v2"})
 	test.Eq(t, "", g.newVersionReason(int64(newVersionHold)+3, "s"))
 }
