backend: a restarted daemon confirms its backend server before it sends requests

Cause: a departure that is acknowledged while the store is away stands in the memory of the daemons alone. After a kill of all of them the new process took the first heartbeat for proof that its sender takes requests. A heartbeat may come seconds late, from before the departure, and the store, once back, has no row that says otherwise.

Ruled out: a row that was written and not read (the store has none), a peer that remembers (all were killed), the departure not heard (it was acknowledged).

Change: after a start that is not the first of the whole system, a backend server is unconfirmed until this process has proof that it has not left before: a good health check, or heartbeats that cannot be late any more (8 s after the start, and not the first one). A 421 names a process and proves nothing. Once an instance ID is confirmed, its later processes are, too. A health response that announces a departure records it before the check counts as good. Refusing the acknowledgement was weighed: the backend server would leave all the same, and requests would go on to reach it until then.

--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -16,6 +16,9 @@
 	// connectFailuresUntilDown is how many attempts to connect must fail in a row before the
 	// backend server counts as down.
 	connectFailuresUntilDown = 2
+	// maxHeartbeatDelay is the longest time that a heartbeat can be under way. One that
+	// arrives later than this after the start of the daemon was sent after that start.
+	maxHeartbeatDelay = 8 * time.Second
 )
 
 // State is the state of the backend server as far as the daemon knows.
@@ -25,6 +28,9 @@
 const (
 	// Unknown means that no incarnation has been seen yet.
 	Unknown State = iota
+	// Unconfirmed means that the current incarnation may have announced its departure to an
+	// earlier process of the daemon: it gets no requests before a good health check.
+	Unconfirmed
 	// Live means that the current incarnation takes requests.
 	Live
 	// Leaving means that the current incarnation has announced its departure; it gets no
@@ -36,7 +42,7 @@
 
 // String returns the state as written in log lines.
 func (s State) String() string {
-	return [...]string{"unknown", "live", "leaving", "down"}[s]
+	return [...]string{"unknown", "unconfirmed", "live", "leaving", "down"}[s]
 }
 
 // Heartbeat is a backend server's periodic announcement of its state.
@@ -87,8 +93,14 @@
 	mu      sync.Mutex
 	current Incarnation
 	state   State
-	// departuresKnown is true once all departures that may matter are known: the previous
-	// process of the daemon may have acknowledged one.
+	// firstStart is true if no earlier process of the daemon can have acknowledged a
+	// departure.
+	firstStart bool
+	// confirmedID is the instance ID that was last proven not to have announced a departure
+	// before the start of the daemon. Later processes with that ID have not either.
+	confirmedID string
+	// departuresKnown is true once all stored departures that may matter are known: the
+	// previous process of the daemon may have acknowledged one.
 	departuresKnown bool
 	// lastSeenAt is the time of the last sign of life of the current incarnation.
 	lastSeenAt int64
@@ -108,13 +120,13 @@
 }
 
 // NewLifecycle returns the lifecycle of a backend server that has not been seen yet.
-// departuresKnown is true if no departure can have been acknowledged before, as at the
-// first start of the whole system. onChange may be nil.
-func NewLifecycle(departuresKnown bool, onChange func(current Incarnation, state State)) *Lifecycle {
+// firstStart is true if no departure can have been acknowledged before, as at the first
+// start of the whole system. onChange may be nil.
+func NewLifecycle(firstStart bool, onChange func(current Incarnation, state State)) *Lifecycle {
 	if onChange == nil {
 		onChange = func(Incarnation, State) {}
 	}
-	return &Lifecycle{departuresKnown: departuresKnown, onChange: onChange, histories: map[Incarnation]*heartbeatHistory{}, departed: map[string]endRecord{}, replaced: map[string]endRecord{}}
+	return &Lifecycle{firstStart: firstStart, departuresKnown: firstStart, onChange: onChange, histories: map[Incarnation]*heartbeatHistory{}, departed: map[string]endRecord{}, replaced: map[string]endRecord{}}
 }
 
 // Accepting returns the current incarnation; ok is true if it may get requests now.
@@ -204,6 +216,9 @@
 		case h.Leaving:
 			departed = l.markDeparted(now, Departure{Incarnation: incarnation, StartedByMS: h.ReceivedAtMS, Source: FromHeartbeat})
 		case !late && l.mayBecomeCurrent(now, incarnation):
+			if l.sentAfterStart(now, incarnation) {
+				l.confirmedID = incarnation.ID
+			}
 			l.markSeen(now, incarnation)
 			l.extendCold(coldEnd(now, h.ColdFor))
 		}
@@ -211,6 +226,12 @@
 	return departed
 }
 
+// sentAfterStart is true if the newest heartbeat of an incarnation was sent after the start of
+// the daemon: it is too late to be a late one, and not the only one.
+func (l *Lifecycle) sentAfterStart(now int64, incarnation Incarnation) bool {
+	return now > int64(maxHeartbeatDelay) && now-l.histories[incarnation].firstAt > int64(confirmationPeriod)
+}
+
 // extendCold applies the end of the cold period from a heartbeat, which can only extend
 // the period.
 func (l *Lifecycle) extendCold(end int64) {
@@ -240,8 +261,8 @@
 	return l.state == Live && now-l.lastSeenAt < int64(confirmationPeriod)
 }
 
-// markSeen records a sign of life, which makes the incarnation current and live. One
-// that has departed stays in the state Leaving.
+// markSeen records a sign of life, which makes the incarnation current and, if it is
+// confirmed, live. One that has departed stays in the state Leaving.
 func (l *Lifecycle) markSeen(now int64, incarnation Incarnation) {
 	if incarnation.ID == "" {
 		return
@@ -255,7 +276,10 @@
 	if !incarnation.mayEqual(l.current) {
 		l.cold = ColdPeriod{}
 	}
-	l.current, l.state, l.lastSeenAt, l.connectFailures = incarnation, Live, now, 0
+	l.current, l.state, l.lastSeenAt, l.connectFailures = incarnation, Unconfirmed, now, 0
+	if l.firstStart || l.confirmedID == incarnation.ID {
+		l.state = Live
+	}
 }
 
 // confirmInstanceID records which instance ID answers at the backend server's address,
@@ -272,10 +296,14 @@
 }
 
 // RecordGoodHealthCheck records a good health check, whose response names the instance ID.
-// As it comes from the backend server's address itself, it takes precedence
-// over heartbeats.
+// As it comes from the backend server's address itself, it takes precedence over
+// heartbeats. It was made by this process of the daemon, so it proves that the instance has
+// not announced a departure to an earlier one.
 func (l *Lifecycle) RecordGoodHealthCheck(now int64, id string) {
-	l.update(func() { l.confirmInstanceID(now, id) })
+	l.update(func() {
+		l.confirmedID = id
+		l.confirmInstanceID(now, id)
+	})
 }
 
 // RecordAnswer records a response of the current incarnation as a sign of life.
@@ -285,8 +313,8 @@
 	l.lastSeenAt, l.connectFailures = now, 0
 }
 
-// RecordReplacement records that another instance answers at the address. With an empty
-// ID the state becomes Unknown.
+// RecordReplacement records that another instance answers at the address, which does not
+// prove that it takes requests. With an empty ID the state becomes Unknown.
 func (l *Lifecycle) RecordReplacement(now int64, id string) {
 	l.update(func() {
 		if id == "" {
--- a/pkg/daemon/health.go
+++ b/pkg/daemon/health.go
@@ -102,26 +102,36 @@
 	if err != nil {
 		return err
 	}
+	r.applyDeparture(&health, askedAt)
 	if health.Healthy && health.InstanceID != "" {
 		r.lifecycle.RecordGoodHealthCheck(r.daemon.Now(), health.InstanceID)
 	}
 	r.lifecycle.RecordCold(askedAt, r.daemon.Now(), health.InstanceID, health.ColdFor)
 	r.runner.UpdateColdState()
 	r.runner.UpdateLoad(health.Reports.Load)
-	r.applyHealthReports(&health, askedAt)
+	r.applyRateLimit(&health, askedAt)
 	return nil
 }
 
-// applyHealthReports applies what a health response of the current incarnation says of its
-// rate limit and its departure.
-func (r *routed) applyHealthReports(health *backend.ProbeResult, askedAt int64) {
+// applyDeparture records the departure that a health response announces. It comes before the
+// good health check, so that a backend server that leaves does not become live in between.
+func (r *routed) applyDeparture(health *backend.ProbeResult, askedAt int64) {
+	if !health.Reports.Leaving || health.InstanceID == "" {
+		return
+	}
+	incarnation := backend.Incarnation{ID: health.InstanceID}
+	if current, _ := r.lifecycle.Current(); current.ID == health.InstanceID {
+		incarnation = current
+	}
+	r.handleDepartureInResponse(incarnation, askedAt)
+}
+
+// applyRateLimit applies the rate limit in a health response of the current incarnation.
+func (r *routed) applyRateLimit(health *backend.ProbeResult, askedAt int64) {
 	current, _ := r.lifecycle.Current()
 	if health.InstanceID == "" || health.InstanceID != current.ID {
 		return
 	}
-	if health.Reports.Leaving {
-		r.handleDepartureInResponse(current, askedAt)
-	}
 	r.runner.ApplyRateLimit(backend.RateLimitReport{
 		Values: health.Reports.RateLimit, Incarnation: current, SentAt: askedAt, ReceivedAt: r.daemon.Now(), FromHealthCheck: true,
 	})
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -167,6 +167,7 @@
 		startedAtMS := time.Now().UnixMilli()
 		accepting := func(at int64, startedAtMS int64) bool {
 			env.Backend.RecordHeartbeat(at, backend.Heartbeat{InstanceID: "i-1", StartedAtMS: startedAtMS, Sequence: 1})
+			env.Backend.RecordGoodHealthCheck(at, "i-1")
 			_, ok := env.Backend.Accepting()
 			return ok
 		}
@@ -194,9 +195,11 @@
 		})
 		tick()
 		env.Backend.RecordHeartbeat(1, backend.Heartbeat{InstanceID: "i-1", StartedAtMS: 100, Sequence: 9})
+		env.Backend.RecordGoodHealthCheck(1, "i-1")
 		_, ok := env.Backend.Accepting()
 		test.False(t, ok)
 		env.Backend.RecordHeartbeat(2, backend.Heartbeat{InstanceID: "i-1", StartedAtMS: 200, Sequence: 1})
+		env.Backend.RecordGoodHealthCheck(2, "i-1")
 		_, ok = env.Backend.Accepting()
 		test.True(t, ok)
 	}
