systems: a daemon's own record is newer than one made from its greeting

Whose refusal, from which inputs: that of the executor beside the new version (glyph-3, event 785: its plan does not permit v2). Its inputs were right. The entry (glyph-2) had sent the calls as to an old version: its record of glyph-3 had no version. It also evaluated the roll-out, counted no backend server of the version (event 787: target_servers=0), and took the canary that rank 1 had written out of the plan again, three times. Both watched the same members with other records.

Cause: where the platform keeps the list of VMs, a daemon's first own record had revision 0. So has the record that a peer makes of a new process from the greeting of a link, without a version. Records that are equally new are ordered by their digests: for one half of them the peer kept its own, until anti-entropy 1.5 s later made the daemon write another one. On an idle machine the state of the backend server changes after the first record, which hides it.

Change: a daemon's own record starts with revision 1 on all ways. The scenarios' load prints the refusals by kind, which told version_held from overloaded.

--- a/pkg/systems/membership.go
+++ b/pkg/systems/membership.go
@@ -11,6 +11,9 @@
 )
 
 const (
+	// firstRevision is the revision of the first record that a daemon writes of itself. It is
+	// above that of the records that others make of its process from a link's greeting.
+	firstRevision = 1
 	// maxRowsPerFrame is the largest number of records in one frame.
 	maxRowsPerFrame = 500
 	// unlistedGracePeriod is how long a member that the list of VMs has never contained
@@ -65,7 +68,7 @@
 	ms.merge(now, nil, ms.withBackendState(wire.Member{
 		VM: s.VM.ID, Incarnation: ms.Control.Incarnation(), Region: s.VM.Region, DataCentre: s.VM.DataCentre,
 		Service: s.BackendServer.Service, LinkAddress: s.Listen.Links, CallerAddress: s.Listen.Callers,
-		Slots: uint32(s.BackendServer.Slots), Revision: 1,
+		Slots: uint32(s.BackendServer.Slots), Revision: firstRevision,
 	}))
 }
 
@@ -171,7 +174,7 @@
 		// refuteGone handles this, at most once per refuteInterval.
 	case record.Incarnation < ownIncarnation:
 		markedByPlatform := record.State == wire.MemberLeaving && record.Incarnation == 0
-		record.Incarnation = ownIncarnation
+		record.Incarnation, record.Revision = ownIncarnation, firstRevision
 		if !markedByPlatform {
 			record.State = wire.MemberLive
 		}
@@ -181,6 +184,7 @@
 		// the clock was set back since. This process takes the next one.
 		ms.Control.incarnation.Store(record.Incarnation + 1)
 		record.Incarnation++
+		record.Revision = firstRevision
 		record.State = wire.MemberLive
 		ms.merge(now, nil, ms.withBackendState(record))
 	case record.State == wire.MemberLeaving:
@@ -209,7 +213,7 @@
 	ms.Metrics.GetOrCreateCounter("rushramp_members_refuted_total").Inc()
 	ms.Control.incarnation.Store(max(tombstone.Incarnation, ms.Control.Incarnation()) + 1)
 	tombstone.State = wire.MemberLive
-	tombstone.Incarnation = ms.Control.Incarnation()
+	tombstone.Incarnation, tombstone.Revision = ms.Control.Incarnation(), firstRevision
 	ms.merge(now, nil, tombstone)
 }
 
--- a/pkg/systems/membership_test.go
+++ b/pkg/systems/membership_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/store"
 	"github.com/rushramp/rushramp/pkg/tables"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -69,3 +70,31 @@
 	test.Eq(t, now.Incarnation, env.Control.Hello().Incarnation)
 	test.Eq(t, wire.BackendLive, now.Backend)
 }
+
+// TestOwnRecordReplacesThatOfTheGreeting guards against requests to a backend server of a
+// version that may not run them: a peer knows of a new process from the greeting of a link
+// alone, without its version, and both records were equally new, so that their digests decided.
+func TestOwnRecordReplacesThatOfTheGreeting(t *testing.T) {
+	for started := range uint64(40) {
+		env := testEnv()
+		env.Backend = backend.NewLifecycle(true, nil)
+		env.Backend.RecordHeartbeat(1, backend.Heartbeat{InstanceID: "i-1", Sequence: 1, Version: "v2"})
+		listed := store.VM{ID: env.World.VM, Started: started, DataCentre: "a", Service: "s", Links: "127.0.0.1:7401", Slots: 4}
+		system := &membership{Env: env}
+		system.Tick(env.Now(), &tables.Mail{VMList: &tables.VMList{VMs: []store.VM{listed}}})
+		row, ok := env.World.Members.Find(env.World.VM)
+		must.True(t, ok)
+		own := env.World.Members.Record[row]
+
+		peer := &links{Env: testEnv()}
+		fromGreeting := own
+		fromGreeting.Incarnation, fromGreeting.Version, fromGreeting.Backend = 0, "", wire.BackendAbsent
+		peer.World.Members.Merge(1, nil, fromGreeting)
+		hello := wire.Hello{VM: own.VM, Incarnation: own.Incarnation}
+		peer.handleNewProcess(2, tables.LinkEvent{Peer: &link.Peer{Conn: link.NewClosedConn(), Hello: hello}, Up: true})
+		peer.World.Members.Merge(3, nil, own)
+		row, ok = peer.World.Members.Find(own.VM)
+		must.True(t, ok)
+		test.Eq(t, "v2", peer.World.Members.Record[row].Version)
+	}
+}
--- a/test/expect_test.go
+++ b/test/expect_test.go
@@ -84,7 +84,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	counts := map[string]int{"answered": l.answered, "refused": l.refused, "unknown": l.unknown}
-	return compare(ts, float64(counts[args[1]]), args[2:]), fmt.Sprintf("%+v", counts)
+	return compare(ts, float64(counts[args[1]]), args[2:]), fmt.Sprintf("%+v, refusals: %+v", counts, l.refusals)
 }
 
 // compare compares a number with the words "= N" or "> N".
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -281,6 +281,8 @@
 	answered int
 	refused  int
 	unknown  int
+	// refusals counts the refused calls by their error kind and detail.
+	refusals map[string]int
 }
 
 func (l *load) end() {
@@ -300,6 +302,10 @@
 		l.answered++
 	case a.err == nil && a.header.Get("Rushramp-Ran") == "no":
 		l.refused++
+		if l.refusals == nil {
+			l.refusals = map[string]int{}
+		}
+		l.refusals[a.header.Get("Rushramp-Error")+": "+a.body]++
 	default:
 		l.unknown++
 	}
