entry: a call that nobody weighed goes on without a retry of the budget

Cause: an executor refuses by a plan that its entry does not have yet. No backend server and no gate had got the call, so that nothing was repeated. The path of routed requests never charged these.

Attempts bound them as before; overload and refusals of backend servers cost one as before.

TestUnofferedCallCostsNoRetry fails before.

--- a/pkg/entry/attempts.go
+++ b/pkg/entry/attempts.go
@@ -100,7 +100,8 @@
 }
 
 // shouldRetry decides whether another attempt follows a result, and takes its token
-// from the budget. Only a call that did not run is retried, whatever its kind.
+// from the budget. Only a call that did not run is retried, whatever its kind. The budget
+// bounds what backend servers and gates get again, so an unoffered call costs nothing.
 func (a *attempts) shouldRetry(index int, result call.Result) bool {
 	if result.Refusal == nil {
 		return false
@@ -124,7 +125,7 @@
 	}
 	a.remaining--
 	a.excluded = a.excluded.With(index)
-	if a.remaining == 0 || !a.budget.takeRetry(a.ctx) {
+	if a.remaining == 0 || !result.Refusal.Kind.Row().Unoffered && !a.budget.takeRetry(a.ctx) {
 		return false
 	}
 	a.entry.stats.retries.Inc()
--- a/pkg/entry/rollout_test.go
+++ b/pkg/entry/rollout_test.go
@@ -74,3 +74,20 @@
 		test.Eq(t, 1, old.calls)
 	})
 }
+
+// TestUnofferedCallCostsNoRetry guards against a refusal to a caller whose call could run
+// elsewhere: a daemon has no retries in its first window, and its view of a roll-out may be
+// older than the executor's.
+func TestUnofferedCallCostsNoRetry(t *testing.T) {
+	for kind, expected := range map[errkind.Kind]bool{errkind.VersionHeld: true, errkind.Leaving: true, errkind.BackendAbsent: true, errkind.Overloaded: false, errkind.BackendRefused: false} {
+		synctest.Test(t, func(t *testing.T) {
+			target := refusing(kind)
+			e := newEntryUnderRollout(rollout.Canary, 1000, answering(0), target)
+			e.Settings.Retries.Budget, e.Settings.Retries.BudgetFloor = 0, 0
+			for range 100 {
+				test.Eq(t, expected, sendCall(t, e).Answer != nil, test.Sprint(kind))
+			}
+			test.Eq(t, 100, target.calls)
+		})
+	}
+}
