link: bytes that are not UTF-8 end no link

Cause: the encoder sends any bytes as text, and the decoder refused text that is not valid UTF-8, the default of the library; a frame that cannot be decoded ends the link.

Change: frames are decoded whatever bytes their text holds. A peer of the release before (no FeatureAnyText) is sent no such call, and no such header of an answer.

--- a/pkg/backend/headers.go
+++ b/pkg/backend/headers.go
@@ -4,6 +4,11 @@
 // "Executor and backend server".
 package backend
 
+import (
+	"net/http"
+	"unicode/utf8"
+)
+
 // Headers holds the names of the HTTP headers that daemon and backend server exchange.
 // They differ between platforms.
 type Headers struct {
@@ -41,3 +46,12 @@
 		ColdMS: "Rushramp-Cold-Ms", RateLimit: "Rushramp-Rate-Limit", Leaving: "Rushramp-Leaving",
 	}
 }
+
+// instanceID returns the instance ID that a response names, or an empty string if it is missing
+// or no text, which names nobody.
+func (h *Headers) instanceID(header http.Header) string {
+	if id := header.Get(h.InstanceID); utf8.ValidString(id) {
+		return id
+	}
+	return ""
+}
--- a/pkg/backend/prober.go
+++ b/pkg/backend/prober.go
@@ -59,7 +59,7 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBodyBytes))
 	return ProbeResult{
 		Healthy:    resp.StatusCode == http.StatusOK,
-		InstanceID: resp.Header.Get(p.headers.InstanceID),
+		InstanceID: p.headers.instanceID(resp.Header),
 		Reports:    p.headers.parseReports(resp.Header),
 		ColdFor:    parseColdFor(resp.Header.Get(p.headers.ColdMS)),
 	}, nil
--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -294,7 +294,7 @@
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest:
 		out := newRefusal(errkind.BackendReplaced, false, "another instance answers at the backend server's address")
-		out.InstanceID = resp.Header.Get(names.InstanceID)
+		out.InstanceID = names.instanceID(resp.Header)
 		out.Reports = reports
 		return out
 	case resp.Header.Get(names.NotExecuted) != "":
--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -125,6 +125,10 @@
 
 // execute sends a call. acknowledged is nil if the caller does not need an ack.
 func (cl *Client) execute(c *wire.Call, body []byte, acknowledged func(), done func(call.Result)) (cancel func()) {
+	if !cl.Hello.Features.Has(wire.FeatureAnyText) && !c.HasValidText() {
+		done(*linkUnavailable("the release of the peer cannot read a header or path that is not valid UTF-8"))
+		return func() {}
+	}
 	callFrame := *c
 	pending := &pendingCall{done: done}
 	cl.acks.prepare(&callFrame, acknowledged)
--- a/pkg/link/link_test.go
+++ b/pkg/link/link_test.go
@@ -105,6 +105,24 @@
 	return <-done
 }
 
+// TestTextThatAPeerOfAnEarlierReleaseCannotRead is not sent to it, since it would end the link
+// with all other calls. The test's peers announce no features, as that release.
+func TestTextThatAPeerOfAnEarlierReleaseCannotRead(t *testing.T) {
+	client, _ := connect(t, runnerFunc(func(_ *wire.Call, _ []byte, done func(call.Result)) func() {
+		headers := []wire.Header{{Name: "X-Title", Value: "Stra\xdfe"}, {Name: "X-Kind", Value: "map"}}
+		go done(call.Result{Answer: &call.Answer{Status: 200, Headers: headers}})
+		return func() {}
+	}))
+	result := execute(client, "/a", nil)
+	must.NotNil(t, result.Answer)
+	test.Eq(t, []wire.Header{{Name: "X-Kind", Value: "map"}}, result.Answer.Headers)
+	result = execute(client, "/\xdf", nil)
+	must.NotNil(t, result.Refusal)
+	test.Eq(t, errkind.LinkUnavailable, result.Refusal.Kind)
+	test.True(t, result.Refusal.RetryElsewhere())
+	test.NotNil(t, execute(client, "/b", nil).Answer, test.Sprint("the link lives on"))
+}
+
 // TestConcurrentCallsReachThePeerInOrderOfTheirIDs reproduces a failure that a benchmark
 // found. Ids were assigned and sent in two steps, so that two calls could be sent out of
 // order, and the peer closed the link because an id seemed to be used twice.
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -323,10 +324,14 @@
 	a := result.Answer
 	body, chunks := wire.Split(a.Body)
 	frames := make([]wire.Frame, 0, 1+len(chunks))
-	frames = append(frames, &wire.Answer{
+	frame := &wire.Answer{
 		ID: id, Status: a.Status, Headers: a.Headers,
 		Queued: a.Queued, Run: a.Run, Stamp: result.Stamp, Body: body, Origin: result.Origin, Slowdown: uint32(a.Slowdown), CallsFailed: a.CallsFailed,
-	})
+	}
+	if !s.Hello.Features.Has(wire.FeatureAnyText) {
+		frame.DropInvalidText()
+	}
+	frames = append(frames, frame)
 	for _, chunk := range chunks {
 		chunk.ID = id
 		frames = append(frames, chunk)
@@ -338,7 +343,7 @@
 func (s *session) sendRefusal(id uint64, result call.Result) {
 	_ = s.Send(&wire.Refusal{
 		ID: id, Kind: uint8(result.Refusal.Kind), Ran: uint8(result.Refusal.Ran),
-		Detail: result.Refusal.Detail, Stamp: result.Stamp, NextClaim: result.NextClaim, Offered: result.Offered, Origin: result.Origin,
+		Detail: strings.ToValidUTF8(result.Refusal.Detail, "\uFFFD"), Stamp: result.Stamp, NextClaim: result.NextClaim, Offered: result.Offered, Origin: result.Origin,
 	})
 }
 
--- a/pkg/systems/control.go
+++ b/pkg/systems/control.go
@@ -45,7 +45,7 @@
 		DataCentre:  c.Settings.VM.DataCentre,
 		State:       *c.State(),
 		Region:      c.Settings.VM.Region,
-		Features:    wire.FeatureGrants | wire.FeatureAcks | wire.FeatureRetries,
+		Features:    wire.FeatureGrants | wire.FeatureAcks | wire.FeatureRetries | wire.FeatureAnyText,
 		UptimeMS:    uint64(time.Duration(c.Now())/time.Millisecond) + 1,
 	}
 }
--- a/pkg/wire/codec.go
+++ b/pkg/wire/codec.go
@@ -106,6 +106,8 @@
 		MaxNestedLevels:  maxNestedLevels,
 		IndefLength:      cbor.IndefLengthForbidden,
 		TagsMd:           cbor.TagsForbidden,
+		// Headers of callers and of backend servers may hold any bytes.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		return nil, errors.Wrap(err, "create the frame decoder")
--- a/pkg/wire/codec_test.go
+++ b/pkg/wire/codec_test.go
@@ -41,6 +41,25 @@
 	test.SliceEmpty(t, rest)
 }
 
+// TestTextThatIsNotUTF8IsDecoded guards against a link that ends, with all calls on it, because
+// a header or an ID holds a byte that is not UTF-8.
+func TestTextThatIsNotUTF8IsDecoded(t *testing.T) {
+	codec, err := NewCodec()
+	must.NoError(t, err)
+	latin1 := []Header{{Name: "X-Title", Value: "Stra\xdfe"}}
+	for _, sent := range []Frame{
+		&Call{ID: 1, URI: "/\xdf", Headers: latin1}, &Answer{ID: 1, Status: 200, Headers: latin1},
+		&Departures{IDs: []string{"\xff\xfe"}}, &Refusal{ID: 1, Detail: "\xff"},
+	} {
+		var buf bytes.Buffer
+		must.NoError(t, codec.Append(&buf, sent))
+		got, rest, err := codec.Next(buf.Bytes())
+		must.NoError(t, err)
+		test.Eq(t, sent, got)
+		test.SliceEmpty(t, rest)
+	}
+}
+
 func TestStampSizeMatchesItsEncoding(t *testing.T) {
 	codec, err := NewCodec()
 	must.NoError(t, err)
--- a/pkg/wire/features.go
+++ b/pkg/wire/features.go
@@ -11,6 +11,8 @@
 	FeatureAcks
 	// FeatureRetries: the sender answers asks for retries (RetryAsk).
 	FeatureRetries
+	// FeatureAnyText: the sender reads frames whose text is not valid UTF-8.
+	FeatureAnyText
 )
 
 // Has reports whether all features of other are in the set.
