backend: another instance at the address names its service before it gets requests

Cause: the daemon made whatever instance answers a health check, or a 421, the current one, and named its ID in its requests, so that the instance had no reason to refuse them. Neither names a service. Heartbeats do, and the daemon refused them, without using what they say.

Ruled out: kept connections (the instance is another one, and closed them), the settings file (SIGHUP is only logged, and the daemon would do the same without it).

Change: an ID that replaces another one gets no requests before a heartbeat with that ID has named the daemon's service. The first ID of a daemon's process needs none, as its settings name the service. An ID whose heartbeats name another service gets none, unless one names the daemon's: it may be another writer's.

Tests: seven tests of pkg/backend and pkg/systems took a replacement for live by the health check or the 421 alone, which is the fault.

--- a/pkg/backend/announcements.go
+++ b/pkg/backend/announcements.go
@@ -9,6 +9,9 @@
 	HandleHeartbeat(ctx context.Context, h Heartbeat)
 	// HandleDeparture processes the message that an incarnation is leaving or has ended.
 	HandleDeparture(ctx context.Context, incarnation Incarnation)
+	// HandleOtherService processes a valid heartbeat that names another service than that of
+	// the daemon.
+	HandleOtherService(instanceID string)
 	// HandleInvalid processes an announcement that cannot be parsed: instanceID is the
 	// instance that it names, err the reason.
 	HandleInvalid(instanceID string, err error)
--- a/pkg/backend/incarnation_test.go
+++ b/pkg/backend/incarnation_test.go
@@ -131,8 +131,9 @@
 	l := NewLifecycle(true, nil)
 	l.RecordHeartbeat(1*second, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 9})
 	l.RecordGoodHealthCheck(2*second, "b")
+	l.RecordHeartbeat(3*second, Heartbeat{InstanceID: "b", StartedAtMS: 150, Sequence: 1})
 	l.RecordHeartbeat(10*second, Heartbeat{InstanceID: "a", StartedAtMS: 100, Sequence: 10})
-	expectAccepting(t, l, "b")
+	expectAccepting(t, l, "b@150")
 	l.RecordHeartbeat(11*second, Heartbeat{InstanceID: "a", StartedAtMS: 300, Sequence: 1})
 	expectAccepting(t, l, "a@300")
 }
@@ -172,8 +173,9 @@
 	l := NewLifecycle(true, nil)
 	l.RecordGoodHealthCheck(1*second, "a")
 	l.RecordGoodHealthCheck(2*second, "b")
+	l.RecordHeartbeat(3*second, Heartbeat{InstanceID: "b", StartedAtMS: 150, Sequence: 1})
 	l.RecordHeartbeat(10*second, Heartbeat{InstanceID: "a", StartedAtMS: 300, Sequence: 1})
-	expectAccepting(t, l, "b")
+	expectAccepting(t, l, "b@150")
 	l.RecordGoodHealthCheck(11*second, "a")
 	expectAccepting(t, l, "a@300")
 }
--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -28,8 +28,9 @@
 const (
 	// Unknown means that no incarnation has been seen yet.
 	Unknown State = iota
-	// Unconfirmed means that the current incarnation may have announced its departure to an
-	// earlier process of the daemon: it gets no requests before a good health check.
+	// Unconfirmed means that the current incarnation gets no requests yet: it may have
+	// announced its departure to an earlier process of the daemon, so a good health check is
+	// needed, or it has replaced another instance, so a heartbeat must name its service.
 	Unconfirmed
 	// Live means that the current incarnation takes requests.
 	Live
@@ -99,6 +100,9 @@
 	// confirmedID is the instance ID that was last proven not to have announced a departure
 	// before the start of the daemon. Later processes with that ID have not either.
 	confirmedID string
+	// firstID is the first instance ID that this process of the daemon has seen. The settings
+	// of the daemon name its service. Others have the service that their heartbeats name.
+	firstID string
 	// departuresKnown is true once all stored departures that may matter are known: the
 	// previous process of the daemon may have acknowledged one.
 	departuresKnown bool
@@ -111,8 +115,11 @@
 	// ones have announced that they leave. For replaced ones another ID was seen at the
 	// address later, so that heartbeats delayed by a network failure do not make them
 	// current again.
-	departed        map[string]endRecord
-	replaced        map[string]endRecord
+	departed map[string]endRecord
+	replaced map[string]endRecord
+	// otherService holds the instance IDs whose heartbeats name another service, with the
+	// time of the first one. A heartbeat that names the service removes an ID.
+	otherService    map[string]int64
 	connectFailures int
 	// onChange is called without the lock after each change of the current incarnation,
 	// its state or version, or departuresKnown.
@@ -126,7 +133,7 @@
 	if onChange == nil {
 		onChange = func(Incarnation, State) {}
 	}
-	return &Lifecycle{firstStart: firstStart, departuresKnown: firstStart, onChange: onChange, histories: map[Incarnation]*heartbeatHistory{}, departed: map[string]endRecord{}, replaced: map[string]endRecord{}}
+	return &Lifecycle{firstStart: firstStart, departuresKnown: firstStart, onChange: onChange, histories: map[Incarnation]*heartbeatHistory{}, departed: map[string]endRecord{}, replaced: map[string]endRecord{}, otherService: map[string]int64{}}
 }
 
 // Accepting returns the current incarnation; ok is true if it may get requests now.
@@ -212,6 +219,7 @@
 	l.update(func() {
 		incarnation := h.Incarnation()
 		late := l.recordHistory(now, &h)
+		delete(l.otherService, h.InstanceID)
 		switch {
 		case h.Leaving:
 			departed = l.markDeparted(now, Departure{Incarnation: incarnation, StartedByMS: h.ReceivedAtMS, Source: FromHeartbeat})
@@ -276,8 +284,11 @@
 	if !incarnation.mayEqual(l.current) {
 		l.cold = ColdPeriod{}
 	}
+	if l.firstID == "" {
+		l.firstID = incarnation.ID
+	}
 	l.current, l.state, l.lastSeenAt, l.connectFailures = incarnation, Unconfirmed, now, 0
-	if l.firstStart || l.confirmedID == incarnation.ID {
+	if (l.firstStart || l.confirmedID == incarnation.ID) && l.runsService(incarnation.ID) {
 		l.state = Live
 	}
 }
@@ -306,6 +317,44 @@
 	})
 }
 
+// RecordOtherService records a heartbeat that names another service. Its sender gets no
+// requests, unless another heartbeat with its ID names the service of this daemon.
+func (l *Lifecycle) RecordOtherService(now int64, id string) {
+	l.update(func() {
+		if l.hasNamedService(id) {
+			return
+		}
+		for old, at := range l.otherService {
+			if now-at > int64(endRetention) {
+				delete(l.otherService, old)
+			}
+		}
+		if _, known := l.otherService[id]; !known {
+			l.otherService[id] = now
+		}
+		if l.current.ID == id && l.state == Live {
+			l.state = Unconfirmed
+		}
+	})
+}
+
+// runsService is true if the instance with an ID runs the service of this daemon, as far as is
+// known.
+func (l *Lifecycle) runsService(id string) bool {
+	_, other := l.otherService[id]
+	return !other && (id == l.firstID || l.hasNamedService(id))
+}
+
+// hasNamedService is true if a heartbeat with the ID has named the service of this daemon.
+func (l *Lifecycle) hasNamedService(id string) bool {
+	for incarnation := range l.histories {
+		if incarnation.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
 // RecordAnswer records a response of the current incarnation as a sign of life.
 func (l *Lifecycle) RecordAnswer(now int64) {
 	l.mu.Lock()
--- a/pkg/backend/lifecycle_test.go
+++ b/pkg/backend/lifecycle_test.go
@@ -39,6 +39,8 @@
 	expectAccepting(t, l, "")
 	must.False(t, l.RecordDeparture(32*second, Departure{Incarnation: Incarnation{ID: "a"}}))
 	l.RecordGoodHealthCheck(33*second, "b")
+	expectAccepting(t, l, "")
+	l.RecordHeartbeat(34*second, Heartbeat{InstanceID: "b", Sequence: 1})
 	expectAccepting(t, l, "b")
 }
 
@@ -64,6 +66,7 @@
 	l := NewLifecycle(true, nil)
 	l.RecordHeartbeat(1*second, Heartbeat{InstanceID: "old", Sequence: 7})
 	l.RecordGoodHealthCheck(5*second, "new")
+	l.RecordHeartbeat(5*second, Heartbeat{InstanceID: "new", Sequence: 1})
 	l.RecordHeartbeat(6*second, Heartbeat{InstanceID: "old", Sequence: 8})
 	expectAccepting(t, l, "new")
 }
@@ -72,11 +75,38 @@
 	l := NewLifecycle(true, nil)
 	l.RecordGoodHealthCheck(1, "a")
 	l.RecordReplacement(2, "b")
+	expectAccepting(t, l, "")
+	l.RecordHeartbeat(2, Heartbeat{InstanceID: "b", Sequence: 1})
 	expectAccepting(t, l, "b")
 	l.RecordReplacement(3, "")
 	expectAccepting(t, l, "")
 }
 
+// TestOtherServiceAtTheAddress guards against requests to a process of another service that
+// has got the address of an ended backend server.
+func TestOtherServiceAtTheAddress(t *testing.T) {
+	l := NewLifecycle(true, nil)
+	l.RecordHeartbeat(1*second, Heartbeat{InstanceID: "a", Sequence: 1})
+	l.RecordProcessEnd(Incarnation{ID: "a"})
+	for _, seen := range []func(now int64, id string){l.RecordGoodHealthCheck, l.RecordReplacement, l.RecordOtherService, l.RecordGoodHealthCheck, l.RecordReplacement} {
+		seen(5*second, "b")
+		expectAccepting(t, l, "")
+	}
+	// Another writer used the ID: the heartbeats of its owner count.
+	l.RecordHeartbeat(6*second, Heartbeat{InstanceID: "b", Sequence: 1})
+	expectAccepting(t, l, "b")
+	l.RecordOtherService(7*second, "b")
+	expectAccepting(t, l, "b")
+
+	// The first instance of a restarted daemon names another service.
+	l = newRestartedLifecycle()
+	l.RecordGoodHealthCheck(1*second, "c")
+	expectAccepting(t, l, "c")
+	l.RecordOtherService(2*second, "c")
+	l.RecordGoodHealthCheck(3*second, "c")
+	expectAccepting(t, l, "")
+}
+
 func TestConnectFailuresTakeItDownUntilNextHeartbeat(t *testing.T) {
 	l := NewLifecycle(true, nil)
 	l.RecordGoodHealthCheck(1, "a")
@@ -108,6 +138,7 @@
 	l.RecordHeartbeat(1*second, Heartbeat{InstanceID: "old", Sequence: 1})
 	l.RecordGoodHealthCheck(2*second, "new")
 	l.RecordCold(2*second, 2*second, "new", 3*time.Second)
+	l.RecordHeartbeat(3*second, Heartbeat{InstanceID: "new", Sequence: 1})
 	l.RecordHeartbeat(30*second, Heartbeat{InstanceID: "old", Sequence: 2, ColdFor: 9 * time.Second})
 	expectAccepting(t, l, "new")
 	test.Eq(t, ColdPeriod{LatestEnd: 5 * second, EarliestEnd: 5 * second, CheckedAt: 2 * second}, l.ColdPeriod())
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -193,6 +193,11 @@
 	}
 }
 
+// HandleOtherService implements backend.AnnouncementHandler.
+func (r *routed) HandleOtherService(instanceID string) {
+	r.lifecycle.RecordOtherService(r.daemon.Now(), instanceID)
+}
+
 // HandleInvalid implements backend.AnnouncementHandler.
 func (r *routed) HandleInvalid(instanceID string, err error) {
 	r.daemon.logInvalidInput("announcement of "+instanceID, err)
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -50,6 +50,7 @@
 		_, ok = second.Backend.Accepting()
 		test.False(t, ok, test.Sprint("a departed incarnation gets no requests"))
 		second.Backend.RecordGoodHealthCheck(2, "i-2")
+		second.Backend.RecordHeartbeat(3, backend.Heartbeat{InstanceID: "i-2", Sequence: 1})
 		_, ok = second.Backend.Accepting()
 		test.True(t, ok)
 	})
