daemon: SIGHUP while it starts does not end it

What callers saw: a daemon that got SIGHUP in its first 25 ms ended, with what it had taken.

Cause: the reloader asked for the signal once the listeners were open; until then its default action ends the process.

Change: the command asks for it first of all. Left: the milliseconds before main begins.

--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -24,11 +24,15 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
+			// SIGHUP ends a process that has not asked for it.
+			hup := make(chan os.Signal, 1)
+			signal.Notify(hup, syscall.SIGHUP)
+			defer signal.Stop(hup)
 			s, err := settings.Load(path)
 			if err != nil {
 				return err
 			}
-			return serve(path, &s, adapters)
+			return serve(path, &s, adapters, hup)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "rushrampd.yaml", "settings file")
@@ -40,8 +44,8 @@
 const logCloseTimeout = 200 * time.Millisecond
 
 // serve runs the daemon until it has drained: after SIGTERM or SIGINT, by an operator's
-// drain, or when the platform marks the VM as leaving.
-func serve(path string, s *settings.Settings, adapters Adapters) error {
+// drain, or when the platform marks the VM as leaving. hup receives SIGHUP.
+func serve(path string, s *settings.Settings, adapters Adapters, hup <-chan os.Signal) error {
 	level, _ := events.ParseLevel(s.Log.Level)
 	bounds := events.Bounds{LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond, BufferBytes: s.Log.BufferBytes}
 	log := events.NewBoundedLog(os.Stdout, level, bounds, events.F("vm", s.VM.ID))
@@ -55,7 +59,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go newReloader(d, path, *s).run(d.env.DaemonContext)
+	go newReloader(d, path, *s, hup).run(d.env.DaemonContext)
 	select {
 	case <-ctx.Done():
 		d.Leave()
--- a/pkg/daemon/reload.go
+++ b/pkg/daemon/reload.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"reflect"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/events"
@@ -25,10 +23,12 @@
 	// modification time then.
 	loaded   settings.Settings
 	modified time.Time
+	// hup receives SIGHUP.
+	hup <-chan os.Signal
 }
 
-func newReloader(d *Daemon, path string, loaded settings.Settings) *reloader {
-	r := &reloader{daemon: d, path: path, loaded: loaded}
+func newReloader(d *Daemon, path string, loaded settings.Settings, hup <-chan os.Signal) *reloader {
+	r := &reloader{daemon: d, path: path, loaded: loaded, hup: hup}
 	r.modified = r.modTime()
 	return r
 }
@@ -43,16 +43,13 @@
 
 // run checks for signals and changes of the file until ctx is cancelled.
 func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(filePollInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-r.hup:
 			r.reload("signal")
 		case <-ticker.C:
 			if at := r.modTime(); !at.Equal(r.modified) {
