--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -163,16 +164,20 @@
 	return out, refusal
 }
 
-// parseTimeout parses a timeout in milliseconds, of one hour at most. It returns 0 for an
+// maxTimeout is the longest timeout of a request; a longer one counts as this.
+const maxTimeout = time.Hour
+
+// parseTimeout parses a timeout in milliseconds, capped at maxTimeout. It returns 0 for an
 // empty text, and a refusal for an invalid one.
 func parseTimeout(text string) (time.Duration, *errkind.Error) {
 	if text == "" {
 		return 0, nil
 	}
 	ms, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(ms >= 0 && ms <= float64(time.Hour.Milliseconds())) {
-		return 0, errkind.New(errkind.BadRequest, "the timeout %q is not a number of milliseconds up to one hour", text)
+	if err != nil || !(ms >= 0) || math.IsInf(ms, 1) {
+		return 0, errkind.New(errkind.BadRequest, "the timeout %q is not a number of milliseconds", text)
 	}
+	ms = min(ms, float64(maxTimeout.Milliseconds()))
 	return max(time.Duration(ms*float64(time.Millisecond)), 1), nil
 }
 
