--- a/pkg/backend/lifecycle.go
+++ b/pkg/backend/lifecycle.go
@@ -16,9 +16,6 @@
 	// connectFailuresUntilDown is how many attempts to connect must fail in a row before the
 	// backend server counts as down.
 	connectFailuresUntilDown = 2
-	// maxHeartbeatDelay is the longest time that a heartbeat can be under way. One that
-	// arrives later than this after the start of the daemon was sent after that start.
-	maxHeartbeatDelay = 8 * time.Second
 )
 
 // State is the state of the backend server as far as the daemon knows.
@@ -234,12 +231,6 @@
 	return departed
 }
 
-// sentAfterStart is true if the newest heartbeat of an incarnation was sent after the start of
-// the daemon: it is too late to be a late one, and not the only one.
-func (l *Lifecycle) sentAfterStart(now int64, incarnation Incarnation) bool {
-	return now > int64(maxHeartbeatDelay) && now-l.histories[incarnation].firstAt > int64(confirmationPeriod)
-}
-
 // extendCold applies the end of the cold period from a heartbeat, which can only extend
 // the period.
 func (l *Lifecycle) extendCold(end int64) {
@@ -288,7 +279,7 @@
 		l.firstID = incarnation.ID
 	}
 	l.current, l.state, l.lastSeenAt, l.connectFailures = incarnation, Unconfirmed, now, 0
-	if (l.firstStart || l.confirmedID == incarnation.ID) && l.runsService(incarnation.ID) {
+	if l.isConfirmed(incarnation.ID) {
 		l.state = Live
 	}
 }
@@ -306,55 +297,6 @@
 	l.markSeen(now, l.newestIncarnation(id))
 }
 
-// RecordGoodHealthCheck records a good health check, whose response names the instance ID.
-// As it comes from the backend server's address itself, it takes precedence over
-// heartbeats. It was made by this process of the daemon, so it proves that the instance has
-// not announced a departure to an earlier one.
-func (l *Lifecycle) RecordGoodHealthCheck(now int64, id string) {
-	l.update(func() {
-		l.confirmedID = id
-		l.confirmInstanceID(now, id)
-	})
-}
-
-// RecordOtherService records a heartbeat that names another service. Its sender gets no
-// requests, unless another heartbeat with its ID names the service of this daemon.
-func (l *Lifecycle) RecordOtherService(now int64, id string) {
-	l.update(func() {
-		if l.hasNamedService(id) {
-			return
-		}
-		for old, at := range l.otherService {
-			if now-at > int64(endRetention) {
-				delete(l.otherService, old)
-			}
-		}
-		if _, known := l.otherService[id]; !known {
-			l.otherService[id] = now
-		}
-		if l.current.ID == id && l.state == Live {
-			l.state = Unconfirmed
-		}
-	})
-}
-
-// runsService is true if the instance with an ID runs the service of this daemon, as far as is
-// known.
-func (l *Lifecycle) runsService(id string) bool {
-	_, other := l.otherService[id]
-	return !other && (id == l.firstID || l.hasNamedService(id))
-}
-
-// hasNamedService is true if a heartbeat with the ID has named the service of this daemon.
-func (l *Lifecycle) hasNamedService(id string) bool {
-	for incarnation := range l.histories {
-		if incarnation.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
 // RecordAnswer records a response of the current incarnation as a sign of life.
 func (l *Lifecycle) RecordAnswer(now int64) {
 	l.mu.Lock()
