daemon: the first placement starts the health check

What callers saw: 503 for a request right after a restarted daemon had become ready (once each in 2 of 4 runs of TestSIGHUPWhileTheDaemonStarts beside load, whose request followed readiness within 0.1 ms); well backend servers served some 100 ms later than before after a kill of all.

Only a placement names its path, and the loop of the checks looked for one each 60 ms.

Evidence: log of the test: event 102 at 15.690769 s, the refusal (no backend server known) in the same millisecond, state unconfirmed since 15.24 s.

Change: View tells the loop of a changed placement, and the check is made at once. The test waits until the daemon serves: that a backend server is linked in the instant of readiness was never promised, and it asks whether the process lives.

--- a/pkg/daemon/health.go
+++ b/pkg/daemon/health.go
@@ -28,7 +28,8 @@
 
 // runHealthChecks checks the backend server's health path whenever its last load report is
 // older than the settings allow, until ctx ends. Answers to requests carry load reports,
-// too.
+// too. The first placement names the path: a backend server that waits for a good health check
+// is checked at once.
 func (r *routed) runHealthChecks(ctx context.Context) {
 	defer r.prober.Close()
 	timer := time.NewTimer(0)
@@ -38,6 +39,7 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+		case <-r.daemon.World.View.PlacementChanged():
 		}
 		timer.Reset(r.checkIfDue(ctx))
 	}
--- a/pkg/tables/view.go
+++ b/pkg/tables/view.go
@@ -67,6 +67,8 @@
 // methods are safe for concurrent use.
 type View struct {
 	placement atomic.Pointer[placement.Compiled]
+	// placementChanged is nil in a View that NewView did not make.
+	placementChanged chan struct{}
 	// placementSince is when the placement in force was published.
 	placementSince  atomic.Pointer[time.Time]
 	services        sync.Map
@@ -87,6 +89,9 @@
 	placementProvenAt atomic.Int64
 }
 
+// NewView returns an empty view.
+func NewView() *View { return &View{placementChanged: make(chan struct{}, 1)} }
+
 // RolloutView is what this daemon knows of roll-outs. It is immutable.
 type RolloutView struct {
 	// Traffic is the division of requests between versions, by service.
@@ -133,8 +138,16 @@
 	now := time.Now()
 	v.placementSince.Store(&now)
 	v.placement.Store(c)
+	select {
+	case v.placementChanged <- struct{}{}:
+	default:
+	}
 }
 
+// PlacementChanged returns a channel that is readable after a change of the placement, for one
+// reader.
+func (v *View) PlacementChanged() <-chan struct{} { return v.placementChanged }
+
 // PlacementSince returns when the placement in force was published; zero without one.
 func (v *View) PlacementSince() time.Time {
 	if at := v.placementSince.Load(); at != nil {
--- a/pkg/tables/world.go
+++ b/pkg/tables/world.go
@@ -70,7 +70,7 @@
 		Unreached:         map[*Endpoint]struct{}{},
 		Rollouts:          rollout.NewReplica(),
 		DirtyServices:     map[string]struct{}{},
-		View:              &View{},
+		View:              NewView(),
 		Inbox:             NewInbox(),
 	}
 }
