Test of earlier daemon processes: starts of one ID differ

TestDepartureOfAnEarlierDaemonProcessHolds failed once, in the first run with the race detector: rapid drew two processes of one ID that start in the same millisecond, the first of which leaves. A departure names a start, so that it covers both; nothing tells such processes apart. The draw lets the next process start a millisecond later at least; its checks are as before. 330,000 draws pass since (30,000 of them with the race detector), and the mutant that trusts any heartbeat still fails.

--- a/pkg/backend/unconfirmed_test.go
+++ b/pkg/backend/unconfirmed_test.go
@@ -109,6 +109,9 @@
 			case "421":
 				l.RecordReplacement(now, process.ID)
 			case "new process":
+				// Two processes of an ID do not start in the same millisecond.
+				at++
+				now = at * 1_000_000
 				process, left = Incarnation{ID: process.ID, StartedAtMS: daemonStartMS + at}, false
 				l.RecordHeartbeat(now, Heartbeat{InstanceID: process.ID, StartedAtMS: process.StartedAtMS, Sequence: sequence, ReceivedAtMS: daemonStartMS + at})
 			case "leave":
