Tests that checked less than their names say: soft refusals, reservations, canaries

- pkg/entry, "a soft refusal sends the call to another server" replaced the soft refusal by another kind.
It now refuses softly twice and is named for that; two new tests hold that the first soft refusal goes to another server and costs no retry, and that the second costs one.
With soft refusals charged (mutant) both fail, no test did before.
- pkg/bodies, concurrent reservations: only the end sum was checked.
The bytes held together are checked against the limit at each grant.
With a check before the addition (mutant) the test fails in 10 of 10 runs, the former one passed.
- pkg/forward, end of the test of the canary: 20 answers of any status.
A test of its own asks for 100 with status 200 that all ran.
- pkg/rollout, a bound that nothing read is removed; the bound on false alarms stands where it is checked.

--- a/pkg/bodies/budget_test.go
+++ b/pkg/bodies/budget_test.go
@@ -1,7 +1,9 @@
 package bodies
 
 import (
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,19 +27,29 @@
 	test.True(t, first.Grow(0))
 }
 
+// TestConcurrentReservationsAreAllReleased and never exceed the limit together.
 func TestConcurrentReservationsAreAllReleased(t *testing.T) {
-	b := NewBudget(1000, metrics.NewSet())
+	const limit, size = 1000, 99
+	b := NewBudget(limit, metrics.NewSet())
 	var workers sync.WaitGroup
+	var held, overLimit atomic.Int64
 	for range 50 {
 		workers.Go(func() {
-			for range 100 {
+			for range 1000 {
 				r := b.NewReservation()
-				if r.Grow(99) {
-					r.Release()
+				if !r.Grow(size) {
+					continue
 				}
+				if held.Add(size) > limit {
+					overLimit.Add(1)
+				}
+				runtime.Gosched()
+				held.Add(-size)
+				r.Release()
 			}
 		})
 	}
 	workers.Wait()
+	test.Zero(t, overLimit.Load())
 	test.Eq(t, 0, b.Reserved())
 }
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -118,7 +118,7 @@
 		seals int
 	}{
 		{name: "a call that did not run goes to another server", first: refusing(errkind.Leaving), want: errkind.None, calls: 1},
-		{name: "a soft refusal sends the call to another server", first: refusing(errkind.GateBusier), want: errkind.None, calls: 1},
+		{name: "a server that is busier twice is left for another one", first: refusing(errkind.GateBusier), want: errkind.None, calls: 1},
 		{name: "a call that may have run is not retried", first: refusing(errkind.LinkLost), want: errkind.LinkLost, ran: errkind.RanMaybe},
 		{name: "a call that the backend server broke off is not retried", first: refusing(errkind.BackendFailed), want: errkind.BackendFailed, ran: errkind.RanMaybe},
 		{name: "a never-repeat call that did not run goes to another server", kind: neverRepeat, key: "k", first: refusing(errkind.Overloaded), want: errkind.None, calls: 1},
@@ -132,11 +132,6 @@
 		t.Run(s.name, func(t *testing.T) {
 			second, sealer := answering(0), &fakeSealer{result: s.sealResult}
 			e := newEntry(s.kind, sealer, s.first, second)
-			// After a soft refusal the policy would choose the first server again, so that
-			// server refuses as one that is leaving instead.
-			if s.first.result.Refusal.Kind == errkind.GateBusier {
-				s.first.result = call.Refused(errkind.Leaving, "leaving now")
-			}
 			result := runCall(t, e, s.key)
 			test.Eq(t, s.calls, second.calls)
 			test.Eq(t, s.seals, sealer.calls)
@@ -151,6 +146,33 @@
 	}
 }
 
+// inTurn is a policy that chooses the candidates one after the other, as one does that heeds the
+// load that a refusal tells.
+type inTurn struct{ chosen int }
+
+func (p *inTurn) Choose(req *choose.Request, _ choose.Random) choose.Pick {
+	p.chosen++
+	return choose.Pick{Index: (p.chosen - 1) % len(req.CandidateSet), MaxCost: time.Second}
+}
+
+func TestASoftRefusalSendsTheCallToAnotherServer(t *testing.T) {
+	first, second := refusing(errkind.GateBusier), answering(0)
+	e := newEntry(placement.Kind{}, &fakeSealer{}, first, second)
+	e.policy = &inTurn{}
+	must.NotNil(t, runCall(t, e, "").Answer)
+	test.Eq(t, 1, first.calls)
+	test.Eq(t, 1, second.calls)
+	test.Eq(t, Counts{SoftRefusals: 1}, e.Counts(), test.Sprint("a soft refusal costs no retry"))
+}
+
+func TestASecondSoftRefusalCostsARetry(t *testing.T) {
+	first := refusing(errkind.GateBusier)
+	e := newEntry(placement.Kind{}, &fakeSealer{}, first, answering(0))
+	must.NotNil(t, runCall(t, e, "").Answer)
+	test.Eq(t, 2, first.calls)
+	test.Eq(t, Counts{SoftRefusals: 1, Retries: 1}, e.Counts())
+}
+
 func TestOnlySlowCallsOfSafeKindsAreHedged(t *testing.T) {
 	scenarios := []struct {
 		name   string
--- a/pkg/forward/rollout_test.go
+++ b/pkg/forward/rollout_test.go
@@ -75,12 +75,20 @@
 		test.Between(t, 1, totalCalls(target), requests/4+2, test.Sprint(name))
 		test.Eq(t, requests, totalCalls(old), test.Sprint(name))
 	}
-	old := &fakeRunner{answer: answers(200)}
-	f := newForwarderUnderRollout(rollout.Canary, old, &fakeRunner{answer: answers(200)})
+}
+
+// TestRequestsOfTheCanaryRunElsewhereWithoutOne: the plan names a canary that has the old version.
+func TestRequestsOfTheCanaryRunElsewhereWithoutOne(t *testing.T) {
+	const requests = 100
+	old, former := &fakeRunner{answer: answers(200)}, &fakeRunner{answer: answers(200)}
+	f := newForwarderUnderRollout(rollout.Canary, old, former)
 	f.view.Service("s").Match("GET", "/").LinkedCandidates[1].Endpoint.SetVersion("v1")
-	for range 20 {
-		must.NotNil(t, f.Forward(t.Context(), newRequest("/read/1")).Answer, must.Sprint("there is no canary"))
+	for range requests {
+		got := f.Forward(t.Context(), newRequest("/read/1"))
+		must.NotNil(t, got.Answer)
+		test.Eq(t, 200, got.Answer.Status)
 	}
+	test.Eq(t, requests, totalCalls(old)+totalCalls(former))
 }
 
 // TestAPostThatFailedAtTheCanaryIsNotSentAgain: it may have run.
--- a/pkg/rollout/evaluator_test.go
+++ b/pkg/rollout/evaluator_test.go
@@ -14,8 +14,8 @@
 // The figures in docs/design/rollout.md come from runs with -rollouts 2000.
 func TestErrorRates(t *testing.T) {
 	for name, c := range map[string]struct {
-		behaviour          behaviour
-		maxAlarms, maxRuns float64
+		behaviour behaviour
+		maxRuns   float64
 	}{
 		"good":                       {},
 		"fails three in ten":         {behaviour: behaviour{failureRate: 0.3}, maxRuns: 22},
