burn: a page of metrics that is not whole counts as missing

What operators saw: a daemon that answered its metrics with an error, or whose page was cut off, counted in the burn report with the calls that its page happened to hold, or none, and was not named as missing. The next whole page then showed an increase over the whole life of the process.

Change: such a daemon is missing, and the report and the error when no daemon answers tell why. Kept samples are read as before.

--- a/pkg/burn/command.go
+++ b/pkg/burn/command.go
@@ -86,7 +86,7 @@
 		now := time.Now()
 		s := TakeSample(objectives.Daemons, now)
 		if len(s.Missing) == len(objectives.Daemons) {
-			return nil, errors.New("no daemon answered. Check the addresses under daemons; they are those of listen.metrics.")
+			return nil, errors.Errorf("no daemon answered (%s: %s). Check the addresses under daemons; they are those of listen.metrics.", s.Missing[0], s.Causes[s.Missing[0]])
 		}
 		samples = append(samples, s)
 		if err := SaveSamples(o.samples, samples, now); err != nil {
@@ -99,7 +99,7 @@
 func (o *options) print(out io.Writer, r *Report) {
 	fmt.Fprintf(out, "%s, %d samples kept in %s\n", r.At.UTC().Format(time.RFC3339), r.Samples, o.samples)
 	for _, m := range r.Missing {
-		fmt.Fprintf(out, "%s did not answer; its calls are missing\n", m)
+		fmt.Fprintf(out, "%s: the calls of this daemon are missing: %s\n", m, r.Causes[m])
 	}
 	if r.Samples < 2 {
 		fmt.Fprintln(out, "A burn rate needs two samples: run this again, or use --watch.")
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -71,6 +71,7 @@
 	At         time.Time         `json:"at"`
 	Samples    int               `json:"samples"`
 	Missing    []string          `json:"missing,omitempty"`
+	Causes     map[string]string `json:"causes,omitempty"`
 	Objectives []ObjectiveReport `json:"objectives"`
 }
 
@@ -81,7 +82,7 @@
 		return out
 	}
 	last := samples[len(samples)-1]
-	out.At, out.Missing = last.At, last.Missing
+	out.At, out.Missing, out.Causes = last.At, last.Missing, last.Causes
 	for _, o := range objectives {
 		out.Objectives = append(out.Objectives, newObjectiveReport(o, samples))
 	}
--- a/pkg/burn/report_test.go
+++ b/pkg/burn/report_test.go
@@ -59,7 +59,8 @@
 rushramp_served_seconds_sum{service="s",kind="k",data_centre="d",server="vm",outcome="answered"} 1.5
 process_start_time_seconds 1700000000
 `
-	counts, started := parseMetrics(strings.NewReader(text))
+	counts, started, err := parseMetrics(strings.NewReader(text))
+	must.NoError(t, err)
 	must.Len(t, 1, counts)
 	test.Eq(t, 9, counts[0].total())
 	test.Eq(t, 7, counts[0].within(50*time.Millisecond))
--- a/pkg/burn/sample.go
+++ b/pkg/burn/sample.go
@@ -38,8 +38,10 @@
 type Sample struct {
 	At         time.Time       `json:"at"`
 	Histograms []CallHistogram `json:"counts"`
-	// Missing lists the daemons that did not answer.
+	// Missing lists the daemons whose metrics could not be read whole.
 	Missing []string `json:"missing,omitempty"`
+	// Causes tells for each of them why.
+	Causes map[string]string `json:"causes,omitempty"`
 	// StartTimes holds each daemon's process start time, in Unix seconds.
 	StartTimes map[string]float64 `json:"starts"`
 }
@@ -47,55 +49,86 @@
 // readTimeout limits the scrape of one daemon.
 const readTimeout = 2 * time.Second
 
-// TakeSample scrapes all daemons. Those that do not answer are listed in
+// TakeSample scrapes all daemons. Those whose metrics cannot be read whole are listed in
 // Missing.
 func TakeSample(daemons []string, now time.Time) Sample {
-	out := Sample{At: now, StartTimes: map[string]float64{}}
+	out := Sample{At: now, Causes: map[string]string{}, StartTimes: map[string]float64{}}
 	client := &http.Client{Timeout: readTimeout}
 	for _, d := range daemons {
-		resp, err := client.Get("http://" + d + "/metrics")
+		histograms, started, err := readDaemon(client, d)
 		if err != nil {
-			out.Missing = append(out.Missing, d)
+			out.Missing, out.Causes[d] = append(out.Missing, d), err.Error()
 			continue
 		}
-		histograms, started := parseMetrics(resp.Body)
-		_ = resp.Body.Close()
 		out.Histograms = append(out.Histograms, histograms...)
 		out.StartTimes[d] = started
 	}
 	return out
 }
 
+// readDaemon scrapes one daemon. started is the process start time in Unix seconds.
+func readDaemon(client *http.Client, address string) (out []CallHistogram, started float64, err error) {
+	resp, err := client.Get("http://" + address + "/metrics")
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "read its metrics")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, 0, errors.Errorf("read its metrics: status %s", resp.Status)
+	}
+	out, started, err = parseMetrics(resp.Body)
+	return out, started, errors.Wrap(err, "read its metrics")
+}
+
 // bucketLine matches a histogram bucket in the daemons' metrics output.
 var bucketLine = regexp.MustCompile(`^rushramp_served_seconds_bucket\{service="([^"]*)",kind="([^"]*)",data_centre="([^"]*)",server="([^"]*)",outcome="([^"]*)",vmrange="[^"]*\.\.\.([^"]*)"\} (\S+)$`)
 
+// maxLineBytes limits a line of a daemon's metrics output.
+const maxLineBytes = 64 << 10
+
 // parseMetrics reads a daemon's metrics output. started is the process start time in
 // Unix seconds.
-func parseMetrics(text io.Reader) (out []CallHistogram, started float64) {
+func parseMetrics(text io.Reader) (out []CallHistogram, started float64, err error) {
 	histograms := map[string]*CallHistogram{}
 	scanner := bufio.NewScanner(text)
+	scanner.Buffer(nil, maxLineBytes)
 	for scanner.Scan() {
 		if value, ok := strings.CutPrefix(scanner.Text(), "process_start_time_seconds "); ok {
-			started, _ = strconv.ParseFloat(value, 64)
-		}
-		m := bucketLine.FindStringSubmatch(scanner.Text())
-		if m == nil {
-			continue
+			if started, err = strconv.ParseFloat(value, 64); err != nil {
+				return nil, 0, errors.Wrap(err, "parse the process start time")
+			}
 		}
-		h := CallHistogram{Service: m[1], Kind: m[2], DataCentre: m[3], Server: m[4], Outcome: m[5]}
-		if histograms[h.key()] == nil {
-			h.Buckets = map[string]float64{}
-			histograms[h.key()] = &h
-		}
-		n, err := strconv.ParseFloat(m[7], 64)
-		if err == nil {
-			histograms[h.key()].Buckets[m[6]] += n
+		if err := addBucket(histograms, scanner.Text()); err != nil {
+			return nil, 0, err
 		}
 	}
+	if err := scanner.Err(); err != nil {
+		return nil, 0, errors.Wrap(err, "read lines")
+	}
 	for _, h := range histograms {
 		out = append(out, *h)
 	}
-	return out, started
+	return out, started, nil
+}
+
+// addBucket adds a line of the metrics output to its histogram. Lines of other metrics are
+// ignored.
+func addBucket(histograms map[string]*CallHistogram, line string) error {
+	m := bucketLine.FindStringSubmatch(line)
+	if m == nil {
+		return nil
+	}
+	n, err := strconv.ParseFloat(m[7], 64)
+	if err != nil {
+		return errors.Wrapf(err, "parse the bucket %q", line)
+	}
+	h := CallHistogram{Service: m[1], Kind: m[2], DataCentre: m[3], Server: m[4], Outcome: m[5]}
+	if histograms[h.key()] == nil {
+		h.Buckets = map[string]float64{}
+		histograms[h.key()] = &h
+	}
+	histograms[h.key()].Buckets[m[6]] += n
+	return nil
 }
 
 // LoadSamples reads the samples stored in a file. It returns none when the file
