--- a/pkg/link/offered_test.go
+++ b/pkg/link/offered_test.go
@@ -4,16 +4,13 @@
 	"bytes"
 	"context"
 	"net"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/gorilla/websocket"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 	"github.com/shoenig/test/wait"
-	"pgregory.net/rapid"
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
@@ -25,93 +22,6 @@
 
 const testBodySize = 200_000
 
-// placesRunner is a call.Offerer with any number of places, which answers at once with the
-// body of the call. It refuses offered calls to "/refused".
-type placesRunner struct {
-	mu      sync.Mutex
-	places  map[*testPlace]struct{}
-	started []string
-	// offered is the number of calls that were offered.
-	offered int
-}
-
-func newPlacesRunner() *placesRunner { return &placesRunner{places: map[*testPlace]struct{}{}} }
-
-// testPlace is the place of one call.
-type testPlace struct {
-	runner *placesRunner
-	call   *wire.Call
-	done   func(call.Result)
-}
-
-func (r *placesRunner) Execute(c *wire.Call, body []byte, done func(call.Result)) func() {
-	r.mu.Lock()
-	r.started = append(r.started, c.URI)
-	r.mu.Unlock()
-	return echo(c, body, done)
-}
-
-func (r *placesRunner) Offer(c *wire.Call, _ time.Duration, done func(call.Result)) call.Offered {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.offered++
-	if strings.HasPrefix(c.URI, "/refused") {
-		go done(call.Refused(errkind.Overloaded, "no place"))
-		return nil
-	}
-	place := &testPlace{r, c, done}
-	r.places[place] = struct{}{}
-	return place
-}
-
-// take removes a place, and returns false if it was removed before.
-func (p *testPlace) take() bool {
-	p.runner.mu.Lock()
-	defer p.runner.mu.Unlock()
-	_, ok := p.runner.places[p]
-	delete(p.runner.places, p)
-	return ok
-}
-
-func (p *testPlace) Rank() uint16   { return p.call.Routed.Rank() }
-func (p *testPlace) StartBy() int64 { return 0 }
-
-func (p *testPlace) Start(body []byte) func() {
-	if !p.take() {
-		return func() {}
-	}
-	return p.runner.Execute(p.call, body, p.done)
-}
-
-func (p *testPlace) Withdraw(refusal *errkind.Error) {
-	if p.take() {
-		p.done(call.Result{Refusal: refusal})
-	}
-}
-
-// drain releases all places, as when the executor stops.
-func (r *placesRunner) drain() {
-	r.mu.Lock()
-	places := r.places
-	r.places = map[*testPlace]struct{}{}
-	r.mu.Unlock()
-	for p := range places {
-		p.done(call.Refused(errkind.Leaving, "the daemon is leaving"))
-	}
-}
-
-func (r *placesRunner) startedCalls() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]string(nil), r.started...)
-}
-
-func (r *placesRunner) placeCount() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.places)
-}
-
 // newGrantingServer returns a server that grants bodies.
 func newGrantingServer(t *testing.T, runner call.Runner, bodiesBytes int) *Server {
 	s := settings.Default()
@@ -221,46 +131,6 @@
 	test.Eq(t, errkind.RanNo, result.Refusal.Ran)
 }
 
-// silentEntry is an entry that offers a body and ignores grants.
-type silentEntry struct {
-	*websocket.Conn
-	codec *wire.Codec
-}
-
-func dialSilentEntry(t *testing.T, server *Server) *silentEntry {
-	ws, resp, err := websocket.DefaultDialer.Dial("ws://"+server.address+linkPath, nil)
-	must.NoError(t, err)
-	_ = resp.Body.Close()
-	t.Cleanup(func() { _ = ws.Close() })
-	codec, err := wire.NewCodec()
-	must.NoError(t, err)
-	e := &silentEntry{ws, codec}
-	e.send(t, &wire.Hello{VM: "silent", Features: wire.FeatureGrants})
-	return e
-}
-
-func (e *silentEntry) send(t *testing.T, f wire.Frame) {
-	var buf bytes.Buffer
-	must.NoError(t, e.codec.Append(&buf, f))
-	must.NoError(t, e.WriteMessage(websocket.BinaryMessage, buf.Bytes()))
-}
-
-// receive returns the next frame of the given type.
-func (e *silentEntry) receive(t *testing.T, frameType wire.Type) wire.Frame {
-	for {
-		_, data, err := e.ReadMessage()
-		must.NoError(t, err)
-		for len(data) > 0 {
-			frame, rest, err := e.codec.Next(data)
-			must.NoError(t, err)
-			data = rest
-			if frame.Type() == frameType {
-				return frame
-			}
-		}
-	}
-}
-
 // TestStalledSenderLosesItsPlaceAndCredit checks that a sender that stalls after a grant does
 // not hold up others, and that its place is released when the call's time is used up.
 func TestStalledSenderLosesItsPlaceAndCredit(t *testing.T) {
@@ -327,32 +197,6 @@
 	waitUntilIdle(t, server)
 }
 
-// dialSilentExecutor opens a link to an executor that grants nothing.
-func dialSilentExecutor(t *testing.T, features wire.Features) (client *Client, executor *Conn) {
-	accepted := make(chan *Conn, 1)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	server := Listen(testCommon(), &acceptHandler{nopHandler{up: make(chan *Peer, 1), features: features}, accepted}, newPlacesRunner(), listener, nil, NewHeartbeatTiming(testIdle))
-	t.Cleanup(server.Close)
-	client = dialServer(t, server)
-	return client, <-accepted
-}
-
-// acceptHandler passes on the connections of accepted links.
-type acceptHandler struct {
-	nopHandler
-	accepted chan *Conn
-}
-
-func (h *acceptHandler) Up(peer *Peer) { h.accepted <- peer.Conn }
-
-// stopWriter makes the writer of a connection wait. Frames stay queued until the returned
-// function is called.
-func stopWriter(c *Conn) (resume func()) {
-	c.mu.Lock()
-	return c.mu.Unlock
-}
-
 // TestBrokenLinkBeforeTheLastByte checks that a call ends as not run when its link breaks
 // before the whole body was handed to the writer, and may have run otherwise.
 func TestBrokenLinkBeforeTheLastByte(t *testing.T) {
@@ -437,67 +281,6 @@
 	test.Zero(t, conn.chunks.len())
 }
 
-// TestNoByteIsLostAndEndedCallsDoNotStart plays random calls over real links, of which some
-// are cancelled, refused or drained. Bodies arrive whole and once, the credit of all calls
-// returns, and a call that its entry reports as not run has not started.
-func TestNoByteIsLostAndEndedCallsDoNotStart(t *testing.T) {
-	runner := newPlacesRunner()
-	server := newGrantingServer(t, runner, 100<<20)
-	clients := []*Client{dialServer(t, server), dialServer(t, server), dialServer(t, server)}
-	rapid.Check(t, func(rt *rapid.T) {
-		runner.mu.Lock()
-		runner.started = nil
-		runner.mu.Unlock()
-		var calls []*playedCall
-		count := rapid.IntRange(1, 10).Draw(rt, "calls")
-		for i := range count {
-			p := &playedCall{
-				uri: "/" + string(rune('a'+i)), body: bytes.Repeat([]byte{byte(i)}, rapid.IntRange(0, 120_000).Draw(rt, "size")),
-				client: clients[rapid.IntRange(0, len(clients)-1).Draw(rt, "client")], done: make(chan call.Result, 2),
-			}
-			if rapid.IntRange(0, 4).Draw(rt, "refused") == 0 {
-				p.uri = "/refused" + p.uri
-			}
-			p.start()
-			calls = append(calls, p)
-			if rapid.IntRange(0, 2).Draw(rt, "cancelled") == 0 {
-				calls[rapid.IntRange(0, i).Draw(rt, "which")].cancel()
-			}
-			if rapid.IntRange(0, 9).Draw(rt, "drained") == 0 {
-				runner.drain()
-			}
-		}
-		for _, p := range calls {
-			p.check(rt, runner)
-		}
-		waitUntilIdle(rt, server)
-	})
-}
-
-// playedCall is a call of TestNoByteIsLostAndEndedCallsDoNotStart.
-type playedCall struct {
-	uri    string
-	body   []byte
-	client *Client
-	done   chan call.Result
-	cancel func()
-}
-
-func (p *playedCall) start() {
-	p.cancel = p.client.Execute(&wire.Call{URI: p.uri, Remaining: time.Minute}, p.body, func(r call.Result) { p.done <- r })
-}
-
-func (p *playedCall) check(t *rapid.T, runner *placesRunner) {
-	result := <-p.done
-	if result.Answer != nil {
-		must.Eq(t, p.uri+" "+string(p.body), string(result.Answer.Body))
-		return
-	}
-	must.Eq(t, errkind.RanNo, result.Refusal.Ran)
-	must.SliceNotContains(t, runner.startedCalls(), p.uri, must.Sprint(result.Refusal))
-	must.Zero(t, len(p.done))
-}
-
 // TestEndedCallDoesNotStart checks that a call does not start if it ended while its last chunk
 // was being processed.
 func TestEndedCallDoesNotStart(t *testing.T) {
