Test tools: an unknown load is named, a call's context is made once

- The stand-in of backend servers made a context for each call and, where the call has a time-out, dropped its cancel function for that of a second one, so that the first lived as long as the connection.

--- a/pkg/standin/backend/server.go
+++ b/pkg/standin/backend/server.go
@@ -102,10 +102,7 @@
 // callContext returns a context that ends at the deadline set by the executor
 // or when the call is cancelled.
 func (b *Backend) callContext(ctx context.Context, c *app.RequestContext) (context.Context, context.CancelFunc) {
-	out, cancel := context.WithCancel(ctx)
-	if ms := intHeader(c, "Rushramp-Timeout"); ms > 0 {
-		out, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
-	}
+	out, cancel := withTimeout(ctx, time.Duration(intHeader(c, "Rushramp-Timeout"))*time.Millisecond)
 	id := string(c.Request.Header.Peek("Rushramp-Call"))
 	if id == "" {
 		return out, cancel
@@ -117,6 +114,15 @@
 	}
 }
 
+// withTimeout returns a context that ends after a time, or only when it is cancelled if the time
+// is not positive.
+func withTimeout(ctx context.Context, after time.Duration) (context.Context, context.CancelFunc) {
+	if after <= 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, after)
+}
+
 // intHeader returns the value of a numeric header; 0 when it is missing or no
 // number.
 func intHeader(c *app.RequestContext, header string) int {
--- a/test/calls_test.go
+++ b/test/calls_test.go
@@ -92,17 +92,29 @@
 	sc.last = &answer{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
 }
 
+// load returns the load of a name, which must have been started.
+func (sc *scenario) load(ts *testscript.TestScript, name string) *load {
+	l := sc.loads[name]
+	if l == nil {
+		ts.Fatalf("there is no load %q", name)
+	}
+	return l
+}
+
 // cmdLoad starts sending calls at a constant rate in the background, or stops
 // that. A "#" in a header value becomes the number of the call.
 func cmdLoad(ts *testscript.TestScript, neg bool, args []string) {
 	requireArgs(ts, neg, args, 2, "load NAME stop | load NAME PER_SECOND WORKER METHOD SERVICE PATH_PREFIX [words]")
 	sc := scenarioOf(ts)
 	if args[1] == "stop" {
-		sc.loads[args[0]].end()
+		sc.load(ts, args[0]).end()
 		return
 	}
 	rate, err := strconv.Atoi(args[1])
 	ts.Check(err)
+	if rate <= 0 {
+		ts.Fatalf("the rate of a load must be positive")
+	}
 	c := parseCall(ts, sc, args[2:])
 	l := &load{stop: make(chan struct{})}
 	sc.loads[args[0]] = l
--- a/test/expect_test.go
+++ b/test/expect_test.go
@@ -80,7 +80,7 @@
 }
 
 func expectLoad(ts *testscript.TestScript, sc *scenario, args []string) (bool, string) {
-	l := sc.loads[args[0]]
+	l := sc.load(ts, args[0])
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	counts := map[string]int{"answered": l.answered, "refused": l.refused, "unknown": l.unknown}
