A daemon without the store pulls the placement from a second data centre

Cause: such a daemon needs the offers of peers in two data centres. Its pulls go to the nearest peer that has the newest placement, and a peer counted as ahead although its data centre had made its offer, since it is ahead of a daemon that has none. So a daemon whose first link is to a peer of its own data centre asks that one for the whole document again and again, and never one in a second data centre, until the store is back. If a farther peer happens to be linked first, it goes well.

Ruled out: daemons without a placement (event 301 at all three), links (state/region frames arrive).

Change: a peer is ahead only of what its data centre has offered. TestNewDaemonPullsFromASecondDataCentre fails without it.

--- a/pkg/systems/placements.go
+++ b/pkg/systems/placements.go
@@ -173,7 +173,7 @@
 	var best *link.Peer
 	var bestRow *tables.PeerRow
 	pl.World.Peers.EachRow(func(peer *link.Peer, row *tables.PeerRow) {
-		ahead := row.PlacementVersion > have || (pl.World.Placement == nil && row.PlacementVersion > 0 && !pl.hasOffer(peer))
+		ahead := row.PlacementVersion > max(have, pl.offeredVersion(peer))
 		if ahead && (best == nil || row.PlacementVersion > bestRow.PlacementVersion || row.PlacementVersion == bestRow.PlacementVersion && pl.isNearer(peer, best)) {
 			best, bestRow = peer, row
 		}
@@ -190,10 +190,13 @@
 // centres costs money, and traffic between regions costs more.
 func (pl *placements) isNearer(a, b *link.Peer) bool { return pl.proximityOf(a) < pl.proximityOf(b) }
 
-// hasOffer reports whether a peer in this peer's data centre has made an offer.
-func (pl *placements) hasOffer(peer *link.Peer) bool {
-	_, ok := pl.offers[peer.Hello.DataCentre]
-	return ok
+// offeredVersion returns the newest version that peers in this peer's data centre have
+// offered (chooseOffer), 0 if none.
+func (pl *placements) offeredVersion(peer *link.Peer) uint64 {
+	if offer, ok := pl.offers[peer.Hello.DataCentre]; ok {
+		return offer.Document.Version
+	}
+	return 0
 }
 
 // answerPull sends a peer the changes since its version, or the whole document if they
--- a/pkg/systems/placements_test.go
+++ b/pkg/systems/placements_test.go
@@ -94,6 +94,34 @@
 	test.Eq(t, 5, env.World.PlacementVersion())
 }
 
+// TestNewDaemonPullsFromASecondDataCentre guards against a daemon that starts without the
+// store and pulls from the nearest peer again and again, which is one offer.
+func TestNewDaemonPullsFromASecondDataCentre(t *testing.T) {
+	env := testEnv()
+	addPeer := func(dataCentre string) *tables.PeerRow {
+		env.World.Members.Merge(1, nil, wire.Member{VM: "vm-" + dataCentre, Started: 1, DataCentre: dataCentre})
+		row := env.World.Peers.GetOrAdd(&link.Peer{Conn: link.NewClosedConn(), Hello: wire.Hello{VM: "vm-" + dataCentre, DataCentre: dataCentre}})
+		row.PlacementVersion = 4
+		return row
+	}
+	near, far := addPeer("here"), addPeer("a")
+	system := &placements{Env: env}
+	tick := func(now int64, updates ...tables.PeerPlacementUpdate) {
+		system.Tick(now, &tables.Mail{PlacementUpdates: updates, PeerStates: []tables.PeerState{{}}})
+	}
+	tick(1)
+	must.Eq(t, 1, near.PlacementPulledAt)
+	must.Eq(t, 0, far.PlacementPulledAt)
+	tick(2, updateFrom(t, "here", 4))
+	test.Eq(t, 1, near.PlacementPulledAt, test.Sprint("the nearest peer has made its offer"))
+	test.Eq(t, 2, far.PlacementPulledAt)
+	near.PlacementVersion = 5
+	tick(3 + int64(pullRetryAfter))
+	test.Eq(t, 3+int64(pullRetryAfter), near.PlacementPulledAt, test.Sprint("it has a newer placement than it offered"))
+	tick(4+int64(pullRetryAfter), updateFrom(t, "a", 4))
+	test.Eq(t, 4, env.World.PlacementVersion())
+}
+
 func TestSubsetIsStableAndEven(t *testing.T) {
 	const backends, entries, size = 30, 1000, 16
 	kind := placement.Compile(documentOf(1)).Service("s").Match("GET", "/")
