--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -56,8 +56,7 @@
 
 	mu sync.Mutex
 	// idle holds the idle connections, the most recently used one last.
-	idle              []*conn
-	connectionsOpened int64
+	idle []*conn
 }
 
 // NewTransport returns a transport, which opens connections on demand.
@@ -205,9 +204,6 @@
 	if err != nil {
 		return nil, err
 	}
-	t.mu.Lock()
-	t.connectionsOpened++
-	t.mu.Unlock()
 	c := newConn(netConn, t.opts.Headers.RequestID, t.opts.MaxBodyBytes)
 	c.lastUsed = t.opts.Now()
 	if !c.startExchange(ex) {
@@ -326,13 +322,6 @@
 	return false
 }
 
-// ConnectionsOpened returns how many connections were opened.
-func (t *Transport) ConnectionsOpened() int64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.connectionsOpened
-}
-
 // CloseIdle closes the idle connections.
 func (t *Transport) CloseIdle() {
 	t.mu.Lock()
--- a/pkg/gate/status.go
+++ b/pkg/gate/status.go
@@ -63,13 +63,6 @@
 // place.
 func (g *Gate) InFlight() int64 { return g.inFlight.Load() }
 
-// Slowed reports whether runs now take notably longer than on average.
-func (g *Gate) Slowed(now int64) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.serviceTime.slowdown(now) > toleratedSlowdown
-}
-
 // UsableSlots returns how many jobs may run at once while the backend server works at
 // normal speed.
 func (g *Gate) UsableSlots() int {
