Daemons that wait for the departures read the store at random times

Cause: a daemon that has waited four seconds for the departures goes on reading them each 8 s at most, without a random part. Daemons that started together, as after a power-off of all in an outage of the store, read together, so that the store gets the reads of all at once when it is back. Ruled out: callers see nothing of it by themselves; found by reading. Change: after the first four seconds a wait lasts between half of the interval and the whole of it.

--- a/pkg/systems/departures.go
+++ b/pkg/systems/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -24,7 +25,7 @@
 	departuresTimeout = 4 * time.Second
 	// departuresReadInterval is the time between two attempts to read the departures until
 	// departuresTimeout. It then doubles with each attempt, up to
-	// departuresReadIntervalMax.
+	// departuresReadIntervalMax; a random wait from half of it to the whole follows.
 	departuresReadInterval    = 500 * time.Millisecond
 	departuresReadIntervalMax = 8 * time.Second
 )
@@ -173,6 +174,8 @@
 	}
 	if time.Duration(now) > departuresTimeout {
 		d.readInterval = min(2*d.readInterval, departuresReadIntervalMax)
+		// Daemons that started together do not read together.
+		d.timer.nextAt = now + int64(d.readInterval/2) + rand.Int64N(int64(d.readInterval/2))
 	}
 	go d.readFromStore()
 }
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -295,3 +295,31 @@
 		test.True(t, peer.InformedSent)
 	})
 }
+
+// TestDaemonsThatStartedTogetherDoNotReadTogether guards against a store that gets the reads
+// of all daemons at once after a start of all in an outage.
+func TestDaemonsThatStartedTogetherDoNotReadTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const daemons = 32
+		platform := fakestore.New()
+		platform.SetFaults(fakestore.Faults{Down: true})
+		var all []*departures
+		for range daemons {
+			env, _, _ := newDeparturesEnv(t, false)
+			env.Platform = platform
+			all = append(all, newDepartures(env))
+		}
+		tickFor(func() {
+			for _, d := range all {
+				d.Tick(d.Now(), &tables.Mail{})
+			}
+		}, 2*departuresTimeout)
+		seconds, latest := map[int64]int{}, int64(0)
+		for _, d := range all {
+			seconds[d.timer.nextAt/int64(time.Second)]++
+			latest = max(latest, d.timer.nextAt-d.Now())
+		}
+		test.Greater(t, 2, len(seconds), test.Sprintf("seconds with reads: %v", seconds))
+		test.LessEq(t, int64(departuresReadIntervalMax), latest)
+	})
+}
