Log: requests that the end of a drain cuts have an outcome of their own

What callers saw: connections closed without an answer around SIGTERM.

Change: the context of a request ends with a cause. Event 504 and rushramp_routed_total name drain_ended (ran: maybe) where the request was on its way, and leaving (ran: no) where it was not sent.

No logic of the stop has changed.

--- a/pkg/errkind/kind.go
+++ b/pkg/errkind/kind.go
@@ -51,6 +51,7 @@
 	KeysUnsure
 	LimitUsed
 	LimitUnsure
+	DrainEnded
 	kindCount
 )
 
@@ -141,6 +142,7 @@
 	KeysUnsure:           {Name: "keys_unsure", Status: 503, RetryAfterMS: 500, Advice: "This daemon cannot check whether keys are still valid; send the request through a daemon in another data centre, or try again later."},
 	LimitUsed:            {Name: "limit_used", Status: 429, RetryAfterMS: 200, Advice: "The team has reached its request limit; try again after the time in the answer, or ask the operators to raise the limit."},
 	LimitUnsure:          {Name: "limit_unsure", Status: 503, RetryAfterMS: 300, Advice: "The daemon that counts the team's requests has not answered; try again after the time in the answer."},
+	DrainEnded:           {Name: "drain_ended", Status: 502, Ran: RanMaybe, Advice: "The daemon stopped before the backend server answered; the call may have run."},
 	Internal:             {Name: "internal", Status: 500, Ran: RanMaybe, Advice: "An internal error of rushramp; report it with the log of the daemon."},
 }
 
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -104,7 +104,7 @@
 			return a.unanswered(errkind.New(errkind.DeadlineWhileRunning, "%s did not answer before the deadline", candidate.Endpoint.VM))
 		case <-a.ctx.Done():
 			cancel()
-			return a.unanswered(errkind.New(errkind.CallerGone, "the caller disconnected before the result arrived").WithRanMaybe())
+			return a.unanswered(a.interruption())
 		}
 	}
 }
--- a/pkg/forward/attempts.go
+++ b/pkg/forward/attempts.go
@@ -98,7 +98,7 @@
 		if a.ctx.Err() != nil {
 			// After a pause of this process, a request may arrive whose caller has
 			// disconnected already.
-			return a.finalResult(call.Refused(errkind.CallerGone, "the caller disconnected before the request was sent"))
+			return a.finalResult(interruptedBeforeRun(a.ctx, "the request was sent"))
 		}
 		if refusal := a.revokedKeyRefusal(); refusal != nil {
 			a.stopReason = stoppedByFinalRefusal
@@ -313,7 +313,7 @@
 	if !notRun && !a.route.Repeatable {
 		return stoppedByMayHaveRun
 	}
-	if result.Refusal != nil && (result.Refusal.Kind == errkind.CallerGone || result.Refusal.Kind == errkind.DeadlineWhileRunning) {
+	if result.Refusal != nil && isFinalKind(result.Refusal.Kind) {
 		return stoppedByTime
 	}
 	if !notRun && !a.isLeft(result) {
@@ -334,6 +334,11 @@
 	return ""
 }
 
+// isFinalKind reports whether a refusal of this kind leaves no time for another attempt.
+func isFinalKind(kind errkind.Kind) bool {
+	return kind == errkind.CallerGone || kind == errkind.DeadlineWhileRunning || kind == errkind.DrainEnded
+}
+
 // hasFailedCalls reports whether a failed answer may be due to a call that the run made to
 // another service. Such a request is not sent again: the entry of that call has retried
 // the call already, and another run would repeat all its calls, which could exceed the
--- a/pkg/forward/left_attempts.go
+++ b/pkg/forward/left_attempts.go
@@ -146,7 +146,7 @@
 	case <-timeout.C:
 		refusal = errkind.New(errkind.DeadlineWhileRunning, "no executor answered before the deadline")
 	case <-a.ctx.Done():
-		refusal = errkind.New(errkind.CallerGone, "the caller disconnected before the result arrived").WithRanMaybe()
+		refusal = a.interruption()
 	}
 	select {
 	case end = <-a.ends:
--- a/pkg/forward/team.go
+++ b/pkg/forward/team.go
@@ -68,7 +68,7 @@
 	case verdict.Granted:
 		return nil
 	case ctx.Err() != nil:
-		out := call.Refused(errkind.CallerGone, "the caller disconnected before its team's limit was checked")
+		out := interruptedBeforeRun(ctx, "its team's limit was checked")
 		return &out
 	case verdict.Unsure:
 		out := call.Refused(errkind.LimitUnsure, "no daemon knows whether team %s is within its limit", a.team.Name)
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rushramp/rushramp/pkg/forward"
 )
 
 // lingerTime is how long closeGracefully keeps a connection half open when the caller has
@@ -44,9 +46,9 @@
 	reader  *connReader
 	answers *answerQueue
 	options connOptions
-	// ctx ends when the caller disconnects or the connection closes.
+	// ctx ends when the caller disconnects, the connection closes or abort is called.
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 
 	mu sync.Mutex
 	// detached is true from detach until http.Server has finished with the request.
@@ -60,7 +62,7 @@
 
 func newPipelinedConn(nc net.Conn, options connOptions) *pipelinedConn {
 	out := &pipelinedConn{Conn: nc, options: options}
-	out.ctx, out.cancel = context.WithCancel(context.Background())
+	out.ctx, out.cancel = context.WithCancelCause(context.Background())
 	out.reader = newConnReader(nc, max(options.limits.MaxBytes, maxReadBytes), out.onDisconnect)
 	out.answers = newAnswerQueue(nc, options.limits, options.closeAfterAnswer)
 	return out
@@ -88,7 +90,7 @@
 // onDisconnect cancels the requests of a caller that has disconnected. The connReader
 // calls it with its lock held, so that the rest happens on a goroutine of its own.
 func (c *pipelinedConn) onDisconnect() {
-	c.cancel()
+	c.cancel(nil)
 	go c.afterDisconnect()
 }
 
@@ -248,11 +250,14 @@
 	time.AfterFunc(lingerTime, c.closeNow)
 }
 
+// abort cancels the requests of the connection because the daemon's drain has ended.
+func (c *pipelinedConn) abort() { c.cancel(forward.ErrDrainEnded) }
+
 // closeNow closes the connection and cancels its requests.
 func (c *pipelinedConn) closeNow() {
 	c.closeOnce.Do(func() {
 		unanswered := c.answers.markClosed()
-		c.cancel()
+		c.cancel(nil)
 		// This fails only on a connection that has closed already.
 		_ = c.Conn.Close()
 		c.reader.stop()
--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -184,7 +184,8 @@
 	}
 }
 
-// closeAll closes all connections without waiting for answers.
+// closeAll closes all connections without waiting for answers. It aborts their requests first,
+// so that the log tells them from those of callers that have disconnected.
 func (s *limitedServer) closeAll() {
 	s.mu.Lock()
 	open := make([]*pipelinedConn, 0, len(s.open))
@@ -193,6 +194,7 @@
 	}
 	s.mu.Unlock()
 	for _, c := range open {
+		c.abort()
 		c.closeNow()
 	}
 }
