A drain takes as long as the platform's grace time allows

Cause: drain.bound was 5.6 s on every deployment, for a grace time of 6 s.

Change: the bound is 14/15 of grace-s where the platform states one (5.6 s of 6 s as before, 9.3 s of 10 s); event 101 names it. A linger time longer than half of the bound is shortened, so that what it lets in can end.

--- a/pkg/daemon/bounds.go
+++ b/pkg/daemon/bounds.go
@@ -35,6 +35,8 @@
 	// RevokeWithin is the time after which all daemons must refuse a revoked key, including
 	// those that the network has cut off. If it is 0, the latter may still accept the key.
 	RevokeWithin time.Duration
+	// StopGrace is the time after SIGTERM at which the platform kills the process.
+	StopGrace time.Duration
 }
 
 const (
@@ -95,6 +97,17 @@
 	}
 }
 
+// drainShare is the share of Bounds.StopGrace that a drain may take. In the rest, the process
+// closes its connections, writes its log and ends.
+const drainShare = 14.0 / 15
+
+// applyDrain overrides the settings of the drain with the bounds.
+func (b Bounds) applyDrain(d *settings.Drain) {
+	if b.StopGrace > 0 {
+		d.Bound = time.Duration(drainShare * float64(b.StopGrace))
+	}
+}
+
 // applyTeams overrides the settings of teams with the bounds.
 func (b Bounds) applyTeams(t *settings.Teams) {
 	if b.LimitWindow > 0 {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -82,6 +82,7 @@
 	effective := *s
 	adapter.Bounds.apply(&effective.Routing)
 	adapter.Bounds.applyTeams(&effective.Teams)
+	adapter.Bounds.applyDrain(&effective.Drain)
 	s = &effective
 	if opts.Platform == nil {
 		opts.Platform = adapter.Store
@@ -212,7 +213,8 @@
 	routing := &d.Settings.Routing
 	d.Log.Event(events.DaemonStarted, events.F("data_centre", d.Settings.VM.DataCentre), events.F("service", d.Settings.BackendServer.Service),
 		events.F("first_start", d.Settings.Platform.FirstStart), events.F("retry_ratio", routing.RetryRatio),
-		events.F("retry_slack", routing.RetrySlack), events.F("looks_per_second", routing.LooksPerSecond))
+		events.F("retry_slack", routing.RetrySlack), events.F("looks_per_second", routing.LooksPerSecond),
+		events.F("drain_bound", events.Milliseconds(d.Settings.Drain.Bound)))
 	return nil
 }
 
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -211,13 +211,17 @@
 	r.daemon.env.SaveDeparture(ctx, r.lifecycle.RecordedDeparture(instanceID))
 }
 
+// lingerOf returns how long a draining daemon accepts requests: linger, but no longer than half
+// of the bound of the drain, so that these requests can end.
+func lingerOf(linger, bound time.Duration) time.Duration { return min(linger, bound/2) }
+
 // drain makes the daemon not ready and accepts requests for Routing.Linger longer, so that
 // callers notice it. It then closes the ingress, which waits for the requests in flight
 // until Drain.Bound has passed since startedAt.
 func (r *routed) drain(startedAt time.Time) {
 	r.draining.Store(true)
 	r.ingress.StopKeepAlives()
-	time.Sleep(time.Until(startedAt.Add(r.daemon.Settings.Routing.Linger)))
+	time.Sleep(time.Until(startedAt.Add(lingerOf(r.daemon.Settings.Routing.Linger, r.daemon.Settings.Drain.Bound))))
 	r.runner.StopAccepting()
 	// Callers may ignore readiness, for example when too few daemons of their data centre
 	// are ready. Requests accepted from now on might not end within the bound.
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -272,7 +272,7 @@
 
 // Drain holds the settings for the end of the daemon.
 type Drain struct {
-	// Maximum time that the daemon waits for calls in flight to end.
+	// Maximum time that the daemon waits for calls in flight to end. If the platform states after what time it kills a stopping process, the bound is 14/15 of that time instead.
 	Bound time.Duration `yaml:"bound" validate:"min=0"`
 	// Minimum time for which the daemon refuses new calls with "leaving" before it closes its listeners.
 	Linger time.Duration `yaml:"linger" validate:"min=0"`
