A draining daemon refuses requests that may take longer than its drain

Cause: until routing.linger had passed after SIGTERM, entry and executor took every request, whatever its timeout. With 2.5 s of 5.6 s gone, one with a timeout of 3.4 s cannot be kept until it ends.

Change: the drain has a schedule. Entry and executor refuse a request whose deadline is after the drain less 400 ms: 503 leaving, not run, at once. The entry's caller is told to return when the listener has closed and it can reach another daemon, within a third of its time; an entry sends the call to another executor at no cost. A request whose timeout fits is served as before.

--- a/pkg/daemon/drain.go
+++ b/pkg/daemon/drain.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/events"
+	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
@@ -17,32 +18,60 @@
 	})
 }
 
+// drainSchedule holds the times of a drain.
+type drainSchedule struct {
+	startedAt time.Time
+	// acceptUntil is when the listener of routed requests closes and the executor refuses all
+	// calls.
+	acceptUntil time.Time
+	// lastDeadline is the latest deadline that a request may have to be accepted.
+	lastDeadline time.Time
+	// end is when calls in flight are cut.
+	end time.Time
+}
+
+// deadlineSlack is how long before the end of a drain the deadlines of the accepted requests
+// end at the latest, so that their answers are written by then.
+const deadlineSlack = 400 * time.Millisecond
+
+func newDrainSchedule(startedAt time.Time, s *settings.Settings) drainSchedule {
+	bound := s.Drain.Bound
+	return drainSchedule{
+		startedAt: startedAt, acceptUntil: startedAt.Add(lingerOf(s.Routing.Linger, bound)),
+		lastDeadline: startedAt.Add(max(bound-deadlineSlack, 0)), end: startedAt.Add(bound),
+	}
+}
+
+// lingerOf returns how long a draining daemon accepts requests: linger, but no longer than half
+// of the bound of the drain, so that these requests can end.
+func lingerOf(linger, bound time.Duration) time.Duration { return min(linger, bound/2) }
+
 // drainInOrder first drains the listener of routed requests and then tells other daemons
 // that this one is leaving. Other daemons may use its backend server while the listener
 // drains. The drain ends when no call is in flight or Drain.Bound has passed.
 func (d *Daemon) drainInOrder(startedAt time.Time) {
+	schedule := newDrainSchedule(startedAt, d.Settings)
 	if d.routed != nil {
-		d.routed.drain(startedAt)
+		d.routed.drain(schedule)
 	}
 	d.World.View.SetLeaving()
 	if d.Executor != nil {
 		d.Executor.Leave()
 	}
 	d.World.Inbox.Post(true, func(*tables.Mail) {})
-	d.awaitCalls(startedAt)
+	d.awaitCalls(schedule)
 }
 
 // drainPollInterval is the time between two checks for calls in flight during a drain.
 const drainPollInterval = 5 * time.Millisecond
 
-// awaitCalls waits at least Drain.Linger after startedAt and then until no call is in flight
-// or Drain.Bound has passed. It then closes drained.
-func (d *Daemon) awaitCalls(startedAt time.Time) {
+// awaitCalls waits at least Drain.Linger after the start of the drain and then until no call
+// is in flight or the drain ends. It then closes drained.
+func (d *Daemon) awaitCalls(schedule drainSchedule) {
 	defer close(d.drained)
-	bound := d.Settings.Drain.Bound
 	// Daemons with a link to this one learn at once that it is leaving. Others learn it
 	// when it refuses their calls, for which it stays up for Drain.Linger.
-	for time.Since(startedAt) < d.Settings.Drain.Linger || (d.InFlight() > 0 && time.Since(startedAt) < bound) {
+	for time.Since(schedule.startedAt) < d.Settings.Drain.Linger || (d.InFlight() > 0 && time.Now().Before(schedule.end)) {
 		time.Sleep(drainPollInterval)
 	}
 	d.cutCalls.Store(d.InFlight())
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -211,21 +211,20 @@
 	r.daemon.env.SaveDeparture(ctx, r.lifecycle.RecordedDeparture(instanceID))
 }
 
-// lingerOf returns how long a draining daemon accepts requests: linger, but no longer than half
-// of the bound of the drain, so that these requests can end.
-func lingerOf(linger, bound time.Duration) time.Duration { return min(linger, bound/2) }
-
-// drain makes the daemon not ready and accepts requests for Routing.Linger longer, so that
-// callers notice it. It then closes the ingress, which waits for the requests in flight
-// until Drain.Bound has passed since startedAt.
-func (r *routed) drain(startedAt time.Time) {
+// drain makes the daemon not ready and accepts requests until schedule.acceptUntil, so that
+// callers notice it, if they end before the drain does. It then closes the ingress, which waits
+// for the requests in flight until the drain ends.
+func (r *routed) drain(schedule drainSchedule) {
 	r.draining.Store(true)
+	r.forwarder.Drain(r.daemon.clockTime(schedule.lastDeadline), r.daemon.clockTime(schedule.acceptUntil))
+	r.runner.Drain(r.daemon.clockTime(schedule.lastDeadline))
 	r.ingress.StopKeepAlives()
-	time.Sleep(time.Until(startedAt.Add(lingerOf(r.daemon.Settings.Routing.Linger, r.daemon.Settings.Drain.Bound))))
+	time.Sleep(time.Until(schedule.acceptUntil))
 	r.runner.StopAccepting()
-	// Callers may ignore readiness, for example when too few daemons of their data centre
-	// are ready. Requests accepted from now on might not end within the bound.
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(r.daemon.Settings.Drain.Bound))
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.end)
 	defer cancel()
 	r.ingress.Close(ctx)
 }
+
+// clockTime converts a time to nanoseconds of the daemon's clock.
+func (d *Daemon) clockTime(t time.Time) int64 { return d.Now() + int64(time.Until(t)) }
--- a/pkg/forward/drain_test.go
+++ b/pkg/forward/drain_test.go
@@ -47,3 +47,45 @@
 		})
 	}
 }
+
+// TestRequestThatMayOutliveTheDrainIsRefused: a draining daemon took requests that it could not
+// keep until their answer came.
+func TestRequestThatMayOutliveTheDrainIsRefused(t *testing.T) {
+	const second = int64(time.Second)
+	for name, s := range map[string]struct {
+		// drainFor and closedIn are in nanoseconds from now.
+		drainFor, closedIn int64
+		timeout            time.Duration
+		refused            bool
+		retryAfter         time.Duration
+	}{
+		"ends before the drain":                  {2 * second, second, time.Second, false, 0},
+		"ends with the drain":                    {second, second, time.Second, false, 0},
+		"may end after the drain":                {second - 1, second / 5, time.Second, true, time.Second / 5},
+		"its caller's timeout is short enough":   {second / 2, second, time.Second / 2, false, 0},
+		"its caller cannot wait for the closing": {second / 2, second, time.Second, true, time.Second * 32 / 100},
+		"the listener has closed":                {second / 2, -second, time.Second, true, 0},
+	} {
+		for _, path := range []string{"/read/x", "/post/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					runner := &fakeRunner{answer: answers(200)}
+					f := newForwarder(runner)
+					f.Drain(f.Now()+s.drainFor, f.Now()+s.closedIn)
+					req := newRequest(path)
+					req.Timeout = s.timeout
+					result := f.Forward(t.Context(), req)
+					if !s.refused {
+						must.NotNil(t, result.Answer)
+						return
+					}
+					must.NotNil(t, result.Refusal)
+					test.Eq(t, errkind.Leaving, result.Refusal.Kind)
+					test.Eq(t, errkind.RanNo, result.Refusal.Ran)
+					test.Eq(t, s.retryAfter, result.RetryAfter)
+					test.Eq(t, 0, totalCalls(runner))
+				})
+			})
+		}
+	}
+}
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -92,6 +92,8 @@
 	ownLink *linkdelay.Delays[*acks.Link]
 
 	inFlight atomic.Int64
+	// drain is nil until the daemon drains.
+	drain atomic.Pointer[drainTimes]
 }
 
 // NewForwarder returns the forwarder of one daemon; localRuns may be nil.
@@ -150,6 +152,9 @@
 	}
 	a := f.newAttempts(ctx, req, match.route, match.placement.Version, startedAt)
 	a.team = team
+	if refused := a.drainRefusal(); refused != nil {
+		return f.finish(req, a, startedAt, *refused)
+	}
 	if refused := f.takeToken(ctx, a); refused != nil {
 		return f.finish(req, a, startedAt, *refused)
 	}
--- a/pkg/runner/accepting.go
+++ b/pkg/runner/accepting.go
@@ -8,6 +8,16 @@
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
+// Drain makes the runner refuse requests whose deadline is after lastDeadline, in nanoseconds of
+// the daemon's clock: they might be cut while they run.
+func (r *Runner) Drain(lastDeadline int64) { r.lastDeadline.Store(lastDeadline) }
+
+// mayOutliveDrain reports whether a call that arrives now might be cut by the end of the drain.
+func (r *Runner) mayOutliveDrain(c *wire.Call) bool {
+	lastDeadline := r.lastDeadline.Load()
+	return lastDeadline != 0 && r.Now()+int64(c.Remaining) > lastDeadline
+}
+
 // StopAccepting makes the runner refuse new requests from now on, and those whose bodies are
 // on the way. Requests that wait or run already are not affected.
 func (r *Runner) StopAccepting() {
@@ -64,6 +74,9 @@
 	if r.leaving.Load() {
 		return errkind.New(errkind.Leaving, "the daemon is leaving")
 	}
+	if r.mayOutliveDrain(c) {
+		return errkind.New(errkind.Leaving, "the request may take longer than the drain of the daemon")
+	}
 	if !r.coldLimitSet.Load() && !r.UpdateColdState() {
 		return errkind.New(errkind.PlacementUnknown, "the executor has no placement yet")
 	}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -60,6 +60,9 @@
 	// speedCheckDue is true while a health check is scheduled for held starts.
 	speedCheckDue atomic.Bool
 	leaving       atomic.Bool
+	// lastDeadline is the latest deadline of a call that is accepted, in nanoseconds of the
+	// daemon's clock; 0: the daemon does not drain.
+	lastDeadline atomic.Int64
 	// evacuated is true while this VM's data centre is evacuated.
 	evacuated atomic.Bool
 	// enforcer applies the service's roll-out to the backend server.
