Requests at the end of a drain are answered before their connections close

What callers saw: a closed connection, from which nobody can tell whether a request has run.

Cause: when the drain's time was over, the ingress closed the connections that were left. The executor closed its links with requests still waiting at its gate, which their entries had to take for run.

Change: 300 ms before that, requests in flight are aborted. The entry cancels the attempt and waits up to 100 ms for the executor's word: 503 leaving where the request has not run, 502 drain_ended where it may have. The executor refuses what waits at its gate, so that entries can send it elsewhere. Connections that are left after that are closed as before.

--- a/pkg/daemon/drain.go
+++ b/pkg/daemon/drain.go
@@ -26,19 +26,27 @@
 	acceptUntil time.Time
 	// lastDeadline is the latest deadline that a request may have to be accepted.
 	lastDeadline time.Time
+	// abortAt is when routed requests in flight are aborted. Their callers get refusals.
+	abortAt time.Time
 	// end is when calls in flight are cut.
 	end time.Time
 }
 
-// deadlineSlack is how long before the end of a drain the deadlines of the accepted requests
-// end at the latest, so that their answers are written by then.
-const deadlineSlack = 400 * time.Millisecond
+const (
+	// abortLead is how long before its end a drain aborts routed requests, so that their
+	// callers get the refusals.
+	abortLead = 300 * time.Millisecond
+	// deadlineSlack is how long before the abort the deadlines of the accepted requests end at
+	// the latest, so that they are answered by then.
+	deadlineSlack = 100 * time.Millisecond
+)
 
 func newDrainSchedule(startedAt time.Time, s *settings.Settings) drainSchedule {
 	bound := s.Drain.Bound
+	abortAfter := max(bound-abortLead, 0)
 	return drainSchedule{
 		startedAt: startedAt, acceptUntil: startedAt.Add(lingerOf(s.Routing.Linger, bound)),
-		lastDeadline: startedAt.Add(max(bound-deadlineSlack, 0)), end: startedAt.Add(bound),
+		lastDeadline: startedAt.Add(max(abortAfter-deadlineSlack, 0)), abortAt: startedAt.Add(abortAfter), end: startedAt.Add(bound),
 	}
 }
 
@@ -52,6 +60,8 @@
 func (d *Daemon) drainInOrder(startedAt time.Time) {
 	schedule := newDrainSchedule(startedAt, d.Settings)
 	if d.routed != nil {
+		abort := time.AfterFunc(time.Until(schedule.abortAt), d.routed.abort)
+		defer abort.Stop()
 		d.routed.drain(schedule)
 	}
 	d.World.View.SetLeaving()
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/forward"
 	"github.com/rushramp/rushramp/pkg/ingress"
@@ -226,5 +227,12 @@
 	r.ingress.Close(ctx)
 }
 
+// abort ends the requests that are still in flight at the end of a drain. Those that wait at the
+// gate have not run, so that their entries may still send them to another executor.
+func (r *routed) abort() {
+	r.runner.RefuseWaiting(errkind.New(errkind.Leaving, "the daemon has stopped before the request started"))
+	r.ingress.Abort()
+}
+
 // clockTime converts a time to nanoseconds of the daemon's clock.
 func (d *Daemon) clockTime(t time.Time) int64 { return d.Now() + int64(time.Until(t)) }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -103,8 +103,7 @@
 			cancel()
 			return a.unanswered(errkind.New(errkind.DeadlineWhileRunning, "%s did not answer before the deadline", candidate.Endpoint.VM))
 		case <-a.ctx.Done():
-			cancel()
-			return a.unanswered(a.interruption())
+			return a.interrupt(cancel)
 		}
 	}
 }
--- a/pkg/forward/drain.go
+++ b/pkg/forward/drain.go
@@ -10,9 +10,20 @@
 	"github.com/rushramp/rushramp/pkg/errkind"
 )
 
-// ErrDrainEnded is the cause with which the context of a request is cancelled when the drain
-// of this daemon ends before the request does.
-var ErrDrainEnded = errors.New("the drain of this daemon has ended")
+// The causes with which the context of a request is cancelled because the drain of this daemon
+// ends before the request does.
+var (
+	// ErrDrainEnding: the caller still gets the result.
+	ErrDrainEnding = errors.New("the drain of this daemon is ending")
+	// ErrDrainEnded: the connection of the caller is closed.
+	ErrDrainEnded = errors.New("the drain of this daemon has ended")
+)
+
+// isDrainOver reports whether the end of a drain has cancelled ctx.
+func isDrainOver(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return cause == ErrDrainEnding || cause == ErrDrainEnded
+}
 
 // drainTimes are the times of a drain, in nanoseconds of the daemon's clock.
 type drainTimes struct {
@@ -43,10 +54,50 @@
 	return &out
 }
 
+// cancelGrace is how long the entry waits for the executor's result of an attempt that it has
+// cancelled at the end of a drain: only the executor knows whether the request ran.
+const cancelGrace = 100 * time.Millisecond
+
+// interrupt cancels the attempt that is awaited because the request's context has ended, and
+// returns the request's result. At the end of a drain, this is that of the executor, if it
+// arrives in time.
+func (a *attempts) interrupt(cancel func()) call.Result {
+	cancel()
+	if context.Cause(a.ctx) != ErrDrainEnding {
+		return a.unanswered(a.interruption())
+	}
+	timeout := time.NewTimer(cancelGrace)
+	defer timeout.Stop()
+	for {
+		select {
+		case end := <-a.ends:
+			result, ended := a.handleEnd(end, func() {})
+			if !ended {
+				continue
+			}
+			return a.atDrainEnd(result)
+		case <-timeout.C:
+			return a.unanswered(a.interruption())
+		}
+	}
+}
+
+// atDrainEnd returns the result of the request for that of an attempt that was cancelled at the
+// end of a drain.
+func (a *attempts) atDrainEnd(result call.Result) call.Result {
+	switch {
+	case result.Answer != nil:
+		return result
+	case result.Refusal.Ran == errkind.RanNo && !result.Offered:
+		return call.Refused(errkind.Leaving, "the drain of this daemon ended before the request ran")
+	}
+	return a.unanswered(a.interruption())
+}
+
 // interruption returns the refusal of a request whose context has ended while an attempt was
 // awaited.
 func (a *attempts) interruption() *errkind.Error {
-	if context.Cause(a.ctx) == ErrDrainEnded {
+	if isDrainOver(a.ctx) {
 		return errkind.New(errkind.DrainEnded, "the drain of this daemon ended before the result arrived")
 	}
 	return errkind.New(errkind.CallerGone, "the caller disconnected before the result arrived").WithRanMaybe()
@@ -55,7 +106,7 @@
 // interruptedBeforeRun returns the result of a request whose context has ended before the
 // named step. It was not sent to a backend server.
 func interruptedBeforeRun(ctx context.Context, step string) call.Result {
-	if context.Cause(ctx) == ErrDrainEnded {
+	if isDrainOver(ctx) {
 		return call.Refused(errkind.Leaving, "the drain of this daemon ended before %s", step)
 	}
 	return call.Refused(errkind.CallerGone, "the caller disconnected before %s", step)
--- a/pkg/forward/drain_test.go
+++ b/pkg/forward/drain_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
+	"github.com/rushramp/rushramp/pkg/wire"
 )
 
 // TestInterruptionNamesItsCause: the log must tell a request that the drain has cut from one
@@ -25,6 +26,8 @@
 		"caller disconnected while running":  {nil, false, errkind.CallerGone, errkind.RanMaybe},
 		"caller disconnected before the run": {nil, true, errkind.CallerGone, errkind.RanNo},
 		"drain ended while running":          {ErrDrainEnded, false, errkind.DrainEnded, errkind.RanMaybe},
+		"drain ending while running":         {ErrDrainEnding, false, errkind.DrainEnded, errkind.RanMaybe},
+		"drain ending before the run":        {ErrDrainEnding, true, errkind.Leaving, errkind.RanNo},
 		"drain ended before the run":         {ErrDrainEnded, true, errkind.Leaving, errkind.RanNo},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -89,3 +92,52 @@
 		}
 	}
 }
+
+// TestExecutorsWordAtTheEndOfADrain: only the executor knows whether a request that is cancelled
+// ran, and its caller must be told.
+func TestExecutorsWordAtTheEndOfADrain(t *testing.T) {
+	for name, s := range map[string]struct {
+		result call.Result
+		// after is when the executor answers the cancel.
+		after   time.Duration
+		refusal errkind.Kind
+		ran     errkind.Ran
+	}{
+		"not run":        {call.Refused(errkind.CallerGone, ""), cancelGrace / 2, errkind.Leaving, errkind.RanNo},
+		"may have run":   {call.Result{Offered: true, Refusal: errkind.New(errkind.CallerGone, "")}, cancelGrace / 2, errkind.DrainEnded, errkind.RanMaybe},
+		"answered":       {call.Result{Offered: true, Answer: &call.Answer{Status: 200}}, cancelGrace / 2, errkind.None, errkind.RanNo},
+		"no word":        {call.Refused(errkind.CallerGone, ""), 2 * cancelGrace, errkind.DrainEnded, errkind.RanMaybe},
+		"link has ended": {call.Refused(errkind.LinkLost, ""), cancelGrace / 2, errkind.DrainEnded, errkind.RanMaybe},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancelCause(t.Context())
+				f := newForwarder(&fakeRunner{answer: silent})
+				candidate := &f.view.Service("s").Match("GET", "/post/x").LinkedCandidates[0]
+				candidate.Endpoint.SetRunner(runnerOnCancel(func(done func(call.Result)) {
+					time.AfterFunc(s.after, func() { done(s.result) })
+				}))
+				results := make(chan call.Result, 1)
+				go func() { results <- f.Forward(ctx, newRequest("/post/x")) }()
+				time.Sleep(100 * time.Millisecond)
+				cancel(ErrDrainEnding)
+				result := <-results
+				if s.refusal == errkind.None {
+					must.NotNil(t, result.Answer)
+					return
+				}
+				must.NotNil(t, result.Refusal)
+				test.Eq(t, s.refusal, result.Refusal.Kind)
+				test.Eq(t, s.ran, result.Refusal.Ran)
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// runnerOnCancel is a runner whose calls end as the function does when they are cancelled.
+type runnerOnCancel func(done func(call.Result))
+
+func (r runnerOnCancel) Execute(_ *wire.Call, _ []byte, done func(call.Result)) (cancel func()) {
+	return func() { r(done) }
+}
--- a/pkg/ingress/acceptor.go
+++ b/pkg/ingress/acceptor.go
@@ -108,15 +108,27 @@
 // flight until ctx ends.
 func (a *acceptor) shutdown(ctx context.Context) {
 	_ = a.listener.Close()
-	a.mu.Lock()
-	servers := a.retiredWithConns()
-	if a.current != nil {
-		servers = append(servers, a.current)
-	}
-	a.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, s := range servers {
+	for _, s := range a.servers() {
 		wg.Go(func() { s.shutdown(ctx) })
 	}
 	wg.Wait()
 }
+
+// abortAll aborts the requests of all connections.
+func (a *acceptor) abortAll() {
+	for _, s := range a.servers() {
+		s.abortAll()
+	}
+}
+
+// servers returns the servers that may have open connections.
+func (a *acceptor) servers() []*limitedServer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := a.retiredWithConns()
+	if a.current != nil {
+		out = append(out, a.current)
+	}
+	return out
+}
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/rushramp/rushramp/pkg/forward"
 )
 
 // lingerTime is how long closeGracefully keeps a connection half open when the caller has
@@ -250,8 +248,12 @@
 	time.AfterFunc(lingerTime, c.closeNow)
 }
 
-// abort cancels the requests of the connection because the daemon's drain has ended.
-func (c *pipelinedConn) abort() { c.cancel(forward.ErrDrainEnded) }
+// abort cancels the requests of the connection because the drain of the daemon ends. cause is
+// one of those of pkg/forward.
+func (c *pipelinedConn) abort(cause error) {
+	c.cancel(cause)
+	c.answers.wake()
+}
 
 // closeNow closes the connection and cancels its requests.
 func (c *pipelinedConn) closeNow() {
--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/forward"
 	"github.com/rushramp/rushramp/pkg/routing"
 )
 
@@ -187,16 +188,28 @@
 // closeAll closes all connections without waiting for answers. It aborts their requests first,
 // so that the log tells them from those of callers that have disconnected.
 func (s *limitedServer) closeAll() {
+	for _, c := range s.openConns() {
+		c.abort(forward.ErrDrainEnded)
+		c.closeNow()
+	}
+}
+
+// abortAll aborts the requests of all connections. Their callers get refusals.
+func (s *limitedServer) abortAll() {
+	for _, c := range s.openConns() {
+		c.abort(forward.ErrDrainEnding)
+	}
+}
+
+// openConns returns the connections that have not closed.
+func (s *limitedServer) openConns() []*pipelinedConn {
 	s.mu.Lock()
-	open := make([]*pipelinedConn, 0, len(s.open))
+	defer s.mu.Unlock()
+	out := make([]*pipelinedConn, 0, len(s.open))
 	for c := range s.open {
-		open = append(open, c)
-	}
-	s.mu.Unlock()
-	for _, c := range open {
-		c.abort()
-		c.closeNow()
+		out = append(out, c)
 	}
+	return out
 }
 
 // Accept implements net.Listener.
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -98,6 +98,10 @@
 // StopKeepAlives makes each answer close its connection from now on.
 func (s *Server) StopKeepAlives() { s.keepAlivesStopped.Store(true) }
 
+// Abort ends all requests in flight because the drain of the daemon has ended. Each gets a
+// refusal, which says whether it may have run.
+func (s *Server) Abort() { s.acceptor.abortAll() }
+
 // Close stops listening, closes idle connections, waits for requests in flight until ctx
 // ends, and then closes the remaining connections.
 func (s *Server) Close(ctx context.Context) {
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -193,7 +193,7 @@
 func (r *Runner) Tick() {
 	r.recallQuarantined()
 	if _, refusal := r.acceptingIncarnation(); refusal != nil {
-		r.refuseWaiting(refusal)
+		r.RefuseWaiting(refusal)
 		return
 	}
 	start, overMaxCost := r.gate.Tick(r.Now())
@@ -203,9 +203,9 @@
 	}
 }
 
-// refuseWaiting refuses all waiting requests, so that other backend servers may still
+// RefuseWaiting refuses all waiting requests, so that other backend servers may still
 // run them in time.
-func (r *Runner) refuseWaiting(reason *errkind.Error) {
+func (r *Runner) RefuseWaiting(reason *errkind.Error) {
 	for _, job := range r.gate.DrainQueue() {
 		job.RefuseDrained(reason)
 	}
