Tests: VMs of one process have the same ports up to the 500th

Cause: the allocator of loopback addresses gives the 251st VM of a process the first IP address again with higher ports. A daemon dials its seeds at its own port of links, since all VMs of a platform have the same ports; the new VM was number 250 or above, those before it were not.

Change: two networks a process, so 500 VMs with the same ports, and 20 ports between two VMs of one address: tests use up to 7412.

--- a/pkg/loopback/loopback.go
+++ b/pkg/loopback/loopback.go
@@ -20,12 +20,21 @@
 	PortPlatform  = 7405
 )
 
-// hostsPerPortRange is how many IP addresses of 127.a.b.0/24 are used with the same ports.
-// Further VMs use the same addresses with higher ports.
-const hostsPerPortRange = 250
+// The IP addresses of one process are those of two networks 127.a.b.0/24, of which a and b follow
+// from its id: a in the lower half of the second byte, and in the upper half.
+const (
+	hostsPerNetwork    = 250
+	networksPerProcess = 2
+	processNetworks    = 126
+)
+
+// hostsPerPortRange is how many VMs of one process have IP addresses of their own and the same
+// ports, as VMs of a platform have. Further VMs use the same addresses with higher ports.
+const hostsPerPortRange = networksPerProcess * hostsPerNetwork
 
-// portRangeSize is the distance between the ports of two VMs with the same IP address.
-const portRangeSize = 10
+// portRangeSize is the distance between the ports of two VMs with the same IP address. Tests use
+// ports above those of this package, too.
+const portRangeSize = 20
 
 // Allocator allocates the addresses of VMs. Its zero value is ready to use, and it is safe
 // for concurrent use.
@@ -41,8 +50,9 @@
 func (a *Allocator) Next() VM {
 	n := int(a.next.Add(1) - 1)
 	pid := os.Getpid()
+	network := n / hostsPerNetwork % networksPerProcess
 	return VM{
-		ip:         fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, 1+n%hostsPerPortRange),
+		ip:         fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%processNetworks+network*processNetworks, pid&0xff, 1+n%hostsPerNetwork),
 		portOffset: n / hostsPerPortRange * portRangeSize,
 	}
 }
