Requests name the service that the settings file names now as their caller's

Cause: the settings file is read again on SIGHUP and when it changes, but all of it came into force at the next start.

Change: the reloader tells the forwarder of a changed backend_server.service.

--- a/pkg/daemon/reload.go
+++ b/pkg/daemon/reload.go
@@ -15,7 +15,8 @@
 const filePollInterval = 2 * time.Second
 
 // reloader reads the settings file again on SIGHUP and when the file changes, and logs what
-// changed. The new settings apply at the next start of the daemon.
+// changed. Requests name the service of the new settings as their caller's at once. All other
+// settings apply at the next start of the daemon.
 type reloader struct {
 	daemon *Daemon
 	path   string
@@ -69,6 +70,9 @@
 		return
 	}
 	changed := changedSections(r.loaded, next)
+	if service := next.BackendServer.Service; r.daemon.routed != nil && service != r.loaded.BackendServer.Service {
+		r.daemon.routed.forwarder.SetCallerService(service)
+	}
 	r.loaded = next
 	r.daemon.Log.Event(events.SettingsRead, events.F("why", trigger), events.F("changed", strings.Join(changed, ",")))
 }
--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -157,7 +157,7 @@
 		WantStamp: true,
 		Claim:     wire.Claim{Generation: uint32(a.offered)},
 		Routed: wire.Routed{
-			ID: a.req.ID, Host: a.req.Host, Caller: a.forwarder.Settings.BackendServer.Service,
+			ID: a.req.ID, Host: a.req.Host, Caller: a.forwarder.callerService(),
 			Repeatable: a.route.Repeatable, Priority: a.route.Priority, Soft: soft,
 			Near: a.proximityOf(candidate) == proximity.SameDataCentre, TargetRemaining: a.target - elapsed,
 			RateLimitMilli: candidate.Load.RateLimitMilli(),
--- a/pkg/forward/forward.go
+++ b/pkg/forward/forward.go
@@ -92,6 +92,9 @@
 	ownLink *linkdelay.Delays[*acks.Link]
 
 	inFlight atomic.Int64
+	// changedService replaces the service of the backend server in the settings once the
+	// settings file has named another one; nil: it has not.
+	changedService atomic.Pointer[string]
 	// drain is nil until the daemon drains.
 	drain atomic.Pointer[drainTimes]
 }
@@ -120,6 +123,17 @@
 // InFlight returns the number of requests that have not ended.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
+// SetCallerService sets the service that requests are sent in the name of: that of the backend
+// server on this daemon's VM. It is the one in the settings before the first call.
+func (f *Forwarder) SetCallerService(service string) { f.changedService.Store(&service) }
+
+func (f *Forwarder) callerService() string {
+	if service := f.changedService.Load(); service != nil {
+		return *service
+	}
+	return f.Settings.BackendServer.Service
+}
+
 // Match finds the route of a request in the placement in force.
 func (f *Forwarder) Match(req *Request) RouteMatch {
 	out := RouteMatch{placement: f.view.Placement()}
