A cold time that no Duration holds is ignored on every processor

What callers would see: a backend server whose Cold-Ms header is out of range (1e300) counts as cold for a minute on arm64 and as warm on x86-64, so that its starts are restricted there for no reason.

Cause: the header was converted with time.Duration(float64). The result of a conversion that overflows is up to the processor: arm64 gives the largest number, which maxColdTime then capped, x86-64 the smallest.

Change: a value that fits no Duration is invalid, as any other text that is not a number of milliseconds.

Evidence: TestInvalidColdTimesAreCapped failed on arm64 before (62 s for 1e300 instead of 2 s) and passes after.

--- a/pkg/backend/prober.go
+++ b/pkg/backend/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -65,11 +66,15 @@
 	}, nil
 }
 
+// maxReportableColdMS is the largest valid value of the cold header: more fit no Duration, and the
+// result of a conversion that overflows depends on the processor.
+const maxReportableColdMS = float64(math.MaxInt64 / int64(time.Millisecond))
+
 // parseColdFor parses the cold header, a number of milliseconds. It returns 0 for any
 // other text.
 func parseColdFor(text string) time.Duration {
 	ms, err := strconv.ParseFloat(text, 64)
-	if err != nil || ms < 0 {
+	if err != nil || !(ms >= 0 && ms <= maxReportableColdMS) {
 		return 0
 	}
 	return time.Duration(ms * float64(time.Millisecond))
