--- a/pkg/backend/lifecycle_test.go
+++ b/pkg/backend/lifecycle_test.go
@@ -131,6 +131,21 @@
 	}
 }
 
+// TestLoadReportsOutOfRangeAreIgnored guards against slots that start all requests at once, and
+// slowdowns whose run times overflow.
+func TestLoadReportsOutOfRangeAreIgnored(t *testing.T) {
+	for _, text := range []string{
+		"0,0,2000000000", "0,0,9223372036854775807", "0,0,65536", "0,0,8,9223372036854775807", "0,0,8,100001", "2e9,0,8", "0,0,1e400",
+		"0,0,99999999999999999999", "-1,0,8", "NaN,0,8", "0,0,8,Inf",
+	} {
+		l := &Load{}
+		l.Update(1, "0,0,8,200")
+		l.Update(2, text)
+		test.Eq(t, 8, l.Slots(), test.Sprint(text))
+		test.Eq(t, 200, l.Slowdown(), test.Sprint(text))
+	}
+}
+
 // TestHeartbeatDelayedByNetworkFailureIsIgnored: its sender has crashed and a new
 // incarnation was seen at the address, even if that has been silent for a while.
 func TestHeartbeatDelayedByNetworkFailureIsIgnored(t *testing.T) {
--- a/pkg/backend/load.go
+++ b/pkg/backend/load.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -28,8 +29,17 @@
 	Slowdown int
 }
 
+const (
+	// MaxSlots is the most requests that a backend server can run at once. A daemon starts as
+	// many requests as there are slots.
+	MaxSlots = math.MaxUint16
+	// maxSlowdown is the largest slowdown, in percent, that a load header may state.
+	maxSlowdown = 1000 * speed.NormalPercent
+)
+
 // ParseLoadReport parses a load header: running, waiting, slots and, optionally, the
-// slowdown in percent, separated by commas. ok is false for any other text.
+// slowdown in percent, separated by commas. ok is false for any other text, and for slots and
+// slowdowns that no backend server has.
 func ParseLoadReport(text string) (r LoadReport, ok bool) {
 	fields := strings.Split(text, ",")
 	if len(fields) < 3 {
@@ -46,6 +56,9 @@
 		}
 		*dst = n
 	}
+	if r.Slots > MaxSlots || r.Slowdown > maxSlowdown {
+		return LoadReport{}, false
+	}
 	return r, true
 }
 
