A cold rate out of range no longer ends a restarted daemon

What callers would see: with a cold-per-s of 1e308 or 1e9 in the operators' configuration, each daemon that is started again ends as soon as it has read it, again and again.

Cause: a gate assumes as many starts of the process before it as the limit allows, and makes a list of them: makeslice panics, or memory runs out. The limit was also converted with int(float64): on x86-64, 1e308 became one start per second.

Change: the gate treats a limit above 10,000 starts per second as none, as no daemon starts as many; the conversion is limited to an int32 first.

Evidence: TestAnyStartLimitFitsInMemory panicked before (makeslice: len out of range) and passes after; TestColdRateOutOfRangeIsNoLowLimit.

--- a/pkg/gate/cold_starts.go
+++ b/pkg/gate/cold_starts.go
@@ -18,6 +18,9 @@
 	// server after which the owner should ask for the next report, so that no job has
 	// to wait for it.
 	checkAfterShare = 0.5
+	// maxStartsCounted is the largest limit of starts per second that is counted: no daemon
+	// starts as many, and each takes memory.
+	maxStartsCounted = 10_000
 )
 
 // recordedStart is the start of one job within the last startWindow.
@@ -55,6 +58,9 @@
 // update stores the newest report and changes which starts count.
 func (c *coldStartLimiter) update(now int64, state ColdState, previous previousProcess) {
 	c.ColdState = state
+	if c.MaxStartsPerSecond > maxStartsCounted {
+		c.MaxStartsPerSecond = 0
+	}
 	c.dropOld(now)
 	if previous.existed && state.Since < -previous.minDowntime {
 		c.assumeFullWindow(-previous.minDowntime)
--- a/pkg/gate/cold_test.go
+++ b/pkg/gate/cold_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -22,6 +23,16 @@
 	return &Job{Work: 10 * time.Millisecond, Deadline: now + 10_000*ms, EndBy: now + 10_000*ms}
 }
 
+// TestAnyStartLimitFitsInMemory guards against a limit that the operators' configuration states:
+// after a restart, a gate assumes as many starts of the process before it as the limit allowed.
+func TestAnyStartLimitFitsInMemory(t *testing.T) {
+	g := New(Options{Slots: 4, QueueLength: 4, QueueTime: time.Minute, Order: Ranked, Restarted: true, RestartAfter: 100 * time.Millisecond})
+	now := int64(50 * ms)
+	g.SetColdState(now, ColdState{MaxStartsPerSecond: math.MaxInt, Since: now - 3000*ms, Until: now + 3000*ms})
+	test.LessEq(t, maxStartsCounted, len(g.coldStarts.starts))
+	test.False(t, g.coldStarts.exhausted(now), test.Sprint("a limit that no gate reaches limits nothing"))
+}
+
 // TestStartLimitOfAColdBackendServer checks that a cold backend server gets no more than
 // MaxStartsPerSecond starts in any second, whenever jobs come and end.
 func TestStartLimitOfAColdBackendServer(t *testing.T) {
--- a/pkg/runner/cold.go
+++ b/pkg/runner/cold.go
@@ -1,11 +1,13 @@
 package runner
 
 import (
+	"math"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/gate"
+	"github.com/rushramp/rushramp/pkg/settings"
 )
 
 // coldReportSlack is how much earlier than reported a backend server may have become
@@ -23,7 +25,7 @@
 	period, s := r.lifecycle.ColdPeriod(), &r.Settings.Routing
 	cold := gate.ColdState{Since: period.CheckedAt - coldReportSlack, Until: period.LatestEnd}
 	if service.ColdRate > 0 {
-		cold.MaxStartsPerSecond = max(int(s.ColdFactor*service.ColdRate+s.ColdSlack), 1)
+		cold.MaxStartsPerSecond = maxColdStarts(s, service.ColdRate)
 	}
 	now := r.Now()
 	if now < period.LatestEnd {
@@ -35,6 +37,12 @@
 	return true
 }
 
+// maxColdStarts returns the limit of starts per second of a cold backend server that can handle
+// rate requests per second.
+func maxColdStarts(s *settings.Routing, rate float64) int {
+	return int(min(max(s.ColdFactor*rate+s.ColdSlack, 1), math.MaxInt32))
+}
+
 // coldSince returns the earliest time at which a cold backend server may have become
 // cold. coldFor is the length of a cold period according to the placement. If the backend
 // server reports a longer period, its start cannot be computed and is assumed to be one
--- a/pkg/runner/cold_test.go
+++ b/pkg/runner/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/routing"
+	"github.com/rushramp/rushramp/pkg/settings"
 )
 
 // withColdService sets a placement by which a cold backend server tolerates two starts
@@ -20,6 +22,16 @@
 	r.service = func() (routing.Service, bool) { return routing.Service{ColdFor: 3 * time.Second, ColdRate: 2}, true }
 }
 
+// TestColdRateOutOfRangeIsNoLowLimit guards against a conversion that overflows: the limit was one
+// start per second on some processors and took all memory on others.
+func TestColdRateOutOfRangeIsNoLowLimit(t *testing.T) {
+	s := &settings.Routing{ColdFactor: 1.5, ColdSlack: 8}
+	test.Eq(t, math.MaxInt32, maxColdStarts(s, 1e308))
+	test.Eq(t, math.MaxInt32, maxColdStarts(s, math.MaxFloat64))
+	test.Eq(t, 32, maxColdStarts(s, 16))
+	test.Eq(t, 1, maxColdStarts(&settings.Routing{ColdFactor: 1}, 0.1))
+}
+
 // TestColdBackendServerGetsFewStarts: after the two starts that it tolerates, requests
 // wait, or are refused if they could not end in time.
 func TestColdBackendServerGetsFewStarts(t *testing.T) {
