Requests of connections opened before a change of limits are aborted too

What callers saw: in a planned stop, requests in flight at the end of the drain lost their connections without an answer instead of getting 502 drain_ended, when the placement's limits had changed since their connections were opened.

Cause: acceptor.retiredWithConns left out servers whose listener had closed. http.Server.Shutdown closes it at the start of the drain, so that the abort at the end reached only the connections of the current server.

Change: a retired server is left out once its last connection has closed.

Evidence: TestAbortReachesRetiredServers, EOF before and 502 after.

--- a/pkg/ingress/acceptor.go
+++ b/pkg/ingress/acceptor.go
@@ -96,7 +96,7 @@
 	var out []*limitedServer
 	for _, s := range a.retired {
 		select {
-		case <-s.done:
+		case <-s.drained:
 		default:
 			out = append(out, s)
 		}
