A planned stop closes only connections that have no request

What callers may see: a connection that a planned stop finds idle closes while its next request runs, which gets no answer (LOST).

Cause: http.Server.Shutdown reads the state of a connection and closes it in two steps, and the state stays idle until the head of the next request is parsed. Where bytes had been read ahead, the connection was only half closed, and the request was sent to a backend server although no answer could follow. The window is short unless the process waits for the processor in it.

Change: the ingress closes idle connections itself. Under the lock of the answers it either finds a request, and leaves the connection open until that is answered, or prevents any from starting. A request that was read but has not started counts as not read.

No run with real processes has shown this loss.

--- a/pkg/ingress/answer_queue.go
+++ b/pkg/ingress/answer_queue.go
@@ -157,6 +157,18 @@
 	q.lastAnsweredAt = time.Now()
 }
 
+// closeIfIdle prevents further requests from starting, unless one waits to start, runs or is
+// being answered. It reports whether it has done so.
+func (q *answerQueue) closeIfIdle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.queue) > 0 || q.writing || q.pending {
+		return false
+	}
+	q.closed = true
+	return true
+}
+
 // endReading is called when no further request is read. It reports whether all queued
 // answers are written.
 func (q *answerQueue) endReading() bool {
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -48,7 +48,11 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 
+	openedAt time.Time
+
 	mu sync.Mutex
+	// state is the newest state that http.Server has reported.
+	state http.ConnState
 	// detached is true from detach until http.Server has finished with the request.
 	detached bool
 	// awaitingHead is true while http.Server waits for the next head.
@@ -59,7 +63,7 @@
 }
 
 func newPipelinedConn(nc net.Conn, options connOptions) *pipelinedConn {
-	out := &pipelinedConn{Conn: nc, options: options}
+	out := &pipelinedConn{Conn: nc, options: options, openedAt: time.Now()}
 	out.ctx, out.cancel = context.WithCancelCause(context.Background())
 	out.reader = newConnReader(nc, max(options.limits.MaxBytes, maxReadBytes), out.onDisconnect)
 	out.answers = newAnswerQueue(nc, options.limits, options.closeAfterAnswer)
@@ -151,6 +155,16 @@
 	return c.reader.SetReadDeadline(at.Add(c.options.idleTimeout))
 }
 
+// onState implements http.Server.ConnState.
+func (c *pipelinedConn) onState(state http.ConnState) {
+	c.mu.Lock()
+	c.state = state
+	c.mu.Unlock()
+	if state == http.StateIdle {
+		c.onIdle()
+	}
+}
+
 // onIdle is called when http.Server has finished with a request.
 func (c *pipelinedConn) onIdle() {
 	c.mu.Lock()
@@ -219,6 +233,22 @@
 	}
 }
 
+// firstRequestTime is how long after it was opened a connection without a request stays open in a
+// planned stop. http.Server uses the same time.
+const firstRequestTime = 5 * time.Second
+
+// closeIfIdle closes the connection for a planned stop, unless it has a request. A request that
+// has been read but has not started counts as not read. http.Server.Shutdown instead may close a
+// connection whose next request starts at the same time.
+func (c *pipelinedConn) closeIfIdle() {
+	c.mu.Lock()
+	idle := c.state == http.StateIdle || c.state == http.StateNew && time.Since(c.openedAt) > firstRequestTime
+	c.mu.Unlock()
+	if idle && c.answers.closeIfIdle() {
+		c.closeGracefully()
+	}
+}
+
 // Close implements net.Conn for http.Server. No further request is read; the connection
 // closes when the requests that have started are answered.
 func (c *pipelinedConn) Close() error {
--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -123,8 +123,8 @@
 
 // onConnState implements http.Server.ConnState.
 func onConnState(nc net.Conn, state http.ConnState) {
-	if c, ok := nc.(*pipelinedConn); ok && state == http.StateIdle {
-		c.onIdle()
+	if c, ok := nc.(*pipelinedConn); ok {
+		c.onState(state)
 	}
 }
 
@@ -171,17 +171,28 @@
 	s.closeIfDrained()
 }
 
+// idlePollInterval is the time between two checks for idle connections during a shutdown.
+const idlePollInterval = 20 * time.Millisecond
+
 // shutdown closes idle connections, waits for requests in flight until ctx ends, and
 // then closes the remaining connections.
 func (s *limitedServer) shutdown(ctx context.Context) {
 	s.retire()
-	if err := s.httpServer.Shutdown(ctx); err != nil {
-		_ = s.httpServer.Close()
-	}
-	select {
-	case <-s.drained:
-	case <-ctx.Done():
-		s.closeAll()
+	_ = s.Close()
+	ticker := time.NewTicker(idlePollInterval)
+	defer ticker.Stop()
+	for {
+		for _, c := range s.openConns() {
+			c.closeIfIdle()
+		}
+		select {
+		case <-s.drained:
+			return
+		case <-ctx.Done():
+			s.closeAll()
+			return
+		case <-ticker.C:
+		}
 	}
 }
 
