Bytes that arrive during an answer do not reset it

What callers saw: the end of an answer was missing, with the connection reset, when the answer closed its connection and the caller had sent its next request while it received the answer. All answers of a draining daemon close their connections, so that a request that ran lost its answer (LOST).

Cause: a connection is closed half by half only where bytes had arrived before the answer was ready. Otherwise it was closed at once. With unread bytes, that sends a reset, which drops what the caller has not received yet.

Change: each connection that the ingress closes after an answer is half closed until the caller closes it too, or for 500 ms.

--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -8,9 +8,9 @@
 	"time"
 )
 
-// lingerTime is how long closeGracefully keeps a connection half open when the caller has
-// sent more than was read: closing it at once would send a reset, which destroys answers
-// that the caller has not received yet. http.Server uses the same time.
+// lingerTime is how long closeGracefully keeps a connection half open: if the caller has sent
+// more than was read, closing it would send a reset, which destroys answers that the caller has
+// not received yet. http.Server uses the same time.
 const lingerTime = 500 * time.Millisecond
 
 // PipelineLimits limits the requests of one connection that run concurrently.
@@ -261,9 +261,9 @@
 	return nil
 }
 
-// closeGracefully closes the connection after its last answer. Where the caller may have
-// sent more than was read, it closes the sending half first and the rest after
-// lingerTime.
+// closeGracefully closes the connection after its last answer. It closes the sending half
+// first, and the rest when the caller has closed its own or after lingerTime: the caller may
+// send more while it receives the answer.
 func (c *pipelinedConn) closeGracefully() {
 	c.reader.stop()
 	c.mu.Lock()
@@ -271,10 +271,11 @@
 	c.mu.Unlock()
 	disconnected, _ := c.reader.status()
 	_, half := c.Conn.(interface{ CloseWrite() error })
-	if disconnected || !half || !c.reader.isReadAhead() || c.CloseWrite() != nil {
+	if disconnected || !half || c.CloseWrite() != nil {
 		c.closeNow()
 		return
 	}
+	c.reader.watchForDisconnect()
 	time.AfterFunc(lingerTime, c.closeNow)
 }
 
--- a/pkg/ingress/stop_race_test.go
+++ b/pkg/ingress/stop_race_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
@@ -54,3 +56,36 @@
 		test.Eq(t, "a", c.answers())
 	})
 }
+
+// TestRequestSentDuringAnAnswerDoesNotResetIt: an answer that closes its connection was reset by
+// the bytes of a request that the caller had sent while it received the answer.
+func TestRequestSentDuringAnAnswerDoesNotResetIt(t *testing.T) {
+	for name, text := range map[string]string{"repeatable": get("a"), "not repeatable": post("a", "x")} {
+		t.Run(name, func(t *testing.T) {
+			env, dial := startOnTCP(t, eightConcurrent)
+			caller := dial()
+			_, err := io.WriteString(caller, text)
+			must.NoError(t, err)
+			waitUntil(t, "the request runs", func() bool { return env.backend.startedIDs() == "a" })
+			env.server.StopKeepAlives()
+			// More than the buffers of both sockets hold.
+			const size = 16 << 20
+			go env.backend.answer(t, "a", strings.Repeat("x", size))
+			reader := bufio.NewReader(caller)
+			resp, err := http.ReadResponse(reader, nil)
+			must.NoError(t, err)
+			_, err = io.WriteString(caller, post("b", "x"))
+			must.NoError(t, err)
+			var received int64
+			for err == nil {
+				var n int64
+				n, err = io.CopyN(io.Discard, resp.Body, 256<<10)
+				received += n
+				time.Sleep(time.Millisecond)
+			}
+			test.ErrorIs(t, err, io.EOF)
+			test.Eq(t, resp.ContentLength, received)
+			test.Eq(t, "a", env.backend.startedIDs())
+		})
+	}
+}
