An entry of another writer changes no VM that runs

What callers would see: after one entry among the members under the id of a running VM, in state leaving, its daemon leaves and its process ends, and the next one as soon as it has read the list. After one with another address, every daemon closes its links to the VM: half the time for a tie of digests, always if the entry states a start, and then for as long as the members are kept.

Cause: the list counted as a statement of the platform about the newest process of a VM, also where daemons write it themselves, once, at their start. All that changes later goes over links.

Change: where daemons write the list, an entry says nothing about a VM that a process of its own has described, nor about this daemon's VM, and neither a start nor a state is taken from it.

--- a/pkg/systems/membership.go
+++ b/pkg/systems/membership.go
@@ -77,7 +77,9 @@
 	listed := make(map[string]struct{}, len(list.VMs))
 	for _, vm := range list.VMs {
 		listed[vm.ID] = struct{}{}
-		ms.merge(now, nil, ms.recordOf(vm))
+		if ms.Registrar == nil || !ms.knownFromItself(vm.ID) {
+			ms.merge(now, nil, ms.recordOf(vm))
+		}
 		if row, ok := ms.World.Members.Find(vm.ID); ok {
 			ms.World.Members.Listed[row] = true
 			ms.World.Members.MissedReads[row] = 0
@@ -89,6 +91,14 @@
 	}
 }
 
+// knownFromItself reports whether the record of a VM comes from a process that runs or ran there.
+// It is newer than the entry that the VM has written of itself, so that an entry that differs
+// comes from another writer.
+func (ms *membership) knownFromItself(vm string) bool {
+	row, ok := ms.World.Members.Find(vm)
+	return vm == ms.World.VM || ok && ms.World.Members.Record[row].Incarnation > 0
+}
+
 // recordOf converts an entry of the list of VMs to a record. The list does not know
 // processes, so the entry counts as a statement about the newest known process of the VM.
 func (ms *membership) recordOf(vm store.VM) wire.Member {
@@ -96,6 +106,11 @@
 		VM: vm.ID, Started: vm.Started, Region: vm.Region, DataCentre: vm.DataCentre,
 		Service: vm.Service, LinkAddress: vm.Links, CallerAddress: vm.Callers, Slots: uint32(max(vm.Slots, 0)),
 	}
+	if ms.Registrar != nil {
+		// Daemons write neither: a record of this kind would outlast each record of the VM.
+		out.Started = 0
+		return out
+	}
 	if vm.State == store.VMLeaving {
 		out.State = wire.MemberLeaving
 	}
--- a/pkg/systems/membership_test.go
+++ b/pkg/systems/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 
 	"github.com/shoenig/test"
@@ -55,6 +56,36 @@
 	test.Eq(t, wire.BackendAbsent, run().Backend)
 }
 
+// TestEntryOfAnotherWriterChangesNoRunningVM guards against an entry in a list that daemons write
+// themselves, under the id of a VM that runs: its daemon left, and others lost its address.
+func TestEntryOfAnotherWriterChangesNoRunningVM(t *testing.T) {
+	odd := store.VM{DataCentre: "other", Region: "other", Service: "other", State: store.VMLive, Links: "127.0.0.1:1", Slots: 2_000_000_000, Started: math.MaxUint64}
+	leaving := odd
+	leaving.State = store.VMLeaving
+	for _, entry := range []store.VM{odd, leaving} {
+		env, run := newMembershipEnv()
+		own := run()
+		neighbour := wire.Member{VM: "neighbour", Incarnation: 7, DataCentre: "a", Service: "s", LinkAddress: "127.0.0.1:7411", Slots: 4, Revision: 3}
+		run(neighbour)
+		system := &membership{Env: env, ownRowAdded: true}
+		for _, id := range []string{env.World.VM, neighbour.VM, "ghost"} {
+			entry.ID = id
+			system.Tick(env.Now(), &tables.Mail{VMList: &tables.VMList{VMs: []store.VM{entry}}})
+		}
+		test.Eq(t, own, run())
+		row, ok := env.World.Members.Find(neighbour.VM)
+		must.True(t, ok)
+		test.Eq(t, neighbour, env.World.Members.Record[row])
+		// A VM of which only the list tells is replaced by the record of its own process.
+		ghost := neighbour
+		ghost.VM = "ghost"
+		run(ghost)
+		row, ok = env.World.Members.Find(ghost.VM)
+		must.True(t, ok)
+		test.Eq(t, ghost, env.World.Members.Record[row])
+	}
+}
+
 // TestRestartAfterTheClockWasSetBackTakesAHigherIncarnation: peers have a record of the
 // former process with a higher incarnation, as leaving.
 func TestRestartAfterTheClockWasSetBackTakesAHigherIncarnation(t *testing.T) {
