Log: results that the end of a link has dropped

What operators saw: a caller got 502 link_lost although the backend server had answered, and no log told why.

Change: event 209 says how many results and frames a link of an executor had not sent when it ended, to whom, and what ended it.

--- a/pkg/events/catalogue.go
+++ b/pkg/events/catalogue.go
@@ -46,6 +46,7 @@
 	LinkTraffic         ID = 206
 	GrantStalled        ID = 207
 	BodyNotReceived     ID = 208
+	ResultsDropped      ID = 209
 	PlacementInForce    ID = 301
 	PlacementRejected   ID = 302
 	PlacementChanged    ID = 303
@@ -142,6 +143,7 @@
 		{LinkTraffic, Info, "traffic with other daemons", true, "Every ten seconds: the number of links, and the frames and bytes sent since the last such line, by kind and distance: near (the same data centre), region (another data centre of the region), other (another region).", "Nothing; compare it with docs/CAPACITY.md when a network or a processor is saturated."},
 		{GrantStalled, Warn, "granted body does not arrive", true, "The sender of a large body was allowed to send a part of it, and the part did not arrive within a few times the expected time. Other senders get its share of the link until it sends again.", "If one peer repeats, check that VM, its processor and its network. If many do, the link of this VM is overloaded by other traffic or has become slower."},
 		{BodyNotReceived, Info, "call ended before its body arrived", true, "The gate had admitted the call, but it ended before its whole body had arrived: outcome says why. arrived and granted are bytes of size. The call did not run.", "outcome deadline_before_run with granted far below size: bodies waited for the link of this VM (metric rushramp_bodies_waiting_bytes); with arrived below granted: its sender did not send (event 207). caller_gone: the caller left. leaving or backend_absent: the body goes elsewhere."},
+		{ResultsDropped, Warn, "results of calls dropped, link ended", false, "The link to an entry ended before all results of its calls were sent: their number is in field results, that of all frames that were dropped in frames. The entry answers that these calls may have run.", "If the peer ended or the network failed, nothing. At a stop of this daemon (event 104), its drain was too short for a peer or network that receives slowly: raise drain.bound."},
 		{PlacementInForce, Info, "placement in force", false, "The daemon has applied a newer placement version.", "Nothing."},
 		{PlacementRejected, Error, "placement version refused", false, "The content of the version does not match its hash, or cannot be read.", "Check the object store, and apply the placement again."},
 		{PlacementChanged, Info, "placement changed by operator", false, "A change by an operator was accepted.", "Nothing; the line holds author and version."},
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -46,10 +46,14 @@
 	mu sync.Mutex
 	// wake is signalled when frames are queued, and when the link is closed.
 	wake *sync.Cond
-	// chunks holds the queued Chunk frames, and frames all other queued frames.
-	frames   []wire.Frame
-	chunks   chunkQueue
-	closed   bool
+	// chunks holds the queued Chunk frames, and frames all other queued frames. writing holds
+	// the frames that the writer has taken and not written yet.
+	frames  []wire.Frame
+	chunks  chunkQueue
+	writing []wire.Frame
+	closed  bool
+	// dropped is what was unsent when the link was closed.
+	dropped  unsentFrames
 	lastSent time.Time
 	// statedIdle is the longest idle time that this side has last stated to the peer; 0:
 	// none.
@@ -206,6 +210,7 @@
 		return
 	}
 	c.closed = true
+	c.dropped = c.unsentLocked()
 	c.frames = nil
 	c.chunks.discard()
 	c.wake.Broadcast()
@@ -248,12 +253,13 @@
 	return 0
 }
 
-// nextBatch waits for queued frames, and appends them to batch: one chunk of a body at most,
-// and all other frames. So a frame is never delayed by more than one chunk of a large body.
+// nextBatch waits for queued frames, and appends them to batch, whose former frames were
+// written: one chunk of a body at most, and all other frames. So a frame is never delayed by more than one chunk of a large body.
 // It returns nil when the link is closed.
 func (c *Conn) nextBatch(batch []wire.Frame) []wire.Frame {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.writing = nil
 	for len(c.frames) == 0 && c.chunks.len() == 0 && !c.closed {
 		c.wake.Wait()
 	}
@@ -267,6 +273,7 @@
 		batch = append(batch, chunk)
 	}
 	c.lastSent = time.Now()
+	c.writing = batch
 	return batch
 }
 
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -150,6 +150,7 @@
 		return
 	}
 	helloReceived, err := s.serve(s.register, s.receive)
+	s.logDropped(err)
 	s.cancelAll()
 	s.server.grants.removeSender(s.sender)
 	s.server.delays.Remove(s.sender)
