A stop delivers the results of calls before its links close

What callers saw: 502 link_lost for requests around the SIGTERM of their executor, although the backend server had answered: for requests that may not be repeated, a failure with no way out (LOST).

Cause: results in the queue of a link were not in flight any more, so that the drain ended with the last run. The links were then closed with their queues dropped and the connections possibly reset. A large answer leaves in chunks of 32 KiB, and an entry that waits for its processor or has a slow network reads none for a while.

Change: results that are not written count as in flight, within the bound of the drain. A stop then shuts the accepted links down: calls whose bodies are on the way are refused (not run), queued frames are written, and the connection closes by the closing handshake of WebSocket, for which a peer has a second, 100 ms at the end of the drain. Accepted links whose hello frame has not arrived end as well.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -65,11 +65,15 @@
 	routed *routed
 	// cancelBackground ends the background goroutines, after the drain.
 	cancelBackground context.CancelFunc
-	stops            []func()
-	leaveOnce        sync.Once
-	drained          chan struct{}
-	cutCalls         atomic.Int64
-	stopOnce         sync.Once
+	// links accepts links from other daemons; nil until listen has opened its listener.
+	links     atomic.Pointer[link.Server]
+	stops     []func()
+	leaveOnce sync.Once
+	// drainEnd is when the drain ends; nil until the daemon drains.
+	drainEnd atomic.Pointer[time.Time]
+	drained  chan struct{}
+	cutCalls atomic.Int64
+	stopOnce sync.Once
 }
 
 // New returns a daemon with the given settings. Start opens its listeners.
@@ -225,6 +229,7 @@
 		return errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", d.Settings.Listen.Links, err)
 	}
 	links := link.Listen(d.Common, d.control, d.callRunner(), listener, d.certs.Server(), d.env.DialOptions.HeartbeatTiming)
+	d.links.Store(links)
 	d.stops = append(d.stops, links.Close)
 	starts := []func() (func(), error){
 		func() (func(), error) { return startMetrics(d) },
@@ -265,8 +270,9 @@
 	}
 }
 
-// InFlight returns the number of calls and routed requests that have not ended. One whose
-// entry and executor are both this daemon counts twice.
+// InFlight returns the number of calls and routed requests that have not ended, or whose results
+// are not sent to their entries yet. One whose entry and executor are both this daemon counts
+// twice.
 func (d *Daemon) InFlight() int64 {
 	out := d.Entry.InFlight()
 	if d.Executor != nil {
@@ -275,6 +281,9 @@
 	if d.routed != nil {
 		out += d.routed.forwarder.InFlight() + d.routed.runner.InFlight()
 	}
+	if links := d.links.Load(); links != nil {
+		out += links.UnsentResults()
+	}
 	return out
 }
 
@@ -283,6 +292,7 @@
 
 func (d *Daemon) stop() {
 	d.cancelBackground()
+	d.shutdownLinks()
 	d.stopAll()
 	if d.Executor != nil {
 		d.Executor.Close()
--- a/pkg/daemon/drain.go
+++ b/pkg/daemon/drain.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/events"
@@ -59,6 +60,7 @@
 // drains. The drain ends when no call is in flight or Drain.Bound has passed.
 func (d *Daemon) drainInOrder(startedAt time.Time) {
 	schedule := newDrainSchedule(startedAt, d.Settings)
+	d.drainEnd.Store(&schedule.end)
 	if d.routed != nil {
 		abort := time.AfterFunc(time.Until(schedule.abortAt), d.routed.abort)
 		defer abort.Stop()
@@ -92,3 +94,26 @@
 
 // Drained returns a channel that is closed when the drain has ended.
 func (d *Daemon) Drained() <-chan struct{} { return d.drained }
+
+const (
+	// linkCloseTimeout is how long the links of other daemons may take to close within a drain.
+	linkCloseTimeout = time.Second
+	// lateLinkCloseTimeout is that time at the end of a drain, and for a daemon that does not
+	// drain.
+	lateLinkCloseTimeout = 100 * time.Millisecond
+)
+
+// shutdownLinks ends the links of other daemons once these have read what was sent to them.
+func (d *Daemon) shutdownLinks() {
+	links := d.links.Load()
+	if links == nil {
+		return
+	}
+	timeout := lateLinkCloseTimeout
+	if end := d.drainEnd.Load(); end != nil {
+		timeout = max(timeout, min(linkCloseTimeout, time.Until(*end)))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	links.Shutdown(ctx)
+}
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/binary"
 	"sync"
 	"sync/atomic"
@@ -51,7 +52,11 @@
 	frames  []wire.Frame
 	chunks  chunkQueue
 	writing []wire.Frame
-	closed  bool
+	// ending is true once Shutdown has been called. Queued frames are still written then.
+	ending bool
+	closed bool
+	// ended is closed with the link.
+	ended chan struct{}
 	// dropped is what was unsent when the link was closed.
 	dropped  unsentFrames
 	lastSent time.Time
@@ -85,7 +90,7 @@
 
 // newConn returns a connection over ws and starts its writer.
 func newConn(ws *websocket.Conn, codec *wire.Codec, counters *traffic.Counters, timing *HeartbeatTiming) *Conn {
-	c := &Conn{ws: ws, codec: codec, counters: counters, timing: timing, start: time.Now(), lastSent: time.Now()}
+	c := &Conn{ws: ws, codec: codec, counters: counters, timing: timing, start: time.Now(), lastSent: time.Now(), ended: make(chan struct{})}
 	c.wake = sync.NewCond(&c.mu)
 	ws.SetReadLimit(wire.MaxMessage)
 	// On a system without this limit, other frames wait behind the buffered chunks of
@@ -99,7 +104,8 @@
 // NewClosedConn returns a closed connection, which accepts no frames. Tests of the systems
 // use it in place of a link.
 func NewClosedConn() *Conn {
-	c := &Conn{closed: true, start: time.Now(), timing: NewHeartbeatTiming(time.Minute)}
+	c := &Conn{closed: true, ended: make(chan struct{}), start: time.Now(), timing: NewHeartbeatTiming(time.Minute)}
+	close(c.ended)
 	c.wake = sync.NewCond(&c.mu)
 	return c
 }
@@ -171,12 +177,12 @@
 func (c *Conn) MinRTT() time.Duration { return time.Duration(c.minRTT.Load()) }
 
 // Send queues frames in order, except that chunks of bodies are sent after other frames. It
-// returns ErrClosed if the link is closed. If too many frames are queued, it closes the link
+// returns ErrClosed if the link is closed or shut down. If too many frames are queued, it closes the link
 // and returns ErrClosed. Frames that were queued without an error may not reach the peer.
 func (c *Conn) Send(frames ...wire.Frame) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
+	if c.closed || c.ending {
 		return ErrClosed
 	}
 	if len(c.frames)+c.chunks.len() > maxQueuedFrames {
@@ -215,6 +221,31 @@
 	c.chunks.discard()
 	c.wake.Broadcast()
 	_ = c.ws.Close()
+	close(c.ended)
+}
+
+// Shutdown ends the link without dropping frames: it writes those that are queued and waits
+// until the peer has read them and closed the link. It closes the link when ctx ends.
+func (c *Conn) Shutdown(ctx context.Context) {
+	c.mu.Lock()
+	c.ending = true
+	c.wake.Broadcast()
+	c.mu.Unlock()
+	select {
+	case <-c.ended:
+	case <-ctx.Done():
+		c.Close()
+	}
+}
+
+// sendClose begins the closing handshake of WebSocket, which the peer's reader completes.
+// Closing the connection right away could reset it, with frames that the peer has not
+// received yet.
+func (c *Conn) sendClose() {
+	message := websocket.FormatCloseMessage(websocket.CloseGoingAway, "")
+	if err := c.ws.WriteControl(websocket.CloseMessage, message, time.Now().Add(writeTimeout)); err != nil {
+		c.Close()
+	}
 }
 
 func (c *Conn) setProximity(level proximity.Level) { c.proximity.Store(uint32(level)) }
@@ -255,15 +286,15 @@
 
 // nextBatch waits for queued frames, and appends them to batch, whose former frames were
 // written: one chunk of a body at most, and all other frames. So a frame is never delayed by more than one chunk of a large body.
-// It returns nil when the link is closed.
+// It returns nil when the link is closed, or shut down and no frame is left.
 func (c *Conn) nextBatch(batch []wire.Frame) []wire.Frame {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing = nil
-	for len(c.frames) == 0 && c.chunks.len() == 0 && !c.closed {
+	for len(c.frames) == 0 && c.chunks.len() == 0 && !c.closed && !c.ending {
 		c.wake.Wait()
 	}
-	if c.closed {
+	if c.closed || len(c.frames) == 0 && c.chunks.len() == 0 {
 		return nil
 	}
 	batch = append(batch, c.frames...)
@@ -277,17 +308,18 @@
 	return batch
 }
 
-// writeLoop sends the queued frames until the link is closed.
+// writeLoop sends the queued frames until the link is closed or shut down.
 func (c *Conn) writeLoop() {
-	defer c.Close()
 	var buf bytes.Buffer
 	var batch []wire.Frame
 	for {
 		batch = c.nextBatch(batch[:0])
 		if batch == nil {
+			c.sendClose()
 			return
 		}
 		if err := c.writeBatch(&buf, batch); err != nil {
+			c.Close()
 			return
 		}
 	}
--- a/pkg/link/offered.go
+++ b/pkg/link/offered.go
@@ -85,6 +85,9 @@
 // ended before.
 func (s *session) start(in *incomingCall, body []byte) (cancel func(), started bool) {
 	if in.offer == nil {
+		if !s.markStarted(in) {
+			return nil, false
+		}
 		return s.server.runner.Execute(in.call, body, s.doneFor(in)), true
 	}
 	s.mu.Lock()
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -1,9 +1,12 @@
 package link
 
 import (
+	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,15 +42,18 @@
 	address  string
 
 	mu sync.Mutex
-	// peers holds the accepted links whose hello frame has arrived.
-	peers map[*Peer]struct{}
+	// sessions holds all accepted links, and peers those whose hello frame has arrived.
+	sessions map[*session]struct{}
+	peers    map[*Peer]struct{}
+	// stopped is true once no further links are accepted.
+	stopped bool
 }
 
 // Listen returns a server that accepts links on listener until Close is called. runner runs
 // the calls of peers and is nil on a daemon that is only an entry. tlsConfig is nil for plain
 // text.
 func Listen(c *common.Common, handler Handler, runner call.Runner, listener net.Listener, tlsConfig *tls.Config, timing *HeartbeatTiming) *Server {
-	s := &Server{Common: c, handler: handler, runner: runner, timing: timing, peers: map[*Peer]struct{}{}, address: listener.Addr().String(), grants: newGranter(c), delays: linkdelay.NewDelays[grants.Sender]()}
+	s := &Server{Common: c, handler: handler, runner: runner, timing: timing, sessions: map[*session]struct{}{}, peers: map[*Peer]struct{}{}, address: listener.Addr().String(), grants: newGranter(c), delays: linkdelay.NewDelays[grants.Sender]()}
 	s.registerLinkMetrics()
 	mux := http.NewServeMux()
 	mux.HandleFunc(linkPath, s.accept)
@@ -62,15 +68,45 @@
 	return s
 }
 
-// Close closes the listener, and all accepted links whose hello frame has arrived.
+// Close closes the listener and all accepted links. Queued frames are dropped.
 func (s *Server) Close() {
+	for _, sess := range s.stop() {
+		sess.Close()
+	}
+}
+
+// Shutdown closes the listener and ends all accepted links without dropping the results of
+// calls that have ended. It refuses calls whose bodies are on the way. When ctx ends, it closes
+// the links that are left.
+func (s *Server) Shutdown(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, sess := range s.stop() {
+		wg.Go(func() { sess.shutdown(ctx) })
+	}
+	wg.Wait()
+}
+
+// stop closes the listener and returns the accepted links.
+func (s *Server) stop() []*session {
+	s.mu.Lock()
+	s.stopped = true
+	out := slices.Collect(maps.Keys(s.sessions))
+	s.mu.Unlock()
 	_ = s.http.Close()
 	s.grants.close()
+	return out
+}
+
+// UnsentResults returns the number of calls that have ended and whose results are not written
+// to their links yet.
+func (s *Server) UnsentResults() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for peer := range s.peers {
-		peer.Close()
+	out := 0
+	for sess := range s.sessions {
+		out += sess.unsent().results
 	}
+	return int64(out)
 }
 
 // Peers returns the daemons that have opened a link to this one, in no particular order.
@@ -108,9 +144,33 @@
 		Peer:   &Peer{Conn: newConn(ws, codec, s.Traffic, s.timing), OpenedAfter: openedAfter},
 		sender: s.grants.newSender(),
 		calls:  map[uint64]*incomingCall{},
+		done:   make(chan struct{}),
 	}
 	sess.acks.send = sess.Send
+	if !s.addSession(sess) {
+		sess.Close()
+		return
+	}
 	sess.run()
+	s.removeSession(sess)
+	close(sess.done)
+}
+
+// addSession adds an accepted link. It returns false once the server has stopped.
+func (s *Server) addSession(sess *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return false
+	}
+	s.sessions[sess] = struct{}{}
+	return true
+}
+
+func (s *Server) removeSession(sess *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, sess)
 }
 
 // session is one accepted link.
@@ -128,6 +188,8 @@
 	acks   ackSender
 	// transit is used only by the goroutine that reads messages.
 	transit acks.Transit
+	// done is closed when run has returned.
+	done chan struct{}
 }
 
 // incomingCall is a call of the peer that has not ended.
@@ -138,8 +200,10 @@
 	reservation *bodies.Reservation
 	// offer is nil if the body is not sent as it is granted.
 	offer *offeredCall
-	// cancel is nil until the call has started.
-	cancel func()
+	// started is true once a call without offer is passed to the runner. cancel is nil until
+	// the runner has returned it.
+	started bool
+	cancel  func()
 	// cancelled is true once the peer has cancelled the call or the link has ended.
 	cancelled bool
 }
--- a/pkg/link/stop_test.go
+++ b/pkg/link/stop_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/wire"
@@ -156,3 +157,63 @@
 	}
 	test.StrContains(t, e.log.String(), "peer=test results=1")
 }
+
+// shutdown begins to shut the server down. The returned function waits for its end.
+func (e *slowEntry) shutdown(ctx context.Context) (wait func()) {
+	done := make(chan struct{})
+	go func() {
+		e.server.Shutdown(ctx)
+		close(done)
+	}()
+	return func() { <-done }
+}
+
+// TestShutdownDeliversQueuedResults: answers that were queued when an executor stopped were
+// dropped, and the calls, which had run, ended with LinkLost.
+func TestShutdownDeliversQueuedResults(t *testing.T) {
+	e := connectSlow(t)
+	result := e.executeHeld(t, largeAnswer())
+	test.Eq(t, 1, e.server.UnsentResults())
+	wait := e.shutdown(t.Context())
+	e.conn.setPaused(false)
+	got := <-result
+	must.NotNil(t, got.Answer, must.Sprint(got.Refusal))
+	test.Eq(t, len(largeAnswer().Body), len(got.Answer.Body))
+	wait()
+	test.Eq(t, 0, e.server.UnsentResults())
+	test.Eq(t, "", e.log.String())
+}
+
+// TestShutdownEndsWithItsContext: a peer that reads nothing must not hold up the stop.
+func TestShutdownEndsWithItsContext(t *testing.T) {
+	e := connectSlow(t)
+	result := e.executeHeld(t, largeAnswer())
+	ctx, cancel := context.WithCancel(t.Context())
+	wait := e.shutdown(ctx)
+	cancel()
+	wait()
+	test.StrContains(t, e.log.String(), "event=209")
+	e.conn.setPaused(false)
+	got := <-result
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+}
+
+// TestShutdownRefusesCallsWhoseBodiesAreOnTheWay: such calls ended with LinkLost, as if they might
+// have run.
+func TestShutdownRefusesCallsWhoseBodiesAreOnTheWay(t *testing.T) {
+	e := connectSlow(t)
+	body, chunks := wire.Split(make([]byte, 3*wire.ChunkSize))
+	result := make(chan call.Result, 1)
+	pending := &pendingCall{done: func(r call.Result) { result <- r }, body: &outgoingBody{}}
+	must.Nil(t, e.client.sendCall(&wire.Call{Body: body, Remaining: time.Minute}, chunks[:1], nil, pending))
+	for e.server.Bodies.Reserved() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.shutdown(t.Context())()
+	got := <-result
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.Leaving, got.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+	test.Eq(t, 0, e.server.Bodies.Reserved())
+}
