Calls that cross the stop of their executor have not run

What callers saw: 502 link_lost, ran maybe, for a request that its entry sent in the moment in which the executor ended the link. It had not run, but could go nowhere else if it must not be repeated.

Cause: the end of a link told nothing of the calls on their way, so that the entry had to take all of them for run.

Change: as GOAWAY in HTTP/2, the close frame of a link names the last call that the executor has accepted; it drops those that arrive later. The entry counts them as not run, so that they go elsewhere at no cost. The close frame's text was empty before, and no frame of rushramp's own changes.

--- a/pkg/link/client.go
+++ b/pkg/link/client.go
@@ -114,7 +114,7 @@
 		cl.handler.Up(cl.Peer)
 		cl.handler.PeerState(cl.Peer, &cl.Hello.State)
 	}, cl.receive)
-	cl.failAll()
+	cl.failAll(err)
 	cl.handler.Down(cl.Peer, err)
 }
 
@@ -280,14 +280,19 @@
 	pending.done(result)
 }
 
-// failAll ends all pending calls when the link has ended. They may have run, except those
-// whose body was not handed over.
-func (cl *Client) failAll() {
+// failAll ends all pending calls when the link has ended with cause. They may have run, except
+// those whose body was not handed over and those that the executor has not accepted.
+func (cl *Client) failAll(cause error) {
 	cl.mu.Lock()
 	calls := cl.pending
 	cl.pending = nil
 	cl.mu.Unlock()
+	lastCall, stated := lastCallOf(cause)
 	for id, pending := range calls {
+		if stated && id > lastCall {
+			pending.done(*linkUnavailable("the executor stopped before it accepted the call"))
+			continue
+		}
 		pending.done(cl.resultOfLostLink(id, pending))
 	}
 }
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,7 +55,9 @@
 	writing []wire.Frame
 	// ending is true once Shutdown has been called. Queued frames are still written then.
 	ending bool
-	closed bool
+	// lastCall is what Shutdown tells the peer.
+	lastCall uint64
+	closed   bool
 	// ended is closed with the link.
 	ended chan struct{}
 	// dropped is what was unsent when the link was closed.
@@ -203,6 +206,17 @@
 	return nil
 }
 
+// lastCallOf returns the lastCall of the Shutdown by which the peer has ended a link with this
+// error; stated is false if the link ended otherwise.
+func lastCallOf(err error) (lastCall uint64, stated bool) {
+	var closed *websocket.CloseError
+	if !errors.As(err, &closed) || closed.Code != websocket.CloseGoingAway {
+		return 0, false
+	}
+	lastCall, err = strconv.ParseUint(closed.Text, 10, 64)
+	return lastCall, err == nil
+}
+
 // Close closes the link. Queued frames are dropped.
 func (c *Conn) Close() {
 	c.mu.Lock()
@@ -225,10 +239,11 @@
 }
 
 // Shutdown ends the link without dropping frames: it writes those that are queued and waits
-// until the peer has read them and closed the link. It closes the link when ctx ends.
-func (c *Conn) Shutdown(ctx context.Context) {
+// until the peer has read them and closed the link. It closes the link when ctx ends. The peer
+// is told that its calls with ids above lastCall have not run.
+func (c *Conn) Shutdown(ctx context.Context, lastCall uint64) {
 	c.mu.Lock()
-	c.ending = true
+	c.ending, c.lastCall = true, lastCall
 	c.wake.Broadcast()
 	c.mu.Unlock()
 	select {
@@ -242,7 +257,9 @@
 // Closing the connection right away could reset it, with frames that the peer has not
 // received yet.
 func (c *Conn) sendClose() {
-	message := websocket.FormatCloseMessage(websocket.CloseGoingAway, "")
+	c.mu.Lock()
+	message := websocket.FormatCloseMessage(websocket.CloseGoingAway, strconv.FormatUint(c.lastCall, 10))
+	c.mu.Unlock()
 	if err := c.ws.WriteControl(websocket.CloseMessage, message, time.Now().Add(writeTimeout)); err != nil {
 		c.Close()
 	}
--- a/pkg/link/offered_test.go
+++ b/pkg/link/offered_test.go
@@ -226,7 +226,7 @@
 			}
 			var got call.Result
 			cl := &Client{Peer: &Peer{Conn: conn}, pending: map[uint64]*pendingCall{7: {body: s.body, done: func(r call.Result) { got = r }}}}
-			cl.failAll()
+			cl.failAll(nil)
 			must.NotNil(t, got.Refusal, must.Sprint(s.name))
 			test.Eq(t, s.want, got.Refusal.Kind, test.Sprint(s.name))
 			test.Eq(t, s.want == errkind.LinkLost, got.Refusal.Ran == errkind.RanMaybe, test.Sprint(s.name))
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -182,10 +182,14 @@
 
 	mu    sync.Mutex
 	calls map[uint64]*incomingCall
-	// lastID is the highest id of a call so far. Ids of one link are never reused.
-	lastID uint64
-	stamps stampFilter
-	acks   ackSender
+	// lastID is the highest id of a call so far. Ids of one link are never reused. lastAccepted
+	// is the highest of a call in calls so far.
+	lastID       uint64
+	lastAccepted uint64
+	// stopped is true once no further calls are accepted.
+	stopped bool
+	stamps  stampFilter
+	acks    ackSender
 	// transit is used only by the goroutine that reads messages.
 	transit acks.Transit
 	// done is closed when run has returned.
@@ -284,9 +288,10 @@
 		s.sendRefusal(f.ID, call.Refused(errkind.Overloaded, "the executor cannot accept a body of %d bytes: it holds bodies of %d bytes, and limits.bodies_bytes is %d", f.Body.Size, s.server.Bodies.Reserved(), s.server.Bodies.Limit()))
 		return nil
 	}
-	s.mu.Lock()
-	s.calls[f.ID] = in
-	s.mu.Unlock()
+	if !s.addCall(in) {
+		in.reservation.Release()
+		return nil
+	}
 	if f.Body.Offered() {
 		s.receiveOffer(in)
 		return nil
--- a/pkg/link/shutdown.go
+++ b/pkg/link/shutdown.go
@@ -11,7 +11,7 @@
 // the results of calls are sent. It closes the link when ctx ends.
 func (s *session) shutdown(ctx context.Context) {
 	leaving := errkind.New(errkind.Leaving, "the daemon has stopped before the whole body had arrived")
-	unstarted, offered := s.takeUnstarted()
+	unstarted, offered, lastAccepted := s.stop()
 	for _, in := range unstarted {
 		in.reservation.Release()
 		s.sendRefusal(in.call.ID, call.Result{Refusal: leaving, FromExecutor: true})
@@ -19,15 +19,16 @@
 	for _, in := range offered {
 		s.withdraw(in, leaving)
 	}
-	s.Conn.Shutdown(ctx)
+	s.Conn.Shutdown(ctx, lastAccepted)
 	<-s.done
 }
 
-// takeUnstarted removes and returns the calls without offer that have not started, and returns
-// those with one.
-func (s *session) takeUnstarted() (unstarted, offered []*incomingCall) {
+// stop makes the session accept no further calls. It removes and returns the calls without offer
+// that have not started, and returns those with one.
+func (s *session) stop() (unstarted, offered []*incomingCall, lastAccepted uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopped = true
 	for id, in := range s.calls {
 		switch {
 		case in.offer != nil:
@@ -37,7 +38,20 @@
 			unstarted = append(unstarted, in)
 		}
 	}
-	return unstarted, offered
+	return unstarted, offered, s.lastAccepted
+}
+
+// addCall adds a call that has arrived. It returns false once the session has stopped: the entry
+// learns from the end of the link that the call has not run.
+func (s *session) addCall(in *incomingCall) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return false
+	}
+	s.calls[in.call.ID] = in
+	s.lastAccepted = in.call.ID
+	return true
 }
 
 // markStarted marks a call without offer as started. It returns false if the call has ended
--- a/pkg/link/stop_test.go
+++ b/pkg/link/stop_test.go
@@ -43,12 +43,20 @@
 }
 
 func (p *pausedReader) Read(b []byte) (int, error) {
+	p.wait()
+	n, err := p.Conn.Read(b)
+	// The read may have begun before the pause.
+	p.wait()
+	return n, err
+}
+
+// wait returns once the reads are not paused.
+func (p *pausedReader) wait() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	for p.paused && !p.closed {
 		p.resume.Wait()
 	}
-	p.mu.Unlock()
-	return p.Conn.Read(b)
 }
 
 func (p *pausedReader) Close() error {
@@ -135,8 +143,7 @@
 // executeHeld pauses the entry after it has sent a call, and has the call answered. The answer
 // is queued when executeHeld returns.
 func (e *slowEntry) executeHeld(t *testing.T, answer *call.Answer) (result chan call.Result) {
-	result = make(chan call.Result, 1)
-	e.client.Execute(&wire.Call{Remaining: time.Minute}, nil, func(r call.Result) { result <- r })
+	result = e.execute()
 	e.conn.setPaused(true)
 	e.answer <- answer
 	for e.peer.unsent().results == 0 {
@@ -217,3 +224,48 @@
 	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
 	test.Eq(t, 0, e.server.Bodies.Reserved())
 }
+
+// TestCallsThatCrossAShutdownHaveNotRun: a call that was sent while its executor ended the link
+// counted as one that might have run, so that a call that must not be repeated failed.
+func TestCallsThatCrossAShutdownHaveNotRun(t *testing.T) {
+	e := connectSlow(t)
+	running := e.execute()
+	for e.server.running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.conn.setPaused(true)
+	wait := e.shutdown(t.Context())
+	for e.peer.Send() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	crossing := e.execute()
+	e.conn.setPaused(false)
+	wait()
+	got := <-crossing
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.LinkUnavailable, got.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, got.Refusal.Ran)
+	got = <-running
+	must.NotNil(t, got.Refusal)
+	test.Eq(t, errkind.LinkLost, got.Refusal.Kind)
+	test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+}
+
+// execute sends a call.
+func (e *slowEntry) execute() (result chan call.Result) {
+	result = make(chan call.Result, 1)
+	e.client.Execute(&wire.Call{Remaining: time.Minute}, nil, func(r call.Result) { result <- r })
+	return result
+}
+
+// running returns the number of calls that have not ended.
+func (s *Server) running() (out int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sess := range s.sessions {
+		sess.mu.Lock()
+		out += len(sess.calls)
+		sess.mu.Unlock()
+	}
+	return out
+}
