Endless heads and interim responses of a backend server are cut

What callers saw: nothing until the deadline of the request, while the daemon's memory grew by all that the backend server sent: a head is held as a whole.

Cause: heads were read by http.ReadResponse without a limit, and interim responses and responses to other requests without a number.

Change: a head may have 64 KB, and 16 other responses may come before that to the request. Beyond that the connection is closed and the request answered at once: 502 backend_failed, may have run. Bodies were bounded by limits.max_body_bytes already; net/http bounds trailers (4 KB) and chunk lines.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +17,21 @@
 // request.
 var errUnexpectedBytes = errors.New("received bytes that belong to no pending request")
 
+const (
+	// maxHeadBytes is the maximum size of the head of a response. Parsed, a head
+	// of short lines takes up to 20 times its size.
+	maxHeadBytes = 64 << 10
+	// maxDroppedResponses is how many responses that are not the one to the request may come
+	// before it: interim responses, and late ones to earlier requests.
+	maxDroppedResponses = 16
+)
+
+// errHeadTooLarge closes a connection whose response has a head without an end.
+var errHeadTooLarge = errors.Errorf("response head exceeds %d bytes", maxHeadBytes)
+
+// errTooManyDropped closes a connection on which other responses come without an end.
+var errTooManyDropped = errors.Errorf("over %d responses that are interim or to other requests", maxDroppedResponses)
+
 // errBodyTooLarge closes a connection whose response body exceeds the limit.
 var errBodyTooLarge = errors.New("response body exceeds the size limit")
 
@@ -33,6 +49,8 @@
 // that arrives before a long request body is written.
 type conn struct {
 	net.Conn
+	// source limits the bytes that reader may read from the connection. Only readLoop uses both.
+	source *limitedSource
 	reader *bufio.Reader
 	// idHeader is the name of the header that carries the request ID.
 	idHeader     string
@@ -51,11 +69,28 @@
 }
 
 func newConn(c net.Conn, idHeader string, maxBodyBytes int) *conn {
-	out := &conn{Conn: c, reader: bufio.NewReader(c), idHeader: idHeader, maxBodyBytes: int64(maxBodyBytes)}
+	source := &limitedSource{source: c}
+	out := &conn{Conn: c, source: source, reader: bufio.NewReader(source), idHeader: idHeader, maxBodyBytes: int64(maxBodyBytes)}
 	go out.readLoop()
 	return out
 }
 
+// limitedSource reads up to remaining bytes from source, and fails with errHeadTooLarge then.
+type limitedSource struct {
+	source    io.Reader
+	remaining int64
+}
+
+// Read implements io.Reader.
+func (l *limitedSource) Read(p []byte) (int, error) {
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.source.Read(p[:min(int64(len(p)), l.remaining)])
+	l.remaining -= int64(n)
+	return n, err
+}
+
 // startExchange makes ex the exchange that the next response belongs to. It returns
 // false if the connection is closed; nothing of the request has been sent then.
 func (c *conn) startExchange(ex *exchange) bool {
@@ -105,40 +140,53 @@
 	}
 }
 
-// readResponse reads one response. A late response to an earlier request, which its ID
-// header tells, is read to its end and dropped; so is an interim (1xx) response.
+// readResponse reads the response to a request. Responses before it are read to their end and
+// dropped: late ones to earlier requests, which their ID header tells, and interim (1xx) ones.
 func (c *conn) readResponse() error {
+	for range maxDroppedResponses + 1 {
+		if delivered, err := c.readNext(); delivered || err != nil {
+			return err
+		}
+	}
+	return errTooManyDropped
+}
+
+// readNext reads one response. delivered is true if it was that to the request.
+func (c *conn) readNext() (delivered bool, err error) {
+	c.source.remaining = maxHeadBytes
 	if _, err := c.reader.Peek(1); err != nil {
-		return err
+		return false, err
 	}
 	ex := c.currentExchange()
 	if ex == nil {
-		return errUnexpectedBytes
+		return false, errUnexpectedBytes
 	}
 	resp, err := http.ReadResponse(c.reader, ex.request)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if resp.StatusCode < http.StatusOK {
-		return nil
+		return false, nil
 	}
+	// maxBodyBytes limits the body; net/http limits trailers and the lines of chunks.
+	c.source.remaining = math.MaxInt64
 	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBodyBytes+1))
 	if err != nil {
-		return errors.Wrap(err, "response truncated")
+		return false, errors.Wrap(err, "response truncated")
 	}
 	if int64(len(body)) > c.maxBodyBytes {
-		return errBodyTooLarge
+		return false, errBodyTooLarge
 	}
 	resp.Body = io.NopCloser(bytes.NewReader(body))
 	last := resp.Close || closeDelimited
 	if resp.Header.Get(c.idHeader) != ex.id {
 		if last {
-			return errUnexpectedBytes
+			return false, errUnexpectedBytes
 		}
-		return nil
+		return false, nil
 	}
-	return c.deliver(ex, resp, last)
+	return true, c.deliver(ex, resp, last)
 }
 
 // deliver hands the response to its exchange. It returns an error, which closes the
--- /dev/null
+++ b/pkg/backend/endless_test.go
@@ -0,0 +1,132 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"github.com/rushramp/rushramp/pkg/errkind"
+)
+
+// maxEndlessBytes is how many bytes an endless response has until its server gives up: more than
+// the largest response, and the socket buffers of both ends.
+const maxEndlessBytes = 48 << 20
+
+// endlessResponses holds responses to the request r without an end, as a beginning and what
+// follows it again and again.
+var endlessResponses = map[string][2]string{
+	"a status line":            {"HTTP/1.1 200 ", strings.Repeat("O", 4096)},
+	"a header line":            {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\nX: ", strings.Repeat("x", 4096)},
+	"short header lines":       {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\n", strings.Repeat("A:\r\n", 1024)},
+	"continued header lines":   {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\nX: x\r\n", strings.Repeat(" x\r\n", 1024)},
+	"interim responses":        {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 100)},
+	"other responses":          {"", strings.Repeat("HTTP/1.1 200 OK\r\nRushramp-Request-Id: other\r\nContent-Length: 2\r\n\r\nok", 100)},
+	"another response":         {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+	"a body without length":    {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\n\r\n", strings.Repeat("x", 4096)},
+	"a body of some terabytes": {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\nContent-Length: 9000000000000\r\n\r\n", strings.Repeat("x", 4096)},
+	"chunks":                   {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 4096) + "\r\n"},
+	"small chunks":             {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 500)},
+	"a chunk's extension":      {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n1;", strings.Repeat("x", 4096)},
+	"trailers":                 {"HTTP/1.1 200 OK\r\nRushramp-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("A: b\r\n", 500)},
+	"no HTTP":                  {"\x00\x01", strings.Repeat("\x00\xff", 2048)},
+}
+
+// writeEndless writes a response until the connection is closed, or maxEndlessBytes.
+func writeEndless(c net.Conn, response [2]string) (closed bool) {
+	if _, err := io.WriteString(c, response[0]); err != nil {
+		return true
+	}
+	for n := 0; n < maxEndlessBytes; n += len(response[1]) {
+		if _, err := io.WriteString(c, response[1]); err != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// TestEndlessResponsesAreCut guards against a backend server in trouble whose bytes are read
+// without a limit until the deadline of the request.
+func TestEndlessResponsesAreCut(t *testing.T) {
+	for name, response := range endlessResponses {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan bool, 1)
+			address, _ := serve(t, func(c net.Conn, req *http.Request) {
+				if id := req.Header.Get("Rushramp-Request-Id"); id != "r" {
+					writeOK(c, id, "ordinary")
+					return
+				}
+				closed <- writeEndless(c, response)
+				_, _ = io.Copy(io.Discard, c)
+			})
+			tr := newTestTransport(address)
+			got := do(t, tr, newGetRequest("r"))
+			must.NotNil(t, got.Refusal)
+			test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+			test.Eq(t, http.StatusBadGateway, got.Refusal.Kind.Row().Status, test.Sprint(got.Refusal))
+			test.True(t, got.Offered)
+			test.True(t, <-closed, test.Sprint("the connection is closed"))
+			ordinary := do(t, tr, newGetRequest("s"))
+			must.Nil(t, ordinary.Refusal)
+			test.Eq(t, "ordinary", string(ordinary.Answer.Body))
+		})
+	}
+}
+
+// TestSlowEndlessResponsesEndWithTheRequest guards against a response that comes a byte at a time
+// and holds its slot beyond the deadline.
+func TestSlowEndlessResponsesEndWithTheRequest(t *testing.T) {
+	for name, response := range endlessResponses {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			closed := make(chan struct{})
+			address, _ := serve(t, func(c net.Conn, _ *http.Request) {
+				defer close(closed)
+				for text := response[0] + response[1]; ; {
+					for i := range len(text) {
+						if _, err := io.WriteString(c, text[i:i+1]); err != nil {
+							return
+						}
+						time.Sleep(5 * time.Millisecond)
+					}
+				}
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			got := newTestTransport(address).Do(ctx, newGetRequest("r"))
+			must.NotNil(t, got.Refusal)
+			test.Eq(t, errkind.RanMaybe, got.Refusal.Ran)
+			<-closed
+		})
+	}
+}
+
+// TestAHeadWithinTheLimitIsRead checks heads with long and with many lines, interim responses
+// and surplus responses before them.
+func TestAHeadWithinTheLimitIsRead(t *testing.T) {
+	var served atomic.Int64
+	address, connections := serve(t, func(c net.Conn, req *http.Request) {
+		served.Add(1)
+		for range maxDroppedResponses / 2 {
+			_, _ = io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: "+strings.Repeat("x", 10_000)+"\r\n\r\n")
+			writeOK(c, "other", strings.Repeat("x", 10_000))
+		}
+		lines := strings.Repeat("A: b\r\n", 2000) + "X: " + strings.Repeat("x", 40_000) + "\r\n"
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sRushramp-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok", lines, req.Header.Get("Rushramp-Request-Id"))
+	})
+	tr := newTestTransport(address)
+	for n := range 3 {
+		got := do(t, tr, newGetRequest(fmt.Sprint(n)))
+		must.Nil(t, got.Refusal, must.Sprint(got.Refusal))
+		test.Eq(t, "ok", string(got.Answer.Body))
+	}
+	test.Eq(t, 1, connections.Load())
+}
