All answers that an executor holds together have a limit

What callers saw: nothing, until the daemon beside a backend server in trouble ended for want of memory, with all requests at its entry and its gate.

Cause: each answer was read up to limits.max_body_bytes, 64 MB in the template, whatever others took meanwhile, and one that stops short of that stays until the deadline of its request. Smallest VMs have 184 MB.

Without room, routed requests are refused and do not run (503 overloaded); an answer that does not fit any more is dropped and its connection closed (502 answer_cut, may have run). Bodies of responses to other requests are not kept. A response that is complete when its request is cancelled is delivered.

TestAnswersTogetherStayWithinTheBudget and TestReadBodyHoldsWhatItReturns do not build before.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"io"
 	"math"
 	"net"
@@ -40,10 +39,17 @@
 	id      string
 	request *http.Request
 	// Each channel has a buffer of one; at most one of them receives a value.
-	response chan *http.Response
+	response chan *response
 	failure  chan error
 }
 
+// response is a whole response. The receiver releases its body.
+type response struct {
+	status int
+	header http.Header
+	body   *heldBody
+}
+
 // conn is one connection to the backend server and carries one request at a time. Its
 // own goroutine reads from it, so that a close is noticed at once, and so is a response
 // that arrives before a long request body is written.
@@ -55,6 +61,7 @@
 	// idHeader is the name of the header that carries the request ID.
 	idHeader     string
 	maxBodyBytes int64
+	answers      *AnswerBudget
 	// lastUsed is in nanoseconds of the daemon's clock, and idleTimeout is after how long
 	// without a request the backend server closes the connection; 0: not stated. Transport
 	// sets both.
@@ -68,9 +75,12 @@
 	closeErr error
 }
 
-func newConn(c net.Conn, idHeader string, maxBodyBytes int) *conn {
+func newConn(c net.Conn, opts *TransportOptions) *conn {
 	source := &limitedSource{source: c}
-	out := &conn{Conn: c, source: source, reader: bufio.NewReader(source), idHeader: idHeader, maxBodyBytes: int64(maxBodyBytes)}
+	out := &conn{
+		Conn: c, source: source, reader: bufio.NewReader(source),
+		idHeader: opts.Headers.RequestID, maxBodyBytes: int64(opts.MaxBodyBytes), answers: opts.Answers,
+	}
 	go out.readLoop()
 	return out
 }
@@ -170,37 +180,44 @@
 	}
 	// maxBodyBytes limits the body; net/http limits trailers and the lines of chunks.
 	c.source.remaining = math.MaxInt64
-	closeDelimited := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxBodyBytes+1))
-	if err != nil {
-		return false, errors.Wrap(err, "response truncated")
-	}
-	if int64(len(body)) > c.maxBodyBytes {
-		return false, errBodyTooLarge
-	}
-	resp.Body = io.NopCloser(bytes.NewReader(body))
-	last := resp.Close || closeDelimited
+	last := resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 	if resp.Header.Get(c.idHeader) != ex.id {
 		if last {
 			return false, errUnexpectedBytes
 		}
-		return false, nil
+		return false, c.dropBody(resp.Body)
 	}
-	return true, c.deliver(ex, resp, last)
+	body, err := c.answers.readBody(resp.Body, resp.ContentLength, c.maxBodyBytes)
+	if err != nil {
+		return false, errors.Wrap(err, "response body")
+	}
+	return true, c.deliver(ex, &response{status: resp.StatusCode, header: resp.Header, body: body}, last)
 }
 
-// deliver hands the response to its exchange. It returns an error, which closes the
-// connection, if this was the last response or if further bytes have arrived: those
-// belong to no request.
-func (c *conn) deliver(ex *exchange, resp *http.Response, last bool) error {
+// dropBody reads the body of a response to another request.
+func (c *conn) dropBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, c.maxBodyBytes+1))
+	if err == nil && n > c.maxBodyBytes {
+		err = errBodyTooLarge
+	}
+	return err
+}
+
+// deliver hands the response to its exchange, unless that has ended meanwhile. It returns an
+// error, which closes the connection, if this was the last response or if further bytes have
+// arrived: those belong to no request.
+func (c *conn) deliver(ex *exchange, resp *response, last bool) error {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current != ex {
+		resp.body.release()
+		return errUnexpectedBytes
+	}
 	c.current = nil
-	var err error
+	ex.response <- resp
 	if last || c.reader.Buffered() > 0 {
-		err = errUnexpectedBytes
-		c.closeErr = err
+		c.closeErr = errUnexpectedBytes
+		return errUnexpectedBytes
 	}
-	c.mu.Unlock()
-	ex.response <- resp
-	return err
+	return nil
 }
--- a/pkg/backend/endless_test.go
+++ b/pkg/backend/endless_test.go
@@ -9,11 +9,16 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
+	"github.com/rushramp/rushramp/pkg/clock"
 	"github.com/rushramp/rushramp/pkg/errkind"
 )
 
@@ -130,3 +135,83 @@
 	}
 	test.Eq(t, 1, connections.Load())
 }
+
+// TestAnswersTogetherStayWithinTheBudget guards against answers that each are within the maximum
+// size of a body and together take more memory than the VM has.
+func TestAnswersTogetherStayWithinTheBudget(t *testing.T) {
+	const maxBody, limit, size = 1 << 20, 7 << 19, 900_000
+	var seen atomic.Int64
+	proceed := make(chan struct{})
+	address, _ := serve(t, func(c net.Conn, req *http.Request) {
+		seen.Add(1)
+		id := req.Header.Get("Rushramp-Request-Id")
+		if id == "ordinary" {
+			writeOK(c, id, "ok")
+			return
+		}
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRushramp-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", id, size, strings.Repeat("x", size))
+		<-proceed
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	budget := NewAnswerBudget(limit, metrics.NewSet())
+	tr := NewTransport(TransportOptions{Address: address, Headers: DefaultHeaders(), DialTimeout: time.Second, MaxBodyBytes: maxBody, Answers: budget, Now: clock.New().Now})
+	replies := make(chan Reply, 3)
+	for n := range int64(3) {
+		go func() { replies <- do(t, tr, newGetRequest(fmt.Sprint("held-", n))) }()
+		for budget.held.Load() < (n+1)*maxBody {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	cut := do(t, tr, newGetRequest("cut"))
+	must.NotNil(t, cut.Refusal)
+	test.Eq(t, errkind.AnswerCut, cut.Refusal.Kind)
+	test.Eq(t, errkind.RanMaybe, cut.Refusal.Ran)
+	test.Eq(t, 3*maxBody, budget.held.Load(), test.Sprint("a cut answer holds nothing"))
+
+	test.True(t, budget.reserve(limit-3*maxBody-minAnswerRoom+1))
+	refused := do(t, tr, newGetRequest("refused"))
+	must.NotNil(t, refused.Refusal)
+	test.Eq(t, errkind.Overloaded, refused.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, refused.Refusal.Ran)
+	test.False(t, refused.Offered)
+	test.Eq(t, 4, seen.Load())
+
+	close(proceed)
+	for range 3 {
+		got := <-replies
+		must.Nil(t, got.Refusal, must.Sprint(got.Refusal))
+		test.Eq(t, size, len(got.Answer.Body))
+		got.Release()
+		got.Release()
+	}
+	ordinary := do(t, tr, newGetRequest("ordinary"))
+	must.Nil(t, ordinary.Refusal)
+	ordinary.Release()
+	test.Eq(t, limit-3*maxBody-minAnswerRoom+1, budget.held.Load())
+}
+
+// TestReadBodyHoldsWhatItReturns compares bodies of all kinds of length with what was written, and
+// what they hold with the budget.
+func TestReadBodyHoldsWhatItReturns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const maxSize = 20_000
+		limit := rapid.IntRange(1, 50_000).Draw(t, "limit")
+		text := strings.Repeat("x", rapid.IntRange(0, maxSize+100).Draw(t, "size"))
+		length := int64(-1)
+		if rapid.Bool().Draw(t, "stated") {
+			length = int64(len(text))
+		}
+		budget := NewAnswerBudget(limit, metrics.NewSet())
+		got, err := budget.readBody(iotest.OneByteReader(strings.NewReader(text)), length, maxSize)
+		if err != nil {
+			test.True(t, len(text) > maxSize || errors.Is(err, errAnswersFull))
+			test.Eq(t, 0, budget.held.Load())
+			return
+		}
+		test.Eq(t, text, string(got.data))
+		test.Eq(t, int64(cap(got.data)), budget.held.Load())
+		test.LessEq(t, int64(limit), budget.held.Load())
+		got.release()
+		test.Eq(t, 0, budget.held.Load())
+	})
+}
--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -44,6 +44,8 @@
 	DialTimeout time.Duration
 	// MaxBodyBytes limits the body of a response, in bytes.
 	MaxBodyBytes int
+	// Answers limits the bodies of all responses that are held at a time.
+	Answers *AnswerBudget
 	// Now returns the daemon's clock in nanoseconds, which advances while the VM is
 	// suspended, so that connections age in that time.
 	Now func() int64
@@ -91,6 +93,16 @@
 	InstanceID string
 	// Reports are those of the response.
 	Reports Reports
+	// body is that of Answer; nil if there is none.
+	body *heldBody
+}
+
+// Release returns the body of the answer, if there is one, to the budget. It is called when the
+// answer was passed on.
+func (r *Reply) Release() {
+	if r.body != nil {
+		r.body.release()
+	}
 }
 
 func newRefusal(kind errkind.Kind, offered bool, format string, args ...any) Reply {
@@ -98,11 +110,15 @@
 }
 
 // Do sends the request and waits for the whole response. If ctx ends first, Do closes
-// the connection, which tells the backend server to stop.
+// the connection, which tells the backend server to stop. The caller must call Release of the
+// reply.
 func (t *Transport) Do(ctx context.Context, req *Request) Reply {
+	if !t.opts.Answers.hasRoom() {
+		return newRefusal(errkind.Overloaded, false, "answers hold %d of the %d bytes in limits.answers_bytes", t.opts.Answers.held.Load(), t.opts.Answers.limit)
+	}
 	ex := &exchange{
 		id: req.ID, request: &http.Request{Method: req.Method},
-		response: make(chan *http.Response, 1), failure: make(chan error, 1),
+		response: make(chan *response, 1), failure: make(chan error, 1),
 	}
 	c, err := t.acquire(ctx, ex, req.Repeatable)
 	if err != nil {
@@ -122,12 +138,18 @@
 	}
 	select {
 	case resp := <-ex.response:
-		t.release(c, written, parseKeepAlive(resp.Header.Get("Keep-Alive")))
+		t.release(c, written, parseKeepAlive(resp.header.Get("Keep-Alive")))
 		return t.classify(resp)
 	case err := <-ex.failure:
-		return newRefusal(errkind.BackendFailed, true, "%v", err)
+		return newRefusal(failureKind(err), true, "%v", err)
 	case <-ctx.Done():
 		c.closeWithError(ctx.Err())
+		select {
+		case resp := <-ex.response:
+			// It arrived at the same time.
+			return t.classify(resp)
+		default:
+		}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return newRefusal(errkind.DeadlineWhileRunning, true, "no response before the deadline")
 		}
@@ -137,6 +159,14 @@
 	}
 }
 
+// failureKind returns the kind of the refusal for a request whose connection has failed.
+func failureKind(err error) errkind.Kind {
+	if errors.Is(err, errAnswersFull) {
+		return errkind.AnswerCut
+	}
+	return errkind.BackendFailed
+}
+
 // buildHead returns the request line and the header as sent. Method, URI and header
 // fields have passed the standard library's HTTP parser, so none contains a line break.
 func (t *Transport) buildHead(ctx context.Context, req *Request) []byte {
@@ -204,7 +234,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(netConn, t.opts.Headers.RequestID, t.opts.MaxBodyBytes)
+	c := newConn(netConn, &t.opts)
 	c.lastUsed = t.opts.Now()
 	if !c.startExchange(ex) {
 		return nil, errors.New("the backend server closed the new connection")
@@ -284,23 +314,24 @@
 
 // classify turns a response into a reply. Only status 421 and the NotExecuted header
 // prove that the request did not run.
-func (t *Transport) classify(resp *http.Response) Reply {
+func (t *Transport) classify(resp *response) Reply {
 	names := t.opts.Headers
-	reports := names.parseReports(resp.Header)
+	reports := names.parseReports(resp.header)
 	switch {
-	case resp.StatusCode == http.StatusMisdirectedRequest:
+	case resp.status == http.StatusMisdirectedRequest:
+		resp.body.release()
 		out := newRefusal(errkind.BackendReplaced, false, "another instance answers at the backend server's address")
-		out.InstanceID = names.instanceID(resp.Header)
+		out.InstanceID = names.instanceID(resp.header)
 		out.Reports = reports
 		return out
-	case resp.Header.Get(names.NotExecuted) != "":
-		out := newRefusal(errkind.BackendRefused, true, "the backend server refused with status %d", resp.StatusCode)
+	case resp.header.Get(names.NotExecuted) != "":
+		resp.body.release()
+		out := newRefusal(errkind.BackendRefused, true, "the backend server refused with status %d", resp.status)
 		out.Reports = reports
 		return out
 	}
-	body, _ := io.ReadAll(resp.Body)
-	answer := &call.Answer{Status: resp.StatusCode, Body: body}
-	for name, values := range resp.Header {
+	answer := &call.Answer{Status: resp.status, Body: resp.body.data}
+	for name, values := range resp.header {
 		if t.dropsHeader(name) {
 			continue
 		}
@@ -308,7 +339,7 @@
 			answer.Headers = append(answer.Headers, wire.Header{Name: name, Value: v})
 		}
 	}
-	return Reply{Answer: answer, Offered: true, Reports: reports}
+	return Reply{Answer: answer, Offered: true, Reports: reports, body: resp.body}
 }
 
 // dropsHeader is true for response headers that are not passed on: the daemon has
--- a/pkg/backend/transport_test.go
+++ b/pkg/backend/transport_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
@@ -53,7 +54,7 @@
 }
 
 func newTestTransport(address string) *Transport {
-	return NewTransport(TransportOptions{Address: address, Headers: DefaultHeaders(), DialTimeout: time.Second, MaxBodyBytes: 1 << 20, Now: clock.New().Now})
+	return NewTransport(TransportOptions{Address: address, Headers: DefaultHeaders(), DialTimeout: time.Second, MaxBodyBytes: 1 << 20, Answers: NewAnswerBudget(4<<20, metrics.NewSet()), Now: clock.New().Now})
 }
 
 func newGetRequest(id string) *Request {
--- a/pkg/runner/run.go
+++ b/pkg/runner/run.go
@@ -32,6 +32,8 @@
 	ended       atomic.Bool
 	// withdrawn is true once the request was withdrawn from the gate's queue.
 	withdrawn bool
+	// reply is that of the backend server; the zero value before.
+	reply backend.Reply
 
 	mu sync.Mutex
 	// cancelled is true once the caller has cancelled the request. recallReason is set
@@ -100,6 +102,7 @@
 	run.runner.startAll(next)
 	run.runner.logLimitChange()
 	run.finish(result)
+	run.reply.Release()
 }
 
 // execute runs the request at the backend server. It repeats the checks made at arrival,
@@ -132,7 +135,8 @@
 	}
 	done := r.activeRuns.add(run, run.call.Claim.Generation > 0)
 	r.requests.Inc()
-	reply := r.transport.Do(ctx, run.backendRequest(incarnation))
+	run.reply = r.transport.Do(ctx, run.backendRequest(incarnation))
+	reply := &run.reply
 	if reply.Refusal != nil && reply.Refusal.Kind == errkind.BackendFailed {
 		r.crashDetector.ReportAborted(crash.AbortedRun{ID: run.call.Routed.ID, Content: run.fingerprint()})
 	}
@@ -140,10 +144,10 @@
 	if reason := run.loadRecallReason(); reason != nil && reply.Answer == nil {
 		reply.Refusal = reason.WithRanMaybe()
 	}
-	r.applyReply(&reply)
-	r.applyReports(&reply, incarnation, startedAt)
+	r.applyReply(reply)
+	r.applyReports(reply, incarnation, startedAt)
 	took := time.Duration(r.Now() - startedAt)
-	run.recordOutcome(&reply, startedAt, took, slowdown)
+	run.recordOutcome(reply, startedAt, took, slowdown)
 	if reply.Refusal != nil {
 		return call.Result{Refusal: reply.Refusal, Offered: reply.Offered}, false
 	}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -142,6 +142,7 @@
 		transport: backend.NewTransport(backend.TransportOptions{
 			Address: s.BackendServer.Address, Headers: deps.Headers,
 			DialTimeout: s.BackendServer.DialTimeout, MaxBodyBytes: s.Limits.MaxBodyBytes, Now: c.Now,
+			Answers: backend.NewAnswerBudget(s.Limits.AnswersBytes, c.Metrics),
 		}),
 		gate: gate.New(gate.Options{
 			Slots: s.BackendServer.Slots, QueueLength: s.Gate.QueueLength, QueueTime: s.Gate.QueueTime,
