The head of a health response has a limit

What callers would see: nothing, until the daemon ends for want of memory: a backend server in trouble may send a head of up to 10 MB on its health path, net/http's default, again and again. Parsed, short lines take up to 20 times their size, and smallest VMs have 184 MB.

Change: the limit of heads of answers, 64 KB, holds on the health path, too.

Evidence: TestEndlessHealthResponsesAreCut: a head of 1 MB was taken for a good check before and is an error after.

--- a/pkg/backend/endless_test.go
+++ b/pkg/backend/endless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -114,6 +115,35 @@
 	}
 }
 
+// TestEndlessHealthResponsesAreCut guards against a health path whose bytes have no end, and against
+// a head that takes more memory than the VM has although it ends.
+func TestEndlessHealthResponsesAreCut(t *testing.T) {
+	responses := maps.Clone(endlessResponses)
+	responses["a head of 1 MB"] = [2]string{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + strings.Repeat("A:\r\n", 256<<10) + "\r\n", "x"}
+	for name, response := range responses {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan bool, 1)
+			address, _ := serve(t, func(c net.Conn, req *http.Request) {
+				if req.URL.Path == "/ordinary" {
+					writeOK(c, "", "")
+					return
+				}
+				closed <- writeEndless(c, response)
+			})
+			p := NewProber(address, DefaultHeaders(), 5*time.Second)
+			defer p.Close()
+			got, err := p.Probe(t.Context(), "/health")
+			if strings.Contains(name, "head") || strings.Contains(name, "line") || name == "interim responses" {
+				test.Error(t, err, test.Sprint(got))
+			}
+			test.True(t, <-closed, test.Sprint("the connection is closed"))
+			got, err = p.Probe(t.Context(), "/ordinary")
+			test.NoError(t, err)
+			test.True(t, got.Healthy)
+		})
+	}
+}
+
 // TestAHeadWithinTheLimitIsRead checks heads with long and with many lines, interim responses
 // and surplus responses before them.
 func TestAHeadWithinTheLimitIsRead(t *testing.T) {
--- a/pkg/backend/prober.go
+++ b/pkg/backend/prober.go
@@ -29,7 +29,7 @@
 	return &Prober{
 		address: address, headers: headers,
 		client: &http.Client{Timeout: timeout, Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 		}},
 	}
 }
