SIGTERM right after the start drains the daemon

What callers may see: connections that a daemon has just accepted close without an answer when it is stopped at once (LOST).

Cause: the daemon asked for SIGTERM after its listeners had opened. Until then the signal kills the process.

Change: it asks for the signal first. A SIGTERM during the start drains the daemon as soon as it has started.

--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -46,6 +46,9 @@
 // serve runs the daemon until it has drained: after SIGTERM or SIGINT, by an operator's
 // drain, or when the platform marks the VM as leaving. hup receives SIGHUP.
 func serve(path string, s *settings.Settings, adapters Adapters, hup <-chan os.Signal) error {
+	// SIGTERM kills a process that has not asked for it.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	level, _ := events.ParseLevel(s.Log.Level)
 	bounds := events.Bounds{LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond, BufferBytes: s.Log.BufferBytes}
 	log := events.NewBoundedLog(os.Stdout, level, bounds, events.F("vm", s.VM.ID))
@@ -57,8 +60,6 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	go newReloader(d, path, *s, hup).run(d.env.DaemonContext)
 	select {
 	case <-ctx.Done():
