--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -254,6 +254,8 @@
 
 // Limits holds limits on requests, connections and links.
 type Limits struct {
+	// Memory of the daemon's process in bytes, above which the platform ends it. 0: not known.
+	MemoryBytes int `yaml:"memory_bytes" validate:"min=0"`
 	// Maximum size of the body of a request or an answer, in bytes.
 	MaxBodyBytes int `yaml:"max_body_bytes" validate:"min=1024"`
 	// Maximum bytes of request bodies that this daemon holds in memory, at its entry and its executor together. At least limits.max_body_bytes. Requests beyond this limit are refused and do not run.
