The garbage collector heeds the memory of the process

Garbage of large bodies and of heads of many lines could take as much memory as what was in use, whatever the machine has.

--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -46,6 +46,7 @@
 // serve runs the daemon until it has drained: after SIGTERM or SIGINT, by an operator's
 // drain, or when the platform marks the VM as leaving. hup receives SIGHUP.
 func serve(path string, s *settings.Settings, adapters Adapters, hup <-chan os.Signal) error {
+	limitMemory(s.Limits.MemoryBytes)
 	level, _ := events.ParseLevel(s.Log.Level)
 	bounds := events.Bounds{LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond, BufferBytes: s.Log.BufferBytes}
 	log := events.NewBoundedLog(os.Stdout, level, bounds, events.F("vm", s.VM.ID))
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -254,7 +254,7 @@
 
 // Limits holds limits on requests, connections and links.
 type Limits struct {
-	// Memory of the daemon's process in bytes, above which the platform ends it. 0: not known.
+	// Memory of the daemon's process in bytes, above which the platform ends it. The garbage collector works harder as the process comes near it. 0: not known.
 	MemoryBytes int `yaml:"memory_bytes" validate:"min=0"`
 	// Maximum size of the body of a request or an answer, in bytes.
 	MaxBodyBytes int `yaml:"max_body_bytes" validate:"min=1024"`
