--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -49,6 +49,7 @@
 	// SIGTERM kills a process that has not asked for it.
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	limitMemory(s.Limits.MemoryBytes)
 	level, _ := events.ParseLevel(s.Log.Level)
 	bounds := events.Bounds{LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond, BufferBytes: s.Log.BufferBytes}
 	log := events.NewBoundedLog(os.Stdout, level, bounds, events.F("vm", s.VM.ID))
