A drain answers aborted requests before it closes their connections

What callers saw: at the end of a drain, requests in flight lost their connections instead of getting 502 drain_ended, where the process waited for the processor.

Cause: the abort and the close were two timers 300 ms apart. In a process that stands still in between, both are due at once, and the close may come first.

Change: the close is a step after the abort. It waits until each request that has started is answered, for at most 15 checks of 20 ms; a process that does not run makes none.

TestRequestsAreAbortedBeforeTheirConnectionsClose. TestCloseWaitsForRunningPipelines expected that Close ends two requests without an answer; it now expects an answer to each.

--- a/pkg/ingress/abort_test.go
+++ b/pkg/ingress/abort_test.go
@@ -16,6 +16,23 @@
 	"github.com/rushramp/rushramp/pkg/routing"
 )
 
+// TestRequestsAreAbortedBeforeTheirConnectionsClose: where the process waited for the processor, the
+// drain closed connections at the moment at which it aborted their requests.
+func TestRequestsAreAbortedBeforeTheirConnectionsClose(t *testing.T) {
+	withPipeline(t, eightConcurrent, func(t *testing.T, env *pipelineEnv) {
+		repeatable, once := env.caller(), env.caller()
+		repeatable.send(get("a") + get("b"))
+		once.send(post("p", "x"))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		env.server.StopKeepAlives()
+		env.server.Close(ctx)
+		test.Eq(t, "502 502(close) end", repeatable.answers())
+		test.Eq(t, "502(close) end", once.answers())
+		test.Eq(t, 3, env.backend.cancelCount())
+	})
+}
+
 // TestAbortReachesRetiredServers: requests on connections that were opened before the limits
 // changed were not aborted at the end of a drain. Their connections closed without an answer.
 func TestAbortReachesRetiredServers(t *testing.T) {
--- a/pkg/ingress/acceptor.go
+++ b/pkg/ingress/acceptor.go
@@ -105,7 +105,7 @@
 }
 
 // shutdown closes the listener and shuts down all servers. They wait for requests in
-// flight until ctx ends.
+// flight until ctx ends, and abort those that are left.
 func (a *acceptor) shutdown(ctx context.Context) {
 	_ = a.listener.Close()
 	var wg sync.WaitGroup
--- a/pkg/ingress/answer_queue.go
+++ b/pkg/ingress/answer_queue.go
@@ -162,13 +162,24 @@
 func (q *answerQueue) closeIfIdle() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.queue) > 0 || q.writing || q.pending {
+	if q.hasRequest() {
 		return false
 	}
 	q.closed = true
 	return true
 }
 
+// hasRequest reports whether a request waits to start, runs or is being answered. The caller holds
+// mu.
+func (q *answerQueue) hasRequest() bool { return len(q.queue) > 0 || q.writing || q.pending }
+
+// isIdle reports whether no request waits to start, runs or is being answered.
+func (q *answerQueue) isIdle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !q.hasRequest()
+}
+
 // endReading is called when no further request is read. It reports whether all queued
 // answers are written.
 func (q *answerQueue) endReading() bool {
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -249,6 +249,14 @@
 	}
 }
 
+// awaitsAnswer reports whether the connection has a request that has started and is not answered.
+func (c *pipelinedConn) awaitsAnswer() bool {
+	c.mu.Lock()
+	closing := c.closing
+	c.mu.Unlock()
+	return !closing && !c.answers.isIdle()
+}
+
 // Close implements net.Conn for http.Server. No further request is read; the connection
 // closes when the requests that have started are answered.
 func (c *pipelinedConn) Close() error {
--- a/pkg/ingress/disconnect_and_stop_test.go
+++ b/pkg/ingress/disconnect_and_stop_test.go
@@ -95,7 +95,7 @@
 	})
 }
 
-// TestCloseWaitsForRunningPipelines: Close waits until its context ends, and then closes
+// TestCloseWaitsForRunningPipelines: Close waits until its context ends, and then aborts and closes
 // the connections that are left.
 func TestCloseWaitsForRunningPipelines(t *testing.T) {
 	withPipeline(t, PipelineLimits{MaxRequests: 3, MaxBytes: 64 << 10}, func(t *testing.T, env *pipelineEnv) {
@@ -127,7 +127,7 @@
 		test.False(t, closed.Load())
 		time.Sleep(10 * time.Second)
 		test.True(t, closed.Load())
-		test.Eq(t, "end", stuck.answers())
+		test.Eq(t, "502 502(close) end", stuck.answers())
 		test.Eq(t, 2, env.backend.cancelCount())
 	})
 }
--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,8 +175,12 @@
 // idlePollInterval is the time between two checks for idle connections during a shutdown.
 const idlePollInterval = 20 * time.Millisecond
 
-// shutdown closes idle connections, waits for requests in flight until ctx ends, and
-// then closes the remaining connections.
+// maxAbortPolls limits how often awaitAnswers checks for answers. It counts checks instead of time,
+// since the answers need the processor as well.
+const maxAbortPolls = 15
+
+// shutdown closes idle connections and waits for requests in flight until ctx ends. It then aborts
+// the remaining requests, waits until they are answered and closes the remaining connections.
 func (s *limitedServer) shutdown(ctx context.Context) {
 	s.retire()
 	_ = s.Close()
@@ -189,6 +194,8 @@
 		case <-s.drained:
 			return
 		case <-ctx.Done():
+			s.abortAll()
+			s.awaitAnswers(ticker)
 			s.closeAll()
 			return
 		case <-ticker.C:
@@ -196,6 +203,16 @@
 	}
 }
 
+// awaitAnswers waits until all aborted requests are answered, for at most maxAbortPolls ticks.
+func (s *limitedServer) awaitAnswers(ticker *time.Ticker) {
+	for range maxAbortPolls {
+		if !slices.ContainsFunc(s.openConns(), (*pipelinedConn).awaitsAnswer) {
+			return
+		}
+		<-ticker.C
+	}
+}
+
 // closeAll closes all connections without waiting for answers. It aborts their requests first,
 // so that the log tells them from those of callers that have disconnected.
 func (s *limitedServer) closeAll() {
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -102,8 +102,8 @@
 // refusal, which says whether it may have run.
 func (s *Server) Abort() { s.acceptor.abortAll() }
 
-// Close stops listening, closes idle connections, waits for requests in flight until ctx
-// ends, and then closes the remaining connections.
+// Close stops listening, closes idle connections and waits for requests in flight until ctx
+// ends. It then aborts the remaining requests and closes the remaining connections.
 func (s *Server) Close(ctx context.Context) {
 	s.acceptor.shutdown(ctx)
 	s.workers.Release()
