Known red: an unresponsive executor is cancelled before the others refuse

What callers saw: 502 link_lost for idempotent requests whose backend server was at work or had answered, while other daemons drained.

--- a/pkg/forward/liveness_test.go
+++ b/pkg/forward/liveness_test.go
@@ -128,3 +128,19 @@
 	timer := time.AfterFunc(lateAfter, func() { done(call.Result{Answer: &call.Answer{Status: 200}, Offered: true}) })
 	return func() { timer.Stop() }
 }
+
+// TestAnUnresponsiveExecutorIsHeardWhereAllOthersRefuse: the attempt at an unresponsive executor was
+// cancelled before the others, which drain, had refused the request. It was answered 502 while
+// its backend server was running it.
+func TestAnUnresponsiveExecutorIsHeardWhereAllOthersRefuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		startedAt := time.Now()
+		stalled := &lateRunner{livenessRunner{silence: func() time.Duration { return time.Since(startedAt) + time.Second }}}
+		f := newForwarder(&fakeRunner{}, &fakeRunner{answer: refuses(errkind.Leaving, false)})
+		replaceFirstRunner(f, stalled)
+		f.view.Service("s").Match("GET", "/").LinkedCandidates[1].Load.MarkUnresponsive(f.Now())
+		got := f.Forward(t.Context(), newRequest("/read/"))
+		must.NotNil(t, got.Answer)
+		test.Eq(t, lateAfter, time.Since(startedAt))
+	})
+}
