Aborted requests get 200 ms more to be answered, not 300 ms

A caller that reads its answer slowly would keep a daemon with a grace time of 3 s until 3.1 s. The executor's word takes 100 ms.

--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -177,7 +177,7 @@
 
 // maxAbortPolls limits how often awaitAnswers checks for answers. It counts checks instead of time,
 // since the answers need the processor as well.
-const maxAbortPolls = 15
+const maxAbortPolls = 10
 
 // shutdown closes idle connections and waits for requests in flight until ctx ends. It then aborts
 // the remaining requests, waits until they are answered and closes the remaining connections.
