daemon: a drain that comes before the start has ended waits for it

What operators saw: a process that ended with a nil pointer when its operator drained it in the first milliseconds, or the platform's mark said at once that its VM is leaving. Callers with a connection got no answer.

Cause: the operators' listener opens before that of routed requests, which the drain then stops although it is not there yet.

Change: the drain begins once all listeners are open. Its times still count from the order to leave.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -67,7 +67,9 @@
 	cancelBackground context.CancelFunc
 	// links accepts links from other daemons; nil until listen has opened its listener.
 	links     atomic.Pointer[link.Server]
-	stops     []func()
+	stops []func()
+	// started is closed once all listeners are open.
+	started   chan struct{}
 	leaveOnce sync.Once
 	// drainEnd is when the drain ends; nil until the daemon drains.
 	drainEnd atomic.Pointer[time.Time]
@@ -118,6 +120,7 @@
 		store:            placement.NewStore(opts.Platform, opts.Platform),
 		policy:           opts.Policy,
 		cancelBackground: cancelBackground,
+		started:          make(chan struct{}),
 		drained:          make(chan struct{}),
 	}
 	d.World.Region = s.VM.Region
@@ -213,6 +216,7 @@
 		d.stopAll()
 		return err
 	}
+	close(d.started)
 	go d.scheduler.Run(d.env.DaemonContext)
 	routing := &d.Settings.Routing
 	d.Log.Event(events.DaemonStarted, events.F("data_centre", d.Settings.VM.DataCentre), events.F("service", d.Settings.BackendServer.Service),
--- a/pkg/daemon/drain.go
+++ b/pkg/daemon/drain.go
@@ -57,8 +57,10 @@
 
 // drainInOrder first drains the listener of routed requests and then tells other daemons
 // that this one is leaving. Other daemons may use its backend server while the listener
-// drains. The drain ends when no call is in flight or Drain.Bound has passed.
+// drains. The drain ends when no call is in flight or Drain.Bound has passed. A drain of a daemon
+// that is being started begins once that is done.
 func (d *Daemon) drainInOrder(startedAt time.Time) {
+	<-d.started
 	schedule := newDrainSchedule(startedAt, d.Settings)
 	d.drainEnd.Store(&schedule.end)
 	if d.routed != nil {
