daemon: SIGTERM during the start drains the daemon

What callers saw: a daemon that got SIGTERM right after its listeners had opened ended at once, and cut the requests that it had taken.

Cause: the process asked for SIGTERM and SIGINT only after its start. Until then, they end a process.

Change: it asks for them first, as for SIGHUP.

--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -24,7 +24,9 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 		RunE: func(*cobra.Command, []string) error {
-			// SIGHUP ends a process that has not asked for it.
+			// A signal ends a process that has not asked for it.
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
 			hup := make(chan os.Signal, 1)
 			signal.Notify(hup, syscall.SIGHUP)
 			defer signal.Stop(hup)
@@ -32,7 +34,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(path, &s, adapters, hup)
+			return serve(ctx, path, &s, adapters, hup)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "rushrampd.yaml", "settings file")
@@ -43,9 +45,9 @@
 // all lines.
 const logCloseTimeout = 200 * time.Millisecond
 
-// serve runs the daemon until it has drained: after SIGTERM or SIGINT, by an operator's
-// drain, or when the platform marks the VM as leaving. hup receives SIGHUP.
-func serve(path string, s *settings.Settings, adapters Adapters, hup <-chan os.Signal) error {
+// serve runs the daemon until it has drained: once ctx has ended, by an operator's drain, or
+// when the platform marks the VM as leaving. hup receives SIGHUP.
+func serve(ctx context.Context, path string, s *settings.Settings, adapters Adapters, hup <-chan os.Signal) error {
 	level, _ := events.ParseLevel(s.Log.Level)
 	bounds := events.Bounds{LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond, BufferBytes: s.Log.BufferBytes}
 	log := events.NewBoundedLog(os.Stdout, level, bounds, events.F("vm", s.VM.ID))
@@ -57,8 +59,6 @@
 	if err := d.Start(); err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	go newReloader(d, path, *s, hup).run(d.env.DaemonContext)
 	select {
 	case <-ctx.Done():
--- a/pkg/daemon/drain_test.go
+++ b/pkg/daemon/drain_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -62,3 +64,27 @@
 	must.NoError(t, d.Start())
 	waitFor(t, d.Drained(), "the daemon has drained")
 }
+
+// TestASignalDuringTheStart: SIGTERM ended a process at once whose listeners were open and that
+// had not asked for the signal yet, with requests in flight.
+func TestASignalDuringTheStart(t *testing.T) {
+	// Without the daemon's own handler, the signal would end the test.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	factory := func(s *settings.Settings) (*Adapter, error) {
+		must.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		<-signals
+		return newHTTPAdapter(s)
+	}
+	cmd := NewCommand(Adapters{"test": factory})
+	cmd.SetArgs([]string{"--settings", writeSettings(t, settingsOf(addresses.Next(), "test"))})
+	done := make(chan struct{})
+	var err error
+	go func() {
+		err = cmd.Execute()
+		close(done)
+	}()
+	waitFor(t, done, "the daemon has ended")
+	must.NoError(t, err)
+}
