--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -66,7 +66,7 @@
 	// cancelBackground ends the background goroutines, after the drain.
 	cancelBackground context.CancelFunc
 	// links accepts links from other daemons; nil until listen has opened its listener.
-	links     atomic.Pointer[link.Server]
+	links atomic.Pointer[link.Server]
 	stops []func()
 	// started is closed once all listeners are open.
 	started   chan struct{}
