Limits of teams out of range are kept on every processor

What callers would see: a team with a burst of a multiple of 4,294,967,296, or on x86-64 also one of 1e308, is refused each request that comes to its counter.

Cause: uint32(float64) and time.Duration(float64) out of range; the result is up to the processor.

Change: both are limited as floating-point numbers first.

Evidence: TestLimitsOutOfRangeAreKept failed before on arm64 for the burst of 2^40 and passes after. No x86-64 machine was at hand for the other cases.

--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -150,11 +150,11 @@
 	if 1-p.shareSum > maxMissingShares {
 		return false
 	}
-	refill := window
+	refill := window.Seconds()
 	if limit.Rate > 0 {
-		refill = min(refill, time.Duration(p.capacity(limit)/limit.Rate*float64(time.Second)))
+		refill = min(refill, p.capacity(limit)/limit.Rate)
 	}
-	return p.historyLostAt == 0 || now-p.historyLostAt >= int64(refill)
+	return p.historyLostAt == 0 || now-p.historyLostAt >= int64(refill*float64(time.Second))
 }
 
 // allowWaiting returns how many of a team's requests may wait for a token at a daemon that has
@@ -236,7 +236,7 @@
 func (p *pool) take(now int64, team string, limit teams.Limit, request TokenRequest) (granted uint32, retryAfter time.Duration) {
 	b := p.bucketOf(now, team, limit)
 	b.tokens = min(b.tokens+float64(request.Returned), p.capacity(limit))
-	granted = min(request.Count, uint32(max(b.tokens, 0)))
+	granted = min(request.Count, uint32(min(max(b.tokens, 0), math.MaxUint32)))
 	b.tokens -= float64(granted)
 	if granted == request.Count {
 		return granted, 0
--- a/pkg/quota/pool_test.go
+++ b/pkg/quota/pool_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -43,6 +44,25 @@
 	test.Eq(t, 5, granted)
 }
 
+// TestLimitsOutOfRangeAreKept guards against conversions that overflow: a team with a very large
+// burst got nothing on some processors, and one with a very low rate counted as known to have used
+// its limit.
+func TestLimitsOutOfRangeAreKept(t *testing.T) {
+	for _, limit := range []teams.Limit{{Rate: 1, Burst: 1e308}, {Rate: 1e308, Burst: 1e308}, {Rate: 1e-300, Burst: 1 << 40}} {
+		p := newPool(0)
+		p.addShare(second, shareOffer{vm: "a", size: 1, counterTime: second, lease: minLease})
+		p.take(second, "red", limit, TokenRequest{})
+		p.buckets["red"].tokens = p.capacity(limit)
+		granted, _ := p.take(second, "red", limit, TokenRequest{Count: 1000})
+		test.Eq(t, 1000, granted, test.Sprint(limit))
+		granted, _ = p.take(second, "red", limit, TokenRequest{Count: math.MaxUint32})
+		test.Eq(t, uint32(math.MaxUint32), granted, test.Sprint(limit))
+		p.historyLostAt = second
+		test.False(t, p.knowsUse(second+1, limit, time.Minute), test.Sprint(limit))
+		test.True(t, p.knowsUse(second+int64(time.Minute), limit, time.Minute), test.Sprint(limit))
+	}
+}
+
 // TestRecreatedBucketIsCredited: a bucket that was dropped as unused starts full.
 func TestRecreatedBucketIsCredited(t *testing.T) {
 	p := newPool(0)
