The wait for a limited rate fits a Duration for any stamp

What callers would see: after a stamp with a start rate of 0.001 and tokens far below 0, the wait is 292 years on arm64 and below 0 on x86-64, so that this backend server is chosen for all requests there.

Cause: time.Duration(float64) out of range. Change: the wait is an hour at most.

Evidence: TestStartWaitOfAnyStampFitsADuration failed before and passes after.

--- a/pkg/tables/load.go
+++ b/pkg/tables/load.go
@@ -264,6 +264,9 @@
 // The limit may have ended since, which a further call shows.
 const maxRateLimitAge = 500 * time.Millisecond
 
+// maxStartWait is the longest wait that StartWait returns: all deadlines are earlier.
+const maxStartWait = time.Hour
+
 // StartWait returns how long the rate limit of the backend server delays the start of a call
 // that is sent now; 0: not at all, or it has no limit.
 func (s *LoadSnapshot) StartWait(now int64) time.Duration {
@@ -272,7 +275,7 @@
 		return 0
 	}
 	missing := 1 + float64(s.SentSinceStamp) - s.StartTokens - s.StartRate*age.Seconds()
-	return time.Duration(max(missing, 0) / s.StartRate * float64(time.Second))
+	return time.Duration(min(max(missing, 0)/s.StartRate, maxStartWait.Seconds()) * float64(time.Second))
 }
 
 // Outstanding returns how many of this entry's calls have not ended.
--- a/pkg/tables/members_test.go
+++ b/pkg/tables/members_test.go
@@ -1,6 +1,7 @@
 package tables
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -141,3 +142,12 @@
 	load.ForgetRateLimit()
 	test.Zero(t, load.RateLimitMilli())
 }
+
+// TestStartWaitOfAnyStampFitsADuration guards against a wait that overflows: it was below 0 on some
+// processors and endless on others.
+func TestStartWaitOfAnyStampFitsADuration(t *testing.T) {
+	l := NewLoad(4)
+	l.ApplyStamp(10, wire.Stamp{Seq: 1, Limit: math.MaxUint32, ServiceUS: math.MaxUint32, StartRateMilli: 1, StartTokensMilli: math.MinInt32})
+	snapshot := l.Snapshot(10)
+	test.Eq(t, maxStartWait, snapshot.StartWait(10))
+}
