Ages of peers out of range are old

What callers would see: after one state frame with an age of 2^63 ms, the data centre counts as heard in the future, and the keys of teams as proven then; no later report replaces that, so that keys stay valid beyond their bound where the store is away.

Cause: int64(Duration(age)*Millisecond) overflows to a time after now. The sender of an age had the same overflow for a time after its own.

--- a/pkg/systems/heartbeats.go
+++ b/pkg/systems/heartbeats.go
@@ -104,7 +104,7 @@
 	var out []wire.HeardDataCentre
 	for dc, at := range h.World.DataCentreHeardAt {
 		if dc != h.World.DataCentre {
-			out = append(out, wire.HeardDataCentre{DataCentre: dc, AgeMS: uint64((now - at) / int64(time.Millisecond))})
+			out = append(out, wire.HeardDataCentre{DataCentre: dc, AgeMS: uint64(max(now-at, 0) / int64(time.Millisecond))})
 		}
 	}
 	return out
--- a/pkg/systems/peerstates.go
+++ b/pkg/systems/peerstates.go
@@ -1,8 +1,6 @@
 package systems
 
 import (
-	"time"
-
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/link"
 	"github.com/rushramp/rushramp/pkg/tables"
@@ -39,11 +37,11 @@
 func (p *peerStates) recordAges(received tables.PeerState) {
 	p.World.DataCentreHeardAt[received.Peer.Hello.DataCentre] = received.At
 	for _, h := range received.State.HeardDataCentres {
-		at := received.At - int64(time.Duration(h.AgeMS)*time.Millisecond)
+		at := received.At - int64(wire.Age(h.AgeMS))
 		p.World.DataCentreHeardAt[h.DataCentre] = max(p.World.DataCentreHeardAt[h.DataCentre], at)
 	}
 	if received.State.StoreReadAgeMS < wire.StoreNeverRead {
-		at := received.At - int64(time.Duration(received.State.StoreReadAgeMS)*time.Millisecond)
+		at := received.At - int64(wire.Age(received.State.StoreReadAgeMS))
 		p.World.NewestStoreReadAt = max(p.World.NewestStoreReadAt, at)
 	}
 }
--- a/pkg/systems/proof.go
+++ b/pkg/systems/proof.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/tables"
+	"github.com/rushramp/rushramp/pkg/wire"
 )
 
 // placementProof tracks when the placement in force was last known to be the newest one
@@ -22,7 +23,7 @@
 	}
 	for _, received := range mail.PeerStates {
 		if received.State.PlacementProofAgeMS > 0 && received.State.Placement <= p.World.PlacementVersion() {
-			provenAt = max(provenAt, received.At-int64(time.Duration(received.State.PlacementProofAgeMS)*time.Millisecond))
+			provenAt = max(provenAt, received.At-int64(wire.Age(received.State.PlacementProofAgeMS)))
 		}
 	}
 	p.World.View.SetPlacementProvenAt(provenAt)
