A departure with a start in the future is ignored

What callers would see: after one row among the departures with the id of a worker and a start of 9e18 ms, no daemon beside that worker gives it requests after a restart, nor any later process of this id: requests to it are refused.

Cause: a departure covers all processes of its instance that started no later.

Change: announcements refuse such a start already; rows and frames with one are ignored now.

--- a/pkg/backend/incarnation.go
+++ b/pkg/backend/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Incarnation identifies one process of a backend server. A process that is restarted
@@ -17,6 +18,16 @@
 	StartedAtMS int64
 }
 
+// maxClockSkew is how far in the future the start of a process may be by another clock: those of
+// VMs differ by seconds.
+const maxClockSkew = 24 * time.Hour
+
+// InFuture reports whether the start time is one that no process can have. No later process with
+// this ID would be newer.
+func (i Incarnation) InFuture(now time.Time) bool {
+	return i.StartedAtMS > now.Add(maxClockSkew).UnixMilli()
+}
+
 // startSeparator separates ID and start time in the text of an incarnation.
 const startSeparator = "@"
 
--- a/pkg/systems/departures.go
+++ b/pkg/systems/departures.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -105,17 +106,19 @@
 }
 
 // merge records the departures that a peer or the store reported, and appends the new
-// ones to added.
+// ones to added. It ignores those of processes that start in the future, which are not from a
+// daemon and would apply to each later process of the instance.
 func (d *departures) merge(now int64, added []string, frame *wire.Departures, source backend.DepartureSource) []string {
+	ids := slices.DeleteFunc(slices.Clone(frame.IDs), func(id string) bool { return backend.ParseIncarnation(id).InFuture(time.Now()) })
 	// A record with a start time takes precedence over one without, wherever that stands.
 	for _, startKnown := range []bool{true, false} {
-		for _, id := range frame.IDs {
+		for _, id := range ids {
 			if incarnation := backend.ParseIncarnation(id); (incarnation.StartedAtMS != 0) == startKnown {
 				d.Backend.RecordDeparture(now, backend.Departure{Incarnation: incarnation, StartedByMS: d.startedAtMS, Source: source})
 			}
 		}
 	}
-	for _, id := range frame.IDs {
+	for _, id := range ids {
 		added = d.add(now, added, id)
 	}
 	if frame.Informed {
--- a/pkg/systems/departures_test.go
+++ b/pkg/systems/departures_test.go
@@ -56,6 +56,24 @@
 	})
 }
 
+// TestDepartureInTheFutureIsIgnored guards against a row or a frame with a start that no process
+// has: each later process of the instance would count as departed.
+func TestDepartureInTheFutureIsIgnored(t *testing.T) {
+	env, _, tick := newDeparturesEnv(t, true)
+	env.Backend.RecordGoodHealthCheck(1, "i-1")
+	env.Backend.RecordHeartbeat(2, backend.Heartbeat{InstanceID: "i-1", Sequence: 1, StartedAtMS: time.Now().UnixMilli()})
+	for _, from := range []*link.Peer{nil, {Hello: wire.Hello{VM: "peer"}}} {
+		env.World.Inbox.Post(false, func(m *tables.Mail) {
+			m.PeerDepartures = append(m.PeerDepartures, tables.PeerDepartures{Peer: from, Frame: &wire.Departures{IDs: []string{"i-1@9223372036854775807", "i-2@1"}}})
+		})
+		tick()
+	}
+	_, ok := env.Backend.Accepting()
+	test.True(t, ok)
+	test.MapNotContainsKey(t, env.World.Departures, "i-1@9223372036854775807")
+	test.MapContainsKey(t, env.World.Departures, "i-2@1")
+}
+
 func TestUninformedPeerDoesNotMakeTheDaemonInformed(t *testing.T) {
 	env, platform, tick := newDeparturesEnv(t, false)
 	platform.SetFaults(fakestore.Faults{Down: true})
