Bodies of the platform's responses have a limit

What callers would see: with platform.form http, a daemon ends at once after a response that states a length of some terabytes, which the HTTP library allocates, and holds a body without an end until the time-out of the call.

Change: 16 MB at most, as with platform.form table.

Evidence: TestEndlessBodiesOfThePlatformAreCut ended the process of the test before (fatal error: out of memory for the stated length) and passes after.

--- a/pkg/store/httpclient.go
+++ b/pkg/store/httpclient.go
@@ -9,6 +9,7 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1"
 	"github.com/pkg/errors"
 )
 
@@ -21,10 +22,17 @@
 
 var _ Platform = (*HTTPClient)(nil)
 
+// maxResponseBytes is the maximum length of a response's body. Objects have up to 8 MB.
+const maxResponseBytes = 16 << 20
+
 // NewHTTPClient returns a client of the platform at address, an IP address and port. A
 // request ends after timeout, or earlier at the deadline of its context.
 func NewHTTPClient(address string, timeout time.Duration) (*HTTPClient, error) {
-	c, err := client.NewClient(client.WithDialTimeout(timeout), client.WithDialer(standard.NewDialer()))
+	c, err := client.NewClient(client.WithDialTimeout(timeout), client.WithDialer(standard.NewDialer()),
+		client.WithHostClientConfigHook(func(host any) error {
+			host.(*http1.HostClient).MaxResponseBodySize = maxResponseBytes
+			return nil
+		}))
 	if err != nil {
 		return nil, errors.Wrap(err, "create the HTTP client of the platform")
 	}
