Crowds of connections no longer keep other callers out

A crowd of connections that stayed open took all descriptors of a daemon: nobody else could connect, no link could open, and the listener tried again and again.

The connections of callers are now counted in one table.

--- a/pkg/ingress/acceptor.go
+++ b/pkg/ingress/acceptor.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/connections"
 	"github.com/rushramp/rushramp/pkg/routing"
 )
 
@@ -19,6 +20,8 @@
 	// onClosed is called when a connection has closed with unanswered requests or
 	// unread bytes; nil: nothing is called.
 	onClosed func(unanswered, unreadBytes int)
+	// table limits the connections; nil: there are no limits.
+	table *connections.Table
 }
 
 func (h *connHooks) areKeepAlivesStopped() bool {
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rushramp/rushramp/pkg/connections"
 )
 
 // lingerTime is how long closeGracefully keeps a connection half open when the caller has
@@ -32,6 +34,8 @@
 	// onClosed is called once when the connection has closed, with the number of
 	// requests that were not answered and the number of bytes that were not read.
 	onClosed func(unanswered, unreadBytes int)
+	// entry is the connection's entry in the table of the listener, or nil.
+	entry *connections.Entry
 }
 
 // pipelinedConn is a caller's connection as http.Server sees it. http.Server reads one
@@ -62,6 +66,7 @@
 	out := &pipelinedConn{Conn: nc, options: options}
 	out.ctx, out.cancel = context.WithCancelCause(context.Background())
 	out.reader = newConnReader(nc, max(options.limits.MaxBytes, maxReadBytes), out.onDisconnect)
+	out.reader.entry = options.entry
 	out.answers = newAnswerQueue(nc, options.limits, options.closeAfterAnswer)
 	return out
 }
@@ -168,6 +173,7 @@
 // connection that were unanswered when the request arrived.
 func (c *pipelinedConn) beginRequest(bodyLength int64) (unanswered int) {
 	c.reader.watch(bodyLength)
+	c.options.entry.BeginRun()
 	unanswered = c.answers.unanswered()
 	last, _ := c.answers.lastAnswer()
 	arrivedBefore := c.reader.lastArrival().Before(last)
@@ -263,6 +269,7 @@
 		// This fails only on a connection that has closed already.
 		_ = c.Conn.Close()
 		c.reader.stop()
+		c.options.entry.Close()
 		_, unreadBytes := c.reader.status()
 		c.options.onClosed(unanswered, unreadBytes)
 	})
--- a/pkg/ingress/conn_reader.go
+++ b/pkg/ingress/conn_reader.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/rushramp/rushramp/pkg/connections"
 )
 
 // maxReadBytes is the largest number of bytes that one read of the read-ahead goroutine
@@ -38,6 +40,8 @@
 	maxBufferedBytes int
 	// onDisconnect is called once when no more bytes can arrive.
 	onDisconnect func()
+	// entry is the connection's entry in the table of the listener, or nil.
+	entry *connections.Entry
 
 	// mu guards the fields below. Methods that do not lock it are called with it held.
 	mu      sync.Mutex
@@ -138,6 +142,7 @@
 		return 0, err
 	}
 	r.arrivedAt = time.Now()
+	r.entry.Progress()
 	returned := r.bytesUpToHeadEnd(p[:n])
 	if returned < n {
 		r.buffer(p[returned:n])
--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -111,9 +111,14 @@
 	return s.retired
 }
 
-// serveConn hands a connection to the http.Server.
+// serveConn hands a connection to the http.Server, or closes it when the limits on connections
+// do not admit it.
 func (s *limitedServer) serveConn(nc net.Conn) {
 	c := s.track(nc)
+	if !s.hooks.table.Open(c.options.entry, c.closeNow) {
+		c.closeNow()
+		return
+	}
 	select {
 	case s.conns <- c:
 	case <-s.done:
@@ -134,6 +139,7 @@
 	out = newPipelinedConn(nc, connOptions{
 		idleTimeout: s.limits.idleTimeout, limits: s.hooks.pipelineLimits,
 		closeAfterAnswer: func() bool { return s.isRetired() || s.hooks.areKeepAlivesStopped() },
+		entry:            s.hooks.table.NewEntry(),
 		onClosed:         func(unanswered, unreadBytes int) { s.untrack(out, unanswered, unreadBytes) },
 	})
 	s.mu.Lock()
--- a/pkg/ingress/pipelining.go
+++ b/pkg/ingress/pipelining.go
@@ -30,7 +30,9 @@
 	}
 	s.recordPipelined(c, req)
 	if !concurrent {
-		s.answerDirectly(c, w, req, s.forward(r.Context(), match, req, reservation))
+		result := s.forward(r.Context(), match, req, reservation)
+		c.options.entry.EndRun()
+		s.answerDirectly(c, w, req, result)
 		return
 	}
 	detach := func() *queuedAnswer {
@@ -131,6 +133,7 @@
 		if value := recover(); value != nil {
 			out.panicked = value
 		}
+		c.options.entry.EndRun()
 	}()
 	return outcome{result: s.forward(c.ctx, match, req, reservation)}
 }
--- a/pkg/ingress/read_ahead.go
+++ b/pkg/ingress/read_ahead.go
@@ -34,6 +34,7 @@
 	buf := make([]byte, maxReadBytes)
 	for {
 		n, err := r.conn.Read(buf)
+		r.entry.Progress()
 		r.mu.Lock()
 		if r.stopped {
 			r.unreadBytes += n
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -23,6 +23,7 @@
 	"github.com/rushramp/rushramp/pkg/bodies"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/connections"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/forward"
 	"github.com/rushramp/rushramp/pkg/routing"
@@ -85,6 +86,7 @@
 	s.acceptor.hooks = connHooks{
 		pipelineLimits:    PipelineLimits{MaxRequests: limits.PipelinedRequests, MaxBytes: limits.PipelinedBytes},
 		keepAlivesStopped: s.keepAlivesStopped.Load, onClosed: s.logPipelineAborted,
+		table: connections.NewTable("routed", connections.LimitsOf(limits.MemoryBytes, limits.Descriptors), s.Metrics),
 	}
 	go s.acceptor.run()
 	return nil
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -256,6 +256,8 @@
 type Limits struct {
 	// Memory of the daemon's process in bytes, above which the platform ends it. The garbage collector works harder as the process comes near it. 0: not known.
 	MemoryBytes int `yaml:"memory_bytes" validate:"min=0"`
+	// Maximum number of descriptors that the daemon's process may open, if the process's own limit is higher. Callers of routed requests take up at most half of them. 0: not known.
+	Descriptors int `yaml:"descriptors" validate:"min=0"`
 	// Maximum size of the body of a request or an answer, in bytes.
 	MaxBodyBytes int `yaml:"max_body_bytes" validate:"min=1024"`
 	// Maximum bytes of request bodies that this daemon holds in memory, at its entry and its executor together. At least limits.max_body_bytes. Requests beyond this limit are refused and do not run.
