Incomplete heads are held back as raw bytes

A crowd of clients that sent heads of thousands of short lines and did not complete them ended the process: http.Server parses lines as they arrive, and 16 kB of such lines took up some 300 kB in a map for as long as the connection stayed.

A connection now passes on the request line at once and the lines when the head is complete, or larger than http.Server accepts. Until then they count, as they came, in the table of connections; without room the connection ends.

--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -29,6 +29,8 @@
 type connOptions struct {
 	idleTimeout time.Duration
 	limits      PipelineLimits
+	// maxHeldBytes limits the bytes of an incomplete head that are held back.
+	maxHeldBytes int
 	// closeAfterAnswer reports whether answers should close their connections.
 	closeAfterAnswer func() bool
 	// onClosed is called once when the connection has closed, with the number of
@@ -66,7 +68,7 @@
 	out := &pipelinedConn{Conn: nc, options: options}
 	out.ctx, out.cancel = context.WithCancelCause(context.Background())
 	out.reader = newConnReader(nc, max(options.limits.MaxBytes, maxReadBytes), out.onDisconnect)
-	out.reader.entry = options.entry
+	out.reader.entry, out.reader.maxHeldBytes = options.entry, options.maxHeldBytes
 	out.answers = newAnswerQueue(nc, options.limits, options.closeAfterAnswer)
 	return out
 }
--- a/pkg/ingress/conn_reader.go
+++ b/pkg/ingress/conn_reader.go
@@ -54,6 +54,18 @@
 	arrivedAt time.Time
 	headEnd   headEndFinder
 	inHead    bool
+	// maxHeldBytes limits the buffered bytes of an incomplete head; 0: heads are not held
+	// back. headReleased is true once the buffered bytes contain the end of the head or
+	// exceed this limit.
+	maxHeldBytes int
+	headReleased bool
+	// scannedBytes are the first buffered bytes, in which scan has found no end of the head.
+	scannedBytes int
+	scan         headEndFinder
+	// chargedBytes are the buffered bytes that count in entry. noRoom is true once buffered
+	// bytes of a head exceed the memory for callers.
+	chargedBytes int
+	noRoom       bool
 	// bytesAfterHead counts the bytes that http.Server has read since the end of the
 	// head.
 	bytesAfterHead int64
@@ -92,13 +104,21 @@
 		switch {
 		case r.stopped:
 			return 0, io.EOF
-		case len(r.chunks) > 0:
+		case r.mayReturnBuffered():
 			return r.readBuffered(p), nil
+		case r.noRoom:
+			return 0, errNoRoomForHead
 		case r.err != nil:
 			return 0, r.err
 		case !r.readAheadRunning:
-			return r.readDirectly(p)
+			if n, err := r.readDirectly(p); n > 0 || err != nil {
+				return n, err
+			}
+			continue
 		case r.deadlineExceeded():
+			if r.releaseHead() {
+				continue
+			}
 			return 0, os.ErrDeadlineExceeded
 		}
 		r.changed.Wait()
@@ -108,14 +128,16 @@
 // readBuffered returns bytes that were read ahead.
 func (r *connReader) readBuffered(p []byte) int {
 	first := &r.chunks[0]
-	n := r.bytesUpToHeadEnd(p[:copy(p, first.data)])
+	n := r.bytesUpToHeadEnd(p[:copy(p, r.returnable(first.data))])
 	r.arrivedAt = first.arrivedAt
 	first.data = first.data[n:]
+	r.scannedBytes = max(r.scannedBytes-n, 0)
 	r.bufferedBytes -= n
 	if len(first.data) == 0 {
 		r.chunks = r.chunks[1:]
 		r.bufferedBytes -= chunkOverheadBytes
 	}
+	r.chargeBuffered()
 	r.changed.Broadcast()
 	return n
 }
@@ -138,12 +160,15 @@
 		r.unreadBytes += n
 		return 0, io.EOF
 	}
+	if n == 0 && r.releaseHead() {
+		return 0, nil
+	}
 	if n == 0 {
 		return 0, err
 	}
 	r.arrivedAt = time.Now()
 	r.entry.Progress()
-	returned := r.bytesUpToHeadEnd(p[:n])
+	returned := r.bytesToReturn(p[:n])
 	if returned < n {
 		r.buffer(p[returned:n])
 	}
@@ -167,12 +192,31 @@
 	return len(p)
 }
 
-// buffer adds a copy of p to the bytes that were read ahead.
+// buffer adds a copy of p to the buffered bytes.
 func (r *connReader) buffer(p []byte) {
+	defer r.chargeBuffered()
+	if last := len(r.chunks) - 1; last >= 0 && r.holdsHeads() && r.headEnd.lines > 0 {
+		// Many small pieces of one head do not take up a chunk each.
+		r.chunks[last].data = append(r.chunks[last].data, p...)
+		r.chunks[last].arrivedAt = time.Now()
+		r.bufferedBytes += len(p)
+		return
+	}
 	r.chunks = append(r.chunks, chunk{data: append([]byte(nil), p...), arrivedAt: time.Now()})
 	r.bufferedBytes += len(p) + chunkOverheadBytes
 }
 
+// chargeBuffered makes the buffered bytes count in entry.
+func (r *connReader) chargeBuffered() {
+	more := r.bufferedBytes - r.chargedBytes
+	if more > 0 && !r.entry.Grow(more) {
+		r.noRoom = r.holdsHeads()
+		return
+	}
+	r.entry.Shrink(-more)
+	r.chargedBytes = r.bufferedBytes
+}
+
 // watch is called when http.Server has read a request whose body has bodyLength bytes.
 // From then on, moreBytes gets a value when bytes arrive behind that request. A body of unknown length (below 0)
 // counts as followed by more bytes, because http.Server may have read them together with
@@ -218,6 +262,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.watching, r.inHead, r.headEnd, r.bytesAfterHead = false, true, headEndFinder{}, 0
+	r.headReleased, r.scannedBytes = false, 0
 }
 
 // stop makes Read return io.EOF from now on, and discards the buffered bytes.
@@ -228,8 +273,11 @@
 		return
 	}
 	r.stopped = true
-	r.unreadBytes += r.bufferedBytes - chunkOverheadBytes*len(r.chunks)
+	if !r.holdsHeads() {
+		r.unreadBytes += r.bufferedBytes - chunkOverheadBytes*len(r.chunks)
+	}
 	r.chunks, r.bufferedBytes = nil, 0
+	r.chargeBuffered()
 	if r.deadlineTimer != nil {
 		r.deadlineTimer.Stop()
 	}
--- a/pkg/ingress/head_end.go
+++ b/pkg/ingress/head_end.go
@@ -9,6 +9,8 @@
 	// any is true once a byte other than a line ending has been seen. Empty lines
 	// before the head do not end it.
 	any bool
+	// lines is the number of lines that have ended, without empty lines before the head.
+	lines int
 }
 
 // find returns the number of bytes of p up to and including the end of the head, or 0 if
@@ -20,9 +22,24 @@
 			return i + 1
 		case b == '\n':
 			h.lineEnded = true
+			if h.any {
+				h.lines++
+			}
 		case b != '\r':
 			h.lineEnded, h.any = false, true
 		}
 	}
 	return 0
 }
+
+// lineEnd returns the number of bytes of p up to and including the end of the first line that
+// is not empty, or len(p) if no such line ends in p.
+func (h *headEndFinder) lineEnd(p []byte) int {
+	line := *h
+	for i := range p {
+		if line.find(p[i : i+1]); line.lines > h.lines {
+			return i + 1
+		}
+	}
+	return len(p)
+}
--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -21,6 +21,8 @@
 	// defaultMaxHeadBytes limits the size of a request's head where the placement
 	// sets no limit.
 	defaultMaxHeadBytes = 64 << 10
+	// headSlackBytes is what http.Server reads beyond the limit before it refuses a head.
+	headSlackBytes = 4 << 10
 	// timeoutSlack is added to the timeouts in a placement, so that a caller that
 	// uses them up does not find its connection closed, even while a processor
 	// quota delays the process.
@@ -139,6 +141,7 @@
 	out = newPipelinedConn(nc, connOptions{
 		idleTimeout: s.limits.idleTimeout, limits: s.hooks.pipelineLimits,
 		closeAfterAnswer: func() bool { return s.isRetired() || s.hooks.areKeepAlivesStopped() },
+		maxHeldBytes:     s.limits.maxHeadBytes + headSlackBytes,
 		entry:            s.hooks.table.NewEntry(),
 		onClosed:         func(unanswered, unreadBytes int) { s.untrack(out, unanswered, unreadBytes) },
 	})
