Parsed heads of many lines count as memory of callers

Requests with whole heads of thousands of short lines took up some 600 kB each while their bodies stayed unfinished or while they ran, so that a few hundred of them ended the process.

Heads of more than 64 lines now count in the table of connections, 256 bytes a line, until their requests have run. Where they do not fit, connections whose callers keep them waiting make room; otherwise the request is refused with 503, has not run, and its connection closes.

--- a/pkg/ingress/conn_reader.go
+++ b/pkg/ingress/conn_reader.go
@@ -66,6 +66,10 @@
 	// bytes of a head exceed the memory for callers.
 	chargedBytes int
 	noRoom       bool
+	// headBytes are the bytes by which the parsed head counts in entry. headRefused is true
+	// when it does not count because it exceeds the memory for callers.
+	headBytes   int
+	headRefused bool
 	// bytesAfterHead counts the bytes that http.Server has read since the end of the
 	// head.
 	bytesAfterHead int64
@@ -187,6 +191,7 @@
 	}
 	if end := r.headEnd.find(p); end > 0 {
 		r.inHead = false
+		r.chargeHead()
 		return end
 	}
 	return len(p)
@@ -263,6 +268,8 @@
 	defer r.mu.Unlock()
 	r.watching, r.inHead, r.headEnd, r.bytesAfterHead = false, true, headEndFinder{}, 0
 	r.headReleased, r.scannedBytes = false, 0
+	r.entry.Shrink(r.headBytes)
+	r.headBytes, r.headRefused = 0, false
 }
 
 // stop makes Read return io.EOF from now on, and discards the buffered bytes.
--- a/pkg/ingress/held_head.go
+++ b/pkg/ingress/held_head.go
@@ -64,6 +64,7 @@
 	whole := r.headEnd
 	if end := whole.find(p); end > 0 {
 		r.headEnd, r.inHead = whole, false
+		r.chargeHead()
 		return end
 	}
 	if r.headEnd.lines > 0 {
--- a/pkg/ingress/held_head_test.go
+++ b/pkg/ingress/held_head_test.go
@@ -94,3 +94,28 @@
 		test.ErrorIs(t, h.err, errNoRoomForHead)
 	})
 }
+
+// TestParsedHeadsCountByTheirLines guards against parsed heads of many lines that exceed the
+// memory for callers together. Ordinary heads do not count.
+func TestParsedHeadsCountByTheirLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := connections.NewTable("test", connections.Limits{Bytes: 1_000_000}, metrics.NewSet())
+		entry := table.NewEntry()
+		must.True(t, table.Open(entry, func() {}))
+		h := startHeldReader(entry)
+		defer h.caller.Close()
+		for _, s := range []struct {
+			lines, bytes int
+			ok           bool
+		}{
+			{ordinaryHeadLines - 1, 0, true}, {1000, 1001 * parsedLineBytes, true}, {4000, 0, false},
+		} {
+			h.send(t, "GET / HTTP/1.1\r\n"+strings.Repeat("a:\n", s.lines)+"\r\n")
+			bytes, ok := h.reader.takeHead()
+			test.Eq(t, s.bytes, bytes)
+			test.Eq(t, s.ok, ok)
+			entry.Shrink(bytes)
+			h.reader.expectHead()
+		}
+	})
+}
--- a/pkg/ingress/pipelining.go
+++ b/pkg/ingress/pipelining.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rushramp/rushramp/pkg/bodies"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/forward"
@@ -21,16 +20,16 @@
 // servePipelined serves a request of a pipelinedConn. A repeatable request may run
 // concurrently with the other ones of its connection; any other request starts after all
 // earlier ones are answered.
-func (s *Server) servePipelined(c *pipelinedConn, w http.ResponseWriter, r *http.Request, req *forward.Request, reservation *bodies.Reservation) {
+func (s *Server) servePipelined(c *pipelinedConn, w http.ResponseWriter, r *http.Request, req *forward.Request, memory *requestMemory) {
 	size := requestSize(req)
 	req.PipelinedBehind = c.beginRequest(r.ContentLength)
 	match, concurrent, ok := s.waitToStart(c, r, req, size)
 	if !ok {
-		abortHandler(reservation)
+		abortHandler(memory)
 	}
 	s.recordPipelined(c, req)
 	if !concurrent {
-		result := s.forward(r.Context(), match, req, reservation)
+		result := s.forward(r.Context(), match, req, memory)
 		c.options.entry.EndRun()
 		s.answerDirectly(c, w, req, result)
 		return
@@ -38,17 +37,17 @@
 	detach := func() *queuedAnswer {
 		out := c.detach(size, r.Close)
 		if out == nil {
-			abortHandler(reservation)
+			abortHandler(memory)
 		}
 		return out
 	}
-	s.serveConcurrently(c, w, req, detach, func() outcome { return s.forwardRecovered(c, match, req, reservation) })
+	s.serveConcurrently(c, w, req, detach, func() outcome { return s.forwardRecovered(c, match, req, memory) })
 }
 
 // abortHandler ends the handler of a request whose connection has closed after an earlier
 // answer. The request counts as not read.
-func abortHandler(reservation *bodies.Reservation) {
-	reservation.Release()
+func abortHandler(memory *requestMemory) {
+	memory.Release()
 	panic(http.ErrAbortHandler)
 }
 
@@ -128,14 +127,14 @@
 
 // forwardRecovered forwards a request and recovers from a panic, because the forwarding
 // may last longer than the handler, whose panics http.Server recovers from.
-func (s *Server) forwardRecovered(c *pipelinedConn, match forward.RouteMatch, req *forward.Request, reservation *bodies.Reservation) (out outcome) {
+func (s *Server) forwardRecovered(c *pipelinedConn, match forward.RouteMatch, req *forward.Request, memory *requestMemory) (out outcome) {
 	defer func() {
 		if value := recover(); value != nil {
 			out.panicked = value
 		}
 		c.options.entry.EndRun()
 	}()
-	return outcome{result: s.forward(c.ctx, match, req, reservation)}
+	return outcome{result: s.forward(c.ctx, match, req, memory)}
 }
 
 // answerDetached passes the answer of a detached request to its connection. It recovers
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -116,37 +116,49 @@
 	if s.keepAlivesStopped.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	reservation, served := s.Bodies.NewReservation(), false
+	memory, hasRoom := s.newRequestMemory(connOf(r))
+	served := false
 	defer func() {
-		// The reservation of a request that was served is released when the request
-		// ends, which may be after this handler.
+		// The memory of a request that was served is released when the request ends,
+		// which may be after this handler.
 		if !served {
-			reservation.Release()
+			memory.Release()
 		}
 	}()
-	req, refusal := s.readRequest(w, r, reservation)
+	if !hasRoom {
+		s.refuseLargeHead(w, r)
+		return
+	}
+	req, refusal := s.readRequest(w, r, memory.Reservation)
 	if refusal != nil {
 		s.refuse(w, refusal, 0)
 		return
 	}
-	s.serve(w, r, req, reservation)
+	s.serve(w, r, req, memory)
 	served = true
 }
 
+// refuseLargeHead refuses a request whose head exceeds the memory for callers.
+func (s *Server) refuseLargeHead(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	s.refuse(w, errkind.New(errkind.Overloaded, "the memory for callers' connections has no room for a head of so many lines"), 0)
+	// http.Server keeps the request while it waits for the caller to close the connection.
+	r.Header = nil
+}
+
 // serve forwards a request and writes its answer. For a detached request, it returns
 // before that.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request, req *forward.Request, reservation *bodies.Reservation) {
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, req *forward.Request, memory *requestMemory) {
 	if c := connOf(r); c != nil {
-		s.servePipelined(c, w, r, req, reservation)
+		s.servePipelined(c, w, r, req, memory)
 		return
 	}
-	s.writeAnswer(w, req, s.forward(r.Context(), s.forwarder.Match(req), req, reservation))
+	s.writeAnswer(w, req, s.forward(r.Context(), s.forwarder.Match(req), req, memory))
 }
 
-// forward forwards a request, waits for its result and releases the reservation of its
-// body.
-func (s *Server) forward(ctx context.Context, match forward.RouteMatch, req *forward.Request, reservation *bodies.Reservation) call.Result {
-	defer reservation.Release()
+// forward forwards a request, waits for its result and releases its memory.
+func (s *Server) forward(ctx context.Context, match forward.RouteMatch, req *forward.Request, memory *requestMemory) call.Result {
+	defer memory.Release()
 	return s.forwarder.ForwardMatched(ctx, match, req)
 }
 
