Answers that callers do not read count as memory of callers

Clients that asked for long answers and did not read them kept all of these in memory: a write to a caller had no deadline, and answers no bound over all connections.

Answers above 16 kB now count in the table of connections until the caller has taken them. Callers that keep a write waiting make room first; without any, a 502 replaces the answer.

--- a/pkg/connections/entry.go
+++ b/pkg/connections/entry.go
@@ -14,6 +14,10 @@
 	progressAt atomic.Int64
 	// runs counts the requests that run; the peer does not keep a connection waiting then.
 	runs atomic.Int32
+	// writes counts the writes that have not ended, and writeAt is when the peer last took
+	// bytes of one.
+	writes  atomic.Int32
+	writeAt atomic.Int64
 
 	// The mutex of the table guards the fields below.
 	close func()
@@ -43,25 +47,58 @@
 	}
 }
 
-// stalledFor returns how long the peer has kept the connection waiting.
-func (e *Entry) stalledFor(now time.Duration) time.Duration {
-	if e.runs.Load() > 0 {
-		return 0
+// BeginWrite records that bytes are being written to the peer, until EndWrite.
+func (e *Entry) BeginWrite() {
+	if e != nil {
+		e.WriteProgress()
+		e.writes.Add(1)
+	}
+}
+
+// WriteProgress records that the peer has taken bytes.
+func (e *Entry) WriteProgress() {
+	if e != nil {
+		e.writeAt.Store(int64(time.Since(e.table.start)))
+	}
+}
+
+// EndWrite records that the bytes are written.
+func (e *Entry) EndWrite() {
+	if e != nil {
+		e.Progress()
+		e.writes.Add(-1)
+	}
+}
+
+// IsWriting reports whether bytes are being written to the peer.
+func (e *Entry) IsWriting() bool { return e != nil && e.writes.Load() > 0 }
+
+// stalledFor returns how long the peer has kept the connection waiting. waiting is false
+// when the connection does not wait for the peer.
+func (e *Entry) stalledFor(now time.Duration) (stalled time.Duration, waiting bool) {
+	if e.writes.Load() > 0 {
+		return now - time.Duration(e.writeAt.Load()), true
 	}
-	return now - time.Duration(e.progressAt.Load())
+	return now - time.Duration(e.progressAt.Load()), e.runs.Load() == 0
 }
 
 // Grow adds bytes to the memory that the connection takes up. It returns false, and adds
 // none, when they exceed the limits and no other connection may be closed, or when the
 // connection is closed.
-func (e *Entry) Grow(bytes int) bool {
+func (e *Entry) Grow(bytes int) bool { return e.grow(bytes, minStall) }
+
+// GrowAtOnce is Grow for memory that is already in use: it closes other connections that wait
+// for their peers even if they have not stalled for long.
+func (e *Entry) GrowAtOnce(bytes int) bool { return e.grow(bytes, 0) }
+
+func (e *Entry) grow(bytes int, stall time.Duration) bool {
 	if e == nil || bytes <= 0 {
 		return true
 	}
 	t := e.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !e.open || !t.makeRoom(e, bytes, 0, minStall) {
+	if !e.open || !t.makeRoom(e, bytes, 0, stall) {
 		return false
 	}
 	e.bytes += bytes
--- a/pkg/connections/table.go
+++ b/pkg/connections/table.go
@@ -127,8 +127,8 @@
 	var out *Entry
 	var highest float64
 	for e := range t.open {
-		stalled := e.stalledFor(now)
-		if e == except || stalled < stall {
+		stalled, waiting := e.stalledFor(now)
+		if e == except || !waiting || stalled < stall {
 			continue
 		}
 		if cost := float64(e.bytes) * float64(stalled); out == nil || cost > highest {
--- a/pkg/connections/table_test.go
+++ b/pkg/connections/table_test.go
@@ -114,3 +114,23 @@
 	test.Eq(t, Limits{Bytes: 46_000_000, Count: 200}, got)
 	test.Eq(t, 0, LimitsOf(0, 0).Bytes)
 }
+
+// TestUnreadAnswersMakeRoom guards against answers that nobody reads. Their connections may be
+// closed even if other requests of theirs run.
+func TestUnreadAnswersMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTestTable(Limits{Bytes: 4 * 1_000_000})
+		unread, next := table.mustOpen(t), table.mustOpen(t)
+		next.BeginRun()
+		unread.BeginRun()
+		must.True(t, unread.GrowAtOnce(2_000_000))
+		test.False(t, next.GrowAtOnce(2_000_000))
+		unread.BeginWrite()
+		time.Sleep(minStall / 2)
+		test.False(t, next.Grow(2_000_000), test.Sprint("the peer has not stalled for long"))
+		test.True(t, next.GrowAtOnce(2_000_000))
+		synctest.Wait()
+		test.True(t, table.closed[unread])
+		test.Eq(t, 2_000_000+connBytes, table.held())
+	})
+}
--- a/pkg/ingress/answer_queue.go
+++ b/pkg/ingress/answer_queue.go
@@ -130,6 +130,9 @@
 	q.mu.Lock()
 	q.queue = q.queue[1:]
 	q.heldBytes -= first.size
+	if first.answer.release != nil {
+		first.answer.release()
+	}
 	q.lastAnsweredAt = time.Now()
 	q.changed.Broadcast()
 	return err
--- a/pkg/ingress/buffered_answer.go
+++ b/pkg/ingress/buffered_answer.go
@@ -16,6 +16,8 @@
 	body   []byte
 	// toHead is true for an answer to a HEAD request, which has no body.
 	toHead bool
+	// release is called when the answer is not held any more; nil: nothing is called.
+	release func()
 }
 
 func newBufferedAnswer(method string) *bufferedAnswer {
@@ -56,6 +58,9 @@
 		_, err := conn.Write(head.Bytes())
 		return err
 	}
+	if w, ok := conn.(*answerWriter); ok {
+		return w.writeParts(head.Bytes(), a.body)
+	}
 	parts := net.Buffers{head.Bytes(), a.body}
 	_, err := parts.WriteTo(conn)
 	return err
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -69,7 +69,7 @@
 	out.ctx, out.cancel = context.WithCancelCause(context.Background())
 	out.reader = newConnReader(nc, max(options.limits.MaxBytes, maxReadBytes), out.onDisconnect)
 	out.reader.entry, out.reader.maxHeldBytes = options.entry, options.maxHeldBytes
-	out.answers = newAnswerQueue(nc, options.limits, options.closeAfterAnswer)
+	out.answers = newAnswerQueue(&answerWriter{Conn: nc, entry: options.entry}, options.limits, options.closeAfterAnswer)
 	return out
 }
 
@@ -263,6 +263,16 @@
 	c.answers.wake()
 }
 
+// evict closes the connection because the table of connections needs its room. Bytes of an
+// answer that the caller does not take are discarded in the kernel, too.
+func (c *pipelinedConn) evict() {
+	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.options.entry.IsWriting() {
+		// This fails only on a connection that has closed already.
+		_ = socket.SetLinger(0)
+	}
+	c.closeNow()
+}
+
 // closeNow closes the connection and cancels its requests.
 func (c *pipelinedConn) closeNow() {
 	c.closeOnce.Do(func() {
--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -117,7 +117,7 @@
 // do not admit it.
 func (s *limitedServer) serveConn(nc net.Conn) {
 	c := s.track(nc)
-	if !s.hooks.table.Open(c.options.entry, c.closeNow) {
+	if !s.hooks.table.Open(c.options.entry, c.evict) {
 		c.closeNow()
 		return
 	}
--- a/pkg/ingress/request_memory.go
+++ b/pkg/ingress/request_memory.go
@@ -4,7 +4,9 @@
 	"sync/atomic"
 
 	"github.com/rushramp/rushramp/pkg/bodies"
+	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/connections"
+	"github.com/rushramp/rushramp/pkg/errkind"
 )
 
 // parsedLineBytes is the memory that a header line takes up once parsed, in the request of
@@ -58,3 +60,17 @@
 	bytes, r.headBytes = r.headBytes, 0
 	return bytes, !r.headRefused
 }
+
+// holdAnswer makes an answer count as memory of the connection until release is called, unless
+// it is ordinary. Where it exceeds the memory for callers, a refusal replaces it.
+func (c *pipelinedConn) holdAnswer(result *call.Result) (release func()) {
+	if result.Refusal != nil || len(result.Answer.Body) <= ordinaryAnswerBytes {
+		return func() {}
+	}
+	bytes, entry := len(result.Answer.Body), c.options.entry
+	if !entry.GrowAtOnce(bytes) {
+		*result = call.Result{Refusal: errkind.New(errkind.AnswerCut, "the memory for callers' connections has no room for an answer of %d bytes", bytes)}
+		return func() {}
+	}
+	return func() { entry.Shrink(bytes) }
+}
