Connections are not read ahead beyond the memory for callers

Each connection may hold 256 kB that have arrived behind an unanswered request, so that a thousand of them may hold more than the smallest process has. These bytes count in the table of connections; now the listener also stops reading where they do not fit, until those that it holds are used. Callers see only that the daemon reads later.

TestReadingAheadStopsWithoutRoom: two connections with a limit of 100 kB together held over 120 kB before.

--- a/pkg/ingress/held_head_test.go
+++ b/pkg/ingress/held_head_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -119,3 +120,39 @@
 		}
 	})
 }
+
+// TestReadingAheadStopsWithoutRoom guards against connections that are read ahead and exceed the
+// memory for callers together.
+func TestReadingAheadStopsWithoutRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, sent = 100_000, 60_000
+		table := connections.NewTable("test", connections.Limits{Bytes: limit}, metrics.NewSet())
+		var readers []*connReader
+		for range 2 {
+			entry := table.NewEntry()
+			must.True(t, table.Open(entry, func() {}))
+			caller, server := net.Pipe()
+			defer caller.Close()
+			r := newConnReader(server, 64<<10, func() {})
+			r.entry = entry
+			r.watch(-1)
+			go func() { _, _ = caller.Write(make([]byte, sent)) }()
+			readers = append(readers, r)
+		}
+		synctest.Wait()
+		buffered := 0
+		for _, r := range readers {
+			r.mu.Lock()
+			buffered += r.bufferedBytes
+			r.mu.Unlock()
+		}
+		test.LessEq(t, limit, buffered)
+		test.Greater(t, 0, buffered)
+		for _, r := range readers {
+			got := make([]byte, sent)
+			_, err := io.ReadFull(r, got)
+			test.NoError(t, err)
+			r.stop()
+		}
+	})
+}
--- a/pkg/ingress/read_ahead.go
+++ b/pkg/ingress/read_ahead.go
@@ -59,14 +59,20 @@
 	}
 }
 
+// isBufferFull reports whether no more bytes are read ahead for now: the buffer is full, or the
+// memory for callers.
+func (r *connReader) isBufferFull() bool {
+	return r.bufferedBytes >= r.maxBufferedBytes || r.bufferedBytes > r.chargedBytes
+}
+
 // waitForBuffer waits while the buffer is full. Since nothing is read meanwhile, it asks
 // the kernel whether the caller has disconnected.
 func (r *connReader) waitForBuffer() {
-	for r.bufferedBytes >= r.maxBufferedBytes && !r.stopped && r.err == nil {
+	for r.isBufferFull() && !r.stopped && r.err == nil {
 		timer := time.AfterFunc(peerCheckInterval, r.wake)
 		r.changed.Wait()
 		timer.Stop()
-		if r.bufferedBytes >= r.maxBufferedBytes && peerClosed(r.conn) {
+		if r.isBufferFull() && peerClosed(r.conn) {
 			r.fail(io.EOF)
 		}
 	}
