--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rushramp/rushramp/pkg/connections"
 )
 
 // lingerTime is how long closeGracefully keeps a connection half open: if the caller has sent
@@ -27,11 +29,15 @@
 type connOptions struct {
 	idleTimeout time.Duration
 	limits      PipelineLimits
+	// maxHeldBytes limits the bytes of an incomplete head that are held back.
+	maxHeldBytes int
 	// closeAfterAnswer reports whether answers should close their connections.
 	closeAfterAnswer func() bool
 	// onClosed is called once when the connection has closed, with the number of
 	// requests that were not answered and the number of bytes that were not read.
 	onClosed func(unanswered, unreadBytes int)
+	// entry is the connection's entry in the table of the listener, or nil.
+	entry *connections.Entry
 }
 
 // pipelinedConn is a caller's connection as http.Server sees it. http.Server reads one
@@ -66,7 +72,8 @@
 	out := &pipelinedConn{Conn: nc, options: options, openedAt: time.Now()}
 	out.ctx, out.cancel = context.WithCancelCause(context.Background())
 	out.reader = newConnReader(nc, max(options.limits.MaxBytes, maxReadBytes), out.onDisconnect)
-	out.answers = newAnswerQueue(nc, options.limits, options.closeAfterAnswer)
+	out.reader.entry, out.reader.maxHeldBytes = options.entry, options.maxHeldBytes
+	out.answers = newAnswerQueue(&answerWriter{Conn: nc, entry: options.entry}, options.limits, options.closeAfterAnswer)
 	return out
 }
 
@@ -182,6 +189,7 @@
 // connection that were unanswered when the request arrived.
 func (c *pipelinedConn) beginRequest(bodyLength int64) (unanswered int) {
 	c.reader.watch(bodyLength)
+	c.options.entry.BeginRun()
 	unanswered = c.answers.unanswered()
 	last, _ := c.answers.lastAnswer()
 	arrivedBefore := c.reader.lastArrival().Before(last)
@@ -294,6 +302,16 @@
 	c.answers.wake()
 }
 
+// evict closes the connection because the table of connections needs its room. Bytes of an
+// answer that the caller does not take are discarded in the kernel, too.
+func (c *pipelinedConn) evict() {
+	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.options.entry.IsWriting() {
+		// This fails only on a connection that has closed already.
+		_ = socket.SetLinger(0)
+	}
+	c.closeNow()
+}
+
 // closeNow closes the connection and cancels its requests.
 func (c *pipelinedConn) closeNow() {
 	c.closeOnce.Do(func() {
@@ -302,6 +320,7 @@
 		// This fails only on a connection that has closed already.
 		_ = c.Conn.Close()
 		c.reader.stop()
+		c.options.entry.Close()
 		_, unreadBytes := c.reader.status()
 		c.options.onClosed(unanswered, unreadBytes)
 	})
--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -22,6 +22,8 @@
 	// defaultMaxHeadBytes limits the size of a request's head where the placement
 	// sets no limit.
 	defaultMaxHeadBytes = 64 << 10
+	// headSlackBytes is what http.Server reads beyond the limit before it refuses a head.
+	headSlackBytes = 4 << 10
 	// timeoutSlack is added to the timeouts in a placement, so that a caller that
 	// uses them up does not find its connection closed, even while a processor
 	// quota delays the process.
@@ -112,9 +114,14 @@
 	return s.retired
 }
 
-// serveConn hands a connection to the http.Server.
+// serveConn hands a connection to the http.Server, or closes it when the limits on connections
+// do not admit it.
 func (s *limitedServer) serveConn(nc net.Conn) {
 	c := s.track(nc)
+	if !s.hooks.table.Open(c.options.entry, c.evict) {
+		c.closeNow()
+		return
+	}
 	select {
 	case s.conns <- c:
 	case <-s.done:
@@ -135,6 +142,8 @@
 	out = newPipelinedConn(nc, connOptions{
 		idleTimeout: s.limits.idleTimeout, limits: s.hooks.pipelineLimits,
 		closeAfterAnswer: func() bool { return s.isRetired() || s.hooks.areKeepAlivesStopped() },
+		maxHeldBytes:     s.limits.maxHeadBytes + headSlackBytes,
+		entry:            s.hooks.table.NewEntry(),
 		onClosed:         func(unanswered, unreadBytes int) { s.untrack(out, unanswered, unreadBytes) },
 	})
 	s.mu.Lock()
