An attempt at an unresponsive executor runs on beside the next one

What callers saw: 502 link_lost for a repeatable request whose backend server was running it.

Change: the attempt is left as one that is not acknowledged: it runs on, and the first usable answer ends the request. If all others refuse, its result is awaited until the deadline or the end of its link. The retry is charged to the budget as before.

Evidence: TestAnUnresponsiveExecutorIsHeardWhereAllOthersRefuse, known red before, passes; the other tests of pkg/forward pass unchanged.

--- a/pkg/forward/attempt.go
+++ b/pkg/forward/attempt.go
@@ -89,8 +89,7 @@
 			}
 			candidate.Load.MarkUnresponsive(a.forwarder.Now())
 			if a.route.Repeatable && a.canGoElsewhere(candidate) {
-				cancel()
-				return a.unanswered(errkind.New(errkind.LinkLost, "the daemon on %s does not respond", candidate.Endpoint.VM))
+				return a.leaveUnresponsive(candidate, cancel)
 			}
 		case <-timeout.C:
 			// After a pause of this process both channels may be ready.
--- a/pkg/forward/left_attempts.go
+++ b/pkg/forward/left_attempts.go
@@ -18,8 +18,8 @@
 	result call.Result
 }
 
-// leftAttempt is an attempt that was not acknowledged in time, so that the request went
-// elsewhere. It is cancelled once the request has ended, because its executor may still be
+// leftAttempt is an attempt that was not acknowledged in time, or whose executor did not respond,
+// so that the request went elsewhere. It is cancelled once the request has ended, because its executor may still be
 // the first to answer.
 type leftAttempt struct {
 	number int
@@ -44,13 +44,25 @@
 	return leaves
 }
 
-// leave ends the wait for an attempt that is not acknowledged, without cancelling it. The
-// result counts as offered, so that isLast takes a retry from the budget for it.
+// leave ends the wait for an attempt that is not acknowledged, without cancelling it.
 func (a *attempts) leave(candidate *tables.Candidate, cancel func()) call.Result {
 	candidate.Load.MarkUnresponsive(a.forwarder.Now())
 	refusal := errkind.New(errkind.LinkLost, "the daemon on %s did not acknowledge the call", candidate.Endpoint.VM)
+	return a.leaveAs(outcomeUnacknowledged, refusal, cancel)
+}
+
+// leaveUnresponsive ends the wait for an attempt whose executor's daemon does not respond, without
+// cancelling it: it may still be the only one to answer.
+func (a *attempts) leaveUnresponsive(candidate *tables.Candidate, cancel func()) call.Result {
+	refusal := errkind.New(errkind.LinkLost, "the daemon on %s does not respond", candidate.Endpoint.VM)
+	return a.leaveAs(outcomeUnresponsive, refusal, cancel)
+}
+
+// leaveAs leaves the latest attempt; refusal stands for its result. The result counts as offered,
+// so that isLast takes a retry from the budget for it.
+func (a *attempts) leaveAs(outcome string, refusal *errkind.Error, cancel func()) call.Result {
 	record := len(a.records) - 1
-	a.records[record].outcome = outcomeUnacknowledged
+	a.records[record].outcome = outcome
 	a.leftAttempts = append(a.leftAttempts, leftAttempt{number: a.tries, cancel: cancel, record: record, sentAt: a.records[record].sentAt, refusal: refusal})
 	return a.unanswered(refusal)
 }
--- a/pkg/forward/request_log.go
+++ b/pkg/forward/request_log.go
@@ -78,6 +78,8 @@
 	outcomePassedOver = "passed_over"
 	// outcomeUnacknowledged: the attempt was left because it was not acknowledged.
 	outcomeUnacknowledged = "unacknowledged"
+	// outcomeUnresponsive: the attempt was left because its executor's daemon did not respond.
+	outcomeUnresponsive = "unresponsive"
 	// outcomeNotNeeded: an attempt that was left before was answered first.
 	outcomeNotNeeded = "not_needed"
 )
