Routes keep the proportions of the largest weights

What callers would see: a route of a placement whose weights add up to more than 32 bits sends its requests to its parts in wrong proportions.

Cause: the product of the sum and the place in the sequence overflowed.

Change: a product of 128 bits.

Evidence: TestLargestWeightsKeepTheirProportions failed before and passes after.

--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -104,8 +105,8 @@
 	if len(c.Parts) == 1 || c.totalWeight == 0 {
 		return c.Parts[0].Service
 	}
-	fraction := (c.requests.Add(1) * weylIncrement) >> 32
-	point := fraction * c.totalWeight >> 32
+	// The high half of the product is the fraction of the weights that the sequence has reached.
+	point, _ := bits.Mul64(c.requests.Add(1)*weylIncrement, c.totalWeight)
 	for _, p := range c.Parts {
 		if point < uint64(p.Weight) {
 			return p.Service
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -49,6 +50,20 @@
 	test.Between(t, 88, counts["a"], 92)
 }
 
+// TestLargestWeightsKeepTheirProportions guards against a sum of weights beyond 32 bits, whose
+// product with the place in the sequence overflowed.
+func TestLargestWeightsKeepTheirProportions(t *testing.T) {
+	table := Compile([]Route{route("r", "h", "/", Part{"a", math.MaxUint32}, Part{"b", math.MaxUint32}, Part{"c", math.MaxUint32 / 2})}, nil, Limits{})
+	r := table.Match("h", "/")
+	counts := map[string]int{}
+	for range 1000 {
+		counts[r.NextService()]++
+	}
+	test.Between(t, 390, counts["a"], 410)
+	test.Between(t, 390, counts["b"], 410)
+	test.Between(t, 190, counts["c"], 210)
+}
+
 func TestPartWithZeroWeightGetsNoRequests(t *testing.T) {
 	table := Compile([]Route{route("r", "h", "/", Part{"a", 0}, Part{"b", 3})}, nil, Limits{})
 	for range 50 {
