Unfinished bodies make room for others

Clients that left chunked bodies of megabytes unfinished kept the budget for bodies until their timeouts, up to a minute, while others were refused, and the process outgrew its memory: half of what had arrived of a body was taken up again by the buffer for what had not.

Where the budget is used up, the costliest body that has stalled for a second now loses its reservation and its connection. Chunked bodies are received in pieces of 256 kB at most.

--- a/pkg/bodies/budget.go
+++ b/pkg/bodies/budget.go
@@ -29,14 +29,12 @@
 // Limit returns the number of bytes that may be reserved at a time.
 func (b *Budget) Limit() int64 { return b.limit }
 
-// reserve takes n bytes. Where they would exceed the limit it takes none, counts a
-// refusal and returns false.
+// reserve takes n bytes. Where they would exceed the limit it takes none and returns false.
 func (b *Budget) reserve(n int64) bool {
 	if b.reserved.Add(n) <= b.limit {
 		return true
 	}
 	b.reserved.Add(-n)
-	b.refused.Inc()
 	return false
 }
 
@@ -53,15 +51,27 @@
 // Grow reserves n more bytes. It returns false, and reserves nothing, where the budget
 // has fewer left.
 func (r *Reservation) Grow(n int64) bool {
+	return r.GrowOr(n, func() bool { return false })
+}
+
+// GrowOr is Grow that calls makeRoom where the budget has fewer bytes left, and tries again
+// if that returns true.
+func (r *Reservation) GrowOr(n int64, makeRoom func() bool) bool {
 	if n <= 0 {
 		return true
 	}
-	if !r.budget.reserve(n) {
-		return false
+	for !r.budget.reserve(n) {
+		if !makeRoom() {
+			r.budget.refused.Inc()
+			return false
+		}
 	}
 	r.bytes.Add(n)
 	return true
 }
 
+// Held returns the number of reserved bytes.
+func (r *Reservation) Held() int64 { return r.bytes.Load() }
+
 // Release returns all reserved bytes to the budget. Further calls do nothing.
 func (r *Reservation) Release() { r.budget.reserved.Add(-r.bytes.Swap(0)) }
--- a/pkg/bodies/budget_test.go
+++ b/pkg/bodies/budget_test.go
@@ -53,3 +53,18 @@
 	test.Zero(t, overLimit.Load())
 	test.Eq(t, 0, b.Reserved())
 }
+
+// TestRoomIsMadeBeforeAReservationIsRefused: a refusal counts only when no room was made.
+func TestRoomIsMadeBeforeAReservationIsRefused(t *testing.T) {
+	b := NewBudget(100, metrics.NewSet())
+	first, second := b.NewReservation(), b.NewReservation()
+	test.True(t, first.Grow(100))
+	test.True(t, second.GrowOr(60, func() bool {
+		first.Release()
+		return true
+	}))
+	test.Zero(t, b.refused.Get())
+	test.False(t, second.GrowOr(60, func() bool { return false }))
+	test.Eq(t, 1, b.refused.Get())
+	test.Eq(t, 60, second.Held())
+}
--- a/pkg/connections/entry.go
+++ b/pkg/connections/entry.go
@@ -23,6 +23,8 @@
 	close func()
 	bytes int
 	open  bool
+	// body is the body that is being received, or nil.
+	body Body
 }
 
 // Progress records that the peer has sent or taken bytes.
--- a/pkg/connections/limits.go
+++ b/pkg/connections/limits.go
@@ -8,9 +8,8 @@
 
 const (
 	// memoryShare is the part of the process's memory that the callers' connections may
-	// take up; as much is left for request bodies, and the rest for the daemon itself and
-	// for garbage.
-	memoryShare = 4
+	// take up. The rest is for request bodies, the daemon itself and garbage.
+	memoryShare = 5
 	// descriptorShare is the part of the descriptors that the callers' connections may
 	// take up. The rest is for links and backend servers.
 	descriptorShare = 2
--- a/pkg/connections/table.go
+++ b/pkg/connections/table.go
@@ -100,14 +100,11 @@
 // do not suffice. The caller holds mu.
 func (t *Table) makeRoom(e *Entry, bytes, count int, stall time.Duration) bool {
 	for !t.fits(bytes, count) {
-		victim := t.costliest(e, stall)
+		victim := t.costliest(e, stall, func(other *Entry) float64 { return float64(other.bytes) })
 		if victim == nil {
 			return false
 		}
-		t.evicted.Inc()
-		t.remove(victim)
-		// Closing takes locks of the connection, which may wait for the table.
-		go victim.close()
+		t.evict(victim)
 	}
 	return true
 }
@@ -122,22 +119,30 @@
 
 // costliest returns the connection that has held the most memory for the longest time without
 // progress: the one with the largest product of both. It returns nil if none may be closed.
-func (t *Table) costliest(except *Entry, stall time.Duration) *Entry {
+func (t *Table) costliest(except *Entry, stall time.Duration, held func(*Entry) float64) *Entry {
 	now := time.Since(t.start)
 	var out *Entry
-	var highest float64
+	highest := 0.0
 	for e := range t.open {
 		stalled, waiting := e.stalledFor(now)
 		if e == except || !waiting || stalled < stall {
 			continue
 		}
-		if cost := float64(e.bytes) * float64(stalled); out == nil || cost > highest {
+		if cost := held(e) * max(float64(stalled), 1); cost > highest {
 			out, highest = e, cost
 		}
 	}
 	return out
 }
 
+// evict closes a connection to make room. The caller holds mu.
+func (t *Table) evict(e *Entry) {
+	t.evicted.Inc()
+	t.remove(e)
+	// Closing takes locks of the connection, which may wait for the table.
+	go e.close()
+}
+
 // remove removes an entry. The caller holds mu.
 func (t *Table) remove(e *Entry) {
 	if !e.open {
--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"os"
@@ -8,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/rushramp/rushramp/pkg/bodies"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/forward"
 )
@@ -23,7 +23,7 @@
 
 // receiveBody reads the body of a request into memory. It refuses a body that is larger
 // than maxBodyBytes, exceeds the budget for bodies or takes too long to arrive.
-func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request, req *forward.Request, reservation *bodies.Reservation) ([]byte, *errkind.Error) {
+func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request, req *forward.Request, memory *requestMemory) ([]byte, *errkind.Error) {
 	limit := s.maxBodyBytes()
 	if r.ContentLength > limit {
 		w.Header().Set("Connection", "close")
@@ -32,13 +32,15 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	if !reservation.Grow(r.ContentLength) {
+	memory.entry.BeginBody(memory.Reservation)
+	defer memory.entry.EndBody()
+	if !memory.growBody(r.ContentLength) {
 		return nil, s.refuseOverBudget(w)
 	}
 	timeout := min(s.forwarder.Timeout(req), maxBodyTime)
 	// This fails only on connections that do not support deadlines.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
-	data, err := readBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, reservation)
+	data, read, err := readBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, memory)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -46,9 +48,9 @@
 	case errors.Is(err, errOverBudget):
 		return nil, s.refuseOverBudget(w)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errkind.New(errkind.DeadlineBeforeRun, "the time for the body ended after %d bytes", len(data))
+		return nil, errkind.New(errkind.DeadlineBeforeRun, "the time for the body ended after %d bytes", read)
 	case err != nil:
-		return nil, errkind.New(errkind.BodyCut, "the body ended after %d bytes", len(data))
+		return nil, errkind.New(errkind.BodyCut, "the body ended after %d bytes", read)
 	}
 	return data, nil
 }
@@ -71,28 +73,44 @@
 }
 
 // readBody reads a whole body. length is the announced length, whose bytes are reserved
-// already, or -1 for a chunked body, whose bytes are reserved as they arrive.
-func readBody(src io.Reader, length int64, reservation *bodies.Reservation) ([]byte, error) {
+// already, or -1 for a chunked body, whose bytes are reserved as they arrive. read is the number
+// of bytes that were read.
+func readBody(src io.Reader, length int64, memory *requestMemory) (data []byte, read int, err error) {
 	if length >= 0 {
-		data := make([]byte, length)
-		n, err := io.ReadFull(src, data)
-		return data[:n], err
+		data = make([]byte, length)
+		read, err = io.ReadFull(src, data)
+		return data, read, err
 	}
-	return io.ReadAll(&reservingReader{src: src, reservation: reservation})
+	return readPieces(src, memory.growBody)
 }
 
-// reservingReader adds the bytes that it reads to a reservation.
-type reservingReader struct {
-	src         io.Reader
-	reservation *bodies.Reservation
-}
+const (
+	minPieceBytes = 512
+	maxPieceBytes = 256 << 10
+)
 
-// Read implements io.Reader. It returns errOverBudget where the budget has too few bytes
-// left.
-func (r *reservingReader) Read(p []byte) (int, error) {
-	n, err := r.src.Read(p)
-	if !r.reservation.Grow(int64(n)) {
-		return 0, errOverBudget
+// readPieces reads src to its end. It calls grow for the bytes that it has read, and returns
+// errOverBudget where that returns false. Unlike io.ReadAll, it takes up little more memory
+// than these bytes while src has not ended.
+func readPieces(src io.Reader, grow func(n int64) bool) (data []byte, read int, err error) {
+	var pieces [][]byte
+	piece := make([]byte, 0, minPieceBytes)
+	for {
+		n, err := src.Read(piece[len(piece):cap(piece)])
+		piece = piece[:len(piece)+n]
+		read += n
+		if !grow(int64(n)) {
+			err = errOverBudget
+		}
+		switch {
+		case err == io.EOF:
+			return bytes.Join(append(pieces, piece), nil), read, nil
+		case err != nil:
+			return nil, read, err
+		}
+		if len(piece) == cap(piece) {
+			pieces = append(pieces, piece)
+			piece = make([]byte, 0, min(2*cap(piece), maxPieceBytes))
+		}
 	}
-	return n, err
 }
--- a/pkg/ingress/request_memory.go
+++ b/pkg/ingress/request_memory.go
@@ -27,6 +27,12 @@
 	m.entry.Shrink(int(m.headBytes.Swap(0)))
 }
 
+// growBody reserves n more bytes for the body. Bodies of other callers that have stalled make
+// room.
+func (m *requestMemory) growBody(n int64) bool {
+	return m.GrowOr(n, m.entry.EvictBody)
+}
+
 // newRequestMemory returns the memory of a request whose head has been read on c, which may be
 // nil. ok is false when the head exceeds the memory for callers.
 func (s *Server) newRequestMemory(c *pipelinedConn) (memory *requestMemory, ok bool) {
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -20,7 +20,6 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 
-	"github.com/rushramp/rushramp/pkg/bodies"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
 	"github.com/rushramp/rushramp/pkg/connections"
@@ -129,7 +128,7 @@
 		s.refuseLargeHead(w, r)
 		return
 	}
-	req, refusal := s.readRequest(w, r, memory.Reservation)
+	req, refusal := s.readRequest(w, r, memory)
 	if refusal != nil {
 		s.refuse(w, refusal, 0)
 		return
@@ -164,7 +163,7 @@
 
 // readRequest reads the whole request. It refuses a request without an id, with an
 // invalid timeout, or with a body that receiveBody refuses.
-func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, reservation *bodies.Reservation) (*forward.Request, *errkind.Error) {
+func (s *Server) readRequest(w http.ResponseWriter, r *http.Request, memory *requestMemory) (*forward.Request, *errkind.Error) {
 	out := &forward.Request{
 		ID: r.Header.Get(s.headers.RequestID), Host: r.Host, Method: r.Method,
 		URI: r.RequestURI, Path: r.URL.EscapedPath(),
@@ -178,7 +177,7 @@
 	}
 	out.TeamKey = teamKeyOf(r.Header)
 	out.Headers = s.headersToForward(r.Header)
-	out.Body, refusal = s.receiveBody(w, r, out, reservation)
+	out.Body, refusal = s.receiveBody(w, r, out, memory)
 	return out, refusal
 }
 
