A stop waits until callers of the own HTTP interface have their answers

What callers saw: in a planned stop, an answer that ended early, from an entry of rushramp's own HTTP interface, to a caller that reads slowly.

A call was in flight until its result was known, but hertz writes the answer after that, and is given 200 ms at the end. Calls whose bodies were on the way were not in flight either.

Change: a call is in flight from its head until its answer is written, which a hertz tracer tells. The bound of the drain holds as before. Entry's own count, which nothing else used, is gone.

The cost of the tracer per call was not measured.

--- a/pkg/callers/server.go
+++ b/pkg/callers/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/tracer/stats"
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
@@ -41,6 +42,8 @@
 	*common.Common
 	entry   *entry.Entry
 	limiter *callerLimiter
+	// unwritten counts the calls whose answers are not written yet.
+	unwritten httpserver.UnwrittenAnswers
 	// ownIP is the IP address of this VM. The data of a call from this address is in this
 	// data centre already. Source: docs/design/placement.md.
 	ownIP string
@@ -48,22 +51,29 @@
 
 // Start opens the listener at the address listen.callers of the settings and serves
 // calls until stop is called. It returns an error where the address cannot be used.
-func Start(c *common.Common, e *entry.Entry) (stop func(), err error) {
+func Start(c *common.Common, e *entry.Entry) (s *Server, stop func(), err error) {
 	host, _, err := net.SplitHostPort(c.Settings.Listen.Callers)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	s := &Server{Common: c, entry: e, limiter: newCallerLimiter(c.Settings.Limits.CallsPerCaller), ownIP: host}
-	return httpserver.Start(c.Settings.Listen.Callers, s.routes,
+	s = &Server{Common: c, entry: e, limiter: newCallerLimiter(c.Settings.Limits.CallsPerCaller), ownIP: host}
+	stop, err = httpserver.Start(c.Settings.Listen.Callers, s.routes,
 		server.WithStreamBody(true),
 		server.WithSenseClientDisconnection(true),
 		server.WithMaxRequestBodySize(c.Settings.Limits.MaxBodyBytes),
 		server.WithMaxHeaderBytes(c.Settings.Limits.MaxHeaderBytes),
 		server.WithDisablePreParseMultipartForm(true),
 		server.WithUseRawPath(true),
+		server.WithTracer(&s.unwritten),
+		server.WithTraceLevel(stats.LevelDisabled),
 	)
+	return s, stop, err
 }
 
+// InFlight returns the number of calls that have not ended, or whose answers are not
+// written yet.
+func (s *Server) InFlight() int64 { return s.unwritten.Count() }
+
 func (s *Server) routes(h *server.Hertz) {
 	h.NoRoute(s.serve)
 	h.NoMethod(s.serve)
@@ -83,6 +93,7 @@
 		s.refuseUnread(c, refusal)
 		return
 	}
+	s.unwritten.Begin(c)
 	admitted, misplaced, refusal := s.entry.Admit(ctx, req)
 	if refusal != nil {
 		s.refuseUnread(c, refusal)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -67,7 +67,9 @@
 	cancelBackground context.CancelFunc
 	// links accepts links from other daemons; nil until listen has opened its listener.
 	links atomic.Pointer[link.Server]
-	stops []func()
+	// callers serves rushramp's own HTTP interface; nil until listen has opened its listener.
+	callers atomic.Pointer[callers.Server]
+	stops   []func()
 	// started is closed once all listeners are open.
 	started   chan struct{}
 	leaveOnce sync.Once
@@ -238,7 +240,7 @@
 	starts := []func() (func(), error){
 		func() (func(), error) { return startMetrics(d) },
 		func() (func(), error) { return operators.Start(d.operators, d.certs.Server()) },
-		func() (func(), error) { return callers.Start(d.Common, d.Entry) },
+		d.listenForCallers,
 	}
 	if d.routed != nil {
 		starts = append(starts, d.routed.start)
@@ -253,6 +255,12 @@
 	return nil
 }
 
+func (d *Daemon) listenForCallers() (stop func(), err error) {
+	server, stop, err := callers.Start(d.Common, d.Entry)
+	d.callers.Store(server)
+	return stop, err
+}
+
 // callRunner returns the runner of calls that arrive on links. On a daemon without a backend
 // server it is a nil interface.
 func (d *Daemon) callRunner() call.Runner {
@@ -275,10 +283,13 @@
 }
 
 // InFlight returns the number of calls and routed requests that have not ended, or whose results
-// are not sent to their entries yet. One whose entry and executor are both this daemon counts
+// are not sent to their callers or entries yet. One whose entry and executor are both this daemon counts
 // twice.
 func (d *Daemon) InFlight() int64 {
-	out := d.Entry.InFlight()
+	out := int64(0)
+	if server := d.callers.Load(); server != nil {
+		out += server.InFlight()
+	}
 	if d.Executor != nil {
 		out += d.Executor.InFlight()
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/rushramp/rushramp/pkg/call"
@@ -36,8 +35,6 @@
 	sealer  Sealer
 	budgets *retryBudgets
 	stats   *stats
-
-	inFlight atomic.Int64
 }
 
 // Sealer closes the idempotency key of a never-repeat call whose outcome the entry did
@@ -157,14 +154,9 @@
 	}
 }
 
-// InFlight returns the number of calls that have not ended.
-func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
-
 // Run runs an admitted call with its whole body and returns how it ended. ctx ends when
 // the caller disconnects.
 func (e *Entry) Run(ctx context.Context, admitted *AdmittedCall, body []byte) call.Result {
-	e.inFlight.Add(1)
-	defer e.inFlight.Add(-1)
 	result := e.runAttempts(ctx, admitted, body)
 	e.stats.record(admitted, result, e.Now())
 	return result
--- a/test/harness_test.go
+++ b/test/harness_test.go
@@ -43,6 +43,8 @@
 	// last is the answer to the last call.
 	last  *answer
 	loads map[string]*load
+	// slowCall is the call that slowcall has begun.
+	slowCall *slowCall
 	// unlisted names the workers that are omitted from the platform's list.
 	unlisted []string
 	// authority signs certificates; nil without TLS.
--- a/test/scenarios_test.go
+++ b/test/scenarios_test.go
@@ -42,6 +42,7 @@
 			"signal":     cmdSignal,
 			"eventually": cmdEventually,
 			"raw":        cmdRaw,
+			"slowcall":   cmdSlowCall,
 			"objectives": cmdObjectives,
 			"network":    cmdNetwork,
 			"certs":      cmdCerts,
