Answers that grow count with both of their buffers

What callers saw: nothing, but the budget did not keep a daemon of the template in the memory of the smallest VMs.

Cause: while a body moves to a larger buffer, only the larger one counted, and the garbage collector lets the heap grow to twice of what lives.

Change: both buffers count. The default of limits.answers_bytes is 32 MB; it need not be above limits.max_body_bytes, since that bounds what callers send.

--- a/pkg/backend/answer_budget.go
+++ b/pkg/backend/answer_budget.go
@@ -98,15 +98,16 @@
 	return err
 }
 
-// grow moves the body to a buffer of size bytes.
+// grow moves the body to a buffer of size bytes. Both buffers count until then.
 func (h *heldBody) grow(size int64) error {
-	if !h.budget.reserve(size - h.reserved) {
+	if !h.budget.reserve(size) {
 		h.budget.cut.Inc()
 		return errAnswersFull
 	}
-	h.reserved = size
 	larger := make([]byte, len(h.data), size)
 	copy(larger, h.data)
 	h.data = larger
+	h.release()
+	h.reserved = size
 	return nil
 }
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -138,13 +138,9 @@
 	return validate, errors.Wrap(err, "settings checks")
 }
 
-// checkBodyLimits refuses limits on all bodies below the maximum size of a single body.
+// checkBodyLimits refuses a limits.bodies_bytes below the maximum size of a single body.
 func (s *Settings) checkBodyLimits() error {
-	l := &s.Limits
-	if l.AnswersBytes < l.MaxBodyBytes {
-		return errors.Errorf("limits.answers_bytes: %d is less than limits.max_body_bytes, %d, so that the largest answers would always be dropped. Raise the one or lower the other.", l.AnswersBytes, l.MaxBodyBytes)
-	}
-	if l.BodiesBytes < l.MaxBodyBytes {
+	if l := &s.Limits; l.BodiesBytes < l.MaxBodyBytes {
 		return errors.Errorf("limits.bodies_bytes: %d is less than limits.max_body_bytes, %d, so that the largest bodies would always be refused. Raise the one or lower the other.", l.BodiesBytes, l.MaxBodyBytes)
 	}
 	return nil
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -258,7 +258,7 @@
 	MaxBodyBytes int `yaml:"max_body_bytes" validate:"min=1024"`
 	// Maximum bytes of request bodies that this daemon holds in memory, at its entry and its executor together. At least limits.max_body_bytes. Requests beyond this limit are refused and do not run.
 	BodiesBytes int `yaml:"bodies_bytes" validate:"min=1024"`
-	// Maximum bytes of answers' bodies that this daemon's executor holds in memory. At least limits.max_body_bytes. While it is reached, routed requests are refused and do not run, and an answer that does not fit any more is dropped.
+	// Maximum bytes of answers' bodies that this daemon's executor holds in memory. An answer takes up to twice its size while it arrives, and one that does not fit is dropped. While the limit is reached, routed requests are refused and do not run.
 	AnswersBytes int `yaml:"answers_bytes" validate:"min=1024"`
 	// Maximum size of the headers of a request, in bytes.
 	MaxHeaderBytes int `yaml:"max_header_bytes" validate:"min=1024"`
@@ -341,7 +341,7 @@
 		Limits: Limits{
 			// The smallest daemon processes have 184 MB of memory and use 17 MB of it without
 			// large bodies. The garbage collector may let the memory for held bodies double.
-			MaxBodyBytes: 8 << 20, BodiesBytes: 64 << 20, AnswersBytes: 64 << 20, MaxHeaderBytes: 16 << 10,
+			MaxBodyBytes: 8 << 20, BodiesBytes: 64 << 20, AnswersBytes: 32 << 20, MaxHeaderBytes: 16 << 10,
 			// Callers have up to 3 unanswered requests per connection, with answers
 			// of up to 30 kB, and up to 26 connections per daemon. These hold at most 26 x
 			// (256 kB read ahead + 256 kB + 3 x 30 kB), 16 MB of the 184 MB.
