--- a/pkg/callers/server.go
+++ b/pkg/callers/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/connections"
 	"github.com/rushramp/rushramp/pkg/entry"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/httpserver"
@@ -57,7 +58,8 @@
 		return nil, nil, err
 	}
 	s = &Server{Common: c, entry: e, limiter: newCallerLimiter(c.Settings.Limits.CallsPerCaller), ownIP: host}
-	stop, err = httpserver.Start(c.Settings.Listen.Callers, s.routes,
+	table := connections.NewTable("callers", connections.LimitsOfCalls(c.Settings.Limits.MemoryBytes), c.Metrics)
+	stop, err = httpserver.Start(c.Settings.Listen.Callers, table, s.routes,
 		server.WithStreamBody(true),
 		server.WithSenseClientDisconnection(true),
 		server.WithMaxRequestBodySize(c.Settings.Limits.MaxBodyBytes),
--- a/pkg/httpserver/unwritten_test.go
+++ b/pkg/httpserver/unwritten_test.go
@@ -29,7 +29,7 @@
 	var unwritten UnwrittenAnswers
 	handled := make(chan struct{}, 1)
 	address := addresses.Next().Address(loopback.PortCallers)
-	stop, err := Start(address, func(h *server.Hertz) {
+	stop, err := Start(address, nil, func(h *server.Hertz) {
 		h.GET("/small", func(_ context.Context, c *app.RequestContext) {
 			unwritten.Begin(c)
 			c.Response.SetBodyRaw([]byte("small"))
