Connections that never become links stay within bounds

Clients that opened hundreds of connections to the listener of links and sent heads of short lines without their end outgrew the process's memory: heads of up to 1 MB were parsed as they arrived.

Connections count in a table of their own until they have become links, and a request to open one may have 4 kB.

--- a/pkg/connections/limits.go
+++ b/pkg/connections/limits.go
@@ -35,6 +35,17 @@
 	return Limits{Bytes: memoryBytes / otherMemoryShare, ConnBytes: otherConnBytes}
 }
 
+// The limits of connections to the listener of links that are not links yet.
+const (
+	handshakeBytes       = 64 << 10
+	handshakeMemoryShare = 16
+)
+
+// LimitsOfHandshakes returns the limits for connections that are not links yet.
+func LimitsOfHandshakes(memoryBytes int) Limits {
+	return Limits{Bytes: memoryBytes / handshakeMemoryShare, ConnBytes: handshakeBytes}
+}
+
 // LimitsOfCalls returns the limits for the listener of calls.
 func LimitsOfCalls(memoryBytes int) Limits {
 	return Limits{Bytes: memoryBytes / callsMemoryShare, ConnBytes: otherConnBytes, MinStall: callsMinStall}
--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -18,6 +18,7 @@
 	"github.com/rushramp/rushramp/pkg/bodies"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/connections"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/grants"
@@ -57,7 +58,11 @@
 	s.registerLinkMetrics()
 	mux := http.NewServeMux()
 	mux.HandleFunc(linkPath, s.accept)
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: tlsConfig}
+	unopened := &handshakes{table: connections.NewTable("links", connections.LimitsOfHandshakes(c.Settings.Limits.MemoryBytes), c.Metrics)}
+	s.http = &http.Server{
+		Handler: mux, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHandshakeBytes,
+		ConnState: unopened.onConnState, TLSConfig: tlsConfig,
+	}
 	go func() {
 		if tlsConfig != nil {
 			_ = s.http.ServeTLS(listener, "", "")
