Answers at the executor take up a sixth of the process's memory at most

60 clients that do not read answers of 8 MB: peak 109 MB on a process of 96 MB, with the default of 32 MB for answers at the executor, which is meant for 184 MB (94 MB after answers counted with both of their buffers).

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -91,6 +91,7 @@
 	adapter.Bounds.apply(&effective.Routing)
 	adapter.Bounds.applyTeams(&effective.Teams)
 	adapter.Bounds.applyDrain(&effective.Drain)
+	fitAnswers(&effective.Limits)
 	s = &effective
 	if opts.Platform == nil {
 		opts.Platform = adapter.Store
--- a/pkg/daemon/memory.go
+++ b/pkg/daemon/memory.go
@@ -1,6 +1,10 @@
 package daemon
 
-import "runtime/debug"
+import (
+	"runtime/debug"
+
+	"github.com/rushramp/rushramp/pkg/settings"
+)
 
 // goMemoryShare is the share of the process's memory that the Go runtime may use. The rest is
 // for the program's text and for C libraries.
@@ -13,3 +17,13 @@
 		debug.SetMemoryLimit(int64(float64(memoryBytes) * goMemoryShare))
 	}
 }
+
+// answersShare is the part of the process's memory that answers at the executor may take up.
+const answersShare = 6
+
+// fitAnswers lowers limits.answers_bytes to what the memory of the process allows.
+func fitAnswers(l *settings.Limits) {
+	if l.MemoryBytes > 0 {
+		l.AnswersBytes = min(l.AnswersBytes, l.MemoryBytes/answersShare)
+	}
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -262,7 +262,7 @@
 	MaxBodyBytes int `yaml:"max_body_bytes" validate:"min=1024"`
 	// Maximum bytes of request bodies that this daemon holds in memory, at its entry and its executor together. At least limits.max_body_bytes. Requests beyond this limit are refused and do not run.
 	BodiesBytes int `yaml:"bodies_bytes" validate:"min=1024"`
-	// Maximum bytes of answers' bodies that this daemon's executor holds in memory. An answer takes up to twice its size while it arrives, and one that does not fit is dropped. While the limit is reached, routed requests are refused and do not run.
+	// Maximum bytes of answers' bodies that this daemon's executor holds in memory; a sixth of limits.memory_bytes if that is less. An answer takes up to twice its size while it arrives, and one that does not fit is dropped. While the limit is reached, routed requests are refused and do not run.
 	AnswersBytes int `yaml:"answers_bytes" validate:"min=1024"`
 	// Maximum size of the headers of a request, in bytes.
 	MaxHeaderBytes int `yaml:"max_header_bytes" validate:"min=1024"`
