Crowds at the listeners of probes and calls stay within bounds

Clients that opened hundreds of connections to the listeners of readiness checks, announcements, metrics and calls, and sent heads of short lines without their end, outgrew the process's memory there as well: heads of up to 1 MB were parsed as they arrived, and the other two listeners keep 130 kB a connection.

Each of these listeners has a table of connections with a small share of the memory. Heads of readiness checks and announcements may have 8 kB.

--- a/pkg/bodies/budget.go
+++ b/pkg/bodies/budget.go
@@ -70,8 +70,8 @@
 	return true
 }
 
-// Held returns the number of reserved bytes.
-func (r *Reservation) Held() int64 { return r.bytes.Load() }
+// Reserved returns the number of reserved bytes.
+func (r *Reservation) Reserved() int64 { return r.bytes.Load() }
 
 // Release returns all reserved bytes to the budget. Further calls do nothing.
 func (r *Reservation) Release() { r.budget.reserved.Add(-r.bytes.Swap(0)) }
--- a/pkg/bodies/budget_test.go
+++ b/pkg/bodies/budget_test.go
@@ -66,5 +66,5 @@
 	test.Zero(t, b.refused.Get())
 	test.False(t, second.GrowOr(60, func() bool { return false }))
 	test.Eq(t, 1, b.refused.Get())
-	test.Eq(t, 60, second.Held())
+	test.Eq(t, 60, second.Reserved())
 }
--- a/pkg/callers/server.go
+++ b/pkg/callers/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/common"
+	"github.com/rushramp/rushramp/pkg/connections"
 	"github.com/rushramp/rushramp/pkg/entry"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/httpserver"
@@ -54,7 +55,8 @@
 		return nil, err
 	}
 	s := &Server{Common: c, entry: e, limiter: newCallerLimiter(c.Settings.Limits.CallsPerCaller), ownIP: host}
-	return httpserver.Start(c.Settings.Listen.Callers, s.routes,
+	table := connections.NewTable("callers", connections.LimitsOfCalls(c.Settings.Limits.MemoryBytes), c.Metrics)
+	return httpserver.Start(c.Settings.Listen.Callers, table, s.routes,
 		server.WithStreamBody(true),
 		server.WithSenseClientDisconnection(true),
 		server.WithMaxRequestBodySize(c.Settings.Limits.MaxBodyBytes),
--- a/pkg/connections/body.go
+++ b/pkg/connections/body.go
@@ -3,8 +3,8 @@
 // Body is the memory of a request body that is being received. It counts in a budget of its
 // own.
 type Body interface {
-	// Held returns the bytes that count.
-	Held() int64
+	// Reserved returns the bytes that count.
+	Reserved() int64
 	// Release returns them to the budget.
 	Release()
 }
@@ -38,11 +38,11 @@
 	t := e.table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	victim := t.costliest(e, minStall, func(other *Entry) float64 {
+	victim := t.costliest(e, t.limits.MinStall, func(other *Entry) float64 {
 		if other.body == nil {
 			return 0
 		}
-		return float64(other.body.Held())
+		return float64(other.body.Reserved())
 	})
 	if victim == nil {
 		return false
--- a/pkg/connections/entry.go
+++ b/pkg/connections/entry.go
@@ -87,7 +87,12 @@
 // Grow adds bytes to the memory that the connection takes up. It returns false, and adds
 // none, when they exceed the limits and no other connection may be closed, or when the
 // connection is closed.
-func (e *Entry) Grow(bytes int) bool { return e.grow(bytes, minStall) }
+func (e *Entry) Grow(bytes int) bool {
+	if e == nil {
+		return true
+	}
+	return e.grow(bytes, e.table.limits.MinStall)
+}
 
 // GrowAtOnce is Grow for memory that is already in use: it closes other connections that wait
 // for their peers even if they have not stalled for long.
--- a/pkg/connections/limits.go
+++ b/pkg/connections/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -17,6 +18,28 @@
 	reservedDescriptors = 200
 )
 
+// The limits of listeners that peers other than callers of routed requests use. Their servers
+// parse heads as they arrive, or buffer them in large pieces.
+const (
+	otherConnBytes   = 192 << 10
+	otherMemoryShare = 32
+	// callsMemoryShare is that of the listener of calls, and callsMinStall is longer than
+	// most calls, which run while nothing is read or written.
+	callsMemoryShare = 16
+	callsMinStall    = 10 * time.Second
+)
+
+// LimitsOfProbes returns the limits for a listener of readiness checks, announcements or
+// metrics in a process with the given memory in bytes; 0 means that it is not known.
+func LimitsOfProbes(memoryBytes int) Limits {
+	return Limits{Bytes: memoryBytes / otherMemoryShare, ConnBytes: otherConnBytes}
+}
+
+// LimitsOfCalls returns the limits for the listener of calls.
+func LimitsOfCalls(memoryBytes int) Limits {
+	return Limits{Bytes: memoryBytes / callsMemoryShare, ConnBytes: otherConnBytes, MinStall: callsMinStall}
+}
+
 // LimitsOf returns the limits for the connections of callers in a process with the given
 // memory in bytes and number of descriptors; 0 means that these are not known. The number of
 // connections is limited by the process's own limit in any case.
--- a/pkg/connections/table.go
+++ b/pkg/connections/table.go
@@ -4,6 +4,7 @@
 package connections
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -11,10 +12,9 @@
 )
 
 const (
-	// connBytes is the memory that an open connection takes up by itself.
+	// connBytes is Limits.ConnBytes where it is 0.
 	connBytes = 32 << 10
-	// minStall is the shortest time without progress after which a connection may be
-	// closed to make room.
+	// minStall is Limits.MinStall where it is 0.
 	minStall = time.Second
 	// largeBytes is the size above which growth is large. The last quarter of the memory is
 	// kept for small growth, which ordinary peers need.
@@ -27,6 +27,11 @@
 	Bytes int
 	// Count limits the number of connections.
 	Count int
+	// ConnBytes is the memory that an open connection takes up by itself; 0 means 32 kB.
+	ConnBytes int
+	// MinStall is the shortest time without progress after which a connection may be closed
+	// to make room; 0 means a second.
+	MinStall time.Duration
 }
 
 // Table holds the open connections of a listener. It is safe for concurrent use. A nil Table
@@ -45,6 +50,7 @@
 
 // NewTable returns an empty table. Its metrics in set contain the name of the listener.
 func NewTable(listener string, limits Limits, set *metrics.Set) *Table {
+	limits.ConnBytes, limits.MinStall = cmp.Or(limits.ConnBytes, connBytes), cmp.Or(limits.MinStall, minStall)
 	label := `{listener="` + listener + `"}`
 	t := &Table{
 		limits: limits, start: time.Now(), open: map[*Entry]struct{}{},
@@ -85,13 +91,13 @@
 	e.Progress()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.makeRoom(e, connBytes, 1, minStall) {
+	if !t.makeRoom(e, t.limits.ConnBytes, 1, t.limits.MinStall) {
 		t.refused.Inc()
 		return false
 	}
-	e.close, e.bytes, e.open = closeConn, connBytes, true
+	e.close, e.bytes, e.open = closeConn, t.limits.ConnBytes, true
 	t.open[e] = struct{}{}
-	t.bytes += connBytes
+	t.bytes += t.limits.ConnBytes
 	return true
 }
 
@@ -111,7 +117,7 @@
 
 func (t *Table) fits(bytes, count int) bool {
 	limit := t.limits.Bytes
-	if bytes > largeBytes {
+	if count == 0 && bytes > largeBytes {
 		limit -= limit / 4
 	}
 	return (t.limits.Bytes == 0 || t.bytes+bytes <= limit) && (t.limits.Count == 0 || len(t.open)+count <= t.limits.Count)
--- a/pkg/connections/table_test.go
+++ b/pkg/connections/table_test.go
@@ -141,8 +141,8 @@
 	released bool
 }
 
-func (b *heldBody) Held() int64 { return b.bytes }
-func (b *heldBody) Release()    { b.released = true }
+func (b *heldBody) Reserved() int64 { return b.bytes }
+func (b *heldBody) Release()        { b.released = true }
 
 // TestStalledBodiesMakeRoom guards against bodies that stop short of their end and use up the
 // memory for bodies.
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -17,7 +17,7 @@
 // is called.
 func startMetrics(d *Daemon) (stop func(), err error) {
 	d.registerGauges()
-	return httpserver.Start(d.Settings.Listen.Metrics, func(h *server.Hertz) {
+	return httpserver.Start(d.Settings.Listen.Metrics, d.newProbeTable("metrics"), func(h *server.Hertz) {
 		h.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
 			var out bytes.Buffer
 			d.Metrics.WritePrometheus(&out)
--- a/pkg/daemon/routed.go
+++ b/pkg/daemon/routed.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/rushramp/rushramp/pkg/backend"
+	"github.com/rushramp/rushramp/pkg/connections"
 	"github.com/rushramp/rushramp/pkg/errkind"
 	"github.com/rushramp/rushramp/pkg/events"
 	"github.com/rushramp/rushramp/pkg/forward"
@@ -100,15 +101,15 @@
 		return nil, err
 	}
 	stops = append(stops, r.closeIngress)
-	handlers := map[string]http.Handler{}
+	handlers := map[string]probeHandler{}
 	if address := d.Settings.Listen.Readiness; address != "" {
-		handlers[address] = http.HandlerFunc(r.serveReadiness)
+		handlers[address] = probeHandler{"readiness", http.HandlerFunc(r.serveReadiness)}
 	}
 	if address := d.Settings.Listen.Announcements; address != "" && r.adapter.Announcements != nil {
-		handlers[address] = r.adapter.Announcements(r)
+		handlers[address] = probeHandler{"announcements", r.adapter.Announcements(r)}
 	}
 	for address, handler := range handlers {
-		stop, err := serveHTTP(address, handler)
+		stop, err := d.serveProbes(address, handler)
 		if err != nil {
 			stopAll()
 			return nil, err
@@ -143,14 +144,31 @@
 	r.ingress.Close(ctx)
 }
 
-// serveHTTP serves a handler at an address until stop is called.
-func serveHTTP(address string, handler http.Handler) (stop func(), err error) {
+// probeHandler serves the listener with the given name.
+type probeHandler struct {
+	listener string
+	handler  http.Handler
+}
+
+// maxProbeHeadBytes limits the heads of readiness checks and announcements; http.Server allows
+// another 4 kB.
+const maxProbeHeadBytes = 4 << 10
+
+// newProbeTable returns the table of connections of a listener of readiness checks,
+// announcements or metrics.
+func (d *Daemon) newProbeTable(listener string) *connections.Table {
+	return connections.NewTable(listener, connections.LimitsOfProbes(d.Settings.Limits.MemoryBytes), d.Metrics)
+}
+
+// serveProbes serves a handler at an address until stop is called.
+func (d *Daemon) serveProbes(address string, h probeHandler) (stop func(), err error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", address, err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: probeTimeout * 10}
-	go func() { _ = server.Serve(listener) }()
+	server := &http.Server{Handler: h.handler, ReadHeaderTimeout: probeTimeout * 10, MaxHeaderBytes: maxProbeHeadBytes}
+	limited := d.newProbeTable(h.listener).Listener(listener)
+	go func() { _ = server.Serve(limited) }()
 	return func() { _ = server.Close() }, nil
 }
 
--- a/pkg/httpserver/server.go
+++ b/pkg/httpserver/server.go
@@ -14,15 +14,17 @@
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/connections"
 )
 
 // stopTimeout is how long a stop waits for requests in flight.
 const stopTimeout = 200 * time.Millisecond
 
 // Start listens on address (IP address and port), lets registerRoutes add the handlers,
-// and serves requests on a new goroutine until stop is called. It returns an error when
-// the address cannot be opened.
-func Start(address string, registerRoutes func(*server.Hertz), opts ...config.Option) (stop func(), err error) {
+// and serves requests on a new goroutine until stop is called. table limits the connections;
+// nil: there are no limits. It returns an error when the address cannot be opened.
+func Start(address string, table *connections.Table, registerRoutes func(*server.Hertz), opts ...config.Option) (stop func(), err error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Errorf("cannot listen on %s: %v. Choose an address of this VM that no other process uses.", address, err)
@@ -33,7 +35,7 @@
 	// a handler that waits blocks no other connection.
 	// Source: docs/design/libraries.md.
 	options := []config.Option{
-		server.WithListener(listener),
+		server.WithListener(table.Listener(listener)),
 		server.WithTransport(standard.NewTransporter),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(stopTimeout),
--- a/pkg/standin/backend/server.go
+++ b/pkg/standin/backend/server.go
@@ -45,7 +45,7 @@
 // Serve serves the stand-in over HTTP on address until stop is called. It fails
 // when it cannot listen there.
 func Serve(b *Backend, address string) (stop func(), err error) {
-	return httpserver.Start(address, func(h *server.Hertz) {
+	return httpserver.Start(address, nil, func(h *server.Hertz) {
 		h.POST(PathCancel+":id", func(_ context.Context, c *app.RequestContext) {
 			b.Cancel(c.Param("id"))
 			c.SetStatusCode(http.StatusNoContent)
--- a/pkg/standin/fakestore/server.go
+++ b/pkg/standin/fakestore/server.go
@@ -29,7 +29,7 @@
 // Serve serves the stand-in over HTTP on address until stop is called. It fails
 // when it cannot listen there.
 func Serve(s *Store, address string) (stop func(), err error) {
-	return httpserver.Start(address, func(h *server.Hertz) {
+	return httpserver.Start(address, nil, func(h *server.Hertz) {
 		h.POST(store.PathGet, handle(s.serveGet))
 		h.POST(store.PathScan, handle(s.serveScan))
 		h.POST(store.PathBatch, handle(s.serveBatch))
