Short answers behind unread ones count as memory of callers

Sixteen answers may wait on a connection for one that its caller does not read. Those of 16 kB or less did not count, so that each connection could hold another 256 kB. All answers that are held for their turn now count; a single short answer is still part of what a connection takes up.

--- a/pkg/ingress/answer_writer.go
+++ b/pkg/ingress/answer_writer.go
@@ -12,8 +12,8 @@
 	writePieceBytes = 64 << 10
 	// writeStallTimeout is how long a caller may take for a piece of an answer.
 	writeStallTimeout = time.Minute
-	// ordinaryAnswerBytes is the size up to which an answer is part of what any connection
-	// takes up.
+	// ordinaryAnswerBytes is the size up to which a single answer is part of what any
+	// connection takes up.
 	ordinaryAnswerBytes = 16 << 10
 )
 
--- a/pkg/ingress/pipelining.go
+++ b/pkg/ingress/pipelining.go
@@ -110,7 +110,7 @@
 // closes, because keep-alives may have been stopped while the request ran.
 func (s *Server) answerDirectly(c *pipelinedConn, w http.ResponseWriter, req *forward.Request, result call.Result) {
 	c.reader.unwatch()
-	defer c.holdAnswer(&result)()
+	defer c.holdAnswer(&result, ordinaryAnswerBytes)()
 	if c.options.closeAfterAnswer() {
 		w.Header().Set("Connection", "close")
 	}
@@ -150,7 +150,7 @@
 		s.closeAfterPanic(c, req, o.panicked)
 		return
 	}
-	release := c.holdAnswer(&o.result)
+	release := c.holdAnswer(&o.result, 0)
 	out := newBufferedAnswer(req.Method)
 	s.writeAnswer(out, req, o.result)
 	out.release = release
--- a/pkg/ingress/request_memory.go
+++ b/pkg/ingress/request_memory.go
@@ -67,10 +67,10 @@
 	return bytes, !r.headRefused
 }
 
-// holdAnswer makes an answer count as memory of the connection until release is called, unless
-// it is ordinary. Where it exceeds the memory for callers, a refusal replaces it.
-func (c *pipelinedConn) holdAnswer(result *call.Result) (release func()) {
-	if result.Refusal != nil || len(result.Answer.Body) <= ordinaryAnswerBytes {
+// holdAnswer makes an answer of more than uncounted bytes count as memory of the connection until
+// release is called. Where it exceeds the memory for callers, a refusal replaces it.
+func (c *pipelinedConn) holdAnswer(result *call.Result, uncounted int) (release func()) {
+	if result.Refusal != nil || len(result.Answer.Body) <= uncounted {
 		return func() {}
 	}
 	bytes, entry := len(result.Answer.Body), c.options.entry
