executor: calls that wait at the end of a drain are refused as not run

What callers saw: 502 link_lost, ran maybe, for calls of rushramp's own HTTP interface that waited at the gate of an executor when its drain ended. They had not run; a call that must never be repeated was locked for nothing.

Cause: only routed requests were refused before the links close.

TestWaitingCallsAreRefusedAtTheEndOfADrain does not build before.

--- a/pkg/daemon/drain.go
+++ b/pkg/daemon/drain.go
@@ -27,7 +27,8 @@
 	acceptUntil time.Time
 	// lastDeadline is the latest deadline that a request may have to be accepted.
 	lastDeadline time.Time
-	// abortAt is when routed requests in flight are aborted. Their callers get refusals.
+	// abortAt is when routed requests in flight are aborted and waiting calls are refused. Their
+	// callers get refusals.
 	abortAt time.Time
 	// end is when calls in flight are cut.
 	end time.Time
@@ -63,9 +64,9 @@
 	<-d.started
 	schedule := newDrainSchedule(startedAt, d.Settings)
 	d.drainEnd.Store(&schedule.end)
+	abort := time.AfterFunc(time.Until(schedule.abortAt), d.abort)
+	defer abort.Stop()
 	if d.routed != nil {
-		abort := time.AfterFunc(time.Until(schedule.abortAt), d.routed.abort)
-		defer abort.Stop()
 		d.routed.drain(schedule)
 	}
 	d.World.View.SetLeaving()
@@ -76,6 +77,17 @@
 	d.awaitCalls(schedule)
 }
 
+// abort refuses the calls that have not run at the end of a drain, and ends the routed requests
+// that are still in flight.
+func (d *Daemon) abort() {
+	if d.Executor != nil {
+		d.Executor.RefuseWaiting()
+	}
+	if d.routed != nil {
+		d.routed.abort()
+	}
+}
+
 // drainPollInterval is the time between two checks for calls in flight during a drain.
 const drainPollInterval = 5 * time.Millisecond
 
--- a/pkg/executor/executor_test.go
+++ b/pkg/executor/executor_test.go
@@ -154,3 +154,25 @@
 	test.Eq(t, 2, b.Ledger().Runs()["id"].Times)
 	test.Eq(t, 0, e.Gate().InFlight())
 }
+
+// TestWaitingCallsAreRefusedAtTheEndOfADrain: they ended with LinkLost, as if they might have run,
+// when the links of their executor closed.
+func TestWaitingCallsAreRefusedAtTheEndOfADrain(t *testing.T) {
+	e, b := start(t, nil)
+	results := make(chan call.Result, 3)
+	for range 3 {
+		c := subsetCall()
+		c.Headers = append(c.Headers, wire.Header{Name: standin.HeaderWork, Value: "100000"})
+		e.Execute(&c, nil, func(r call.Result) { results <- r })
+	}
+	e.Leave()
+	e.RefuseWaiting()
+	waiting := <-results
+	must.NotNil(t, waiting.Refusal)
+	test.Eq(t, errkind.Leaving, waiting.Refusal.Kind)
+	test.Eq(t, errkind.RanNo, waiting.Refusal.Ran)
+	for range 2 {
+		test.NotNil(t, (<-results).Answer)
+	}
+	test.Eq(t, 2, b.Ledger().Runs()["id"].Times)
+}
--- a/pkg/executor/offer.go
+++ b/pkg/executor/offer.go
@@ -69,4 +69,12 @@
 	}
 }
 
+// RefuseWaiting refuses the calls that wait at the gate, since the daemon stops before they could
+// run.
+func (e *Executor) RefuseWaiting() {
+	for _, job := range e.gate.DrainQueue() {
+		job.RefuseDrained(errLeaving())
+	}
+}
+
 func errLeaving() *errkind.Error { return errkind.New(errkind.Leaving, "the executor is leaving") }
