--- a/pkg/backend/endless_test.go
+++ b/pkg/backend/endless_test.go
@@ -188,7 +188,7 @@
 	replies := make(chan Reply, 3)
 	for n := range int64(3) {
 		go func() { replies <- do(t, tr, newGetRequest(fmt.Sprint("held-", n))) }()
-		for budget.held.Load() < (n+1)*maxBody {
+		for budget.held.Load() != (n+1)*maxBody {
 			time.Sleep(time.Millisecond)
 		}
 	}
