No server for connections is started after the shutdown

What callers may see: a connection that a stopping daemon accepts right before its listener closes, after the configuration's limits have changed, is served by a server that nobody waits for: its request is cut with the end of the process (LOST).

Cause: the acceptor replaced its server for new limits also after shutdown.

Change: it keeps the last one, which takes no connection any more; one that is handed over at that moment is closed unread.

Evidence: TestNoServerIsStartedAfterTheShutdown, which fails before; no run with real processes has shown it.

--- a/pkg/ingress/acceptor.go
+++ b/pkg/ingress/acceptor.go
@@ -44,6 +44,9 @@
 
 	mu      sync.Mutex
 	current *limitedServer
+	// stopped is true once shutdown has been called. The current server, which accepts no
+	// further connections, is not replaced then.
+	stopped bool
 	// retired holds the earlier servers that may still have open connections.
 	retired []*limitedServer
 }
@@ -83,7 +86,7 @@
 	limits := connLimitsOf(a.limits())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.current != nil && a.current.limits == limits {
+	if a.current != nil && (a.stopped || a.current.limits == limits) {
 		return a.current
 	}
 	if a.current != nil {
@@ -111,6 +114,10 @@
 // flight until ctx ends, and abort those that are left.
 func (a *acceptor) shutdown(ctx context.Context) {
 	_ = a.listener.Close()
+	a.currentServer()
+	a.mu.Lock()
+	a.stopped = true
+	a.mu.Unlock()
 	var wg sync.WaitGroup
 	for _, s := range a.servers() {
 		wg.Go(func() { s.shutdown(ctx) })
--- a/pkg/ingress/limited_server.go
+++ b/pkg/ingress/limited_server.go
@@ -253,7 +253,13 @@
 func (s *limitedServer) Accept() (net.Conn, error) {
 	select {
 	case c := <-s.conns:
-		return c, nil
+		select {
+		case <-s.done:
+			c.(*pipelinedConn).closeNow()
+			return nil, net.ErrClosed
+		default:
+			return c, nil
+		}
 	case <-s.done:
 		return nil, net.ErrClosed
 	}
