--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -345,7 +345,7 @@
 		Limits: Limits{
 			// The smallest daemon processes have 184 MB of memory and use 17 MB of it without
 			// large bodies. The garbage collector may let the memory for held bodies double.
-			MaxBodyBytes: 8 << 20, BodiesBytes: 64 << 20, AnswersBytes: 32 << 20, MaxHeaderBytes: 16 << 10,
+			MaxBodyBytes: 8 << 20, BodiesBytes: 64 << 20, AnswersBytes: 128 << 20, MaxHeaderBytes: 16 << 10,
 			// Callers have up to 3 unanswered requests per connection, with answers
 			// of up to 30 kB, and up to 26 connections per daemon. These hold at most 26 x
 			// (256 kB read ahead + 256 kB + 3 x 30 kB), 16 MB of the 184 MB.
