A slow body no longer keeps other callers out

Cause: the announced length was reserved at once, and any byte counted as progress, so that nothing could make room.

Change: the bytes of an announced body are reserved with its buffer, which grows to four times what has arrived. A peer makes progress with 1 kB, and with the first bytes of a request. The last eighth of limits.bodies_bytes is kept for bodies of 64 kB or less, except from a large one that is alone.

--- a/pkg/bodies/budget.go
+++ b/pkg/bodies/budget.go
@@ -29,9 +29,22 @@
 // Limit returns the number of bytes that may be reserved at a time.
 func (b *Budget) Limit() int64 { return b.limit }
 
-// reserve takes n bytes. Where they would exceed the limit it takes none and returns false.
-func (b *Budget) reserve(n int64) bool {
-	if b.reserved.Add(n) <= b.limit {
+const (
+	// smallBytes is the size up to which a body is small. The part 1/smallShare of the limit is
+	// kept for small bodies, except from a large one that is alone.
+	smallBytes = 64 << 10
+	smallShare = 8
+)
+
+// reserve takes n bytes for a body that has taken own bytes. Where they would exceed the limit it
+// takes none and returns false.
+func (b *Budget) reserve(n, own int64) bool {
+	total := b.reserved.Add(n)
+	limit := b.limit
+	if isAlone := total == own+n; own+n > smallBytes && !isAlone {
+		limit -= limit / smallShare
+	}
+	if total <= limit {
 		return true
 	}
 	b.reserved.Add(-n)
@@ -48,6 +61,18 @@
 // NewReservation returns a reservation of no bytes.
 func (b *Budget) NewReservation() *Reservation { return &Reservation{budget: b} }
 
+// HasRoom reports whether n more bytes could be reserved now.
+func (r *Reservation) HasRoom(n int64) bool {
+	if n <= 0 {
+		return true
+	}
+	if !r.budget.reserve(n, r.bytes.Load()) {
+		return false
+	}
+	r.budget.reserved.Add(-n)
+	return true
+}
+
 // Grow reserves n more bytes. It returns false, and reserves nothing, where the budget
 // has fewer left.
 func (r *Reservation) Grow(n int64) bool {
@@ -60,7 +85,7 @@
 	if n <= 0 {
 		return true
 	}
-	for !r.budget.reserve(n) {
+	for !r.budget.reserve(n, r.bytes.Load()) {
 		if !makeRoom() {
 			r.budget.refused.Inc()
 			return false
--- a/pkg/connections/entry.go
+++ b/pkg/connections/entry.go
@@ -9,9 +9,10 @@
 // nothing.
 type Entry struct {
 	table *Table
-	// progressAt is when the peer last sent or took bytes or was answered, as a time since
-	// the start of the table.
+	// progressAt is when the peer last made progress or was answered, as a time since the
+	// start of the table. received counts the bytes that it has sent since then.
 	progressAt atomic.Int64
+	received   atomic.Int64
 	// runs counts the requests that run; the peer does not keep a connection waiting then.
 	runs atomic.Int32
 	// writes counts the writes that have not ended, and writeAt is when the peer last took
@@ -27,9 +28,21 @@
 	body Body
 }
 
-// Progress records that the peer has sent or taken bytes.
+// minProgressBytes is how many bytes a peer has to send to make progress. A byte now and then is
+// none.
+const minProgressBytes = 1 << 10
+
+// Received records that the peer has sent bytes.
+func (e *Entry) Received(bytes int) {
+	if e != nil && e.received.Add(int64(bytes)) >= minProgressBytes {
+		e.Progress()
+	}
+}
+
+// Progress records that the peer makes progress.
 func (e *Entry) Progress() {
 	if e != nil {
+		e.received.Store(0)
 		e.progressAt.Store(int64(time.Since(e.table.start)))
 	}
 }
--- a/pkg/connections/listener.go
+++ b/pkg/connections/listener.go
@@ -41,7 +41,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.entry.Progress()
+		c.entry.Received(n)
 	}
 	return n, err
 }
--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -34,7 +34,7 @@
 	}
 	memory.entry.BeginBody(memory.Reservation)
 	defer memory.entry.EndBody()
-	if !memory.growBody(r.ContentLength) {
+	if !memory.makeRoomForBody(r.ContentLength) {
 		return nil, s.refuseOverBudget(w)
 	}
 	timeout := min(s.forwarder.Timeout(req), maxBodyTime)
@@ -72,18 +72,45 @@
 	return errkind.New(errkind.Overloaded, "request bodies hold %d of the %d bytes in limits.bodies_bytes", s.Bodies.Reserved(), s.Bodies.Limit())
 }
 
-// readBody reads a whole body. length is the announced length, whose bytes are reserved
-// already, or -1 for a chunked body, whose bytes are reserved as they arrive. read is the number
-// of bytes that were read.
+// readBody reads a whole body of an announced length, or of an unknown one (-1). Its bytes are
+// reserved as they arrive. read is the number of bytes that were read.
 func readBody(src io.Reader, length int64, memory *requestMemory) (data []byte, read int, err error) {
 	if length >= 0 {
-		data = make([]byte, length)
-		read, err = io.ReadFull(src, data)
-		return data, read, err
+		return readSized(src, length, memory.growBody)
 	}
 	return readPieces(src, memory.growBody)
 }
 
+const (
+	// firstSizedBytes is the size of the first buffer for a body of an announced length, and
+	// sizedGrowth the factor by which it grows. A caller that announces a large body holds no
+	// more than this multiple of what it has sent.
+	firstSizedBytes = 64 << 10
+	sizedGrowth     = 4
+)
+
+// readSized reads length bytes of src. It calls grow for the bytes of its buffer, and returns
+// errOverBudget where that returns false.
+func readSized(src io.Reader, length int64, grow func(n int64) bool) (data []byte, read int, err error) {
+	for int64(len(data)) < length {
+		if len(data) == cap(data) {
+			size := min(max(sizedGrowth*int64(cap(data)), firstSizedBytes), length)
+			if !grow(size - int64(cap(data))) {
+				return nil, len(data), errOverBudget
+			}
+			larger := make([]byte, len(data), size)
+			copy(larger, data)
+			data = larger
+		}
+		n, err := src.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		if err != nil && int64(len(data)) < length {
+			return nil, len(data), err
+		}
+	}
+	return data, len(data), nil
+}
+
 const (
 	minPieceBytes = 512
 	maxPieceBytes = 256 << 10
--- a/pkg/ingress/conn_reader.go
+++ b/pkg/ingress/conn_reader.go
@@ -171,7 +171,7 @@
 		return 0, err
 	}
 	r.arrivedAt = time.Now()
-	r.entry.Progress()
+	r.recordArrival(n)
 	returned := r.bytesToReturn(p[:n])
 	if returned < n {
 		r.buffer(p[returned:n])
@@ -182,6 +182,16 @@
 	return returned, nil
 }
 
+// recordArrival records that bytes have arrived, for the table of connections. The first bytes of a
+// head are progress of a connection that was idle.
+func (r *connReader) recordArrival(bytes int) {
+	if r.inHead && r.headEnd == (headEndFinder{}) {
+		r.entry.Progress()
+		return
+	}
+	r.entry.Received(bytes)
+}
+
 // bytesUpToHeadEnd returns how many bytes of p a Read returns: those up to the end of the
 // head if the head ends in p, all of them otherwise.
 func (r *connReader) bytesUpToHeadEnd(p []byte) int {
--- a/pkg/ingress/read_ahead.go
+++ b/pkg/ingress/read_ahead.go
@@ -34,8 +34,8 @@
 	buf := make([]byte, maxReadBytes)
 	for {
 		n, err := r.conn.Read(buf)
-		r.entry.Progress()
 		r.mu.Lock()
+		r.recordArrival(n)
 		if r.stopped {
 			r.unreadBytes += n
 		} else if n > 0 {
--- a/pkg/ingress/request_memory.go
+++ b/pkg/ingress/request_memory.go
@@ -33,6 +33,17 @@
 	return m.GrowOr(n, m.entry.EvictBody)
 }
 
+// makeRoomForBody reports whether a body of an announced length, or of an unknown one (-1), fits
+// the budget now. Bodies of other callers that have stalled make room.
+func (m *requestMemory) makeRoomForBody(length int64) bool {
+	for !m.HasRoom(length) {
+		if !m.entry.EvictBody() {
+			return false
+		}
+	}
+	return true
+}
+
 // newRequestMemory returns the memory of a request whose head has been read on c, which may be
 // nil. ok is false when the head exceeds the memory for callers.
 func (s *Server) newRequestMemory(c *pipelinedConn) (memory *requestMemory, ok bool) {
