Bodies of requests take up their size once

Cause: the executor appended the parts of a body to a buffer that grew, and the entry joined the pieces of a chunked one.

Change: the executor allocates the stated size once. From 1 MB on, a chunked body is read into a buffer that doubles, up to the limit on bodies.

--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -40,7 +40,7 @@
 	timeout := min(s.forwarder.Timeout(req), maxBodyTime)
 	// This fails only on connections that do not support deadlines.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
-	data, read, err := readBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, memory)
+	data, read, err := readBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, memory)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -72,13 +72,13 @@
 	return errkind.New(errkind.Overloaded, "request bodies hold %d of the %d bytes in limits.bodies_bytes", s.Bodies.Reserved(), s.Bodies.Limit())
 }
 
-// readBody reads a whole body of an announced length, or of an unknown one (-1). Its bytes are
-// reserved as they arrive. read is the number of bytes that were read.
-func readBody(src io.Reader, length int64, memory *requestMemory) (data []byte, read int, err error) {
+// readBody reads a whole body of an announced length, or of an unknown one (-1) of up to limit
+// bytes. Its bytes are reserved as they arrive. read is the number of bytes that were read.
+func readBody(src io.Reader, length, limit int64, memory *requestMemory) (data []byte, read int, err error) {
 	if length >= 0 {
 		return readSized(src, length, memory.growBody)
 	}
-	return readPieces(src, memory.growBody)
+	return readPieces(src, limit, memory.growBody)
 }
 
 const (
@@ -114,12 +114,14 @@
 const (
 	minPieceBytes = 512
 	maxPieceBytes = 256 << 10
+	// maxPiecesBytes is how much of a body is received in pieces.
+	maxPiecesBytes = 1 << 20
 )
 
-// readPieces reads src to its end. It calls grow for the bytes that it has read, and returns
+// readPieces reads src, of up to limit bytes, to its end. It calls grow for the bytes that it has read, and returns
 // errOverBudget where that returns false. Unlike io.ReadAll, it takes up little more memory
 // than these bytes while src has not ended.
-func readPieces(src io.Reader, grow func(n int64) bool) (data []byte, read int, err error) {
+func readPieces(src io.Reader, limit int64, grow func(n int64) bool) (data []byte, read int, err error) {
 	var pieces [][]byte
 	piece := make([]byte, 0, minPieceBytes)
 	for {
@@ -139,5 +141,37 @@
 			pieces = append(pieces, piece)
 			piece = make([]byte, 0, min(2*cap(piece), maxPieceBytes))
 		}
+		if read >= maxPiecesBytes {
+			return readGrowing(bytes.Join(append(pieces, piece), nil), src, limit, grow)
+		}
+	}
+}
+
+// readGrowing reads the rest of src behind data, into a buffer that doubles. It calls grow for the
+// bytes of the buffer beyond data. Joining pieces would take up twice the size of the body.
+func readGrowing(data []byte, src io.Reader, limit int64, grow func(n int64) bool) (whole []byte, read int, err error) {
+	data = data[:len(data):len(data)]
+	for {
+		// The end of src needs no larger buffer.
+		var next [1]byte
+		n, err := src.Read(next[:])
+		if n > 0 && len(data) == cap(data) {
+			size := max(min(2*int64(len(data)), limit), int64(len(data))+1)
+			if !grow(size - int64(len(data))) {
+				return nil, len(data), errOverBudget
+			}
+			data = append(make([]byte, 0, size), data...)
+		}
+		data = append(data, next[:n]...)
+		for err == nil && len(data) < cap(data) {
+			n, err = src.Read(data[len(data):cap(data)])
+			data = data[:len(data)+n]
+		}
+		switch {
+		case err == io.EOF:
+			return data, len(data), nil
+		case err != nil:
+			return nil, len(data), err
+		}
 	}
 }
--- a/pkg/wire/body.go
+++ b/pkg/wire/body.go
@@ -54,6 +54,10 @@
 		return ErrBodyCut
 	}
 	a.nextSeq++
+	if uint64(cap(a.data)) < a.expected.Size {
+		// One buffer for the whole body: growing it would take up several times its size.
+		a.data = append(make([]byte, 0, a.expected.Size), a.data...)
+	}
 	a.data = append(a.data, chunk.Data...)
 	return nil
 }
