A connection is not evicted while its request starts

What callers may see: a kept connection that closes without an answer although its next request was passed on (LOST), on a daemon that makes room for others.

Cause: the table of connections chooses an idle connection and closes it on another goroutine, without looking again.

Change: a connection whose answer is not being taken is closed as before; any other only if no request has started, under the lock that lets requests start.

Evidence: by reading, and the review's replay of the interleaving; the tests of pkg/ingress pass.

--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -305,11 +305,18 @@
 // evict closes the connection because the table of connections needs its room. Bytes of an
 // answer that the caller does not take are discarded in the kernel, too.
 func (c *pipelinedConn) evict() {
-	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok && c.options.entry.IsWriting() {
-		// This fails only on a connection that has closed already.
-		_ = socket.SetLinger(0)
+	if c.options.entry.IsWriting() {
+		if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+			// This fails only on a connection that has closed already.
+			_ = socket.SetLinger(0)
+		}
+		c.closeNow()
+		return
+	}
+	// A request may have started since the table has chosen this connection.
+	if c.answers.closeIfIdle() {
+		c.closeNow()
 	}
-	c.closeNow()
 }
 
 // closeNow closes the connection and cancels its requests.
