More peers may open links at the same time

The table of connections that are not links yet admitted 152 at 160 MB, fewer than a large fleet may dial after a power-off; now 416.

--- a/pkg/connections/limits.go
+++ b/pkg/connections/limits.go
@@ -37,7 +37,7 @@
 
 // The limits of connections to the listener of links that are not links yet.
 const (
-	handshakeBytes       = 64 << 10
+	handshakeBytes       = 24 << 10
 	handshakeMemoryShare = 16
 )
 
