--- a/pkg/link/server.go
+++ b/pkg/link/server.go
@@ -153,9 +153,9 @@
 		sess.Close()
 		return
 	}
+	defer close(sess.done)
+	defer s.removeSession(sess)
 	sess.run()
-	s.removeSession(sess)
-	close(sess.done)
 }
 
 // addSession adds an accepted link. It returns false once the server has stopped.
