The time of a drain counts from the signal, also during the start

By reading (the review): a SIGTERM during a slow start began the drain when the start had ended, so that the drain could last beyond the grace time, and requests accepted by its schedule could be cut by SIGKILL.

The tests of stops pass; none has a slow start.

--- a/pkg/daemon/command.go
+++ b/pkg/daemon/command.go
@@ -48,6 +48,8 @@
 // serve runs the daemon until it has drained: once ctx has ended, by an operator's drain, or
 // when the platform marks the VM as leaving. hup receives SIGHUP.
 func serve(ctx context.Context, path string, s *settings.Settings, adapters Adapters, hup <-chan os.Signal) error {
+	signalled := make(chan time.Time, 1)
+	defer context.AfterFunc(ctx, func() { signalled <- time.Now() })()
 	limitMemory(s.Limits.MemoryBytes)
 	level, _ := events.ParseLevel(s.Log.Level)
 	bounds := events.Bounds{LinesPerSecond: s.Log.LinesPerSecond, BytesPerSecond: s.Log.BytesPerSecond, BufferBytes: s.Log.BufferBytes}
@@ -62,8 +64,8 @@
 	}
 	go newReloader(d, path, *s, hup).run(d.env.DaemonContext)
 	select {
-	case <-ctx.Done():
-		d.Leave()
+	case at := <-signalled:
+		d.leaveSince(at)
 		<-d.Drained()
 	case <-d.Drained():
 	}
--- a/pkg/daemon/drain.go
+++ b/pkg/daemon/drain.go
@@ -9,13 +9,15 @@
 	"github.com/rushramp/rushramp/pkg/tables"
 )
 
-// Leave begins to drain the daemon and returns at once. It is called on SIGTERM, by an
-// operator's drain, and when the platform marks the VM as leaving. Source:
-// docs/design/members.md.
-func (d *Daemon) Leave() {
+// Leave begins to drain the daemon and returns at once. It is called by an operator's drain, and
+// when the platform marks the VM as leaving. Source: docs/design/members.md.
+func (d *Daemon) Leave() { d.leaveSince(time.Now()) }
+
+// leaveSince is Leave for an order to leave that came earlier, such as a signal during the start.
+func (d *Daemon) leaveSince(orderedAt time.Time) {
 	d.leaveOnce.Do(func() {
 		d.Log.Event(events.DaemonDraining, events.F("calls_in_flight", d.InFlight()))
-		go d.drainInOrder(time.Now())
+		go d.drainInOrder(orderedAt)
 	})
 }
 
