--- a/pkg/ingress/late_limits_test.go
+++ b/pkg/ingress/late_limits_test.go
@@ -25,8 +25,8 @@
 	a.shutdown(t.Context())
 	limits.MaxHeaderBytes = 2000
 	caller, accepted := net.Pipe()
-	go a.currentServer().serveConn(accepted)
 	must.NoError(t, caller.SetDeadline(time.Now().Add(10*time.Second)))
+	go a.currentServer().serveConn(accepted)
 	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	test.Error(t, err, test.Sprint("the connection is closed without reading a request"))
 }
