--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -284,8 +284,8 @@
 }
 
 // InFlight returns the number of calls and routed requests that have not ended, or whose results
-// are not sent to their callers or entries yet. One whose entry and executor are both this daemon counts
-// twice.
+// are not sent to their callers or entries yet. One whose entry and executor are both this daemon
+// counts twice.
 func (d *Daemon) InFlight() int64 {
 	out := int64(0)
 	if server := d.callers.Load(); server != nil {
--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -118,9 +118,9 @@
 	maxPiecesBytes = 1 << 20
 )
 
-// readPieces reads src, of up to limit bytes, to its end. It calls grow for the bytes that it has read, and returns
-// errOverBudget where that returns false. Unlike io.ReadAll, it takes up little more memory
-// than these bytes while src has not ended.
+// readPieces reads src, of up to limit bytes, to its end. It calls grow for the bytes that it has
+// read, and returns errOverBudget where that returns false. Unlike io.ReadAll, it takes up little
+// more memory than these bytes while src has not ended.
 func readPieces(src io.Reader, limit int64, grow func(n int64) bool) (data []byte, read int, err error) {
 	var pieces [][]byte
 	piece := make([]byte, 0, minPieceBytes)
--- a/pkg/link/conn.go
+++ b/pkg/link/conn.go
@@ -111,8 +111,8 @@
 }
 
 // Send queues frames in order, except that chunks of bodies are sent after other frames. It
-// returns ErrClosed if the link is closed or shut down. If too many frames are queued, it closes the link
-// and returns ErrClosed. Frames that were queued without an error may not reach the peer.
+// returns ErrClosed if the link is closed or shut down. If too many frames are queued, it closes
+// the link and returns ErrClosed. Frames that were queued without an error may not reach the peer.
 func (c *Conn) Send(frames ...wire.Frame) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -194,9 +194,10 @@
 	return 0
 }
 
-// nextBatch waits for queued frames, and appends them to batch, whose former frames were
-// written: one chunk of a body at most, and all other frames. So a frame is never delayed by more than one chunk of a large body.
-// It returns nil when the link is closed, or shut down and no frame is left.
+// nextBatch waits for queued frames, and appends them to batch: one chunk of a body at most, and
+// all other frames. So a frame is never delayed by more than one chunk of a large body. The frames
+// of the batch before were written. nextBatch returns nil when the link is closed, or shut down and
+// no frame is left.
 func (c *Conn) nextBatch(batch []wire.Frame) []wire.Frame {
 	c.mu.Lock()
 	defer c.mu.Unlock()
