--- a/review/_cases2/trickle.go
+++ b/review/_cases2/trickle.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -25,6 +27,10 @@
 // trickle: many clients of one machine send chunked bodies in chunks of one byte that do not come
 // to their end. Ordinary clients of that machine try meanwhile.
 func trickle(trouble bool) (*world, error) {
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < trickleClients+500 {
+		return nil, fmt.Errorf("the limit on open files is %d: too few for %d clients", files.Cur, trickleClients)
+	}
 	w, err := newWorld([]string{"alpha", "alpha", "beta"})
 	if err != nil {
 		return nil, err
