A reset under an upload ends no body of a response

What callers saw: a backend server answered a long upload at once, without a length, sent a part of its body and reset the connection while the upload was being written. The caller got that part as a whole answer, 200 and all (MIXED).

Cause: a body without a length ends with the connection. The kernel reports a reset once, to whoever uses the socket next. While the request is being written that is mostly its writer; the reader then sees an orderly end. The transport looked at the writer's error only to decide whether the connection is kept.

Change: the reader does not deliver such a response before the write of the request has ended, and drops it if the write failed. It waits on the write itself, so no order of the two ends is left in which one is missed; a deadline closes the connection and with it ends the write. Responses with a length or in chunks, and those to a request that was written whole, are as before.

--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -116,10 +116,7 @@
 	if !t.opts.Answers.hasRoom() {
 		return newRefusal(errkind.Overloaded, false, "answers hold %d of the %d bytes in limits.answers_bytes", t.opts.Answers.held.Load(), t.opts.Answers.limit)
 	}
-	ex := &exchange{
-		id: req.ID, request: &http.Request{Method: req.Method},
-		response: make(chan *response, 1), failure: make(chan error, 1),
-	}
+	ex := newExchange(req)
 	c, err := t.acquire(ctx, ex, req.Repeatable)
 	if err != nil {
 		return newRefusal(errkind.BackendUnreachable, false, "%v", err)
@@ -129,16 +126,15 @@
 
 // roundTrip writes the request and waits for the response.
 func (t *Transport) roundTrip(ctx context.Context, c *conn, ex *exchange, req *Request) Reply {
-	written := make(chan error, 1)
 	head := t.buildHead(ctx, req)
 	if len(req.Body) <= maxInlineBodyBytes {
-		written <- writeRequest(c, head, req.Body)
+		ex.write(c, head, req.Body)
 	} else {
-		go func() { written <- writeRequest(c, head, req.Body) }()
+		go ex.write(c, head, req.Body)
 	}
 	select {
 	case resp := <-ex.response:
-		t.release(c, written, parseKeepAlive(resp.header.Get("Keep-Alive")))
+		t.release(c, ex, parseKeepAlive(resp.header.Get("Keep-Alive")))
 		return t.classify(resp)
 	case err := <-ex.failure:
 		return newRefusal(failureKind(err), true, "%v", err)
@@ -294,22 +290,18 @@
 // release keeps the connection for further requests; idleTimeout is what the response states
 // of it, 0 for nothing. It closes the connection instead if the request's body was not fully
 // written: the rest of it would be read as the next request.
-func (t *Transport) release(c *conn, written <-chan error, idleTimeout time.Duration) {
-	select {
-	case err := <-written:
-		if err == nil && c.isOpen() {
-			c.lastUsed = t.opts.Now()
-			if idleTimeout > 0 {
-				c.idleTimeout = idleTimeout
-			}
-			t.mu.Lock()
-			t.idle = append(t.idle, c)
-			t.mu.Unlock()
-			return
-		}
-	default:
+func (t *Transport) release(c *conn, ex *exchange, idleTimeout time.Duration) {
+	if !ex.isWritten() || !c.isOpen() {
+		_ = c.Close()
+		return
 	}
-	_ = c.Close()
+	c.lastUsed = t.opts.Now()
+	if idleTimeout > 0 {
+		c.idleTimeout = idleTimeout
+	}
+	t.mu.Lock()
+	t.idle = append(t.idle, c)
+	t.mu.Unlock()
 }
 
 // classify turns a response into a reply. Only status 421 and the NotExecuted header
