A status below 200 that is not interim ends its request with a failure

What callers saw: a backend server in trouble answered with status 000 (or 101, which nobody asks for), and the bytes behind its head were read as the answer to the request: a 200 that the backend server had not given (MIXED).

Cause: http.ReadResponse takes any three digits, and the transport took all below 200 for interim responses, which have no body, and read on.

Change: pkg/httphead tells interim statuses (100 to 199 without 101) and final ones (200 to 999) from all others, which close the connection.

A 000 with a body of its own was refused before, too, for the body is no response.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/httphead"
 )
 
 // errUnexpectedBytes closes a connection that received bytes which belong to no pending
@@ -205,9 +207,12 @@
 	if err != nil {
 		return false, err
 	}
-	if resp.StatusCode < http.StatusOK {
+	if httphead.IsInterim(resp.StatusCode) {
 		return false, nil
 	}
+	if err := httphead.CheckStatus(resp.StatusCode); err != nil {
+		return false, err
+	}
 	// maxBodyBytes limits the body; net/http limits trailers and the lines of chunks.
 	c.source.remaining = math.MaxInt64
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
