A field whose name is not a token makes a response no answer

What callers saw: a backend server in trouble sent a head with a blank in the name of a field. The caller got the answer with that line in it, and where the name was "Content-Length " or "Transfer-Encoding " with a body that the backend server had not meant: the bytes up to the end of the connection, sizes of chunks among them (MIXED).

Cause: net/textproto keeps names with blanks as they stand, so that neither a length nor a coding under such a name is heeded. A control byte in a name, and one in a value, it rejects by itself.

Change: httphead.CheckFields checks names (tokens) and values (no control bytes) before the response is framed, interim ones among them, and the connection is closed.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -207,6 +207,9 @@
 	if err != nil {
 		return false, err
 	}
+	if err := httphead.CheckFields(resp.Header); err != nil {
+		return false, err
+	}
 	if httphead.IsInterim(resp.StatusCode) {
 		return false, nil
 	}
--- a/pkg/backend/response_head_test.go
+++ b/pkg/backend/response_head_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -31,3 +32,30 @@
 		expectAnswer(t, got, "ok", status)
 	}
 }
+
+// badFieldNames holds names of fields that are no tokens, with a field line each.
+var badFieldNames = []string{
+	"Content-Length : 2", "Content-Length\t: 2", "Transfer-Encoding : chunked", "X Y: z", "X : z",
+	"X\x01: z", "\x01X: z", "X\x7f: z", "X\x00Y: z", "X\rY: z", "X\x80: z", "X(Y): z",
+}
+
+// TestAFieldNameThatIsNoTokenIsNoAnswer guards against a length or a coding that is not heeded
+// because of its name, and against lines that callers read in different ways.
+func TestAFieldNameThatIsNoTokenIsNoAnswer(t *testing.T) {
+	for _, line := range badFieldNames {
+		for _, framing := range []string{"Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "\r\nok"} {
+			got := do(t, respondWith(t, "HTTP/1.1 200 OK\r\nRushramp-Request-Id: %s\r\n"+line+"\r\n"+framing), newGetRequest("r"))
+			expectBroken(t, got, fmt.Sprintf("%q before %q", line, framing))
+		}
+	}
+	odd := "HTTP/1.1 200 OK\r\nRushramp-Request-Id: %s\r\n!#$%&'*+-.^_`|~9z: odd, but a token\r\nContent-Length: 2\r\n\r\nok"
+	expectAnswer(t, do(t, respondWith(t, odd), newGetRequest("r")), "ok", "a token of all kinds of bytes")
+}
+
+// TestAControlByteInAFieldIsNoAnswer checks the values of fields.
+func TestAControlByteInAFieldIsNoAnswer(t *testing.T) {
+	for _, value := range []string{"a\x00b", "a\x01b", "a\rb", "a\x7fb", "a\x1b[2J"} {
+		got := do(t, respondWith(t, "HTTP/1.1 200 OK\r\nRushramp-Request-Id: %s\r\nX: "+value+"\r\nContent-Length: 2\r\n\r\nok"), newGetRequest("r"))
+		expectBroken(t, got, fmt.Sprintf("%q", value))
+	}
+}
