Calls reach the backend server by the transport of routed requests

What callers saw: on rushramp's own interface, the answers of a backend server in trouble came through: status 000 as 200, 101 as 101, names with a blank and names and values with a control byte passed on, a body without a length that was reset after the request as whole.

Cause: the executor read answers with hertz's client, whose parser takes all of these. The status 000 cannot be told from 200 behind it, so no check beside it would do; it also writes a line to stderr for each, which no limit of logs counts.

Responses on this interface carry no request ID (TransportOptions.ResponsesLackID), and a 421 is the backend server's own answer there. Connections stay limited by backend_server.connections, with the same refusal. Method and path are checked before they are sent as they stand (httphead.CheckRequestLine); hertz escaped them. TestACallThatCrashesBackendServersIsQuarantined replaces the client where it set the address in it; its checks are the same.

A 413 with a length that is reset under the upload was lost before, and is passed on now (TestACompleteAnswerBeforeTheEndOfAnUpload).

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -90,7 +90,7 @@
 	// source limits the bytes that reader may read from the connection. Only readLoop uses both.
 	source *limitedSource
 	reader *bufio.Reader
-	// idHeader is the name of the header that carries the request ID.
+	// idHeader is the name of the header that carries the request ID; empty: responses have none.
 	idHeader     string
 	maxBodyBytes int64
 	answers      *AnswerBudget
@@ -111,7 +111,10 @@
 	source := &limitedSource{source: c}
 	out := &conn{
 		Conn: c, source: source, reader: bufio.NewReader(source),
-		idHeader: opts.Headers.RequestID, maxBodyBytes: int64(opts.MaxBodyBytes), answers: opts.Answers,
+		maxBodyBytes: int64(opts.MaxBodyBytes), answers: opts.Answers,
+	}
+	if !opts.ResponsesLackID {
+		out.idHeader = opts.Headers.RequestID
 	}
 	go out.readLoop()
 	return out
@@ -220,7 +223,7 @@
 	c.source.remaining = math.MaxInt64
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	last := resp.Close || !framed
-	if resp.Header.Get(c.idHeader) != ex.id {
+	if c.idHeader != "" && resp.Header.Get(c.idHeader) != ex.id {
 		if last {
 			return false, errUnexpectedBytes
 		}
--- a/pkg/backend/headers.go
+++ b/pkg/backend/headers.go
@@ -10,7 +10,7 @@
 )
 
 // Headers holds the names of the HTTP headers that daemon and backend server exchange.
-// They differ between platforms.
+// They differ between platforms. One with an empty name is not exchanged.
 type Headers struct {
 	// RequestID carries the request's ID to the backend server and back.
 	RequestID string
--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -39,9 +39,12 @@
 
 // TransportOptions are the settings of a Transport.
 type TransportOptions struct {
-	Address     string
-	Headers     Headers
-	DialTimeout time.Duration
+	Address string
+	Headers Headers
+	// ResponsesLackID is true if responses do not carry the request ID back. Each response is
+	// then taken for that to the pending request.
+	ResponsesLackID bool
+	DialTimeout     time.Duration
 	// MaxBodyBytes limits the body of a response, in bytes.
 	MaxBodyBytes int
 	// Answers limits the bodies of all responses that are held at a time.
@@ -172,7 +175,9 @@
 		header.Add(field.Name, field.Value)
 	}
 	header.Set(names.RequestID, req.ID)
-	header.Set(names.Caller, req.Caller)
+	if names.Caller != "" {
+		header.Set(names.Caller, req.Caller)
+	}
 	header.Del(names.Team)
 	if req.Team != "" {
 		header.Set(names.Team, req.Team)
@@ -310,7 +315,7 @@
 	names := t.opts.Headers
 	reports := names.parseReports(resp.header)
 	switch {
-	case resp.status == http.StatusMisdirectedRequest:
+	case resp.status == http.StatusMisdirectedRequest && names.ExpectedInstanceID != "":
 		resp.body.release()
 		out := newRefusal(errkind.BackendReplaced, false, "another instance answers at the backend server's address")
 		out.InstanceID = names.instanceID(resp.header)
--- a/pkg/executor/crash_test.go
+++ b/pkg/executor/crash_test.go
@@ -23,7 +23,8 @@
 		// The stand-in that start created keeps its address, so each simulated process
 		// of the backend server listens at a new one.
 		address := addresses.Next().Address(9000)
-		e.Settings.BackendServer.Address, e.backend.settings.Address = address, address
+		e.Settings.BackendServer.Address = address
+		e.backend = newBackendClient(e.Settings.BackendServer, e.Settings.Limits.MaxBodyBytes, e.Now)
 		listener, err := net.Listen("tcp", address)
 		must.NoError(t, err)
 		server := &http.Server{}
--- a/pkg/executor/executor.go
+++ b/pkg/executor/executor.go
@@ -65,17 +65,13 @@
 // returns the placement in force, or nil if there is none yet.
 func NewExecutor(c *common.Common, claims Claims, current func() *placement.Compiled) (*Executor, error) {
 	s := c.Settings
-	b, err := newBackendClient(s.BackendServer, s.Limits.MaxBodyBytes)
-	if err != nil {
-		return nil, err
-	}
 	workers, err := ants.NewPool(2*s.BackendServer.Slots, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, errors.Wrap(err, "create the worker pool")
 	}
 	e := &Executor{
 		Common:    c,
-		backend:   b,
+		backend:   newBackendClient(s.BackendServer, s.Limits.MaxBodyBytes, c.Now),
 		workers:   workers,
 		claims:    claims,
 		placement: current,
@@ -113,8 +109,11 @@
 // InFlight returns the number of calls that have not ended.
 func (e *Executor) InFlight() int64 { return e.inFlight.Load() }
 
-// Close releases the worker pool.
-func (e *Executor) Close() { e.workers.Release() }
+// Close releases the worker pool and closes the idle connections to the backend server.
+func (e *Executor) Close() {
+	e.workers.Release()
+	e.backend.close()
+}
 
 // Stamp returns the current load.
 func (e *Executor) Stamp() wire.Stamp { return e.gate.Stamp(e.Now()) }
--- a/pkg/httphead/status.go
+++ b/pkg/httphead/status.go
@@ -1,4 +1,4 @@
-// Package httphead checks heads of HTTP responses for what the parsers of libraries let through.
+// Package httphead checks heads of HTTP messages for what the parsers of libraries let through.
 // All readers of backend servers' answers check a head before they act on it.
 package httphead
 
--- a/pkg/standin/backend/backend.go
+++ b/pkg/standin/backend/backend.go
@@ -24,6 +24,9 @@
 	ReportLag time.Duration `yaml:"report_lag" json:"report_lag"`
 	// CutAnswers closes the connection in the middle of each answer.
 	CutAnswers bool `yaml:"cut_answers" json:"cut_answers"`
+	// Broken is the name of the entry in broken.Answers that is sent instead of each answer,
+	// without its resets; empty: none.
+	Broken string `yaml:"broken" json:"broken"`
 }
 
 // Options sets the number of slots, the cold start and the timers of the
--- a/pkg/standin/backend/server.go
+++ b/pkg/standin/backend/server.go
@@ -12,6 +12,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 
 	"github.com/rushramp/rushramp/pkg/httpserver"
+	"github.com/rushramp/rushramp/pkg/standin/broken"
 )
 
 // Request headers that control how the stand-in handles a call.
@@ -96,6 +97,11 @@
 		_ = c.GetConn().Close()
 		return
 	}
+	if answer, ok := broken.Answers[faults.Broken]; ok {
+		_, _ = c.GetConn().Write(answer.Bytes())
+		_ = c.GetConn().Close()
+		return
+	}
 	c.Data(http.StatusOK, "application/octet-stream", AnswerBody(id, intHeader(c, HeaderAnswer), c.Request.Body()))
 }
 
--- a/test/commands_test.go
+++ b/test/commands_test.go
@@ -251,7 +251,7 @@
 	}
 	speed, _ := strconv.ParseFloat(words["speed"], 64)
 	post(ts, "http://"+w.address.Address(loopback.PortBackend)+"/standin/faults", backend.Faults{
-		Speed: speed, FailFast: words["fail"] == "true", CutAnswers: words["cut"] == "true",
+		Speed: speed, FailFast: words["fail"] == "true", CutAnswers: words["cut"] == "true", Broken: words["broken"],
 	})
 }
 
