A transfer coding in HTTP/1.0 makes a response no answer

Cause: HTTP/1.0 has no transfer codings. net/http drops the field there, so that the body is read to the end of the connection, or to a length beside it, and nothing of it is left in what the parser returns. RFC 9112, section 6.1, takes the framing of such a message for faulty.

Change: the head of a response that begins with HTTP/1.0 is recorded while it is read, and refused if it has the field. Responses of HTTP/1.1 are not recorded.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"math"
 	"net"
@@ -124,6 +125,8 @@
 type limitedSource struct {
 	source    io.Reader
 	remaining int64
+	// record gets what is read; nil: nothing does.
+	record *bytes.Buffer
 }
 
 // Read implements io.Reader.
@@ -133,6 +136,9 @@
 	}
 	n, err := l.source.Read(p[:min(int64(len(p)), l.remaining)])
 	l.remaining -= int64(n)
+	if l.record != nil {
+		_, _ = l.record.Write(p[:n])
+	}
 	return n, err
 }
 
@@ -206,19 +212,13 @@
 	if ex == nil {
 		return false, errUnexpectedBytes
 	}
-	resp, err := http.ReadResponse(c.reader, ex.request)
+	resp, err := c.readHead(ex)
 	if err != nil {
 		return false, err
 	}
-	if err := httphead.CheckFields(resp.Header); err != nil {
-		return false, err
-	}
 	if httphead.IsInterim(resp.StatusCode) {
 		return false, nil
 	}
-	if err := httphead.CheckStatus(resp.StatusCode); err != nil {
-		return false, err
-	}
 	// maxBodyBytes limits the body; net/http limits trailers and the lines of chunks.
 	c.source.remaining = math.MaxInt64
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
