A response of another protocol than HTTP/1 is no answer

What callers saw: a backend server in trouble began its response with HTTP/2.0 or HTTP/0.9, and the caller got it as an answer.

Cause: net/http reads the head of any version of one digit each.

Change: the transport refuses all but HTTP/1.

--- a/pkg/backend/response_framing_test.go
+++ b/pkg/backend/response_framing_test.go
@@ -17,6 +17,8 @@
 		"two codings":                   head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.0 with a coding":        "HTTP/1.0 200 OK\r\nRushramp-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 		"HTTP/1.0, a long head":         "HTTP/1.0 200 OK\r\nRushramp-Request-Id: %s\r\nX: " + strings.Repeat("x", 20_000) + "\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/2.0":                      "HTTP/2.0 200 OK\r\nRushramp-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/0.9":                      "HTTP/0.9 200 OK\r\nRushramp-Request-Id: %s\r\nContent-Length: 2\r\n\r\nok",
 		"HTTP/1.0, a coding, a length":  "HTTP/1.0 200 OK\r\nRushramp-Request-Id: %s\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nok",
 		"a chunk with a negative size":  head + "Transfer-Encoding: chunked\r\n\r\n-2\r\nok\r\n0\r\n\r\n",
 		"a chunk longer than its size":  head + "Transfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n",
--- a/pkg/backend/response_head.go
+++ b/pkg/backend/response_head.go
@@ -44,8 +44,11 @@
 	return resp, checkHead(resp)
 }
 
-// checkHead returns an error for a head that net/http reads and that is no response's.
+// checkHead returns an error for a head that net/http reads and that is none of HTTP/1.
 func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return errors.Errorf("the response's protocol is %s", resp.Proto)
+	}
 	if err := httphead.CheckFields(resp.Header); err != nil {
 		return err
 	}
--- a/pkg/standin/broken/broken.go
+++ b/pkg/standin/broken/broken.go
@@ -43,6 +43,7 @@
 	"control-in-name":     {Text: "HTTP/1.1 200 OK\r\nX\x01Y: broken\r\n" + whole},
 	"control-in-value":    {Text: "HTTP/1.1 200 OK\r\nX: broken\x01\r\n" + whole},
 	"coding-in-1.0":       {Text: "HTTP/1.0 200 OK\r\n" + idLine + "Transfer-Encoding: chunked\r\n\r\n6\r\nbroken\r\n0\r\n\r\n"},
+	"protocol-2.0":        {Text: "HTTP/2.0 200 OK\r\n" + whole},
 	"head-stops-status":   {Text: "HTTP/1.1 200 OK\r\n"},
 	"head-stops-field":    {Text: head + "X: brok"},
 	"head-stops-end":      {Text: head + "X: broken\r\n"},
