A health response with a broken head says nothing of the backend server

What happened: the daemon took a health response of status 200 with a blank in the name of a field, or of HTTP/2.0, for a good one, and read the ID, the load and the speed out of any such head, and out of one with status 000 or 101.

Cause: net/http's client reads them, as its parser does for the transport.

Change: httphead.CheckResponse, which the transport uses as well, makes the check fail. A body that breaks off behind a whole head changes nothing, as before.

--- a/pkg/backend/prober.go
+++ b/pkg/backend/prober.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rushramp/rushramp/pkg/httphead"
 	"github.com/rushramp/rushramp/pkg/netdial"
 )
 
@@ -46,7 +47,7 @@
 	ColdFor time.Duration
 }
 
-// Probe makes one health check. An error means that there was no response.
+// Probe makes one health check. An error means that there was no response, or none of HTTP/1.
 func (p *Prober) Probe(ctx context.Context, path string) (ProbeResult, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address+path, nil)
 	if err != nil {
@@ -57,6 +58,9 @@
 		return ProbeResult{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := httphead.CheckResponse(resp); err != nil {
+		return ProbeResult{}, err
+	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBodyBytes))
 	return ProbeResult{
 		Healthy:    resp.StatusCode == http.StatusOK,
--- a/pkg/backend/response_head.go
+++ b/pkg/backend/response_head.go
@@ -41,21 +41,7 @@
 			return nil, errCodingInHTTP10
 		}
 	}
-	return resp, checkHead(resp)
-}
-
-// checkHead returns an error for a head that net/http reads and that is none of HTTP/1.
-func checkHead(resp *http.Response) error {
-	if resp.ProtoMajor != 1 {
-		return errors.Errorf("the response's protocol is %s", resp.Proto)
-	}
-	if err := httphead.CheckFields(resp.Header); err != nil {
-		return err
-	}
-	if httphead.IsInterim(resp.StatusCode) {
-		return nil
-	}
-	return httphead.CheckStatus(resp.StatusCode)
+	return resp, httphead.CheckResponse(resp)
 }
 
 // hasCoding reports whether a head, which net/http has read, has a Transfer-Encoding field.
