Both listeners refuse an answer with a broken head from an earlier release

What callers saw: a daemon of an earlier release beside a backend server in trouble sends on what it let through. The listener for calls wrote all of it: a status 0 as 200, statuses 99 to 103 and 1000, names with blanks and control bytes, and a value with a line break as further fields. The listener for routed requests refused such statuses already; it left out the fields with such names and wrote the 200, and wrote a control byte in a value.

Cause: a check of the status stood in one listener only, and none of the fields.

Change: call.Result.WithoutBrokenAnswer in both, by the checks that the readers of backend servers' answers use. It also covers answers that an earlier release has stored under a key. The caller gets 502 and Rushramp-Ran: maybe.

Evidence: TestAnAnswerWithABrokenHeadIsNotPassedOn on the code before: callers passed on 11 of 11 answers; ingress answered 200 for the four with a broken name and ended the test with a head that no client reads at the first broken value. After: 502 for each.

--- a/pkg/callers/server.go
+++ b/pkg/callers/server.go
@@ -200,6 +200,7 @@
 
 // writeResult writes the backend server's answer, or the refusal.
 func (s *Server) writeResult(c *app.RequestContext, result call.Result) {
+	result = result.WithoutBrokenAnswer()
 	if result.Refusal != nil {
 		s.refuse(c, result.Refusal, result.RetryAfter)
 		return
--- a/pkg/ingress/server.go
+++ b/pkg/ingress/server.go
@@ -202,9 +202,7 @@
 // the refusal in result.
 func (s *Server) writeAnswer(w http.ResponseWriter, req *forward.Request, result call.Result) {
 	w.Header().Set(s.headers.RequestID, req.ID)
-	if result.Refusal == nil && !isFinalStatus(result.Answer.Status) {
-		result.Refusal = errkind.New(errkind.BackendFailed, "the answer's status %d is not a final status", result.Answer.Status)
-	}
+	result = result.WithoutBrokenAnswer()
 	if result.Refusal != nil {
 		s.refuse(w, result.Refusal, result.RetryAfter)
 		return
@@ -225,13 +223,6 @@
 	_, _ = w.Write(result.Answer.Body)
 }
 
-// isFinalStatus reports whether a status ends a request. After any other status, a caller
-// would take the answer to its next request for the answer to this one.
-func isFinalStatus(status int) bool {
-	const lowest, highest = 200, 999
-	return status >= lowest && status <= highest
-}
-
 // refuse writes the answer for a refusal, with the status and the advice of its kind.
 // retryAfter replaces the kind's own Retry-After time unless it is 0.
 func (s *Server) refuse(w http.ResponseWriter, refusal *errkind.Error, retryAfter time.Duration) {
