One exchange for the clients of stores; httphead becomes httpstrict

The package no longer checks heads only, hence its name.

Run: the tests of the store's client, those of broken answers among them.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/rushramp/rushramp/pkg/httphead"
+	"github.com/rushramp/rushramp/pkg/httpstrict"
 )
 
 // errUnexpectedBytes closes a connection that received bytes which belong to no pending
@@ -216,7 +216,7 @@
 	if err != nil {
 		return false, err
 	}
-	if httphead.IsInterim(resp.StatusCode) {
+	if httpstrict.IsInterim(resp.StatusCode) {
 		return false, nil
 	}
 	// maxBodyBytes limits the body; net/http limits trailers and the lines of chunks.
--- a/pkg/backend/prober.go
+++ b/pkg/backend/prober.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/rushramp/rushramp/pkg/httphead"
+	"github.com/rushramp/rushramp/pkg/httpstrict"
 	"github.com/rushramp/rushramp/pkg/netdial"
 )
 
@@ -58,7 +58,7 @@
 		return ProbeResult{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if err := httphead.CheckResponse(resp); err != nil {
+	if err := httpstrict.CheckResponse(resp); err != nil {
 		return ProbeResult{}, err
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHealthBodyBytes))
--- a/pkg/backend/response_head.go
+++ b/pkg/backend/response_head.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/rushramp/rushramp/pkg/httphead"
+	"github.com/rushramp/rushramp/pkg/httpstrict"
 )
 
 // http10 begins a response of HTTP/1.0.
@@ -41,7 +41,7 @@
 			return nil, errCodingInHTTP10
 		}
 	}
-	return resp, httphead.CheckResponse(resp)
+	return resp, httpstrict.CheckResponse(resp)
 }
 
 // hasCoding reports whether a head, which net/http has read, has a Transfer-Encoding field.
--- a/pkg/call/answer_head.go
+++ b/pkg/call/answer_head.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/rushramp/rushramp/pkg/errkind"
-	"github.com/rushramp/rushramp/pkg/httphead"
+	"github.com/rushramp/rushramp/pkg/httpstrict"
 )
 
 // WithoutBrokenAnswer returns the result with a refusal in place of an answer that has no status or
@@ -19,11 +19,11 @@
 }
 
 func (a *Answer) checkHead() error {
-	if err := httphead.CheckStatus(a.Status); err != nil {
+	if err := httpstrict.CheckStatus(a.Status); err != nil {
 		return err
 	}
 	for _, h := range a.Headers {
-		if err := httphead.CheckField(h.Name, h.Value); err != nil {
+		if err := httpstrict.CheckField(h.Name, h.Value); err != nil {
 			return err
 		}
 	}
--- a/pkg/executor/backendclient.go
+++ b/pkg/executor/backendclient.go
@@ -11,7 +11,7 @@
 	"github.com/rushramp/rushramp/pkg/backend"
 	"github.com/rushramp/rushramp/pkg/call"
 	"github.com/rushramp/rushramp/pkg/errkind"
-	"github.com/rushramp/rushramp/pkg/httphead"
+	"github.com/rushramp/rushramp/pkg/httpstrict"
 	"github.com/rushramp/rushramp/pkg/settings"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
@@ -52,7 +52,7 @@
 
 // run sends the call and waits for the whole answer. id identifies the call for cancel.
 func (b *backendClient) run(c *wire.Call, id string, body []byte, timeout time.Duration, neverRepeat bool) (*call.Answer, *errkind.Error) {
-	if err := httphead.CheckRequestLine(c.Method, c.URI); err != nil {
+	if err := httpstrict.CheckRequestLine(c.Method, c.URI); err != nil {
 		return nil, errkind.New(errkind.BadRequest, "%v", err)
 	}
 	return b.send(&backend.Request{
--- a/platform/request_write.go
+++ b/pkg/httpstrict/request_write.go
@@ -1,4 +1,4 @@
-package platform
+package httpstrict
 
 import (
 	"context"
@@ -26,9 +26,8 @@
 	w.ended <- info.Err
 }
 
-// wait waits until the write has ended, or ctx. It returns an error unless the request was written
-// whole: only then may its answer be a word on all of it, and only then does the end of the
-// connection end a body without a length (a reset may have reached the writer alone).
+// wait waits until the write has ended, or ctx, and returns an error unless the request was written
+// whole.
 func (w *requestWrite) wait(ctx context.Context) error {
 	select {
 	case err := <-w.ended:
--- a/pkg/httphead/response.go
+++ b/pkg/httpstrict/response.go
@@ -1,4 +1,4 @@
-package httphead
+package httpstrict
 
 import (
 	"net/http"
--- a/pkg/httphead/status.go
+++ b/pkg/httpstrict/status.go
@@ -1,6 +1,7 @@
-// Package httphead checks heads of HTTP messages for what the parsers of libraries let through.
-// All readers of backend servers' answers check a head before they act on it.
-package httphead
+// Package httpstrict checks what clients of libraries let through: heads that are none of HTTP/1, and
+// answers to requests that were not written whole. All readers of the answers of backend servers and
+// of the platform use it.
+package httpstrict
 
 import (
 	"net/http"
