The client of rushramp's own platform takes no broken answer

What happened: with platform.form "http", a status 000, names with blanks, control bytes, HTTP/2.0 and HTTP/1.0 with a coding came through as answers of the platform, and bodies without a length that were reset as whole. A transaction or an object so answered had been acknowledged for the daemon.

Cause: hertz's client, as at the executor.

Change: net/http with httpstrict.Exchange, as for the users' store. A request is not repeated by itself, redirects are not followed, a context that is cancelled ends a call at once. NewHTTPClient has no error any more.

--- a/pkg/daemon/adapter.go
+++ b/pkg/daemon/adapter.go
@@ -73,10 +73,7 @@
 
 // newHTTPAdapter returns the adapter for rushramp's own HTTP interface.
 func newHTTPAdapter(s *settings.Settings) (*Adapter, error) {
-	client, err := store.NewHTTPClient(s.Platform.Address, s.Platform.Timeout)
-	if err != nil {
-		return nil, err
-	}
+	client := store.NewHTTPClient(s.Platform.Address, s.Platform.Timeout)
 	// This store has no clock. The clocks of VMs are synchronised over the network.
 	wallClock := func() time.Duration { return time.Duration(time.Now().UnixNano()) }
 	if s.BackendServer.Version != "" && s.Listen.Routed != "" {
--- a/pkg/store/httpclient.go
+++ b/pkg/store/httpclient.go
@@ -1,44 +1,47 @@
 package store
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
-	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1"
 	"github.com/pkg/errors"
+
+	"github.com/rushramp/rushramp/pkg/httpstrict"
+	"github.com/rushramp/rushramp/pkg/netdial"
 )
 
 // HTTPClient calls the platform over HTTP with CBOR bodies.
 type HTTPClient struct {
 	address string
 	timeout time.Duration
-	client  *client.Client
+	client  *http.Client
 }
 
 var _ Platform = (*HTTPClient)(nil)
 
-// maxResponseBytes is the maximum length of a response's body. Objects have up to 8 MB.
-const maxResponseBytes = 16 << 20
+const (
+	// maxResponseBytes is the maximum length of a response's body. Objects have up to 8 MB.
+	maxResponseBytes = 16 << 20
+	// maxResponseHeadBytes is the maximum size of a response's head.
+	maxResponseHeadBytes = 64 << 10
+	// maxIdleConnections is how many connections without a request are kept, each for up to
+	// idleTimeout.
+	maxIdleConnections = 64
+	idleTimeout        = 10 * time.Second
+)
 
 // NewHTTPClient returns a client of the platform at address, an IP address and port. A
 // request ends after timeout, or earlier at the deadline of its context.
-func NewHTTPClient(address string, timeout time.Duration) (*HTTPClient, error) {
-	c, err := client.NewClient(client.WithDialTimeout(timeout), client.WithDialer(standard.NewDialer()),
-		client.WithHostClientConfigHook(func(host any) error {
-			host.(*http1.HostClient).MaxResponseBodySize = maxResponseBytes
-			return nil
-		}))
-	if err != nil {
-		return nil, errors.Wrap(err, "create the HTTP client of the platform")
-	}
-	// The library must not retry: the first attempt may have taken effect.
-	c.SetRetryIfFunc(func(*protocol.Request, *protocol.Response, error) bool { return false })
-	return &HTTPClient{address: address, timeout: timeout, client: c}, nil
+func NewHTTPClient(address string, timeout time.Duration) *HTTPClient {
+	return &HTTPClient{address: address, timeout: timeout, client: &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: &http.Transport{
+			DialContext: netdial.New(timeout, 0).DialContext, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeadBytes,
+			MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: idleTimeout,
+		},
+	}}
 }
 
 // Get implements Table.
@@ -102,35 +105,31 @@
 	if err != nil {
 		return err
 	}
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	req.SetMethod(http.MethodPost)
-	req.SetRequestURI("http://" + h.address + path)
-	req.SetBody(body)
-	timeout := h.timeout
-	if deadline, ok := ctx.Deadline(); ok {
-		timeout = min(timeout, time.Until(deadline))
-	}
-	if timeout <= 0 {
-		return context.DeadlineExceeded
+	ctx, cancel := context.WithTimeout(ctx, h.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "create the request to the platform")
 	}
-	req.SetOptions(config.WithRequestTimeout(timeout))
-	if err := h.client.Do(ctx, req, resp); err != nil {
+	// Without GetBody, net/http cannot send the request again by itself: the first attempt may have
+	// taken effect.
+	req.GetBody = nil
+	resp, data, err := httpstrict.Exchange(h.client, req, maxResponseBytes)
+	if err != nil {
 		return errors.Wrapf(err, "request to the platform, path %s", path)
 	}
-	return decodeResponse(path, resp, out)
+	return decodeResponse(path, resp.StatusCode, data, out)
 }
 
 // decodeResponse decodes a response into out, or returns the error for its status.
-func decodeResponse(path string, resp *protocol.Response, out *Response) error {
-	switch resp.StatusCode() {
+func decodeResponse(path string, status int, data []byte, out *Response) error {
+	switch status {
 	case http.StatusOK:
-		return Decode(resp.Body(), out)
+		return Decode(data, out)
 	case http.StatusNotFound:
 		return ErrNotFound
 	case http.StatusConflict:
 		return ErrConflict
 	}
-	return errors.Errorf("request to the platform, path %s: unexpected status %d", path, resp.StatusCode())
+	return errors.Errorf("request to the platform, path %s: unexpected status %d", path, status)
 }
--- a/pkg/store/httpclient_test.go
+++ b/pkg/store/httpclient_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/shoenig/test"
-	"github.com/shoenig/test/must"
 )
 
 // TestEndlessBodiesOfThePlatformAreCut guards against a response that takes memory until the
@@ -32,9 +31,8 @@
 				written <- total
 			}))
 			defer server.Close()
-			client, err := NewHTTPClient(strings.TrimPrefix(server.URL, "http://"), 5*time.Second)
-			must.NoError(t, err)
-			_, err = client.Get(t.Context(), "a/x")
+			client := NewHTTPClient(strings.TrimPrefix(server.URL, "http://"), 5*time.Second)
+			_, err := client.Get(t.Context(), "a/x")
 			test.Error(t, err)
 			test.Less(t, 4*maxResponseBytes, <-written)
 		})
