backend: the end of a response's body in a file of its own

conn.readNext had the framing, the budget and the reset under an upload in one place; response_body.go has the last now. The two tests of listeners share their answers (pkg/standin/unchecked). No behaviour and no check changes; tests of backend (with the race detector), callers, ingress, store and executor pass.

--- a/pkg/backend/conn.go
+++ b/pkg/backend/conn.go
@@ -37,10 +37,6 @@
 // errBodyTooLarge closes a connection whose response body exceeds the limit.
 var errBodyTooLarge = errors.New("response body exceeds the size limit")
 
-// errResetUnderRequest closes a connection that ended before the request was written whole, with a
-// response that has no length: the body may be incomplete.
-var errResetUnderRequest = errors.New("the connection ended before the request was written, and the response has no length")
-
 // exchange is one request and its pending response on a connection.
 type exchange struct {
 	id      string
@@ -221,38 +217,20 @@
 	}
 	// maxBodyBytes limits the body; net/http limits trailers and the lines of chunks.
 	c.source.remaining = math.MaxInt64
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	last := resp.Close || !framed
+	last := resp.Close || !isFramed(resp)
 	if c.idHeader != "" && resp.Header.Get(c.idHeader) != ex.id {
 		if last {
 			return false, errUnexpectedBytes
 		}
 		return false, c.dropBody(resp.Body)
 	}
-	body, err := c.answers.readBody(resp.Body, resp.ContentLength, c.maxBodyBytes)
+	body, err := c.readBody(ex, resp)
 	if err != nil {
 		return false, errors.Wrap(err, "response body")
 	}
-	if !framed && resp.Body != http.NoBody {
-		if err := ex.confirmEnd(); err != nil {
-			body.release()
-			return false, err
-		}
-	}
 	return true, c.deliver(ex, &response{status: resp.StatusCode, header: resp.Header, body: body}, last)
 }
 
-// confirmEnd returns an error if the end of the connection, which the reader has seen, may have been
-// a reset. The kernel reports a reset only once: to the writer of the request, if that is the next to
-// use the connection. confirmEnd therefore waits until the write has ended.
-func (ex *exchange) confirmEnd() error {
-	<-ex.written
-	if ex.writeErr != nil {
-		return errors.Wrap(errResetUnderRequest, ex.writeErr.Error())
-	}
-	return nil
-}
-
 // dropBody reads the body of a response to another request.
 func (c *conn) dropBody(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, c.maxBodyBytes+1))
--- a/pkg/callers/broken_answer_test.go
+++ b/pkg/callers/broken_answer_test.go
@@ -8,22 +8,14 @@
 	"github.com/shoenig/test"
 
 	"github.com/rushramp/rushramp/pkg/call"
+	"github.com/rushramp/rushramp/pkg/standin/unchecked"
 	"github.com/rushramp/rushramp/pkg/wire"
 )
 
 // TestAnAnswerWithABrokenHeadIsNotPassedOn although a daemon of an earlier release let it through,
 // or has stored it under a key.
 func TestAnAnswerWithABrokenHeadIsNotPassedOn(t *testing.T) {
-	for _, answer := range []call.Answer{
-		{Status: 0}, {Status: 99}, {Status: 101}, {Status: 103}, {Status: 1000},
-		{Status: 200, Headers: []wire.Header{{Name: "X Y", Value: "z"}}},
-		{Status: 200, Headers: []wire.Header{{Name: "Content-Length ", Value: "2"}}},
-		{Status: 200, Headers: []wire.Header{{Name: "X\x01", Value: "z"}}},
-		{Status: 200, Headers: []wire.Header{{Name: "", Value: "z"}}},
-		{Status: 200, Headers: []wire.Header{{Name: "X", Value: "a\x01b"}}},
-		{Status: 200, Headers: []wire.Header{{Name: "X", Value: "a\r\nY: b"}}},
-	} {
-		answer.Body = []byte("broken")
+	for _, answer := range unchecked.Answers() {
 		c := app.NewContext(0)
 		(&Server{}).writeResult(c, call.Result{Answer: &answer})
 		test.Eq(t, http.StatusBadGateway, c.Response.StatusCode(), test.Sprint(answer))
