--- a/pkg/backend/transport.go
+++ b/pkg/backend/transport.go
@@ -84,6 +84,8 @@
 	// Repeatable allows the use of a connection that was idle for longer than
 	// maxIdleNonRepeatable.
 	Repeatable bool
+	// OwnConnection sends the request on a new connection, which is closed after it.
+	OwnConnection bool
 }
 
 // Reply is the result of a request: either Answer or Refusal is set.
@@ -120,7 +122,7 @@
 		return newRefusal(errkind.Overloaded, false, "answers hold %d of the %d bytes in limits.answers_bytes", t.opts.Answers.held.Load(), t.opts.Answers.limit)
 	}
 	ex := newExchange(req)
-	c, err := t.acquire(ctx, ex, req.Repeatable)
+	c, err := t.acquire(ctx, ex, req)
 	if err != nil {
 		return newRefusal(errkind.BackendUnreachable, false, "%v", err)
 	}
@@ -137,7 +139,7 @@
 	}
 	select {
 	case resp := <-ex.response:
-		t.release(c, ex, parseKeepAlive(resp.header.Get("Keep-Alive")))
+		t.release(c, ex, req, parseKeepAlive(resp.header.Get("Keep-Alive")))
 		return t.classify(resp)
 	case err := <-ex.failure:
 		return newRefusal(failureKind(err), true, "%v", err)
@@ -220,10 +222,10 @@
 }
 
 // acquire returns a connection on which ex has started: the most recently used idle one
-// that is open, or a new one.
-func (t *Transport) acquire(ctx context.Context, ex *exchange, repeatable bool) (*conn, error) {
-	for {
-		c := t.popIdle(repeatable)
+// that is open and that req may use, or a new one.
+func (t *Transport) acquire(ctx context.Context, ex *exchange, req *Request) (*conn, error) {
+	for !req.OwnConnection {
+		c := t.popIdle(req.Repeatable)
 		if c == nil {
 			break
 		}
@@ -293,10 +295,10 @@
 }
 
 // release keeps the connection for further requests; idleTimeout is what the response states
-// of it, 0 for nothing. It closes the connection instead if the request's body was not fully
-// written: the rest of it would be read as the next request.
-func (t *Transport) release(c *conn, ex *exchange, idleTimeout time.Duration) {
-	if !ex.isWritten() || !c.isOpen() {
+// of it, 0 for nothing. It closes the connection instead if it was for this request only, or if the
+// request's body was not fully written: the rest of it would be read as the next request.
+func (t *Transport) release(c *conn, ex *exchange, req *Request, idleTimeout time.Duration) {
+	if req.OwnConnection || !ex.isWritten() || !c.isOpen() {
 		_ = c.Close()
 		return
 	}
--- a/pkg/executor/backendclient.go
+++ b/pkg/executor/backendclient.go
@@ -57,6 +57,9 @@
 	}
 	return b.send(&backend.Request{
 		ID: id, Method: c.Method, URI: c.URI, Headers: c.Headers, Body: body, Repeatable: !neverRepeat,
+		// The backend server may close a reused connection while the call is on its way, and nobody
+		// could tell then whether the call ran.
+		OwnConnection: neverRepeat,
 	}, timeout)
 }
 
--- a/pkg/executor/broken_answers_test.go
+++ b/pkg/executor/broken_answers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,6 +132,36 @@
 	test.Eq(t, 0, len(seen), test.Sprint("nothing else was sent"))
 }
 
+// TestCallsThatMayNeverBeRepeatedGetTheirOwnConnection guards against a call that is lost on a
+// connection which the backend server closes.
+func TestCallsThatMayNeverBeRepeatedGetTheirOwnConnection(t *testing.T) {
+	seen := make(chan *http.Request, 10)
+	connections := &countingListener{}
+	c := newTestClient(t, func(l net.Listener) {
+		connections.Listener = l
+		recordRequests(connections, seen)
+	})
+	for _, neverRepeat := range []bool{false, false, true, true, false} {
+		_, refusal := c.run(&wire.Call{Method: "POST", URI: "/x"}, "r", nil, 2*time.Second, neverRepeat)
+		must.Nil(t, refusal)
+	}
+	test.Eq(t, 3, connections.accepted.Load(), test.Sprint("one for three calls, and one each for two"))
+}
+
+// countingListener counts the connections that it has accepted.
+type countingListener struct {
+	net.Listener
+	accepted atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return c, err
+}
+
 // recordRequests answers each request with its body and puts it into seen.
 func recordRequests(l net.Listener, seen chan<- *http.Request) {
 	for {
